--- /dev/null
+++ b/hibiscusroad-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! `hibiscusroad`: the operators' command line.
+fn main() {}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The role entry: callers, placement and operators.
--- /dev/null
+++ b/hibiscusroad-daemon/src/logs.rs
@@ -0,0 +1,1 @@
+//! Logs of a process.
--- /dev/null
+++ b/hibiscusroad-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! `hibiscusroadd`: the daemon.
+
+fn main() {}
--- /dev/null
+++ b/hibiscusroad-daemon/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of a process.
--- /dev/null
+++ b/hibiscusroad-daemon/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The platform, behind a narrow client of plain functions.
--- /dev/null
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -0,0 +1,251 @@
+//! The settings of a process, read from one TOML file when it starts.
+//!
+//! What may change while the system runs is not here but in the configuration
+//! document that the entries spread; a process learns from its settings only
+//! who and where it is, and whom to ask.
+//!
+//! # Example
+//!
+//! ```
+//! use hibiscusroad_daemon::settings::Settings;
+//!
+//! let settings: Settings = toml::from_str(
+//!     r#"
+//!     name = "entry-senec-1"
+//!     host = "host-senec-1"
+//!     place = "senec"
+//!     region = "zapad"
+//!
+//!     [platform]
+//!     table = "http://127.0.0.1:2379"
+//!     hosts = "http://127.0.0.1:2380"
+//!
+//!     [entry]
+//!     callers = "127.0.0.1:8080"
+//!     operators = "127.0.0.1:8081"
+//!     "#,
+//! )?;
+//! assert!(settings.entry.is_some());
+//! # Ok::<(), toml::de::Error>(())
+//! ```
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// All settings of one process. Exactly one of `entry` and `side` is given.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The process's name, unique in the deployment.
+    pub name: String,
+    /// The host that it runs on.
+    pub host: String,
+    /// The place (data centre) of the host.
+    pub place: String,
+    /// The region of the place.
+    pub region: String,
+    /// Where the platform's services are.
+    pub platform: Platform,
+    /// Settings of the role entry.
+    pub entry: Option<Entry>,
+    /// Settings of the role side.
+    pub side: Option<Side>,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+    /// Metrics.
+    #[serde(default)]
+    pub metrics: Metrics,
+    /// Stopping.
+    #[serde(default)]
+    pub stop: Stop,
+}
+
+/// Where the platform's services are, as URLs without a path.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// The table service, etcd's JSON gateway.
+    pub table: String,
+    /// The host list, in the form of HTTP service discovery.
+    pub hosts: String,
+    /// The object store.
+    pub objects: Option<String>,
+    /// The weight store.
+    pub weights: Option<String>,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect; apart from callers, so that a rush of them
+    /// can't lock operators out.
+    pub operators: SocketAddr,
+    /// Requests worked on at once: threads that read and answer.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Bytes that a request's body may have.
+    #[serde(default = "default_body")]
+    pub body: usize,
+    /// Events that may wait for the thread that owns the tables.
+    #[serde(default = "default_handover")]
+    pub handover: usize,
+    /// Milliseconds a caller waits who names no deadline.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: u64,
+    /// Sides of each service that this entry keeps a link to.
+    #[serde(default = "default_subset")]
+    pub subset: usize,
+    /// Tokens of those who may ask and act.
+    #[serde(default)]
+    pub tokens: Tokens,
+}
+
+/// Tokens that operators show.
+#[derive(Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tokens {
+    /// May ask what is running.
+    #[serde(default)]
+    pub ask: Vec<String>,
+    /// May also change the configuration.
+    #[serde(default)]
+    pub act: Vec<String>,
+}
+
+impl std::fmt::Debug for Tokens {
+    // Tokens must never reach a log.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Tokens")
+            .field("ask", &self.ask.len())
+            .field("act", &self.act.len())
+            .finish()
+    }
+}
+
+/// Settings of a side.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Side {
+    /// Where entries open links.
+    pub links: SocketAddr,
+    /// The service of its endpoint.
+    pub service: String,
+    /// The endpoint's name, unique in the service.
+    pub endpoint: String,
+    /// The endpoint's address.
+    pub address: SocketAddr,
+    /// What the endpoint is.
+    pub kind: Kind,
+    /// Requests that the endpoint works on at once.
+    #[serde(default = "default_limit")]
+    pub limit: u32,
+    /// Bytes of answers kept for entries that have not acknowledged them.
+    #[serde(default = "default_buffer")]
+    pub buffer: usize,
+    /// Events that may wait for the thread that owns the tables.
+    #[serde(default = "default_handover")]
+    pub handover: usize,
+    /// Whether the endpoint itself refuses an order with an old number.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+/// What an endpoint is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model engine.
+    Model,
+    /// A plain HTTP service.
+    Plain,
+}
+
+/// Settings of logs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "default_level")]
+    pub level: String,
+    /// `text` or `json`.
+    #[serde(default = "default_format")]
+    pub format: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: default_level(),
+            format: default_format(),
+        }
+    }
+}
+
+/// Settings of metrics.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Metrics {
+    /// Where statsd lines are sent by UDP; none are, without it.
+    pub target: Option<SocketAddr>,
+}
+
+/// Settings of a planned stop.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stop {
+    /// Seconds that work in flight may take before the process ends anyway.
+    #[serde(default = "default_stop")]
+    pub deadline_s: u64,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self {
+            deadline_s: default_stop(),
+        }
+    }
+}
+
+fn default_workers() -> usize {
+    256
+}
+
+fn default_body() -> usize {
+    1 << 20
+}
+
+fn default_handover() -> usize {
+    8192
+}
+
+fn default_deadline() -> u64 {
+    10_000
+}
+
+fn default_subset() -> usize {
+    24
+}
+
+fn default_limit() -> u32 {
+    64
+}
+
+fn default_buffer() -> usize {
+    16 << 20
+}
+
+fn default_level() -> String {
+    "info".to_owned()
+}
+
+fn default_format() -> String {
+    "text".to_owned()
+}
+
+fn default_stop() -> u64 {
+    30
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -0,0 +1,1 @@
+//! The role side: the gate to one endpoint.
--- /dev/null
+++ b/hibiscusroad-measure/src/main.rs
@@ -0,0 +1,2 @@
+//! `measure`: load, experiments and the demonstration.
+fn main() {}
--- /dev/null
+++ b/hibiscusroad-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems around hibiscusroad, for its tests and demo.
--- /dev/null
+++ b/hibiscusroad-standins/src/main.rs
@@ -0,0 +1,2 @@
+//! `standin`: one stand-in as a process.
+fn main() {}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,1 @@
+//! What a side admits, seals, buffers and replays.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,44 @@
+//! Decisions of a rollout service for reinforcement learning.
+//!
+//! This crate holds what the daemons of hibiscusroad decide: which request is
+//! admitted, where it runs, when it is refused, and what must never happen
+//! twice. It does no input or output, starts no threads and never reads a
+//! clock: every function takes the present instant from its caller. The same
+//! code therefore runs in the daemons and, in virtual time, in the tests.
+//!
+//! # Example
+//!
+//! Every refusal carries one [`ErrorKind`], and one table says what the caller
+//! is told:
+//!
+//! ```
+//! use hibiscusroad::ErrorKind;
+//!
+//! let answer = ErrorKind::Saturated.answer();
+//! assert_eq!(answer.status, 503);
+//! assert!(answer.not_run);
+//! ```
+//!
+//! # Layout
+//!
+//! One module a concept, each opened by its design and trade-offs:
+//!
+//! * [`clock`]: the interface through which time enters.
+//! * [`error`]: the closed list of error kinds and the table of answers.
+//! * [`id`]: the small keys that name requests and processes.
+//! * [`gate`]: what a side admits, seals, buffers and replays.
+//! * [`route`]: admission, queues, placement, limits, retries.
+
+pub mod class;
+pub mod clock;
+pub mod error;
+pub mod gate;
+pub mod id;
+pub mod route;
+
+pub use crate::{
+    class::{Class, Repeat},
+    clock::{Clock, ManualClock, SystemClock},
+    error::{Answer, ErrorKind, Retry},
+    id::{Incarnation, RequestId},
+};
