Decide in the gate what starts at an endpoint

A promise about an attempt has to be decided at one place that can refuse alone. The gate holds links, attempts and tombstones as tables, takes events and gives out steps.

--- /dev/null
+++ b/src/gate/table.rs
@@ -0,0 +1,409 @@
+//! The tables of a gate and the events that change them.
+
+use crate::{
+    class::Repeat,
+    error::ErrorKind,
+    gate::{
+        Admission, Ask, Fences, Frame, GateLoad, GateSpec, Head, LinkKey, OrderRefusal, Run,
+        Standing, Step,
+        attempt::{Attempt, Body, Viewer},
+        tomb::{Tomb, Tombs},
+    },
+    id::{Incarnation, RequestId},
+};
+use slotmap::SlotMap;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Instant,
+};
+
+/// A link from an entry.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) entry: Incarnation,
+    epoch: u64,
+    /// Whether its epoch was above those of all earlier links of its entry.
+    fresh: bool,
+    /// When the last frame came.
+    pub(super) heard: Instant,
+}
+
+/// Decides what starts at one endpoint, and keeps the answers.
+#[derive(Debug)]
+pub struct Gate {
+    pub(super) spec: GateSpec,
+    pub(super) leaving: bool,
+    pub(super) links: SlotMap<LinkKey, Link>,
+    pub(super) attempts: BTreeMap<RequestId, Attempt>,
+    pub(super) tombs: Tombs,
+    /// Calls open at the endpoint, those being aborted included.
+    pub(super) calls: BTreeSet<RequestId>,
+    pub(super) paused: BTreeSet<RequestId>,
+    /// Bytes kept in all.
+    pub(super) held: usize,
+    pub(super) swept: Option<Instant>,
+    fences: Fences,
+    steps: VecDeque<Step>,
+}
+
+impl Gate {
+    /// Creates an open gate that knows nothing.
+    #[must_use]
+    pub fn new(spec: GateSpec) -> Self {
+        Self {
+            spec,
+            leaving: false,
+            links: SlotMap::with_key(),
+            attempts: BTreeMap::new(),
+            tombs: Tombs::default(),
+            calls: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            held: 0,
+            swept: None,
+            fences: Fences::default(),
+            steps: VecDeque::new(),
+        }
+    }
+
+    /// Takes in the link of an entry that said hello.
+    ///
+    /// Starts are taken only from the link with the entry's highest epoch: a
+    /// connection that an entry has given up may still deliver what was sent
+    /// on it, after the entry was told that the attempt is sealed.
+    pub fn open(&mut self, now: Instant, entry: Incarnation, epoch: u64) -> LinkKey {
+        let fresh = self.tombs.raise(entry, epoch);
+        self.links.insert(Link {
+            entry,
+            epoch,
+            fresh,
+            heard: now,
+        })
+    }
+
+    /// Notes that any frame came over a link.
+    ///
+    /// Returns false if the link is closed. A process that was stopped finds
+    /// frames of any age in its sockets when it goes on; the silence it sees
+    /// then closes the link before the first of them is looked at.
+    pub fn heard(&mut self, now: Instant, link: LinkKey) -> bool {
+        if self.is_silent(now, link) {
+            self.close(now, link);
+        }
+        match self.links.get_mut(link) {
+            Some(row) => {
+                row.heard = now;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Notes that a link broke. What runs for its entry goes on for the grace.
+    pub fn lost(&mut self, now: Instant, link: LinkKey) {
+        if self.links.remove(link).is_none() {
+            return;
+        }
+        let until = now + self.spec.grace;
+        let viewers = self.attempts.values_mut().flat_map(|row| &mut row.viewers);
+        for viewer in viewers.filter(|viewer| viewer.link == Some(link)) {
+            viewer.link = None;
+            viewer.until = Some(until);
+        }
+    }
+
+    /// Decides whether an attempt starts.
+    ///
+    /// Made for several entries that share one endpoint and each know the
+    /// others' load late: the limit keeps the endpoint from more than it works
+    /// on at once, and the refusal costs the entry one round trip, after which
+    /// it places the call elsewhere.
+    pub fn start(&mut self, now: Instant, link: LinkKey, ask: Ask) -> Admission {
+        if self.is_known(ask.id) {
+            self.attach(now, link, ask.id, 0);
+            return Admission::Known;
+        }
+        if let Err(kind) = self.may_start(now, link, ask) {
+            self.seal_as(now, ask.id, kind);
+            self.send(link, Frame::Refused { id: ask.id, kind });
+            return Admission::Refused(kind);
+        }
+        let once = ask.repeat == Repeat::Once;
+        let mut attempt = Attempt {
+            once,
+            done: false,
+            whole: once,
+            deadline: Some(ask.deadline),
+            since: now,
+            body: Body::default(),
+            viewers: Vec::new(),
+        };
+        attempt.viewers.extend(self.viewer(link, 0));
+        self.attempts.insert(ask.id, attempt);
+        self.calls.insert(ask.id);
+        Admission::Run
+    }
+
+    /// Sends what is kept of an attempt from `offset` on, and what follows.
+    ///
+    /// An unknown attempt is sealed: the frame that should have started it was
+    /// lost with its link, and the entry may place the call elsewhere. A frame
+    /// from a link that a newer one has replaced is dropped: it would draw the
+    /// answer back to the connection that the entry has given up.
+    pub fn attach(&mut self, now: Instant, link: LinkKey, id: RequestId, offset: u64) {
+        let Some(viewer) = self.viewer(link, offset) else {
+            return;
+        };
+        if !self.is_newest(link) {
+            return;
+        }
+        let Some(row) = self.attempts.get_mut(&id) else {
+            self.answer_ended(now, link, id);
+            return;
+        };
+        if offset < row.body.base() || offset > row.body.length() {
+            let standing = Standing::Lost;
+            self.send(link, Frame::Standing { id, standing });
+            return;
+        }
+        row.viewers.retain(|other| other.entry != viewer.entry);
+        row.viewers.push(viewer);
+        for frame in row.body.replay(id, offset) {
+            self.steps.push_back(Step::Send { link, frame });
+        }
+        self.settle_flow(id);
+    }
+
+    /// Notes that an entry has all bytes below `offset` and, if `done`, needs
+    /// the answer no longer.
+    pub fn ack(&mut self, now: Instant, link: LinkKey, id: RequestId, offset: u64, done: bool) {
+        let (Some(from), Some(row)) = (self.links.get(link), self.attempts.get_mut(&id)) else {
+            return;
+        };
+        let entry = from.entry;
+        let offset = offset.min(row.body.length());
+        let mine = row.viewers.iter_mut().find(|viewer| viewer.entry == entry);
+        if let Some(viewer) = mine {
+            viewer.acked = viewer.acked.max(offset);
+        }
+        if done && row.done {
+            row.viewers.retain(|viewer| viewer.entry != entry);
+            row.since = now;
+        }
+        self.settle(now, id);
+    }
+
+    /// Notes that an entry no longer wants an attempt.
+    ///
+    /// One that may run only once runs on: a call that is cut off may have
+    /// taken effect, and the answer is what tells the caller who asks again.
+    pub fn cancel(&mut self, now: Instant, link: LinkKey, id: RequestId) {
+        let Some(entry) = self.links.get(link).map(|row| row.entry) else {
+            return;
+        };
+        if !self.is_known(id) {
+            self.seal(now, id);
+            return;
+        }
+        if let Some(row) = self.attempts.get_mut(&id) {
+            row.viewers.retain(|viewer| viewer.entry != entry);
+        }
+        self.settle(now, id);
+    }
+
+    /// Makes sure that an unknown attempt never starts, and says what is known.
+    pub fn seal(&mut self, now: Instant, id: RequestId) -> Standing {
+        if let Some(row) = self.attempts.get(&id) {
+            return if row.done {
+                Standing::Done
+            } else {
+                Standing::Running
+            };
+        }
+        if let Some(tomb) = self.tombs.get(id) {
+            return tomb.standing();
+        }
+        if self.tombs.may_have_run(id) {
+            return Standing::Lost;
+        }
+        self.seal_as(now, id, ErrorKind::Expired);
+        Standing::Sealed
+    }
+
+    /// Decides whether an order may reach the engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it must not; it surely had no effect then.
+    pub fn order(&mut self, link: LinkKey, duty: &str, number: u64) -> Result<(), OrderRefusal> {
+        if !self.is_newest(link) {
+            return Err(OrderRefusal::OldLink);
+        }
+        self.fences.pass(duty, number)
+    }
+
+    /// Notes the fencing number that stands in a duty's lease row.
+    pub fn learn(&mut self, duty: &str, number: u64) {
+        self.fences.learn(duty, number);
+    }
+
+    /// Returns the highest fencing number known.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fences.highest()
+    }
+
+    /// Takes the status and headers that the endpoint answered.
+    pub fn head(&mut self, id: RequestId, head: Head) {
+        let Some(row) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let head = row.body.set_head(head);
+        self.tell(id, &Frame::Head { id, head });
+    }
+
+    /// Takes bytes of the endpoint's answer.
+    pub fn bytes(&mut self, id: RequestId, data: Arc<[u8]>) {
+        let Some(row) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if data.is_empty() {
+            return;
+        }
+        self.held += data.len();
+        let chunk = row.body.push(data);
+        self.tell(id, &Frame::Chunk { id, chunk });
+        self.trim(id);
+        self.make_room(id);
+        self.settle_flow(id);
+    }
+
+    /// Notes that the endpoint's answer is whole.
+    pub fn finish(&mut self, now: Instant, id: RequestId, runs: Vec<Run>) {
+        self.calls.remove(&id);
+        let Some(row) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        row.done = true;
+        row.since = now;
+        let runs = row.body.set_end(runs);
+        let length = row.body.length();
+        self.tell(id, &Frame::End { id, length, runs });
+        self.settle(now, id);
+    }
+
+    /// Notes that the call of an attempt ended without a whole answer.
+    ///
+    /// A `kind` that says "not run" must be true: the side uses one only if it
+    /// sent the endpoint nothing.
+    pub fn fail(&mut self, now: Instant, id: RequestId, kind: ErrorKind) {
+        self.calls.remove(&id);
+        if self.attempts.contains_key(&id) {
+            self.tell(id, &Frame::Refused { id, kind });
+            self.bury(now, id, kind);
+        }
+    }
+
+    /// Says whether new work is refused. What runs is not touched.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Says whether new work is refused.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Says whether nothing runs and no entry waits for an answer.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.calls.is_empty() && self.attempts.values().all(|row| row.viewers.is_empty())
+    }
+
+    /// Returns what the gate reports of itself.
+    #[must_use]
+    pub fn load(&self) -> GateLoad {
+        GateLoad {
+            running: u32::try_from(self.calls.len()).unwrap_or(u32::MAX),
+            limit: self.spec.limit,
+            held: self.held,
+            tombs: self.tombs.len(),
+            attempts: self.attempts.len(),
+        }
+    }
+
+    /// Takes out the next step, if there is one.
+    pub fn next_step(&mut self) -> Option<Step> {
+        self.steps.pop_front()
+    }
+
+    pub(super) fn push(&mut self, step: Step) {
+        self.steps.push_back(step);
+    }
+
+    pub(super) fn seal_as(&mut self, now: Instant, id: RequestId, kind: ErrorKind) {
+        self.tombs.add(now, id, Tomb { ran: false, kind });
+    }
+
+    fn is_known(&self, id: RequestId) -> bool {
+        self.attempts.contains_key(&id) || self.tombs.get(id).is_some()
+    }
+
+    fn is_newest(&self, link: LinkKey) -> bool {
+        let row = self.links.get(link);
+        row.is_some_and(|row| row.fresh && self.tombs.is_newest(row.entry, row.epoch))
+    }
+
+    fn may_start(&self, now: Instant, link: LinkKey, ask: Ask) -> Result<(), ErrorKind> {
+        if self.leaving {
+            return Err(ErrorKind::Stopping);
+        }
+        let origin = self.links.get(link).map(|row| row.entry);
+        if origin.is_some_and(|entry| entry != ask.id.origin) {
+            return Err(ErrorKind::BadRequest);
+        }
+        if !self.is_newest(link) || ask.deadline <= now {
+            return Err(ErrorKind::Expired);
+        }
+        if self.tombs.may_be_sealed(ask.id) || self.calls.len() >= self.spec.limit as usize {
+            return Err(ErrorKind::Saturated);
+        }
+        Ok(())
+    }
+
+    fn viewer(&self, link: LinkKey, acked: u64) -> Option<Viewer> {
+        self.links.get(link).map(|row| Viewer {
+            entry: row.entry,
+            link: Some(link),
+            acked,
+            until: None,
+        })
+    }
+
+    /// Answers an entry that attaches to what is not running and not kept.
+    fn answer_ended(&mut self, now: Instant, link: LinkKey, id: RequestId) {
+        let standing = self.seal(now, id);
+        let frame = match self.tombs.get(id) {
+            Some(Tomb { kind, .. }) => Frame::Refused { id, kind },
+            None => Frame::Standing { id, standing },
+        };
+        self.send(link, frame);
+    }
+
+    pub(super) fn send(&mut self, link: LinkKey, frame: Frame) {
+        if self.links.contains_key(link) {
+            self.push(Step::Send { link, frame });
+        }
+    }
+
+    /// Sends a frame to all entries that read an attempt's answer.
+    pub(super) fn tell(&mut self, id: RequestId, frame: &Frame) {
+        let viewers = self.attempts.get(&id).map_or(&[][..], |row| &row.viewers);
+        let links = viewers.iter().filter_map(|viewer| viewer.link);
+        self.steps.extend(links.map(|link| Step::Send {
+            link,
+            frame: frame.clone(),
+        }));
+    }
+}
