Add the configuration's core and the platform's client

Cause: entry, side and command line need one meaning of a change, and one client of the table whose lost answers can't be overlooked.

Outcome::Unknown is a case of its own.

--- /dev/null
+++ b/hibiscusroad-daemon/src/platform/hosts.rs
@@ -0,0 +1,111 @@
+//! The platform's host list.
+
+use crate::platform::{Fault, agent};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Whether the platform wants to take a host away.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It stays.
+    Live,
+    /// It will be taken away soon.
+    Leaving,
+}
+
+/// One process that the list names.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Host {
+    /// The host's name.
+    pub name: String,
+    /// Its place.
+    pub place: String,
+    /// The role of the process: `entry` or `side`.
+    pub role: String,
+    /// The service of a side's endpoint; empty for an entry.
+    pub service: String,
+    /// The name of a side's endpoint, or of the entry.
+    pub endpoint: String,
+    /// Where the process takes links (side) or operators (entry).
+    pub address: SocketAddr,
+    /// Whether it stays.
+    pub state: State,
+}
+
+#[derive(Debug, Deserialize)]
+struct Group {
+    targets: Vec<SocketAddr>,
+    labels: Labels,
+}
+
+#[derive(Debug, Deserialize)]
+struct Labels {
+    #[serde(default)]
+    host: String,
+    #[serde(default)]
+    place: String,
+    role: String,
+    #[serde(default)]
+    service: String,
+    #[serde(default)]
+    endpoint: String,
+    state: State,
+}
+
+/// A client of the host list.
+///
+/// The list lags. What it says is news, never proof: a host that it still calls
+/// live may be gone, and one that it doesn't name yet may be serving.
+#[derive(Clone, Debug)]
+pub struct HostList {
+    agent: ureq::Agent,
+    url: String,
+}
+
+impl HostList {
+    /// Creates a client of the list at `url`.
+    #[must_use]
+    pub fn new(url: &str) -> Self {
+        Self {
+            agent: agent(),
+            url: format!("{}/hosts", url.trim_end_matches('/')),
+        }
+    }
+
+    /// Fetches the list as it is now.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] if the list gave no usable answer.
+    pub fn fetch(&self) -> Result<Vec<Host>, Fault> {
+        let mut response = self
+            .agent
+            .get(&self.url)
+            .call()
+            .map_err(|e| Fault::Unreachable(e.to_string()))?;
+        if response.status() != 200 {
+            return Err(Fault::Odd(format!("status {}", response.status())));
+        }
+        let bytes = response
+            .body_mut()
+            .read_to_vec()
+            .map_err(|e| Fault::Silent(e.to_string()))?;
+        let groups: Vec<Group> =
+            serde_json::from_slice(&bytes).map_err(|e| Fault::Odd(e.to_string()))?;
+        Ok(groups.into_iter().flat_map(hosts).collect())
+    }
+}
+
+fn hosts(group: Group) -> impl Iterator<Item = Host> {
+    let labels = group.labels;
+    group.targets.into_iter().map(move |address| Host {
+        name: labels.host.clone(),
+        place: labels.place.clone(),
+        role: labels.role.clone(),
+        service: labels.service.clone(),
+        endpoint: labels.endpoint.clone(),
+        address,
+        state: labels.state,
+    })
+}
--- a/hibiscusroad-daemon/src/platform/mod.rs
+++ b/hibiscusroad-daemon/src/platform/mod.rs
@@ -1,1 +1,45 @@
 //! The platform, behind a narrow client of plain functions.
+//!
+//! What must last lives in the platform's table service; this module is all
+//! that knows its wire form, so that another platform is another few files.
+//! Calls block; they run on threads of their own, never on the thread that owns
+//! the tables.
+//!
+//! Three things go wrong with such a service, and each has its place here. It
+//! may be down or slow: every call has a time limit and [`Backoff`] spreads the
+//! tries. An answer may be lost after the write took effect: [`Outcome`] has a
+//! case for it that callers can't overlook. And hundreds of processes may ask
+//! at once: a [`Budget`] keeps them together under what the service holds.
+
+mod backoff;
+mod budget;
+mod hosts;
+mod table;
+mod wire;
+
+pub use self::{
+    backoff::Backoff,
+    budget::Budget,
+    hosts::{Host, HostList, State},
+    table::{Cond, Fault, Op, Outcome, Row, Table, Transaction},
+};
+
+use std::time::Duration;
+
+/// How long one call may take before its outcome counts as unknown.
+///
+/// Long enough for a slow but working service, short enough that a caller with
+/// an ordinary deadline of seconds still gets its refusal in time.
+pub const CALL_LIMIT: Duration = Duration::from_millis(1500);
+
+/// How long opening a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_connect(Some(CONNECT_LIMIT))
+        .timeout_global(Some(CALL_LIMIT))
+        .http_status_as_error(false)
+        .build()
+        .into()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 //! One module a concept, each opened by its design and trade-offs:
 //!
 //! * [`clock`]: the interface through which time enters.
+//! * [`config`]: the document that operators change, and how it spreads.
 //! * [`error`]: the closed list of error kinds and the table of answers.
 //! * [`id`]: the small keys that name requests and processes.
 //! * [`gate`]: what a side admits, seals, buffers and replays.
@@ -31,6 +32,7 @@
 
 pub mod class;
 pub mod clock;
+pub mod config;
 pub mod error;
 pub mod gate;
 pub mod id;
