Run the role side: links, calls and orders around the gate

One actor owns the gate; tonic's runtime, the workers and the polls hand events over through one bounded channel.

--- /dev/null
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -0,0 +1,406 @@
+//! The actor that owns the tables of a side.
+
+use crate::{
+    settings::{Settings, Side},
+    side::{
+        LOG, ReadLease,
+        event::{Event, Outbound},
+        pool::{Pool, WorkerKey},
+        report::Report,
+        request::{Hello, Inbound, Order, Request},
+        throttle::Throttle,
+        wire,
+    },
+};
+use flume::Sender;
+use hibiscusroad::{
+    ErrorKind, Incarnation, RequestId,
+    gate::{Admission, Gate, GateSpec, LinkKey, OrderRefusal, Run, Step},
+};
+use hibiscusroad_wire::{OrderDone, ToEntry, to_entry::Frame};
+use slotmap::SecondaryMap;
+use stakker::{CX, MinTimerKey, after, stop, timer_min};
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use tokio::sync::oneshot;
+
+/// Time between two heartbeats on a link.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// When an entry may try a refused attempt again here, at the earliest.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// What a side is made of.
+#[derive(Clone)]
+pub struct Setup {
+    /// The settings of the process.
+    pub settings: Settings,
+    /// The settings of the role.
+    pub side: Side,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// Where threads hand events over.
+    pub events: Sender<Event>,
+    /// Reads a duty's lease row.
+    pub lease: ReadLease,
+}
+
+/// A link to an entry.
+#[derive(Debug)]
+struct Link {
+    out: Outbound,
+    entry: String,
+    /// The newest version of the configuration that the entry is known to have.
+    config: u64,
+}
+
+/// The tables of a side.
+pub struct Role {
+    setup: Setup,
+    gate: Gate,
+    links: SecondaryMap<LinkKey, Link>,
+    pool: Pool,
+    report: Report,
+    /// Duties whose lease rows are being read.
+    learning: HashSet<String>,
+    /// Orders at the engine.
+    orders: usize,
+    /// When the process ends even if work is in flight; set once it stops.
+    ends: Option<Instant>,
+    timer: MinTimerKey,
+}
+
+impl Role {
+    /// Creates the tables and starts the heartbeat.
+    #[expect(clippy::unnecessary_wraps, reason = "the actor's interface")]
+    pub fn init(cx: CX![], setup: Setup) -> Option<Self> {
+        after!(BEAT, [cx], beat());
+        let side = &setup.side;
+        Some(Self {
+            gate: Gate::new(GateSpec::new(side.limit, side.buffer)),
+            links: SecondaryMap::new(),
+            pool: Pool::new(side, setup.events.clone()),
+            report: Report::new(&setup),
+            learning: HashSet::new(),
+            orders: 0,
+            ends: None,
+            timer: MinTimerKey::default(),
+            setup,
+        })
+    }
+
+    /// Takes an event in and carries out what follows.
+    pub fn take(&mut self, cx: CX![], event: Event) {
+        let now = cx.now();
+        match event {
+            Event::Open { hello, out, reply } => self.open(now, hello, out, reply),
+            Event::Frame(link, frame) => self.frame(now, link, frame),
+            Event::Lost(link) => self.lost(now, link),
+            Event::Head(id, head) => self.gate.head(id, head),
+            Event::Bytes(id, data) => self.bytes(now, id, data),
+            Event::Ended {
+                worker,
+                id,
+                outcome,
+            } => self.ended(now, worker, id, outcome),
+            Event::Ordered {
+                worker,
+                link,
+                seq,
+                outcome,
+            } => self.ordered(now, worker, link, seq, outcome),
+            Event::Load(load) => self.report.load = load,
+            Event::Listed { leaving } => self.listed(now, leaving),
+            Event::Lease(duty, number) => self.learn(&duty, number),
+            Event::Stop => self.stop(now),
+        }
+        self.carry_out(now);
+    }
+
+    /// Runs the systems once a turn, and ends the actor when it may.
+    pub fn settle(&mut self, cx: CX![], now: Instant) {
+        self.gate.tick(now);
+        self.carry_out(now);
+        if let Some(due) = self.gate.next_due() {
+            timer_min!(&mut self.timer, due, [cx], wake());
+        }
+        let Some(ends) = self.ends else {
+            return;
+        };
+        let idle = self.orders == 0 && self.gate.is_idle();
+        if idle || ends <= now {
+            let left = self.gate.load().running;
+            log::info!(target: LOG, "stops with {left} calls in flight");
+            stop!(cx);
+        }
+    }
+
+    /// Only wakes the loop; the systems run in [`Role::settle`].
+    #[expect(clippy::unused_self, reason = "the actor's interface")]
+    fn wake(&mut self, _cx: CX![]) {}
+
+    fn beat(&mut self, cx: CX![]) {
+        after!(BEAT, [cx], beat());
+        self.pool.sweep(cx.now());
+        self.beat_all(cx.now());
+    }
+
+    fn beat_all(&mut self, now: Instant) {
+        let beat = self.report.beat(now, &self.gate);
+        let keys: Vec<LinkKey> = self.links.keys().collect();
+        for link in keys {
+            self.push(now, link, Frame::Beat(beat.clone()).into());
+        }
+    }
+
+    fn open(&mut self, now: Instant, hello: Hello, out: Outbound, reply: oneshot::Sender<LinkKey>) {
+        let link = self.gate.open(now, hello.incarnation, hello.epoch);
+        log::info!(target: LOG, "link {} of {} is open", hello.epoch, hello.entry);
+        let row = Link {
+            out,
+            entry: hello.entry,
+            config: hello.config,
+        };
+        self.links.insert(link, row);
+        let welcome = self.report.welcome(&self.gate);
+        self.push(now, link, Frame::Welcome(welcome).into());
+        self.hand_on(now, link);
+        if reply.send(link).is_err() {
+            self.lost(now, link);
+        }
+    }
+
+    fn lost(&mut self, now: Instant, link: LinkKey) {
+        if let Some(row) = self.links.remove(link) {
+            log::info!(target: LOG, "a link of {} is lost", row.entry);
+        }
+        self.gate.lost(now, link);
+    }
+
+    fn frame(&mut self, now: Instant, link: LinkKey, frame: Inbound) {
+        if !self.gate.heard(now, link) {
+            return;
+        }
+        match frame {
+            Inbound::Start(request) => self.start(now, link, request),
+            Inbound::Attach(id, offset) => self.gate.attach(now, link, id, offset),
+            Inbound::Ack(id, offset, done) => self.gate.ack(now, link, id, offset, done),
+            Inbound::Cancel(id) => self.gate.cancel(now, link, id),
+            Inbound::Seal(id) => self.gate.ask(now, link, id),
+            Inbound::Beat(version) => self.heard_version(now, link, version),
+            Inbound::Config(version, document) => self.config(now, link, version, document),
+            Inbound::Order(order) => self.order(now, link, *order),
+        }
+    }
+
+    fn start(&mut self, now: Instant, link: LinkKey, request: Box<Request>) {
+        let id = request.ask.id;
+        match self.gate.start(now, link, request.ask) {
+            Admission::Run => {
+                if let Err(kind) = self.pool.call(now, request) {
+                    self.gate.fail(now, id, kind);
+                }
+            }
+            Admission::Known => log::debug!(target: LOG, "{id} is known already"),
+            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}"),
+        }
+    }
+
+    fn bytes(&mut self, now: Instant, id: RequestId, data: Arc<[u8]>) {
+        self.gate.bytes(id, data);
+        // A pause has to take hold before the worker may read on.
+        self.carry_out(now);
+        if let Some(throttle) = self.pool.throttle(id) {
+            throttle.put();
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Instant,
+        worker: WorkerKey,
+        id: RequestId,
+        outcome: Result<Vec<Run>, ErrorKind>,
+    ) {
+        self.pool.ended(now, worker, id);
+        match outcome {
+            Ok(runs) => self.gate.finish(now, id, runs),
+            Err(kind) => {
+                log::debug!(target: LOG, "{id} failed: {kind}");
+                self.gate.fail(now, id, kind);
+            }
+        }
+    }
+
+    fn order(&mut self, now: Instant, link: LinkKey, order: Order) {
+        let seq = order.seq;
+        let passed = self.gate.order(link, &order.duty, order.fence);
+        if passed == Err(OrderRefusal::Unlearned) {
+            self.read_lease(&order.duty);
+        }
+        let sent = passed
+            .map_err(OrderRefusal::kind)
+            .and_then(|()| self.pool.order(now, link, order));
+        match sent {
+            Ok(()) => self.orders += 1,
+            Err(kind) => {
+                log::info!(target: LOG, "an order is refused: {kind}");
+                self.order_done(now, link, seq, Err(kind));
+            }
+        }
+    }
+
+    fn ordered(
+        &mut self,
+        now: Instant,
+        worker: WorkerKey,
+        link: LinkKey,
+        seq: u64,
+        outcome: Result<(u16, Vec<u8>), ErrorKind>,
+    ) {
+        self.pool.free(now, worker);
+        self.orders -= 1;
+        self.order_done(now, link, seq, outcome);
+    }
+
+    fn order_done(
+        &mut self,
+        now: Instant,
+        link: LinkKey,
+        seq: u64,
+        outcome: Result<(u16, Vec<u8>), ErrorKind>,
+    ) {
+        let problem = outcome.as_ref().err().map(|kind| kind.answer().problem);
+        let (status, body) = outcome.unwrap_or_default();
+        let done = OrderDone {
+            seq,
+            problem: problem.unwrap_or_default().to_owned(),
+            status: status.into(),
+            body,
+            fence: self.gate.fence(),
+        };
+        self.push(now, link, Frame::OrderDone(done).into());
+    }
+
+    fn read_lease(&mut self, duty: &str) {
+        if !self.learning.insert(duty.to_owned()) {
+            return;
+        }
+        let (duty, lease) = (duty.to_owned(), Arc::clone(&self.setup.lease));
+        let events = self.setup.events.clone();
+        let name = duty.clone();
+        let spawned = thread::Builder::new()
+            .name("lease".to_owned())
+            .spawn(move || {
+                let number = lease(&duty);
+                // An actor that has ended needs no word.
+                drop(events.send(Event::Lease(duty, number)));
+            });
+        if spawned.is_err() {
+            self.learning.remove(&name);
+        }
+    }
+
+    fn learn(&mut self, duty: &str, number: Option<u64>) {
+        self.learning.remove(duty);
+        match number {
+            Some(number) => self.gate.learn(duty, number),
+            None => log::warn!(target: LOG, "the lease row of {duty} can't be read"),
+        }
+    }
+
+    fn heard_version(&mut self, now: Instant, link: LinkKey, version: u64) {
+        if let Some(row) = self.links.get_mut(link) {
+            row.config = row.config.max(version);
+        }
+        self.hand_on(now, link);
+    }
+
+    /// Sends the configuration to an entry that has an older one.
+    fn hand_on(&mut self, now: Instant, link: LinkKey) {
+        let version = self.report.version();
+        let Some(row) = self.links.get_mut(link) else {
+            return;
+        };
+        if row.config < version {
+            row.config = version;
+            self.push(now, link, Frame::Config(self.report.config()).into());
+        }
+    }
+
+    fn config(&mut self, now: Instant, link: LinkKey, version: u64, document: Vec<u8>) {
+        if let Some(row) = self.links.get_mut(link) {
+            row.config = row.config.max(version);
+        }
+        if self.report.offer(version, document) {
+            log::info!(target: LOG, "configuration {version} is in force");
+            self.gate.set_limit(self.report.limit());
+            self.show_leaving(now);
+        }
+    }
+
+    fn listed(&mut self, now: Instant, leaving: bool) {
+        if self.report.unlisted != leaving {
+            self.report.unlisted = leaving;
+            self.show_leaving(now);
+        }
+    }
+
+    fn stop(&mut self, now: Instant) {
+        log::info!(target: LOG, "stops: no new work, work in flight completes");
+        let limit = Duration::from_secs(self.setup.settings.stop.deadline_s);
+        self.ends.get_or_insert(now + limit);
+        self.report.stopping = true;
+        self.show_leaving(now);
+    }
+
+    /// Shuts or opens the gate and tells all entries at once.
+    fn show_leaving(&mut self, now: Instant) {
+        let leaving = self.report.is_leaving();
+        if leaving != self.gate.is_leaving() {
+            log::info!(target: LOG, "takes new work: {}", !leaving);
+        }
+        self.gate.set_leaving(leaving);
+        self.beat_all(now);
+    }
+
+    /// Carries out the steps of the gate.
+    fn carry_out(&mut self, now: Instant) {
+        while let Some(step) = self.gate.next_step() {
+            match step {
+                Step::Send { link, frame } => {
+                    self.push(now, link, wire::outbound(&frame, RETRY));
+                }
+                Step::Abort { id } => self.hold(id, Throttle::abort),
+                Step::Pause { id } => self.hold(id, |throttle| throttle.pause(true)),
+                Step::Resume { id } => self.hold(id, |throttle| throttle.pause(false)),
+                Step::Close { link, entry } => {
+                    log::warn!(target: LOG, "a link of entry {entry} is silent");
+                    self.links.remove(link);
+                }
+            }
+        }
+    }
+
+    fn hold(&self, id: RequestId, act: impl FnOnce(&Throttle)) {
+        if let Some(throttle) = self.pool.throttle(id) {
+            act(throttle);
+        }
+    }
+
+    /// Queues a frame. An entry that doesn't read loses its link: its queue is
+    /// bounded, and it can attach anew at the offset where it stopped.
+    fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
+        let Some(row) = self.links.get(link) else {
+            return;
+        };
+        if let Err(error) = row.out.try_send(Ok(frame)) {
+            log::warn!(target: LOG, "the queue of a link of {}: {error}", row.entry);
+            self.lost(now, link);
+        }
+    }
+}
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -230,6 +230,13 @@
         Standing::Sealed
     }
 
+    /// Seals an attempt unless it is known, and tells the entry what became of
+    /// it.
+    pub fn ask(&mut self, now: Instant, link: LinkKey, id: RequestId) {
+        let standing = self.seal(now, id);
+        self.send(link, Frame::Standing { id, standing });
+    }
+
     /// Decides whether an order may reach the engine.
     ///
     /// # Errors
@@ -304,6 +311,11 @@
         }
     }
 
+    /// Sets how many requests the endpoint works on at once.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.spec.limit = limit;
+    }
+
     /// Says whether new work is refused. What runs is not touched.
     pub fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
