--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -120,11 +120,15 @@
     /// it places the call elsewhere.
     pub fn start(&mut self, now: Instant, link: LinkKey, ask: Ask) -> Admission {
         if self.is_known(ask.id) {
-            self.attach(now, link, ask.id, 0);
+            if !self.is_reading(link, ask.id) {
+                self.attach(now, link, ask.id, 0);
+            }
             return Admission::Known;
         }
         if let Err(kind) = self.may_start(now, link, ask) {
-            self.seal_as(now, ask.id, kind);
+            if kind.answer().not_run {
+                self.seal_as(now, ask.id, kind);
+            }
             self.send(link, Frame::Refused { id: ask.id, kind });
             return Admission::Refused(kind);
         }
@@ -161,12 +165,13 @@
             self.answer_ended(now, link, id);
             return;
         };
+        row.viewers.retain(|other| other.entry != viewer.entry);
         if offset < row.body.base() || offset > row.body.length() {
             let standing = Standing::Lost;
             self.send(link, Frame::Standing { id, standing });
+            self.settle(now, id);
             return;
         }
-        row.viewers.retain(|other| other.entry != viewer.entry);
         row.viewers.push(viewer);
         for frame in row.body.replay(id, offset) {
             self.steps.push_back(Step::Send { link, frame });
@@ -362,12 +367,22 @@
         self.attempts.contains_key(&id) || self.tombs.get(id).is_some()
     }
 
+    /// Says whether an attempt's answer goes to this link already, so that a
+    /// repeated Start needs nothing.
+    fn is_reading(&self, link: LinkKey, id: RequestId) -> bool {
+        let viewers = self.attempts.get(&id).map(|row| &row.viewers);
+        viewers.is_some_and(|all| all.iter().any(|viewer| viewer.link == Some(link)))
+    }
+
     fn is_newest(&self, link: LinkKey) -> bool {
         let row = self.links.get(link);
         row.is_some_and(|row| row.fresh && self.tombs.is_newest(row.entry, row.epoch))
     }
 
     fn may_start(&self, now: Instant, link: LinkKey, ask: Ask) -> Result<(), ErrorKind> {
+        if self.tombs.may_have_run(ask.id) {
+            return Err(ErrorKind::OutcomeUnknown);
+        }
         if self.leaving {
             return Err(ErrorKind::Stopping);
         }
