Make a command's verdict true for good

Cause: two entries can work on one command at once, when an operator's tool gave up on the first. With a base version left open they judged it by two documents: one said 'refused', the other accepted it later. A base that the table had not reached was told as 'conflict', and accepted afterwards.

Now a command always names its base; an unreached base means 'look again'; a write whose answer was lost is repeated as it was, never planned anew.

--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/config.rs
@@ -0,0 +1,179 @@
+//! Watching and changing the configuration in the platform's table.
+//!
+//! The rows: `config/current` holds the document, `command/ID` the version that
+//! a command made, `audit/VERSION` the line of the trail. All three are written
+//! in one transaction, on the condition that the document's row still is the
+//! one that the change was planned on and that the command has no row yet.
+
+use crate::platform::{Backoff, Cond, Fault, Op, Outcome, Row, Table, Transaction};
+use hibiscusroad::config::{Attempt, Audit, Command, Document, Next, Plan, Rows, Verdict};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::{
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+const CURRENT: &str = "config/current";
+const COMMANDS: &str = "command/";
+const TRAIL: &str = "audit/";
+
+/// Time between two looks at the document's row.
+///
+/// 360 entries then read 360 times a second, within the thousand that all may;
+/// the aim is a change in force everywhere within 2 s.
+pub const POLL: Duration = Duration::from_secs(1);
+
+/// The longest wait between looks while the table is down, so that news spreads
+/// soon after it is back.
+const LONGEST_POLL: Duration = Duration::from_secs(5);
+
+/// How long an operator waits for a verdict. After that the outcome is unknown
+/// and the command may be repeated under its id.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// What became of a command, as far as this entry can tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// It is decided for good; with the document, if this call wrote it.
+    Decided(Verdict, Option<Box<Document>>),
+    /// Nothing was written, because the table gave no answer.
+    Down(Fault),
+    /// It may or may not have been accepted.
+    Unknown(Fault),
+}
+
+/// Makes a command's change, once.
+#[must_use]
+pub fn commit(table: &Table, command: &Command, origin: &str) -> Reply {
+    let start = Instant::now();
+    let mut backoff = Backoff::new(Duration::from_millis(50), Duration::from_secs(1));
+    let mut rng = Pcg64Mcg::from_os_rng();
+    let mut attempt = Attempt::new(command.clone(), origin.to_owned());
+    loop {
+        match step(table, &command.id, &mut attempt) {
+            Ok(reply) => return reply,
+            Err(fault) if start.elapsed() > PATIENCE => {
+                return if attempt.is_unsure() {
+                    Reply::Unknown(fault)
+                } else {
+                    Reply::Down(fault)
+                };
+            }
+            Err(_) => thread::sleep(backoff.next_wait(&mut rng)),
+        }
+    }
+}
+
+/// Takes one step: read, decide, write. An error means "look again".
+fn step(table: &Table, id: &str, attempt: &mut Attempt) -> Result<Reply, Fault> {
+    let rows = read(table, id)?;
+    let plan = match attempt.look(&rows, now_ms()) {
+        Next::Tell(verdict) => return Ok(Reply::Decided(verdict, None)),
+        Next::Write(plan) => *plan,
+        Next::Wait => return Err(Fault::Odd("the base version has not come yet".to_owned())),
+    };
+    match table.transact(&transaction(&plan)) {
+        Outcome::Committed(_) => {
+            let verdict = Verdict::Done(plan.next.version);
+            Ok(Reply::Decided(verdict, Some(Box::new(plan.next))))
+        }
+        Outcome::Conflict(_) => Err(Fault::Odd("another change came first".to_owned())),
+        Outcome::NotSent(fault) => Err(fault),
+        Outcome::Unknown(fault) => {
+            attempt.lost(plan);
+            Err(fault)
+        }
+    }
+}
+
+fn transaction(plan: &Plan) -> Transaction {
+    let command = format!("{COMMANDS}{}", plan.audit.command);
+    let trail = format!("{TRAIL}{:020}", plan.audit.version);
+    let version = plan.next.version.to_string();
+    Transaction::new()
+        .when(Cond::Version(CURRENT.to_owned(), plan.base))
+        .when(Cond::Version(command.clone(), 0))
+        .then(Op::Put(CURRENT.to_owned(), json(&plan.next)))
+        .then(Op::Put(command, version.into_bytes()))
+        .then(Op::Put(trail, json(&plan.audit)))
+}
+
+fn read(table: &Table, command: &str) -> Result<Rows, Fault> {
+    let command = format!("{COMMANDS}{command}");
+    let mut rows = Rows::default();
+    for row in table.read(&[CURRENT, &command])? {
+        if row.key == CURRENT {
+            rows.document = parse(&row)?;
+        } else {
+            rows.made = Some(parse(&row)?);
+        }
+    }
+    Ok(rows)
+}
+
+/// Reads the newest lines of the audit trail, oldest first.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] if the table gave no usable answer.
+pub fn trail(table: &Table) -> Result<Vec<Audit>, Fault> {
+    table.list(TRAIL, 0)?.iter().map(parse).collect()
+}
+
+/// Reads the document as the table holds it.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] if the table gave no usable answer.
+pub fn current(table: &Table) -> Result<Option<Document>, Fault> {
+    table.get(CURRENT)?.as_ref().map(parse).transpose()
+}
+
+/// Looks at the document's row for as long as `news` returns true.
+///
+/// `news` gets every document that was written since the last look.
+pub fn watch(table: &Table, mut news: impl FnMut(Document) -> bool) {
+    let mut rng = Pcg64Mcg::from_os_rng();
+    let mut backoff = Backoff::new(POLL, LONGEST_POLL);
+    let mut revision = 0;
+    loop {
+        let wait = match look(table, revision) {
+            Ok(found) => {
+                backoff.reset();
+                if let Some((at, document)) = found {
+                    revision = at + 1;
+                    if !news(document) {
+                        return;
+                    }
+                }
+                POLL
+            }
+            Err(fault) => {
+                log::debug!(target: "config", "No news from the table: {fault}.");
+                backoff.next_wait(&mut rng)
+            }
+        };
+        thread::sleep(wait);
+    }
+}
+
+fn look(table: &Table, revision: u64) -> Result<Option<(u64, Document)>, Fault> {
+    let Some(row) = table.get_since(CURRENT, revision)? else {
+        return Ok(None);
+    };
+    Ok(Some((row.revision, parse(&row)?)))
+}
+
+fn parse<T: serde::de::DeserializeOwned>(row: &Row) -> Result<T, Fault> {
+    serde_json::from_slice(&row.value).map_err(|e| Fault::Odd(format!("row {}: {e}", row.key)))
+}
+
+fn json(value: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("a document has a JSON form")
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- a/src/config/commit.rs
+++ b/src/config/commit.rs
@@ -1,9 +1,8 @@
 //! How a command becomes a version, exactly once.
 //!
-//! A command has an id that its sender drew. [`Plan::make`] decides, from what
-//! the table holds now, what to write; [`Plan::judge`] decides, from what the
-//! table holds after an answer was lost, what became of it. Both are plain
-//! functions of rows, so the races can be tested without a table.
+//! A command has an id that its sender drew. An [`Attempt`] is shown what the
+//! table holds and says what to write, or what the operator can be told. It does
+//! no input or output, so the races can be tested without a table.
 
 use crate::config::{Change, Document, Edit, Refusal};
 use serde::{Deserialize, Serialize};
@@ -14,9 +13,12 @@
 pub struct Command {
     /// Drawn at random by the sender; a repeat carries the same one.
     pub id: String,
-    /// The version that the change was written for; none means the newest.
-    #[serde(default)]
-    pub base: Option<u64>,
+    /// The version that the change was written for.
+    ///
+    /// It is never left open. Were a command tried on whatever version is
+    /// newest, two entries that work on one command at once could judge it by
+    /// two documents, and one would say "refused" before the other accepts it.
+    pub base: u64,
     /// Who asks.
     pub who: String,
     /// The change.
@@ -57,20 +59,34 @@
     pub made: Option<u64>,
 }
 
-/// What can be said of a command.
+/// What can be said of a command for good.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
     /// It made this version.
     Done(u64),
+    /// It would make this change; nothing was written.
+    Dry(Box<Audit>),
     /// Another change came first and made this version.
     Conflict(u64),
     /// It can't be made to the document.
     Refused(Refusal),
-    /// Write the same plan again: it has not taken effect, and still may.
-    Again,
 }
 
-/// What to write for a command, if the document still has the base version.
+/// What to do next for a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Write this, in one transaction, on its conditions.
+    Write(Box<Plan>),
+    /// Tell the operator.
+    Tell(Verdict),
+    /// Look again later: the version that the command was written for has not
+    /// come yet. "Conflict" would not be true for good, since it may still come
+    /// and another entry then accept the command.
+    Wait,
+}
+
+/// What to write for a command, if the document still has the base version and
+/// the command has no row.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// The version that must still stand.
@@ -81,21 +97,71 @@
     pub audit: Audit,
 }
 
-impl Plan {
-    /// Plans the write for a command.
-    ///
-    /// # Errors
+/// One command on its way into the table.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    command: Command,
+    origin: String,
+    // The plan whose write may have taken effect, or may still do so.
+    unsure: Option<Plan>,
+}
+
+impl Attempt {
+    /// Creates the attempt of a command that came from the address `origin`.
+    #[must_use]
+    pub const fn new(command: Command, origin: String) -> Self {
+        Self {
+            command,
+            origin,
+            unsure: None,
+        }
+    }
+
+    /// Decides what to do, from what the table holds at `at_ms` (milliseconds
+    /// since 1970 UTC).
     ///
-    /// Returns the verdict if nothing is to be written: done before, another
-    /// change came first, or refused.
-    pub fn make(command: &Command, rows: &Rows, origin: &str, at_ms: u64) -> Result<Self, Verdict> {
+    /// A write is conditional on its base version. So once the document has
+    /// moved on without this command's row, a copy of the write that is still
+    /// under way can't take effect any more, and "another came first" is true
+    /// for good. While the base still stands nothing can be said, and the very
+    /// same plan is written again: were a new one made, two lines of the trail
+    /// could tell of one command.
+    pub fn look(&mut self, rows: &Rows, at_ms: u64) -> Next {
         if let Some(version) = rows.made {
-            return Err(Verdict::Done(version));
+            return Next::Tell(Verdict::Done(version));
+        }
+        if rows.document.version < self.command.base {
+            return Next::Wait;
+        }
+        if rows.document.version > self.command.base {
+            self.unsure = None;
+            return Next::Tell(Verdict::Conflict(rows.document.version));
+        }
+        if let Some(plan) = &self.unsure {
+            return Next::Write(Box::new(plan.clone()));
         }
-        let base = &rows.document;
-        if command.base.is_some_and(|version| version != base.version) {
-            return Err(Verdict::Conflict(base.version));
+        match self.plan(&rows.document, at_ms) {
+            Ok(plan) if self.command.dry => Next::Tell(Verdict::Dry(Box::new(plan.audit))),
+            Ok(plan) => Next::Write(Box::new(plan)),
+            Err(verdict) => Next::Tell(verdict),
         }
+    }
+
+    /// Notes that the answer to the write of `plan` was lost.
+    pub fn lost(&mut self, plan: Plan) {
+        self.unsure = Some(plan);
+    }
+
+    /// Says whether a write may have taken effect, or may still do so.
+    ///
+    /// While it does, an operator must be told that the outcome is unknown.
+    #[must_use]
+    pub const fn is_unsure(&self) -> bool {
+        self.unsure.is_some()
+    }
+
+    fn plan(&self, base: &Document, at_ms: u64) -> Result<Plan, Verdict> {
+        let command = &self.command;
         let next = command
             .change
             .apply(base, command.force)
@@ -104,33 +170,15 @@
             version: next.version,
             command: command.id.clone(),
             who: command.who.clone(),
-            origin: origin.to_owned(),
+            origin: self.origin.clone(),
             at_ms,
             change: command.change.clone(),
             edits: Edit::between(base, &next),
         };
-        Ok(Self {
+        Ok(Plan {
             base: base.version,
             next,
             audit,
         })
     }
-
-    /// Says what became of this plan after its answer was lost.
-    ///
-    /// The write is conditional on the base version. So once the document has
-    /// moved on without this command's row, a copy of the write that is still
-    /// under way can't take effect any more, and "another came first" is true
-    /// for good. While the base still stands nothing can be said, and the same
-    /// write is simply made again.
-    #[must_use]
-    pub const fn judge(&self, rows: &Rows) -> Verdict {
-        if let Some(version) = rows.made {
-            return Verdict::Done(version);
-        }
-        if rows.document.version > self.base {
-            return Verdict::Conflict(rows.document.version);
-        }
-        Verdict::Again
-    }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -40,7 +40,7 @@
 
 pub use self::{
     change::{Change, Edit, Refusal, Target},
-    commit::{Audit, Command, Plan, Rows, Verdict},
+    commit::{Attempt, Audit, Command, Next, Plan, Rows, Verdict},
     document::{Document, Drains, Kind, Rule, Service},
     register::Register,
 };
