--- a/tests/lease_race.rs
+++ b/tests/lease_race.rs
@@ -253,3 +253,46 @@
     assert_eq!(second.fence(at(8120)), Some(2));
     assert_eq!(first.fence(at(8120)), None);
 }
+
+// As above, but over the row of a dead holder. entry-0's claim of 6 s is held up
+// for 8 s and lands just after entry-0 looked once more; then entry-0 stands
+// still for 1.5 s and claims again. Counting from the repeat, it would believe
+// until 20.9 s, while entry-1 takes over at 20 s.
+#[test]
+fn a_claim_over_a_dead_holder_counts_from_the_first_sending() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let dead = Row {
+        holder: "entry-9".to_owned(),
+        fence: 4,
+        renewals: 7,
+    };
+    let mut first = Lease::new("entry-0", Terms::new());
+    let mut second = Lease::new("entry-1", Terms::new());
+
+    first.seen(at(0), Some((5, dead.clone())));
+    first.seen(at(5900), Some((5, dead.clone())));
+    let Next::Write { version: 5, row } = first.next(at(6000)) else {
+        panic!("a span has passed");
+    };
+    first.lost(at(7500));
+    for ms in [8000, 9900, 11_900, 13_900] {
+        first.seen(at(ms), Some((5, dead.clone())));
+    }
+    second.seen(at(14_000), Some((6, row.clone())));
+
+    assert!(matches!(
+        first.next(at(15_500)),
+        Next::Write { version: 5, .. }
+    ));
+    first.beaten();
+    first.seen(at(15_510), Some((6, row.clone())));
+    second.seen(at(19_900), Some((6, row)));
+    let Next::Write { version: 6, row } = second.next(at(20_000)) else {
+        panic!("a span has passed");
+    };
+    second.written(7);
+    assert_eq!(row.fence, 6);
+    assert_eq!(second.fence(at(20_010)), Some(6));
+    assert_eq!(first.fence(at(20_010)), None);
+}
