Add the daemon's settings, logs, metrics and start

A settings file was read by serde alone, which stops at its first fault: an operator who installs fifteen hosts would start each of them once for every slip. One table of keys now checks the file whole and tells every fault with line, key, what was found and what is allowed; secrets are not shown.

Ruled out: serde_path_to_error and a second derive, which still stop at the first fault of a table.

hibiscusroadd starts logs and ends with a documented exit code. The roles themselves are not wired in yet: starting one exits with 1.

--- a/hibiscusroad-daemon/src/logs.rs
+++ b/hibiscusroad-daemon/src/logs.rs
@@ -1,1 +1,127 @@
 //! Logs of a process.
+//!
+//! One record is one short sentence on stderr. Its log target is the prefix of
+//! the part that speaks, from the list below, so that an operator can follow
+//! one part by a plain search. Records of libraries carry their own module path
+//! and are cut at warnings, because at `debug` they would bury the parts.
+//!
+//! Writing to stderr may block when its reader does. That is accepted: a line
+//! is written for an event of a link, an endpoint or the platform, never for
+//! each request.
+
+use crate::settings::Log;
+use fern::{Dispatch, FormatCallback};
+use log::{LevelFilter, Record};
+use serde::Serialize;
+use std::{fmt, io, time::SystemTime};
+
+/// Start and end of the process.
+pub const MAIN: &str = "main";
+/// The role entry: callers and placement.
+pub const ENTRY: &str = "entry";
+/// The role side: the gate and its endpoint.
+pub const SIDE: &str = "side";
+/// Links between entries and sides.
+pub const LINK: &str = "link";
+/// The platform's services.
+pub const PLATFORM: &str = "platform";
+/// The configuration and its versions.
+pub const CONFIG: &str = "config";
+/// Operators' requests.
+pub const OPERATORS: &str = "operators";
+
+/// All prefixes of the project's own parts.
+pub const PARTS: &[&str] = &[MAIN, ENTRY, SIDE, LINK, PLATFORM, CONFIG, OPERATORS];
+
+/// Libraries whose records below a warning are of no use to operators.
+const LIBRARIES: &[&str] = &[
+    "h2",
+    "hyper",
+    "hyper_util",
+    "mio",
+    "tiny_http",
+    "tokio",
+    "tonic",
+    "tower",
+    "ureq",
+    "ureq_proto",
+];
+
+/// Logs could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The level is none of the five.
+    #[error("log.level is {0:?}; allowed are error, warn, info, debug, trace")]
+    Level(String),
+    /// The format is neither of the two.
+    #[error("log.format is {0:?}; allowed are text, json")]
+    Format(String),
+    /// Logs were started before in this process.
+    #[error(transparent)]
+    Started(#[from] log::SetLoggerError),
+}
+
+/// Starts the logs of this process.
+///
+/// # Errors
+///
+/// Returns an error for an unknown level or format, or if a logger is already
+/// set.
+pub fn start(log: &Log) -> Result<(), Error> {
+    dispatch(log)?.chain(io::stderr()).apply()?;
+    Ok(())
+}
+
+/// Builds what formats and filters records, without an output.
+///
+/// # Errors
+///
+/// Returns an error for an unknown level or format.
+pub fn dispatch(log: &Log) -> Result<Dispatch, Error> {
+    let level: LevelFilter = log
+        .level
+        .parse()
+        .ok()
+        .filter(|level| *level != LevelFilter::Off)
+        .ok_or_else(|| Error::Level(log.level.clone()))?;
+    let format = match log.format.as_str() {
+        "text" => text,
+        "json" => json,
+        other => return Err(Error::Format(other.to_owned())),
+    };
+    let mut dispatch = Dispatch::new().format(format).level(level);
+    for library in LIBRARIES {
+        dispatch = dispatch.level_for(*library, level.min(LevelFilter::Warn));
+    }
+    Ok(dispatch)
+}
+
+fn text(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+    out.finish(format_args!(
+        "{} {:5} {}: {message}",
+        humantime::format_rfc3339_millis(SystemTime::now()),
+        record.level(),
+        record.target(),
+    ));
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time: String,
+    level: &'a str,
+    part: &'a str,
+    text: String,
+}
+
+fn json(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+    let line = Line {
+        time: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
+        level: record.level().as_str(),
+        part: record.target(),
+        text: message.to_string(),
+    };
+    match serde_json::to_string(&line) {
+        Ok(line) => out.finish(format_args!("{line}")),
+        Err(error) => out.finish(format_args!("{{\"text\":\"{error}\"}}")),
+    }
+}
--- a/hibiscusroad-daemon/src/main.rs
+++ b/hibiscusroad-daemon/src/main.rs
@@ -1,3 +1,112 @@
 //! `hibiscusroadd`: the daemon.
+//!
+//! Exit codes: 0 fine, 1 failure while running, 2 usage or settings, 3 ended by
+//! a second signal.
 
-fn main() {}
+use hibiscusroad_daemon::{logs, settings::Settings};
+use lexopt::prelude::*;
+use std::{error::Error, ffi::OsString, path::PathBuf, process::ExitCode};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+const HELP: &str = "\
+hibiscusroadd: one process of hibiscusroad, entry or side by its settings
+
+Usage: hibiscusroadd [--check] FILE
+
+  FILE       settings, in TOML; a table [entry] or [side] chooses the role
+  --check    check the settings and exit
+  --help     print this and exit
+  --version  print the version and exit
+
+SIGTERM or SIGINT: no new work is taken, work in flight completes, then the
+process exits. A second one ends it at once.
+
+Exit codes: 0 fine, 1 failure while running, 2 usage or settings, 3 ended by a
+second signal.";
+
+enum Job {
+    Help,
+    Version,
+    Check(PathBuf),
+    Run(PathBuf),
+}
+
+fn main() -> ExitCode {
+    let job = match parse(std::env::args_os().skip(1)) {
+        Ok(job) => job,
+        Err(error) => {
+            eprintln!("hibiscusroadd: {error}; see hibiscusroadd --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match job {
+        Job::Help => println!("{HELP}"),
+        Job::Version => println!("hibiscusroadd {}", env!("CARGO_PKG_VERSION")),
+        Job::Check(file) => match Settings::load(&file) {
+            Ok(_) => println!("{}: fine", file.display()),
+            Err(error) => return refuse(&error),
+        },
+        Job::Run(file) => match Settings::load(&file) {
+            Ok(settings) => return run(&settings),
+            Err(error) => return refuse(&error),
+        },
+    }
+    ExitCode::SUCCESS
+}
+
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Job, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_args(args);
+    let mut check = false;
+    let mut file = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Short('h') | Long("help") => return Ok(Job::Help),
+            Short('V') | Long("version") => return Ok(Job::Version),
+            Long("check") => check = true,
+            Value(value) if file.is_none() => file = Some(PathBuf::from(value)),
+            other => return Err(other.unexpected()),
+        }
+    }
+    let file = file.ok_or("the settings file is missing")?;
+    Ok(if check {
+        Job::Check(file)
+    } else {
+        Job::Run(file)
+    })
+}
+
+fn refuse(error: &dyn Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn run(settings: &Settings) -> ExitCode {
+    if let Err(error) = logs::start(&settings.log) {
+        return refuse(&error);
+    }
+    let role = if settings.entry.is_some() {
+        "entry"
+    } else {
+        "side"
+    };
+    log::info!(target: logs::MAIN, "{} starts as {role} in {}", settings.name, settings.place);
+    match serve(settings) {
+        Ok(()) => {
+            log::info!(target: logs::MAIN, "{} stopped", settings.name);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            log::error!(target: logs::MAIN, "{} failed: {error}", settings.name);
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn serve(settings: &Settings) -> Result<(), Box<dyn Error>> {
+    match (&settings.entry, &settings.side) {
+        (Some(_), _) => Err("the role entry is not built yet".into()),
+        (None, _) => Err("the role side is not built yet".into()),
+    }
+}
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -4,6 +4,10 @@
 //! document that the entries spread; a process learns from its settings only
 //! who and where it is, and whom to ask.
 //!
+//! A file is checked whole before it is used, and all faults are told at once:
+//! an operator who installs fifteen hosts should not have to start each of them
+//! once for every slip.
+//!
 //! # Example
 //!
 //! ```
@@ -29,8 +33,45 @@
 //! # Ok::<(), toml::de::Error>(())
 //! ```
 
+mod check;
+mod schema;
+
+pub use self::check::Problem;
+
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::{
+    fmt, fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+/// A settings file that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file can't be read.
+    #[error("{}: can't be read: {source}", .file.display())]
+    Unreadable {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The file has faults, of which there is at least one.
+    #[error("{}", list(.file, .problems))]
+    Invalid {
+        /// The file.
+        file: PathBuf,
+        /// All its faults, in the order of its lines.
+        problems: Vec<Problem>,
+    },
+}
+
+fn list(file: &Path, problems: &[Problem]) -> String {
+    let lines = problems
+        .iter()
+        .map(|problem| format!("{}:{problem}", file.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
 
 /// All settings of one process. Exactly one of `entry` and `side` is given.
 #[derive(Clone, Debug, Deserialize)]
@@ -61,6 +102,44 @@
     pub stop: Stop,
 }
 
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read, or all its faults.
+    pub fn load(file: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(file).map_err(|source| Error::Unreadable {
+            file: file.to_owned(),
+            source,
+        })?;
+        Self::parse(&text).map_err(|problems| Error::Invalid {
+            file: file.to_owned(),
+            problems,
+        })
+    }
+
+    /// Checks the content of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults, in the order of the lines.
+    pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
+        let problems = check::problems(text);
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        toml::from_str(text).map_err(|error| {
+            vec![Problem {
+                line: 1,
+                key: String::new(),
+                found: error.to_string(),
+                allowed: "what docs/OPERATIONS.md lists".to_owned(),
+            }]
+        })
+    }
+}
+
 /// Where the platform's services are, as URLs without a path.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -116,9 +195,9 @@
     pub act: Vec<String>,
 }
 
-impl std::fmt::Debug for Tokens {
+impl fmt::Debug for Tokens {
     // Tokens must never reach a log.
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Tokens")
             .field("ask", &self.ask.len())
             .field("act", &self.act.len())
--- /dev/null
+++ b/hibiscusroad-daemon/tests/logs.rs
@@ -0,0 +1,111 @@
+//! What a log record and a metric look like outside.
+
+use hibiscusroad_daemon::{
+    logs,
+    metrics::{self, Metrics},
+    settings::{Log, Metrics as Target},
+};
+use log::{Level, Record};
+use std::{fmt, net::UdpSocket, sync::mpsc, time::Duration};
+
+fn written(format: &str, level: &str, records: &[(&str, Level, &str)]) -> Vec<String> {
+    let (tx, rx) = mpsc::channel();
+    let settings = Log {
+        level: level.to_owned(),
+        format: format.to_owned(),
+    };
+    let (_, logger) = logs::dispatch(&settings).unwrap().chain(tx).into_log();
+    for (target, level, text) in records {
+        log_one(&*logger, target, *level, format_args!("{text}"));
+    }
+    drop(logger);
+    rx.iter().collect()
+}
+
+fn log_one(logger: &dyn log::Log, target: &str, level: Level, args: fmt::Arguments<'_>) {
+    logger.log(
+        &Record::builder()
+            .target(target)
+            .level(level)
+            .args(args)
+            .build(),
+    );
+}
+
+#[test]
+fn text_has_time_level_prefix_and_sentence() {
+    let lines = written("text", "info", &[(logs::LINK, Level::Info, "link is up")]);
+    let (time, rest) = lines[0].split_once(' ').unwrap();
+    assert!(time.ends_with('Z') && time.len() == 24, "{time}");
+    assert_eq!(rest, "INFO  link: link is up\n");
+}
+
+#[test]
+fn json_escapes_the_sentence() {
+    let lines = written("json", "info", &[(logs::SIDE, Level::Warn, "a \"b\"\nc")]);
+    let line: serde_json::Value = serde_json::from_str(&lines[0]).unwrap();
+    assert_eq!(line["level"], "WARN");
+    assert_eq!(line["part"], "side");
+    assert_eq!(line["text"], "a \"b\"\nc");
+}
+
+#[test]
+fn level_cuts_parts_and_libraries() {
+    let records = [
+        (logs::ENTRY, Level::Debug, "kept"),
+        (logs::ENTRY, Level::Trace, "cut"),
+        ("h2::codec", Level::Debug, "cut"),
+        ("h2::codec", Level::Warn, "kept"),
+    ];
+    let lines = written("text", "debug", &records);
+    assert_eq!(lines.len(), 2);
+    assert!(lines.iter().all(|line| line.ends_with("kept\n")));
+}
+
+#[test]
+fn wrong_words_are_refused() {
+    for (level, format) in [("loud", "text"), ("off", "text"), ("info", "xml")] {
+        let log = Log {
+            level: level.to_owned(),
+            format: format.to_owned(),
+        };
+        logs::dispatch(&log).unwrap_err();
+    }
+}
+
+#[test]
+fn metrics_arrive_as_statsd_lines_on_flush() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    let target = Some(socket.local_addr().unwrap());
+    let metrics = Metrics::open(&Target { target }).unwrap();
+    metrics.count(metrics::REQUESTS, &[("service", "hut-desk")]);
+    metrics.gauge(metrics::LINKS, 15, &[]);
+    metrics.time(metrics::LATENCY, Duration::from_millis(7), &[]);
+    metrics.flush();
+    let mut buffer = [0; 1500];
+    let n = socket.recv(&mut buffer).unwrap();
+    let text = String::from_utf8_lossy(&buffer[..n]);
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = [
+        "hibiscusroad.requests:1|c|#service:hut-desk",
+        "hibiscusroad.links:15|g",
+        "hibiscusroad.latency:7|ms",
+    ];
+    assert_eq!(lines, expected);
+}
+
+#[test]
+fn metrics_without_listener_do_not_fail() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let target = Some(socket.local_addr().unwrap());
+    drop(socket);
+    let metrics = Metrics::open(&Target { target }).unwrap();
+    for _ in 0..1000 {
+        metrics.count(metrics::REQUESTS, &[]);
+    }
+    metrics.flush();
+    Metrics::off().count(metrics::REQUESTS, &[]);
+}
