--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -37,6 +37,7 @@
 mod schema;
 
 pub use self::check::Problem;
+pub use hibiscusroad::config::Kind;
 
 use serde::Deserialize;
 use std::{
@@ -233,16 +234,6 @@
     pub fences: bool,
 }
 
-/// What an endpoint is.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// A model engine.
-    Model,
-    /// A plain HTTP service.
-    Plain,
-}
-
 /// Settings of logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -8,7 +8,7 @@
 use toml::de::DeValue;
 use ureq::http::Uri;
 
-const LONGEST_NAME: usize = 63;
+const LONGEST_NAME: usize = 64;
 /// Short tokens can be guessed over a network in days.
 const SHORTEST_TOKEN: usize = 16;
 const MILLIS_AN_HOUR: u64 = 3_600_000;
@@ -129,7 +129,7 @@
             needed("endpoint", Rule::Name),
             needed("address", Rule::Address),
             needed("kind", Rule::OneOf(&["model", "plain"])),
-            integer("limit", 1, 65_536),
+            integer("limit", 1, 4096),
             integer("buffer", 1024, 4 << 30),
             integer("handover", 1, 1 << 20),
             optional("fences", Rule::Flag),
