--- /dev/null
+++ b/hibiscusroad-cli/tests/language.rs
@@ -0,0 +1,44 @@
+//! Statements as they are read, and errors as operators see them.
+//!
+//! `NAME.hib` is parsed; `NAME.expected` holds one line a statement, or the
+//! error. The examples of docs/LANGUAGE.md and the files of the deployments
+//! must parse.
+
+use hibiscusroad_cli::language;
+use std::{fs, path::Path};
+
+const FENCE: &str = "```";
+
+fn reads(file: &Path) -> datatest_stable::Result<()> {
+    let found = match language::parse(&fs::read_to_string(file)?) {
+        Ok(statements) => statements.iter().map(|s| format!("{s:?}")).collect(),
+        Err(error) => vec![error.to_string()],
+    };
+    let expected = fs::read_to_string(file.with_extension("expected"))?;
+    assert_eq!(found.join("\n"), expected.trim_end());
+    Ok(())
+}
+
+fn deployment(file: &Path) -> datatest_stable::Result<()> {
+    let statements = language::parse(&fs::read_to_string(file)?)?;
+    assert_eq!(statements.len(), 2);
+    Ok(())
+}
+
+fn examples(file: &Path) -> datatest_stable::Result<()> {
+    let text = fs::read_to_string(file)?;
+    let blocks = text.split(FENCE).skip(1).step_by(2);
+    let mut count = 0;
+    for block in blocks.filter_map(|block| block.strip_prefix("hib\n")) {
+        let statements = language::parse(block).map_err(|error| format!("{block}\n{error}"))?;
+        count += statements.len();
+    }
+    assert!(count > 20, "{count} examples");
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = reads, root = "tests/data/language", pattern = r"\.hib$" },
+    { test = deployment, root = "../deploy", pattern = r"\.hib$" },
+    { test = examples, root = "../docs", pattern = r"^LANGUAGE\.md$" },
+}
--- /dev/null
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -0,0 +1,82 @@
+//! The settings of both deployments.
+
+use hibiscusroad_daemon::settings::{Kind, Settings};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    net::SocketAddr,
+    path::Path,
+};
+
+fn load(deployment: &str) -> Vec<Settings> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../deploy")
+        .join(deployment);
+    let files = fs::read_dir(root).unwrap().map(|file| file.unwrap().path());
+    files
+        .filter(|file| file.extension().is_some_and(|end| end == "toml"))
+        .map(|file| Settings::load(&file).unwrap_or_else(|error| panic!("{error}")))
+        .collect()
+}
+
+fn addresses(settings: &Settings) -> Vec<SocketAddr> {
+    let entry = settings.entry.iter().flat_map(|e| [e.callers, e.operators]);
+    let side = settings.side.iter().flat_map(|s| [s.links, s.address]);
+    entry.chain(side).collect()
+}
+
+fn is_sound(all: &[Settings], places: &[&str], region: &str) {
+    let names: BTreeSet<&str> = all.iter().map(|s| s.name.as_str()).collect();
+    assert_eq!(names.len(), all.len());
+    let at: Vec<SocketAddr> = all.iter().flat_map(addresses).collect();
+    assert_eq!(at.iter().collect::<BTreeSet<_>>().len(), at.len());
+    assert!(all.iter().all(|s| s.region == region));
+    let found: BTreeSet<&str> = all.iter().map(|s| s.place.as_str()).collect();
+    assert_eq!(found, places.iter().copied().collect());
+    assert_eq!(all.iter().filter(|s| s.entry.is_some()).count(), 3);
+}
+
+/// Counts the endpoints by service, kind and place.
+fn endpoints(all: &[Settings]) -> BTreeMap<(String, bool, String), usize> {
+    let mut counts = BTreeMap::new();
+    for settings in all {
+        if let Some(side) = &settings.side {
+            let model = side.kind == Kind::Model;
+            let key = (side.service.clone(), model, settings.place.clone());
+            *counts.entry(key).or_default() += 1;
+        }
+    }
+    counts
+}
+
+fn expected(
+    services: [(&str, bool, usize); 2],
+    places: &[&str],
+) -> BTreeMap<(String, bool, String), usize> {
+    let mut counts = BTreeMap::new();
+    for (service, model, count) in services {
+        for place in places {
+            let key = (service.to_owned(), model, (*place).to_owned());
+            counts.insert(key, count / places.len());
+        }
+    }
+    counts
+}
+
+#[test]
+fn pobrezie_has_its_places_and_servers() {
+    let places = ["senec", "trnava", "piestany"];
+    let all = load("pobrezie");
+    is_sound(&all, &places, "zapad");
+    let services = [("guide-lm", true, 9), ("hut-desk", false, 6)];
+    assert_eq!(endpoints(&all), expected(services, &places));
+}
+
+#[test]
+fn lakeshore_has_its_places_and_servers() {
+    let places = ["erie-hall", "huron-hall", "superior-hall"];
+    let all = load("lakeshore");
+    is_sound(&all, &places, "great-lakes");
+    let services = [("map-trainers", true, 9), ("map-lookup", false, 6)];
+    assert_eq!(endpoints(&all), expected(services, &places));
+}
