--- /dev/null
+++ b/src/route/admit.rs
@@ -0,0 +1,218 @@
+//! Whether a call can be answered in time, decided when it arrives.
+//!
+//! Load: a weekend's parents at four times what the booking servers can do.
+//! Harm: each late answer is a caller lost, and the work for it is taken from
+//! one who could have been answered. So a call is let in only if the work
+//! ahead of it, divided by the share of the slots that its class gets, and the
+//! tail of its own service time fit before its deadline. Everything that is
+//! read here is kept up to date by other events: the decision costs no scan.
+
+use crate::{
+    class::Class,
+    error::ErrorKind,
+    route::{
+        ServiceKey,
+        drain::secs,
+        learn::Estimate,
+        place::PUMP,
+        queue::Waiting,
+        router::Router,
+        share,
+        spec::{Call, Step},
+        table::{CallKey, Due},
+    },
+};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// The estimate of the wait is an average, and slots end in bunches: a third
+/// more keeps late answers below one in a thousand of those let in.
+const CARE: f64 = 1.35;
+/// The tail takes at most this part of the time left: a class whose slowest
+/// calls outlast every deadline would otherwise be refused whole.
+const TAIL_PART: f64 = 0.5;
+/// A call that waits less than this is not worth refusing for its tail.
+const BRIEF: f64 = 0.001;
+
+impl Router {
+    /// Refuses the call or lets it wait.
+    pub(super) fn admit(&mut self, now: Instant, key: CallKey) -> bool {
+        let row = &self.calls[key];
+        let call = row.call;
+        if call.deadline <= now {
+            self.refuse(now, key, ErrorKind::Expired);
+            return false;
+        }
+        if let Err(kind) = self.check(now, &call) {
+            self.refuse(now, key, kind);
+            return false;
+        }
+        self.enqueue(now, key);
+        true
+    }
+
+    fn check(&self, now: Instant, call: &Call) -> Result<(), ErrorKind> {
+        let row = &self.services[call.service];
+        let queue = row.queue(call.class);
+        if row.usable == 0 && row.ready.is_empty() {
+            return Err(ErrorKind::NoEndpoint);
+        }
+        if queue.len() >= row.spec.depth {
+            return Err(ErrorKind::Saturated);
+        }
+        let left = (call.deadline - now).as_secs_f64();
+        let Some(estimate) = row.learned.estimate(call) else {
+            return Ok(());
+        };
+        // With all slots in use the next one that ends is waited for as well.
+        let next = if row.free == 0 { estimate.mean } else { 0.0 };
+        let ahead = queue.ahead(call.deadline) + next;
+        let wait = self.wait(now, call.service, call.class, ahead);
+        if !fits(wait, &estimate, left) {
+            return Err(ErrorKind::Saturated);
+        }
+        // Those behind it in the queue must not be made late by it either.
+        let Some(last) = queue.last().filter(|last| last.deadline > call.deadline) else {
+            return Ok(());
+        };
+        let all = queue.work() + estimate.mean + next;
+        let wait = self.wait(now, call.service, call.class, all);
+        let left = (last.deadline - now).as_secs_f64();
+        if fits(wait, &estimate, left) {
+            Ok(())
+        } else {
+            Err(ErrorKind::Saturated)
+        }
+    }
+
+    /// Estimates how long `work` of a class takes to start, in seconds.
+    pub(super) fn wait(&self, now: Instant, service: ServiceKey, class: Class, work: f64) -> f64 {
+        let row = &self.services[service];
+        if work <= 0.0 && row.free > 0 {
+            return 0.0;
+        }
+        let lanes = f64::from(row.lanes.max(1));
+        work / (lanes * share::part(row, now, class))
+    }
+
+    pub(super) fn enqueue(&mut self, now: Instant, key: CallKey) {
+        let row = &mut self.calls[key];
+        row.waits = true;
+        let waiting = Waiting {
+            call: key,
+            work: row.work,
+        };
+        let (service, class, spot) = (row.call.service, row.call.class, row.spot());
+        let service_row = &mut self.services[service];
+        service_row.queues[class.index()].push(spot, waiting);
+        if service_row.due.is_none() {
+            service_row.due = Some(now + PUMP);
+            self.timers.insert((now + PUMP, Due::Service(service)));
+        }
+        // What can't be answered any more leaves then, not when its turn comes.
+        let call = self.calls[key].call;
+        let need = self.expect(&call).map_or(0.0, |e| e.p50);
+        let last = call.deadline.checked_sub(secs(need));
+        self.set_call_due(key, last.map_or(now, |last| last.max(now)));
+    }
+
+    /// Refuses what can't be answered any more after capacity was lost.
+    ///
+    /// Holding it until its deadline would let callers wait for an answer that
+    /// is already known.
+    pub(super) fn trim(&mut self, now: Instant, service: ServiceKey) {
+        for class in Class::ALL {
+            let row = &self.services[service];
+            let none = row.usable == 0 && row.ready.is_empty();
+            let mut work = 0.0;
+            let mut gone = Vec::new();
+            for (spot, waiting) in row.queue(class).iter() {
+                let left = (spot.deadline - now).as_secs_f64();
+                let wait = self.wait(now, service, class, work);
+                if none || wait + waiting.work > left {
+                    gone.push(waiting.call);
+                } else {
+                    work += waiting.work;
+                }
+            }
+            let kind = if none {
+                ErrorKind::NoEndpoint
+            } else {
+                ErrorKind::Saturated
+            };
+            for key in gone {
+                self.refuse(now, key, kind);
+            }
+        }
+    }
+
+    /// Gives the final refusal and forgets the call.
+    ///
+    /// Of a call that may have run no kind may say that it didn't: then what
+    /// became of its last attempt is told instead.
+    pub(super) fn refuse(&mut self, now: Instant, key: CallKey, kind: ErrorKind) {
+        let row = &self.calls[key];
+        let call = row.call;
+        let told = row.ran.filter(|_| kind.answer().not_run);
+        let kind = told.unwrap_or(kind);
+        let after = self.after(now, &call);
+        self.forget(now, key);
+        self.steps.push_back(Step::Refuse {
+            id: call.id,
+            kind,
+            after,
+        });
+    }
+
+    fn after(&mut self, now: Instant, call: &Call) -> Duration {
+        let draw = self.rng.random();
+        let Some(row) = self.services.get(call.service) else {
+            return Duration::ZERO;
+        };
+        let mean = row.learned.estimate(call).map_or(0.1, |e| e.mean);
+        let wait = self.wait(now, call.service, call.class, row.queue(call.class).work());
+        let gap = self.wait(now, call.service, call.class, mean);
+        let row = &mut self.services[call.service];
+        row.returns[call.class.index()].book(now, wait, gap, draw)
+    }
+
+    /// Takes a call out of its queue, if it waits.
+    pub(super) fn unqueue(&mut self, key: CallKey) {
+        let row = &mut self.calls[key];
+        if row.waits {
+            row.waits = false;
+            let spot = row.spot();
+            let queues = &mut self.services[row.call.service].queues;
+            queues[row.call.class.index()].remove(spot);
+        }
+    }
+
+    /// Removes a call from all tables and cancels what runs of it.
+    pub(super) fn forget(&mut self, now: Instant, key: CallKey) {
+        self.unqueue(key);
+        for slot in 0..2 {
+            self.cancel_attempt(now, key, slot);
+        }
+        if let Some(row) = self.calls.remove(key) {
+            self.index.remove(&row.call.id);
+            self.timers.remove(&(row.due, Due::Call(key)));
+        }
+    }
+
+    pub(super) fn expect(&self, call: &Call) -> Option<Estimate> {
+        self.services[call.service].learned.estimate(call)
+    }
+
+    pub(super) fn in_time(&self, now: Instant, call: &Call) -> bool {
+        let need = self.expect(call).map_or(0.0, |e| e.p50);
+        now + secs(need) < call.deadline
+    }
+}
+
+fn fits(wait: f64, estimate: &Estimate, left: f64) -> bool {
+    if wait < BRIEF {
+        return estimate.p50 <= left;
+    }
+    let tail = estimate.p999.min((left * TAIL_PART).max(estimate.mean));
+    wait * CARE + tail <= left
+}
--- /dev/null
+++ b/src/route/attempt.rs
@@ -0,0 +1,282 @@
+//! The life of an attempt: start, end, and what follows from its outcome.
+//!
+//! Whether a call may be tried again is decided here alone: it is repeatable,
+//! or it surely didn't run; there is budget and time; and no other attempt of
+//! it runs. A call that runs at most once is never started again after an
+//! attempt of it may have run.
+
+use crate::{
+    class::Class,
+    error::{ErrorKind, Retry},
+    route::{
+        EndpointKey,
+        drain::secs,
+        health::{Health, Phase},
+        retry::{RERUN, RESEND, TRIES},
+        router::Router,
+        spec::{Call, Step},
+        table::{Attempt, CallKey},
+    },
+};
+use std::time::{Duration, Instant};
+
+/// Starts of one call at most, refused ones included: with a third of the
+/// endpoints full, six refusals in a row are less likely than 1 in 700.
+const SENDS: u8 = 6;
+
+impl Router {
+    pub(super) fn start(&mut self, now: Instant, key: CallKey, endpoint: EndpointKey, trial: bool) {
+        self.unqueue(key);
+        let row = &mut self.calls[key];
+        let (call, work, free) = (row.call, row.work, row.free());
+        let hedge = row.runs();
+        let slot = usize::from(row.attempts[0].is_some());
+        row.attempts[slot] = Some(Attempt {
+            endpoint,
+            start: now,
+            trial,
+        });
+        row.tries = row.tries.saturating_add(1);
+        row.last = Some(endpoint);
+        let first = row.tries == 1;
+        let service = &mut self.services[call.service];
+        let class = call.class.index();
+        service.used[class] += 1;
+        service.peaks[class].raise(now, f64::from(service.used[class]));
+        service.placed.add(now, work);
+        if first {
+            service.budget.earn();
+        }
+        if free && !hedge && call.class != Class::Interactive {
+            service.lent.insert((now, key));
+        }
+        self.endpoints[endpoint].take(now, key, &call, work, trial);
+        self.refresh(now, endpoint);
+        self.watch(now, endpoint);
+        if !hedge {
+            let due = self.hedge_time(now, key).unwrap_or(call.deadline);
+            self.set_call_due(key, due);
+        }
+        self.steps.push_back(Step::Start {
+            id: call.id,
+            endpoint,
+            hedge,
+        });
+    }
+
+    /// Says when the call has taken longer than 19 in 20: then hedges stay
+    /// within half of the budget. Rollouts aren't hedged: nobody waits for one
+    /// alone, and two of them cost twice.
+    fn hedge_time(&self, now: Instant, key: CallKey) -> Option<Instant> {
+        let row = &self.calls[key];
+        let may = row.free() && row.call.class != Class::Rollout;
+        let estimate = self.expect(&row.call).filter(|_| may)?;
+        let at = now + secs(estimate.p95.max(estimate.p50 * 1.5));
+        (at < row.call.deadline).then_some(at)
+    }
+
+    /// Takes an attempt out of all sums.
+    fn detach(&mut self, now: Instant, key: CallKey, slot: usize) -> Option<Attempt> {
+        let row = &mut self.calls[key];
+        let attempt = row.attempts[slot].take()?;
+        let call = row.call;
+        let service = &mut self.services[call.service];
+        service.used[call.class.index()] -= 1;
+        service.lent.remove(&(attempt.start, key));
+        if let Some(row) = self.endpoints.get_mut(attempt.endpoint) {
+            row.give(key, &attempt, &call);
+            self.refresh(now, attempt.endpoint);
+        }
+        Some(attempt)
+    }
+
+    /// Cancels an attempt; from then on what is told of it is ignored.
+    pub(super) fn cancel_attempt(&mut self, now: Instant, key: CallKey, slot: usize) {
+        let Some(attempt) = self.detach(now, key, slot) else {
+            return;
+        };
+        let row = &mut self.calls[key];
+        row.ran = row.ran.or(Some(ErrorKind::TimedOut));
+        self.steps.push_back(Step::Cancel {
+            id: row.call.id,
+            endpoint: attempt.endpoint,
+        });
+        let row = self.endpoints.get(attempt.endpoint);
+        if row.is_some_and(|row| attempt.trial && row.health.phase == Phase::Trial) {
+            self.eject(now, attempt.endpoint, true);
+        }
+    }
+
+    fn end(&mut self, now: Instant, key: CallKey, endpoint: EndpointKey) -> Option<Attempt> {
+        let attempts = &self.calls[key].attempts;
+        let slot = attempts
+            .iter()
+            .position(|attempt| attempt.is_some_and(|a| a.endpoint == endpoint))?;
+        self.detach(now, key, slot)
+    }
+
+    pub(super) fn answered(&mut self, now: Instant, key: CallKey, endpoint: EndpointKey) {
+        let running = self.endpoints.get(endpoint).map_or(0, |row| row.running);
+        let Some(attempt) = self.end(now, key, endpoint) else {
+            return;
+        };
+        let call = self.calls[key].call;
+        let took = now - attempt.start;
+        self.judge(now, &call, &attempt, running, took);
+        // The loser's endpoint took at least so long: without this a slow one
+        // whose calls are all hedged would never be found out.
+        self.time_out(now, key);
+        self.services[call.service].learned.add(&call, took);
+        self.forget(now, key);
+    }
+
+    /// Counts a call that ran out of time as one that took at least so long.
+    pub(super) fn time_out(&mut self, now: Instant, key: CallKey) {
+        let row = &self.calls[key];
+        let call = row.call;
+        let Some(attempt) = row.attempts.iter().flatten().next().copied() else {
+            return;
+        };
+        let took = now - attempt.start;
+        let low = self.expect(&call).map_or(f64::MAX, |e| e.low);
+        if took.as_secs_f64() > low && !attempt.trial {
+            self.judge(now, &call, &attempt, 1, took);
+        }
+    }
+
+    pub(super) fn not_run(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        endpoint: EndpointKey,
+        kind: ErrorKind,
+    ) {
+        let Some(attempt) = self.end(now, key, endpoint) else {
+            return;
+        };
+        self.refused_there(now, &attempt, kind);
+        let row = &self.calls[key];
+        let call = row.call;
+        if row.runs() {
+            return;
+        }
+        let again = kind.answer().retry == Retry::After && row.tries < SENDS;
+        let again = again && self.in_time(now, &call);
+        if again && self.services[call.service].budget.spend(RESEND) {
+            self.enqueue(now, key);
+        } else {
+            self.refuse(now, key, kind);
+        }
+    }
+
+    fn refused_there(&mut self, now: Instant, attempt: &Attempt, kind: ErrorKind) {
+        let endpoint = attempt.endpoint;
+        let Some(row) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        match kind {
+            ErrorKind::Saturated | ErrorKind::HandoverFull => {
+                row.limit.refused(now, row.running);
+                if attempt.trial {
+                    self.readmit(now, endpoint);
+                }
+                self.refresh(now, endpoint);
+                self.watch(now, endpoint);
+            }
+            ErrorKind::EndpointDown => {
+                let down = row.health.unreached();
+                if down || attempt.trial {
+                    self.eject(now, endpoint, true);
+                }
+            }
+            _ if kind.answer().retry == Retry::After => self.eject(now, endpoint, true),
+            _ if attempt.trial => self.readmit(now, endpoint),
+            _ => {}
+        }
+    }
+
+    pub(super) fn failed(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        endpoint: EndpointKey,
+        kind: ErrorKind,
+    ) {
+        let Some(attempt) = self.end(now, key, endpoint) else {
+            return;
+        };
+        let bad = self
+            .endpoints
+            .get_mut(endpoint)
+            .is_some_and(|row| row.health.failed());
+        if bad || attempt.trial {
+            self.eject(now, endpoint, attempt.trial);
+        }
+        let row = &mut self.calls[key];
+        row.ran = Some(kind);
+        if row.runs() {
+            return;
+        }
+        let call = row.call;
+        let again = row.free() && row.tries < TRIES && self.in_time(now, &call);
+        if again && self.services[call.service].budget.spend(RERUN) {
+            self.enqueue(now, key);
+        } else {
+            self.refuse(now, key, kind);
+        }
+    }
+
+    /// Moves repeatable calls away from an endpoint that has gone silent.
+    pub(super) fn move_all(&mut self, now: Instant, endpoint: EndpointKey) {
+        let Some(row) = self.endpoints.get(endpoint) else {
+            return;
+        };
+        let service = row.service;
+        let keys: Vec<CallKey> = row.attempts.iter().map(|(_, key)| *key).collect();
+        for key in keys {
+            let row = &self.calls[key];
+            let alone = row.attempts[1].is_none();
+            let may = alone && row.free() && row.tries < TRIES && self.in_time(now, &row.call);
+            if may && self.services[service].budget.spend(RERUN) {
+                self.move_call(now, key);
+            }
+        }
+    }
+
+    /// Compares how long an attempt took with its like and with its peers.
+    fn judge(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        attempt: &Attempt,
+        running: u32,
+        took: Duration,
+    ) {
+        let secs = took.as_secs_f64().max(1e-6);
+        let ratio = self.expect(call).map_or(1.0, |e| secs / e.low);
+        let Some(row) = self.endpoints.get_mut(attempt.endpoint) else {
+            return;
+        };
+        row.health.life = Some(now);
+        let peers = &mut self.services[call.service].peers;
+        if attempt.trial {
+            if Health::passes(ratio, peers) {
+                self.readmit(now, attempt.endpoint);
+            } else {
+                self.eject(now, attempt.endpoint, true);
+            }
+            return;
+        }
+        row.limit.sample(ratio, running);
+        if !row.health.fit() {
+            return;
+        }
+        row.health.leave(peers);
+        let outlier = row.health.answered(ratio, peers);
+        row.health.join(peers);
+        if outlier {
+            self.eject(now, attempt.endpoint, false);
+        }
+        self.refresh(now, attempt.endpoint);
+    }
+}
--- /dev/null
+++ b/src/route/endpoint.rs
@@ -0,0 +1,288 @@
+//! The state of endpoints: room, tiers, ejection and return.
+
+use crate::route::{
+    EndpointKey, ServiceKey,
+    drain::secs,
+    health::{self, Phase},
+    router::Router,
+    spec::Call,
+    table::{Attempt, CallKey, Counted, Due, EndpointRow, FAR},
+};
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A report that is older says nothing of a queue.
+pub(super) const FRESH: Duration = Duration::from_secs(1);
+/// What others run there is believed less with age, by this time constant.
+const FADE: f64 = 1.0;
+/// Free cache memory is believed as long: a batch turns over in that time.
+const CACHE_FRESH: Duration = Duration::from_secs(2);
+/// Near endpoints that an entry uses first. Few links and warm caches; 360
+/// entries with 24 each put about 14 entries on each of 600 endpoints.
+const SUBSET: usize = 24;
+/// Share of a service that may be ejected for being slow, silent or failing.
+/// Beyond it the fault is more likely the load's or this entry's own.
+const EJECTED: f64 = 0.5;
+/// A service whose calls may not be repeated has none to try an endpoint with;
+/// after this pause it is let back with a limit of one.
+const READY: Duration = Duration::from_secs(10);
+
+impl EndpointRow {
+    /// Says whether its cache memory holds so many tokens more.
+    pub(super) fn holds(&self, now: Instant, tokens: u32) -> bool {
+        let tokens = u64::from(tokens);
+        let mine = self.spec.tokens == 0 || self.tokens + tokens <= self.spec.tokens;
+        // An endpoint with nothing of ours always takes one.
+        let alone = self.running == 0;
+        let told = self.seen.is_none_or(|seen| {
+            seen.report.cache_free == 0
+                || now.saturating_duration_since(seen.at) > CACHE_FRESH
+                || seen.sent + tokens <= seen.report.cache_free
+        });
+        alone || (mine && told)
+    }
+
+    /// Returns its load for comparison: lower is better.
+    pub(super) fn score(&self, now: Instant) -> f64 {
+        let running = f64::from(self.running) + self.others(now) + 1.0;
+        running * self.health.factor() / f64::from(self.limit.get().max(1))
+    }
+
+    fn others(&self, now: Instant) -> f64 {
+        let Some(seen) = self.seen else {
+            return 0.0;
+        };
+        let all = seen.report.running.saturating_add(seen.report.queued);
+        let age = now.saturating_duration_since(seen.at).as_secs_f64();
+        f64::from(all.saturating_sub(seen.own)) * (-age / FADE).exp()
+    }
+
+    pub(super) fn take(&mut self, now: Instant, key: CallKey, call: &Call, work: f64, trial: bool) {
+        self.running += 1;
+        self.tokens += u64::from(call.tokens);
+        self.placed.add(now, work);
+        self.attempts.insert((now, key));
+        if let Some(seen) = &mut self.seen {
+            seen.sent += u64::from(call.tokens);
+        }
+        if self.running >= self.limit.get() {
+            self.limit.reach();
+        }
+        if trial {
+            self.health.phase = Phase::Trial;
+        }
+    }
+
+    pub(super) fn give(&mut self, key: CallKey, attempt: &Attempt, call: &Call) {
+        self.running -= 1;
+        self.tokens -= u64::from(call.tokens);
+        self.attempts.remove(&(attempt.start, key));
+    }
+}
+
+impl Router {
+    /// Brings the pools and sums in line with an endpoint's row.
+    pub(super) fn refresh(&mut self, now: Instant, key: EndpointKey) {
+        let row = &mut self.endpoints[key];
+        let lanes = if row.usable() { row.limit.get() } else { 0 };
+        let cool = row.limit.cooling(now).is_some();
+        let free = if cool {
+            0
+        } else {
+            lanes.saturating_sub(row.running)
+        };
+        let was = row.counted;
+        row.counted = Counted { lanes, free };
+        let service = &mut self.services[row.service];
+        service.lanes = service.lanes + lanes - was.lanes;
+        service.free = service.free + free - was.free;
+        let near = u32::from(row.tier != FAR);
+        match (was.lanes > 0, lanes > 0) {
+            (false, true) => {
+                service.usable += 1;
+                service.near += near;
+            }
+            (true, false) => {
+                service.usable -= 1;
+                service.near -= near;
+            }
+            _ => {}
+        }
+        let pool = &mut service.pools[row.tier];
+        match (row.slot, free > 0) {
+            (None, true) => {
+                row.slot = Some(pool.len());
+                pool.push(key);
+            }
+            (Some(slot), false) => {
+                row.slot = None;
+                pool.swap_remove(slot);
+                if let Some(moved) = pool.get(slot).copied() {
+                    self.endpoints[moved].slot = Some(slot);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes an endpoint out of all sums, whatever its state.
+    fn retire(&mut self, now: Instant, key: EndpointKey) {
+        let row = &mut self.endpoints[key];
+        let open = row.open;
+        row.open = false;
+        self.refresh(now, key);
+        self.endpoints[key].open = open;
+    }
+
+    /// Sorts a service's endpoints into tiers. The subset is the nearest by a
+    /// hash of entry and name: another endpoint more or less changes only one.
+    pub(super) fn set_tiers(&mut self, now: Instant, service: ServiceKey) {
+        let keys = self.services[service].endpoints.clone();
+        let rank = |key: &EndpointKey| {
+            let name = &self.endpoints[*key].spec.name;
+            xxh3_64_with_seed(name.as_bytes(), self.seed)
+        };
+        let near = |key: &EndpointKey| self.endpoints[*key].spec.place == self.place;
+        let (mut home, away): (Vec<_>, Vec<_>) = keys.into_iter().partition(near);
+        if home.len() > SUBSET {
+            home.sort_by_cached_key(rank);
+        }
+        let home = home.into_iter().enumerate();
+        let tiers = home.map(|(index, key)| (key, usize::from(index >= SUBSET)));
+        for (key, tier) in tiers.chain(away.into_iter().map(|key| (key, FAR))) {
+            if self.endpoints[key].tier != tier {
+                self.retire(now, key);
+                self.endpoints[key].tier = tier;
+            }
+            self.refresh(now, key);
+        }
+    }
+
+    pub(super) fn drop_endpoint(&mut self, now: Instant, key: EndpointKey) {
+        self.retire(now, key);
+        let Some(row) = self.endpoints.remove(key) else {
+            return;
+        };
+        let service = &mut self.services[row.service];
+        service.endpoints.retain(|other| *other != key);
+        service.ready.retain(|other| *other != key);
+        service.ring.remove(key);
+        if row.health.fit() {
+            row.health.leave(&mut service.peers);
+        } else {
+            service.out -= 1;
+        }
+        if let Some(due) = row.due {
+            self.timers.remove(&(due, Due::Endpoint(key)));
+        }
+    }
+
+    /// Stops sending to an endpoint for a while; `sure` goes beyond the share
+    /// of a service that may be ejected on suspicion.
+    pub(super) fn eject(&mut self, now: Instant, key: EndpointKey, sure: bool) {
+        let Some(row) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let service = &mut self.services[row.service];
+        let fit = row.health.fit();
+        let most = service.endpoints.len() as f64 * EJECTED;
+        if fit && !sure && (f64::from(service.out) + 1.0 > most || service.usable < 2) {
+            return;
+        }
+        if fit {
+            row.health.leave(&mut service.peers);
+            service.out += 1;
+        }
+        service.ready.retain(|other| *other != key);
+        let until = row.health.eject(now);
+        row.limit.restart();
+        let name = row.service;
+        self.refresh(now, key);
+        self.set_endpoint_due(key, until);
+        if fit {
+            self.trim(now, name);
+        }
+    }
+
+    pub(super) fn readmit(&mut self, now: Instant, key: EndpointKey) {
+        let row = &mut self.endpoints[key];
+        if !row.health.fit() {
+            row.health.readmit();
+            let service = &mut self.services[row.service];
+            service.out -= 1;
+            service.ready.retain(|other| *other != key);
+        }
+        self.refresh(now, key);
+    }
+
+    /// Sets the timer that looks for silence or for the end of a pause.
+    pub(super) fn watch(&mut self, now: Instant, key: EndpointKey) {
+        let row = &self.endpoints[key];
+        if let Some(until) = row.limit.cooling(now) {
+            self.set_endpoint_due(key, until);
+        } else if row.due.is_none()
+            && let Some(at) = self.silent_at(key)
+        {
+            self.set_endpoint_due(key, at.max(now));
+        }
+    }
+
+    /// Says when the endpoint will have been silent for too long.
+    fn silent_at(&self, key: EndpointKey) -> Option<Instant> {
+        let row = &self.endpoints[key];
+        let (start, call) = row.attempts.first()?;
+        let since = row.health.life.map_or(*start, |life| life.max(*start));
+        let estimate = self.expect(&self.calls[*call].call);
+        Some(since + secs(health::silence(estimate.map(|e| e.p99))))
+    }
+
+    fn set_endpoint_due(&mut self, key: EndpointKey, at: Instant) {
+        let row = &mut self.endpoints[key];
+        if let Some(due) = row.due {
+            if due <= at && row.health.fit() {
+                return;
+            }
+            self.timers.remove(&(due, Due::Endpoint(key)));
+        }
+        row.due = Some(at);
+        self.timers.insert((at, Due::Endpoint(key)));
+    }
+
+    pub(super) fn endpoint_due(&mut self, now: Instant, key: EndpointKey) {
+        let row = &mut self.endpoints[key];
+        row.due = None;
+        let service = row.service;
+        match row.health.phase {
+            Phase::Out(until) if until <= now => {
+                row.health.phase = Phase::Ready;
+                if row.open {
+                    self.services[service].ready.push(key);
+                }
+                self.set_endpoint_due(key, now + READY);
+            }
+            Phase::Out(until) => self.set_endpoint_due(key, until),
+            Phase::Ready => self.readmit(now, key),
+            Phase::Fit | Phase::Trial => self.check_silence(now, key),
+        }
+        self.pump(now, service);
+    }
+
+    fn check_silence(&mut self, now: Instant, key: EndpointKey) {
+        self.refresh(now, key);
+        let Some(at) = self.silent_at(key) else {
+            return;
+        };
+        if at > now {
+            self.set_endpoint_due(key, at);
+            return;
+        }
+        let trial = !self.endpoints[key].health.fit();
+        self.eject(now, key, trial);
+        if self.endpoints[key].health.fit() {
+            // Too many are out already; look again rather than at once.
+            self.set_endpoint_due(key, now + FRESH);
+        } else {
+            self.move_all(now, key);
+        }
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -24,8 +24,22 @@
 //! assert_eq!(router.next_step(), Some(Step::Start { id, endpoint, hedge: false }));
 //! ```
 
+mod admit;
+mod attempt;
+mod drain;
+mod endpoint;
+mod health;
+mod learn;
+mod limit;
+mod meter;
+mod place;
+mod queue;
+mod retry;
+mod ring;
 mod router;
+mod share;
 mod spec;
+mod table;
 
 pub use self::{
     router::Router,
--- /dev/null
+++ b/src/route/place.rs
@@ -0,0 +1,235 @@
+//! Which endpoint a call goes to.
+//!
+//! Load: many entries that each see only their own calls and late reports of
+//! the rest. Harm: if all sent to the endpoint that looks idlest, all would
+//! send to the same one. So each call draws two endpoints with room and takes
+//! the less loaded one; a call with a prefix goes where the prefix is cached
+//! while that endpoint isn't ahead of the others.
+//!
+//! Pools of endpoints with room, one for each tier, are kept up to date as
+//! calls start and end; a draw is then independent of the number of endpoints.
+
+use crate::{
+    class::Class,
+    error::ErrorKind,
+    route::{
+        EndpointKey, ServiceKey,
+        retry::{self, TRIES},
+        ring::REACH,
+        router::Router,
+        share,
+        spec::Call,
+        table::{CallKey, FAR, TIERS},
+    },
+};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// A backlog is looked at again so often, for what changes without an event.
+pub(super) const PUMP: Duration = Duration::from_millis(50);
+/// Draws at most, when those drawn have no cache memory left for the call.
+const DRAWS: usize = 8;
+/// Endpoints that are looked at one by one if no draw fits.
+const SCAN: usize = 16;
+/// Work that an endpoint may get above the mean before a prefix goes to the
+/// next one: the busiest is to stay within 1.25 of the mean.
+const BOUND: f64 = 1.1;
+/// Slots that are taken back at a time; the next look is an event away.
+const BACK: usize = 8;
+/// A rollout that lost its slot twice keeps the next one.
+const YIELDS: u8 = 2;
+/// Waiting for a rollout to end is fine for so much of an urgent call's time.
+const PATIENCE: f64 = 0.25;
+
+impl Router {
+    /// Places what waits for a service, as far as there is room.
+    pub(super) fn pump(&mut self, now: Instant, service: ServiceKey) {
+        if self.services[service].idle() {
+            return;
+        }
+        self.place(now, service);
+        if self.take_back(now, service) {
+            self.place(now, service);
+        }
+    }
+
+    fn place(&mut self, now: Instant, service: ServiceKey) {
+        let mut skip = [false; 3];
+        while let Some(class) = share::next(&self.services[service], now, skip) {
+            let Some((_, first)) = self.services[service].queue(class).first() else {
+                return;
+            };
+            let key = first.call;
+            if !self.in_time(now, &self.calls[key].call) {
+                self.refuse(now, key, ErrorKind::Saturated);
+                continue;
+            }
+            match self.choose(now, key) {
+                Some((endpoint, trial)) => self.start(now, key, endpoint, trial),
+                None => skip[class.index()] = true,
+            }
+        }
+    }
+
+    /// Chooses an endpoint, and says whether the call tries it out.
+    fn choose(&mut self, now: Instant, key: CallKey) -> Option<(EndpointKey, bool)> {
+        let row = &self.calls[key];
+        let (call, last) = (row.call, row.last);
+        let fresh = row.free() && row.tries == 0;
+        let service = &mut self.services[call.service];
+        if (fresh || service.usable == 0)
+            && let Some(endpoint) = service.ready.pop()
+        {
+            return Some((endpoint, true));
+        }
+        let other = self.pick(now, &call, last);
+        let found = other.or_else(|| self.pick(now, &call, None).filter(|_| last.is_some()));
+        found.map(|endpoint| (endpoint, false))
+    }
+
+    fn pick(&mut self, now: Instant, call: &Call, not: Option<EndpointKey>) -> Option<EndpointKey> {
+        if self.services[call.service].free == 0 {
+            return None;
+        }
+        if let Some(prefix) = call.prefix {
+            let cached = self.cached(now, call, prefix, not);
+            if cached.is_some() {
+                return cached;
+            }
+        }
+        (0..TIERS).find_map(|tier| self.draw(now, call, tier, not))
+    }
+
+    /// Finds an endpoint on the ring that isn't ahead of the others.
+    fn cached(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        prefix: u64,
+        not: Option<EndpointKey>,
+    ) -> Option<EndpointKey> {
+        let mut found = std::mem::take(&mut self.found);
+        found.clear();
+        let row = &self.services[call.service];
+        row.ring.walk(prefix, &mut found);
+        let mean = row.placed.sum(now) / f64::from(row.usable.max(1));
+        let work = self.expect(call).map_or(0.0, |e| e.mean);
+        let most = mean * BOUND + work;
+        let near = row.near > 0;
+        let fit = found.iter().take(REACH).copied().find(|key| {
+            let row = &self.endpoints[*key];
+            row.slot.is_some()
+                && (row.tier != FAR || !near)
+                && Some(*key) != not
+                && row.placed.sum(now) <= most
+                && row.holds(now, call.tokens)
+        });
+        self.found = found;
+        fit
+    }
+
+    /// Draws two endpoints of a tier and takes the less loaded one.
+    fn draw(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        tier: usize,
+        not: Option<EndpointKey>,
+    ) -> Option<EndpointKey> {
+        let pool = &self.services[call.service].pools[tier];
+        if pool.is_empty() {
+            return None;
+        }
+        let mut best: Option<(EndpointKey, f64)> = None;
+        for _ in 0..DRAWS {
+            let key = pool[self.rng.random_range(0..pool.len())];
+            let row = &self.endpoints[key];
+            if Some(key) == not || !row.holds(now, call.tokens) {
+                continue;
+            }
+            let score = row.score(now);
+            match best {
+                None => best = Some((key, score)),
+                Some((_, other)) if score < other => return Some(key),
+                Some((other, _)) => return Some(other),
+            }
+        }
+        let scan = || pool.iter().take(SCAN).copied();
+        let fits =
+            |key: &EndpointKey| Some(*key) != not && self.endpoints[*key].holds(now, call.tokens);
+        best.map_or_else(|| scan().find(fits), |(key, _)| Some(key))
+    }
+
+    /// Takes slots back from rollouts for a class that is below its floor.
+    ///
+    /// Load: rollouts of minutes fill every slot that was idle, then parents
+    /// come. Harm: they would wait for a rollout to end. Only repeatable calls
+    /// yield, the latest first, as they lose least; the floor bounds how many.
+    fn take_back(&mut self, now: Instant, service: ServiceKey) -> bool {
+        let mut taken = false;
+        for class in [Class::Interactive, Class::Partner] {
+            for _ in 0..BACK {
+                let row = &self.services[service];
+                let waits = row.queue(class).len();
+                if waits == 0 || row.free as usize >= waits || !share::owed(row, class) {
+                    break;
+                }
+                let Some(key) = self.yielding(service, class) else {
+                    break;
+                };
+                self.move_call(now, key);
+                self.calls[key].yields += 1;
+                taken = true;
+            }
+        }
+        taken
+    }
+
+    fn yielding(&self, service: ServiceKey, class: Class) -> Option<CallKey> {
+        let row = &self.services[service];
+        let (_, first) = row.queue(class).first()?;
+        let mut latest = row.lent.iter().rev().take(SCAN).map(|(_, key)| *key);
+        latest.find(|key| {
+            let call = &self.calls[*key];
+            let lower = call.call.class;
+            let used = f64::from(row.used[lower.index()]);
+            lower > class
+                && call.yields < YIELDS
+                && used > row.spec.floors[lower.index()] * f64::from(row.lanes)
+                && call.work / used > first.work * PATIENCE
+        })
+    }
+
+    /// Takes a repeatable call from where it runs and lets it wait again.
+    pub(super) fn move_call(&mut self, now: Instant, key: CallKey) {
+        for slot in 0..2 {
+            self.cancel_attempt(now, key, slot);
+        }
+        self.enqueue(now, key);
+    }
+
+    /// Starts another attempt elsewhere if the first takes unusually long.
+    ///
+    /// Load: one endpoint that has become slow, before it is found out. Harm:
+    /// its callers wait ten times as long. Hedges are sent only with a tenth of
+    /// the slots free and out of the retry budget: under saturation they would
+    /// take the place of first tries.
+    pub(super) fn hedge(&mut self, now: Instant, key: CallKey) {
+        let row = &self.calls[key];
+        let call = row.call;
+        let (Some(first), None) = (row.attempts[0], row.attempts[1]) else {
+            return;
+        };
+        let service = &self.services[call.service];
+        let slack = service.idle() && service.free * 10 > service.lanes;
+        if !slack || !row.free() || row.tries >= TRIES || !self.in_time(now, &call) {
+            return;
+        }
+        let Some(endpoint) = self.pick(now, &call, Some(first.endpoint)) else {
+            return;
+        };
+        if self.services[call.service].budget.spend(retry::RERUN) {
+            self.start(now, key, endpoint, false);
+        }
+    }
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,46 +1,43 @@
-//! The tables and the systems that run over them.
+//! The router: its tables, the events that go in, the steps that come out.
 
 use crate::{
     class::Class,
     error::ErrorKind,
     id::RequestId,
-    route::{Call, EndpointKey, EndpointSpec, LoadReport, Outcome, ServiceKey, ServiceSpec, Step},
+    route::{
+        Call, EndpointKey, EndpointSpec, LoadReport, Outcome, ServiceKey, ServiceSpec, Step,
+        place::PUMP,
+        table::{CallKey, CallRow, Due, EndpointRow, Seen, ServiceRow},
+    },
 };
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
 use slotmap::SlotMap;
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
-#[derive(Debug)]
-struct Service {
-    name: String,
-    spec: ServiceSpec,
-    endpoints: Vec<EndpointKey>,
-    waiting: Vec<Call>,
-}
-
-#[derive(Debug)]
-struct Endpoint {
-    spec: EndpointSpec,
-    service: ServiceKey,
-    open: bool,
-    running: u32,
-}
-
-#[derive(Debug)]
-struct Running {
-    endpoint: EndpointKey,
-}
+/// Expected seconds of a call before any was answered.
+const UNKNOWN_WORK: f64 = 0.05;
 
 /// Decides where the calls of one entry run.
+///
+/// Each event names the present instant, which never goes back.
 #[derive(Debug)]
 pub struct Router {
-    place: String,
-    services: SlotMap<ServiceKey, Service>,
-    endpoints: SlotMap<EndpointKey, Endpoint>,
-    running: HashMap<RequestId, Running>,
-    steps: VecDeque<Step>,
+    pub(super) place: String,
+    pub(super) seed: u64,
+    pub(super) rng: Pcg64,
+    pub(super) names: HashMap<String, ServiceKey>,
+    pub(super) services: SlotMap<ServiceKey, ServiceRow>,
+    pub(super) endpoints: SlotMap<EndpointKey, EndpointRow>,
+    pub(super) calls: SlotMap<CallKey, CallRow>,
+    pub(super) index: HashMap<RequestId, CallKey>,
+    pub(super) timers: BTreeSet<(Instant, Due)>,
+    pub(super) steps: VecDeque<Step>,
+    pub(super) found: Vec<EndpointKey>,
+    seq: u64,
 }
 
 impl Router {
@@ -48,37 +45,39 @@
     ///
     /// `seed` starts the random choices, so that a test can repeat them.
     #[must_use]
-    pub fn new(place: &str, _seed: u64) -> Self {
+    pub fn new(place: &str, seed: u64) -> Self {
         Self {
             place: place.to_owned(),
+            seed,
+            rng: Pcg64::seed_from_u64(seed),
+            names: HashMap::new(),
             services: SlotMap::with_key(),
             endpoints: SlotMap::with_key(),
-            running: HashMap::new(),
+            calls: SlotMap::with_key(),
+            index: HashMap::new(),
+            timers: BTreeSet::new(),
             steps: VecDeque::new(),
+            found: Vec::new(),
+            seq: 0,
         }
     }
 
     /// Adds a service, or changes the one of this name.
-    pub fn set_service(&mut self, _now: Instant, name: &str, spec: ServiceSpec) -> ServiceKey {
+    pub fn set_service(&mut self, now: Instant, name: &str, spec: ServiceSpec) -> ServiceKey {
         if let Some(key) = self.service(name) {
             self.services[key].spec = spec;
+            self.pump(now, key);
             return key;
         }
-        self.services.insert(Service {
-            name: name.to_owned(),
-            spec,
-            endpoints: Vec::new(),
-            waiting: Vec::new(),
-        })
+        let key = self.services.insert(ServiceRow::new(spec));
+        self.names.insert(name.to_owned(), key);
+        key
     }
 
     /// Finds a service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<ServiceKey> {
-        self.services
-            .iter()
-            .find(|(_, service)| service.name == name)
-            .map(|(key, _)| key)
+        self.names.get(name).copied()
     }
 
     /// Adds an endpoint that takes work at once.
@@ -88,111 +87,159 @@
     /// Panics if `service` is not one of this router.
     pub fn add_endpoint(
         &mut self,
-        _now: Instant,
+        now: Instant,
         service: ServiceKey,
         spec: EndpointSpec,
     ) -> EndpointKey {
-        let key = self.endpoints.insert(Endpoint {
-            spec,
-            service,
-            open: true,
-            running: 0,
-        });
-        self.services[service].endpoints.push(key);
+        let name = spec.name.clone();
+        let key = self.endpoints.insert(EndpointRow::new(service, spec));
+        let row = &mut self.services[service];
+        row.endpoints.push(key);
+        row.ring.add(key, &name);
+        self.set_tiers(now, service);
+        self.pump(now, service);
         key
     }
 
     /// Says whether the endpoint takes new work.
     pub fn set_open(&mut self, now: Instant, endpoint: EndpointKey, open: bool) {
-        if let Some(row) = self.endpoints.get_mut(endpoint) {
-            row.open = open;
+        let Some(row) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if row.open == open {
+            return;
         }
-        self.tick(now);
+        row.open = open;
+        let service = row.service;
+        let fit = row.health.fit();
+        self.refresh(now, endpoint);
+        if !open {
+            self.services[service].ready.retain(|key| *key != endpoint);
+            self.trim(now, service);
+        } else if !fit {
+            // Whoever opens it again knows more than an old suspicion.
+            self.readmit(now, endpoint);
+        }
+        self.pump(now, service);
     }
 
     /// Forgets an endpoint; what still runs there is reported by the entry.
-    pub fn remove_endpoint(&mut self, _now: Instant, endpoint: EndpointKey) {
-        if let Some(row) = self.endpoints.remove(endpoint) {
-            self.services[row.service]
-                .endpoints
-                .retain(|key| *key != endpoint);
-        }
+    pub fn remove_endpoint(&mut self, now: Instant, endpoint: EndpointKey) {
+        let Some(service) = self.endpoints.get(endpoint).map(|row| row.service) else {
+            return;
+        };
+        self.drop_endpoint(now, endpoint);
+        self.set_tiers(now, service);
+        self.trim(now, service);
+        self.pump(now, service);
     }
 
     /// Takes a call in; the answer comes out as steps.
+    ///
+    /// A call whose id is known already is ignored.
     pub fn arrive(&mut self, now: Instant, call: Call) {
-        let Some(service) = self.services.get_mut(call.service) else {
-            self.refuse(call.id, ErrorKind::UnknownService);
+        if self.index.contains_key(&call.id) {
             return;
-        };
-        let same = service.waiting.iter().filter(|c| c.class == call.class);
-        if same.count() >= service.spec.depth {
-            self.refuse(call.id, ErrorKind::Saturated);
+        }
+        if !self.services.contains_key(call.service) {
+            self.steps.push_back(Step::Refuse {
+                id: call.id,
+                kind: ErrorKind::UnknownService,
+                after: Duration::ZERO,
+            });
             return;
         }
-        service.waiting.push(call);
-        service.waiting.sort_by_key(|c| (c.class, c.deadline));
-        self.tick(now);
+        let work = self.expect(&call).map_or(UNKNOWN_WORK, |e| e.mean);
+        self.seq += 1;
+        let key = self.calls.insert(CallRow::new(call, work, self.seq));
+        self.index.insert(call.id, key);
+        self.timers.insert((call.deadline, Due::Call(key)));
+        if self.admit(now, key) {
+            self.pump(now, call.service);
+        }
     }
 
     /// Forgets a call whose caller has gone, and cancels what runs of it.
     pub fn cancel(&mut self, now: Instant, id: RequestId) {
-        for service in self.services.values_mut() {
-            service.waiting.retain(|call| call.id != id);
-        }
-        if let Some(running) = self.end(id) {
-            self.steps.push_back(Step::Cancel {
-                id,
-                endpoint: running.endpoint,
-            });
+        if let Some(key) = self.index.get(&id).copied() {
+            let service = self.calls[key].call.service;
+            self.forget(now, key);
+            self.pump(now, service);
         }
-        self.tick(now);
     }
 
     /// Notes that an attempt gave a sign of life: `tokens` so far.
-    pub fn progress(&mut self, now: Instant, _id: RequestId, _key: EndpointKey, _tokens: u64) {
-        self.expire(now);
+    pub fn progress(&mut self, now: Instant, id: RequestId, endpoint: EndpointKey, _tokens: u64) {
+        let runs = self
+            .index
+            .get(&id)
+            .is_some_and(|key| self.calls[*key].runs_at(endpoint));
+        if let Some(row) = self.endpoints.get_mut(endpoint).filter(|_| runs) {
+            row.health.life = Some(now);
+        }
     }
 
     /// Notes how an attempt ended.
     ///
     /// A [`Step::Refuse`] or another [`Step::Start`] follows unless it was
-    /// answered.
-    pub fn finish(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        _endpoint: EndpointKey,
-        outcome: Outcome,
-    ) {
-        if self.end(id).is_some() {
-            match outcome {
-                Outcome::Answered => {}
-                Outcome::NotRun(kind) | Outcome::Failed(kind) => self.refuse(id, kind),
-            }
+    /// answered or a hedge of it still runs. What is told of an attempt that
+    /// was cancelled before is ignored.
+    pub fn finish(&mut self, now: Instant, id: RequestId, endpoint: EndpointKey, outcome: Outcome) {
+        let Some(key) = self.index.get(&id).copied() else {
+            return;
+        };
+        let service = self.calls[key].call.service;
+        match outcome {
+            Outcome::Answered => self.answered(now, key, endpoint),
+            Outcome::NotRun(kind) => self.not_run(now, key, endpoint, kind),
+            Outcome::Failed(kind) => self.failed(now, key, endpoint, kind),
         }
-        self.tick(now);
+        self.pump(now, service);
     }
 
     /// Takes in what an endpoint reported of itself.
-    pub fn report(&mut self, now: Instant, _endpoint: EndpointKey, _report: LoadReport) {
-        self.expire(now);
+    ///
+    /// The reports may lag, have gaps or be absent altogether.
+    pub fn report(&mut self, now: Instant, endpoint: EndpointKey, report: LoadReport) {
+        let Some(row) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        row.limit.bound(report.limit);
+        if report.age <= super::endpoint::FRESH {
+            row.limit.waited(report.queued, report.running);
+        }
+        row.seen = Some(Seen {
+            report,
+            at: now.checked_sub(report.age).unwrap_or(now),
+            own: row.running,
+            sent: 0,
+        });
+        let service = row.service;
+        self.refresh(now, endpoint);
+        if !self.services[service].idle() {
+            self.pump(now, service);
+        }
     }
 
-    /// Runs the systems over the tables: expiry, then placement.
+    /// Runs what is due: expiry, hedges, trials and placement.
     pub fn tick(&mut self, now: Instant) {
-        self.expire(now);
-        let keys: Vec<ServiceKey> = self.services.keys().collect();
-        for key in keys {
-            self.place(key);
+        while let Some((at, due)) = self.timers.first().copied() {
+            if at > now {
+                return;
+            }
+            self.timers.pop_first();
+            match due {
+                Due::Call(key) => self.call_due(now, key),
+                Due::Endpoint(key) => self.endpoint_due(now, key),
+                Due::Service(key) => self.service_due(now, key),
+            }
         }
     }
 
     /// Says when [`Router::tick`] has something to do at the latest.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
-        let waiting = self.services.values().flat_map(|service| &service.waiting);
-        waiting.map(|call| call.deadline).min()
+        self.timers.first().map(|(at, _)| *at)
     }
 
     /// Takes out the next step, if there is one.
@@ -205,63 +252,61 @@
     pub fn waiting(&self, service: ServiceKey, class: Class) -> usize {
         self.services
             .get(service)
-            .map_or(0, |s| s.waiting.iter().filter(|c| c.class == class).count())
+            .map_or(0, |row| row.queue(class).len())
     }
 
-    fn refuse(&mut self, id: RequestId, kind: ErrorKind) {
-        self.steps.push_back(Step::Refuse {
-            id,
-            kind,
-            after: Duration::from_secs(1),
-        });
+    /// Returns how many attempts of a class run for a service.
+    #[must_use]
+    pub fn running(&self, service: ServiceKey, class: Class) -> u32 {
+        let row = self.services.get(service);
+        row.map_or(0, |row| row.used[class.index()])
     }
 
-    fn end(&mut self, id: RequestId) -> Option<Running> {
-        let running = self.running.remove(&id)?;
-        if let Some(endpoint) = self.endpoints.get_mut(running.endpoint) {
-            endpoint.running -= 1;
-        }
-        Some(running)
+    /// Returns how many attempts run at an endpoint, and how many may.
+    #[must_use]
+    pub fn load(&self, endpoint: EndpointKey) -> Option<(u32, u32)> {
+        let row = self.endpoints.get(endpoint)?;
+        let limit = if row.usable() { row.limit.get() } else { 0 };
+        Some((row.running, limit))
     }
 
-    fn expire(&mut self, now: Instant) {
-        let mut late = Vec::new();
-        for service in self.services.values_mut() {
-            let waiting = std::mem::take(&mut service.waiting);
-            let (gone, kept) = waiting.into_iter().partition(|c| c.deadline <= now);
-            service.waiting = kept;
-            late.push(gone);
-        }
-        for call in late.into_iter().flatten() {
-            self.refuse(call.id, ErrorKind::Expired);
+    pub(super) fn set_call_due(&mut self, key: CallKey, at: Instant) {
+        let row = &mut self.calls[key];
+        if row.due != at {
+            self.timers.remove(&(row.due, Due::Call(key)));
+            row.due = at;
+            self.timers.insert((at, Due::Call(key)));
         }
     }
 
-    fn place(&mut self, service: ServiceKey) {
-        while !self.services[service].waiting.is_empty() {
-            let Some(endpoint) = self.best(service) else {
-                return;
+    fn call_due(&mut self, now: Instant, key: CallKey) {
+        let row = &mut self.calls[key];
+        let service = row.call.service;
+        if now >= row.call.deadline || row.waits {
+            let kind = match (row.runs(), now >= row.call.deadline) {
+                (true, _) => ErrorKind::TimedOut,
+                (false, true) => ErrorKind::Expired,
+                (false, false) => ErrorKind::Saturated,
             };
-            let call = self.services[service].waiting.remove(0);
-            self.endpoints[endpoint].running += 1;
-            self.steps.push_back(Step::Start {
-                id: call.id,
-                endpoint,
-                hedge: false,
-            });
-            self.running.insert(call.id, Running { endpoint });
+            self.time_out(now, key);
+            self.refuse(now, key, kind);
+            self.pump(now, service);
+            return;
         }
+        let deadline = row.call.deadline;
+        row.due = deadline;
+        self.timers.insert((deadline, Due::Call(key)));
+        self.hedge(now, key);
     }
 
-    fn best(&self, service: ServiceKey) -> Option<EndpointKey> {
-        let keys = self.services[service].endpoints.iter().copied();
-        keys.filter(|key| {
-            let row = &self.endpoints[*key];
-            row.open && row.running < row.spec.limit
-        })
-        .min_by_key(|key| {
-            let row = &self.endpoints[*key];
-            (row.running, row.spec.place != self.place)
-        })
+    /// Looks again at a service with a backlog: reserves fade without events.
+    fn service_due(&mut self, now: Instant, key: ServiceKey) {
+        self.services[key].due = None;
+        self.pump(now, key);
+        let row = &mut self.services[key];
+        if !row.idle() {
+            row.due = Some(now + PUMP);
+            self.timers.insert((now + PUMP, Due::Service(key)));
+        }
     }
 }
--- /dev/null
+++ b/src/route/share.rs
@@ -0,0 +1,62 @@
+//! Which class gets the next free slot of a service.
+//!
+//! The most urgent class goes first, but a class below its floor goes before
+//! all, so that overnight jobs and trainers move even on the busiest day. What
+//! a class doesn't use is lent to whoever waits. A small reserve stays free
+//! for urgent classes that were there lately: without it each parent's request
+//! would wait for a rollout to end, which may take minutes.
+
+use crate::{
+    class::Class,
+    route::{meter::ceil, table::ServiceRow},
+};
+use std::time::Instant;
+
+/// The reserve, as a share of the slots: rollouts are to use 90 % of what the
+/// others leave.
+const RESERVE: f64 = 0.08;
+/// The reserve follows the urgent classes' recent peak; a quarter of it covers
+/// three standard deviations of Poisson arrivals from a peak of 100 on, and
+/// `taking back` covers smaller ones.
+const PEAK_PART: f64 = 0.25;
+/// Urgent use below this is none: a peak fades to it in 20 s.
+const FADED: f64 = 0.02;
+
+/// Returns the class whose first call is to be placed, without `skip`.
+pub(super) fn next(row: &ServiceRow, now: Instant, skip: [bool; 3]) -> Option<Class> {
+    let waits = |class: &Class| !row.queue(*class).is_empty() && !skip[class.index()];
+    let below = Class::ALL.into_iter().find(|c| waits(c) && owed(row, *c));
+    below.or_else(|| {
+        let class = Class::ALL.into_iter().find(waits)?;
+        (row.free > reserve(row, now, class)).then_some(class)
+    })
+}
+
+/// Says whether a class has less than its floor.
+pub(super) fn owed(row: &ServiceRow, class: Class) -> bool {
+    let floor = row.spec.floors[class.index()] * f64::from(row.lanes);
+    f64::from(row.used[class.index()]) < floor
+}
+
+/// Returns the slots that `class` has to leave free for more urgent ones.
+fn reserve(row: &ServiceRow, now: Instant, class: Class) -> u32 {
+    let urgent = &row.peaks[..class.index()];
+    let peak: f64 = urgent.iter().map(|peak| peak.sum(now)).sum();
+    if peak < FADED {
+        return 0;
+    }
+    let most = (f64::from(row.lanes) * RESERVE).floor();
+    ceil((1.0 + peak * PEAK_PART).min(most))
+}
+
+/// Estimates the share of the slots that a class gets while all wait.
+pub(super) fn part(row: &ServiceRow, now: Instant, class: Class) -> f64 {
+    let lanes = f64::from(row.lanes.max(1));
+    let index = class.index();
+    let higher: f64 = row.peaks[..index].iter().map(|p| p.sum(now) / lanes).sum();
+    let lower: f64 = (index + 1..3)
+        .filter(|i| !row.queues[*i].is_empty())
+        .map(|i| row.spec.floors[i])
+        .sum();
+    (1.0 - higher - lower).max(row.spec.floors[index]).max(0.01)
+}
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -59,6 +59,9 @@
     pub place: String,
     /// Requests that its side takes at once.
     pub limit: u32,
+    /// Tokens of all requests that its cache memory holds at once; 0 for a
+    /// plain endpoint, which is limited by count alone.
+    pub tokens: u64,
 }
 
 impl EndpointSpec {
@@ -69,9 +72,17 @@
             name: name.to_owned(),
             place: place.to_owned(),
             limit: 64,
+            tokens: 0,
         }
     }
 
+    /// Sets how many tokens its cache memory holds at once.
+    #[must_use]
+    pub const fn tokens(mut self, tokens: u64) -> Self {
+        self.tokens = tokens;
+        self
+    }
+
     /// Sets how many requests its side takes at once.
     #[must_use]
     pub const fn limit(mut self, limit: u32) -> Self {
@@ -81,7 +92,7 @@
 }
 
 /// One request as the router sees it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Call {
     /// Its first attempt's id; the entry names later attempts itself.
     pub id: RequestId,
