--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -0,0 +1,252 @@
+//! Attempts: sending them, taking them up again, and giving them up.
+
+use crate::entry::{assembly::Assembly, event::Head, side::SideKey, tables::Tables};
+use hibiscusroad::{
+    ErrorKind, Incarnation, Repeat, RequestId,
+    route::{EndpointKey, Outcome},
+};
+use hibiscusroad_wire::{Attach, Cancel, Id, Seal, Start, to_side::Frame};
+use std::time::{Duration, Instant};
+
+/// How long an attempt that may be repeated waits for its side to come back
+/// before it counts as failed.
+pub(super) const PATIENCE: Duration = Duration::from_millis(300);
+
+/// How often an attempt is asked for again without a new byte.
+const MOST_REPEATS: u32 = 3;
+
+/// Where an attempt stands, seen from here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// The side has it, or the frame is on its way.
+    Sent,
+    /// The connection broke before the side said anything of it, and the side
+    /// was asked to seal it or say how it stands.
+    Sealing,
+}
+
+/// One try to run a call at one endpoint.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) call: RequestId,
+    pub(super) side: SideKey,
+    pub(super) endpoint: EndpointKey,
+    /// The life of the side that it was sent to.
+    pub(super) incarnation: u64,
+    pub(super) repeat: Repeat,
+    /// Whether its answer is kept for a repeat of its key.
+    pub(super) keyed: bool,
+    pub(super) phase: Phase,
+    /// Whether the side has said anything of it.
+    pub(super) heard: bool,
+    /// Whether the connection to its side stands.
+    pub(super) reachable: bool,
+    pub(super) head: Option<Head>,
+    pub(super) body: Vec<u8>,
+    pub(super) assembly: Assembly,
+    pub(super) acked: u64,
+    pub(super) pieces: u64,
+    pub(super) repeats: u32,
+}
+
+pub(super) const fn wire_id(id: RequestId) -> Id {
+    Id {
+        origin: id.origin.0,
+        seq: id.seq,
+    }
+}
+
+pub(super) fn own_id(id: Option<Id>) -> Option<RequestId> {
+    id.map(|id| RequestId {
+        origin: Incarnation(id.origin),
+        seq: id.seq,
+    })
+}
+
+impl Tables {
+    /// Sends a call to an endpoint, as a new attempt.
+    pub(super) fn start(&mut self, now: Instant, call: RequestId, endpoint: EndpointKey) {
+        let Some(row) = self.calls.get(&call) else {
+            // The caller has its final answer already.
+            self.router.cancel(now, call);
+            return;
+        };
+        if row.repeat == Repeat::Once && (row.ran || !row.attempts.is_empty()) {
+            // The router knows this rule too; a second run must not hang on
+            // one check alone.
+            log::error!(target: "calls", "A second run of {call} was stopped.");
+            self.router.cancel(now, call);
+            return;
+        }
+        let key = self.endpoints.get(&endpoint).copied();
+        let Some(key) = key.filter(|key| self.sides[*key].takes_work()) else {
+            let outcome = Outcome::NotRun(ErrorKind::EndpointDown);
+            self.router.finish(now, call, endpoint, outcome);
+            return;
+        };
+        let id = self.ids.next();
+        let frame = Frame::Start(self.start_frame(now, call, id));
+        let sent = self.sides[key].link.as_ref().is_some_and(|l| l.send(frame));
+        if !sent {
+            let outcome = Outcome::NotRun(ErrorKind::HandoverFull);
+            self.router.finish(now, call, endpoint, outcome);
+            return;
+        }
+        self.insert_attempt(id, call, key, endpoint);
+    }
+
+    fn insert_attempt(
+        &mut self,
+        id: RequestId,
+        call: RequestId,
+        side: SideKey,
+        endpoint: EndpointKey,
+    ) {
+        let Some(row) = self.calls.get_mut(&call) else {
+            return;
+        };
+        row.attempts.push(id);
+        let attempt = Attempt {
+            call,
+            side,
+            endpoint,
+            incarnation: self.sides[side].incarnation,
+            repeat: row.repeat,
+            keyed: row.repeat == Repeat::Once && row.request.key.is_some(),
+            phase: Phase::Sent,
+            heard: false,
+            reachable: true,
+            head: None,
+            body: Vec::new(),
+            assembly: Assembly::default(),
+            acked: 0,
+            pieces: 0,
+            repeats: 0,
+        };
+        self.attempts.insert(id, attempt);
+        self.sides[side].attempts.insert(id);
+    }
+
+    fn start_frame(&self, now: Instant, call: RequestId, id: RequestId) -> Start {
+        let row = &self.calls[&call];
+        let request = &row.request;
+        let left = row.deadline.saturating_duration_since(now).as_millis();
+        let prompt = request.prompt.unwrap_or_default();
+        Start {
+            id: Some(wire_id(id)),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+            remaining_ms: u32::try_from(left).unwrap_or(u32::MAX),
+            class: request.class as u32,
+            once: row.repeat == Repeat::Once,
+            key: request.key.clone().unwrap_or_default(),
+            stream: prompt.stream,
+            tokens: prompt.tokens,
+        }
+    }
+
+    /// Ends what the router no longer wants at one endpoint.
+    pub(super) fn cancel(&mut self, call: RequestId, endpoint: EndpointKey) {
+        let Some(row) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let repeat = row.repeat;
+        let attempts = &self.attempts;
+        let found = row
+            .attempts
+            .iter()
+            .position(|id| attempts.get(id).is_some_and(|a| a.endpoint == endpoint));
+        if let Some(found) = found {
+            let id = row.attempts.swap_remove(found);
+            self.abandon(id, repeat);
+        }
+    }
+
+    /// Forgets an attempt whose answer nobody waits for.
+    ///
+    /// One that may not run twice goes on: its caller may come back for it, and
+    /// to break it off halfway would leave half of its effect.
+    pub(super) fn abandon(&mut self, id: RequestId, repeat: Repeat) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        if let Some(side) = self.sides.get_mut(attempt.side) {
+            side.attempts.remove(&id);
+        }
+        if repeat == Repeat::Free {
+            let id = Some(wire_id(id));
+            self.tell(attempt.side, Frame::Cancel(Cancel { id }));
+        }
+    }
+
+    /// Queues a frame for a side. A connection that takes no more is given up;
+    /// what the frame was to say is said again on the next one.
+    pub(super) fn tell(&mut self, key: SideKey, frame: Frame) {
+        let Some(side) = self.sides.get_mut(key) else {
+            return;
+        };
+        if side.link.as_ref().is_some_and(|link| !link.send(frame)) {
+            log::warn!(target: "link", "The link to {} takes nothing any more.", side.name);
+            side.stuck = true;
+        }
+    }
+
+    /// Asks for an attempt's answer from the last good offset on.
+    pub(super) fn attach(&mut self, now: Instant, id: RequestId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.repeats += 1;
+        if attempt.repeats > MOST_REPEATS {
+            return self.end_attempt(now, id, Outcome::Failed(ErrorKind::AnswerShort));
+        }
+        // Without the head, the beginning is needed too.
+        let offset = match attempt.head {
+            Some(_) => attempt.assembly.offset(),
+            None => 0,
+        };
+        let (side, id) = (attempt.side, Some(wire_id(id)));
+        self.tell(side, Frame::Attach(Attach { id, offset }));
+    }
+
+    /// Takes an attempt up again over a new connection.
+    pub(super) fn resume(&mut self, now: Instant, id: RequestId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.reachable = true;
+        attempt.repeats = 0;
+        if attempt.heard {
+            attempt.phase = Phase::Sent;
+            return self.attach(now, id);
+        }
+        attempt.phase = Phase::Sealing;
+        let (side, id) = (attempt.side, Some(wire_id(id)));
+        self.tell(side, Frame::Seal(Seal { id }));
+    }
+
+    /// Ends an attempt that nobody can say any more of.
+    pub(super) fn lose(&mut self, now: Instant, id: RequestId) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let kind = match attempt.repeat {
+            Repeat::Once => ErrorKind::OutcomeUnknown,
+            Repeat::Free => ErrorKind::EndpointBroken,
+        };
+        self.end_attempt(now, id, Outcome::Failed(kind));
+    }
+
+    /// Finds the attempt that a frame is for, and notes the sign of life.
+    ///
+    /// Frames of attempts that ended, or of another life of this entry, find
+    /// none and are dropped.
+    pub(super) fn find(&mut self, id: Option<Id>) -> Option<(RequestId, &mut Attempt)> {
+        let id = own_id(id)?;
+        let attempt = self.attempts.get_mut(&id)?;
+        attempt.heard = true;
+        Some((id, attempt))
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -0,0 +1,201 @@
+//! Frames about attempts: the pieces of their answers.
+//!
+//! Each piece is for one attempt, by its id, and for one place in its answer,
+//! by its offset. A caller gets bytes of one attempt only: the first that is
+//! whole, or that is passed on in pieces.
+
+use crate::entry::{
+    assembly::{Ending, Taken},
+    attempt::{Phase, wire_id},
+    event::{Head, Part},
+    tables::Tables,
+};
+use hibiscusroad::{ErrorKind, Repeat, RequestId, route::Outcome};
+use hibiscusroad_wire::{Ack, Chunk, End, Refused, Standing, State, to_side::Frame};
+use std::{mem, time::Instant};
+
+/// Bytes of an answer that are held back. A longer one is passed on in pieces.
+///
+/// While it is held back, a failure still becomes a clear problem, or another
+/// attempt; afterwards only a broken connection. Larger than common answers.
+const HELD_BACK: usize = 256 << 10;
+
+/// Bytes between two acknowledgements of a long answer.
+const ACK_EVERY: u64 = 64 << 10;
+
+impl Tables {
+    /// Takes in the head of an answer.
+    pub(super) fn head(&mut self, now: Instant, head: hibiscusroad_wire::Head) {
+        let Some((id, attempt)) = self.find(head.id) else {
+            return;
+        };
+        if attempt.head.is_some() {
+            return;
+        }
+        let head = Head {
+            status: u16::try_from(head.status).unwrap_or(502),
+            headers: head.headers,
+        };
+        let stream = is_stream(&head);
+        attempt.head = Some(head.clone());
+        let (call, endpoint) = (attempt.call, attempt.endpoint);
+        self.router.progress(now, call, endpoint, 0);
+        if stream
+            && self
+                .calls
+                .get(&call)
+                .is_some_and(|row| row.winner.is_none())
+        {
+            self.commit(now, id, head);
+        }
+    }
+
+    /// Takes in bytes of an answer.
+    pub(super) fn chunk(&mut self, now: Instant, chunk: Chunk) {
+        let Some((id, attempt)) = self.find(chunk.id) else {
+            return;
+        };
+        if attempt.head.is_none() {
+            return self.attach(now, id);
+        }
+        match attempt.assembly.chunk(chunk.offset, chunk.data) {
+            Taken::Old => {}
+            Taken::Gap => self.attach(now, id),
+            Taken::New(data) => self.bytes(now, id, data),
+        }
+    }
+
+    fn bytes(&mut self, now: Instant, id: RequestId, data: Vec<u8>) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.repeats = 0;
+        attempt.pieces += 1;
+        let (call, endpoint, pieces) = (attempt.call, attempt.endpoint, attempt.pieces);
+        // An engine sends a token a piece, so pieces count tokens well enough.
+        self.router.progress(now, call, endpoint, pieces);
+        self.acknowledge(id);
+        let Some(row) = self.calls.get(&call) else {
+            return;
+        };
+        if row.winner == Some(id) {
+            self.pass(now, call, Part::Data(data));
+            return;
+        }
+        let winner = row.winner;
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.body.extend(data);
+        if winner.is_none() && attempt.body.len() > HELD_BACK {
+            let body = mem::take(&mut attempt.body);
+            let head = attempt.head.clone().unwrap_or_default();
+            if self.commit(now, id, head) {
+                self.pass(now, call, Part::Data(body));
+            }
+        }
+    }
+
+    /// Acknowledges what came, so that the side can forget it.
+    ///
+    /// The answer to a request with a key is not acknowledged: the side keeps
+    /// it for a repeat of the key.
+    fn acknowledge(&mut self, id: RequestId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let offset = attempt.assembly.offset();
+        if attempt.keyed || offset - attempt.acked < ACK_EVERY {
+            return;
+        }
+        attempt.acked = offset;
+        let (side, id) = (attempt.side, Some(wire_id(id)));
+        let done = false;
+        self.tell(side, Frame::Ack(Ack { id, offset, done }));
+    }
+
+    /// Takes in the declared end of an answer.
+    pub(super) fn end(&mut self, now: Instant, end: &End) {
+        let Some((id, attempt)) = self.find(end.id) else {
+            return;
+        };
+        let ending = attempt.assembly.end(end.length);
+        match ending {
+            Ending::Whole if attempt.head.is_some() => self.whole(now, id),
+            Ending::Whole | Ending::Missing => self.attach(now, id),
+            Ending::Excess => {
+                let outcome = Outcome::Failed(ErrorKind::EndpointBroken);
+                self.end_attempt(now, id, outcome);
+            }
+        }
+    }
+
+    fn whole(&mut self, now: Instant, id: RequestId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let head = attempt.head.take().unwrap_or_default();
+        let body = mem::take(&mut attempt.body);
+        let (call, side, keyed) = (attempt.call, attempt.side, attempt.keyed);
+        let offset = attempt.assembly.offset();
+        if !keyed {
+            let (id, done) = (Some(wire_id(id)), true);
+            self.tell(side, Frame::Ack(Ack { id, offset, done }));
+        }
+        let winner = self.calls.get(&call).and_then(|row| row.winner);
+        let part = match winner {
+            None => Part::Whole(head, body),
+            Some(winner) if winner == id => Part::End,
+            // Another attempt's answer is on its way to the caller.
+            Some(_) => return self.abandon(id, Repeat::Free),
+        };
+        if self.pass(now, call, part) {
+            self.end_attempt(now, id, Outcome::Answered);
+            self.steps(now);
+            self.close_call(call);
+        }
+    }
+
+    /// Takes in the final word on an attempt that gave no answer.
+    pub(super) fn refused(&mut self, now: Instant, refused: &Refused) {
+        let Some((id, _)) = self.find(refused.id) else {
+            return;
+        };
+        let kind = ErrorKind::from_problem(&refused.problem).unwrap_or(ErrorKind::EndpointBroken);
+        let outcome = if kind.answer().not_run {
+            Outcome::NotRun(kind)
+        } else {
+            Outcome::Failed(kind)
+        };
+        self.end_attempt(now, id, outcome);
+    }
+
+    /// Takes in how an attempt stands, after it was asked for.
+    pub(super) fn standing(&mut self, now: Instant, standing: Standing) {
+        let Some((id, attempt)) = self.find(standing.id) else {
+            return;
+        };
+        let state = State::try_from(standing.state).unwrap_or(State::Unspecified);
+        match state {
+            State::Sealed => {
+                let outcome = Outcome::NotRun(ErrorKind::EndpointDown);
+                self.end_attempt(now, id, outcome);
+            }
+            State::Running | State::Done => {
+                if attempt.phase == Phase::Sealing {
+                    attempt.phase = Phase::Sent;
+                    self.attach(now, id);
+                }
+            }
+            State::Lost | State::Unspecified => self.lose(now, id),
+        }
+    }
+}
+
+fn is_stream(head: &Head) -> bool {
+    let kind = head
+        .headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case("content-type"));
+    kind.is_some_and(|h| h.value.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/front/answer.rs
@@ -0,0 +1,226 @@
+//! Writes answers to callers.
+//!
+//! An answer in pieces is sent in chunks, and the last chunk says that it is
+//! whole. When an answer breaks off, that last chunk must not be written: the
+//! caller would take half an answer for all of it. `tiny_http` gives no way to
+//! close a connection at once, so a line that is no chunk is written instead.
+//! Every HTTP client reports it as a broken answer, and closes.
+
+use crate::entry::{event::Head, front::request::is_hop};
+use chunked_transfer::Encoder;
+use hibiscusroad::{ErrorKind, RequestId, Retry};
+use serde::Serialize;
+use std::{
+    fmt::Write as _,
+    io::{self, Write},
+    time::Duration,
+};
+use tiny_http::{HTTPVersion, Method, Request, StatusCode};
+
+/// What stands where a chunk's size belongs when an answer breaks off.
+const NO_CHUNK: &[u8] = b"broken off\r\n";
+
+/// The largest chunk.
+const CHUNK: usize = 32 << 10;
+
+/// Statuses whose answers have no body (RFC 9110, 6.4.1).
+const BODILESS: [u16; 2] = [204, 304];
+
+/// A problem body (RFC 9457).
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    not_run: bool,
+    request: String,
+}
+
+/// What an answer needs to know of its request.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    id: RequestId,
+    /// Whether the caller understands chunks.
+    pub chunks: bool,
+    bodiless: bool,
+    close: bool,
+}
+
+impl Target {
+    /// Notes what the answer to `request` depends on.
+    pub fn new(request: &Request, id: RequestId, close: bool) -> Self {
+        Self {
+            id,
+            chunks: *request.http_version() >= HTTPVersion(1, 1),
+            bodiless: *request.method() == Method::Head,
+            close,
+        }
+    }
+}
+
+/// Writes the problem that stands for an error.
+///
+/// # Errors
+///
+/// Returns the system's error if the caller doesn't take it.
+pub fn problem(
+    out: &mut dyn Write,
+    target: Target,
+    kind: ErrorKind,
+    after: Duration,
+) -> io::Result<()> {
+    let answer = kind.answer();
+    let problem = Problem {
+        r#type: format!("urn:hibiscusroad:problem:{}", answer.problem),
+        title: answer.title,
+        status: answer.status,
+        not_run: answer.not_run,
+        request: target.id.to_string(),
+    };
+    let body = serde_json::to_vec(&problem)?;
+    let mut text = start(answer.status, target);
+    text.push_str("Content-Type: application/problem+json\r\n");
+    if answer.retry == Retry::After {
+        line(&mut text, "Retry-After", &whole_seconds(after).to_string());
+    }
+    finish(out, text, target, answer.status, &body)
+}
+
+/// Writes a whole answer.
+///
+/// # Errors
+///
+/// Returns the system's error if the caller doesn't take it.
+pub fn whole(out: &mut dyn Write, target: Target, head: &Head, body: &[u8]) -> io::Result<()> {
+    let text = head_text(head, target);
+    finish(out, text, target, head.status, body)
+}
+
+/// An answer in pieces.
+pub struct Pieces {
+    encoder: Encoder<Gate>,
+}
+
+impl Pieces {
+    /// Writes the head of an answer in pieces.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the caller doesn't take it.
+    pub fn start(mut out: Box<dyn Write + Send>, target: Target, head: &Head) -> io::Result<Self> {
+        let mut text = head_text(head, target);
+        line(&mut text, "Transfer-Encoding", "chunked");
+        text.push_str("\r\n");
+        out.write_all(text.as_bytes())?;
+        let gate = Gate { out, shut: false };
+        Ok(Self {
+            encoder: Encoder::with_chunks_size(gate, CHUNK),
+        })
+    }
+
+    /// Adds bytes to the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the caller doesn't take them.
+    pub fn write(&mut self, data: &[u8]) -> io::Result<()> {
+        self.encoder.write_all(data)
+    }
+
+    /// Sends on what was written.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the caller doesn't take it.
+    pub fn flush(&mut self) -> io::Result<()> {
+        self.encoder.flush()?;
+        self.encoder.get_mut().flush()
+    }
+
+    /// Ends a whole answer.
+    pub fn end(self) {
+        // The encoder writes the last chunk when it is dropped.
+        drop(self);
+    }
+
+    /// Ends an answer that stays incomplete.
+    pub fn break_off(mut self) {
+        let _ = self.encoder.flush();
+        let gate = self.encoder.get_mut();
+        let _ = gate.write_all(NO_CHUNK);
+        let _ = gate.flush();
+        gate.shut = true;
+    }
+}
+
+/// Lets nothing through once it is shut, not even the last chunk that the
+/// encoder writes when it is dropped.
+struct Gate {
+    out: Box<dyn Write + Send>,
+    shut: bool,
+}
+
+impl Write for Gate {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if self.shut {
+            return Ok(buf.len());
+        }
+        let written = self.out.write(buf);
+        // A caller that takes nothing any more would get the last chunk as the
+        // next bytes, and with it an answer that looks whole.
+        self.shut = written.is_err();
+        written
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let flushed = self.out.flush();
+        self.shut |= flushed.is_err();
+        flushed
+    }
+}
+
+/// Rounds up, so that nobody comes back too early.
+fn whole_seconds(after: Duration) -> u64 {
+    after.as_secs() + u64::from(after.subsec_nanos() > 0)
+}
+
+fn start(status: u16, target: Target) -> String {
+    let reason = StatusCode(status).default_reason_phrase();
+    let mut text = format!("HTTP/1.1 {status} {reason}\r\n");
+    line(&mut text, "Request-Id", &target.id.to_string());
+    if target.close {
+        line(&mut text, "Connection", "close");
+    }
+    text
+}
+
+fn head_text(head: &Head, target: Target) -> String {
+    let mut text = start(head.status, target);
+    for header in head.headers.iter().filter(|h| !is_hop(&h.name)) {
+        line(&mut text, &header.name, &header.value);
+    }
+    text
+}
+
+fn line(text: &mut String, name: &str, value: &str) {
+    let _ = write!(text, "{name}: {value}\r\n");
+}
+
+fn finish(
+    out: &mut dyn Write,
+    mut text: String,
+    target: Target,
+    status: u16,
+    body: &[u8],
+) -> io::Result<()> {
+    if !BODILESS.contains(&status) && !target.bodiless {
+        line(&mut text, "Content-Length", &body.len().to_string());
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    if !BODILESS.contains(&status) && !target.bodiless {
+        bytes.extend_from_slice(body);
+    }
+    out.write_all(&bytes)?;
+    out.flush()
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -0,0 +1,297 @@
+//! The callers' HTTP server.
+//!
+//! `tiny_http` takes a thread for each open connection and knows no time limits,
+//! and its accept loop ends for good on the first error. Three measures make it
+//! fit to stand before callers:
+//!
+//! * The listening socket has read and write time limits, which Linux hands on
+//!   to accepted sockets. A connection that stays silent is closed, so that
+//!   half-open ones can't hold threads for ever.
+//! * The same limit applies to accepting, so a thread connects to the own
+//!   address more often than that and accepting never times out.
+//! * When accepting still fails (the process is out of file descriptors),
+//!   another server is started on a clone of the socket, while the old one goes
+//!   on serving the connections that it has.
+//!
+//! A request is handed to a free worker, or refused at once: a caller who waits
+//! in front of a queue gets a late answer. Answers that need the request's body
+//! to be skipped are left to a few threads of their own, because skipping waits
+//! for the caller.
+
+mod answer;
+mod request;
+mod worker;
+
+use crate::{
+    entry::event::{Event, Ids},
+    settings::Entry,
+};
+use flume::{Receiver, Sender, TrySendError};
+use hibiscusroad::{ErrorKind, RequestId};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use tiny_http::{Request, Server};
+
+/// How long a connection may stay silent in the middle of a request, between
+/// two requests, or while it is to take bytes of an answer.
+///
+/// Longer than the pauses of a phone on a bad network, short enough that 200
+/// new half-open connections a second hold no more than a thousand threads.
+pub const SILENCE: Duration = Duration::from_secs(5);
+
+/// How often accepting is woken; well within [`SILENCE`].
+const WAKE: Duration = Duration::from_secs(1);
+
+/// How long the connect of a wake may take.
+const WAKE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Connections that the system holds before they are accepted.
+const BACKLOG: i32 = 1024;
+
+/// The pause before accepting is started again, so that a process that is out
+/// of file descriptors doesn't spin.
+const RESTART_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long an old server is kept without a request. No connection lives longer
+/// without one: the longest deadline, and then [`SILENCE`].
+const RETIRE: Duration = Duration::from_secs(620);
+
+/// Threads that skip bodies of refused requests.
+const SKIPPERS: usize = 4;
+
+/// Refused requests that may wait for their body to be skipped.
+const SKIP_QUEUE: usize = 256;
+
+/// Bodies up to this length were read by the server along with the headers.
+const READ_ALREADY: usize = 1024;
+
+/// What the threads of the front share.
+#[derive(Debug)]
+pub struct Shared {
+    events: Sender<Event>,
+    ids: Arc<Ids>,
+    limits: request::Limits,
+    stopping: AtomicBool,
+    busy: AtomicUsize,
+}
+
+impl Shared {
+    /// Refuses all requests from now on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns how many requests are being read or answered.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::SeqCst)
+    }
+
+    fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+}
+
+/// A request on its way to a worker.
+struct Job {
+    request: Request,
+    id: RequestId,
+    arrived: Instant,
+    guard: Guard,
+}
+
+/// A refusal of a request whose body was not read.
+struct Refusal {
+    job: Job,
+    kind: ErrorKind,
+}
+
+/// Counts a request as being worked on until it is dropped.
+struct Guard(Arc<Shared>);
+
+impl Guard {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.busy.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// The running server.
+#[derive(Debug)]
+pub struct Front {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// What its threads share.
+    pub shared: Arc<Shared>,
+}
+
+impl Front {
+    /// Binds the callers' address and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the address or a thread can't be had.
+    pub fn start(settings: &Entry, ids: Arc<Ids>, events: Sender<Event>) -> io::Result<Self> {
+        let listener = listen(settings.callers)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            events,
+            ids,
+            limits: request::Limits {
+                body: settings.body,
+                deadline: Duration::from_millis(settings.deadline_ms),
+            },
+            stopping: AtomicBool::new(false),
+            busy: AtomicUsize::new(0),
+        });
+        // No room at all: a job is taken only by a worker that waits for one.
+        let (jobs, free) = flume::bounded(0);
+        let (refusals, refused) = flume::bounded(SKIP_QUEUE);
+        for _ in 0..settings.workers {
+            let (free, refusals) = (free.clone(), refusals.clone());
+            spawn("worker", move || worker::run(&free, &refusals))?;
+        }
+        for _ in 0..SKIPPERS {
+            let refused: Receiver<Refusal> = refused.clone();
+            spawn("skipper", move || refused.iter().for_each(worker::skip))?;
+        }
+        let acceptor = Acceptor {
+            listener: Arc::new(listener),
+            shared: Arc::clone(&shared),
+            jobs,
+            refusals,
+        };
+        acceptor.spawn()?;
+        spawn("wake", move || wake(address))?;
+        Ok(Self { address, shared })
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)?;
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_read_timeout(Some(SILENCE))?;
+    socket.set_write_timeout(Some(SILENCE))?;
+    // Answers are written whole, so waiting for more bytes only delays them.
+    socket.set_tcp_nodelay(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Connects to the own address again and again, so that accepting never times
+/// out.
+fn wake(mut address: SocketAddr) {
+    if address.ip().is_unspecified() {
+        address.set_ip(match address.ip() {
+            IpAddr::V4(_) => Ipv4Addr::LOCALHOST.into(),
+            IpAddr::V6(_) => Ipv6Addr::LOCALHOST.into(),
+        });
+    }
+    loop {
+        thread::sleep(WAKE);
+        if let Err(e) = TcpStream::connect_timeout(&address, WAKE_LIMIT) {
+            log::debug!(target: "callers", "The wake of the listener failed: {e}.");
+        }
+    }
+}
+
+/// Takes requests off one server after another.
+#[derive(Clone)]
+struct Acceptor {
+    listener: Arc<TcpListener>,
+    shared: Arc<Shared>,
+    jobs: Sender<Job>,
+    refusals: Sender<Refusal>,
+}
+
+impl Acceptor {
+    fn spawn(self) -> io::Result<()> {
+        let server =
+            Server::from_listener(self.listener.try_clone()?, None).map_err(io::Error::other)?;
+        spawn("accept", move || self.run(&server))
+    }
+
+    fn run(&self, server: &Server) {
+        let mut used = Instant::now();
+        let mut retired = false;
+        while !retired || used.elapsed() < RETIRE {
+            match server.recv_timeout(WAKE) {
+                Ok(Some(request)) => {
+                    used = Instant::now();
+                    self.hand(request, used);
+                }
+                Ok(None) => {}
+                Err(e) => {
+                    log::warn!(target: "callers", "Accepting failed: {e}. Starting it again.");
+                    retired = true;
+                    self.replace();
+                }
+            }
+        }
+    }
+
+    /// Starts another server on the same socket, however long that takes.
+    fn replace(&self) {
+        loop {
+            thread::sleep(RESTART_PAUSE);
+            match self.clone().spawn() {
+                Ok(()) => return,
+                Err(e) => log::warn!(target: "callers", "Accepting can't start yet: {e}."),
+            }
+        }
+    }
+
+    fn hand(&self, request: Request, arrived: Instant) {
+        let job = Job {
+            request,
+            id: self.shared.ids.next(),
+            arrived,
+            guard: Guard::new(&self.shared),
+        };
+        let kind = if self.shared.stopping() {
+            ErrorKind::Stopping
+        } else {
+            match self.jobs.try_send(job) {
+                Ok(()) => return,
+                Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => {
+                    return self.refuse(job, ErrorKind::HandoverFull);
+                }
+            }
+        };
+        self.refuse(job, kind);
+    }
+
+    fn refuse(&self, job: Job, kind: ErrorKind) {
+        let read = job.request.body_length().is_some_and(|n| n <= READ_ALREADY);
+        if read || !request::has_body(&job.request) {
+            worker::refuse(job, kind);
+        } else {
+            worker::leave(&self.refusals, Refusal { job, kind });
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/front/request.rs
@@ -0,0 +1,317 @@
+//! Reads and checks a caller's request.
+
+use crate::entry::event::{Inbound, Prompt};
+use hibiscusroad::{Class, ErrorKind};
+use hibiscusroad_wire::Header;
+use serde::Deserialize;
+use std::{
+    borrow::Cow,
+    time::{Duration, Instant},
+};
+use tiny_http::{Method, Request};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Header that names the time that the caller still waits.
+const DEADLINE: &str = "Deadline-Ms";
+
+/// Header that marks a request that its caller may send again.
+const KEY: &str = "Idempotency-Key";
+
+/// Header that names the class of the caller.
+const CLASS: &str = "Request-Class";
+
+/// The range of [`DEADLINE`], in milliseconds.
+const DEADLINES: std::ops::RangeInclusive<u64> = 1..=600_000;
+
+/// The longest idempotency key.
+const LONGEST_KEY: usize = 128;
+
+/// The most headers, and the most bytes of them.
+const MOST_HEADERS: usize = 64;
+const MOST_HEADER_BYTES: usize = 16 << 10;
+
+/// The longest target, and the longest service name in it.
+const LONGEST_TARGET: usize = 8 << 10;
+const LONGEST_SERVICE: usize = 64;
+
+/// How long a body may take, however slowly it drips. Without this a caller who
+/// sends one byte every few seconds holds a worker for hours.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Bytes of a prompt's beginning that are hashed to find an engine that has it
+/// in its cache.
+const PREFIX: usize = 512;
+
+/// Bytes of text to a token, as an estimate.
+const TOKEN_BYTES: usize = 4;
+
+/// Tokens that a model call generates if it doesn't say.
+const DEFAULT_TOKENS: u32 = 16;
+
+/// Headers that belong to one connection (RFC 9110, 7.6.1), or that the entry
+/// has read for itself.
+const NOT_PASSED: [&str; 14] = [
+    "connection",
+    "content-length",
+    "deadline-ms",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Limits that the settings lay down.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes of a body.
+    pub body: usize,
+    /// The time of a caller who names none.
+    pub deadline: Duration,
+}
+
+/// Says whether a header belongs to one connection and isn't passed on.
+pub fn is_hop(name: &str) -> bool {
+    NOT_PASSED.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// Says whether a body may follow the headers.
+pub fn has_body(request: &Request) -> bool {
+    all(request, "Content-Length").any(|v| v != "0")
+        || all(request, "Transfer-Encoding").next().is_some()
+        || all(request, "Connection").any(is_upgrade)
+}
+
+/// Returns the time that the caller waits.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::BadDeadline`] if the header is no number in its range.
+pub fn deadline(request: &Request, limits: &Limits) -> Result<Duration, ErrorKind> {
+    let Some(text) = one(request, DEADLINE, ErrorKind::BadDeadline)? else {
+        return Ok(limits.deadline);
+    };
+    if !text.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(ErrorKind::BadDeadline);
+    }
+    match text.parse() {
+        Ok(ms) if DEADLINES.contains(&ms) => Ok(Duration::from_millis(ms)),
+        _ => Err(ErrorKind::BadDeadline),
+    }
+}
+
+/// Reads a request whole.
+///
+/// # Errors
+///
+/// Returns the kind of what is wrong with it.
+pub fn read(request: &mut Request, limits: &Limits) -> Result<Inbound, ErrorKind> {
+    check_headers(request)?;
+    let (service, path) = target(request.url())?;
+    let idempotent = idempotent(request.method())?;
+    let class = class(request)?;
+    let key = key(request)?;
+    let headers = passed(request);
+    let method = request.method().as_str().to_owned();
+    let body = body(request, limits)?;
+    let prompt = is_model_path(&path).then(|| prompt(&body)).flatten();
+    Ok(Inbound {
+        service,
+        method,
+        path,
+        headers,
+        body,
+        class,
+        key,
+        idempotent,
+        prompt,
+    })
+}
+
+/// Says whether a path is one of the common model forms, whose calls may be
+/// repeated.
+pub fn is_model_path(path: &str) -> bool {
+    let path = path.split('?').next().unwrap_or_default();
+    matches!(path, "/v1/completions" | "/v1/chat/completions")
+}
+
+fn check_headers(request: &Request) -> Result<(), ErrorKind> {
+    let headers = request.headers();
+    let bytes = |h: &tiny_http::Header| h.field.as_str().as_str().len() + h.value.len();
+    if headers.len() > MOST_HEADERS
+        || headers.iter().map(bytes).sum::<usize>() > MOST_HEADER_BYTES
+        || request.url().len() > LONGEST_TARGET
+    {
+        return Err(ErrorKind::HeadersTooLarge);
+    }
+    let odd = |b: u8| b.is_ascii_control() && b != b'\t';
+    if headers.iter().any(|h| h.value.as_str().bytes().any(odd)) {
+        return Err(ErrorKind::BadRequest);
+    }
+    check_framing(request)
+}
+
+/// Refuses what two programs could read as bodies of different lengths
+/// (RFC 9112, 6.3): the rest of such a body would be taken for a request.
+fn check_framing(request: &Request) -> Result<(), ErrorKind> {
+    if all(request, "Connection").any(is_upgrade) {
+        return Err(ErrorKind::BadRequest);
+    }
+    let mut codings = all(request, "Transfer-Encoding");
+    let coding = codings.next();
+    let length = one(request, "Content-Length", ErrorKind::BadRequest)?;
+    match (coding, length) {
+        (Some(_), Some(_)) => Err(ErrorKind::BadRequest),
+        (Some(coding), None) if !coding.eq_ignore_ascii_case("chunked") => {
+            Err(ErrorKind::BadRequest)
+        }
+        (None, Some(text)) if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) => {
+            Err(ErrorKind::BadRequest)
+        }
+        (None, Some(_)) if request.body_length().is_none() => Err(ErrorKind::BodyTooLarge),
+        _ if codings.next().is_some() => Err(ErrorKind::BadRequest),
+        _ => Ok(()),
+    }
+}
+
+fn target(url: &str) -> Result<(String, String), ErrorKind> {
+    let rest = url.strip_prefix("/s/").ok_or(ErrorKind::UnknownPath)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    let known = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    if service.is_empty() || service.len() > LONGEST_SERVICE || !service.bytes().all(known) {
+        return Err(ErrorKind::UnknownService);
+    }
+    if url.bytes().any(|b| !b.is_ascii_graphic()) {
+        return Err(ErrorKind::BadRequest);
+    }
+    let slash = if path.starts_with('/') { "" } else { "/" };
+    Ok((service.to_owned(), format!("{slash}{path}")))
+}
+
+fn idempotent(method: &Method) -> Result<bool, ErrorKind> {
+    match method {
+        Method::Get | Method::Head | Method::Put | Method::Delete | Method::Options => Ok(true),
+        Method::Post | Method::Patch => Ok(false),
+        _ => Err(ErrorKind::BadMethod),
+    }
+}
+
+fn class(request: &Request) -> Result<Class, ErrorKind> {
+    match one(request, CLASS, ErrorKind::BadRequest)? {
+        None | Some("interactive") => Ok(Class::Interactive),
+        Some("partner") => Ok(Class::Partner),
+        Some("rollout") => Ok(Class::Rollout),
+        Some(_) => Err(ErrorKind::BadRequest),
+    }
+}
+
+fn key(request: &Request) -> Result<Option<String>, ErrorKind> {
+    let Some(key) = one(request, KEY, ErrorKind::BadKey)? else {
+        return Ok(None);
+    };
+    let printable = |b: u8| b.is_ascii_graphic() || b == b' ';
+    if key.is_empty() || key.len() > LONGEST_KEY || !key.bytes().all(printable) {
+        return Err(ErrorKind::BadKey);
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn passed(request: &Request) -> Vec<Header> {
+    let headers = request.headers().iter();
+    headers
+        .filter(|h| !is_hop(h.field.as_str().as_str()))
+        .map(|h| Header {
+            name: h.field.as_str().as_str().to_owned(),
+            value: h.value.as_str().to_owned(),
+        })
+        .collect()
+}
+
+fn body(request: &mut Request, limits: &Limits) -> Result<Vec<u8>, ErrorKind> {
+    let length = request.body_length();
+    if length.is_some_and(|n| n > limits.body) {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    let mut body = Vec::with_capacity(length.unwrap_or_default());
+    if !has_body(request) {
+        return Ok(body);
+    }
+    let start = Instant::now();
+    let mut piece = [0; 16 << 10];
+    let reader = request.as_reader();
+    loop {
+        let n = match reader.read(&mut piece) {
+            Ok(0) => break,
+            Ok(n) => n,
+            Err(_) => return Err(ErrorKind::BadBody),
+        };
+        body.extend_from_slice(&piece[..n]);
+        if body.len() > limits.body {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        if start.elapsed() > BODY_LIMIT {
+            return Err(ErrorKind::BadBody);
+        }
+    }
+    if length.is_some_and(|n| n != body.len()) {
+        return Err(ErrorKind::BadBody);
+    }
+    Ok(body)
+}
+
+#[derive(Deserialize)]
+struct ModelCall<'a> {
+    #[serde(borrow, default)]
+    prompt: Cow<'a, str>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Reads what a model call says about the work in it.
+///
+/// A body in another form gives none, and is routed like a plain call: judging
+/// it is the engine's business.
+fn prompt(body: &[u8]) -> Option<Prompt> {
+    let call: ModelCall<'_> = serde_json::from_slice(body).ok()?;
+    let text = call.prompt.as_bytes();
+    let read = u32::try_from(text.len() / TOKEN_BYTES).unwrap_or(u32::MAX);
+    let made = call.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    Some(Prompt {
+        tokens: read.saturating_add(made),
+        prefix: xxh3_64(&text[..text.len().min(PREFIX)]),
+        stream: call.stream,
+    })
+}
+
+fn all<'a>(request: &'a Request, name: &'static str) -> impl Iterator<Item = &'a str> {
+    let headers = request.headers().iter();
+    headers
+        .filter(move |h| h.field.equiv(name))
+        .map(|h| h.value.as_str().trim())
+}
+
+/// Returns the value of a header that may be given once.
+fn one<'a>(
+    request: &'a Request,
+    name: &'static str,
+    kind: ErrorKind,
+) -> Result<Option<&'a str>, ErrorKind> {
+    let mut values = all(request, name);
+    let value = values.next();
+    match values.next() {
+        None => Ok(value),
+        Some(_) => Err(kind),
+    }
+}
+
+fn is_upgrade(value: &str) -> bool {
+    value.to_ascii_lowercase().contains("upgrade")
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -0,0 +1,245 @@
+//! Threads that each see one request through.
+
+use crate::entry::{
+    event::{Arrival, Event, Head, Inbound, Part},
+    front::{
+        Guard, Job, Refusal, Shared,
+        answer::{self, Pieces, Target},
+        request,
+    },
+};
+use flume::{Receiver, Sender};
+use hibiscusroad::{ErrorKind, RequestId};
+use std::{
+    io::{self, Write},
+    mem,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Parts of an answer that may wait for a slow caller. The tables drop a caller
+/// that is further behind.
+const PARTS: usize = 1024;
+
+/// How long past the deadline a worker waits for the tables' final word. They
+/// give it at the deadline; this is for the case that they stand still.
+const GRACE: Duration = Duration::from_millis(250);
+
+/// When to come back after a refusal for lack of a thread.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// How long the news that a caller left may wait for room.
+const LEFT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Bytes of a body that are skipped to keep a connection usable.
+const MOST_SKIPPED: usize = 64 << 20;
+
+/// The status that comes before an answer to a request whose body isn't read.
+const INTERIM: u16 = 100;
+
+/// Serves requests until the front is gone.
+pub fn run(jobs: &Receiver<Job>, refusals: &Sender<Refusal>) {
+    for mut job in jobs {
+        let shared = Arc::clone(&job.guard.0);
+        let limits = &shared.limits;
+        let read = request::deadline(&job.request, limits)
+            .and_then(|wait| Ok((request::read(&mut job.request, limits)?, wait)));
+        match read {
+            Ok((inbound, wait)) => {
+                let deadline = job.arrived + wait;
+                serve(job, &shared, inbound, deadline);
+            }
+            // Only the server knows how much of the body was read.
+            Err(kind) if request::has_body(&job.request) => {
+                leave(refusals, Refusal { job, kind });
+            }
+            Err(kind) => refuse(job, kind),
+        }
+    }
+}
+
+/// Refuses a request whose body was read.
+pub fn refuse(job: Job, kind: ErrorKind) {
+    let target = target(&job);
+    let (mut out, _guard) = split(job);
+    if let Err(e) = answer::problem(&mut *out, target, kind, COME_BACK) {
+        log::debug!(target: "callers", "A refusal was not taken: {e}.");
+    }
+}
+
+/// Leaves a refusal to the threads that skip bodies.
+///
+/// When even these are all busy, skipping nothing and leaving the connection as
+/// it is costs its thread until the caller hangs up, but no worker.
+pub fn leave(refusals: &Sender<Refusal>, refusal: Refusal) {
+    if let Err(e) = refusals.try_send(refusal) {
+        abandon(e.into_inner().job);
+    }
+}
+
+/// Skips the body of a request and refuses it.
+pub fn skip(refusal: Refusal) {
+    let length = refusal.job.request.body_length().unwrap_or_default();
+    if length > MOST_SKIPPED {
+        return refuse_unread(refusal);
+    }
+    refuse(refusal.job, refusal.kind);
+}
+
+/// Refuses a request whose body is too long to be skipped.
+///
+/// Dropping the request would make the server reserve memory for the whole
+/// declared length, which ends the process if there is less. So the connection
+/// is left open and unused until the caller hangs up. The server gives the
+/// stream only after an interim status; callers pass over that one.
+fn refuse_unread(refusal: Refusal) {
+    let Refusal { job, kind } = refusal;
+    let target = target(&job);
+    let interim = tiny_http::Response::empty(INTERIM);
+    let mut stream = job.request.upgrade("none", interim);
+    if let Err(e) = answer::problem(&mut *stream, target, kind, COME_BACK) {
+        log::debug!(target: "callers", "A refusal was not taken: {e}.");
+    }
+    mem::forget(stream);
+}
+
+fn abandon(job: Job) {
+    mem::forget(job.request);
+}
+
+fn target(job: &Job) -> Target {
+    Target::new(&job.request, job.id, job.guard.0.stopping())
+}
+
+fn split(job: Job) -> (Box<dyn Write + Send>, Guard) {
+    (job.request.into_writer(), job.guard)
+}
+
+fn serve(job: Job, shared: &Shared, inbound: Inbound, deadline: Instant) {
+    let (reply, parts) = flume::bounded(PARTS);
+    let id = job.id;
+    let arrival = Arrival {
+        id,
+        request: inbound,
+        deadline,
+        reply,
+    };
+    if shared
+        .events
+        .try_send(Event::Arrive(Box::new(arrival)))
+        .is_err()
+    {
+        return refuse(job, ErrorKind::HandoverFull);
+    }
+    let answer = Answer {
+        id,
+        shared,
+        parts,
+        limit: deadline + GRACE,
+    };
+    let chunks = target(&job).chunks;
+    let first = if chunks { answer.first() } else { answer.all() };
+    // Only now is it known whether the process is stopping.
+    let target = target(&job);
+    let (mut out, _guard) = split(job);
+    let written = match first {
+        First::Fail(kind, after) => answer::problem(&mut *out, target, kind, after),
+        First::Whole(head, body) => answer::whole(&mut *out, target, &head, &body),
+        First::Pieces(head) => answer.pieces(out, target, &head),
+    };
+    if let Err(e) = written {
+        log::debug!(target: "callers", "The caller of {id} left: {e}.");
+        answer.left();
+    }
+}
+
+/// How an answer begins.
+enum First {
+    Whole(Head, Vec<u8>),
+    Pieces(Head),
+    Fail(ErrorKind, Duration),
+}
+
+/// The answer to one request, as it comes from the tables.
+struct Answer<'a> {
+    id: RequestId,
+    shared: &'a Shared,
+    parts: Receiver<Part>,
+    limit: Instant,
+}
+
+impl Answer<'_> {
+    fn next(&self) -> Part {
+        use flume::RecvTimeoutError::{Disconnected, Timeout};
+        match self.parts.recv_deadline(self.limit) {
+            Ok(part) => part,
+            Err(Disconnected) => Part::Fail(ErrorKind::Internal, COME_BACK),
+            Err(Timeout) => {
+                self.left();
+                Part::Fail(ErrorKind::TimedOut, COME_BACK)
+            }
+        }
+    }
+
+    fn first(&self) -> First {
+        match self.next() {
+            Part::Whole(head, body) => First::Whole(head, body),
+            Part::Head(head) => First::Pieces(head),
+            Part::Fail(kind, after) => First::Fail(kind, after),
+            Part::Data(_) | Part::End => First::Fail(ErrorKind::Internal, COME_BACK),
+        }
+    }
+
+    /// Waits for all of the answer, for a caller that doesn't know chunks: it
+    /// could not see that an answer broke off.
+    fn all(&self) -> First {
+        let head = match self.first() {
+            First::Pieces(head) => head,
+            other => return other,
+        };
+        let mut body = Vec::new();
+        loop {
+            match self.next() {
+                Part::Data(data) => body.extend(data),
+                Part::End => return First::Whole(head, body),
+                Part::Fail(kind, after) => return First::Fail(kind, after),
+                Part::Whole(..) | Part::Head(_) => {
+                    return First::Fail(ErrorKind::Internal, COME_BACK);
+                }
+            }
+        }
+    }
+
+    fn pieces(&self, out: Box<dyn Write + Send>, target: Target, head: &Head) -> io::Result<()> {
+        let mut pieces = Pieces::start(out, target, head)?;
+        let mut part = self.next();
+        loop {
+            match part {
+                Part::Data(data) => pieces.write(&data)?,
+                Part::End => {
+                    pieces.end();
+                    return Ok(());
+                }
+                Part::Fail(..) | Part::Whole(..) | Part::Head(_) => {
+                    pieces.break_off();
+                    return Ok(());
+                }
+            }
+            part = if let Ok(part) = self.parts.try_recv() {
+                part
+            } else {
+                // Nothing more is there, so what is must not wait.
+                pieces.flush()?;
+                self.next()
+            };
+        }
+    }
+
+    /// Tells the tables that nobody waits for the answer any more.
+    fn left(&self) {
+        let event = Event::Left(self.id);
+        if self.shared.events.send_timeout(event, LEFT_LIMIT).is_err() {
+            log::warn!(target: "callers", "The tables don't hear that {} left.", self.id);
+        }
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/hosts.rs
@@ -0,0 +1,139 @@
+//! Sides come and go by the platform's host list.
+//!
+//! The list lags. A process that it no longer names may be serving, so a side
+//! is kept until its link is silent too; one that it names may be gone, which
+//! its link shows. Only "leaving" is taken at its word at once: to stop sending
+//! work to a host that stays costs nothing.
+
+use crate::{
+    entry::{
+        event::Event,
+        side::{Side, SideKey},
+        tables::Tables,
+    },
+    platform::{Host, HostList, State},
+};
+use flume::Sender;
+use hibiscusroad::{
+    route::EndpointSpec,
+    subset::{Candidate, choose},
+};
+use std::{
+    collections::BTreeMap,
+    io, thread,
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at the list.
+const POLL: Duration = Duration::from_secs(2);
+
+/// Time between two looks while none has succeeded yet.
+const FIRST_POLL: Duration = Duration::from_millis(200);
+
+/// Starts the thread that polls the host list.
+///
+/// # Errors
+///
+/// Returns the system's error if there is no thread to be had.
+pub fn watch(list: HostList, events: Sender<Event>) -> io::Result<()> {
+    thread::Builder::new()
+        .name("hosts".to_owned())
+        .spawn(move || poll(&list, &events))?;
+    Ok(())
+}
+
+fn poll(list: &HostList, events: &Sender<Event>) {
+    let mut wait = FIRST_POLL;
+    loop {
+        match list.fetch() {
+            Ok(hosts) => {
+                wait = POLL;
+                if events.send(Event::Hosts(hosts)).is_err() {
+                    return;
+                }
+            }
+            Err(e) => log::warn!(target: "hosts", "The host list can't be had: {e}."),
+        }
+        thread::sleep(wait);
+    }
+}
+
+impl Tables {
+    /// Takes in a host list.
+    pub(super) fn hosts(&mut self, now: Instant, hosts: &[Host]) {
+        for side in self.sides.values_mut() {
+            side.absent = true;
+        }
+        let mut services: BTreeMap<&str, Vec<&Host>> = BTreeMap::new();
+        for host in hosts.iter().filter(|host| host.role == "side") {
+            services.entry(&host.service).or_default().push(host);
+        }
+        for (service, sides) in services {
+            self.ensure_service(now, service);
+            self.service_hosts(now, &sides);
+        }
+    }
+
+    fn service_hosts(&mut self, now: Instant, hosts: &[&Host]) {
+        let candidates: Vec<Candidate<'_>> = hosts
+            .iter()
+            .map(|host| Candidate {
+                name: &host.endpoint,
+                place: &host.place,
+            })
+            .collect();
+        for i in choose(&self.name, &self.place, &candidates, self.subset) {
+            let host = hosts[i];
+            match self.side(&host.service, &host.endpoint) {
+                Some(key) => self.listed(now, key, host),
+                None => self.add_side(now, host),
+            }
+        }
+    }
+
+    fn side(&self, service: &str, name: &str) -> Option<SideKey> {
+        let mut sides = self.sides.iter();
+        sides
+            .find(|(_, side)| side.name == name && side.service == service)
+            .map(|(key, _)| key)
+    }
+
+    fn listed(&mut self, now: Instant, key: SideKey, host: &Host) {
+        let side = &mut self.sides[key];
+        side.absent = false;
+        side.leaving.listed = host.state == State::Leaving;
+        if side.address != host.address && side.link.is_none() {
+            // Its host was replaced. While a link stands, the list is behind.
+            side.address = host.address;
+            side.opening = None;
+            side.retry = now;
+        }
+        self.set_open(now, key);
+    }
+
+    fn add_side(&mut self, now: Instant, host: &Host) {
+        let Some(service) = self.router.service(&host.service) else {
+            return;
+        };
+        let spec = EndpointSpec::new(&host.endpoint, &host.place);
+        let endpoint = self.router.add_endpoint(now, service, spec);
+        let mut side = Side::new(host, endpoint, now);
+        side.leaving.listed = host.state == State::Leaving;
+        let key = self.sides.insert(side);
+        self.endpoints.insert(endpoint, key);
+        self.set_open(now, key);
+    }
+
+    /// Forgets a side that is gone.
+    pub(super) fn remove_side(&mut self, now: Instant, key: SideKey) {
+        let attempts: Vec<_> = self.sides[key].attempts.iter().copied().collect();
+        for id in attempts {
+            self.lose(now, id);
+        }
+        if let Some(side) = self.sides.remove(key) {
+            log::info!(target: "hosts", "{} is gone.", side.name);
+            self.endpoints.remove(&side.endpoint);
+            self.router.remove_endpoint(now, side.endpoint);
+        }
+    }
+}
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -1,1 +1,226 @@
-//! The role entry: callers, placement and operators.
+//! The role entry: callers' requests in, answers out.
+//!
+//! One thread owns all tables ([`tables`]) and runs them as a stakker actor.
+//! Around it stand the callers' HTTP server ([`front`]), the links to the sides
+//! ([`link`]) and the watch on the host list ([`hosts`]); none of them holds
+//! state. What they have to say comes as an [`event::Event`] over one bounded
+//! channel.
+//!
+//! The trade-off: one thread decides for all requests of an entry. A decision
+//! takes microseconds, the reading and writing of requests is done elsewhere,
+//! and in return there are no locks and no order of locks to get wrong.
+
+mod assembly;
+mod attempt;
+pub mod event;
+mod frames;
+pub mod front;
+mod hosts;
+mod link;
+mod links;
+pub mod side;
+mod tables;
+
+use self::{
+    event::{Event, Ids},
+    front::{Front, Shared},
+    link::Dialer,
+    tables::{TICK, Tables},
+};
+use crate::{platform::HostList, settings::Settings, stop, turn};
+use flume::{Receiver, Sender};
+use hibiscusroad::Incarnation;
+use stakker::{CX, MinTimerKey, Stakker, actor, call, ret_nop, timer_min};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+pub use self::assembly::{Assembly, Ending, Taken};
+
+/// How long a stopping entry goes on refusing after its last request, so that a
+/// request on its way over a kept connection gets an answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Why an entry can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings have no part for this role.
+    #[error("the settings have no [entry]")]
+    NoSettings,
+    /// The address for callers can't be had.
+    #[error("callers can't be served at {0}: {1}")]
+    Callers(SocketAddr, #[source] io::Error),
+    /// The system refused a thread or a signal handler.
+    #[error("the process can't be set up: {0}")]
+    System(#[from] io::Error),
+}
+
+/// Runs an entry until a signal stops it.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it can't start.
+pub fn run(settings: &Settings) -> Result<(), Error> {
+    let entry = start(settings)?;
+    let stopper = entry.stopper();
+    stop::watch(move || stopper.stop())?;
+    entry.join();
+    Ok(())
+}
+
+/// Starts an entry on threads of its own.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it can't start.
+pub fn start(settings: &Settings) -> Result<Running, Error> {
+    let part = settings.entry.as_ref().ok_or(Error::NoSettings)?;
+    let (sender, events) = flume::bounded(part.handover);
+    let ids = Arc::new(Ids::new(Incarnation::draw()));
+    let front = Front::start(part, Arc::clone(&ids), sender.clone())
+        .map_err(|e| Error::Callers(part.callers, e))?;
+    let dialer = Dialer::start(sender.clone())?;
+    hosts::watch(HostList::new(&settings.platform.hosts), sender.clone())?;
+    let tables = Tables::new(settings, part.subset, ids, dialer);
+    let stopper = Stopper {
+        events: sender,
+        shared: Arc::clone(&front.shared),
+    };
+    let shared = front.shared;
+    let limit = Duration::from_secs(settings.stop.deadline_s);
+    let thread = thread::Builder::new()
+        .name("tables".to_owned())
+        .spawn(move || serve(tables, shared, limit, &events))?;
+    log::info!(target: "callers", "Callers are served at {}.", front.address);
+    Ok(Running {
+        callers: front.address,
+        stopper,
+        thread,
+    })
+}
+
+/// An entry that runs on threads of its own.
+#[derive(Debug)]
+pub struct Running {
+    callers: SocketAddr,
+    stopper: Stopper,
+    thread: JoinHandle<()>,
+}
+
+impl Running {
+    /// Returns the address where callers connect.
+    #[must_use]
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns a handle that asks for a graceful shutdown.
+    #[must_use]
+    pub fn stopper(&self) -> Stopper {
+        self.stopper.clone()
+    }
+
+    /// Waits until it has stopped.
+    pub fn join(self) {
+        if self.thread.join().is_err() {
+            log::error!(target: "process", "The thread that owns the tables failed.");
+        }
+    }
+}
+
+/// Asks an entry for a graceful shutdown.
+#[derive(Clone, Debug)]
+pub struct Stopper {
+    events: Sender<Event>,
+    shared: Arc<Shared>,
+}
+
+impl Stopper {
+    /// Refuses new requests from now on; the entry ends when all others have
+    /// their answer.
+    pub fn stop(&self) {
+        self.shared.stop();
+        let _ = self.events.send(Event::Stop);
+    }
+}
+
+fn serve(tables: Tables, shared: Arc<Shared>, limit: Duration, events: &Receiver<Event>) {
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let entry = actor!(s, Entry::init(tables, shared, limit), ret_nop!());
+    turn::run(
+        s,
+        events,
+        |_, event| call!([entry], handle(event)),
+        |_, now| call!([entry], settle(now)),
+    );
+}
+
+/// The actor that owns the tables.
+struct Entry {
+    tables: Tables,
+    shared: Arc<Shared>,
+    limit: Duration,
+    due: MinTimerKey,
+    stop: Option<Stop>,
+}
+
+/// A shutdown under way.
+#[derive(Clone, Copy)]
+struct Stop {
+    deadline: Instant,
+    quiet: Instant,
+}
+
+impl Entry {
+    #[expect(clippy::unnecessary_wraps, reason = "stakker's form of a constructor")]
+    fn init(_: CX![], tables: Tables, shared: Arc<Shared>, limit: Duration) -> Option<Self> {
+        Some(Self {
+            tables,
+            shared,
+            limit,
+            due: MinTimerKey::default(),
+            stop: None,
+        })
+    }
+
+    fn handle(&mut self, _: CX![], event: Event) {
+        self.tables.handle(Instant::now(), event);
+    }
+
+    fn settle(&mut self, cx: CX![], now: Instant) {
+        self.tables.tick(now);
+        if self.tables.stopping() && self.stopped(now) {
+            stakker::stop!(cx);
+            cx.shutdown(stakker::StopCause::Stopped);
+            return;
+        }
+        let next = now + TICK;
+        let due = self.tables.next_due().map_or(next, |due| due.min(next));
+        timer_min!(&mut self.due, due, [cx], wake());
+    }
+
+    /// Ends the sleep of the loop, which then settles.
+    #[expect(clippy::unused_self, reason = "stakker's form of a method")]
+    fn wake(&mut self, _: CX![]) {}
+
+    fn stopped(&mut self, now: Instant) -> bool {
+        let stop = self.stop.get_or_insert(Stop {
+            deadline: now + self.limit,
+            quiet: now,
+        });
+        let open = self.tables.open_calls();
+        if open > 0 || self.shared.busy() > 0 {
+            stop.quiet = now;
+        }
+        if now >= stop.deadline {
+            log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            return true;
+        }
+        now >= stop.quiet + LINGER
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -0,0 +1,51 @@
+//! The path of a request through an entry.
+
+mod entry_support;
+
+use entry_support::{Side, call, start};
+use hibiscusroad_wire::to_side::Frame;
+
+fn echo() -> Side {
+    Side::start("hut-desk", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            let body = String::from_utf8_lossy(&start.body).into_owned();
+            let text = format!("{} {} {body}", start.method, start.path);
+            out.answer(start.id, &text);
+        }
+    })
+}
+
+#[test]
+fn a_plain_call_gets_the_whole_answer() {
+    let side = echo();
+    let entry = start(&[&side], "");
+    let answer = call(&entry, "GET", "/s/hut-desk/huts?lake=senec", "", "");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.contains("Content-Length: 21\r\n"), "{answer}");
+    assert!(
+        answer.ends_with("\r\n\r\nGET /huts?lake=senec "),
+        "{answer}"
+    );
+}
+
+#[test]
+fn a_stream_comes_in_pieces_and_ends() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.chunk(start.id, 9, "data: b\n\n");
+            out.end(start.id, 18);
+        }
+    });
+    let entry = start(&[&side], "");
+    let body = r#"{"prompt":"hi","stream":true}"#;
+    let answer = call(&entry, "POST", "/s/guide-lm/v1/completions", "", body);
+    assert!(
+        answer.contains("Transfer-Encoding: chunked\r\n"),
+        "{answer}"
+    );
+    assert!(answer.contains("data: a\n\n"), "{answer}");
+    assert!(answer.contains("data: b\n\n"), "{answer}");
+    assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 //! * [`id`]: the small keys that name requests and processes.
 //! * [`gate`]: what a side admits, seals, buffers and replays.
 //! * [`route`]: admission, queues, placement, limits, retries.
+//! * [`subset`]: which sides an entry keeps links to.
 
 pub mod class;
 pub mod clock;
@@ -37,6 +38,7 @@
 pub mod gate;
 pub mod id;
 pub mod route;
+pub mod subset;
 
 pub use crate::{
     class::{Class, Repeat},
