--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 //! * [`gate`]: what a side admits, seals, buffers and replays.
 //! * [`lease`]: duties with one holder, and their fencing numbers.
 //! * [`route`]: admission, queues, placement, limits, retries.
+//! * [`subset`]: which sides an entry keeps links to.
 
 pub mod class;
 pub mod clock;
@@ -39,6 +40,7 @@
 pub mod id;
 pub mod lease;
 pub mod route;
+pub mod subset;
 
 pub use crate::{
     class::{Class, Repeat},
