Let operators ask and act at an entry

Cause: the entry had no operators' port and learnt no configuration.

An entry watches the document's row, hands news to its sides at once, and answers operators on a port and threads of its own. A service that the configuration in force doesn't name is unknown, whatever the host list says.

--- a/hibiscusroad-daemon/src/entry/event.rs
+++ b/hibiscusroad-daemon/src/entry/event.rs
@@ -1,9 +1,12 @@
 //! What the threads of an entry hand to the thread that owns the tables, and
 //! what comes back.
 
-use crate::{entry::side::SideKey, platform::Host};
+use crate::{
+    entry::{operators::Shown, side::SideKey},
+    platform::Host,
+};
 use flume::Sender;
-use hibiscusroad::{Class, ErrorKind, Incarnation, RequestId};
+use hibiscusroad::{Class, ErrorKind, Incarnation, RequestId, config::Document};
 use hibiscusroad_wire::{Header, to_entry::Frame};
 use std::{
     sync::atomic::{AtomicU64, Ordering},
@@ -133,6 +136,10 @@
     Link(SideKey, u64, LinkEvent),
     /// The host list was fetched.
     Hosts(Vec<Host>),
+    /// A configuration was read or accepted.
+    Config(Box<Document>),
+    /// An operator asks about a subject.
+    Ask(String, Sender<Shown>),
     /// The process is to stop.
     Stop,
 }
--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -176,13 +176,16 @@
                 cache_free: load.cache_free,
                 age: Duration::from_millis(load.age_ms.into()),
             };
+            self.sides[key].report = report;
+            self.sides[key].weights.clone_from(&load.weights);
             self.router.report(now, endpoint, report);
         }
         self.offer_config(key, beat.config_version);
     }
 
     /// Sends the configuration to a side that has an older one.
-    fn offer_config(&mut self, key: SideKey, theirs: u64) {
+    pub(super) fn offer_config(&mut self, key: SideKey, theirs: u64) {
+        self.sides[key].config = theirs;
         if theirs >= self.config.version() {
             return;
         }
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod link;
 mod links;
 pub mod operators;
+mod show;
 pub mod side;
 mod tables;
 
@@ -27,9 +28,14 @@
     event::{Event, Ids},
     front::{Front, Shared},
     link::Dialer,
+    operators::Desk,
     tables::{TICK, Tables},
 };
-use crate::{platform::HostList, settings::Settings, stop, turn};
+use crate::{
+    platform::{Budget, HostList, Table},
+    settings::{Entry as Part, Settings},
+    stop, turn,
+};
 use flume::{Receiver, Sender};
 use hibiscusroad::Incarnation;
 use stakker::{CX, MinTimerKey, Stakker, actor, call, ret_nop, timer_min};
@@ -47,6 +53,10 @@
 /// request on its way over a kept connection gets an answer.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// How long the tables may take to answer an operator; they do it within a
+/// turn unless they are overrun.
+const ANSWER: Duration = Duration::from_secs(1);
+
 /// Why an entry can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -56,6 +66,9 @@
     /// The address for callers can't be had.
     #[error("callers can't be served at {0}: {1}")]
     Callers(SocketAddr, #[source] io::Error),
+    /// The address for operators can't be had.
+    #[error("operators can't be served at {0}: {1}")]
+    Operators(SocketAddr, #[source] io::Error),
     /// The system refused a thread or a signal handler.
     #[error("the process can't be set up: {0}")]
     System(#[from] io::Error),
@@ -87,6 +100,10 @@
         .map_err(|e| Error::Callers(part.callers, e))?;
     let dialer = Dialer::start(sender.clone())?;
     hosts::watch(HostList::new(&settings.platform.hosts), sender.clone())?;
+    let budget = Arc::new(Budget::new(Instant::now()));
+    let table = Table::new(&settings.platform.table, Arc::clone(&budget));
+    watch_config(table.clone(), sender.clone())?;
+    let operators = listen(part, table, sender.clone())?;
     let tables = Tables::new(settings, part.subset, ids, dialer);
     let stopper = Stopper {
         events: sender,
@@ -98,17 +115,51 @@
         .name("tables".to_owned())
         .spawn(move || serve(tables, shared, limit, &events))?;
     log::info!(target: "callers", "Callers are served at {}.", front.address);
+    log::info!(target: "operators", "Operators are served at {operators}.");
     Ok(Running {
         callers: front.address,
+        operators,
         stopper,
         thread,
     })
 }
 
+fn watch_config(table: Table, events: Sender<Event>) -> io::Result<()> {
+    thread::Builder::new()
+        .name("config".to_owned())
+        .spawn(move || {
+            config::watch(&table, |document| {
+                events.send(Event::Config(Box::new(document))).is_ok()
+            });
+        })?;
+    Ok(())
+}
+
+fn listen(part: &Part, table: Table, events: Sender<Event>) -> Result<SocketAddr, Error> {
+    let news = events.clone();
+    let desk = Desk {
+        table,
+        tokens: part.tokens.clone(),
+        ask: Box::new(move |subject| {
+            let (reply, shown) = flume::bounded(1);
+            events
+                .try_send(Event::Ask(subject.to_owned(), reply))
+                .ok()?;
+            shown.recv_timeout(ANSWER).ok()
+        }),
+        news: Box::new(move |document| {
+            // The watch on the table brings it later if there is no room now.
+            let _ = news.try_send(Event::Config(Box::new(document)));
+        }),
+    };
+    operators::listen(part.operators, desk).map_err(|e| Error::Operators(part.operators, e))
+}
+
 /// An entry that runs on threads of its own.
 #[derive(Debug)]
 pub struct Running {
     callers: SocketAddr,
+    operators: SocketAddr,
     stopper: Stopper,
     thread: JoinHandle<()>,
 }
@@ -120,6 +171,12 @@
         self.callers
     }
 
+    /// Returns the address where operators connect.
+    #[must_use]
+    pub const fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
     /// Returns a handle that asks for a graceful shutdown.
     #[must_use]
     pub fn stopper(&self) -> Stopper {
--- a/hibiscusroad-daemon/src/entry/side.rs
+++ b/hibiscusroad-daemon/src/entry/side.rs
@@ -4,7 +4,10 @@
     entry::link::Link,
     platform::{Backoff, Host},
 };
-use hibiscusroad::{RequestId, route::EndpointKey};
+use hibiscusroad::{
+    RequestId,
+    route::{EndpointKey, LoadReport},
+};
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
@@ -64,6 +67,12 @@
     pub lost: Option<Instant>,
     /// Whether the host list or its heartbeat says that it is leaving.
     pub leaving: Leaving,
+    /// The configuration version that it last said to have.
+    pub config: u64,
+    /// What it last reported of its endpoint.
+    pub report: LoadReport,
+    /// The weight version that its endpoint last reported.
+    pub weights: String,
     /// Whether the last host list left it out.
     pub absent: bool,
     /// The attempts that it was sent and that have not ended.
@@ -105,6 +114,9 @@
             suspect: false,
             lost: Some(now),
             leaving: Leaving::default(),
+            config: 0,
+            report: LoadReport::default(),
+            weights: String::new(),
             absent: false,
             attempts: BTreeSet::new(),
         }
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -22,7 +22,7 @@
 use hibiscusroad::{
     ErrorKind, Repeat, RequestId,
     config::{Document, Kind, Register},
-    route::{Call, EndpointKey, Outcome, Router, ServiceSpec, Step},
+    route::{Call, EndpointKey, Outcome, Router, ServiceKey, ServiceSpec, Step},
 };
 use slotmap::SlotMap;
 use std::{
@@ -106,6 +106,10 @@
                 self.link_down(now, side, epoch, &reason);
             }
             Event::Hosts(hosts) => self.hosts(now, &hosts),
+            Event::Config(document) => self.adopt(now, *document),
+            Event::Ask(subject, reply) => {
+                let _ = reply.try_send(self.show(now, &subject));
+            }
             Event::Stop => self.stopping = true,
         }
         self.steps(now);
@@ -161,6 +165,8 @@
         let keys: Vec<SideKey> = self.sides.keys().collect();
         for key in keys {
             self.set_open(now, key);
+            // Not left to the next heartbeat: news is to be everywhere at once.
+            self.offer_config(key, self.sides[key].config);
         }
     }
 
@@ -182,7 +188,8 @@
             deadline,
             reply,
         } = arrival;
-        let Some(service) = self.router.service(&request.service) else {
+        let known = self.known(&request.service);
+        let Some(service) = known else {
             let kind = self.unknown_service();
             let _ = reply.try_send(Part::Fail(kind, COME_BACK));
             return;
@@ -206,6 +213,15 @@
         self.router.arrive(now, call);
     }
 
+    /// Finds a service, unless the configuration in force has none of this name.
+    fn known(&self, name: &str) -> Option<ServiceKey> {
+        let document = self.config.newest();
+        if document.version > 0 && !document.services.contains_key(name) {
+            return None;
+        }
+        self.router.service(name)
+    }
+
     /// A name can be said to be unknown only by an entry that knows names: one
     /// that has just started must not turn callers away for good.
     fn unknown_service(&self) -> ErrorKind {
