--- a/hibiscusroad-cli/src/rows.rs
+++ b/hibiscusroad-cli/src/rows.rs
@@ -5,6 +5,7 @@
 //! size to come the largest table has about a thousand rows.
 
 use crate::language::{Filter, Literal, Op, Order, Show};
+use hibiscusroad::config::Edit;
 use serde_json::{Map, Value};
 use std::{cmp::Ordering, collections::BTreeSet};
 
@@ -68,6 +69,35 @@
     Ok(Table { columns, rows })
 }
 
+/// Returns all rows with all their columns.
+#[must_use]
+pub fn all(rows: Vec<Row>) -> Table {
+    Table {
+        columns: columns(&rows),
+        rows,
+    }
+}
+
+/// Returns what a change replaces, as a table.
+#[must_use]
+pub fn edits(edits: &[Edit]) -> Table {
+    let row = |edit: &Edit| {
+        let cells = [
+            ("key", Value::from(edit.key.as_str())),
+            ("old", edit.old.clone().into()),
+            ("new", edit.new.clone().into()),
+        ];
+        cells
+            .map(|(column, cell)| (column.to_owned(), cell))
+            .into_iter()
+            .collect()
+    };
+    Table {
+        columns: ["key", "old", "new"].map(str::to_owned).to_vec(),
+        rows: edits.iter().map(row).collect(),
+    }
+}
+
 /// Returns a cell as plain text.
 #[must_use]
 pub fn text(cell: Option<&Value>) -> String {
--- /dev/null
+++ b/hibiscusroad-cli/src/stop.rs
@@ -0,0 +1,106 @@
+//! `stop service`: a graceful stop with a deadline and progress.
+//!
+//! It is made of what entries offer anyway: each endpoint of the service is
+//! drained, so that its side takes no new work, and then the endpoints are
+//! looked at until none runs anything. No request is cut off: if the time is
+//! over first, the drains stand and the operator is told what still runs.
+
+use crate::{
+    rows::Row,
+    session::{Exit, Session},
+};
+use hibiscusroad::config::{Change, Target};
+use serde_json::Value;
+use std::{
+    io, thread,
+    time::{Duration, Instant},
+};
+
+/// Time between two looks.
+const EVERY: Duration = Duration::from_secs(1);
+
+const SERVICE: &str = "service";
+const ENDPOINT: &str = "endpoint";
+const DRAINED: &str = "drained";
+const RUNNING: &str = "running";
+
+pub(crate) fn run(session: &mut Session<'_>, service: &str, within: Duration) -> io::Result<Exit> {
+    let start = Instant::now();
+    let rows = match endpoints(session, service)? {
+        Ok(rows) => rows,
+        Err(exit) => return Ok(exit),
+    };
+    if rows.is_empty() {
+        writeln!(
+            session.err,
+            "refused: no endpoint of {service}; see show endpoints"
+        )?;
+        return Ok(Exit::Refused);
+    }
+    let standing = rows
+        .iter()
+        .filter(|row| row.get(DRAINED) != Some(&Value::Bool(true)));
+    for name in standing.filter_map(|row| row.get(ENDPOINT)?.as_str()) {
+        let change = Change::Drain {
+            target: Target::Endpoint,
+            name: name.to_owned(),
+        };
+        let exit = session.change(&change)?;
+        if exit != Exit::Done {
+            return Ok(exit);
+        }
+    }
+    if session.is_dry() {
+        return Ok(Exit::Done);
+    }
+    wait(session, service, start, within)
+}
+
+fn wait(
+    session: &mut Session<'_>,
+    service: &str,
+    start: Instant,
+    within: Duration,
+) -> io::Result<Exit> {
+    loop {
+        // Entries learn of the drains a moment later, so that a look at once
+        // could find an idle endpoint that still takes work.
+        thread::sleep(EVERY);
+        let rows = match endpoints(session, service)? {
+            Ok(rows) => rows,
+            Err(exit) => return Ok(exit),
+        };
+        let drained = rows
+            .iter()
+            .all(|row| row.get(DRAINED) == Some(&Value::Bool(true)));
+        let running: u64 = rows.iter().map(running).sum();
+        if drained && running == 0 {
+            writeln!(session.out, "done: {service} takes no work and runs none")?;
+            return Ok(Exit::Done);
+        }
+        let spent = start.elapsed().as_secs();
+        writeln!(
+            session.err,
+            "{spent} s: {running} requests of {service} run"
+        )?;
+        if start.elapsed() > within {
+            writeln!(
+                session.err,
+                "not finished: the drains stand; ask again to wait on, or undrain"
+            )?;
+            return Ok(Exit::Refused);
+        }
+    }
+}
+
+fn endpoints(session: &mut Session<'_>, service: &str) -> io::Result<Result<Vec<Row>, Exit>> {
+    let rows = session.ask("show/endpoints")?;
+    Ok(rows.map(|mut rows| {
+        rows.retain(|row| row.get(SERVICE).and_then(Value::as_str) == Some(service));
+        rows
+    }))
+}
+
+fn running(row: &Row) -> u64 {
+    row.get(RUNNING).and_then(Value::as_u64).unwrap_or(0)
+}
