--- a/hibiscusroad-daemon/src/main.rs
+++ b/hibiscusroad-daemon/src/main.rs
@@ -3,7 +3,7 @@
 //! Exit codes: 0 fine, 1 failure while running, 2 usage or settings, 3 ended by
 //! a second signal.
 
-use hibiscusroad_daemon::{logs, settings::Settings};
+use hibiscusroad_daemon::{entry, logs, settings::Settings};
 use lexopt::prelude::*;
 use std::{error::Error, ffi::OsString, path::PathBuf, process::ExitCode};
 
@@ -105,8 +105,8 @@
 }
 
 fn serve(settings: &Settings) -> Result<(), Box<dyn Error>> {
-    match (&settings.entry, &settings.side) {
-        (Some(_), _) => Err("the role entry is not built yet".into()),
-        (None, _) => Err("the role side is not built yet".into()),
+    if settings.entry.is_some() {
+        return Ok(entry::run(settings)?);
     }
+    Err("the role side is not built yet".into())
 }
