--- a/hibiscusroad-daemon/src/logs.rs
+++ b/hibiscusroad-daemon/src/logs.rs
@@ -15,23 +15,27 @@
 use serde::Serialize;
 use std::{fmt, io, time::SystemTime};
 
-/// Start and end of the process.
-pub const MAIN: &str = "main";
-/// The role entry: callers and placement.
-pub const ENTRY: &str = "entry";
-/// The role side: the gate and its endpoint.
-pub const SIDE: &str = "side";
-/// Links between entries and sides.
-pub const LINK: &str = "link";
-/// The platform's services.
-pub const PLATFORM: &str = "platform";
+/// Start and end of a process.
+pub const PROCESS: &str = "process";
+/// An entry's callers.
+pub const CALLERS: &str = "callers";
+/// Requests on their way through an entry.
+pub const CALLS: &str = "calls";
 /// The configuration and its versions.
 pub const CONFIG: &str = "config";
-/// Operators' requests.
+/// The host list.
+pub const HOSTS: &str = "hosts";
+/// An entry's links to sides.
+pub const LINK: &str = "link";
+/// An entry's operators.
 pub const OPERATORS: &str = "operators";
+/// The role side: its links, its gate and its endpoint.
+pub const SIDE: &str = "side";
 
 /// All prefixes of the project's own parts.
-pub const PARTS: &[&str] = &[MAIN, ENTRY, SIDE, LINK, PLATFORM, CONFIG, OPERATORS];
+pub const PARTS: &[&str] = &[
+    PROCESS, CALLERS, CALLS, CONFIG, HOSTS, LINK, OPERATORS, SIDE,
+];
 
 /// Libraries whose records below a warning are of no use to operators.
 const LIBRARIES: &[&str] = &[
--- a/hibiscusroad-daemon/src/main.rs
+++ b/hibiscusroad-daemon/src/main.rs
@@ -91,14 +91,14 @@
     } else {
         "side"
     };
-    log::info!(target: logs::MAIN, "{} starts as {role} in {}", settings.name, settings.place);
+    log::info!(target: logs::PROCESS, "{} starts as {role} in {}.", settings.name, settings.place);
     match serve(settings) {
         Ok(()) => {
-            log::info!(target: logs::MAIN, "{} stopped", settings.name);
+            log::info!(target: logs::PROCESS, "{} stopped.", settings.name);
             ExitCode::SUCCESS
         }
         Err(error) => {
-            log::error!(target: logs::MAIN, "{} failed: {error}", settings.name);
+            log::error!(target: logs::PROCESS, "{} failed: {error}.", settings.name);
             ExitCode::from(EXIT_FAILED)
         }
     }
--- a/hibiscusroad-daemon/tests/logs.rs
+++ b/hibiscusroad-daemon/tests/logs.rs
@@ -6,7 +6,7 @@
     settings::{Log, Metrics as Target},
 };
 use log::{Level, Record};
-use std::{fmt, net::UdpSocket, sync::mpsc, time::Duration};
+use std::{collections::BTreeSet, fmt, fs, net::UdpSocket, path::Path, sync::mpsc, time::Duration};
 
 fn written(format: &str, level: &str, records: &[(&str, Level, &str)]) -> Vec<String> {
     let (tx, rx) = mpsc::channel();
@@ -52,8 +52,8 @@
 #[test]
 fn level_cuts_parts_and_libraries() {
     let records = [
-        (logs::ENTRY, Level::Debug, "kept"),
-        (logs::ENTRY, Level::Trace, "cut"),
+        (logs::CALLS, Level::Debug, "kept"),
+        (logs::CALLS, Level::Trace, "cut"),
         ("h2::codec", Level::Debug, "cut"),
         ("h2::codec", Level::Warn, "kept"),
     ];
@@ -109,3 +109,28 @@
     metrics.flush();
     Metrics::off().count(metrics::REQUESTS, &[]);
 }
+
+// An operator follows a part by its prefix; one that the list and so the docs
+// lack is never looked for.
+#[test]
+fn every_prefix_in_use_is_listed() {
+    let mut files = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
+    let mut used = BTreeSet::new();
+    while let Some(path) = files.pop() {
+        if path.is_dir() {
+            files.extend(fs::read_dir(path).unwrap().map(|file| file.unwrap().path()));
+            continue;
+        }
+        let text = fs::read_to_string(path).unwrap();
+        for marker in ["target: \"", "const LOG: &str = \""] {
+            let after = text.split(marker).skip(1);
+            used.extend(after.filter_map(|rest| Some(rest.split_once('"')?.0.to_owned())));
+        }
+    }
+    assert!(!used.is_empty());
+    let unlisted: Vec<_> = used
+        .iter()
+        .filter(|name| !logs::PARTS.contains(&name.as_str()))
+        .collect();
+    assert!(unlisted.is_empty(), "{unlisted:?}");
+}
