Start deployments of processes and judge load on them

The demonstration and the measurements need the same things: settings and free ports for every process, the operators' command line, calls at set times, and a judgement that trusts only what callers saw and endpoints ran. They are a library, so that tests of processes use them too.

--- /dev/null
+++ b/hibiscusroad-measure/src/deployment/operator.rs
@@ -0,0 +1,118 @@
+//! Asking and acting through the operators' command line.
+
+use super::{Deployment, Error};
+use serde_json::{Map, Value};
+use std::{
+    path::Path,
+    process::{Command, Output},
+    thread,
+    time::{Duration, Instant},
+};
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// One row of an answer.
+pub type Row = Map<String, Value>;
+
+impl Deployment {
+    /// Runs a statement through one entry, and returns what was printed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the command line exits with another code than 0.
+    pub fn operate(&self, entry: usize, statement: &str) -> Result<String, Error> {
+        let output = self.statement(entry, statement, &[])?;
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Asks one entry and returns the rows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry gives none.
+    pub fn show(&self, entry: usize, statement: &str) -> Result<Vec<Row>, Error> {
+        let output = self.statement(entry, statement, &["--format", "json"])?;
+        let rows = serde_json::from_slice(&output.stdout);
+        rows.map_err(|error| Error::Statement(statement.to_owned(), error.to_string()))
+    }
+
+    fn statement(&self, entry: usize, statement: &str, more: &[&str]) -> Result<Output, Error> {
+        let address = self.entries[entry].daemon.operators.to_string();
+        let args = ["--entry", &address, statement];
+        let output = run(&self.bins.client, &[&args, more].concat())?;
+        if output.status.success() {
+            return Ok(output);
+        }
+        let said = String::from_utf8_lossy(&output.stderr).trim().to_owned();
+        Err(Error::Statement(statement.to_owned(), said))
+    }
+
+    /// Waits until every entry shows every endpoint with a configuration of at
+    /// least `version`, and returns how long that took.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says who lacks it after `limit`.
+    pub fn wait_version(&self, version: u64, limit: Duration) -> Result<Duration, Error> {
+        let start = Instant::now();
+        loop {
+            let lacking = self.lacking(version);
+            if lacking.is_empty() {
+                return Ok(start.elapsed());
+            }
+            if start.elapsed() > limit {
+                return Err(Error::Version(version, lacking.join("; ")));
+            }
+            if self.interrupt.is_asked() {
+                return Err(Error::Interrupted);
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Says who doesn't show a configuration of at least `version` yet.
+    #[must_use]
+    pub fn lacking(&self, version: u64) -> Vec<String> {
+        let mut lacking = Vec::new();
+        for (number, entry) in self.entries.iter().enumerate() {
+            if let Err(who) = self.has_version(number, version) {
+                lacking.push(format!("{}: {who}", entry.daemon.name));
+            }
+        }
+        lacking
+    }
+
+    fn has_version(&self, entry: usize, version: u64) -> Result<(), String> {
+        let endpoints = self
+            .show(entry, "show endpoints")
+            .map_err(|e| e.to_string())?;
+        if endpoints.len() < self.spec.endpoints() {
+            return Err(format!("shows {} endpoints", endpoints.len()));
+        }
+        let entries = self
+            .show(entry, "show entries")
+            .map_err(|e| e.to_string())?;
+        match endpoints
+            .iter()
+            .chain(&entries)
+            .find(|row| !is_new(row, version))
+        {
+            Some(row) => Err(format!("still old: {}", Value::Object(row.clone()))),
+            None => Ok(()),
+        }
+    }
+}
+
+fn is_new(row: &Row, version: u64) -> bool {
+    row.get(VERSION)
+        .and_then(Value::as_u64)
+        .is_some_and(|seen| seen >= version)
+}
+
+// The column of `show` that holds a process's configuration version.
+const VERSION: &str = "config";
+
+fn run(program: &Path, args: &[&str]) -> Result<Output, Error> {
+    let output = Command::new(program).args(args).output();
+    output.map_err(|error| Error::NotStarted(program.to_owned(), error))
+}
--- /dev/null
+++ b/hibiscusroad-measure/src/deployment/process.rs
@@ -0,0 +1,182 @@
+//! One process of a deployment.
+
+use super::Error;
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::{self, File},
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+const POLL: Duration = Duration::from_millis(10);
+const START: Duration = Duration::from_secs(20);
+// Lines of a process's log that an error shows.
+const TAIL: usize = 8;
+
+/// A process that is ended, by its id, when it is dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// Its name in the deployment.
+    pub name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a program whose log goes to a file of its name in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        folder: &Path,
+    ) -> Result<Self, Error> {
+        let log = folder.join(format!("{name}.log"));
+        let file = File::create(&log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .spawn()
+            .map_err(|error| Error::NotStarted(program.to_owned(), error))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log,
+        })
+    }
+
+    /// Returns its id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Reads the address from its first line, `listening ADDR`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it ends, or says something else.
+    pub fn address(&mut self) -> Result<SocketAddr, Error> {
+        let mut line = String::new();
+        if let Some(out) = &mut self.child.stdout {
+            BufReader::new(out).read_line(&mut line)?;
+        }
+        let address = line.trim().strip_prefix("listening ");
+        address
+            .and_then(|address| address.parse().ok())
+            .ok_or_else(|| self.failed("gave no address"))
+    }
+
+    /// Waits until it takes connections at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it ends, or doesn't within 20 s.
+    pub fn wait_for(&mut self, address: SocketAddr) -> Result<(), Error> {
+        let start = Instant::now();
+        while TcpStream::connect(address).is_err() {
+            if let Some(status) = self.child.try_wait()? {
+                return Err(self.failed(&format!("ended with {status}")));
+            }
+            if start.elapsed() > START {
+                return Err(self.failed(&format!("doesn't listen at {address}")));
+            }
+            thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
+    /// Asks it to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if it can't be asked.
+    pub fn terminate(&self) -> Result<(), Error> {
+        Ok(kill_process(self.pid()?, Signal::TERM)?)
+    }
+
+    /// Waits until it has ended, at most until `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it still runs then, or was ended by a signal.
+    pub fn wait(&mut self, limit: Instant) -> Result<ExitStatus, Error> {
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() >= limit {
+                return Err(self.failed("didn't stop in time"));
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Returns its resident memory now, in KiB.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system doesn't say.
+    pub fn memory(&self) -> Result<u64, Error> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        number
+            .and_then(|number| number.trim().parse().ok())
+            .ok_or_else(|| self.failed("has no VmRSS"))
+    }
+
+    /// Returns the processor time that it used so far.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system doesn't say.
+    pub fn processor(&self) -> Result<Duration, Error> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.id()))?;
+        // Fields count from behind the name, which may hold anything.
+        let fields: Vec<&str> = match stat.rsplit_once(')') {
+            Some((_, rest)) => rest.split_whitespace().collect(),
+            None => Vec::new(),
+        };
+        let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok());
+        let ticks = ticks(USER_TIME).zip(ticks(SYSTEM_TIME));
+        let (user, system) = ticks.ok_or_else(|| self.failed("has no processor time"))?;
+        let rate = rustix::param::clock_ticks_per_second();
+        Ok(Duration::from_secs_f64(
+            (user + system) as f64 / rate as f64,
+        ))
+    }
+
+    fn pid(&self) -> Result<Pid, Error> {
+        let id = i32::try_from(self.id()).ok().and_then(Pid::from_raw);
+        id.ok_or_else(|| self.failed("has no id"))
+    }
+
+    fn failed(&self, what: &str) -> Error {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let tail = lines[lines.len().saturating_sub(TAIL)..].join("\n  ");
+        Error::Process(self.name.clone(), what.to_owned(), tail)
+    }
+}
+
+// Places of the fields utime and stime of /proc/PID/stat behind the name.
+const USER_TIME: usize = 11;
+const SYSTEM_TIME: usize = 12;
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Both fail if it has ended already, which is what is wanted.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/hibiscusroad-measure/src/lib.rs
@@ -0,0 +1,16 @@
+//! Deployments of processes on this machine, load on them, and judgement.
+//!
+//! * [`deployment`]: starts stand-ins, entries and sides, and stops them.
+//! * [`caller`]: makes one call and says how it ended for its caller.
+//! * [`load`]: makes many calls at the times that were set for them.
+//! * [`judge`]: counts what callers saw and what endpoints ran.
+//! * [`demo`] and [`path`]: what the program `measure` does.
+
+pub mod caller;
+pub mod demo;
+pub mod deployment;
+pub mod interrupt;
+pub mod judge;
+pub mod load;
+pub mod path;
+pub mod report;
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -1,2 +1,139 @@
 //! `measure`: load, experiments and the demonstration.
-fn main() {}
+
+use hibiscusroad_measure::{
+    demo,
+    deployment::{Error, Spec},
+    interrupt::Interrupt,
+    path,
+};
+use lexopt::{Arg, Parser, ValueExt};
+use std::{process::ExitCode, time::Duration};
+
+const USAGE: &str = "\
+usage: measure demo [pobrezie|lakeshore] [--seconds N] [--keep]
+       measure path [--seconds N] [--step-seconds N] [--endpoints N] [--seed N]
+                    [--json]
+
+demo  starts a deployment on this machine, puts mixed load on it and stops it;
+      --keep leaves it running until Ctrl-C
+path  measures what an entry and a side add to a request
+
+The programs hibiscusroadd, hibiscusroad and standin must lie beside this one.
+
+exit codes: 0 as it should be, 1 a promise was broken, 2 wrong usage,
+            3 it could not be run to its end
+";
+
+const BROKEN: u8 = 1;
+const WRONG_USAGE: u8 = 2;
+const NOT_RUN: u8 = 3;
+
+enum Command {
+    Help,
+    Version,
+    Demo(demo::Options),
+    Path(path::Options, bool),
+}
+
+fn main() -> ExitCode {
+    let command = match parse(Parser::from_env()) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("measure: {error}; see measure --help");
+            return ExitCode::from(WRONG_USAGE);
+        }
+    };
+    match run(command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
+
+fn run(command: Command) -> Result<ExitCode, Error> {
+    match command {
+        Command::Help => print!("{USAGE}"),
+        Command::Version => println!("measure {}", env!("CARGO_PKG_VERSION")),
+        Command::Demo(options) => {
+            let found = demo::run(&options, &Interrupt::watch()?)?;
+            println!("{}", found.line());
+            if !found.verdict.is_clean() {
+                return Ok(ExitCode::from(BROKEN));
+            }
+        }
+        Command::Path(options, json) => {
+            let report = path::run(&options, &Interrupt::watch()?)?;
+            if json {
+                println!("{}", report.json());
+            } else {
+                print!("{}", report.text());
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn parse(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let Some(arg) = parser.next()? else {
+        return Ok(Command::Help);
+    };
+    match arg {
+        Arg::Short('h') | Arg::Long("help") => Ok(Command::Help),
+        Arg::Short('V') | Arg::Long("version") => Ok(Command::Version),
+        Arg::Value(word) if word == "demo" => demo_options(parser),
+        Arg::Value(word) if word == "path" => path_options(parser),
+        arg => Err(arg.unexpected()),
+    }
+}
+
+fn demo_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut options = demo::Options {
+        spec: Spec::pobrezie(),
+        time: Duration::from_secs(8),
+        keep: false,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("keep") => options.keep = true,
+            Arg::Long("seconds") => options.time = seconds(&mut parser)?,
+            Arg::Value(name) => {
+                let name = name.string()?;
+                let unknown = || format!("no deployment {name:?}; pobrezie or lakeshore");
+                options.spec = Spec::named(&name).ok_or_else(unknown)?;
+            }
+            arg => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Command::Demo(options))
+}
+
+fn path_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut options = path::Options::default();
+    let mut json = false;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("json") => json = true,
+            Arg::Long("seconds") => options.time = seconds(&mut parser)?,
+            Arg::Long("step-seconds") => options.step = seconds(&mut parser)?,
+            Arg::Long("endpoints") => options.endpoints = parser.value()?.parse()?,
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            arg => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Command::Path(options, json))
+}
+
+// Shorter than this nothing is seen; longer than a day is a slip.
+const SECONDS: std::ops::RangeInclusive<u64> = 1..=86_400;
+
+fn seconds(parser: &mut Parser) -> Result<Duration, lexopt::Error> {
+    let seconds: u64 = parser.value()?.parse()?;
+    if SECONDS.contains(&seconds) {
+        return Ok(Duration::from_secs(seconds));
+    }
+    Err(format!("{seconds} s is not within 1 to 86400").into())
+}
--- a/hibiscusroad-standins/src/platform/table.rs
+++ b/hibiscusroad-standins/src/platform/table.rs
@@ -56,7 +56,8 @@
             limit => usize::try_from(limit).unwrap_or(usize::MAX),
         };
         let all: Vec<_> = self.select(ask).collect();
-        let kvs = all.iter().take(limit).map(|(key, row)| key_value(key, row));
+        let recent = all.iter().filter(|(_, row)| row.changed >= ask.since.0);
+        let kvs = recent.take(limit).map(|(key, row)| key_value(key, row));
         RangeResponse {
             header: self.header(),
             kvs: kvs.collect(),
--- a/hibiscusroad-standins/src/platform/wire.rs
+++ b/hibiscusroad-standins/src/platform/wire.rs
@@ -66,6 +66,9 @@
     /// Rows that the answer may have; 0 for all.
     #[serde(default)]
     pub limit: Int,
+    /// Rows changed by an older write than this are left out.
+    #[serde(alias = "minModRevision", default, rename = "min_mod_revision")]
+    pub since: Int,
 }
 
 /// One row.
--- a/hibiscusroad-standins/tests/platform.rs
+++ b/hibiscusroad-standins/tests/platform.rs
@@ -66,6 +66,9 @@
     assert_eq!(answer["kvs"].as_array().unwrap().len(), 2);
     assert_eq!(answer["count"], "3");
     assert_eq!(answer["more"], true);
+    let recent = json!({ "key": key, "range_end": end, "min_mod_revision": "4" });
+    let answer = post(&platform, "/v3/kv/range", &recent).unwrap();
+    assert_eq!(answer["kvs"].as_array().unwrap().len(), 1);
     let backwards = json!({ "key": end, "range_end": key });
     let none = post(&platform, "/v3/kv/range", &backwards).unwrap();
     assert_eq!(none["count"], "0");
