--- /dev/null
+++ b/hibiscusroad-measure/src/lib.rs
@@ -0,0 +1,3 @@
+//! Load, experiments and the demonstration of hibiscusroad.
+
+pub mod policy;
