--- a/hibiscusroad-measure/src/policy/balance.rs
+++ b/hibiscusroad-measure/src/policy/balance.rs
@@ -130,6 +130,15 @@
         }))
     }
 
+    pub(super) fn debug(&self) {
+        if let Self::Ours(o) = self {
+            for k in &o.keys {
+                eprint!("{:?} ", o.router.load(*k));
+            }
+            eprintln!();
+        }
+    }
+
     /// Says whether sides refuse what is over their limit.
     pub(super) fn limited(&self) -> bool {
         matches!(self, Self::Ours(_))
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -12,6 +12,7 @@
         EndpointKey,
         drain::secs,
         health::{Health, Phase},
+        limit::Sample,
         retry::{RERUN, RESEND, TRIES},
         router::Router,
         spec::{Call, Step},
@@ -31,10 +32,13 @@
         let (call, work, free) = (row.call, row.work, row.free());
         let hedge = row.runs();
         let slot = usize::from(row.attempts[0].is_some());
+        let there = &self.endpoints[endpoint];
+        let alone = there.limit.few(there.running) && there.others(now) < 1.0;
         row.attempts[slot] = Some(Attempt {
             endpoint,
             start: now,
             trial,
+            alone,
         });
         row.tries = row.tries.saturating_add(1);
         row.last = Some(endpoint);
@@ -126,7 +130,8 @@
         // The loser's endpoint took at least so long: without this a slow one
         // whose calls are all hedged would never be found out.
         self.time_out(now, key);
-        self.services[call.service].learned.add(&call, took);
+        let learned = &mut self.services[call.service].learned;
+        learned.add(&call, took, attempt.alone);
         self.forget(now, key);
     }
 
@@ -253,7 +258,8 @@
         took: Duration,
     ) {
         let secs = took.as_secs_f64().max(1e-6);
-        let ratio = self.expect(call).map_or(1.0, |e| secs / e.low);
+        let estimate = self.expect(call);
+        let ratio = estimate.map_or(1.0, |e| secs / e.low);
         let Some(row) = self.endpoints.get_mut(attempt.endpoint) else {
             return;
         };
@@ -267,7 +273,13 @@
             }
             return;
         }
-        row.limit.sample(ratio, running);
+        let sample = Sample {
+            took,
+            usual: estimate.map_or(secs, |e| e.usual),
+            running,
+            alone: attempt.alone,
+        };
+        row.limit.sample(now, &sample);
         if !row.health.fit() {
             return;
         }
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -48,7 +48,7 @@
         running * self.health.factor() / f64::from(self.limit.get().max(1))
     }
 
-    fn others(&self, now: Instant) -> f64 {
+    pub(super) fn others(&self, now: Instant) -> f64 {
         let Some(seen) = self.seen else {
             return 0.0;
         };
@@ -65,9 +65,6 @@
         if let Some(seen) = &mut self.seen {
             seen.sent += u64::from(call.tokens);
         }
-        if self.running >= self.limit.get() {
-            self.limit.reach();
-        }
         if trial {
             self.health.phase = Phase::Trial;
         }
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -20,6 +20,9 @@
 const SAMPLES: u32 = 6;
 /// Three times slower than the peers, as a logarithm.
 const SLOW: f64 = 1.1;
+/// One call counts as at most twelve times slower: two calls of a hundred times
+/// the work must not eject an endpoint.
+const CLIP: f64 = 2.5;
 /// Share of failed calls that ejects; 0.1 weight means about seven in a row.
 const FAILING: f64 = 0.5;
 /// Refused connections in a row that take an endpoint out.
@@ -121,7 +124,8 @@
         self.failing *= 1.0 - WEIGHT;
         self.samples += 1;
         let weight = WEIGHT.max(1.0 / f64::from(self.samples));
-        self.slow += weight * (ratio.ln() - self.slow);
+        let sample = ratio.ln().clamp(-CLIP, CLIP);
+        self.slow += weight * (sample - self.slow);
         self.samples >= SAMPLES && peers.mean().is_some_and(|mean| self.slow > mean + SLOW)
     }
 
--- a/src/route/learn.rs
+++ b/src/route/learn.rs
@@ -25,6 +25,8 @@
 /// queues add must not pass for the service's nature within minutes.
 const FALL: f64 = 0.1;
 const RISE: f64 = FALL / 32.0;
+/// Calls that met few others that are averaged: strays by 3 per cent.
+const USUAL: u32 = 512;
 
 /// What a call is expected to take at an endpoint, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,6 +38,8 @@
     pub(super) p999: f64,
     /// A level near the fast end, that queues move only slowly.
     pub(super) low: f64,
+    /// The mean of calls that met few others at their endpoint.
+    pub(super) usual: f64,
 }
 
 impl Estimate {
@@ -47,6 +51,7 @@
             p99: self.p99 * by,
             p999: self.p999 * by,
             low: self.low * by,
+            usual: self.usual * by,
         }
     }
 }
@@ -57,6 +62,8 @@
     total: u32,
     sum: f64,
     low: f64,
+    usual: f64,
+    alone: u32,
     stale: u32,
     drawn: Estimate,
 }
@@ -68,6 +75,8 @@
             total: 0,
             sum: 0.0,
             low: secs.ln(),
+            usual: secs,
+            alone: 0,
             stale: 0,
             drawn: Estimate {
                 mean: secs,
@@ -76,11 +85,16 @@
                 p99: secs,
                 p999: secs,
                 low: secs,
+                usual: secs,
             },
         }
     }
 
-    fn add(&mut self, secs: f64) {
+    fn add(&mut self, secs: f64, alone: bool) {
+        if alone || self.alone == 0 {
+            self.alone = (self.alone + u32::from(alone)).min(USUAL);
+            self.usual += (secs - self.usual) / f64::from(self.alone.max(1));
+        }
         self.bins[bin(secs)] += 1;
         self.total += 1;
         self.sum += secs;
@@ -122,6 +136,7 @@
             p99: found[2],
             p999: found[3],
             low: self.low.exp(),
+            usual: self.usual,
         };
     }
 }
@@ -139,12 +154,12 @@
         }
     }
 
-    pub(super) fn add(&mut self, call: &Call, took: Duration) {
+    pub(super) fn add(&mut self, call: &Call, took: Duration, alone: bool) {
         let secs = took.as_secs_f64().max(LEAST);
         let place = index(call.class, size(call.tokens));
         self.cells[place]
             .get_or_insert_with(|| Box::new(Cell::new(secs)))
-            .add(secs);
+            .add(secs, alone);
     }
 
     /// Estimates a call; `None` until anything like it was answered.
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -1,17 +1,20 @@
 //! How many calls one endpoint gets at once.
 //!
-//! The limit follows latency: calls that wait inside an endpoint wait where
-//! nobody can reorder, expire or move them, so the queue belongs here. Windows
-//! of answers are compared with the best window. While latency holds, the
-//! limit grows; when it rises with the load, the limit falls to what ran
-//! without waiting (Little's law). If a cut doesn't bring latency down, the
-//! work itself has become slower, and what it takes now is the new base: a
-//! limit that went by the old one would fall to nothing.
+//! Calls that wait inside an endpoint wait where nobody can reorder, expire or
+//! move them, so the queue belongs here. The limit is what the endpoint gets
+//! done without waiting: its throughput while it is kept full, times what a
+//! call takes there without load (Little's law), and a little more. Below the
+//! endpoint's capacity the throughput follows the limit, which therefore
+//! grows; above it the throughput stays, and so does the limit.
 //!
-//! Weighed against a gradient of throughput: it needs no base, but two windows
-//! of throughput differ by more than the effect looked for. Latency is divided
-//! by what each call's class and size takes, so that a run of long calls
-//! isn't taken for a queue.
+//! What a call takes without load is learned from calls that met few others.
+//! Under lasting saturation there are none, so now and then the limit is halved
+//! for a few calls.
+//!
+//! Weighed and tried: comparing the latency of a window of answers with that
+//! of the best window. With exponential service times the best window lies far
+//! below the mean, ordinary ones then pass for queues, and 15 per cent of the
+//! capacity stayed unused at saturation.
 
 use crate::route::meter::ceil;
 use std::time::{Duration, Instant};
@@ -19,42 +22,66 @@
 /// A new endpoint's limit: enough that four workers are busy from the start,
 /// little enough that a cold cache isn't met by a full batch.
 const START: f64 = 8.0;
-/// An endpoint that returns begins with one call and doubles.
+/// An endpoint that returns begins with one call; it has eight after 1 s or so
+/// of calls of 40 ms.
 const TRIAL: f64 = 1.0;
-/// Answers in a window, at least: the mean of 32 exponential times is off by
-/// 18 per cent, well below the thresholds.
-const WINDOW: u32 = 32;
-/// Windows of a returned or new endpoint are this short: it is watched anyway.
-const RAMP_WINDOW: u32 = 4;
-/// Latency above the base by this much is a queue; below `CALM` there is none.
-const QUEUED: f64 = 1.6;
-const CALM: f64 = 1.3;
-/// What is kept above the concurrency that ran without waiting, so that the
-/// next call is there when one ends.
-const HEADROOM: f64 = 1.15;
-/// Weight at which the base rises to a window that isn't queued.
-const EASE: f64 = 0.05;
+/// Answers in a window, at least, and for each call of the limit: enough that
+/// a window is longer than one call.
+const WINDOW: u32 = 8;
+const WINDOW_PART: u32 = 4;
+/// What earlier windows weigh: five of them count, 100 answers or more, whose
+/// sum strays by 10 per cent when times are exponential. After the limit grew
+/// they were held down by the lower one and weigh less.
+const KEEP: f64 = 0.8;
+const KEEP_GROWN: f64 = 0.3;
+/// Growth by more than this makes earlier windows weigh less.
+const GROWN: f64 = 1.05;
+/// What is kept above the throughput: covers an error of 15 per cent in what a
+/// call takes, below which the limit would shrink on and on.
+const HEADROOM: f64 = 1.2;
+/// One more, so that a worker doesn't idle for a round trip between calls.
+const SPARE: f64 = 1.0;
+/// A window counts as full if so many of its calls met the limit.
+const FULL: f64 = 0.8;
+/// Samples of the pace that are averaged: strays by 6 per cent.
+const PACE: u32 = 128;
+/// The limit is halved after so long without a call that met few others, and
+/// after so many service times, for so many calls: costs under 1 per cent.
+const PROBE: Duration = Duration::from_secs(10);
+const PROBE_CALLS: u32 = 100;
+const PROBED: u32 = 8;
 /// After a refusal for lack of room nothing is sent for this long: other
 /// entries fill the endpoint, and a refusal costs each a round trip.
 const COOL: Duration = Duration::from_millis(20);
 
+/// An answer as the limit sees it.
 #[derive(Clone, Copy, Debug)]
-struct Cut {
-    mean: f64,
-    limit: f64,
+pub(super) struct Sample {
+    pub(super) took: Duration,
+    /// What such calls take without load, in seconds.
+    pub(super) usual: f64,
+    /// Attempts of ours that ran there, this one included.
+    pub(super) running: u32,
+    /// Whether it met few others when it started.
+    pub(super) alone: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Limit {
     most: f64,
     now: f64,
-    base: Option<f64>,
-    sum: f64,
-    load: f64,
+    /// What calls take here without load, over what they usually take.
+    pace: f64,
+    paced: u32,
+    work: f64,
+    since: Option<Instant>,
     count: u32,
-    full: bool,
-    ramp: bool,
-    cut: Option<Cut>,
+    full: u32,
+    /// Faded sums of the work and the seconds of full windows.
+    done: f64,
+    time: f64,
+    probe: u32,
+    probed: Option<Instant>,
     cool: Option<Instant>,
 }
 
@@ -64,24 +91,31 @@
         Self {
             most,
             now: START.min(most),
-            base: None,
-            sum: 0.0,
-            load: 0.0,
+            pace: 1.0,
+            paced: 0,
+            work: 0.0,
+            since: None,
             count: 0,
-            full: false,
-            ramp: true,
-            cut: None,
+            full: 0,
+            done: 0.0,
+            time: 0.0,
+            probe: 0,
+            probed: None,
             cool: None,
         }
     }
 
     pub(super) fn get(&self) -> u32 {
+        if self.probe > 0 {
+            return ceil(self.now * 0.5);
+        }
         ceil(self.now)
     }
 
-    /// Notes that the limit was reached; only then does it grow.
-    pub(super) fn reach(&mut self) {
-        self.full = true;
+    /// Says whether a call with `running` others has the endpoint nearly for
+    /// itself.
+    pub(super) fn few(&self, running: u32) -> bool {
+        f64::from(running) <= (self.now * 0.5).max(1.0)
     }
 
     pub(super) fn cooling(&self, now: Instant) -> Option<Instant> {
@@ -90,9 +124,13 @@
 
     /// Starts again from one call.
     pub(super) fn restart(&mut self) {
-        self.now = TRIAL;
-        self.ramp = true;
-        self.clear();
+        *self = Self {
+            most: self.most,
+            now: TRIAL,
+            pace: self.pace,
+            paced: self.paced,
+            ..Self::new(1)
+        };
     }
 
     /// Takes in what the endpoint's side says that it takes at once.
@@ -107,72 +145,68 @@
     pub(super) fn refused(&mut self, now: Instant, running: u32) {
         self.cool = Some(now + COOL);
         self.now = f64::from(running).clamp(1.0, self.now);
-        self.ramp = false;
+        self.done = 0.0;
+        self.time = 0.0;
     }
 
-    /// Takes in that `queued` of `running` calls waited inside the endpoint.
-    pub(super) fn waited(&mut self, queued: u32, running: u32) {
-        if queued > 0 && self.full {
-            let kept = f64::from(running.saturating_sub(queued)) * HEADROOM;
-            self.now = (self.now * 0.5).max(kept.clamp(1.0, self.now));
-            self.ramp = false;
+    pub(super) fn sample(&mut self, now: Instant, sample: &Sample) {
+        let limit = self.get();
+        if sample.alone && self.few(sample.running.saturating_sub(1)) {
+            let ratio = sample.took.as_secs_f64() / sample.usual;
+            self.paced = (self.paced + 1).min(PACE);
+            self.pace += (ratio - self.pace) / f64::from(self.paced);
+            self.probed = Some(now);
+            self.probe = self.probe.saturating_sub(1);
         }
-    }
-
-    /// Takes in an answer: its latency over what it takes, and how many of
-    /// ours ran there with it.
-    pub(super) fn sample(&mut self, slow: f64, running: u32) {
-        self.sum += slow;
-        self.load += f64::from(running);
+        self.work += sample.usual * self.pace;
         self.count += 1;
-        let window = if self.ramp { RAMP_WINDOW } else { WINDOW };
-        if self.count >= window.max(self.get()) {
-            self.close();
+        self.full += u32::from(sample.running + 1 >= limit);
+        if self.count >= WINDOW.max(limit * WINDOW_PART) {
+            self.close(now, sample.took);
         }
     }
 
-    fn close(&mut self) {
-        let mean = self.sum / f64::from(self.count);
-        let load = self.load / f64::from(self.count);
-        let base = self.base.unwrap_or(mean);
-        let ratio = mean / base;
-        if let Some(cut) = self.cut.take()
-            && mean > cut.mean * 0.5 * (1.0 + self.now / cut.limit)
-        {
-            self.base = Some(mean);
-            self.now = cut.limit;
-            self.clear();
+    fn close(&mut self, now: Instant, took: Duration) {
+        let full = f64::from(self.full) >= FULL * f64::from(self.count);
+        let probing = self.probe > 0;
+        let span = self.since.map(|since| now - since);
+        let work = self.work;
+        self.clear(now);
+        let Some(span) = span.filter(|span| !span.is_zero() && !probing) else {
             return;
+        };
+        if full {
+            self.done += work;
+            self.time += span.as_secs_f64();
+            self.set();
+            self.plan_probe(now, took);
         }
-        if ratio > QUEUED && self.full {
-            self.ramp = false;
-            self.cut = Some(Cut {
-                mean,
-                limit: self.now,
-            });
-            self.now = (load / ratio * HEADROOM).clamp(1.0, self.now);
-        } else if ratio < CALM && self.full {
-            let step = if self.ramp {
-                self.now
-            } else {
-                (self.now / 16.0).max(0.5)
-            };
-            self.now = (self.now + step).min(self.most);
-        }
-        self.base = Some(if mean < base {
-            0.5 * (base + mean)
-        } else if ratio < CALM {
-            base + EASE * (mean - base)
+    }
+
+    fn set(&mut self) {
+        let target = self.done / self.time * HEADROOM + SPARE;
+        let keep = if target > self.now * GROWN {
+            KEEP_GROWN
         } else {
-            base
-        });
-        self.clear();
+            KEEP
+        };
+        self.done *= keep;
+        self.time *= keep;
+        self.now = target.clamp(1.0, self.most);
+    }
+
+    fn plan_probe(&mut self, now: Instant, took: Duration) {
+        let pause = PROBE.max(took * PROBE_CALLS);
+        if *self.probed.get_or_insert(now) + pause <= now {
+            self.probe = PROBED;
+            self.probed = Some(now);
+        }
     }
 
-    fn clear(&mut self) {
-        self.sum = 0.0;
-        self.load = 0.0;
+    fn clear(&mut self, now: Instant) {
+        self.work = 0.0;
+        self.since = Some(now);
         self.count = 0;
-        self.full = false;
+        self.full = 0;
     }
 }
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -34,6 +34,10 @@
 /// Work that an endpoint may get above the mean before a prefix goes to the
 /// next one: the busiest is to stay within 1.25 of the mean.
 const BOUND: f64 = 1.1;
+/// An endpoint at the entry's place that is fuller than this is compared with
+/// one elsewhere: the limit has headroom, and a wait behind another call is
+/// longer than the way to another place.
+const BUSY: f64 = 0.7;
 /// Slots that are taken back at a time; the next look is an event away.
 const BACK: usize = 8;
 /// A rollout that lost its slot twice keeps the next one.
@@ -97,7 +101,19 @@
                 return cached;
             }
         }
-        (0..TIERS).find_map(|tier| self.draw(now, call, tier, not))
+        let mut best: Option<(EndpointKey, f64)> = None;
+        for tier in 0..TIERS {
+            let Some((key, score)) = self.draw(now, call, tier, not) else {
+                continue;
+            };
+            if score <= BUSY {
+                return Some(key);
+            }
+            if best.is_none_or(|(_, other)| score < other) {
+                best = Some((key, score));
+            }
+        }
+        best.map(|(key, _)| key)
     }
 
     /// Finds an endpoint on the ring that isn't ahead of the others.
@@ -135,7 +151,7 @@
         call: &Call,
         tier: usize,
         not: Option<EndpointKey>,
-    ) -> Option<EndpointKey> {
+    ) -> Option<(EndpointKey, f64)> {
         let pool = &self.services[call.service].pools[tier];
         if pool.is_empty() {
             return None;
@@ -150,14 +166,18 @@
             let score = row.score(now);
             match best {
                 None => best = Some((key, score)),
-                Some((_, other)) if score < other => return Some(key),
-                Some((other, _)) => return Some(other),
+                Some((other, _)) if key == other => {}
+                Some((_, other)) if score < other => return Some((key, score)),
+                found => return found,
             }
         }
         let scan = || pool.iter().take(SCAN).copied();
         let fits =
             |key: &EndpointKey| Some(*key) != not && self.endpoints[*key].holds(now, call.tokens);
-        best.map_or_else(|| scan().find(fits), |(key, _)| Some(key))
+        best.or_else(|| {
+            let key = scan().find(fits)?;
+            Some((key, self.endpoints[key].score(now)))
+        })
     }
 
     /// Takes slots back from rollouts for a class that is below its floor.
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -205,9 +205,6 @@
             return;
         };
         row.limit.bound(report.limit);
-        if report.age <= super::endpoint::FRESH {
-            row.limit.waited(report.queued, report.running);
-        }
         row.seen = Some(Seen {
             report,
             at: now.checked_sub(report.age).unwrap_or(now),
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -182,6 +182,8 @@
     pub(super) endpoint: EndpointKey,
     pub(super) start: Instant,
     pub(super) trial: bool,
+    /// Whether it met few others there.
+    pub(super) alone: bool,
 }
 
 #[derive(Debug)]
