--- a/hibiscusroad-measure/src/lib.rs
+++ b/hibiscusroad-measure/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`caller`]: makes one call and says how it ended for its caller.
 //! * [`load`]: makes many calls at the times that were set for them.
 //! * [`judge`]: counts what callers saw and what endpoints ran.
-//! * [`demo`] and [`path`]: what the program `measure` does.
+//! * [`demo`], [`path`] and [`policy`]: what the program `measure` does.
 
 pub mod caller;
 pub mod demo;
@@ -13,4 +13,5 @@
 pub mod judge;
 pub mod load;
 pub mod path;
+pub mod policy;
 pub mod report;
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -4,7 +4,7 @@
     demo,
     deployment::{Error, Spec},
     interrupt::Interrupt,
-    path,
+    path, policy,
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{process::ExitCode, time::Duration};
@@ -13,10 +13,12 @@
 usage: measure demo [pobrezie|lakeshore] [--seconds N] [--keep]
        measure path [--seconds N] [--step-seconds N] [--endpoints N] [--seed N]
                     [--json]
+       measure policy [--seed N] [--scenario NAME]
 
-demo  starts a deployment on this machine, puts mixed load on it and stops it;
-      --keep leaves it running until Ctrl-C
-path  measures what an entry and a side add to a request
+demo    starts a deployment on this machine, puts mixed load on it and stops it;
+        --keep leaves it running until Ctrl-C
+path    measures what an entry and a side add to a request
+policy  runs the decisions under load in virtual time
 
 The programs hibiscusroadd, hibiscusroad and standin must lie beside this one.
 
@@ -33,6 +35,7 @@
     Version,
     Demo(demo::Options),
     Path(path::Options, bool),
+    Policy(Parser),
 }
 
 fn main() -> ExitCode {
@@ -63,6 +66,12 @@
                 return Ok(ExitCode::from(BROKEN));
             }
         }
+        Command::Policy(args) => {
+            if let Err(error) = policy::run(args) {
+                eprintln!("measure: {error}; see measure --help");
+                return Ok(ExitCode::from(WRONG_USAGE));
+            }
+        }
         Command::Path(options, json) => {
             let report = path::run(&options, &Interrupt::watch()?)?;
             if json {
@@ -84,6 +93,7 @@
         Arg::Short('V') | Arg::Long("version") => Ok(Command::Version),
         Arg::Value(word) if word == "demo" => demo_options(parser),
         Arg::Value(word) if word == "path" => path_options(parser),
+        Arg::Value(word) if word == "policy" => Ok(Command::Policy(parser)),
         arg => Err(arg.unexpected()),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,9 @@
 //! * [`error`]: the closed list of error kinds and the table of answers.
 //! * [`id`]: the small keys that name requests and processes.
 //! * [`gate`]: what a side admits, seals, buffers and replays.
+//! * [`lease`]: duties with one holder, and their fencing numbers.
 //! * [`route`]: admission, queues, placement, limits, retries.
+//! * [`subset`]: which sides an entry keeps links to.
 
 pub mod class;
 pub mod clock;
@@ -36,7 +38,9 @@
 pub mod error;
 pub mod gate;
 pub mod id;
+pub mod lease;
 pub mod route;
+pub mod subset;
 
 pub use crate::{
     class::{Class, Repeat},
