--- a/hibiscusroad-measure/src/demo.rs
+++ b/hibiscusroad-measure/src/demo.rs
@@ -135,7 +135,7 @@
     let drain = format!("drain endpoint {drained}");
     println!("\r> {drain}\n{}", deployment.operate(1, &drain)?);
     interrupt.sleep_until(start + time * 3 / 4);
-    let shown = format!("show endpoints where name = {drained}");
+    let shown = format!("show endpoints where endpoint = {drained}");
     println!("\r> {shown}\n{}", deployment.operate(1, &shown)?);
     Ok(spread)
 }
