Let links fail and sides leave without losing or repeating work

What an entry takes up anew is joined into pieces of 32 KiB; a thousand tokens would fill its queue. A panic in a call ends its attempt. Gauges are sent.

--- a/hibiscusroad-daemon/src/side/link.rs
+++ b/hibiscusroad-daemon/src/side/link.rs
@@ -71,7 +71,7 @@
     pub fn stop(self) {
         drop(self.stop);
         if self.thread.join().is_err() {
-            log::error!(target: LOG, "the thread of the links panicked");
+            log::error!(target: LOG, "The thread of the links panicked.");
         }
     }
 }
@@ -106,7 +106,7 @@
         timeout(FLUSH_LIMIT, server).await
     });
     if let Ok(Ok(Err(error))) = ended {
-        log::error!(target: LOG, "links can't be taken: {error}");
+        log::error!(target: LOG, "Links can't be taken: {error}.");
     }
 }
 
@@ -169,7 +169,7 @@
                 }
             }
             Err(error) => {
-                log::warn!(target: LOG, "a link is closed: {error}");
+                log::warn!(target: LOG, "A link is closed: {error}.");
                 if let Some(out) = back.upgrade() {
                     // A full queue drops the reason, and the link closes all the same.
                     drop(out.try_send(Err(refuse(error))));
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -43,6 +43,8 @@
     role::{Role, Setup},
 };
 use crate::{
+    logs::SIDE as LOG,
+    metrics::Metrics,
     settings::{self, Settings},
     stop, turn,
 };
@@ -56,9 +58,6 @@
     time::Instant,
 };
 
-/// Prefix of this part's logs.
-const LOG: &str = "side";
-
 /// Why a side did not run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -137,9 +136,10 @@
         side: side.clone(),
         incarnation: Incarnation::draw(),
         events: sender.clone(),
+        metrics: Metrics::open(&settings.metrics)?,
         lease,
     };
-    log::info!(target: LOG, "takes links for {} on {links}", side.endpoint);
+    log::info!(target: LOG, "Takes links for {} on {links}.", side.endpoint);
     ready(Handle {
         events: sender,
         links,
--- a/hibiscusroad-daemon/src/side/pool.rs
+++ b/hibiscusroad-daemon/src/side/pool.rs
@@ -20,6 +20,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    panic::{self, AssertUnwindSafe},
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -138,7 +139,7 @@
         let sent = self.workers[key].jobs.try_send(job);
         sent.map_err(|_error| {
             // The thread has panicked; its row must not be used again.
-            log::error!(target: LOG, "a worker is gone");
+            log::error!(target: LOG, "A worker is gone.");
             self.workers.remove(key);
             ErrorKind::HandoverFull
         })
@@ -158,7 +159,7 @@
             .name("endpoint".to_owned())
             .spawn(move || work(key, address, model, &queue, &events));
         if let Err(error) = spawned {
-            log::error!(target: LOG, "no thread for a call: {error}");
+            log::error!(target: LOG, "No thread for a call: {error}.");
             self.workers.remove(key);
             return Err(ErrorKind::HandoverFull);
         }
@@ -202,17 +203,26 @@
         Job::Call(request, _) => Event::Ended {
             worker,
             id: request.ask.id,
-            outcome: if line.throttle.hold(line.agent) {
-                call::run(line, request.ask, request.http)
-            } else {
-                Err(ErrorKind::OutcomeUnknown)
-            },
+            outcome: guard(|| {
+                if line.throttle.hold(line.agent) {
+                    call::run(line, request.ask, request.http)
+                } else {
+                    Err(ErrorKind::OutcomeUnknown)
+                }
+            }),
         },
         Job::Order(origin, seq, http) => Event::Ordered {
             worker,
             link: origin,
             seq,
-            outcome: call::order(line, http),
+            outcome: guard(|| call::order(line, http)),
         },
     }
 }
+
+/// Turns a panic into an error: without the event that ends its call, an
+/// attempt would count against the limit for as long as the side lives.
+fn guard<T>(call: impl FnOnce() -> Result<T, ErrorKind>) -> Result<T, ErrorKind> {
+    let caught = panic::catch_unwind(AssertUnwindSafe(call));
+    caught.unwrap_or(Err(ErrorKind::Internal))
+}
--- a/hibiscusroad-daemon/src/side/report.rs
+++ b/hibiscusroad-daemon/src/side/report.rs
@@ -135,11 +135,11 @@
             Ok(document) if document.version == version => document,
             Ok(document) => {
                 let found = document.version;
-                log::error!(target: super::LOG, "configuration {version} says it is {found}");
+                log::error!(target: super::LOG, "Configuration {version} says it is {found}.");
                 return false;
             }
             Err(error) => {
-                log::error!(target: super::LOG, "configuration {version} can't be read: {error}");
+                log::error!(target: super::LOG, "Configuration {version} can't be read: {error}.");
                 return false;
             }
         };
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the tables of a side.
 
 use crate::{
+    metrics::{self, Metrics},
     settings::{Settings, Side},
     side::{
         LOG, ReadLease,
@@ -45,6 +46,8 @@
     pub incarnation: Incarnation,
     /// Where threads hand events over.
     pub events: Sender<Event>,
+    /// Where metrics go.
+    pub metrics: Metrics,
     /// Reads a duty's lease row.
     pub lease: ReadLease,
 }
@@ -131,10 +134,10 @@
         let Some(ends) = self.ends else {
             return;
         };
-        let idle = self.orders == 0 && self.gate.is_idle();
+        let idle = self.orders == 0 && self.gate.is_idle(now);
         if idle || ends <= now {
             let left = self.gate.load().running;
-            log::info!(target: LOG, "stops with {left} calls in flight");
+            log::info!(target: LOG, "Stops with {left} calls in flight.");
             stop!(cx);
         }
     }
@@ -147,6 +150,18 @@
         after!(BEAT, [cx], beat());
         self.pool.sweep(cx.now());
         self.beat_all(cx.now());
+        self.measure();
+    }
+
+    fn measure(&self) {
+        let load = self.gate.load();
+        let tags = [("endpoint", self.setup.side.endpoint.as_str())];
+        let gauge = |name, value| self.setup.metrics.gauge(name, value, &tags);
+        gauge(metrics::RUNNING, load.running.into());
+        gauge(metrics::BUFFERED, load.held as u64);
+        gauge(metrics::LINKS, self.links.len() as u64);
+        gauge(metrics::CONFIG_VERSION, self.report.version());
+        self.setup.metrics.flush();
     }
 
     fn beat_all(&mut self, now: Instant) {
@@ -159,7 +174,7 @@
 
     fn open(&mut self, now: Instant, hello: Hello, out: Outbound, reply: oneshot::Sender<LinkKey>) {
         let link = self.gate.open(now, hello.incarnation, hello.epoch);
-        log::info!(target: LOG, "link {} of {} is open", hello.epoch, hello.entry);
+        log::info!(target: LOG, "Link {} of {} is open.", hello.epoch, hello.entry);
         let row = Link {
             out,
             entry: hello.entry,
@@ -176,7 +191,7 @@
 
     fn lost(&mut self, now: Instant, link: LinkKey) {
         if let Some(row) = self.links.remove(link) {
-            log::info!(target: LOG, "a link of {} is lost", row.entry);
+            log::info!(target: LOG, "A link of {} is lost.", row.entry);
         }
         self.gate.lost(now, link);
     }
@@ -205,8 +220,8 @@
                     self.gate.fail(now, id, kind);
                 }
             }
-            Admission::Known => log::debug!(target: LOG, "{id} is known already"),
-            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}"),
+            Admission::Known => log::debug!(target: LOG, "{id} is known already."),
+            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}."),
         }
     }
 
@@ -230,7 +245,7 @@
         match outcome {
             Ok(runs) => self.gate.finish(now, id, runs),
             Err(kind) => {
-                log::debug!(target: LOG, "{id} failed: {kind}");
+                log::debug!(target: LOG, "{id} failed: {kind}.");
                 self.gate.fail(now, id, kind);
             }
         }
@@ -248,7 +263,7 @@
         match sent {
             Ok(()) => self.orders += 1,
             Err(kind) => {
-                log::info!(target: LOG, "an order is refused: {kind}");
+                log::info!(target: LOG, "An order is refused: {kind}.");
                 self.order_done(now, link, seq, Err(kind));
             }
         }
@@ -309,7 +324,7 @@
         self.learning.remove(duty);
         match number {
             Some(number) => self.gate.learn(duty, number),
-            None => log::warn!(target: LOG, "the lease row of {duty} can't be read"),
+            None => log::warn!(target: LOG, "The lease row of {duty} can't be read."),
         }
     }
 
@@ -337,7 +352,7 @@
             row.config = row.config.max(version);
         }
         if self.report.offer(version, document) {
-            log::info!(target: LOG, "configuration {version} is in force");
+            log::info!(target: LOG, "Configuration {version} is in force.");
             self.gate.set_limit(self.report.limit());
             self.show_leaving(now);
         }
@@ -351,7 +366,7 @@
     }
 
     fn stop(&mut self, now: Instant) {
-        log::info!(target: LOG, "stops: no new work, work in flight completes");
+        log::info!(target: LOG, "Stops: no new work, work in flight completes.");
         let limit = Duration::from_secs(self.setup.settings.stop.deadline_s);
         self.ends.get_or_insert(now + limit);
         self.report.stopping = true;
@@ -362,7 +377,7 @@
     fn show_leaving(&mut self, now: Instant) {
         let leaving = self.report.is_leaving();
         if leaving != self.gate.is_leaving() {
-            log::info!(target: LOG, "takes new work: {}", !leaving);
+            log::info!(target: LOG, "Takes new work: {}.", !leaving);
         }
         self.gate.set_leaving(leaving);
         self.beat_all(now);
@@ -379,7 +394,8 @@
                 Step::Pause { id } => self.hold(id, |throttle| throttle.pause(true)),
                 Step::Resume { id } => self.hold(id, |throttle| throttle.pause(false)),
                 Step::Close { link, entry } => {
-                    log::warn!(target: LOG, "a link of entry {entry} is silent");
+                    log::warn!(target: LOG, "A link of entry {entry} is silent.");
+                    self.setup.metrics.count(metrics::LINKS_LOST, &[]);
                     self.links.remove(link);
                 }
             }
@@ -399,7 +415,7 @@
             return;
         };
         if let Err(error) = row.out.try_send(Ok(frame)) {
-            log::warn!(target: LOG, "the queue of a link of {}: {error}", row.entry);
+            log::warn!(target: LOG, "The queue of a link of {}: {error}.", row.entry);
             self.lost(now, link);
         }
     }
--- a/hibiscusroad-daemon/tests/side_support/mod.rs
+++ b/hibiscusroad-daemon/tests/side_support/mod.rs
@@ -233,7 +233,9 @@
 
     /// The next frame that is no heartbeat.
     pub fn next(&self) -> Frame {
+        let until = Instant::now() + PATIENCE;
         loop {
+            assert!(Instant::now() < until, "only heartbeats come");
             match self.next_result().expect("a frame").expect("no status") {
                 Frame::Beat(_) => {}
                 frame => return frame,
--- a/src/gate/attempt.rs
+++ b/src/gate/attempt.rs
@@ -4,7 +4,10 @@
     gate::{Chunk, Frame, Head, LinkKey, Run},
     id::{Incarnation, RequestId},
 };
-use std::{collections::VecDeque, sync::Arc, time::Instant};
+use std::{collections::VecDeque, mem, sync::Arc, time::Instant};
+
+/// Bytes from which a joined chunk is sent.
+const PIECE: usize = 32 << 10;
 
 /// An attempt that is running or done.
 #[derive(Debug)]
@@ -100,16 +103,16 @@
     }
 
     /// Everything from `offset` on, as frames.
+    ///
+    /// Small chunks are joined: an answer of a thousand tokens would otherwise
+    /// fill the queue of the link that takes it up again.
     pub(crate) fn replay(&self, id: RequestId, offset: u64) -> Vec<Frame> {
         let head = self.head.iter().map(|head| Frame::Head {
             id,
             head: Arc::clone(head),
         });
-        let chunks = self
-            .chunks
-            .iter()
-            .filter_map(|chunk| rest(chunk, offset))
-            .map(|chunk| Frame::Chunk { id, chunk });
+        let chunks = self.joined(offset).into_iter();
+        let chunks = chunks.map(|chunk| Frame::Chunk { id, chunk });
         let end = self.end.iter().map(|runs| Frame::End {
             id,
             length: self.length,
@@ -117,18 +120,36 @@
         });
         head.chain(chunks).chain(end).collect()
     }
+
+    fn joined(&self, offset: u64) -> Vec<Chunk> {
+        let mut pieces = Vec::new();
+        let mut start = offset.max(self.base);
+        let mut piece = Vec::new();
+        for chunk in &self.chunks {
+            piece.extend_from_slice(rest(chunk, offset));
+            if piece.len() >= PIECE {
+                pieces.push(take_piece(&mut start, &mut piece));
+            }
+        }
+        if !piece.is_empty() {
+            pieces.push(take_piece(&mut start, &mut piece));
+        }
+        pieces
+    }
+}
+
+fn take_piece(start: &mut u64, piece: &mut Vec<u8>) -> Chunk {
+    let chunk = Chunk {
+        offset: *start,
+        data: mem::take(piece).into(),
+    };
+    *start += chunk.data.len() as u64;
+    chunk
 }
 
-/// The part of a chunk from `offset` on, if there is any.
-fn rest(chunk: &Chunk, offset: u64) -> Option<Chunk> {
+/// The part of a chunk from `offset` on; empty if there is none.
+fn rest(chunk: &Chunk, offset: u64) -> &[u8] {
     let skip = offset.saturating_sub(chunk.offset);
     let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-    match chunk.data.get(skip..) {
-        None | Some([]) => None,
-        Some(_) if skip == 0 => Some(chunk.clone()),
-        Some(data) => Some(Chunk {
-            offset,
-            data: data.into(),
-        }),
-    }
+    chunk.data.get(skip..).unwrap_or_default()
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -32,6 +32,7 @@
 //! five megabytes a year.
 
 mod attempt;
+mod endpoint;
 mod fence;
 mod spec;
 mod systems;
