Run load under drawn faults over real processes and check its history

Cause: each promise needs a checker that reads only what callers, endpoints and entries' watchers wrote down, under faults that a seed repeats.

Plain stand-ins can log to a file, so that a killed one still tells what it ran.

--- a/hibiscusroad-measure/src/deployment/mod.rs
+++ b/hibiscusroad-measure/src/deployment/mod.rs
@@ -17,6 +17,7 @@
 use process::Process;
 use settings::{Daemon, Generator, Ports, endpoint_args};
 use std::{
+    collections::BTreeMap,
     env, fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -164,11 +165,20 @@
     }
 
     fn start_endpoints(&mut self) -> Result<(), Error> {
+        let mut ports = Ports::new(!system::id());
         for service in &self.spec.services {
             for number in 0..service.count {
                 let name = format!("{}-{}", service.name, number + 1);
-                let args = endpoint_args(service);
+                let mut args = endpoint_args(service);
                 let folder = &self.folder.path;
+                if self.spec.restarts {
+                    // An endpoint that comes back must be found where it was.
+                    args.extend(["--listen".to_owned(), ports.choose()?.to_string()]);
+                    if service.kind == Kind::Plain {
+                        let file = runs_file(folder, &name).display().to_string();
+                        args.extend(["--log".to_owned(), file]);
+                    }
+                }
                 let mut process = Process::start(&name, &self.bins.standin, &args, folder)?;
                 self.endpoints.push(Endpoint {
                     address: process.address()?,
@@ -265,6 +275,25 @@
         plain.map(|endpoint| log(endpoint.address)).collect()
     }
 
+    /// Returns what all plain services ran, also in lives that were killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if a log can't be read.
+    pub fn runs(&self) -> Result<BTreeMap<String, Vec<Ran>>, Error> {
+        let plain = self.endpoints.iter().filter(|e| e.kind == Kind::Plain);
+        let mut runs = BTreeMap::new();
+        for endpoint in plain {
+            let text = fs::read_to_string(runs_file(&self.folder.path, &endpoint.name))?;
+            // A kill can cut the last line short; what it names did not start.
+            let lines = text
+                .lines()
+                .map_while(|line| serde_json::from_str(line).ok());
+            runs.insert(endpoint.name.clone(), lines.collect());
+        }
+        Ok(runs)
+    }
+
     /// Asks all daemons to stop gracefully, entries first, and waits for them.
     ///
     /// # Errors
@@ -288,6 +317,10 @@
     }
 }
 
+fn runs_file(folder: &Path, endpoint: &str) -> PathBuf {
+    folder.join(format!("{endpoint}.runs"))
+}
+
 // More than any log of a test or measurement has.
 const LOG_LIMIT: u64 = 1 << 30;
 
--- a/hibiscusroad-measure/src/deployment/operator.rs
+++ b/hibiscusroad-measure/src/deployment/operator.rs
@@ -36,6 +36,24 @@
         rows.map_err(|error| Error::Statement(statement.to_owned(), error.to_string()))
     }
 
+    /// Runs a statement through whatever entry answers, and returns what was
+    /// printed, be it done or refused.
+    #[must_use]
+    pub fn command(&self, statement: &str) -> String {
+        let entries = self.entries.iter();
+        let mut args: Vec<String> = entries
+            .flat_map(|e| ["--entry".to_owned(), e.daemon.operators.to_string()])
+            .collect();
+        args.push(statement.to_owned());
+        let output = match Command::new(&self.bins.client).args(&args).output() {
+            Ok(output) => output,
+            Err(error) => return error.to_string(),
+        };
+        let out = String::from_utf8_lossy(&output.stdout).trim().to_owned();
+        let err = String::from_utf8_lossy(&output.stderr).trim().to_owned();
+        format!("{out}{err}")
+    }
+
     fn statement(&self, entry: usize, statement: &str, more: &[&str]) -> Result<Output, Error> {
         let address = self.entries[entry].daemon.operators.to_string();
         let args = ["--entry", &address, statement];
--- a/hibiscusroad-measure/src/deployment/process.rs
+++ b/hibiscusroad-measure/src/deployment/process.rs
@@ -3,7 +3,7 @@
 use super::Error;
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
-    fs::{self, File},
+    fs::{self, File, OpenOptions},
     io::{BufRead, BufReader},
     net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
@@ -24,6 +24,8 @@
     pub name: String,
     child: Child,
     log: PathBuf,
+    program: PathBuf,
+    args: Vec<String>,
 }
 
 impl Process {
@@ -39,21 +41,27 @@
         folder: &Path,
     ) -> Result<Self, Error> {
         let log = folder.join(format!("{name}.log"));
-        let file = File::create(&log)?;
-        let child = Command::new(program)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(file)
-            .spawn()
-            .map_err(|error| Error::NotStarted(program.to_owned(), error))?;
+        let child = spawn(program, args, File::create(&log)?)?;
         Ok(Self {
             name: name.to_owned(),
             child,
             log,
+            program: program.to_owned(),
+            args: args.to_vec(),
         })
     }
 
+    /// Starts it again after it has ended; its log goes on in the same file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn restart(&mut self) -> Result<(), Error> {
+        let file = OpenOptions::new().append(true).open(&self.log)?;
+        self.child = spawn(&self.program, &self.args, file)?;
+        Ok(())
+    }
+
     /// Returns its id.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -104,6 +112,35 @@
         Ok(kill_process(self.pid()?, Signal::TERM)?)
     }
 
+    /// Ends it at once, as a crash would.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if it can't be ended.
+    pub fn kill(&mut self) -> Result<(), Error> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Makes it stand still, without its knowing, until [`Process::thaw`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if it can't be stopped.
+    pub fn freeze(&self) -> Result<(), Error> {
+        Ok(kill_process(self.pid()?, Signal::STOP)?)
+    }
+
+    /// Lets it go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if it can't be told.
+    pub fn thaw(&self) -> Result<(), Error> {
+        Ok(kill_process(self.pid()?, Signal::CONT)?)
+    }
+
     /// Waits until it has ended, at most until `limit`.
     ///
     /// # Errors
@@ -169,6 +206,16 @@
     }
 }
 
+fn spawn(program: &Path, args: &[String], log: File) -> Result<Child, Error> {
+    let child = Command::new(program)
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(log)
+        .spawn();
+    child.map_err(|error| Error::NotStarted(program.to_owned(), error))
+}
+
 // Places of the fields utime and stime of /proc/PID/stat behind the name.
 const USER_TIME: usize = 11;
 const SYSTEM_TIME: usize = 12;
--- a/hibiscusroad-measure/src/deployment/spec.rs
+++ b/hibiscusroad-measure/src/deployment/spec.rs
@@ -54,6 +54,9 @@
     pub services: Vec<Service>,
     /// How late the host list is.
     pub lag: Duration,
+    /// Whether endpoints may be killed and started again: they then have fixed
+    /// ports, and plain services keep their logs in files.
+    pub restarts: bool,
 }
 
 const ENGINE_LIMIT: u32 = 16;
@@ -90,6 +93,7 @@
                 },
             ],
             lag: LAG,
+            restarts: false,
         }
     }
 
@@ -122,6 +126,7 @@
                 },
             ],
             lag: LAG,
+            restarts: false,
         }
     }
 
--- /dev/null
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -0,0 +1,375 @@
+//! The checks: one for each promise, over nothing but the history.
+
+use super::{inject::Done, plan::Fault, watch::Seen};
+use crate::{
+    caller::{Ending, GRACE, Work},
+    deployment::Row,
+    load::Made,
+    report::Report,
+};
+use hibiscusroad::ErrorKind;
+use hibiscusroad_standins::plain::Ran;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// How long after a drain new work may still start.
+const DRAIN: Duration = Duration::from_secs(3);
+
+/// How long a process that comes back may need before its callers count.
+const RECOVERY: Duration = Duration::from_secs(1);
+
+/// What recorders wrote down.
+#[derive(Debug)]
+pub struct History {
+    /// Callers.
+    pub made: Vec<Made>,
+    /// Where the entries take callers, in their order.
+    pub entries: Vec<String>,
+    /// Watchers of the entries, in their order.
+    pub seen: Vec<Vec<Seen>>,
+    /// Endpoints, by name.
+    pub runs: BTreeMap<String, Vec<Ran>>,
+    /// The audit trail.
+    pub trail: Vec<Row>,
+    /// Faults.
+    pub done: Vec<Done>,
+    /// The start of the load, milliseconds since 1970 UTC.
+    pub epoch_ms: u64,
+}
+
+/// What the checks found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counts {
+    /// Calls that were made.
+    pub requests: usize,
+    /// Whole answers.
+    pub answered: usize,
+    /// Repeatable calls that were made, and whole answers to them.
+    pub repeatable: (usize, usize),
+    /// Calls that were refused.
+    pub refused: usize,
+    /// Of these, those that were told that the outcome is unknown.
+    pub unknown: usize,
+    /// Calls whose entry was gone: killed, stopped or standing still.
+    pub unserved: usize,
+    /// Final answers after the deadline, or none, from an entry that ran.
+    pub late: usize,
+    /// Keys that ran more than once.
+    pub doubled: usize,
+    /// Successes that are not whole or answer another request.
+    pub short: usize,
+    /// Refusals that say "not run" of what ran.
+    pub false_not_run: usize,
+    /// Times that an entry went back to an older configuration.
+    pub config_reverts: usize,
+    /// Commands that were told "done" and are not in the trail.
+    pub lost_commands: usize,
+    /// Requests that started at an endpoint 3 s after its drain or later.
+    pub after_drain: usize,
+    /// Calls that a planned stop cut off.
+    pub cut_by_stop: usize,
+    /// The longest time that a caller waited past its deadline.
+    pub overdue: Duration,
+    /// Faults that happened.
+    pub faults: usize,
+    /// What was found, one line each.
+    pub remarks: Vec<String>,
+}
+
+const REMARKS: usize = 40;
+
+impl Counts {
+    /// Says whether every promise was kept.
+    #[must_use]
+    pub const fn is_clean(&self) -> bool {
+        self.late
+            + self.doubled
+            + self.short
+            + self.false_not_run
+            + self.config_reverts
+            + self.lost_commands
+            + self.after_drain
+            + self.cut_by_stop
+            == 0
+    }
+
+    /// Returns the figures.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        let mut report = Report::default();
+        let (made, whole) = self.repeatable;
+        let figures = [
+            ("requests", self.requests),
+            ("answered", self.answered),
+            ("refused", self.refused),
+            ("unknown", self.unknown),
+            ("unserved", self.unserved),
+            ("faults", self.faults),
+            ("late", self.late),
+            ("doubled", self.doubled),
+            ("short", self.short),
+            ("false_not_run", self.false_not_run),
+            ("config_reverts", self.config_reverts),
+            ("lost_commands", self.lost_commands),
+            ("after_drain", self.after_drain),
+            ("cut_by_stop", self.cut_by_stop),
+        ];
+        for (name, value) in figures {
+            report.add(name, value as f64, "");
+        }
+        report.add("overdue_max", self.overdue.as_secs_f64() * 1e3, "ms");
+        report.add(
+            "repeatable_answered",
+            100.0 * whole as f64 / made.max(1) as f64,
+            "%",
+        );
+        report
+    }
+
+    fn remark(&mut self, text: String) {
+        if self.remarks.len() < REMARKS {
+            self.remarks.push(text);
+        }
+    }
+}
+
+impl History {
+    /// Runs all checks.
+    #[must_use]
+    pub fn check(&self) -> Counts {
+        let mut counts = Counts {
+            requests: self.made.len(),
+            faults: self.done.len(),
+            ..Counts::default()
+        };
+        for made in &self.made {
+            self.outcome(made, &mut counts);
+        }
+        self.doubled(&mut counts);
+        self.not_run(&mut counts);
+        self.reverts(&mut counts);
+        self.commands(&mut counts);
+        self.drains(&mut counts);
+        for done in &self.done {
+            for told in done.told.iter().filter(|told| told.starts_with("not ")) {
+                counts.remark(format!("fault {:?}: {told}", done.fault));
+            }
+        }
+        counts
+    }
+
+    fn outcome(&self, made: &Made, counts: &mut Counts) {
+        let (call, outcome) = (&made.call, &made.outcome);
+        let free = !matches!(call.work, Work::Post { .. });
+        let gone = self.entry_gone(made);
+        counts.repeatable.0 += usize::from(free && !gone);
+        let mut wrong = None;
+        match &outcome.ending {
+            Ending::Answered => {
+                counts.answered += 1;
+                counts.repeatable.1 += usize::from(free && !gone);
+            }
+            Ending::Refused(_, problem) => {
+                counts.refused += 1;
+                let unknown = ErrorKind::OutcomeUnknown.answer().problem;
+                counts.unknown += usize::from(problem == unknown);
+                if gone && outcome.wait > call.deadline + GRACE {
+                    counts.unserved += 1;
+                }
+            }
+            Ending::Short(why) => {
+                counts.short += 1;
+                counts.remark(format!("short: {}: {why}", name(made)));
+            }
+            Ending::Lost(_) if gone => counts.unserved += 1,
+            Ending::Lost(why) => wrong = Some(why.clone()),
+        }
+        if !gone {
+            let overdue = outcome.wait.saturating_sub(call.deadline);
+            counts.overdue = counts.overdue.max(overdue);
+            if outcome.wait > call.deadline + GRACE {
+                wrong = Some(format!("{overdue:.0?} after its deadline"));
+            }
+        }
+        if let Some(why) = wrong {
+            if self.stopping(made) {
+                counts.cut_by_stop += 1;
+                counts.remark(format!("cut by a stop: {}: {why}", name(made)));
+            } else {
+                counts.late += 1;
+                counts.remark(format!("late: {}: {why}", name(made)));
+            }
+        }
+    }
+
+    /// Says whether a call's entry was killed or stood still at some time
+    /// during the call, or had not come back yet. Nobody can answer for it then.
+    fn entry_gone(&self, made: &Made) -> bool {
+        self.during(made, |fault, n| match fault {
+            Fault::KillEntry(entry) | Fault::FreezeEntry(entry) => entry == n,
+            _ => false,
+        }) || (self.stopping(made) && refused_connection(made))
+    }
+
+    /// Says whether a call's entry was asked to stop during the call.
+    fn stopping(&self, made: &Made) -> bool {
+        self.during(made, |fault, n| fault == Fault::StopEntry(n))
+    }
+
+    fn during(&self, made: &Made, of: impl Fn(Fault, usize) -> bool) -> bool {
+        let to = made.call.at + made.outcome.latency;
+        let from = to.saturating_sub(made.outcome.wait);
+        let entry = self.entry(made);
+        self.done
+            .iter()
+            .filter(|done| of(done.fault, entry))
+            .any(|done| from <= done.to.saturating_add(RECOVERY) && done.from <= to)
+    }
+
+    /// The number of a call's entry.
+    fn entry(&self, made: &Made) -> usize {
+        let own = address(&made.call.base);
+        let entries = self.entries.iter();
+        entries
+            .clone()
+            .position(|a| a == own)
+            .unwrap_or(entries.len())
+    }
+
+    fn doubled(&self, counts: &mut Counts) {
+        let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for (endpoint, log) in &self.runs {
+            for key in log.iter().filter_map(|ran| ran.key.as_deref()) {
+                runs.entry(key).or_default().push(endpoint);
+            }
+        }
+        for (key, at) in runs.into_iter().filter(|(_, at)| at.len() > 1) {
+            counts.doubled += 1;
+            counts.remark(format!("doubled: {key} ran at {}", at.join(", ")));
+        }
+    }
+
+    /// A request that every caller of it was told "not run" of must be in no log.
+    fn not_run(&self, counts: &mut Counts) {
+        let logs = self.runs.values().flatten();
+        let ran: BTreeSet<&str> = logs.filter_map(|ran| ran.request.as_deref()).collect();
+        let mut calls: BTreeMap<&str, Vec<&Made>> = BTreeMap::new();
+        for made in &self.made {
+            calls.entry(&made.call.request).or_default().push(made);
+        }
+        for (request, made) in calls {
+            if ran.contains(request) && made.iter().all(|made| says_not_run(made)) {
+                counts.false_not_run += 1;
+                counts.remark(format!("false not run: {}", name(made[0])));
+            }
+        }
+    }
+
+    /// Within one life of an entry, the version only rises. A kill or stop ends
+    /// a life; an answer under way across its end belongs to neither.
+    fn reverts(&self, counts: &mut Counts) {
+        for (entry, seen) in self.seen.iter().enumerate() {
+            for pair in seen.windows(2) {
+                let (before, after) = (pair[0], pair[1]);
+                let ended = self.done.iter().any(|done| {
+                    let ends = matches!(done.fault, Fault::KillEntry(n) | Fault::StopEntry(n) if n == entry);
+                    ends && before.asked <= done.to && done.from <= after.told
+                });
+                if after.version < before.version && !ended {
+                    counts.config_reverts += 1;
+                    counts.remark(format!("entry {entry} reverted: {before:?}, {after:?}"));
+                }
+            }
+        }
+    }
+
+    /// Each command that was told "done" is the one that made that version.
+    fn commands(&self, counts: &mut Counts) {
+        let versions: BTreeSet<u64> = self
+            .trail
+            .iter()
+            .filter_map(|row| row.get("version").and_then(serde_json::Value::as_u64))
+            .collect();
+        let mut told = BTreeSet::new();
+        for line in self.done.iter().flat_map(|done| &done.told) {
+            let Some((_, version)) = line.split_once("done: version ") else {
+                continue;
+            };
+            let Ok(version) = version.trim().parse::<u64>() else {
+                continue;
+            };
+            if !versions.contains(&version) || !told.insert(version) {
+                counts.lost_commands += 1;
+                counts.remark(format!("not in the trail: {line}"));
+            }
+        }
+    }
+
+    fn drains(&self, counts: &mut Counts) {
+        for done in &self.done {
+            let Fault::Drain(plain) = done.fault else {
+                continue;
+            };
+            if !done
+                .told
+                .first()
+                .is_some_and(|told| told.contains("done: "))
+            {
+                continue;
+            }
+            let Some((endpoint, log)) = self.runs.iter().nth(plain) else {
+                continue;
+            };
+            // The drain was accepted by the time that the command ended, which
+            // is not later than a second after it began, or it is not counted.
+            let from = done.from + Duration::from_secs(1) + DRAIN;
+            for ran in log {
+                let at = Duration::from_millis(ran.at_ms.saturating_sub(self.epoch_ms));
+                if at > from && at + Duration::from_secs(1) < done.to {
+                    counts.after_drain += 1;
+                    counts.remark(format!(
+                        "after drain: {:?} at {endpoint}, {at:?}",
+                        ran.request
+                    ));
+                }
+            }
+        }
+    }
+}
+
+fn says_not_run(made: &Made) -> bool {
+    match &made.outcome.ending {
+        Ending::Refused(_, problem) => {
+            ErrorKind::from_problem(problem).is_some_and(|kind| kind.answer().not_run)
+        }
+        _ => false,
+    }
+}
+
+fn refused_connection(made: &Made) -> bool {
+    matches!(&made.outcome.ending, Ending::Lost(why) if why.contains("refused"))
+}
+
+fn address(base: &str) -> &str {
+    base.trim_start_matches("http://")
+        .split('/')
+        .next()
+        .unwrap_or(base)
+}
+
+fn name(made: &Made) -> String {
+    let (call, outcome) = (&made.call, &made.outcome);
+    let kind = match &call.work {
+        Work::Get => "GET",
+        Work::Post { .. } => "POST",
+        Work::Complete { .. } => "completion",
+    };
+    let (at, wait) = (call.at, outcome.wait);
+    format!(
+        "{kind} {} at {} from {at:.2?}, waited {wait:.2?}",
+        call.request,
+        address(&call.base)
+    )
+}
--- a/hibiscusroad-measure/src/lib.rs
+++ b/hibiscusroad-measure/src/lib.rs
@@ -4,11 +4,12 @@
 //! * [`caller`]: makes one call and says how it ended for its caller.
 //! * [`load`]: makes many calls at the times that were set for them.
 //! * [`judge`]: counts what callers saw and what endpoints ran.
-//! * [`demo`], [`path`] and [`policy`]: what the program `measure` does.
+//! * [`demo`], [`faults`], [`path`] and [`policy`]: what the program `measure` does.
 
 pub mod caller;
 pub mod demo;
 pub mod deployment;
+pub mod faults;
 pub mod interrupt;
 pub mod judge;
 pub mod load;
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -3,8 +3,10 @@
 use hibiscusroad_measure::{
     demo,
     deployment::{Error, Spec},
+    faults::{self, plan::Kinds},
     interrupt::Interrupt,
     path, policy,
+    report::Report,
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{process::ExitCode, time::Duration};
@@ -13,11 +15,15 @@
 usage: measure demo [pobrezie|lakeshore] [--seconds N] [--keep]
        measure path [--seconds N] [--step-seconds N] [--endpoints N] [--seed N]
                     [--json]
+       measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
+                      [--json]
        measure policy [--seed N] [--scenario NAME]
 
 demo    starts a deployment on this machine, puts mixed load on it and stops it;
         --keep leaves it running until Ctrl-C
 path    measures what an entry and a side add to a request
+faults  puts mixed load and random faults on a deployment and checks the
+        promises; KINDS is all, none, kill, freeze, store, link, stop or operate
 policy  runs the decisions under load in virtual time
 
 The programs hibiscusroadd, hibiscusroad and standin must lie beside this one.
@@ -34,6 +40,7 @@
     Help,
     Version,
     Demo(demo::Options),
+    Faults(faults::Options, bool),
     Path(path::Options, bool),
     Policy(Parser),
 }
@@ -72,18 +79,31 @@
                 return Ok(ExitCode::from(WRONG_USAGE));
             }
         }
-        Command::Path(options, json) => {
-            let report = path::run(&options, &Interrupt::watch()?)?;
-            if json {
-                println!("{}", report.json());
-            } else {
-                print!("{}", report.text());
+        Command::Faults(options, json) => {
+            let counts = faults::run(&options, &Interrupt::watch()?)?;
+            for remark in &counts.remarks {
+                println!("# {remark}");
+            }
+            print(&counts.report(), json);
+            if !counts.is_clean() {
+                return Ok(ExitCode::from(BROKEN));
             }
         }
+        Command::Path(options, json) => {
+            print(&path::run(&options, &Interrupt::watch()?)?, json);
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
 
+fn print(report: &Report, json: bool) {
+    if json {
+        println!("{}", report.json());
+    } else {
+        print!("{}", report.text());
+    }
+}
+
 fn parse(mut parser: Parser) -> Result<Command, lexopt::Error> {
     let Some(arg) = parser.next()? else {
         return Ok(Command::Help);
@@ -92,6 +112,7 @@
         Arg::Short('h') | Arg::Long("help") => Ok(Command::Help),
         Arg::Short('V') | Arg::Long("version") => Ok(Command::Version),
         Arg::Value(word) if word == "demo" => demo_options(parser),
+        Arg::Value(word) if word == "faults" => faults_options(parser),
         Arg::Value(word) if word == "path" => path_options(parser),
         Arg::Value(word) if word == "policy" => Ok(Command::Policy(parser)),
         arg => Err(arg.unexpected()),
@@ -120,6 +141,27 @@
     Ok(Command::Demo(options))
 }
 
+fn faults_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut options = faults::Options::default();
+    let mut json = false;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("json") => json = true,
+            Arg::Long("seconds") => options.time = seconds(&mut parser)?,
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("rate") => options.rate = parser.value()?.parse()?,
+            Arg::Long("kinds") => {
+                let name = parser.value()?.string()?;
+                let unknown = || format!("no kinds {name:?}; see measure --help");
+                options.kinds = Kinds::named(&name).ok_or_else(unknown)?;
+            }
+            arg => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Command::Faults(options, json))
+}
+
 fn path_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
     let mut options = path::Options::default();
     let mut json = false;
--- a/hibiscusroad-measure/src/path.rs
+++ b/hibiscusroad-measure/src/path.rs
@@ -100,6 +100,7 @@
             service(MODEL, Kind::Model, &["--step-ms", "5", "--batch", "64"]),
         ],
         lag: Duration::ZERO,
+        restarts: false,
     }
 }
 
--- a/hibiscusroad-standins/src/main.rs
+++ b/hibiscusroad-standins/src/main.rs
@@ -24,7 +24,7 @@
   platform  --lag-ms N  --weights-rate N  --weights-bytes N
   engine    --step-ms N  --sequence-us N  --batch N  --prompt N  --cache N
             --lag-ms N  --version V  --swap-ms N  --fences  --weights URL
-  plain     --work-ms N  --limit N
+  plain     --work-ms N  --limit N  --log FILE
   trainer   --url URL  --step-ms N
   scorer
 
@@ -127,6 +127,7 @@
         "weights" => engine.weights = Some(value.to_owned()),
         "work-ms" => plain.work = millis(name, value)?,
         "limit" => plain.limit = number(name, value)?,
+        "log" => plain.log = Some(value.into()),
         "url" => value.clone_into(url),
         _ => return Err(format!("unknown option --{name}").into()),
     }
--- a/hibiscusroad-standins/src/plain.rs
+++ b/hibiscusroad-standins/src/plain.rs
@@ -10,8 +10,10 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{
-    io,
+    fs::{File, OpenOptions},
+    io::{self, Write},
     net::SocketAddr,
+    path::PathBuf,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
     time::Duration,
@@ -29,6 +31,9 @@
     pub work: Duration,
     /// Requests that it works on at once; others wait.
     pub limit: usize,
+    /// A file that also gets a line a request, before the request is run, so
+    /// that it names everything that ran even if the process is killed.
+    pub log: Option<PathBuf>,
 }
 
 impl Default for Settings {
@@ -37,6 +42,7 @@
             listen: FREE,
             work: Duration::from_millis(5),
             limit: 64,
+            log: None,
         }
     }
 }
@@ -113,6 +119,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     log: Vec<Ran>,
+    file: Option<File>,
     faults: Faults,
     running: usize,
     queued: usize,
@@ -146,8 +153,13 @@
     /// Returns the system's error if it can't listen.
     pub fn start(settings: Settings) -> io::Result<Self> {
         let listen = settings.listen;
+        let file = settings.log.as_ref().map(append).transpose()?;
+        let inner = Inner {
+            file,
+            ..Inner::default()
+        };
         let state = Arc::new(State {
-            inner: Mutex::new(Inner::default()),
+            inner: Mutex::new(inner),
             freed: Condvar::new(),
             settings,
         });
@@ -184,6 +196,10 @@
     }
 }
 
+fn append(path: &PathBuf) -> io::Result<File> {
+    OpenOptions::new().append(true).create(true).open(path)
+}
+
 fn handle(state: &State, exchange: Exchange) {
     match exchange.path() {
         "/control" | "/control/log" => control(state, exchange),
@@ -267,7 +283,7 @@
 fn record(state: &State, exchange: &Exchange, body: &[u8]) -> u64 {
     let mut inner = state.lock();
     let seq = inner.log.len() as u64 + 1;
-    inner.log.push(Ran {
+    let ran = Ran {
         seq,
         method: exchange.method(),
         path: exchange.path().to_owned(),
@@ -275,7 +291,13 @@
         key: exchange.header("Idempotency-Key").map(str::to_owned),
         body_hash: xxh3_64(body),
         at_ms: epoch_ms(),
-    });
+    };
+    if let Some(file) = &mut inner.file {
+        let line = serde_json::to_string(&ran).expect("a line has a JSON form");
+        // A line that can't be written would hide a run: better to fail loudly.
+        writeln!(file, "{line}").expect("the log can be written");
+    }
+    inner.log.push(ran);
     seq
 }
 
