--- a/hibiscusroad-measure/src/policy/driver.rs
+++ b/hibiscusroad-measure/src/policy/driver.rs
@@ -26,8 +26,6 @@
 /// A caller that asks again at once needs this long, and does so this often.
 const EAGER: Duration = Duration::from_millis(10);
 const EAGER_TRIES: u32 = 20;
-/// Time after the last arrival that is counted, for calls to end.
-const AFTER: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
@@ -149,7 +147,9 @@
         if let Some((at, _)) = self.scenario.fault {
             self.at(at, Event::Fault);
         }
-        let end = self.scenario.window.1 + AFTER;
+        // Until every caller has stopped waiting.
+        let patience = self.scenario.streams.iter().map(|s| s.patience).max();
+        let end = self.scenario.window.1 + patience.unwrap_or_default() + FAR * 4;
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 return;
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -13,6 +13,7 @@
         drain::secs,
         health::{Health, Phase},
         limit::Sample,
+        meter::ceil,
         retry::{RERUN, RESEND, TRIES},
         router::Router,
         spec::{Call, Step},
@@ -33,7 +34,8 @@
         let hedge = row.runs();
         let slot = usize::from(row.attempts[0].is_some());
         let there = &self.endpoints[endpoint];
-        let alone = there.limit.few(there.running) && there.others(now) < 1.0;
+        let others = ceil(there.others(now));
+        let alone = there.limit.few(there.running) && there.limit.few(others);
         row.attempts[slot] = Some(Attempt {
             endpoint,
             start: now,
@@ -68,8 +70,8 @@
         });
     }
 
-    /// Says when the call has taken longer than 19 in 20: then hedges stay
-    /// within half of the budget. Rollouts aren't hedged: nobody waits for one
+    /// Says when the call has taken longer than 19 in 20: soon enough to save a
+    /// caller, late enough to look at few. Rollouts aren't hedged: nobody waits for one
     /// alone, and two of them cost twice.
     fn hedge_time(&self, now: Instant, key: CallKey) -> Option<Instant> {
         let row = &self.calls[key];
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -8,8 +8,8 @@
 //! grows; above it the throughput stays, and so does the limit.
 //!
 //! What a call takes without load is learned from calls that met few others.
-//! Under lasting saturation there are none, so now and then the limit is halved
-//! for a few calls.
+//! Under lasting saturation there are none, so now and then the limit is
+//! lowered for a few calls.
 //!
 //! Weighed and tried: comparing the latency of a window of answers with that
 //! of the best window. With exponential service times the best window lies far
@@ -45,10 +45,16 @@
 const FULL: f64 = 0.8;
 /// Samples of the pace that are averaged: strays by 6 per cent.
 const PACE: u32 = 128;
-/// The limit is halved after so long without a call that met few others, and
+/// Until there are as many, an endpoint is taken for one like its peers: the
+/// first answers alone would set its pace anywhere from a third to triple.
+const PACE_PRIOR: u32 = 32;
+/// So much of the limit counts as few others. A limit that has run up to four
+/// times the capacity still finds calls that didn't wait, and comes down.
+const FEW: f64 = 0.25;
+/// The limit falls to few after so long without a call that met few others, and
 /// after so many service times, for so many calls: costs under 1 per cent.
 const PROBE: Duration = Duration::from_secs(10);
-const PROBE_CALLS: u32 = 100;
+const PROBE_CALLS: u32 = 400;
 const PROBED: u32 = 8;
 /// After a refusal for lack of room nothing is sent for this long: other
 /// entries fill the endpoint, and a refusal costs each a round trip.
@@ -92,7 +98,7 @@
             most,
             now: START.min(most),
             pace: 1.0,
-            paced: 0,
+            paced: PACE_PRIOR,
             work: 0.0,
             since: None,
             count: 0,
@@ -107,7 +113,7 @@
 
     pub(super) fn get(&self) -> u32 {
         if self.probe > 0 {
-            return ceil(self.now * 0.5);
+            return ceil(self.now * FEW);
         }
         ceil(self.now)
     }
@@ -115,7 +121,7 @@
     /// Says whether a call with `running` others has the endpoint nearly for
     /// itself.
     pub(super) fn few(&self, running: u32) -> bool {
-        f64::from(running) <= (self.now * 0.5).max(1.0)
+        f64::from(running) <= (self.now * FEW).max(1.0)
     }
 
     pub(super) fn cooling(&self, now: Instant) -> Option<Instant> {
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -14,12 +14,11 @@
     error::ErrorKind,
     route::{
         EndpointKey, ServiceKey,
-        retry::{self, TRIES},
-        ring::REACH,
+        retry::{RERUN, TRIES},
         router::Router,
         share,
         spec::Call,
-        table::{CallKey, FAR, TIERS},
+        table::{CallKey, TIERS},
     },
 };
 use rand::Rng;
@@ -131,17 +130,22 @@
         let mean = row.placed.sum(now) / f64::from(row.usable.max(1));
         let work = self.expect(call).map_or(0.0, |e| e.mean);
         let most = mean * BOUND + work;
-        let near = row.near > 0;
-        let fit = found.iter().take(REACH).copied().find(|key| {
+        // Other places count as well: the way there costs milliseconds, reading
+        // a prompt again hundreds.
+        let mut best: Option<(EndpointKey, f64)> = None;
+        for key in &found {
             let row = &self.endpoints[*key];
-            row.slot.is_some()
-                && (row.tier != FAR || !near)
-                && Some(*key) != not
-                && row.placed.sum(now) <= most
-                && row.holds(now, call.tokens)
-        });
+            let fits = row.slot.is_some() && Some(*key) != not && row.holds(now, call.tokens);
+            let placed = row.placed.sum(now);
+            if fits && best.is_none_or(|(_, least)| placed < least) {
+                best = Some((*key, placed));
+            }
+            if fits && placed <= most {
+                break;
+            }
+        }
         self.found = found;
-        fit
+        best.map(|(key, _)| key)
     }
 
     /// Draws two endpoints of a tier and takes the less loaded one.
@@ -231,9 +235,11 @@
     /// Starts another attempt elsewhere if the first takes unusually long.
     ///
     /// Load: one endpoint that has become slow, before it is found out. Harm:
-    /// its callers wait ten times as long. Hedges are sent only with a tenth of
-    /// the slots free and out of the retry budget: under saturation they would
-    /// take the place of first tries.
+    /// its callers wait ten times as long. Only what runs at an endpoint that
+    /// has given no sign of life since is hedged: where others are answered
+    /// meanwhile the call itself is long, and would be long elsewhere. Hedges
+    /// are sent only with a tenth of the slots free and out of the retry
+    /// budget: under saturation they would take the place of first tries.
     pub(super) fn hedge(&mut self, now: Instant, key: CallKey) {
         let row = &self.calls[key];
         let call = row.call;
@@ -245,10 +251,21 @@
         if !slack || !row.free() || row.tries >= TRIES || !self.in_time(now, &call) {
             return;
         }
+        let there = self.endpoints.get(first.endpoint);
+        let lively = there.is_some_and(|row| {
+            row.health.fit() && row.health.life.is_some_and(|life| life > first.start)
+        });
+        if lively {
+            return;
+        }
         let Some(endpoint) = self.pick(now, &call, Some(first.endpoint)) else {
             return;
         };
-        if self.services[call.service].budget.spend(retry::RERUN) {
+        // What has run for so long takes more than the mean.
+        let price = self
+            .expect(&call)
+            .map_or(RERUN, |e| (e.p99 / e.mean).max(RERUN));
+        if self.services[call.service].budget.spend(price) {
             self.start(now, key, endpoint, false);
         }
     }
