Steady the limits of endpoints that are full from the start

Cause: an endpoint's pace was averaged from some twenty calls, a sixth off, and limits of engines fell below what their batch holds (5 and 12 before 16).

Change: the pace starts from 64 samples like its peers' and the limit keeps a quarter above the throughput instead of a fifth.

--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -38,16 +38,16 @@
 const GROWN: f64 = 1.05;
 /// What is kept above the throughput: covers an error of 15 per cent in what a
 /// call takes, below which the limit would shrink on and on.
-const HEADROOM: f64 = 1.2;
+const HEADROOM: f64 = 1.25;
 /// One more, so that a worker doesn't idle for a round trip between calls.
 const SPARE: f64 = 1.0;
 /// A window counts as full if so many of its calls met the limit.
 const FULL: f64 = 0.8;
 /// Samples of the pace that are averaged: strays by 6 per cent.
-const PACE: u32 = 128;
+const PACE: u32 = 256;
 /// Until there are as many, an endpoint is taken for one like its peers: the
 /// first answers alone would set its pace anywhere from a third to triple.
-const PACE_PRIOR: u32 = 32;
+const PACE_PRIOR: u32 = 64;
 /// So much of the limit counts as few others. A limit that has run up to four
 /// times the capacity still finds calls that didn't wait, and comes down.
 const FEW: f64 = 0.25;
