--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -13,6 +13,7 @@
         drain::secs,
         health::{Health, Phase},
         limit::Sample,
+        meter::ceil,
         retry::{RERUN, RESEND, TRIES},
         router::Router,
         spec::{Call, Step},
@@ -25,6 +26,12 @@
 /// endpoints full, six refusals in a row are less likely than 1 in 700.
 const SENDS: u8 = 6;
 
+/// Weight of a call in the stretch: 64 calls are 50 ms of a busy service.
+const STRETCH: f64 = 1.0 / 64.0;
+/// A call counts as stretched by so much at most: a hundred times longer one
+/// among short ones must not stop admission.
+const STRETCH_MOST: f64 = 8.0;
+
 impl Router {
     pub(super) fn start(&mut self, now: Instant, key: CallKey, endpoint: EndpointKey, trial: bool) {
         self.unqueue(key);
@@ -33,7 +40,8 @@
         let hedge = row.runs();
         let slot = usize::from(row.attempts[0].is_some());
         let there = &self.endpoints[endpoint];
-        let alone = there.limit.few(there.running) && there.others(now) < 1.0;
+        let others = ceil(there.others(now));
+        let alone = there.limit.few(there.running) && there.limit.few(others);
         row.attempts[slot] = Some(Attempt {
             endpoint,
             start: now,
@@ -68,8 +76,8 @@
         });
     }
 
-    /// Says when the call has taken longer than 19 in 20: then hedges stay
-    /// within half of the budget. Rollouts aren't hedged: nobody waits for one
+    /// Says when the call has taken longer than 19 in 20: soon enough to save a
+    /// caller, late enough to look at few. Rollouts aren't hedged: nobody waits for one
     /// alone, and two of them cost twice.
     fn hedge_time(&self, now: Instant, key: CallKey) -> Option<Instant> {
         let row = &self.calls[key];
@@ -130,6 +138,11 @@
         // The loser's endpoint took at least so long: without this a slow one
         // whose calls are all hedged would never be found out.
         self.time_out(now, key);
+        let stretch = self
+            .expect(&call)
+            .map_or(1.0, |e| took.as_secs_f64() / e.mean);
+        let service = &mut self.services[call.service];
+        service.stretch += STRETCH * (stretch.min(STRETCH_MOST) - service.stretch);
         let learned = &mut self.services[call.service].learned;
         learned.add(&call, took, attempt.alone);
         self.forget(now, key);
@@ -278,6 +291,8 @@
             usual: estimate.map_or(secs, |e| e.usual),
             running,
             alone: attempt.alone,
+            sure: estimate.is_some_and(|e| e.sure),
+            settled: estimate.is_some_and(|e| e.settled),
         };
         row.limit.sample(now, &sample);
         if !row.health.fit() {
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -8,8 +8,8 @@
 //! grows; above it the throughput stays, and so does the limit.
 //!
 //! What a call takes without load is learned from calls that met few others.
-//! Under lasting saturation there are none, so now and then the limit is halved
-//! for a few calls.
+//! Under lasting saturation there are none, so now and then the limit is
+//! lowered for a few calls.
 //!
 //! Weighed and tried: comparing the latency of a window of answers with that
 //! of the best window. With exponential service times the best window lies far
@@ -38,17 +38,25 @@
 const GROWN: f64 = 1.05;
 /// What is kept above the throughput: covers an error of 15 per cent in what a
 /// call takes, below which the limit would shrink on and on.
-const HEADROOM: f64 = 1.2;
+const HEADROOM: f64 = 1.25;
 /// One more, so that a worker doesn't idle for a round trip between calls.
 const SPARE: f64 = 1.0;
 /// A window counts as full if so many of its calls met the limit.
 const FULL: f64 = 0.8;
 /// Samples of the pace that are averaged: strays by 6 per cent.
-const PACE: u32 = 128;
-/// The limit is halved after so long without a call that met few others, and
+const PACE: u32 = 256;
+/// Until there are as many, an endpoint is taken for one like its peers: the
+/// first answers alone would set its pace anywhere from a third to triple.
+const PACE_PRIOR: u32 = 64;
+/// So much of the limit counts as few others. A limit that has run up to four
+/// times the capacity still finds calls that didn't wait, and comes down.
+const FEW: f64 = 0.25;
+/// The limit falls to few after so long without a call that met few others, and
 /// after so many service times, for so many calls: costs under 1 per cent.
-const PROBE: Duration = Duration::from_secs(10);
-const PROBE_CALLS: u32 = 100;
+const PROBE: (Duration, u32) = (Duration::from_secs(10), 400);
+/// The same while nothing is known of calls that met few others: an entry that
+/// starts under saturation must soon learn how much the endpoints can do.
+const FIRST_PROBE: (Duration, u32) = (Duration::from_secs(1), 20);
 const PROBED: u32 = 8;
 /// After a refusal for lack of room nothing is sent for this long: other
 /// entries fill the endpoint, and a refusal costs each a round trip.
@@ -64,6 +72,10 @@
     pub(super) running: u32,
     /// Whether it met few others when it started.
     pub(super) alone: bool,
+    /// Whether `usual` is known well.
+    pub(super) sure: bool,
+    /// Whether it comes from calls that met few others.
+    pub(super) settled: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -77,6 +89,8 @@
     since: Option<Instant>,
     count: u32,
     full: u32,
+    /// Whether it is known well what all calls of the window take.
+    sure: bool,
     /// Faded sums of the work and the seconds of full windows.
     done: f64,
     time: f64,
@@ -92,11 +106,12 @@
             most,
             now: START.min(most),
             pace: 1.0,
-            paced: 0,
+            paced: PACE_PRIOR,
             work: 0.0,
             since: None,
             count: 0,
             full: 0,
+            sure: true,
             done: 0.0,
             time: 0.0,
             probe: 0,
@@ -107,7 +122,7 @@
 
     pub(super) fn get(&self) -> u32 {
         if self.probe > 0 {
-            return ceil(self.now * 0.5);
+            return ceil(self.now * FEW);
         }
         ceil(self.now)
     }
@@ -115,7 +130,7 @@
     /// Says whether a call with `running` others has the endpoint nearly for
     /// itself.
     pub(super) fn few(&self, running: u32) -> bool {
-        f64::from(running) <= (self.now * 0.5).max(1.0)
+        f64::from(running) <= (self.now * FEW).max(1.0)
     }
 
     pub(super) fn cooling(&self, now: Instant) -> Option<Instant> {
@@ -151,7 +166,9 @@
 
     pub(super) fn sample(&mut self, now: Instant, sample: &Sample) {
         let limit = self.get();
-        if sample.alone && self.few(sample.running.saturating_sub(1)) {
+        // Whether it still met few when it ended must not count: the calls that
+        // end before others come are the short ones.
+        if sample.alone && sample.sure {
             let ratio = sample.took.as_secs_f64() / sample.usual;
             self.paced = (self.paced + 1).min(PACE);
             self.pace += (ratio - self.pace) / f64::from(self.paced);
@@ -160,26 +177,30 @@
         }
         self.work += sample.usual * self.pace;
         self.count += 1;
+        self.sure &= sample.sure;
         self.full += u32::from(sample.running + 1 >= limit);
         if self.count >= WINDOW.max(limit * WINDOW_PART) {
-            self.close(now, sample.took);
+            self.close(now, sample);
         }
     }
 
-    fn close(&mut self, now: Instant, took: Duration) {
+    fn close(&mut self, now: Instant, sample: &Sample) {
         let full = f64::from(self.full) >= FULL * f64::from(self.count);
         let probing = self.probe > 0;
+        let sure = self.sure;
         let span = self.since.map(|since| now - since);
         let work = self.work;
         self.clear(now);
         let Some(span) = span.filter(|span| !span.is_zero() && !probing) else {
             return;
         };
-        if full {
+        if full && !sure {
+            self.plan_probe(now, sample);
+        } else if full {
             self.done += work;
             self.time += span.as_secs_f64();
             self.set();
-            self.plan_probe(now, took);
+            self.plan_probe(now, sample);
         }
     }
 
@@ -195,8 +216,9 @@
         self.now = target.clamp(1.0, self.most);
     }
 
-    fn plan_probe(&mut self, now: Instant, took: Duration) {
-        let pause = PROBE.max(took * PROBE_CALLS);
+    fn plan_probe(&mut self, now: Instant, sample: &Sample) {
+        let (pause, calls) = if sample.settled { PROBE } else { FIRST_PROBE };
+        let pause = pause.max(sample.took * calls);
         if *self.probed.get_or_insert(now) + pause <= now {
             self.probe = PROBED;
             self.probed = Some(now);
@@ -208,5 +230,6 @@
         self.since = Some(now);
         self.count = 0;
         self.full = 0;
+        self.sure = true;
     }
 }
