--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -77,30 +77,28 @@
     }
 }
 
-/// Skips the body of a request and refuses it.
-pub fn skip(refusal: Refusal) {
-    let length = refusal.job.request.body_length().unwrap_or_default();
-    if length > MOST_SKIPPED {
-        return refuse_unread(refusal);
-    }
-    refuse(refusal.job, refusal.kind);
-}
-
-/// Refuses a request whose body is too long to be skipped.
+/// Refuses a request whose body was not read, and then skips the body.
 ///
-/// Dropping the request would make the server reserve memory for the whole
-/// declared length, which ends the process if there is less. So the connection
-/// is left open and unused until the caller hangs up. The server gives the
-/// stream only after an interim status; callers pass over that one.
-fn refuse_unread(refusal: Refusal) {
+/// The server would skip it first, which takes as long as the caller likes. It
+/// gives the stream before that only after an interim status; callers pass over
+/// that one.
+///
+/// A body that is declared longer than anybody sends is not skipped: the server
+/// would reserve memory for all of it, which ends the process if there is less.
+/// Its connection is left open and unused until the caller hangs up.
+pub fn skip(refusal: Refusal) {
     let Refusal { job, kind } = refusal;
     let target = target(&job);
+    let length = job.request.body_length().unwrap_or_default();
     let interim = tiny_http::Response::empty(INTERIM);
     let mut stream = job.request.upgrade("none", interim);
     if let Err(e) = answer::problem(&mut *stream, target, kind, COME_BACK) {
         log::debug!(target: "callers", "A refusal was not taken: {e}.");
     }
-    mem::forget(stream);
+    drop(job.guard);
+    if length > MOST_SKIPPED {
+        mem::forget(stream);
+    }
 }
 
 fn abandon(job: Job) {
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -45,6 +45,9 @@
 /// request on its way over a kept connection gets an answer.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// How long the process stays for callers that its deadline cut off.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
 /// Why an entry can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -129,6 +132,11 @@
         if self.thread.join().is_err() {
             log::error!(target: "process", "The thread that owns the tables failed.");
         }
+        // Whoever was cut off learns it from a worker, which needs a moment.
+        let limit = Instant::now() + LAST_WORDS;
+        while self.stopper.shared.busy() > 0 && Instant::now() < limit {
+            thread::sleep(TICK);
+        }
     }
 }
 
--- /dev/null
+++ b/hibiscusroad-daemon/tests/entry_stop.rs
@@ -0,0 +1,91 @@
+//! What callers see while an entry stops.
+
+mod entry_support;
+
+use entry_support::{Side, call, start};
+use hibiscusroad_wire::to_side::Frame;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+const PROMPT: &str = r#"{"prompt":"hi","stream":true}"#;
+
+/// A side whose streams take 800 ms, in four pieces.
+fn slow_stream() -> Side {
+    Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            let out = out.clone();
+            thread::spawn(move || {
+                out.head(start.id, "text/event-stream");
+                for i in 0..4 {
+                    thread::sleep(Duration::from_millis(200));
+                    out.chunk(start.id, i * 9, "data: a\n\n");
+                }
+                out.end(start.id, 36);
+            });
+        }
+    })
+}
+
+// The caller of a stream gets all of it, though the entry is told to stop in
+// its middle. A caller that comes then is refused with "not run" and its
+// connection closed, so that the balancer takes it elsewhere. The entry ends
+// when the stream has.
+#[test]
+fn a_stop_lets_a_stream_end_and_takes_nothing_new() {
+    let side = slow_stream();
+    let entry = start(&[&side], "");
+    let stopper = entry.stopper();
+    thread::scope(|scope| {
+        let stream = scope.spawn(|| call(&entry, "POST", "/s/guide-lm/v1/completions", "", PROMPT));
+        thread::sleep(Duration::from_millis(300));
+        stopper.stop();
+        let late = call(&entry, "POST", "/s/guide-lm/v1/completions", "", PROMPT);
+        assert!(late.contains("problem:stopping"), "{late}");
+        assert!(late.contains(r#""not_run":true"#), "{late}");
+        assert!(late.contains("Connection: close\r\n"), "{late}");
+        let answer = stream.join().unwrap();
+        assert_eq!(answer.matches("data: a").count(), 4, "{answer}");
+        assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+    });
+    let begin = Instant::now();
+    entry.join();
+    assert!(begin.elapsed() < Duration::from_secs(2));
+}
+
+// The operator's deadline holds: a stream that never ends is broken off, and
+// the entry ends soon after the five seconds of its settings.
+#[test]
+fn a_stop_has_a_deadline() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+        }
+    });
+    let entry = start(&[&side], "");
+    let stopper = entry.stopper();
+    let address = entry.callers();
+    let caller = thread::spawn(move || {
+        let body = PROMPT.len();
+        let request = format!(
+            "POST /s/guide-lm/v1/completions HTTP/1.1\r\nContent-Length: {body}\r\n\r\n{PROMPT}"
+        );
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+        let mut answer = String::new();
+        let limit = Some(Duration::from_secs(9));
+        stream.set_read_timeout(limit).unwrap();
+        let _ = std::io::Read::read_to_string(&mut stream, &mut answer);
+        answer
+    });
+    thread::sleep(Duration::from_millis(300));
+    stopper.stop();
+    let begin = Instant::now();
+    entry.join();
+    let took = begin.elapsed();
+    assert!(took >= Duration::from_millis(4900), "{took:?}");
+    assert!(took < Duration::from_millis(5600), "{took:?}");
+    let answer = caller.join().unwrap();
+    assert!(!answer.contains("\r\n0\r\n"), "{answer}");
+}
