--- a/hibiscusroad-daemon/src/platform/mod.rs
+++ b/hibiscusroad-daemon/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod backoff;
 mod budget;
 mod hosts;
+pub mod leases;
 mod table;
 mod wire;
 
