Decide claims by a state machine, and model them under failure

Cause: a repeat of a reservation through another entry could run it twice.

A claim row names the attempt, its side and that side's life.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -34,8 +34,6 @@
     /// The life of the side that it was sent to.
     pub(super) incarnation: u64,
     pub(super) repeat: Repeat,
-    /// Whether its answer is kept for a repeat of its key.
-    pub(super) keyed: bool,
     pub(super) phase: Phase,
     /// Whether the side has said anything of it.
     pub(super) heard: bool,
@@ -112,7 +110,6 @@
             endpoint,
             incarnation: self.sides[side].incarnation,
             repeat: row.repeat,
-            keyed: row.repeat == Repeat::Once && row.request.key.is_some(),
             phase: Phase::Sent,
             heard: false,
             reachable: true,
--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -96,16 +96,14 @@
         }
     }
 
-    /// Acknowledges what came, so that the side can forget it.
-    ///
-    /// The answer to a request with a key is not acknowledged: the side keeps
-    /// it for a repeat of the key.
+    /// Acknowledges what came, so that the side reads on and can forget it. What
+    /// may be asked for again under its key the side keeps for that reason.
     fn acknowledge(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
         let offset = attempt.assembly.offset();
-        if attempt.keyed || offset - attempt.acked < ACK_EVERY {
+        if offset - attempt.acked < ACK_EVERY {
             return;
         }
         attempt.acked = offset;
@@ -136,12 +134,14 @@
         };
         let head = attempt.head.take().unwrap_or_default();
         let body = mem::take(&mut attempt.body);
-        let (call, side, keyed) = (attempt.call, attempt.side, attempt.keyed);
+        let (call, side) = (attempt.call, attempt.side);
         let offset = attempt.assembly.offset();
-        if !keyed {
-            let (id, done) = (Some(wire_id(id)), true);
-            self.tell(side, Frame::Ack(Ack { id, offset, done }));
-        }
+        let ack = Ack {
+            id: Some(wire_id(id)),
+            offset,
+            done: true,
+        };
+        self.tell(side, Frame::Ack(ack));
         let winner = self.calls.get(&call).and_then(|row| row.winner);
         let part = match winner {
             None => Part::Whole(head, body),
--- a/src/id.rs
+++ b/src/id.rs
@@ -6,10 +6,13 @@
 //! that this entry counts up. 64 random bits collide among 230 restarts a day
 //! less than once in a hundred million years.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// One life of one process, from its start to its end.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct Incarnation(pub u64);
 
 impl Incarnation {
@@ -30,7 +33,9 @@
 ///
 /// A retry is another attempt and has another id, so that what arrives late
 /// for the first can't be taken for the second.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct RequestId {
     /// The life of the entry that took the request.
     pub origin: Incarnation,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //!
 //! One module a concept, each opened by its design and trade-offs:
 //!
+//! * [`claim`]: how a request that may not run twice runs at most once.
 //! * [`clock`]: the interface through which time enters.
 //! * [`config`]: the document that operators change, and how it spreads.
 //! * [`error`]: the closed list of error kinds and the table of answers.
@@ -32,6 +33,7 @@
 //! * [`route`]: admission, queues, placement, limits, retries.
 //! * [`subset`]: which sides an entry keeps links to.
 
+pub mod claim;
 pub mod class;
 pub mod clock;
 pub mod config;
