--- a/hibiscusroad-cli/src/rows.rs
+++ b/hibiscusroad-cli/src/rows.rs
@@ -14,8 +14,8 @@
 
 /// Columns that come first if they are there; the others follow by name.
 const FIRST: &[&str] = &[
-    "name", "service", "endpoint", "kind", "host", "place", "region", "version", "state", "key",
-    "value",
+    "name", "service", "endpoint", "entry", "kind", "host", "place", "region", "address", "state",
+    "key", "value", "version",
 ];
 
 /// Columns that come last: how old a row is and where it comes from.
--- a/hibiscusroad-cli/tests/outcomes.rs
+++ b/hibiscusroad-cli/tests/outcomes.rs
@@ -202,25 +202,25 @@
     assert_eq!(told.err, "this answer lacks: entry-senec\n");
 }
 
-// `stop service` drains what still takes work and is done only when entries
-// say that nothing runs.
+// `stop service` drains what still takes work. An endpoint whose side is silent
+// may run anything; the operator hears "done" only when all sides said that
+// they are drained and run nothing.
 #[test]
 fn stop_waits_for_work_in_flight() {
-    let rows = |drained: bool, running: u32| {
-        let row = r#""service":"hut-desk","endpoint":"hut-desk-1""#;
-        say(
-            200,
-            &format!(
-                r#"{{"rows":[{{{row},"drained":{drained},"running":{running}}}],"version":4}}"#
-            ),
-        )
+    let rows = |state: &str, running: u32| {
+        let row = format!(
+            r#""service":"hut-desk","endpoint":"hut-desk-1","state":"{state}","running":{running}"#
+        );
+        say(200, &format!(r#"{{"rows":[{{{row}}}],"version":4}}"#))
     };
     let deeds = vec![
-        rows(false, 2),
+        rows("open", 2),
+        say(200, CONFIG),
         say(200, CONFIG),
         say(200, DONE),
-        rows(true, 1),
-        rows(true, 0),
+        rows("silent", 0),
+        rows("drained", 1),
+        rows("drained", 0),
     ];
     let entry = Fake::start(deeds);
     let told = run(
@@ -229,7 +229,7 @@
     );
     assert_eq!(told.exit, Exit::Done, "{}", told.err);
     assert!(
-        told.err.contains("1 requests of hut-desk run"),
+        told.err.contains("1 requests run, 0 endpoints"),
         "{}",
         told.err
     );
--- a/hibiscusroad-daemon/src/main.rs
+++ b/hibiscusroad-daemon/src/main.rs
@@ -105,8 +105,8 @@
 }
 
 fn serve(settings: &Settings) -> Result<(), Box<dyn Error>> {
-    if settings.entry.is_some() {
-        return Ok(entry::run(settings)?);
+    match (&settings.entry, &settings.side) {
+        (Some(_), _) => Ok(entry::run(settings)?),
+        (None, _) => Err("the role side is not built yet".into()),
     }
-    Err("the role side is not built yet".into())
 }
