--- a/hibiscusroad-daemon/src/main.rs
+++ b/hibiscusroad-daemon/src/main.rs
@@ -3,9 +3,16 @@
 //! Exit codes: 0 fine, 1 failure while running, 2 usage or settings, 3 ended by
 //! a second signal.
 
-use hibiscusroad_daemon::{entry, logs, settings::Settings};
+use hibiscusroad_daemon::{
+    entry, logs,
+    platform::{Budget, Table, leases},
+    settings::Settings,
+    side,
+};
 use lexopt::prelude::*;
-use std::{error::Error, ffi::OsString, path::PathBuf, process::ExitCode};
+use std::{
+    error::Error, ffi::OsString, path::PathBuf, process::ExitCode, sync::Arc, time::Instant,
+};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -105,8 +112,11 @@
 }
 
 fn serve(settings: &Settings) -> Result<(), Box<dyn Error>> {
-    match (&settings.entry, &settings.side) {
-        (Some(_), _) => Ok(entry::run(settings)?),
-        (None, _) => Err("the role side is not built yet".into()),
+    if settings.entry.is_some() {
+        return Ok(entry::run(settings)?);
     }
+    let budget = Arc::new(Budget::new(Instant::now()));
+    let table = Table::new(&settings.platform.table, budget);
+    let lease = Arc::new(move |duty: &str| leases::fence(&table, duty).ok());
+    Ok(side::run(settings, lease)?)
 }
