Refuse drains that stop a service, unless forced

A drain of the last endpoint refused all callers of its service without a word. Ruled out: the check in the change itself, since all entries must give the same verdict on it and each sees endpoints through its own links.

--- a/hibiscusroad-cli/src/format.rs
+++ b/hibiscusroad-cli/src/format.rs
@@ -1,12 +1,22 @@
 //! Tables as text, JSON and CSV.
+//!
+//! The text form is for people: it shortens long cells and shows instants as
+//! times. JSON and CSV are for programs and change nothing.
 
 use crate::rows::{Table, text};
 use serde_json::{Map, Value};
 use std::{
     io::{self, Write},
     str::FromStr,
+    time::{Duration, UNIX_EPOCH},
 };
 
+/// Characters of a cell that people are shown.
+const WIDEST: usize = 60;
+
+/// The column of instants, in milliseconds since 1970 UTC.
+const INSTANT: &str = "at_ms";
+
 /// How a table is printed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Format {
@@ -52,7 +62,10 @@
 
 fn aligned(out: &mut dyn Write, table: &Table) -> io::Result<()> {
     let mut lines = vec![table.columns.clone()];
-    lines.extend(cells(table));
+    for row in &table.rows {
+        let cell = |column: &String| short(column, row.get(column));
+        lines.push(table.columns.iter().map(cell).collect());
+    }
     let width = |i: usize| lines.iter().map(|line| line[i].chars().count()).max();
     let widths: Vec<usize> = (0..table.columns.len()).filter_map(width).collect();
     for line in &lines {
@@ -93,6 +106,21 @@
     table.rows.iter().map(line)
 }
 
+/// Returns a cell for people.
+fn short(column: &str, cell: Option<&Value>) -> String {
+    if column == INSTANT
+        && let Some(ms) = cell.and_then(Value::as_u64)
+    {
+        let at = UNIX_EPOCH + Duration::from_millis(ms);
+        return humantime::format_rfc3339_millis(at).to_string();
+    }
+    let text = text(cell);
+    if text.chars().count() <= WIDEST {
+        return text;
+    }
+    text.chars().take(WIDEST - 1).chain(['…']).collect()
+}
+
 fn field(cell: &str) -> String {
     if cell.contains([',', '"', '\r', '\n']) {
         format!("\"{}\"", cell.replace('"', "\"\""))
--- a/hibiscusroad-cli/src/lib.rs
+++ b/hibiscusroad-cli/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod args;
 pub mod client;
+pub mod danger;
 pub mod format;
 pub mod language;
 pub mod rows;
--- a/hibiscusroad-cli/src/rows.rs
+++ b/hibiscusroad-cli/src/rows.rs
@@ -108,6 +108,11 @@
             let parts: Vec<String> = list.iter().map(|part| text(Some(part))).collect();
             parts.join(",")
         }
+        Some(Value::Object(map)) => {
+            let part = |(key, value): (&String, &Value)| format!("{key}={}", text(Some(value)));
+            let parts: Vec<String> = map.iter().map(part).collect();
+            parts.join(" ")
+        }
         Some(other) => other.to_string(),
     }
 }
--- a/hibiscusroad-cli/src/session.rs
+++ b/hibiscusroad-cli/src/session.rs
@@ -3,6 +3,7 @@
 use crate::{
     args::Options,
     client::{Client, Error, Outcome},
+    danger,
     format::{self, Format},
     language::{About, Show, Statement},
     rows::{self, Row, Table},
@@ -69,6 +70,10 @@
         self.options.dry
     }
 
+    pub(crate) const fn is_forced(&self) -> bool {
+        self.options.force
+    }
+
     /// Runs statements until one is not done.
     ///
     /// # Errors
@@ -94,7 +99,7 @@
             Statement::Show(show) => self.show(show),
             Statement::Watch { every, show } => self.watch(*every, show),
             Statement::Explain { about, name } => self.explain(*about, name),
-            Statement::Change(change) => self.change(change),
+            Statement::Change(change) => self.guarded(change),
             Statement::Stop { service, within } => stop::run(self, service, *within),
             Statement::Promote { .. } => {
                 writeln!(self.err, "refused: entries don't take promote yet")?;
@@ -167,6 +172,34 @@
         }
     }
 
+    /// Sends a change, unless it is dangerous, and tells its outcome.
+    fn guarded(&mut self, change: &Change) -> io::Result<Exit> {
+        // A command that is asked again may have taken effect; "refused" from
+        // here would not be true of it.
+        let drain = matches!(change, Change::Drain { .. });
+        if !drain || self.options.force || self.options.id.is_some() {
+            return self.change(change);
+        }
+        let rows = match self.ask("show/endpoints")? {
+            Ok(rows) => rows,
+            Err(exit) => return Ok(exit),
+        };
+        let stopped = danger::stopped(change, &rows);
+        if stopped.is_empty() {
+            return self.change(change);
+        }
+        self.want_force(&stopped.join(", "))
+    }
+
+    /// Refuses what leaves `services` without an endpoint that takes work.
+    pub(crate) fn want_force(&mut self, services: &str) -> io::Result<Exit> {
+        writeln!(
+            self.err,
+            "refused: no endpoint of {services} would take work; repeat with --force if this is meant"
+        )?;
+        Ok(Exit::Refused)
+    }
+
     /// Sends a change and tells its outcome.
     pub(crate) fn change(&mut self, change: &Change) -> io::Result<Exit> {
         let base = match self.base()? {
--- a/hibiscusroad-cli/src/stop.rs
+++ b/hibiscusroad-cli/src/stop.rs
@@ -33,6 +33,9 @@
 const DRAINS: &str = "drains.endpoints.";
 
 pub(crate) fn run(session: &mut Session<'_>, service: &str, within: Duration) -> io::Result<Exit> {
+    if !session.is_forced() {
+        return session.want_force(service);
+    }
     let start = Instant::now();
     let rows = match endpoints(session, service)? {
         Ok(rows) => rows,
