Send the last chunk of a stream at once

Cause: the encoder writes the last chunk when it is dropped, into the HTTP server's buffer, and nothing flushed it. Ruled out: the engine (0.03 s directly), the side and the link (a stack dump of both processes 1 s into a stream showed no thread at work).

The new test fails before and passes now; the one that stood closed its connection, which flushed.

--- a/hibiscusroad-daemon/src/entry/front/answer.rs
+++ b/hibiscusroad-daemon/src/entry/front/answer.rs
@@ -179,6 +179,17 @@
     }
 }
 
+impl Drop for Gate {
+    /// The encoder writes the last chunk when it is dropped, just before this.
+    /// Left in the server's buffer it would reach a caller who keeps the
+    /// connection only when that is closed, seconds later.
+    fn drop(&mut self) {
+        if !self.shut {
+            let _ = self.out.flush();
+        }
+    }
+}
+
 /// Rounds up, so that nobody comes back too early.
 fn whole_seconds(after: Duration) -> u64 {
     after.as_secs() + u64::from(after.subsec_nanos() > 0)
--- a/hibiscusroad-daemon/tests/entry_path.rs
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -2,8 +2,9 @@
 
 mod entry_support;
 
-use entry_support::{Side, call, start};
+use entry_support::{Side, call, rest, start};
 use hibiscusroad_wire::to_side::Frame;
+use std::{io::Write, net::TcpStream};
 
 fn echo() -> Side {
     Side::start("hut-desk", |_, out, frame| {
@@ -49,3 +50,28 @@
     assert!(answer.contains("data: b\n\n"), "{answer}");
     assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
 }
+
+// The caller keeps its connection. The side ends the stream right after its last
+// piece, so nothing follows that would push the end out of a buffer: the caller
+// must see the last chunk at once, not when the idle connection is closed.
+#[test]
+fn a_stream_ends_at_once_on_a_connection_that_is_kept() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.end(start.id, 9);
+        }
+    });
+    let entry = start(&[&side], "");
+    let body = r#"{"prompt":"hi","stream":true}"#;
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    write!(
+        stream,
+        "POST /s/guide-lm/v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    let answer = rest(&mut stream);
+    assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+}
