Claim requests that may not run twice before they run

Cause: a repeat of a reservation through another entry, or after a lost answer, could not be told from a new one.

Refusals after a claim release its row.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -76,6 +76,9 @@
             self.router.cancel(now, call);
             return;
         }
+        if row.keyed.is_some() {
+            return self.claim(now, call, endpoint);
+        }
         let key = self.endpoints.get(&endpoint).copied();
         let Some(key) = key.filter(|key| self.sides[*key].takes_work()) else {
             let outcome = Outcome::NotRun(ErrorKind::EndpointDown);
@@ -83,22 +86,35 @@
             return;
         };
         let id = self.ids.next();
-        let frame = Frame::Start(self.start_frame(now, call, id));
-        let sent = self.sides[key].link.as_ref().is_some_and(|l| l.send(frame));
-        if !sent {
+        if !self.send_start(now, call, id, key) {
             let outcome = Outcome::NotRun(ErrorKind::HandoverFull);
             self.router.finish(now, call, endpoint, outcome);
             return;
         }
-        self.insert_attempt(id, call, key, endpoint);
+        let incarnation = self.sides[key].incarnation;
+        self.insert_attempt(call, id, key, incarnation);
     }
 
-    fn insert_attempt(
-        &mut self,
+    /// Sends a Start; false if it was surely not sent.
+    pub(super) fn send_start(
+        &self,
+        now: Instant,
+        call: RequestId,
         id: RequestId,
+        key: SideKey,
+    ) -> bool {
+        let frame = Frame::Start(self.start_frame(now, call, id));
+        let link = self.sides[key].link.as_ref();
+        link.is_some_and(|link| link.send(frame))
+    }
+
+    /// Notes an attempt of a call at this life of a side.
+    pub(super) fn insert_attempt(
+        &mut self,
         call: RequestId,
+        id: RequestId,
         side: SideKey,
-        endpoint: EndpointKey,
+        incarnation: u64,
     ) {
         let Some(row) = self.calls.get_mut(&call) else {
             return;
@@ -107,8 +123,8 @@
         let attempt = Attempt {
             call,
             side,
-            endpoint,
-            incarnation: self.sides[side].incarnation,
+            endpoint: self.sides[side].endpoint,
+            incarnation,
             repeat: row.repeat,
             phase: Phase::Sent,
             heard: false,
@@ -159,6 +175,7 @@
             let id = row.attempts.swap_remove(found);
             self.abandon(id, repeat);
         }
+        self.displace(call);
     }
 
     /// Forgets an attempt whose answer nobody waits for.
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/claim.rs
@@ -0,0 +1,266 @@
+//! Calls that carry an idempotency key, on their way to a single run.
+//!
+//! What has to happen is decided by [`Holder`]; this carries it out. Calls of
+//! one key at this entry take turns: a side has one viewer of an attempt an
+//! entry, and a repeat that waits for the first needs no write at all. When its
+//! turn comes it finds the first one's row and gets its answer from the side.
+
+use crate::{
+    entry::{
+        attempt::{Attempt, Phase, wire_id},
+        claims::Write,
+        side::{Listing, SideKey},
+        tables::{COME_BACK, CallRow, Tables},
+    },
+    platform::{Host, State},
+};
+use hibiscusroad::{
+    ErrorKind, RequestId,
+    claim::{Action, Claim, Fate, Holder, Job, Verdict, fingerprint, row_key},
+    route::{EndpointKey, Outcome},
+};
+use hibiscusroad_wire::{Seal, to_side::Frame};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// A call's claim.
+#[derive(Debug)]
+pub(super) struct Keyed {
+    /// The key of its row.
+    pub(super) row: String,
+    pub(super) holder: Holder,
+    /// The endpoint that the router chose.
+    slot: Option<(EndpointKey, SideKey)>,
+}
+
+impl Keyed {
+    pub(super) fn new(row: &CallRow) -> Option<Self> {
+        let request = &row.request;
+        let key = request.key.as_ref()?;
+        let print = fingerprint(&request.method, &request.path, &request.body);
+        Some(Self {
+            row: row_key(&request.service, key),
+            holder: Holder::new(print),
+            slot: None,
+        })
+    }
+}
+
+impl Tables {
+    /// Puts a call in the row of its key; says whether it is its turn.
+    pub(super) fn line_up(&mut self, call: RequestId, key: &str) -> bool {
+        let line = self.keys.entry(key.to_owned()).or_default();
+        line.push_back(call);
+        line.len() == 1
+    }
+
+    /// Says whether a call waits for another of its key.
+    pub(super) fn waits_for_key(&self, call: RequestId) -> bool {
+        let keyed = self.calls.get(&call).and_then(|row| row.keyed.as_ref());
+        let line = keyed.and_then(|keyed| self.keys.get(&keyed.row));
+        line.is_some_and(|line| line.front() != Some(&call))
+    }
+
+    /// Ends a call's claim and lets the next call of its key go on.
+    pub(super) fn leave_line(&mut self, now: Instant, call: RequestId, keyed: Keyed) {
+        let Some(line) = self.keys.get_mut(&keyed.row) else {
+            return;
+        };
+        let first = line.front() == Some(&call);
+        line.retain(|other| *other != call);
+        let next = line.front().copied().filter(|_| first);
+        if line.is_empty() {
+            self.keys.remove(&keyed.row);
+        }
+        if let Some(bytes) = keyed.holder.stale() {
+            // Best done, not needed: see the writer.
+            let _ = self.writes.try_send(Write::Release(keyed.row, bytes));
+        }
+        if let Some(next) = next {
+            self.admit(now, next);
+        }
+    }
+
+    /// Claims a call's key for an attempt at the chosen endpoint.
+    pub(super) fn claim(&mut self, now: Instant, call: RequestId, endpoint: EndpointKey) {
+        let key = self.endpoints.get(&endpoint).copied();
+        let Some(key) = key.filter(|key| self.sides[*key].takes_work()) else {
+            let outcome = Outcome::NotRun(ErrorKind::EndpointDown);
+            return self.router.finish(now, call, endpoint, outcome);
+        };
+        let side = &self.sides[key];
+        let attempt = self.ids.next();
+        let Some(row) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let request = &row.request;
+        let claim = Claim {
+            attempt,
+            side: side.name.clone(),
+            incarnation: side.incarnation,
+            address: side.address,
+            body: fingerprint(&request.method, &request.path, &request.body),
+            created: wall_ms(),
+        };
+        let Some(keyed) = &mut row.keyed else {
+            return;
+        };
+        keyed.slot = Some((endpoint, key));
+        let action = keyed.holder.place(claim);
+        self.act(now, call, action);
+    }
+
+    /// Notes that the router no longer wants a call at its endpoint.
+    pub(super) fn displace(&mut self, call: RequestId) {
+        let row = self.calls.get_mut(&call);
+        if let Some(keyed) = row.and_then(|row| row.keyed.as_mut()) {
+            keyed.slot = None;
+            keyed.holder.displace();
+        }
+    }
+
+    /// Takes in what became of the claim of `attempt`.
+    pub(super) fn claimed(
+        &mut self,
+        now: Instant,
+        call: RequestId,
+        attempt: RequestId,
+        verdict: Verdict,
+    ) {
+        let row = self.calls.get_mut(&call);
+        let keyed = row.and_then(|row| row.keyed.as_mut());
+        let action = keyed.and_then(|k| k.holder.written(attempt, verdict, wall_ms()));
+        if let Some(action) = action {
+            self.act(now, call, action);
+        }
+    }
+
+    /// Takes in what the side says of the attempt that a call asked for.
+    pub(super) fn fate(&mut self, now: Instant, call: RequestId, fate: Fate) {
+        let row = self.calls.get_mut(&call);
+        let keyed = row.and_then(|row| row.keyed.as_mut());
+        if let Some(action) = keyed.and_then(|keyed| keyed.holder.fate(fate)) {
+            self.act(now, call, action);
+        }
+    }
+
+    fn act(&mut self, now: Instant, call: RequestId, action: Action) {
+        match action {
+            Action::Write(claim, expect) => self.write_claim(now, call, claim, expect),
+            Action::Run(claim) => self.run_claim(now, call, &claim),
+            Action::Ask(claim) => self.ask(now, call, &claim),
+            // The frame that said so asks for the answer.
+            Action::Follow(_) => {}
+            Action::Place => self.admit(now, call),
+            Action::Refuse(kind) => self.refuse(now, call, kind, COME_BACK),
+        }
+    }
+
+    fn write_claim(
+        &mut self,
+        now: Instant,
+        call: RequestId,
+        claim: Claim,
+        expect: Option<Vec<u8>>,
+    ) {
+        let row = self.calls.get_mut(&call);
+        let Some(keyed) = row.and_then(|row| row.keyed.as_mut()) else {
+            return;
+        };
+        let key = keyed.row.clone();
+        let job = Box::new(Job { key, claim, expect });
+        if self.writes.try_send(Write::Claim(call, job)).is_err() {
+            self.refuse(now, call, ErrorKind::HandoverFull, COME_BACK);
+        }
+    }
+
+    /// Sends the attempt that a claim was won for, to the life of the side that
+    /// the claim names and to no other.
+    fn run_claim(&mut self, now: Instant, call: RequestId, claim: &Claim) {
+        let row = self.calls.get_mut(&call);
+        let Some(keyed) = row.and_then(|row| row.keyed.as_mut()) else {
+            return;
+        };
+        let Some((endpoint, key)) = keyed.slot.take() else {
+            return;
+        };
+        let side = self.sides.get(key);
+        let there = side.is_some_and(|s| s.incarnation == claim.incarnation && s.takes_work());
+        if !there || !self.send_start(now, call, claim.attempt, key) {
+            keyed_not_run(self.calls.get_mut(&call));
+            let outcome = Outcome::NotRun(ErrorKind::EndpointDown);
+            return self.router.finish(now, call, endpoint, outcome);
+        }
+        self.insert_attempt(call, claim.attempt, key, claim.incarnation);
+    }
+
+    /// Asks the side that another's claim names how its attempt stands.
+    fn ask(&mut self, now: Instant, call: RequestId, claim: &Claim) {
+        // The router placed the call, but it won't run there.
+        self.router.cancel(now, call);
+        self.steps(now);
+        let Some(row) = self.calls.get(&call) else {
+            return;
+        };
+        let service = row.request.service.clone();
+        let key = self
+            .side(&service, &claim.side)
+            .or_else(|| self.add_guest(now, &service, claim));
+        let Some(key) = key else {
+            return self.fate(now, call, Fate::Gone);
+        };
+        let side = &self.sides[key];
+        if side.link.is_some() && side.incarnation != claim.incarnation {
+            return self.fate(now, call, Fate::Gone);
+        }
+        let linked = side.link.is_some();
+        self.insert_attempt(call, claim.attempt, key, claim.incarnation);
+        if let Some(attempt) = self.attempts.get_mut(&claim.attempt) {
+            attempt.phase = Phase::Sealing;
+            attempt.reachable = linked;
+        }
+        if linked {
+            let id = Some(wire_id(claim.attempt));
+            self.tell(key, Frame::Seal(Seal { id }));
+        }
+    }
+
+    /// Adds a side that this entry sends no work to, only to ask it.
+    fn add_guest(&mut self, now: Instant, service: &str, claim: &Claim) -> Option<SideKey> {
+        let host = Host {
+            name: String::new(),
+            place: String::new(),
+            role: "side".to_owned(),
+            service: service.to_owned(),
+            endpoint: claim.side.clone(),
+            address: claim.address,
+            state: State::Leaving,
+        };
+        self.add_side(now, &host);
+        let key = self.side(service, &claim.side)?;
+        self.sides[key].listing = Listing::Guest;
+        Some(key)
+    }
+
+    /// Ends another's attempt that a call asked for or followed.
+    pub(super) fn end_guest(&mut self, now: Instant, attempt: &Attempt, outcome: Outcome) {
+        match outcome {
+            Outcome::Answered => {}
+            Outcome::NotRun(_) => self.fate(now, attempt.call, Fate::Sealed),
+            Outcome::Failed(kind) => self.refuse(now, attempt.call, kind, COME_BACK),
+        }
+    }
+}
+
+/// Notes that a call's own attempt surely never runs.
+pub(super) fn keyed_not_run(row: Option<&mut CallRow>) {
+    if let Some(keyed) = row.and_then(|row| row.keyed.as_mut()) {
+        keyed.holder.not_run();
+    }
+}
+
+/// Milliseconds since 1970. Claims are compared over a day, so that a clock
+/// which is off by seconds does no harm.
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/claims.rs
@@ -0,0 +1,200 @@
+//! Writes claims to the platform's table, many at a time.
+//!
+//! The threads here wait for the table, so that the thread that owns the tables
+//! of the entry never does. What a batch means is decided in
+//! [`hibiscusroad::claim`].
+
+use crate::{
+    entry::event::Event,
+    platform::{Backoff, Cond, Op, Outcome, Table, Transaction},
+};
+use flume::{Receiver, Sender};
+use hibiscusroad::{
+    RequestId,
+    claim::{BATCH, Batch, GATHER, Job, Said, Verdict},
+};
+use std::{
+    io, mem, thread,
+    time::{Duration, Instant},
+};
+
+/// Threads that write. One could gather all, but a slow write would then hold
+/// up every other claim.
+const WRITERS: usize = 2;
+
+/// Claims that may wait for a writer.
+const QUEUE: usize = 1024;
+
+/// How long a claim is tried before the table counts as down.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// How long the table counts as down after that without being asked again. A
+/// caller who comes in this time gets its refusal at once instead of waiting
+/// for the same silence.
+const DOWN: Duration = Duration::from_millis(300);
+
+/// Waits between two tries.
+const FIRST_WAIT: Duration = Duration::from_millis(5);
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
+
+/// What is to be written.
+#[derive(Debug)]
+pub enum Write {
+    /// A claim, for this call.
+    Claim(RequestId, Box<Job>),
+    /// The row of this key is to be removed if it has this content.
+    Release(String, Vec<u8>),
+}
+
+/// Starts the writers and returns the way to them.
+///
+/// # Errors
+///
+/// Returns the system's error if there is no thread to be had.
+pub fn start(table: &Table, events: &Sender<Event>) -> io::Result<Sender<Write>> {
+    let (sender, queue) = flume::bounded(QUEUE);
+    for _ in 0..WRITERS {
+        let writer = Writer {
+            table: table.clone(),
+            events: events.clone(),
+            queue: queue.clone(),
+            left: Vec::new(),
+            down: None,
+        };
+        thread::Builder::new()
+            .name("claims".to_owned())
+            .spawn(move || writer.run())?;
+    }
+    Ok(sender)
+}
+
+struct Writer {
+    table: Table,
+    events: Sender<Event>,
+    queue: Receiver<Write>,
+    /// What did not fit into the last batch.
+    left: Vec<Write>,
+    /// Until when the table counts as down.
+    down: Option<Instant>,
+}
+
+impl Writer {
+    fn run(mut self) {
+        while let Some(writes) = self.gather() {
+            self.write(writes);
+        }
+    }
+
+    /// Waits for a write, and a moment for others.
+    fn gather(&mut self) -> Option<Vec<Write>> {
+        let mut writes = mem::take(&mut self.left);
+        if writes.is_empty() {
+            writes.push(self.queue.recv().ok()?);
+        }
+        let until = Instant::now() + GATHER;
+        while writes.len() < BATCH {
+            match self.queue.recv_deadline(until) {
+                Ok(write) => writes.push(write),
+                Err(_) => break,
+            }
+        }
+        Some(writes)
+    }
+
+    fn write(&mut self, writes: Vec<Write>) {
+        let mut batch = Batch::new();
+        let mut calls = Vec::new();
+        for write in writes {
+            match write {
+                Write::Claim(call, job) => {
+                    let attempt = job.claim.attempt;
+                    match batch.add(*job) {
+                        None => calls.push((attempt, call)),
+                        Some(job) => self.left.push(Write::Claim(call, Box::new(job))),
+                    }
+                }
+                Write::Release(key, bytes) => self.release(key, bytes),
+            }
+        }
+        self.settle(batch, &calls);
+    }
+
+    /// Writes a batch until each claim in it is decided.
+    fn settle(&mut self, mut batch: Batch, calls: &[(RequestId, RequestId)]) {
+        let start = Instant::now();
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        while !batch.jobs().is_empty() {
+            let said = self.say(&batch, start);
+            let unsure = said == Said::Unknown;
+            for (job, verdict) in batch.settle(said) {
+                self.tell(&job, verdict, calls);
+            }
+            if unsure {
+                thread::sleep(backoff.next_wait(&mut rand::rng()));
+            }
+        }
+    }
+
+    fn say(&mut self, batch: &Batch, start: Instant) -> Said {
+        if self.down.is_some_and(|until| Instant::now() < until) {
+            return Said::Down;
+        }
+        if start.elapsed() > PATIENCE {
+            log::warn!(target: "claims", "The table gives no answer; claims are refused.");
+            self.down = Some(Instant::now() + DOWN);
+            return Said::Down;
+        }
+        match self.table.transact(&transaction(batch)) {
+            Outcome::Committed(_) => Said::Committed,
+            Outcome::Conflict(rows) => {
+                Said::Conflict(rows.into_iter().map(|r| (r.key, r.value)).collect())
+            }
+            Outcome::Unknown(fault) => {
+                log::debug!(target: "claims", "Not known whether claims were written: {fault}.");
+                Said::Unknown
+            }
+            Outcome::NotSent(fault) => {
+                log::warn!(target: "claims", "Claims are refused: {fault}.");
+                Said::Down
+            }
+        }
+    }
+
+    fn tell(&self, job: &Job, verdict: Verdict, calls: &[(RequestId, RequestId)]) {
+        let attempt = job.claim.attempt;
+        let call = calls.iter().find(|(other, _)| *other == attempt);
+        if let Some((_, call)) = call {
+            let event = Event::Claimed(*call, attempt, Box::new(verdict));
+            // The tables are gone only when the process ends.
+            let _ = self.events.send(event);
+        }
+    }
+
+    /// Removes a row whose attempt never runs. If that fails, the next request
+    /// under the key has the side seal the attempt once more.
+    fn release(&self, key: String, bytes: Vec<u8>) {
+        let transaction = Transaction::new()
+            .when(Cond::Value(key.clone(), bytes))
+            .then(Op::Delete(key));
+        if let Outcome::Unknown(fault) | Outcome::NotSent(fault) = self.table.transact(&transaction)
+        {
+            log::debug!(target: "claims", "A claim was not released: {fault}.");
+        }
+    }
+}
+
+fn transaction(batch: &Batch) -> Transaction {
+    let mut transaction = Transaction::new();
+    for job in batch.jobs() {
+        let key = job.key.clone();
+        let cond = match &job.expect {
+            None => Cond::Version(key.clone(), 0),
+            Some(bytes) => Cond::Value(key.clone(), bytes.clone()),
+        };
+        transaction = transaction
+            .when(cond)
+            .or_read(&key)
+            .then(Op::Put(key, job.claim.encode()));
+    }
+    transaction
+}
--- a/hibiscusroad-daemon/src/entry/event.rs
+++ b/hibiscusroad-daemon/src/entry/event.rs
@@ -6,7 +6,7 @@
     platform::Host,
 };
 use flume::Sender;
-use hibiscusroad::{Class, ErrorKind, Incarnation, RequestId, config::Document};
+use hibiscusroad::{Class, ErrorKind, Incarnation, RequestId, claim::Verdict, config::Document};
 use hibiscusroad_wire::{Header, to_entry::Frame};
 use std::{
     sync::atomic::{AtomicU64, Ordering},
@@ -136,6 +136,8 @@
     Link(SideKey, u64, LinkEvent),
     /// The host list was fetched.
     Hosts(Vec<Host>),
+    /// What became of a call's claim for an attempt.
+    Claimed(RequestId, RequestId, Box<Verdict>),
     /// A configuration was read or accepted.
     Config(Box<Document>),
     /// An operator asks about a subject.
--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -10,7 +10,7 @@
     event::{Head, Part},
     tables::Tables,
 };
-use hibiscusroad::{ErrorKind, Repeat, RequestId, route::Outcome};
+use hibiscusroad::{ErrorKind, Repeat, RequestId, claim::Fate, route::Outcome};
 use hibiscusroad_wire::{Ack, Chunk, End, Refused, Standing, State, to_side::Frame};
 use std::{mem, time::Instant};
 
@@ -152,7 +152,7 @@
         if self.pass(now, call, part) {
             self.end_attempt(now, id, Outcome::Answered);
             self.steps(now);
-            self.close_call(call);
+            self.close_call(now, call);
         }
     }
 
@@ -184,7 +184,9 @@
             State::Running | State::Done => {
                 if attempt.phase == Phase::Sealing {
                     attempt.phase = Phase::Sent;
+                    let call = attempt.call;
                     self.attach(now, id);
+                    self.fate(now, call, Fate::Kept);
                 }
             }
             State::Lost | State::Unspecified => self.lose(now, id),
--- a/hibiscusroad-daemon/src/entry/hosts.rs
+++ b/hibiscusroad-daemon/src/entry/hosts.rs
@@ -8,10 +8,10 @@
 use crate::{
     entry::{
         event::Event,
-        side::{Side, SideKey},
+        side::{Listing, Side, SideKey},
         tables::Tables,
     },
-    platform::{Host, HostList, State},
+    platform::{Budget, Host, HostList, State},
 };
 use flume::Sender;
 use hibiscusroad::{
@@ -20,7 +20,9 @@
 };
 use std::{
     collections::BTreeMap,
-    io, thread,
+    io,
+    sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -35,19 +37,20 @@
 /// # Errors
 ///
 /// Returns the system's error if there is no thread to be had.
-pub fn watch(list: HostList, events: Sender<Event>) -> io::Result<()> {
+pub fn watch(list: HostList, budget: Arc<Budget>, events: Sender<Event>) -> io::Result<()> {
     thread::Builder::new()
         .name("hosts".to_owned())
-        .spawn(move || poll(&list, &events))?;
+        .spawn(move || poll(&list, &budget, &events))?;
     Ok(())
 }
 
-fn poll(list: &HostList, events: &Sender<Event>) {
+fn poll(list: &HostList, budget: &Budget, events: &Sender<Event>) {
     let mut wait = FIRST_POLL;
     loop {
         match list.fetch() {
             Ok(hosts) => {
                 wait = POLL;
+                budget.share(hosts.iter().filter(|host| host.role == "entry").count());
                 if events.send(Event::Hosts(hosts)).is_err() {
                     return;
                 }
@@ -62,7 +65,9 @@
     /// Takes in a host list.
     pub(super) fn hosts(&mut self, now: Instant, hosts: &[Host]) {
         for side in self.sides.values_mut() {
-            side.absent = true;
+            if side.listing == Listing::Listed {
+                side.listing = Listing::Absent;
+            }
         }
         let mut services: BTreeMap<&str, Vec<&Host>> = BTreeMap::new();
         for host in hosts.iter().filter(|host| host.role == "side") {
@@ -91,7 +96,7 @@
         }
     }
 
-    fn side(&self, service: &str, name: &str) -> Option<SideKey> {
+    pub(super) fn side(&self, service: &str, name: &str) -> Option<SideKey> {
         let mut sides = self.sides.iter();
         sides
             .find(|(_, side)| side.name == name && side.service == service)
@@ -100,7 +105,7 @@
 
     fn listed(&mut self, now: Instant, key: SideKey, host: &Host) {
         let side = &mut self.sides[key];
-        side.absent = false;
+        side.listing = Listing::Listed;
         side.leaving.listed = host.state == State::Leaving;
         if side.address != host.address && side.link.is_none() {
             // Its host was replaced. While a link stands, the list is behind.
@@ -111,7 +116,7 @@
         self.set_open(now, key);
     }
 
-    fn add_side(&mut self, now: Instant, host: &Host) {
+    pub(super) fn add_side(&mut self, now: Instant, host: &Host) {
         let Some(service) = self.router.service(&host.service) else {
             return;
         };
--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -13,7 +13,11 @@
 //! its Start may be lost or may still arrive, and the side is asked to seal it:
 //! only then is "not run" true.
 
-use crate::entry::{attempt::PATIENCE, side::SideKey, tables::Tables};
+use crate::entry::{
+    attempt::PATIENCE,
+    side::{Listing, SideKey},
+    tables::Tables,
+};
 use hibiscusroad::{Repeat, RequestId, config::Document, route::LoadReport};
 use hibiscusroad_wire::{Beat, Config, Hello, VERSION, Welcome, to_entry, to_side::Frame};
 use std::time::{Duration, Instant};
@@ -309,11 +313,15 @@
     /// until its deadline, as does one whose request may not run twice.
     fn impatience(&mut self, now: Instant, key: SideKey) {
         let side = &self.sides[key];
+        if side.listing == Listing::Guest && side.attempts.is_empty() {
+            return self.remove_side(now, key);
+        }
         let Some(lost) = side.lost else {
             return;
         };
         let away = now.saturating_duration_since(lost);
-        if side.absent && away > FORGET {
+        let absent = side.listing == Listing::Absent;
+        if absent && away > FORGET && side.attempts.is_empty() {
             return self.remove_side(now, key);
         }
         if away < PATIENCE {
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -12,6 +12,8 @@
 
 mod assembly;
 mod attempt;
+mod claim;
+mod claims;
 pub mod config;
 pub mod event;
 mod frames;
@@ -102,12 +104,14 @@
     let front = Front::start(part, Arc::clone(&ids), sender.clone())
         .map_err(|e| Error::Callers(part.callers, e))?;
     let dialer = Dialer::start(sender.clone())?;
-    hosts::watch(HostList::new(&settings.platform.hosts), sender.clone())?;
     let budget = Arc::new(Budget::new(Instant::now()));
+    let list = HostList::new(&settings.platform.hosts);
+    hosts::watch(list, Arc::clone(&budget), sender.clone())?;
     let table = Table::new(&settings.platform.table, Arc::clone(&budget));
+    let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let tables = Tables::new(settings, part.subset, ids, dialer);
+    let tables = Tables::new(settings, part.subset, ids, dialer, writes);
     let stopper = Stopper {
         events: sender,
         shared: Arc::clone(&front.shared),
--- a/hibiscusroad-daemon/src/entry/side.rs
+++ b/hibiscusroad-daemon/src/entry/side.rs
@@ -73,12 +73,23 @@
     pub report: LoadReport,
     /// The weight version that its endpoint last reported.
     pub weights: String,
-    /// Whether the last host list left it out.
-    pub absent: bool,
+    /// Why it is known.
+    pub listing: Listing,
     /// The attempts that it was sent and that have not ended.
     pub attempts: BTreeSet<RequestId>,
 }
 
+/// Why a side is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Listing {
+    /// The last host list names it, and this entry's subset has it.
+    Listed,
+    /// An earlier one did.
+    Absent,
+    /// It was only added to be asked about a claim.
+    Guest,
+}
+
 /// Who says that a side is leaving.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Leaving {
@@ -117,7 +128,7 @@
             config: 0,
             report: LoadReport::default(),
             weights: String::new(),
-            absent: false,
+            listing: Listing::Listed,
             attempts: BTreeSet::new(),
         }
     }
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -12,6 +12,8 @@
 use crate::{
     entry::{
         attempt::Attempt,
+        claim::{Keyed, keyed_not_run},
+        claims::Write,
         event::{Arrival, Event, Head, Ids, Inbound, LinkEvent, Part},
         link::Dialer,
         side::{Side, SideKey},
@@ -26,7 +28,7 @@
 };
 use slotmap::SlotMap;
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -35,7 +37,7 @@
 pub const TICK: Duration = Duration::from_millis(25);
 
 /// When to come back after a refusal that the entry itself decides.
-const COME_BACK: Duration = Duration::from_secs(1);
+pub(super) const COME_BACK: Duration = Duration::from_secs(1);
 
 /// One request of a caller.
 #[derive(Debug)]
@@ -44,6 +46,8 @@
     pub(super) repeat: Repeat,
     pub(super) deadline: Instant,
     pub(super) reply: Sender<Part>,
+    /// Its claim, if it carries an idempotency key and may not run twice.
+    pub(super) keyed: Option<Keyed>,
     /// Attempts that have not ended.
     pub(super) attempts: Vec<RequestId>,
     /// The attempt whose answer the caller has begun to get.
@@ -52,6 +56,14 @@
     pub(super) ran: bool,
 }
 
+impl CallRow {
+    /// Says whether it waits for the attempt of another request of its key.
+    fn is_guest(&self) -> bool {
+        let keyed = self.keyed.as_ref();
+        keyed.is_some_and(|keyed| keyed.holder.is_guest())
+    }
+}
+
 /// All that an entry knows.
 #[derive(Debug)]
 pub struct Tables {
@@ -67,6 +79,9 @@
     pub(super) calls: HashMap<RequestId, CallRow>,
     pub(super) attempts: HashMap<RequestId, Attempt>,
     pub(super) ticked: Instant,
+    pub(super) writes: Sender<Write>,
+    /// Calls of each key, in their turn.
+    pub(super) keys: HashMap<String, VecDeque<RequestId>>,
     deadlines: BTreeSet<(Instant, RequestId)>,
     stopping: bool,
 }
@@ -74,7 +89,13 @@
 impl Tables {
     /// Creates the tables of an entry that knows no side yet.
     #[must_use]
-    pub fn new(settings: &Settings, subset: usize, ids: Arc<Ids>, dialer: Dialer) -> Self {
+    pub fn new(
+        settings: &Settings,
+        subset: usize,
+        ids: Arc<Ids>,
+        dialer: Dialer,
+        writes: Sender<Write>,
+    ) -> Self {
         let seed = ids.origin().0;
         Self {
             name: settings.name.clone(),
@@ -89,6 +110,8 @@
             calls: HashMap::new(),
             attempts: HashMap::new(),
             ticked: Instant::now(),
+            writes,
+            keys: HashMap::new(),
             deadlines: BTreeSet::new(),
             stopping: false,
         }
@@ -106,6 +129,9 @@
                 self.link_down(now, side, epoch, &reason);
             }
             Event::Hosts(hosts) => self.hosts(now, &hosts),
+            Event::Claimed(call, attempt, verdict) => {
+                self.claimed(now, call, attempt, *verdict);
+            }
             Event::Config(document) => self.adopt(now, *document),
             Event::Ask(subject, reply) => {
                 let _ = reply.try_send(self.show(now, &subject));
@@ -188,28 +214,46 @@
             deadline,
             reply,
         } = arrival;
-        let known = self.known(&request.service);
-        let Some(service) = known else {
+        if self.known(&request.service).is_none() {
             let kind = self.unknown_service();
             let _ = reply.try_send(Part::Fail(kind, COME_BACK));
             return;
-        };
-        let repeat = self.repeat(&request);
-        let mut call = Call::new(id, service, request.class, deadline).repeat(repeat);
-        if let Some(prompt) = request.prompt {
-            call = call.tokens(prompt.tokens).prefix(prompt.prefix);
         }
-        let row = CallRow {
+        let repeat = self.repeat(&request);
+        let mut row = CallRow {
             request,
             repeat,
             deadline,
             reply,
+            keyed: None,
             attempts: Vec::new(),
             winner: None,
             ran: false,
         };
+        if repeat == Repeat::Once {
+            row.keyed = Keyed::new(&row);
+        }
+        let key = row.keyed.as_ref().map(|keyed| keyed.row.clone());
         self.calls.insert(id, row);
         self.deadlines.insert((deadline, id));
+        if key.is_none_or(|key| self.line_up(id, &key)) {
+            self.admit(now, id);
+        }
+    }
+
+    /// Hands a call to the router.
+    pub(super) fn admit(&mut self, now: Instant, id: RequestId) {
+        let Some(row) = self.calls.get(&id) else {
+            return;
+        };
+        let request = &row.request;
+        let Some(service) = self.known(&request.service) else {
+            return self.refuse(now, id, ErrorKind::UnknownService, COME_BACK);
+        };
+        let mut call = Call::new(id, service, request.class, row.deadline).repeat(row.repeat);
+        if let Some(prompt) = request.prompt {
+            call = call.tokens(prompt.tokens).prefix(prompt.prefix);
+        }
         self.router.arrive(now, call);
     }
 
@@ -258,12 +302,17 @@
             if at > now {
                 return;
             }
-            self.refuse(now, id, ErrorKind::Expired, COME_BACK);
+            let kind = if self.waits_for_key(id) {
+                ErrorKind::KeyRunning
+            } else {
+                ErrorKind::Expired
+            };
+            self.refuse(now, id, kind, COME_BACK);
         }
     }
 
     /// Gives a caller its final answer, which is none.
-    fn refuse(&mut self, now: Instant, id: RequestId, kind: ErrorKind, after: Duration) {
+    pub(super) fn refuse(&mut self, now: Instant, id: RequestId, kind: ErrorKind, after: Duration) {
         let Some(row) = self.calls.get(&id) else {
             return;
         };
@@ -293,23 +342,21 @@
 
     /// Forgets a call; what runs of it is cancelled if it may be.
     pub(super) fn drop_call(&mut self, now: Instant, id: RequestId) {
+        self.router.cancel(now, id);
+        self.close_call(now, id);
+    }
+
+    /// Forgets a call that has its final answer.
+    pub(super) fn close_call(&mut self, now: Instant, id: RequestId) {
         let Some(row) = self.calls.remove(&id) else {
             return;
         };
         self.deadlines.remove(&(row.deadline, id));
-        self.router.cancel(now, id);
         for attempt in row.attempts {
             self.abandon(attempt, row.repeat);
         }
-    }
-
-    /// Ends a call whose whole answer was handed to its caller.
-    pub(super) fn close_call(&mut self, id: RequestId) {
-        if let Some(row) = self.calls.remove(&id) {
-            self.deadlines.remove(&(row.deadline, id));
-            for attempt in row.attempts {
-                self.abandon(attempt, row.repeat);
-            }
+        if let Some(keyed) = row.keyed {
+            self.leave_line(now, id, keyed);
         }
     }
 
@@ -352,6 +399,13 @@
             side.attempts.remove(&id);
         }
         let broken = self.note_end(&attempt, id, outcome);
+        let row = self.calls.get_mut(&attempt.call);
+        if row.as_ref().is_some_and(|row| row.is_guest()) {
+            return self.end_guest(now, &attempt, outcome);
+        }
+        if let Outcome::NotRun(_) = outcome {
+            keyed_not_run(row);
+        }
         self.router
             .finish(now, attempt.call, attempt.endpoint, outcome);
         if let Some(kind) = broken {
--- a/src/claim/holder.rs
+++ b/src/claim/holder.rs
@@ -72,11 +72,14 @@
         }
     }
 
-    /// Returns the content of a row whose attempt surely never runs, and which
-    /// this request wrote or was about to replace.
+    /// Returns the content of a row that stands for nothing any more: its
+    /// attempt surely never runs, and this request puts none in its place.
     #[must_use]
-    pub const fn expect(&self) -> Option<&Vec<u8>> {
-        self.expect.as_ref()
+    pub fn stale(self) -> Option<Vec<u8>> {
+        match self.phase {
+            Phase::Idle => self.expect,
+            _ => None,
+        }
     }
 
     /// Notes that an endpoint was chosen for a new attempt.
