--- a/hibiscusroad-daemon/src/entry/claims.rs
+++ b/hibiscusroad-daemon/src/entry/claims.rs
@@ -25,13 +25,18 @@
 /// Claims that may wait for a writer.
 const QUEUE: usize = 1024;
 
-/// How long a claim is tried before the table counts as down.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// How often a claim is written before the table counts as down. Twice finds
+/// the own row after one lost answer.
+const TRIES: u32 = 3;
+
+/// How long that may take, so that a table which says nothing at all costs a
+/// caller one time limit and not three.
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// How long the table counts as down after that without being asked again. A
 /// caller who comes in this time gets its refusal at once instead of waiting
 /// for the same silence.
-const DOWN: Duration = Duration::from_millis(300);
+const DOWN: Duration = Duration::from_millis(500);
 
 /// Waits between two tries.
 const FIRST_WAIT: Duration = Duration::from_millis(5);
@@ -123,8 +128,14 @@
     fn settle(&mut self, mut batch: Batch, calls: &[(RequestId, RequestId)]) {
         let start = Instant::now();
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        let mut tries = 0;
         while !batch.jobs().is_empty() {
-            let said = self.say(&batch, start);
+            tries += 1;
+            let late = tries > TRIES || start.elapsed() > PATIENCE;
+            let said = self.say(&batch, late);
+            if said != Said::Unknown {
+                tries = 0;
+            }
             let unsure = said == Said::Unknown;
             for (job, verdict) in batch.settle(said) {
                 self.tell(&job, verdict, calls);
@@ -135,11 +146,11 @@
         }
     }
 
-    fn say(&mut self, batch: &Batch, start: Instant) -> Said {
+    fn say(&mut self, batch: &Batch, late: bool) -> Said {
         if self.down.is_some_and(|until| Instant::now() < until) {
             return Said::Down;
         }
-        if start.elapsed() > PATIENCE {
+        if late {
             log::warn!(target: "claims", "The table gives no answer; claims are refused.");
             self.down = Some(Instant::now() + DOWN);
             return Said::Down;
--- a/hibiscusroad-daemon/src/entry/front/request.rs
+++ b/hibiscusroad-daemon/src/entry/front/request.rs
@@ -50,13 +50,12 @@
 
 /// Headers that belong to one connection (RFC 9110, 7.6.1), or that the entry
 /// has read for itself.
-const NOT_PASSED: [&str; 14] = [
+const NOT_PASSED: [&str; 13] = [
     "connection",
     "content-length",
     "deadline-ms",
     "expect",
     "host",
-    "idempotency-key",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
