--- a/hibiscusroad-cli/src/rows.rs
+++ b/hibiscusroad-cli/src/rows.rs
@@ -14,8 +14,8 @@
 
 /// Columns that come first if they are there; the others follow by name.
 const FIRST: &[&str] = &[
-    "name", "service", "endpoint", "kind", "host", "place", "region", "version", "state", "key",
-    "value",
+    "name", "service", "endpoint", "entry", "kind", "host", "place", "region", "address", "state",
+    "key", "value", "version",
 ];
 
 /// Columns that come last: how old a row is and where it comes from.
@@ -108,6 +108,11 @@
             let parts: Vec<String> = list.iter().map(|part| text(Some(part))).collect();
             parts.join(",")
         }
+        Some(Value::Object(map)) => {
+            let part = |(key, value): (&String, &Value)| format!("{key}={}", text(Some(value)));
+            let parts: Vec<String> = map.iter().map(part).collect();
+            parts.join(" ")
+        }
         Some(other) => other.to_string(),
     }
 }
