--- a/hibiscusroad-measure/src/faults/check.rs
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -52,6 +52,8 @@
     pub repeatable: (usize, usize),
     /// Calls that were refused.
     pub refused: usize,
+    /// Of these, how many of each problem.
+    pub refusals: BTreeMap<String, usize>,
     /// Of these, those that were told that the outcome is unknown.
     pub unknown: usize,
     /// Calls whose entry was gone: killed, stopped or standing still.
@@ -122,6 +124,13 @@
         for (name, value) in figures {
             report.add(name, value as f64, "");
         }
+        for (problem, count) in &self.refusals {
+            report.add(
+                format!("refused_{}", problem.replace('-', "_")),
+                *count as f64,
+                "",
+            );
+        }
         report.add("overdue_max", self.overdue.as_secs_f64() * 1e3, "ms");
         report.add(
             "repeatable_answered",
@@ -177,8 +186,16 @@
             }
             Ending::Refused(_, problem) => {
                 counts.refused += 1;
+                *counts.refusals.entry(problem.clone()).or_default() += 1;
                 let unknown = ErrorKind::OutcomeUnknown.answer().problem;
                 counts.unknown += usize::from(problem == unknown);
+                if !gone && self.cut(made, problem) {
+                    counts.cut_by_stop += 1;
+                    counts.remark(format!("cut by a stop: {}: {problem}", name(made)));
+                }
+                if problem == ErrorKind::Saturated.answer().problem {
+                    counts.remark(format!("saturated: {}", name(made)));
+                }
                 if gone && outcome.wait > call.deadline + GRACE {
                     counts.unserved += 1;
                 }
@@ -217,6 +234,19 @@
         }) || (self.stopping(made) && refused_connection(made))
     }
 
+    /// Says whether a refusal shows that a planned stop cut off a request: it
+    /// may have run, and nothing but planned stops was at work.
+    fn cut(&self, made: &Made, problem: &str) -> bool {
+        let may_have_run =
+            ErrorKind::from_problem(problem).is_none_or(|kind| !kind.answer().not_run);
+        let stop = |fault| matches!(fault, Fault::StopEntry(_) | Fault::StopSide(_));
+        let timed_out = ErrorKind::TimedOut.answer().problem;
+        may_have_run
+            && problem != timed_out
+            && self.during(made, |fault, _| stop(fault))
+            && !self.during(made, |fault, _| !stop(fault))
+    }
+
     /// Says whether a call's entry was asked to stop during the call.
     fn stopping(&self, made: &Made) -> bool {
         self.during(made, |fault, n| fault == Fault::StopEntry(n))
