--- a/hibiscusroad-daemon/tests/check.rs
+++ b/hibiscusroad-daemon/tests/check.rs
@@ -1,15 +1,39 @@
 //! The daemon as an operator starts it: exit codes and messages.
 
+use rustix::process::{Pid, Signal, kill_process};
 use std::{
+    fs,
+    net::{TcpListener, TcpStream},
     path::Path,
-    process::{Command, Output},
+    process::{Child, Command, Output, Stdio},
+    sync::Mutex,
+    thread,
+    time::{Duration, Instant},
 };
 
+/// An entry that does not serve after this time never will.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// An entry serves callers a moment before it watches signals; one that comes
+/// in between ends it at once, which is not what these tests are about.
+const WATCHED: Duration = Duration::from_millis(300);
+
+/// Held while ports are chosen and while a process is started.
+///
+/// A process that is being started holds copies of all open sockets until it
+/// runs its own program. A port that another test has chosen, and closed for
+/// its entry to take, would still be in use.
+static SPAWN: Mutex<()> = Mutex::new(());
+
 fn daemon(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
+    let lock = SPAWN.lock().unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
         .args(args)
-        .output()
-        .unwrap()
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn();
+    drop(lock);
+    child.unwrap().wait_with_output().unwrap()
 }
 
 fn data(name: &str) -> String {
@@ -66,3 +90,78 @@
         assert!(!out.stderr.is_empty());
     }
 }
+
+/// Starts an entry whose platform can't be reached, and waits until it serves.
+///
+/// Each test has a loopback address of its own, so that none takes a port that
+/// another has just chosen as free.
+fn entry(name: &str, ip: &str) -> Child {
+    let lock = SPAWN.lock().unwrap();
+    let free = || TcpListener::bind((ip, 0)).unwrap();
+    let (callers, operators, platform) = (free(), free(), free());
+    let at = |listener: &TcpListener| listener.local_addr().unwrap();
+    let text = format!(
+        "name = \"{name}\"\nhost = \"a\"\nplace = \"senec\"\nregion = \"zapad\"\n\
+         [platform]\ntable = \"http://{0}\"\nhosts = \"http://{0}\"\n\
+         [entry]\ncallers = \"{1}\"\noperators = \"{2}\"\n",
+        at(&platform),
+        at(&callers),
+        at(&operators),
+    );
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+    fs::write(&file, text).unwrap();
+    let address = at(&callers);
+    drop((callers, operators, platform));
+    let child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
+        .arg(file)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    drop(lock);
+    let start = Instant::now();
+    while TcpStream::connect(address).is_err() {
+        assert!(start.elapsed() < PATIENCE, "{name} does not serve");
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(WATCHED);
+    child
+}
+
+fn signal(child: &Child) {
+    let pid = Pid::from_raw(child.id().try_into().unwrap()).unwrap();
+    kill_process(pid, Signal::TERM).unwrap();
+}
+
+#[test]
+fn planned_stop_exits_with_0() {
+    let mut child = entry("planned-stop", "127.0.0.2");
+    signal(&child);
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
+// An operator who can't wait sends a second signal while the entry still
+// lingers for requests on their way. The process ends at once, and its exit
+// code says that it was not a graceful stop.
+#[test]
+fn second_signal_exits_with_3() {
+    let mut child = entry("second-signal", "127.0.0.3");
+    signal(&child);
+    thread::sleep(Duration::from_millis(100));
+    signal(&child);
+    assert_eq!(child.wait().unwrap().code(), Some(3));
+}
+
+// The address for callers is taken by another process: the settings are sound
+// but the entry can't run.
+#[test]
+fn failure_while_running_exits_with_1() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = fs::read_to_string(data("entry-all.toml")).unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = text.replace("127.0.0.1:8080", &address);
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("taken.toml");
+    fs::write(&file, text).unwrap();
+    let out = daemon(&[file.to_str().unwrap()]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&out.stderr).contains(&address));
+}
