--- a/hibiscusroad-daemon/src/logs.rs
+++ b/hibiscusroad-daemon/src/logs.rs
@@ -21,6 +21,8 @@
 pub const CALLERS: &str = "callers";
 /// Requests on their way through an entry.
 pub const CALLS: &str = "calls";
+/// Claims of requests that may not run twice.
+pub const CLAIMS: &str = "claims";
 /// The configuration and its versions.
 pub const CONFIG: &str = "config";
 /// The host list.
@@ -34,7 +36,7 @@
 
 /// All prefixes of the project's own parts.
 pub const PARTS: &[&str] = &[
-    PROCESS, CALLERS, CALLS, CONFIG, HOSTS, LINK, OPERATORS, SIDE,
+    PROCESS, CALLERS, CALLS, CLAIMS, CONFIG, HOSTS, LINK, OPERATORS, SIDE,
 ];
 
 /// Libraries whose records below a warning are of no use to operators.
--- a/hibiscusroad-daemon/tests/logs.rs
+++ b/hibiscusroad-daemon/tests/logs.rs
@@ -134,3 +134,13 @@
         .collect();
     assert!(unlisted.is_empty(), "{unlisted:?}");
 }
+
+#[test]
+fn operations_page_lists_prefixes_and_metrics() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
+    let page = fs::read_to_string(page).unwrap();
+    let metrics = metrics::NAMES.iter().map(|(name, _)| name);
+    for name in logs::PARTS.iter().chain(metrics) {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+}
