--- a/hibiscusroad-cli/src/format.rs
+++ b/hibiscusroad-cli/src/format.rs
@@ -114,7 +114,9 @@
         let at = UNIX_EPOCH + Duration::from_millis(ms);
         return humantime::format_rfc3339_millis(at).to_string();
     }
-    let text = text(cell);
+    // Names come from other hosts; a control character among them could make a
+    // terminal show what is not there.
+    let text = text(cell).replace(char::is_control, "?");
     if text.chars().count() <= WIDEST {
         return text;
     }
--- a/hibiscusroad-cli/src/language/mod.rs
+++ b/hibiscusroad-cli/src/language/mod.rs
@@ -13,6 +13,7 @@
 
 mod error;
 mod parse;
+mod take;
 mod token;
 
 pub use self::{error::Error, parse::parse};
--- a/hibiscusroad-cli/src/language/parse.rs
+++ b/hibiscusroad-cli/src/language/parse.rs
@@ -1,9 +1,13 @@
 //! Statements from tokens.
 
 use super::{
-    About, Filter, Literal, Op, Order, SUBJECTS, Show, Statement,
+    About, Filter, Op, Order, SUBJECTS, Show, Statement,
     error::Error,
-    token::{Token, TokenKind, tokens},
+    take::{
+        Input, comma, duration, expect, expect_one, integer, keyword, literal, name, next, read,
+        share, sign, skip,
+    },
+    token::{TokenKind, tokens},
 };
 use hibiscusroad::config::{Change, Kind, Rule, Target};
 use serde_json::{Map, Value};
@@ -42,8 +46,6 @@
     ("~", Op::Contains),
 ];
 
-type Input<'t> = TokenSlice<'t, Token>;
-
 /// Reads all statements of a text.
 ///
 /// # Errors
@@ -276,126 +278,3 @@
         _ => Ok((key.to_owned(), share(input)?.into())),
     }
 }
-
-fn integer(input: &mut Input<'_>) -> ModalResult<u32> {
-    read(input, "a whole number", |word| word.parse().ok())
-}
-
-fn share(input: &mut Input<'_>) -> ModalResult<f64> {
-    read(input, "a share from 0 to 1", |word| {
-        word.parse()
-            .ok()
-            .filter(|share| (0.0..=1.0).contains(share))
-    })
-}
-
-fn duration(input: &mut Input<'_>) -> ModalResult<Duration> {
-    let expected = "a duration such as 250ms, 10s or 2m";
-    read(input, expected, |word| humantime::parse_duration(word).ok())
-}
-
-fn literal(input: &mut Input<'_>) -> ModalResult<Literal> {
-    match next(input) {
-        Some(TokenKind::Quoted(text)) => {
-            input.next_token();
-            let text = text.clone();
-            Ok(Literal { text, number: None })
-        }
-        Some(TokenKind::Word(text)) => {
-            input.next_token();
-            let millis = || Some(humantime::parse_duration(text).ok()?.as_secs_f64() * 1e3);
-            let number = text.parse().ok().or_else(millis);
-            let text = text.clone();
-            Ok(Literal { text, number })
-        }
-        _ => Err(expect_one("a value")),
-    }
-}
-
-fn name(input: &mut Input<'_>, expected: &'static str) -> ModalResult<String> {
-    match next(input) {
-        Some(TokenKind::Word(text) | TokenKind::Quoted(text)) => {
-            input.next_token();
-            Ok(text.clone())
-        }
-        _ => Err(expect_one(expected)),
-    }
-}
-
-/// Returns the next token without taking it.
-fn next<'t>(input: &Input<'t>) -> Option<&'t TokenKind> {
-    input.peek_token().map(|token| &token.kind)
-}
-
-/// Takes a word that `accept` makes a value of.
-fn read<T>(
-    input: &mut Input<'_>,
-    expected: &'static str,
-    accept: impl FnOnce(&str) -> Option<T>,
-) -> ModalResult<T> {
-    let value = match next(input) {
-        Some(TokenKind::Word(word)) => accept(word),
-        _ => None,
-    };
-    let value = value.ok_or_else(|| expect_one(expected))?;
-    input.next_token();
-    Ok(value)
-}
-
-/// Takes one of `words`, in any case.
-fn keyword(input: &mut Input<'_>, words: &'static [&'static str]) -> ModalResult<&'static str> {
-    let found = match next(input) {
-        Some(TokenKind::Word(word)) => words.iter().find(|known| known.eq_ignore_ascii_case(word)),
-        _ => None,
-    };
-    let found = found.ok_or_else(|| expect(words))?;
-    input.next_token();
-    Ok(found)
-}
-
-/// Takes `word` if it comes next, and says whether it did.
-fn skip(input: &mut Input<'_>, word: &str) -> bool {
-    let next = next(input);
-    let found = matches!(next, Some(TokenKind::Word(next)) if next.eq_ignore_ascii_case(word));
-    if found {
-        input.next_token();
-    }
-    found
-}
-
-fn sign(input: &mut Input<'_>, sign: &'static str) -> ModalResult<()> {
-    match next(input) {
-        Some(TokenKind::Sign(next)) if *next == sign => {
-            input.next_token();
-            Ok(())
-        }
-        _ => Err(expect(&[sign])),
-    }
-}
-
-/// Takes a comma; without one the list is at its end, which is no error.
-fn comma(input: &mut Input<'_>) -> ModalResult<()> {
-    match next(input) {
-        Some(TokenKind::Sign(",")) => {
-            input.next_token();
-            Ok(())
-        }
-        _ => Err(ErrMode::Backtrack(ContextError::new())),
-    }
-}
-
-fn expect(words: &[&'static str]) -> ErrMode<ContextError> {
-    let mut error = ContextError::new();
-    for word in words {
-        error.push(StrContext::Expected(StrContextValue::StringLiteral(word)));
-    }
-    ErrMode::Cut(error)
-}
-
-fn expect_one(description: &'static str) -> ErrMode<ContextError> {
-    let mut error = ContextError::new();
-    error.push(StrContext::Expected(StrContextValue::Description(
-        description,
-    )));
-    ErrMode::Cut(error)
-}
--- a/hibiscusroad-cli/tests/outcomes.rs
+++ b/hibiscusroad-cli/tests/outcomes.rs
@@ -271,3 +271,13 @@
     let told = run(options(&[safe.address]), "drain host b");
     assert_eq!(told.exit, Exit::Done, "{}", told.err);
 }
+
+// A host names itself with a control sequence. In an operator's terminal it
+// must not clear the screen or write over other rows.
+#[test]
+fn control_characters_are_not_printed() {
+    let body = r#"{"rows":[{"host":"a\u001b[2Jb","source":"list"}],"version":4}"#;
+    let entry = Fake::start(vec![say(200, body)]);
+    let told = run(options(&[entry.address]), "show hosts");
+    assert_eq!(told.out, "host    source\na?[2Jb  list\n");
+}
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -34,14 +34,18 @@
 //! ```
 
 mod check;
+mod roles;
 mod schema;
 
-pub use self::check::Problem;
+pub use self::{
+    check::Problem,
+    roles::{Entry, Side, Tokens},
+};
 pub use hibiscusroad::config::Kind;
 
 use serde::Deserialize;
 use std::{
-    fmt, fs, io,
+    fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
 };
@@ -155,85 +159,6 @@
     pub weights: Option<String>,
 }
 
-/// Settings of an entry.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Entry {
-    /// Where callers connect.
-    pub callers: SocketAddr,
-    /// Where operators connect; apart from callers, so that a rush of them
-    /// can't lock operators out.
-    pub operators: SocketAddr,
-    /// Requests worked on at once: threads that read and answer.
-    #[serde(default = "default_workers")]
-    pub workers: usize,
-    /// Bytes that a request's body may have.
-    #[serde(default = "default_body")]
-    pub body: usize,
-    /// Events that may wait for the thread that owns the tables.
-    #[serde(default = "default_handover")]
-    pub handover: usize,
-    /// Milliseconds a caller waits who names no deadline.
-    #[serde(default = "default_deadline")]
-    pub deadline_ms: u64,
-    /// Sides of each service that this entry keeps a link to.
-    #[serde(default = "default_subset")]
-    pub subset: usize,
-    /// Tokens of those who may ask and act.
-    #[serde(default)]
-    pub tokens: Tokens,
-}
-
-/// Tokens that operators show.
-#[derive(Clone, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Tokens {
-    /// May ask what is running.
-    #[serde(default)]
-    pub ask: Vec<String>,
-    /// May also change the configuration.
-    #[serde(default)]
-    pub act: Vec<String>,
-}
-
-impl fmt::Debug for Tokens {
-    // Tokens must never reach a log.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Tokens")
-            .field("ask", &self.ask.len())
-            .field("act", &self.act.len())
-            .finish()
-    }
-}
-
-/// Settings of a side.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Side {
-    /// Where entries open links.
-    pub links: SocketAddr,
-    /// The service of its endpoint.
-    pub service: String,
-    /// The endpoint's name, unique in the service.
-    pub endpoint: String,
-    /// The endpoint's address.
-    pub address: SocketAddr,
-    /// What the endpoint is.
-    pub kind: Kind,
-    /// Requests that the endpoint works on at once.
-    #[serde(default = "default_limit")]
-    pub limit: u32,
-    /// Bytes of answers kept for entries that have not acknowledged them.
-    #[serde(default = "default_buffer")]
-    pub buffer: usize,
-    /// Events that may wait for the thread that owns the tables.
-    #[serde(default = "default_handover")]
-    pub handover: usize,
-    /// Whether the endpoint itself refuses an order with an old number.
-    #[serde(default)]
-    pub fences: bool,
-}
-
 /// Settings of logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -280,34 +205,6 @@
     }
 }
 
-fn default_workers() -> usize {
-    256
-}
-
-fn default_body() -> usize {
-    1 << 20
-}
-
-fn default_handover() -> usize {
-    8192
-}
-
-fn default_deadline() -> u64 {
-    10_000
-}
-
-fn default_subset() -> usize {
-    24
-}
-
-fn default_limit() -> u32 {
-    64
-}
-
-fn default_buffer() -> usize {
-    16 << 20
-}
-
 fn default_level() -> String {
     "info".to_owned()
 }
--- /dev/null
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -0,0 +1,238 @@
+//! What the settings of an entry and of a side hold.
+
+use hibiscusroad::config::Kind;
+use serde::Deserialize;
+use std::{fmt, net::SocketAddr};
+
+/// Settings of an entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect; apart from callers, so that a rush of them
+    /// can't lock operators out.
+    pub operators: SocketAddr,
+    /// Requests worked on at once: threads that read and answer.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Bytes that a request's body may have.
+    #[serde(default = "default_body")]
+    pub body: usize,
+    /// Events that may wait for the thread that owns the tables.
+    #[serde(default = "default_handover")]
+    pub handover: usize,
+    /// Milliseconds a caller waits who names no deadline.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: u64,
+    /// Sides of each service that this entry keeps a link to.
+    #[serde(default = "default_subset")]
+    pub subset: usize,
+    /// Tokens of those who may ask and act.
+    #[serde(default)]
+    pub tokens: Tokens,
+}
+
+impl Entry {
+    /// Creates the settings of an entry that serves callers and operators at
+    /// these addresses, with everything else as the defaults have it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hibiscusroad_daemon::settings::Entry;
+    ///
+    /// let callers = "127.0.0.1:8080".parse()?;
+    /// let operators = "127.0.0.1:8081".parse()?;
+    /// let entry = Entry::new(callers, operators).workers(64).subset(15);
+    /// assert_eq!(entry.workers, 64);
+    /// assert_eq!(entry.deadline_ms, 10_000);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    #[must_use]
+    pub fn new(callers: SocketAddr, operators: SocketAddr) -> Self {
+        Self {
+            callers,
+            operators,
+            workers: default_workers(),
+            body: default_body(),
+            handover: default_handover(),
+            deadline_ms: default_deadline(),
+            subset: default_subset(),
+            tokens: Tokens::default(),
+        }
+    }
+
+    /// Sets how many requests are worked on at once.
+    #[must_use]
+    pub const fn workers(mut self, workers: usize) -> Self {
+        self.workers = workers;
+        self
+    }
+
+    /// Sets how many bytes a request's body may have.
+    #[must_use]
+    pub const fn body(mut self, body: usize) -> Self {
+        self.body = body;
+        self
+    }
+
+    /// Sets how many events may wait for the tables.
+    #[must_use]
+    pub const fn handover(mut self, handover: usize) -> Self {
+        self.handover = handover;
+        self
+    }
+
+    /// Sets how many milliseconds a caller waits who names no deadline.
+    #[must_use]
+    pub const fn deadline_ms(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = deadline_ms;
+        self
+    }
+
+    /// Sets how many sides of each service are linked.
+    #[must_use]
+    pub const fn subset(mut self, subset: usize) -> Self {
+        self.subset = subset;
+        self
+    }
+
+    /// Sets who may ask and act.
+    #[must_use]
+    pub fn tokens(mut self, tokens: Tokens) -> Self {
+        self.tokens = tokens;
+        self
+    }
+}
+
+/// Tokens that operators show.
+#[derive(Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tokens {
+    /// May ask what is running.
+    #[serde(default)]
+    pub ask: Vec<String>,
+    /// May also change the configuration.
+    #[serde(default)]
+    pub act: Vec<String>,
+}
+
+impl fmt::Debug for Tokens {
+    // Tokens must never reach a log.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tokens")
+            .field("ask", &self.ask.len())
+            .field("act", &self.act.len())
+            .finish()
+    }
+}
+
+/// Settings of a side.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Side {
+    /// Where entries open links.
+    pub links: SocketAddr,
+    /// The service of its endpoint.
+    pub service: String,
+    /// The endpoint's name, unique in the service.
+    pub endpoint: String,
+    /// The endpoint's address.
+    pub address: SocketAddr,
+    /// What the endpoint is.
+    pub kind: Kind,
+    /// Requests that the endpoint works on at once.
+    #[serde(default = "default_limit")]
+    pub limit: u32,
+    /// Bytes of answers kept for entries that have not acknowledged them.
+    #[serde(default = "default_buffer")]
+    pub buffer: usize,
+    /// Events that may wait for the thread that owns the tables.
+    #[serde(default = "default_handover")]
+    pub handover: usize,
+    /// Whether the endpoint itself refuses an order with an old number.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+impl Side {
+    /// Creates the settings of a side that takes links at `links`, with
+    /// everything else as the defaults have it.
+    #[must_use]
+    pub fn new(
+        links: SocketAddr,
+        service: &str,
+        endpoint: &str,
+        address: SocketAddr,
+        kind: Kind,
+    ) -> Self {
+        Self {
+            links,
+            service: service.to_owned(),
+            endpoint: endpoint.to_owned(),
+            address,
+            kind,
+            limit: default_limit(),
+            buffer: default_buffer(),
+            handover: default_handover(),
+            fences: false,
+        }
+    }
+
+    /// Sets how many requests the endpoint works on at once.
+    #[must_use]
+    pub const fn limit(mut self, limit: u32) -> Self {
+        self.limit = limit;
+        self
+    }
+
+    /// Sets how many bytes of answers are kept.
+    #[must_use]
+    pub const fn buffer(mut self, buffer: usize) -> Self {
+        self.buffer = buffer;
+        self
+    }
+
+    /// Sets how many events may wait for the tables.
+    #[must_use]
+    pub const fn handover(mut self, handover: usize) -> Self {
+        self.handover = handover;
+        self
+    }
+
+    /// Sets whether the endpoint itself refuses an order with an old number.
+    #[must_use]
+    pub const fn fences(mut self, fences: bool) -> Self {
+        self.fences = fences;
+        self
+    }
+}
+
+fn default_workers() -> usize {
+    256
+}
+
+fn default_body() -> usize {
+    1 << 20
+}
+
+fn default_handover() -> usize {
+    8192
+}
+
+fn default_deadline() -> u64 {
+    10_000
+}
+
+fn default_subset() -> usize {
+    24
+}
+
+fn default_limit() -> u32 {
+    64
+}
+
+fn default_buffer() -> usize {
+    16 << 20
+}
