Send the last chunk of a stream at once on kept connections

The last chunk, which the encoder writes when it is dropped, stayed in tiny_http's buffer until the silence limit of 5 s ended the connection.

The gate below the encoder now flushes when it is dropped. The new test fails without that.

--- a/hibiscusroad-daemon/src/entry/front/answer.rs
+++ b/hibiscusroad-daemon/src/entry/front/answer.rs
@@ -139,7 +139,8 @@
 
     /// Ends a whole answer.
     pub fn end(self) {
-        // The encoder writes the last chunk when it is dropped.
+        // The encoder writes the last chunk when it is dropped, and the gate
+        // sends it on.
         drop(self);
     }
 
@@ -155,11 +156,24 @@
 
 /// Lets nothing through once it is shut, not even the last chunk that the
 /// encoder writes when it is dropped.
+///
+/// What is left is sent on when the gate is dropped. On a connection that is
+/// kept, the last chunk would otherwise stay in the server's buffer until the
+/// connection ends, and the caller would wait for it.
 struct Gate {
     out: Box<dyn Write + Send>,
     shut: bool,
 }
 
+impl Drop for Gate {
+    fn drop(&mut self) {
+        if !self.shut {
+            // A caller that left needs no last chunk.
+            let _ = self.out.flush();
+        }
+    }
+}
+
 impl Write for Gate {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         if self.shut {
--- a/hibiscusroad-daemon/tests/entry_input.rs
+++ b/hibiscusroad-daemon/tests/entry_input.rs
@@ -216,3 +216,31 @@
     assert!(answer.contains(r#""not_run":false"#), "{answer}");
     assert!(took < Duration::from_millis(500), "{took:?}");
 }
+
+// The caller of a stream sees it break at its deadline, not a moment later,
+// though tokens go on coming.
+#[test]
+fn a_stream_is_broken_off_at_its_deadline() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            let out = out.clone();
+            thread::spawn(move || {
+                out.head(start.id, "text/event-stream");
+                for i in 0..200 {
+                    out.chunk(start.id, i * 9, "data: a\n\n");
+                    thread::sleep(Duration::from_millis(10));
+                }
+                out.end(start.id, 1800);
+            });
+        }
+    });
+    let entry = start(&[&side], "");
+    let begin = Instant::now();
+    let body = r#"{"prompt":"hi","stream":true}"#;
+    let deadline = "Deadline-Ms: 400\r\n";
+    let answer = call(&entry, "POST", "/s/guide-lm/v1/completions", deadline, body);
+    let took = begin.elapsed();
+    assert!(answer.ends_with("broken off\r\n"), "{answer}");
+    assert!(took >= Duration::from_millis(390), "{took:?}");
+    assert!(took < Duration::from_millis(500), "{took:?}");
+}
--- a/hibiscusroad-daemon/tests/entry_path.rs
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -4,6 +4,11 @@
 
 use entry_support::{Side, call, start};
 use hibiscusroad_wire::to_side::Frame;
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 fn echo() -> Side {
     Side::start("hut-desk", |_, out, frame| {
@@ -49,3 +54,32 @@
     assert!(answer.contains("data: b\n\n"), "{answer}");
     assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
 }
+
+// The caller sees the end of each stream at once, on a connection that it keeps
+// for the next. The last chunk must not stay in a buffer until more comes.
+#[test]
+fn streams_end_at_once_on_a_kept_connection() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.end(start.id, 9);
+        }
+    });
+    let entry = start(&[&side], "");
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    let limit = Some(Duration::from_secs(2));
+    stream.set_read_timeout(limit).unwrap();
+    let begin = Instant::now();
+    for _ in 0..3 {
+        let request = "GET /s/guide-lm/x HTTP/1.1\r\nHost: x\r\n\r\n";
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut answer = String::new();
+        while !answer.ends_with("\r\n0\r\n\r\n") {
+            let mut piece = [0; 1024];
+            let n = stream.read(&mut piece).unwrap();
+            answer.push_str(std::str::from_utf8(&piece[..n]).unwrap());
+        }
+    }
+    assert!(begin.elapsed() < Duration::from_secs(1));
+}
