--- a/hibiscusroad-daemon/src/entry/claim.rs
+++ b/hibiscusroad-daemon/src/entry/claim.rs
@@ -8,9 +8,10 @@
 use crate::{
     entry::{
         attempt::{Attempt, Phase, wire_id},
+        call::{CallRow, come_back},
         claims::Write,
         side::{Listing, SideKey},
-        tables::{COME_BACK, CallRow, Tables},
+        tables::Tables,
     },
     platform::{Host, State},
 };
@@ -151,7 +152,7 @@
             // The frame that said so asks for the answer.
             Action::Follow(_) => {}
             Action::Place => self.admit(now, call),
-            Action::Refuse(kind) => self.refuse(now, call, kind, COME_BACK),
+            Action::Refuse(kind) => self.refuse(now, call, kind, come_back()),
         }
     }
 
@@ -169,7 +170,7 @@
         let key = keyed.row.clone();
         let job = Box::new(Job { key, claim, expect });
         if self.writes.try_send(Write::Claim(call, job)).is_err() {
-            self.refuse(now, call, ErrorKind::HandoverFull, COME_BACK);
+            self.refuse(now, call, ErrorKind::HandoverFull, come_back());
         }
     }
 
@@ -246,7 +247,7 @@
         match outcome {
             Outcome::Answered => {}
             Outcome::NotRun(_) => self.fate(now, attempt.call, Fate::Sealed),
-            Outcome::Failed(kind) => self.refuse(now, attempt.call, kind, COME_BACK),
+            Outcome::Failed(kind) => self.refuse(now, attempt.call, kind, come_back()),
         }
     }
 }
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -12,6 +12,7 @@
 
 mod assembly;
 mod attempt;
+mod call;
 mod claim;
 mod claims;
 pub mod config;
