--- a/hibiscusroad-daemon/src/entry/claims.rs
+++ b/hibiscusroad-daemon/src/entry/claims.rs
@@ -151,7 +151,7 @@
             return Said::Down;
         }
         if late {
-            log::warn!(target: "claims", "The table gives no answer; claims are refused.");
+            log::warn!(target: "calls", "The table gives no answer; claims are refused.");
             self.down = Some(Instant::now() + DOWN);
             return Said::Down;
         }
@@ -161,11 +161,11 @@
                 Said::Conflict(rows.into_iter().map(|r| (r.key, r.value)).collect())
             }
             Outcome::Unknown(fault) => {
-                log::debug!(target: "claims", "Not known whether claims were written: {fault}.");
+                log::debug!(target: "calls", "Not known whether claims were written: {fault}.");
                 Said::Unknown
             }
             Outcome::NotSent(fault) => {
-                log::warn!(target: "claims", "Claims are refused: {fault}.");
+                log::warn!(target: "calls", "Claims are refused: {fault}.");
                 Said::Down
             }
         }
@@ -189,7 +189,7 @@
             .then(Op::Delete(key));
         if let Outcome::Unknown(fault) | Outcome::NotSent(fault) = self.table.transact(&transaction)
         {
-            log::debug!(target: "claims", "A claim was not released: {fault}.");
+            log::debug!(target: "calls", "A claim was not released: {fault}.");
         }
     }
 }
