--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -1,6 +1,7 @@
 //! Threads that each see one request through.
 
 use crate::entry::{
+    call::come_back,
     event::{Arrival, Event, Head, Inbound, Part},
     front::{
         Guard, Job, Refusal, Shared,
@@ -25,9 +26,6 @@
 /// give it at the deadline; this is for the case that they stand still.
 const GRACE: Duration = Duration::from_millis(250);
 
-/// When to come back after a refusal for lack of a thread.
-const COME_BACK: Duration = Duration::from_secs(1);
-
 /// How long the news that a caller left may wait for room.
 const LEFT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -62,7 +60,7 @@
 pub fn refuse(job: Job, kind: ErrorKind) {
     let target = target(&job);
     let (mut out, _guard) = split(job);
-    if let Err(e) = answer::problem(&mut *out, target, kind, COME_BACK) {
+    if let Err(e) = answer::problem(&mut *out, target, kind, come_back()) {
         log::debug!(target: "callers", "A refusal was not taken: {e}.");
     }
 }
@@ -92,7 +90,7 @@
     let length = job.request.body_length().unwrap_or_default();
     let interim = tiny_http::Response::empty(INTERIM);
     let mut stream = job.request.upgrade("none", interim);
-    if let Err(e) = answer::problem(&mut *stream, target, kind, COME_BACK) {
+    if let Err(e) = answer::problem(&mut *stream, target, kind, come_back()) {
         log::debug!(target: "callers", "A refusal was not taken: {e}.");
     }
     drop(job.guard);
@@ -171,10 +169,10 @@
         use flume::RecvTimeoutError::{Disconnected, Timeout};
         match self.parts.recv_deadline(self.limit) {
             Ok(part) => part,
-            Err(Disconnected) => Part::Fail(ErrorKind::Internal, COME_BACK),
+            Err(Disconnected) => Part::Fail(ErrorKind::Internal, come_back()),
             Err(Timeout) => {
                 self.left();
-                Part::Fail(ErrorKind::TimedOut, COME_BACK)
+                Part::Fail(ErrorKind::TimedOut, come_back())
             }
         }
     }
@@ -184,7 +182,7 @@
             Part::Whole(head, body) => First::Whole(head, body),
             Part::Head(head) => First::Pieces(head),
             Part::Fail(kind, after) => First::Fail(kind, after),
-            Part::Data(_) | Part::End => First::Fail(ErrorKind::Internal, COME_BACK),
+            Part::Data(_) | Part::End => First::Fail(ErrorKind::Internal, come_back()),
         }
     }
 
@@ -202,7 +200,7 @@
                 Part::End => return First::Whole(head, body),
                 Part::Fail(kind, after) => return First::Fail(kind, after),
                 Part::Whole(..) | Part::Head(_) => {
-                    return First::Fail(ErrorKind::Internal, COME_BACK);
+                    return First::Fail(ErrorKind::Internal, come_back());
                 }
             }
         }
--- a/hibiscusroad-daemon/tests/entry_path.rs
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -4,7 +4,11 @@
 
 use entry_support::{Side, call, rest, start};
 use hibiscusroad_wire::to_side::Frame;
-use std::{io::Write, net::TcpStream};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 fn echo() -> Side {
     Side::start("hut-desk", |_, out, frame| {
@@ -51,6 +55,35 @@
     assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
 }
 
+// The caller sees the end of each stream at once, on a connection that it keeps
+// for the next. The last chunk must not stay in a buffer until more comes.
+#[test]
+fn streams_end_at_once_on_a_kept_connection() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.end(start.id, 9);
+        }
+    });
+    let entry = start(&[&side], "");
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    let limit = Some(Duration::from_secs(2));
+    stream.set_read_timeout(limit).unwrap();
+    let begin = Instant::now();
+    for _ in 0..3 {
+        let request = "GET /s/guide-lm/x HTTP/1.1\r\nHost: x\r\n\r\n";
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut answer = String::new();
+        while !answer.ends_with("\r\n0\r\n\r\n") {
+            let mut piece = [0; 1024];
+            let n = stream.read(&mut piece).unwrap();
+            answer.push_str(std::str::from_utf8(&piece[..n]).unwrap());
+        }
+    }
+    assert!(begin.elapsed() < Duration::from_secs(1));
+}
+
 // The caller keeps its connection. The side ends the stream right after its last
 // piece, so nothing follows that would push the end out of a buffer: the caller
 // must see the last chunk at once, not when the idle connection is closed.
