Measure the path in turns, and say why calls failed

Both ways at once compete for the processor, and one moment in which others used the machine set a p99 of 605 ms through and 104 ms direct. The ways now take turns of a second, and the median over the turns is reported. The processor time that an entry and its sides use for a request is new.

The time until a change is in force counts from the command on: before it counted from its answer, and was always 0.0 s.

--- a/hibiscusroad-measure/src/demo.rs
+++ b/hibiscusroad-measure/src/demo.rs
@@ -62,7 +62,7 @@
         let spread = self.spread.as_secs_f64();
         format!(
             "demo: answered={answered} refused={refused} late={late} doubled={doubled} \
-             short={short} config_s={spread:.1}"
+             short={short} config_s={spread:.2}"
         )
     }
 }
@@ -128,8 +128,11 @@
 
     let version = deployment.spec.statements().len() as u64 + 1;
     let change = format!("alter service {service} set depth = 128");
+    let asked = Instant::now();
     println!("> {change}\n{}", deployment.operate(0, &change)?);
-    let spread = deployment.wait_version(version, SPREAD)?;
+    deployment.wait_version(version, SPREAD)?;
+    // From the request on: when it was accepted, nobody outside can say.
+    let spread = asked.elapsed();
 
     interrupt.sleep_until(start + time / 2);
     let drain = format!("drain endpoint {drained}");
--- a/hibiscusroad-measure/src/path.rs
+++ b/hibiscusroad-measure/src/path.rs
@@ -3,16 +3,16 @@
 
 use crate::{
     caller::{Call, Ending, Work},
-    deployment::{Deployment, Error, Kind, Service, Spec},
+    deployment::{Deployment, Error, Kind, Member, Service, Spec},
     interrupt::Interrupt,
-    load::{self, Counters, Made},
+    load::{self, Made},
     report::Report,
 };
 use hdrhistogram::Histogram;
 use hibiscusroad::Class;
 use std::{
+    collections::BTreeMap,
     sync::Arc,
-    thread,
     time::{Duration, Instant},
 };
 
@@ -26,8 +26,8 @@
 const HELD_SHARE: f64 = 0.999;
 const HELD_WAIT: Duration = Duration::from_millis(100);
 /// Rates that are tried, in requests a second, until one isn't held.
-const RATES: [f64; 9] = [
-    500.0, 1000.0, 2000.0, 3000.0, 4000.0, 5000.0, 6000.0, 8000.0, 10_000.0,
+const RATES: [f64; 10] = [
+    500.0, 1000.0, 2000.0, 3000.0, 4000.0, 5000.0, 6000.0, 8000.0, 10_000.0, 12_000.0,
 ];
 const STREAMS: usize = 64;
 const STREAM_TOKENS: u64 = 400;
@@ -71,7 +71,7 @@
     let _ = small(&deployment, Way::Through, RATES[0], options, interrupt);
     let held = hold(&deployment, options, interrupt, &mut report);
     report.add("held_rate", held, "requests/s");
-    added(&deployment, held / 2.0, options, interrupt, &mut report);
+    added(&deployment, held / 2.0, options, interrupt, &mut report)?;
     memory(&deployment, "loaded", &mut report)?;
     tokens(&deployment, interrupt, &mut report);
     if interrupt.is_asked() {
@@ -160,7 +160,7 @@
     interrupt: &Interrupt,
 ) -> Vec<Made> {
     let calls = calls(deployment, way, rate, options.step, options.seed);
-    load::run(calls, WORKERS, &Arc::new(Counters::default()), interrupt)
+    load::run(calls, WORKERS, &Arc::default(), interrupt)
 }
 
 // The highest rate that is held, of those tried.
@@ -174,7 +174,8 @@
     for rate in RATES {
         let made = small(deployment, Way::Through, rate, options, interrupt);
         let latency = latency(&made);
-        let answered = answered(&made) as f64 / made.len().max(1) as f64;
+        let whole = made.len() - explain(&made);
+        let answered = whole as f64 / made.len().max(1) as f64;
         report.add(format!("at_{rate}_answered"), answered, "share");
         quantiles(&latency, &format!("at_{rate}"), report);
         let wait = Duration::from_micros(latency.value_at_quantile(0.99));
@@ -186,37 +187,85 @@
     held
 }
 
+// Ways are tried in turn, a second each, and the median over the turns is
+// given: what else the machine does for a moment then spoils a turn or two of
+// either way, not the difference between them.
 fn added(
     deployment: &Deployment,
     rate: f64,
     options: &Options,
     interrupt: &Interrupt,
     report: &mut Report,
-) {
-    // Both ways at once, so that both meet the same machine.
-    let run = |way, seed| {
-        let calls = calls(deployment, way, rate, options.time, seed);
-        load::run(calls, WORKERS, &Arc::new(Counters::default()), interrupt)
-    };
-    let [through, direct] = thread::scope(|scope| {
-        let direct = scope.spawn(|| run(Way::Direct, options.seed + 1));
-        let through = run(Way::Through, options.seed);
-        [through, direct.join().unwrap_or_default()]
-    });
+) -> Result<(), Error> {
+    let start = processor(deployment)?;
+    let mut failed = 0;
+    let mut count = 0;
+    let mut turns = [Vec::new(), Vec::new()];
+    for turn in 0..options.time.as_secs() {
+        for (way, turns) in Way::BOTH.into_iter().zip(&mut turns) {
+            let seed = options.seed + turn;
+            let calls = calls(deployment, way, rate, TURN, seed);
+            let made = load::run(calls, WORKERS, &Arc::default(), interrupt);
+            if way == Way::Through {
+                failed += explain(&made);
+                count += made.len();
+            }
+            turns.push(latency(&made));
+        }
+    }
     report.add("half_rate", rate, "requests/s");
-    report.add(
-        "half_failed",
-        (through.len() - answered(&through)) as f64,
-        "",
-    );
-    let [through, direct] = [through, direct].map(|made| latency(&made));
-    quantiles(&through, "through", report);
-    quantiles(&direct, "direct", report);
+    report.add("half_failed", failed as f64, "");
     for (name, quantile) in QUANTILES {
-        let ours = through.value_at_quantile(quantile) as f64;
-        let theirs = direct.value_at_quantile(quantile) as f64;
-        report.add(format!("added_{name}"), (ours - theirs) / 1e3, "ms");
+        let [through, direct] = turns.each_ref().map(|turns| median(turns, quantile));
+        report.add(format!("through_{name}"), through, "ms");
+        report.add(format!("direct_{name}"), direct, "ms");
+        report.add(format!("added_{name}"), through - direct, "ms");
+    }
+    for ((name, before), (_, after)) in start.into_iter().zip(processor(deployment)?) {
+        let micros = after.saturating_sub(before).as_secs_f64() * 1e6;
+        report.add(
+            format!("{name}_cpu"),
+            micros / count.max(1) as f64,
+            "us/request",
+        );
+    }
+    Ok(())
+}
+
+const TURN: Duration = Duration::from_secs(1);
+
+// In milliseconds.
+fn median(turns: &[Histogram<u64>], quantile: f64) -> f64 {
+    let mut values: Vec<u64> = turns
+        .iter()
+        .map(|t| t.value_at_quantile(quantile))
+        .collect();
+    values.sort_unstable();
+    values.get(values.len() / 2).copied().unwrap_or(0) as f64 / 1e3
+}
+
+// Processor time that the entries, and the sides, have used so far.
+fn processor(deployment: &Deployment) -> Result<[(&'static str, Duration); 2], Error> {
+    let sum = |members: &[Member]| {
+        let times = members.iter().map(|member| member.process.processor());
+        times.sum::<Result<Duration, Error>>()
+    };
+    let (entries, sides) = (sum(&deployment.entries)?, sum(&deployment.sides)?);
+    Ok([("entry", entries), ("side", sides)])
+}
+
+// Says why calls failed, and returns how many did.
+fn explain(made: &[Made]) -> usize {
+    let mut failures = BTreeMap::new();
+    for Made { outcome, .. } in made {
+        if outcome.ending != Ending::Answered {
+            *failures.entry(format!("{:?}", outcome.ending)).or_insert(0) += 1;
+        }
+    }
+    for (ending, count) in &failures {
+        eprintln!("{count} times {ending}");
     }
+    failures.values().sum()
 }
 
 const QUANTILES: [(&str, f64); 2] = [("p50", 0.5), ("p99", 0.99)];
@@ -263,7 +312,7 @@
         };
         let start = Instant::now();
         let calls = (0..STREAMS).map(call).collect();
-        let made = load::run(calls, STREAMS, &Arc::new(Counters::default()), interrupt);
+        let made = load::run(calls, STREAMS, &Arc::default(), interrupt);
         let time = start.elapsed().as_secs_f64();
         let tokens: u64 = made.iter().map(|made| made.outcome.tokens).sum();
         let whole = answered(&made) as f64;
