--- a/hibiscusroad-measure/src/demo.rs
+++ b/hibiscusroad-measure/src/demo.rs
@@ -8,6 +8,7 @@
     load::{self, Counters, Made},
 };
 use hibiscusroad::Class;
+use hibiscusroad_standins::{plain::Ran, platform::history::epoch_ms};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::{
@@ -23,6 +24,9 @@
 /// Aim of the configuration's spread, and some time to see that it is missed.
 const SPREAD: Duration = Duration::from_secs(15);
 const STOP: Duration = Duration::from_secs(40);
+// The plain endpoint that is drained, and how long work may still begin there.
+const DRAINED: usize = 0;
+const DRAIN_MS: u64 = 1000;
 const TICK: Duration = Duration::from_millis(200);
 // A repeat comes while the first is running, or when it has been answered.
 const REPEATS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(300)];
@@ -45,9 +49,17 @@
     pub verdict: Verdict,
     /// From a change of the configuration to its being in force everywhere.
     pub spread: Duration,
+    /// Requests that a drained endpoint began later than it may.
+    pub drained: usize,
 }
 
 impl Found {
+    /// Says whether all promises were kept.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.verdict.is_clean() && self.drained == 0
+    }
+
     /// Returns the last line that the demonstration prints.
     #[must_use]
     pub fn line(&self) -> String {
@@ -95,31 +107,51 @@
         (load.join().unwrap_or_default(), operated)
     });
     println!("\r{} calls have ended", made.len());
+    let operated = operated?;
+    let logs = deployment.logs()?;
     let found = Found {
-        spread: operated?,
-        verdict: judge(&made, &deployment.logs()?),
+        spread: operated.spread,
+        verdict: judge(&made, &logs),
+        drained: begun_after(&logs[DRAINED], operated.drained),
     };
-    explain(&found.verdict, &made);
+    explain(&found, &made);
     if options.keep {
         keep(&deployment, interrupt);
     }
-    println!("stopping");
+    let asked = Instant::now();
     deployment.stop(STOP)?;
+    println!("all stopped gracefully in {:.1?}", asked.elapsed());
     if interrupt.is_asked() && !options.keep {
         return Err(Error::Interrupted);
     }
     Ok(found)
 }
 
+fn begun_after(log: &[Ran], drained: u64) -> usize {
+    log.iter()
+        .filter(|ran| ran.at_ms > drained + DRAIN_MS)
+        .count()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Operated {
+    spread: Duration,
+    // When the drain was accepted, in milliseconds since the epoch.
+    drained: u64,
+}
+
 // What an operator does while the load goes on.
 fn operate(
     deployment: &Deployment,
     time: Duration,
     interrupt: &Interrupt,
-) -> Result<Duration, Error> {
+) -> Result<Operated, Error> {
     let start = Instant::now();
-    let service = deployment.spec.services[1].name;
-    let drained = format!("{service}-1");
+    let service = deployment
+        .spec
+        .service(Kind::Plain)
+        .map_or("", |service| service.name);
+    let endpoint = format!("{service}-{}", DRAINED + 1);
     interrupt.sleep_until(start + time / 4);
     println!(
         "\r> show endpoints\n{}",
@@ -135,12 +167,13 @@
     let spread = asked.elapsed();
 
     interrupt.sleep_until(start + time / 2);
-    let drain = format!("drain endpoint {drained}");
+    let drain = format!("drain endpoint {endpoint}");
     println!("\r> {drain}\n{}", deployment.operate(1, &drain)?);
+    let drained = epoch_ms();
     interrupt.sleep_until(start + time * 3 / 4);
-    let shown = format!("show endpoints where endpoint = {drained}");
+    let shown = format!("show endpoints where endpoint = {endpoint}");
     println!("\r> {shown}\n{}", deployment.operate(1, &shown)?);
-    Ok(spread)
+    Ok(Operated { spread, drained })
 }
 
 fn progress(ended: usize, total: usize) {
@@ -151,7 +184,10 @@
     }
 }
 
-fn explain(verdict: &Verdict, made: &[Made]) {
+fn explain(found: &Found, made: &[Made]) {
+    let Found {
+        verdict, drained, ..
+    } = found;
     for ((status, problem), count) in &verdict.refusals {
         println!("refused {count} times with {status} {problem}");
     }
@@ -160,6 +196,7 @@
     }
     let tokens: u64 = made.iter().map(|made| made.outcome.tokens).sum();
     println!("{tokens} tokens were generated");
+    println!("{drained} requests began at the drained endpoint after {DRAIN_MS} ms");
 }
 
 fn keep(deployment: &Deployment, interrupt: &Interrupt) {
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -69,7 +69,7 @@
         Command::Demo(options) => {
             let found = demo::run(&options, &Interrupt::watch()?)?;
             println!("{}", found.line());
-            if !found.verdict.is_clean() {
+            if !found.is_clean() {
                 return Ok(ExitCode::from(BROKEN));
             }
         }
