--- a/hibiscusroad-measure/src/deployment/mod.rs
+++ b/hibiscusroad-measure/src/deployment/mod.rs
@@ -15,7 +15,7 @@
 use crate::interrupt::Interrupt;
 use hibiscusroad_standins::{plain::Ran, platform::hosts::Target};
 use process::Process;
-use settings::{Daemon, Generator, Ports, endpoint_args};
+use settings::{Daemon, Generator, choose_port, endpoint_args};
 use std::{
     collections::BTreeMap,
     env, fs, io,
@@ -165,7 +165,6 @@
     }
 
     fn start_endpoints(&mut self) -> Result<(), Error> {
-        let mut ports = Ports::new(!system::id());
         for service in &self.spec.services {
             for number in 0..service.count {
                 let name = format!("{}-{}", service.name, number + 1);
@@ -173,7 +172,7 @@
                 let folder = &self.folder.path;
                 if self.spec.restarts {
                     // An endpoint that comes back must be found where it was.
-                    args.extend(["--listen".to_owned(), ports.choose()?.to_string()]);
+                    args.extend(["--listen".to_owned(), choose_port()?.to_string()]);
                     if service.kind == Kind::Plain {
                         let file = runs_file(folder, &name).display().to_string();
                         args.extend(["--log".to_owned(), file]);
@@ -192,7 +191,6 @@
     }
 
     fn start_daemons(&mut self) -> Result<(), Error> {
-        let mut ports = Ports::new(system::id());
         let generator = Generator {
             spec: &self.spec,
             folder: &self.folder.path,
@@ -200,13 +198,13 @@
         };
         let mut daemons = Vec::new();
         for number in 0..self.spec.entries {
-            let ports = [ports.choose()?, ports.choose()?];
+            let ports = [choose_port()?, choose_port()?];
             daemons.push(generator.entry(number, ports)?);
         }
         let mut endpoints = self.endpoints.iter();
         for service in &self.spec.services {
             for (number, endpoint) in endpoints.by_ref().take(service.count).enumerate() {
-                let links = ports.choose()?;
+                let links = choose_port()?;
                 daemons.push(generator.side(service, number, links, endpoint.address)?);
             }
         }
--- a/hibiscusroad-measure/src/deployment/settings.rs
+++ b/hibiscusroad-measure/src/deployment/settings.rs
@@ -6,8 +6,10 @@
 use std::{
     collections::BTreeMap,
     fs,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
+    process,
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -210,45 +212,30 @@
 const FIRST_PORT: u16 = 10_000;
 const LAST_PORT: u16 = 32_000;
 
-/// Chooses free ports on the loopback interface.
-#[derive(Debug)]
-pub struct Ports {
-    next: u16,
-    left: u16,
-}
-
-impl Ports {
-    /// Creates a chooser that begins at a place that depends on `seed`.
-    #[must_use]
-    pub fn new(seed: u32) -> Self {
-        let span = LAST_PORT - FIRST_PORT;
-        // Bits of neighbouring process ids are spread over the whole span.
-        let spread = seed.wrapping_mul(2_654_435_761) >> 8;
-        let offset = u16::try_from(spread % u32::from(span)).unwrap_or(0);
-        Self {
-            next: FIRST_PORT + offset,
-            left: span,
+// One for the whole process: two deployments that are started at once, by two
+// tests, must not both find a port free before either uses it.
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// Chooses a free port on the loopback interface that this process has not
+/// chosen lately.
+///
+/// # Errors
+///
+/// Returns an error if there is none.
+pub fn choose_port() -> Result<SocketAddr, Error> {
+    let span = u32::from(LAST_PORT - FIRST_PORT);
+    // Neighbouring process ids begin far from each other.
+    let first = (process::id().wrapping_mul(SPREAD) >> 8) % span;
+    for _ in 0..span {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) % span;
+        let offset = u16::try_from((first + number) % span).unwrap_or(0);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
         }
     }
-
-    /// Chooses a port that was not chosen before.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if there is none.
-    pub fn choose(&mut self) -> Result<SocketAddr, Error> {
-        while self.left > 0 {
-            let address = SocketAddr::from(([127, 0, 0, 1], self.next));
-            self.left -= 1;
-            self.next = if self.next == LAST_PORT {
-                FIRST_PORT
-            } else {
-                self.next + 1
-            };
-            if TcpListener::bind(address).is_ok() {
-                return Ok(address);
-            }
-        }
-        Err(Error::NoPort)
-    }
+    Err(Error::NoPort)
 }
+
+// 2^32 divided by the golden ratio, which spreads neighbours over the range.
+const SPREAD: u32 = 2_654_435_761;
