--- a/hibiscusroad-measure/src/demo.rs
+++ b/hibiscusroad-measure/src/demo.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::{
+    collections::BTreeSet,
     io::{self, IsTerminal, Write},
     sync::{Arc, atomic::Ordering},
     thread,
@@ -96,6 +97,8 @@
     deployment.set_up(SPREAD)?;
     let calls = mix(&deployment, options.time);
     let total = calls.len();
+    let repeats = repeats(&calls);
+    println!("{total} calls, {repeats} of them repeat a key through the other entry");
     let counters = Arc::new(Counters::default());
     let (made, operated) = thread::scope(|scope| {
         let load = scope.spawn(|| load::run(calls, WORKERS, &counters, interrupt));
@@ -127,6 +130,11 @@
     Ok(found)
 }
 
+fn repeats(calls: &[Call]) -> usize {
+    let names: BTreeSet<&str> = calls.iter().map(|call| call.request.as_str()).collect();
+    calls.len() - names.len()
+}
+
 fn begun_after(log: &[Ran], drained: u64) -> usize {
     log.iter()
         .filter(|ran| ran.at_ms > drained + DRAIN_MS)
