--- a/hibiscusroad-measure/src/policy/balance.rs
+++ b/hibiscusroad-measure/src/policy/balance.rs
@@ -130,15 +130,6 @@
         }))
     }
 
-    pub(super) fn debug(&self) {
-        if let Self::Ours(o) = self {
-            for k in &o.keys {
-                eprint!("{:?} ", o.router.load(*k));
-            }
-            eprintln!();
-        }
-    }
-
     /// Says whether sides refuse what is over their limit.
     pub(super) fn limited(&self) -> bool {
         matches!(self, Self::Ours(_))
@@ -233,10 +224,10 @@
             }
             (Policy::LeastReported, _) => {
                 let least = self.loads.iter().min().copied().unwrap_or(0);
-                let ties = self.loads.iter().filter(|load| **load == least).count();
-                let nth = self.rng.random_range(0..ties);
-                let mut same = (0..self.endpoints).filter(|n| self.loads[*n] == least);
-                same.nth(nth).unwrap_or(0)
+                let same = self.loads.iter().filter(|load| **load == least).count();
+                let nth = self.rng.random_range(0..same);
+                let mut idlest = (0..self.endpoints).filter(|n| self.loads[*n] == least);
+                idlest.nth(nth).unwrap_or(0)
             }
             _ => {
                 self.next = (self.next + 1) % self.endpoints;
--- a/hibiscusroad-measure/src/policy/driver.rs
+++ b/hibiscusroad-measure/src/policy/driver.rs
@@ -99,11 +99,6 @@
 pub fn run_one(scenario: &Scenario, policy: Policy, seed: u64) -> Score {
     let mut driver = Driver::new(scenario, policy, seed);
     driver.run();
-    if std::env::var("DBG").is_ok() {
-        for e in &driver.entries {
-            e.debug();
-        }
-    }
     let spent: Vec<f64> = driver.endpoints.iter().map(|e| e.spent).collect();
     let hits = driver.endpoints.iter().map(|e| e.hits).sum();
     let lookups = driver.endpoints.iter().map(|e| e.lookups).sum();
--- a/hibiscusroad-measure/src/policy/endpoint.rs
+++ b/hibiscusroad-measure/src/policy/endpoint.rs
@@ -83,7 +83,7 @@
 
     /// Does the work of the time since the last change.
     pub(super) fn advance(&mut self, now: Duration) {
-        let step = (now - self.moved).as_secs_f64() * self.rate();
+        let step = now.saturating_sub(self.moved).as_secs_f64() * self.rate();
         self.moved = now;
         for job in self.running.values_mut() {
             self.spent += step.min(job.left.max(0.0));
--- a/hibiscusroad-measure/src/policy/scenario.rs
+++ b/hibiscusroad-measure/src/policy/scenario.rs
@@ -168,7 +168,7 @@
         class: Class::Rollout,
         load: 1.1,
         work: Work::Exp(4.0),
-        patience: Duration::from_secs(60),
+        patience: Duration::from_mins(1),
         ..guest
     };
     let mut streams = vec![guest];
@@ -180,7 +180,7 @@
         kind: Kind::Batch(16),
         endpoints: 3,
         // A rollout takes four seconds; limits need some hundreds of them.
-        window: (Duration::from_secs(120), Duration::from_secs(240)),
+        window: (Duration::from_mins(2), Duration::from_mins(4)),
         ..plain(name, 0.0)
     }
 }
--- a/hibiscusroad-measure/src/policy/score.rs
+++ b/hibiscusroad-measure/src/policy/score.rs
@@ -32,7 +32,7 @@
     }
 
     fn refusal(&self) -> Option<Duration> {
-        self.refused.map(|at| at - self.arrived)
+        self.refused.map(|at| at.saturating_sub(self.arrived))
     }
 
     /// Says whether it was let in: anything but a refusal on arrival.
@@ -102,7 +102,7 @@
         // what arrives before its end is answered after it.
         let ended = |r: &&Record| r.in_time() && r.answered.is_some_and(|at| window.contains(&at));
         let lanes = spent.len() as f64 * f64::from(scenario.kind.width());
-        let capacity = lanes * (to - from).as_secs_f64();
+        let capacity = lanes * to.saturating_sub(from).as_secs_f64();
         let share = |class: Class| {
             let done = records.iter().filter(ended).filter(|r| r.class == class);
             done.map(|r| r.work).sum::<f64>() / capacity
@@ -180,7 +180,7 @@
 fn latency(seen: &[&Record], class: Class) -> Latency {
     let answers = seen.iter().filter(|r| r.class == class);
     let mut all: Vec<Duration> = answers
-        .filter_map(|r| r.answered.map(|at| at - r.arrived))
+        .filter_map(|r| r.answered.map(|at| at.saturating_sub(r.arrived)))
         .collect();
     all.sort_unstable();
     Latency {
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -113,7 +113,9 @@
         let call = self.calls[key].call;
         let need = self.expect(&call).map_or(0.0, |e| e.p50);
         let last = call.deadline.checked_sub(secs(need));
-        self.set_call_due(key, last.map_or(now, |last| last.max(now)));
+        let last = last.map_or(now, |last| last.max(now));
+        self.calls[key].last_start = last;
+        self.set_call_due(key, last);
     }
 
     /// Refuses what can't be answered any more after capacity was lost.
@@ -195,7 +197,9 @@
         }
         if let Some(row) = self.calls.remove(key) {
             self.index.remove(&row.call.id);
-            self.timers.remove(&(row.due, Due::Call(key)));
+            if let Some(due) = row.due {
+                self.timers.remove(&(due, Due::Call(key)));
+            }
         }
     }
 
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -153,7 +153,6 @@
         self.seq += 1;
         let key = self.calls.insert(CallRow::new(call, work, self.seq));
         self.index.insert(call.id, key);
-        self.timers.insert((call.deadline, Due::Call(key)));
         if self.admit(now, key) {
             self.pump(now, call.service);
         }
@@ -267,19 +266,23 @@
         Some((row.running, limit))
     }
 
+    /// Sets a call's timer unless it goes off sooner: it is then set again.
     pub(super) fn set_call_due(&mut self, key: CallKey, at: Instant) {
         let row = &mut self.calls[key];
-        if row.due != at {
-            self.timers.remove(&(row.due, Due::Call(key)));
-            row.due = at;
-            self.timers.insert((at, Due::Call(key)));
+        if row.due.is_some_and(|due| due <= at) {
+            return;
+        }
+        if let Some(due) = row.due.replace(at) {
+            self.timers.remove(&(due, Due::Call(key)));
         }
+        self.timers.insert((at, Due::Call(key)));
     }
 
     fn call_due(&mut self, now: Instant, key: CallKey) {
         let row = &mut self.calls[key];
         let service = row.call.service;
-        if now >= row.call.deadline || row.waits {
+        row.due = None;
+        if now >= row.call.deadline || (row.waits && now >= row.last_start) {
             let kind = match (row.runs(), now >= row.call.deadline) {
                 (true, _) => ErrorKind::TimedOut,
                 (false, true) => ErrorKind::Expired,
@@ -290,9 +293,12 @@
             self.pump(now, service);
             return;
         }
-        let deadline = row.call.deadline;
-        row.due = deadline;
-        self.timers.insert((deadline, Due::Call(key)));
+        let next = if row.waits {
+            row.last_start
+        } else {
+            row.call.deadline
+        };
+        self.set_call_due(key, next);
         self.hedge(now, key);
     }
 
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -211,7 +211,9 @@
     /// The attempt and its hedge.
     pub(super) attempts: [Option<Attempt>; 2],
     /// When its timer is set.
-    pub(super) due: Instant,
+    pub(super) due: Option<Instant>,
+    /// When it can't be answered any more, while it waits.
+    pub(super) last_start: Instant,
 }
 
 impl CallRow {
@@ -226,7 +228,8 @@
             ran: None,
             last: None,
             attempts: [None; 2],
-            due: call.deadline,
+            due: None,
+            last_start: call.deadline,
         }
     }
 
