--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -1,6 +1,7 @@
 //! Threads that each see one request through.
 
 use crate::entry::{
+    call::come_back,
     event::{Arrival, Event, Head, Inbound, Part},
     front::{
         Guard, Job, Refusal, Shared,
@@ -25,9 +26,6 @@
 /// give it at the deadline; this is for the case that they stand still.
 const GRACE: Duration = Duration::from_millis(250);
 
-/// When to come back after a refusal for lack of a thread.
-const COME_BACK: Duration = Duration::from_secs(1);
-
 /// How long the news that a caller left may wait for room.
 const LEFT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -62,7 +60,7 @@
 pub fn refuse(job: Job, kind: ErrorKind) {
     let target = target(&job);
     let (mut out, _guard) = split(job);
-    if let Err(e) = answer::problem(&mut *out, target, kind, COME_BACK) {
+    if let Err(e) = answer::problem(&mut *out, target, kind, come_back()) {
         log::debug!(target: "callers", "A refusal was not taken: {e}.");
     }
 }
@@ -77,30 +75,28 @@
     }
 }
 
-/// Skips the body of a request and refuses it.
-pub fn skip(refusal: Refusal) {
-    let length = refusal.job.request.body_length().unwrap_or_default();
-    if length > MOST_SKIPPED {
-        return refuse_unread(refusal);
-    }
-    refuse(refusal.job, refusal.kind);
-}
-
-/// Refuses a request whose body is too long to be skipped.
+/// Refuses a request whose body was not read, and then skips the body.
+///
+/// The server would skip it first, which takes as long as the caller likes. It
+/// gives the stream before that only after an interim status; callers pass over
+/// that one.
 ///
-/// Dropping the request would make the server reserve memory for the whole
-/// declared length, which ends the process if there is less. So the connection
-/// is left open and unused until the caller hangs up. The server gives the
-/// stream only after an interim status; callers pass over that one.
-fn refuse_unread(refusal: Refusal) {
+/// A body that is declared longer than anybody sends is not skipped: the server
+/// would reserve memory for all of it, which ends the process if there is less.
+/// Its connection is left open and unused until the caller hangs up.
+pub fn skip(refusal: Refusal) {
     let Refusal { job, kind } = refusal;
     let target = target(&job);
+    let length = job.request.body_length().unwrap_or_default();
     let interim = tiny_http::Response::empty(INTERIM);
     let mut stream = job.request.upgrade("none", interim);
-    if let Err(e) = answer::problem(&mut *stream, target, kind, COME_BACK) {
+    if let Err(e) = answer::problem(&mut *stream, target, kind, come_back()) {
         log::debug!(target: "callers", "A refusal was not taken: {e}.");
     }
-    mem::forget(stream);
+    drop(job.guard);
+    if length > MOST_SKIPPED {
+        mem::forget(stream);
+    }
 }
 
 fn abandon(job: Job) {
@@ -173,10 +169,10 @@
         use flume::RecvTimeoutError::{Disconnected, Timeout};
         match self.parts.recv_deadline(self.limit) {
             Ok(part) => part,
-            Err(Disconnected) => Part::Fail(ErrorKind::Internal, COME_BACK),
+            Err(Disconnected) => Part::Fail(ErrorKind::Internal, come_back()),
             Err(Timeout) => {
                 self.left();
-                Part::Fail(ErrorKind::TimedOut, COME_BACK)
+                Part::Fail(ErrorKind::TimedOut, come_back())
             }
         }
     }
@@ -186,7 +182,7 @@
             Part::Whole(head, body) => First::Whole(head, body),
             Part::Head(head) => First::Pieces(head),
             Part::Fail(kind, after) => First::Fail(kind, after),
-            Part::Data(_) | Part::End => First::Fail(ErrorKind::Internal, COME_BACK),
+            Part::Data(_) | Part::End => First::Fail(ErrorKind::Internal, come_back()),
         }
     }
 
@@ -204,7 +200,7 @@
                 Part::End => return First::Whole(head, body),
                 Part::Fail(kind, after) => return First::Fail(kind, after),
                 Part::Whole(..) | Part::Head(_) => {
-                    return First::Fail(ErrorKind::Internal, COME_BACK);
+                    return First::Fail(ErrorKind::Internal, come_back());
                 }
             }
         }
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -12,6 +12,9 @@
 
 mod assembly;
 mod attempt;
+mod call;
+mod claim;
+mod claims;
 pub mod config;
 pub mod event;
 mod frames;
@@ -53,6 +56,9 @@
 /// request on its way over a kept connection gets an answer.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// How long the process stays for callers that its deadline cut off.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
 /// How long the tables may take to answer an operator; they do it within a
 /// turn unless they are overrun.
 const ANSWER: Duration = Duration::from_secs(1);
@@ -99,12 +105,14 @@
     let front = Front::start(part, Arc::clone(&ids), sender.clone())
         .map_err(|e| Error::Callers(part.callers, e))?;
     let dialer = Dialer::start(sender.clone())?;
-    hosts::watch(HostList::new(&settings.platform.hosts), sender.clone())?;
     let budget = Arc::new(Budget::new(Instant::now()));
+    let list = HostList::new(&settings.platform.hosts);
+    hosts::watch(list, Arc::clone(&budget), sender.clone())?;
     let table = Table::new(&settings.platform.table, Arc::clone(&budget));
+    let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let tables = Tables::new(settings, part.subset, ids, dialer);
+    let tables = Tables::new(settings, part.subset, ids, dialer, writes);
     let stopper = Stopper {
         events: sender,
         shared: Arc::clone(&front.shared),
@@ -188,6 +196,11 @@
         if self.thread.join().is_err() {
             log::error!(target: "process", "The thread that owns the tables failed.");
         }
+        // Whoever was cut off learns it from a worker, which needs a moment.
+        let limit = Instant::now() + LAST_WORDS;
+        while self.stopper.shared.busy() > 0 && Instant::now() < limit {
+            thread::sleep(TICK);
+        }
     }
 }
 
--- a/hibiscusroad-measure/src/deployment/mod.rs
+++ b/hibiscusroad-measure/src/deployment/mod.rs
@@ -15,8 +15,9 @@
 use crate::interrupt::Interrupt;
 use hibiscusroad_standins::{plain::Ran, platform::hosts::Target};
 use process::Process;
-use settings::{Daemon, Generator, Ports, endpoint_args};
+use settings::{Daemon, Generator, choose_port, endpoint_args};
 use std::{
+    collections::BTreeMap,
     env, fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -167,8 +168,16 @@
         for service in &self.spec.services {
             for number in 0..service.count {
                 let name = format!("{}-{}", service.name, number + 1);
-                let args = endpoint_args(service);
+                let mut args = endpoint_args(service);
                 let folder = &self.folder.path;
+                if self.spec.restarts {
+                    // An endpoint that comes back must be found where it was.
+                    args.extend(["--listen".to_owned(), choose_port()?.to_string()]);
+                    if service.kind == Kind::Plain {
+                        let file = runs_file(folder, &name).display().to_string();
+                        args.extend(["--log".to_owned(), file]);
+                    }
+                }
                 let mut process = Process::start(&name, &self.bins.standin, &args, folder)?;
                 self.endpoints.push(Endpoint {
                     address: process.address()?,
@@ -182,7 +191,6 @@
     }
 
     fn start_daemons(&mut self) -> Result<(), Error> {
-        let mut ports = Ports::new(system::id());
         let generator = Generator {
             spec: &self.spec,
             folder: &self.folder.path,
@@ -190,13 +198,13 @@
         };
         let mut daemons = Vec::new();
         for number in 0..self.spec.entries {
-            let ports = [ports.choose()?, ports.choose()?];
+            let ports = [choose_port()?, choose_port()?];
             daemons.push(generator.entry(number, ports)?);
         }
         let mut endpoints = self.endpoints.iter();
         for service in &self.spec.services {
             for (number, endpoint) in endpoints.by_ref().take(service.count).enumerate() {
-                let links = ports.choose()?;
+                let links = choose_port()?;
                 daemons.push(generator.side(service, number, links, endpoint.address)?);
             }
         }
@@ -265,6 +273,25 @@
         plain.map(|endpoint| log(endpoint.address)).collect()
     }
 
+    /// Returns what all plain services ran, also in lives that were killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if a log can't be read.
+    pub fn runs(&self) -> Result<BTreeMap<String, Vec<Ran>>, Error> {
+        let plain = self.endpoints.iter().filter(|e| e.kind == Kind::Plain);
+        let mut runs = BTreeMap::new();
+        for endpoint in plain {
+            let text = fs::read_to_string(runs_file(&self.folder.path, &endpoint.name))?;
+            // A kill can cut the last line short; what it names did not start.
+            let lines = text
+                .lines()
+                .map_while(|line| serde_json::from_str(line).ok());
+            runs.insert(endpoint.name.clone(), lines.collect());
+        }
+        Ok(runs)
+    }
+
     /// Asks all daemons to stop gracefully, entries first, and waits for them.
     ///
     /// # Errors
@@ -288,6 +315,10 @@
     }
 }
 
+fn runs_file(folder: &Path, endpoint: &str) -> PathBuf {
+    folder.join(format!("{endpoint}.runs"))
+}
+
 // More than any log of a test or measurement has.
 const LOG_LIMIT: u64 = 1 << 30;
 
