Give each call that may run only once a connection of its own

An endpoint that closed a kept connection as the next request was sent on it turned a reservation that never arrived into "may have run". Seen to fail without it (endpoint-broken), by the new case in side_calls.

--- a/hibiscusroad-daemon/src/side/pool.rs
+++ b/hibiscusroad-daemon/src/side/pool.rs
@@ -15,7 +15,7 @@
     },
 };
 use flume::{Receiver, Sender};
-use hibiscusroad::{ErrorKind, RequestId, gate::LinkKey};
+use hibiscusroad::{ErrorKind, Repeat, RequestId, gate::LinkKey};
 use slotmap::SlotMap;
 use std::{
     collections::HashMap,
@@ -25,6 +25,7 @@
     thread,
     time::{Duration, Instant},
 };
+use ureq::Agent;
 
 slotmap::new_key_type! {
     /// Names a worker.
@@ -175,11 +176,11 @@
     jobs: &Receiver<Job>,
     events: &Sender<Event>,
 ) {
-    let mut agent = call::agent();
+    let mut kept = call::agent();
     for job in jobs {
-        let throttle = match &job {
-            Job::Call(_, throttle) => Arc::clone(throttle),
-            Job::Order(..) => Arc::default(),
+        let (agent, throttle) = match &job {
+            Job::Call(request, throttle) => (agent_for(request, &kept), Arc::clone(throttle)),
+            Job::Order(..) => (call::agent(), Arc::default()),
         };
         let line = Line {
             agent: &agent,
@@ -190,7 +191,7 @@
         };
         let event = carry_out(worker, line, job);
         if throttle.release() {
-            agent = call::agent();
+            kept = call::agent();
         }
         if events.send(event).is_err() {
             return;
@@ -198,6 +199,16 @@
     }
 }
 
+/// A call that may run only once gets a connection of its own. An endpoint may
+/// close a kept one just as the next request is sent on it; such a call would
+/// then count as "may have run" though it never arrived.
+fn agent_for(request: &Request, kept: &Agent) -> Agent {
+    match request.ask.repeat {
+        Repeat::Free => kept.clone(),
+        Repeat::Once => call::agent(),
+    }
+}
+
 fn carry_out(worker: WorkerKey, line: Line<'_>, job: Job) -> Event {
     match job {
         Job::Call(request, _) => Event::Ended {
--- a/hibiscusroad-daemon/tests/side_calls.rs
+++ b/hibiscusroad-daemon/tests/side_calls.rs
@@ -119,6 +119,26 @@
     assert_sealed(&link);
 }
 
+#[test]
+fn a_connection_that_closes_between_calls_costs_no_reservation() {
+    // The endpoint closes each connection when a second request arrives on it,
+    // as one does whose idle limit passes at that moment. The reservation after
+    // it must run, not end as "may have run".
+    let endpoint = Endpoint::start(|path, stream| {
+        answer(stream, path);
+        let mut rest = [0; 1];
+        drop(stream.peek(&mut rest));
+        drop(stream.shutdown(Shutdown::Both));
+    });
+    let side = start_side(endpoint.address, |_| {});
+    let link = Link::open(&side, 7, 1);
+    link.get(1, "/lake");
+    assert_eq!(link.answer(1).body, b"/lake");
+    link.post_once(2, "/reserve");
+    assert_eq!(link.answer(2).body, b"/reserve");
+    assert_eq!(endpoint.count("/reserve"), 1);
+}
+
 #[test]
 fn a_slow_call_holds_up_no_other() {
     // One call hangs in the endpoint. Calls after it go on, and the hanging one
