--- a/hibiscusroad-daemon/tests/side_support/mod.rs
+++ b/hibiscusroad-daemon/tests/side_support/mod.rs
@@ -117,7 +117,12 @@
 impl Link {
     /// Opens a link and waits for Welcome.
     pub fn open(side: &RunningSide, origin: u64, epoch: u64) -> Self {
-        let link = Self::hello(side.handle.links, origin, epoch, VERSION);
+        Self::open_at(side.handle.links, origin, epoch)
+    }
+
+    /// Opens a link to the side at `links` and waits for Welcome.
+    pub fn open_at(links: SocketAddr, origin: u64, epoch: u64) -> Self {
+        let link = Self::hello(links, origin, epoch, VERSION);
         assert!(matches!(link.next(), Frame::Welcome(_)));
         link
     }
