--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -30,6 +30,7 @@
 mod event;
 mod link;
 mod news;
+mod orders;
 mod pool;
 mod report;
 mod request;
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -8,7 +8,7 @@
         event::{Event, Outbound},
         pool::{Pool, WorkerKey},
         report::Report,
-        request::{Hello, Inbound, Order, Request},
+        request::{Hello, Inbound, Request},
         throttle::Throttle,
         wire,
     },
@@ -16,15 +16,14 @@
 use flume::Sender;
 use hibiscusroad::{
     ErrorKind, Incarnation, RequestId,
-    gate::{Admission, Gate, GateSpec, LinkKey, OrderRefusal, Run, Step},
+    gate::{Admission, Gate, GateSpec, LinkKey, Run, Step},
 };
-use hibiscusroad_wire::{OrderDone, ToEntry, to_entry::Frame};
+use hibiscusroad_wire::{ToEntry, to_entry::Frame};
 use slotmap::SecondaryMap;
 use stakker::{CX, MinTimerKey, after, stop, timer_min};
 use std::{
     collections::HashSet,
     sync::Arc,
-    thread,
     time::{Duration, Instant},
 };
 use tokio::sync::oneshot;
@@ -63,15 +62,15 @@
 
 /// The tables of a side.
 pub struct Role {
-    setup: Setup,
-    gate: Gate,
+    pub(super) setup: Setup,
+    pub(super) gate: Gate,
     links: SecondaryMap<LinkKey, Link>,
-    pool: Pool,
+    pub(super) pool: Pool,
     report: Report,
     /// Duties whose lease rows are being read.
-    learning: HashSet<String>,
+    pub(super) learning: HashSet<String>,
     /// Orders at the engine.
-    orders: usize,
+    pub(super) orders: usize,
     /// When the process ends even if work is in flight; set once it stops.
     ends: Option<Instant>,
     timer: MinTimerKey,
@@ -183,6 +182,9 @@
         self.links.insert(link, row);
         let welcome = self.report.welcome(&self.gate);
         self.push(now, link, Frame::Welcome(welcome).into());
+        // A side that is leaving says so before the first call is sent to it.
+        let beat = self.report.beat(now, &self.gate);
+        self.push(now, link, Frame::Beat(beat).into());
         self.hand_on(now, link);
         if reply.send(link).is_err() {
             self.lost(now, link);
@@ -251,83 +253,6 @@
         }
     }
 
-    fn order(&mut self, now: Instant, link: LinkKey, order: Order) {
-        let seq = order.seq;
-        let passed = self.gate.order(link, &order.duty, order.fence);
-        if passed == Err(OrderRefusal::Unlearned) {
-            self.read_lease(&order.duty);
-        }
-        let sent = passed
-            .map_err(OrderRefusal::kind)
-            .and_then(|()| self.pool.order(now, link, order));
-        match sent {
-            Ok(()) => self.orders += 1,
-            Err(kind) => {
-                log::info!(target: LOG, "An order is refused: {kind}.");
-                self.order_done(now, link, seq, Err(kind));
-            }
-        }
-    }
-
-    fn ordered(
-        &mut self,
-        now: Instant,
-        worker: WorkerKey,
-        link: LinkKey,
-        seq: u64,
-        outcome: Result<(u16, Vec<u8>), ErrorKind>,
-    ) {
-        self.pool.free(now, worker);
-        self.orders -= 1;
-        self.order_done(now, link, seq, outcome);
-    }
-
-    fn order_done(
-        &mut self,
-        now: Instant,
-        link: LinkKey,
-        seq: u64,
-        outcome: Result<(u16, Vec<u8>), ErrorKind>,
-    ) {
-        let problem = outcome.as_ref().err().map(|kind| kind.answer().problem);
-        let (status, body) = outcome.unwrap_or_default();
-        let done = OrderDone {
-            seq,
-            problem: problem.unwrap_or_default().to_owned(),
-            status: status.into(),
-            body,
-            fence: self.gate.fence(),
-        };
-        self.push(now, link, Frame::OrderDone(done).into());
-    }
-
-    fn read_lease(&mut self, duty: &str) {
-        if !self.learning.insert(duty.to_owned()) {
-            return;
-        }
-        let (duty, lease) = (duty.to_owned(), Arc::clone(&self.setup.lease));
-        let events = self.setup.events.clone();
-        let name = duty.clone();
-        let spawned = thread::Builder::new()
-            .name("lease".to_owned())
-            .spawn(move || {
-                let number = lease(&duty);
-                // An actor that has ended needs no word.
-                drop(events.send(Event::Lease(duty, number)));
-            });
-        if spawned.is_err() {
-            self.learning.remove(&name);
-        }
-    }
-
-    fn learn(&mut self, duty: &str, number: Option<u64>) {
-        self.learning.remove(duty);
-        match number {
-            Some(number) => self.gate.learn(duty, number),
-            None => log::warn!(target: LOG, "The lease row of {duty} can't be read."),
-        }
-    }
-
     fn heard_version(&mut self, now: Instant, link: LinkKey, version: u64) {
         if let Some(row) = self.links.get_mut(link) {
             row.config = row.config.max(version);
@@ -410,7 +335,7 @@
 
     /// Queues a frame. An entry that doesn't read loses its link: its queue is
     /// bounded, and it can attach anew at the offset where it stopped.
-    fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
+    pub(super) fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
         let Some(row) = self.links.get(link) else {
             return;
         };
