Keep keyed answers as long as the claims that lead to them

Kept answers now have a table of their own, which the systems don't pass over each tick, bounded by bytes and by 16,384 rows.

--- a/src/gate/endpoint.rs
+++ b/src/gate/endpoint.rs
@@ -97,7 +97,7 @@
             limit: self.spec.limit,
             held: self.held,
             tombs: self.tombs.len(),
-            attempts: self.attempts.len(),
+            attempts: self.attempts.len() + self.kept.len(),
         }
     }
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -7,8 +7,8 @@
 //! # Design
 //!
 //! The I/O of a side feeds events in (a method each) and carries out the
-//! [`Step`]s that come out. Three tables hold the state: links, attempts and
-//! tombstones. Systems run over them in [`Gate::tick`].
+//! [`Step`]s that come out. Four tables hold the state: links, attempts, kept
+//! answers and tombstones. Systems run over them in [`Gate::tick`].
 //!
 //! An attempt is in one of four states, its [`Standing`]:
 //!
@@ -34,6 +34,7 @@
 mod attempt;
 mod endpoint;
 mod fence;
+mod kept;
 mod spec;
 mod systems;
 mod table;
--- a/src/gate/spec.rs
+++ b/src/gate/spec.rs
@@ -1,6 +1,7 @@
 //! What goes into a gate and what comes out.
 
 use crate::{
+    claim::RETENTION,
     class::Repeat,
     error::ErrorKind,
     gate::LinkKey,
@@ -35,6 +36,8 @@
     pub window: usize,
     /// Bytes up to which one answer is kept for replay.
     pub replay: usize,
+    /// Answers that are kept for replay at once.
+    pub kept: usize,
     /// How long an attempt waits for an entry that lost its link.
     pub grace: Duration,
     /// How long the answer of an attempt that runs only once is kept.
@@ -46,8 +49,9 @@
     ///
     /// A window of 256 KiB lets one answer fill a link of 1 Gbit/s with 2 ms
     /// of latency. The grace of 5 s is longer than an entry needs to find a
-    /// silent link (1 s) and open another. Answers are kept for ten minutes,
-    /// the time in which a person tries a reservation again.
+    /// silent link (1 s) and open another. Answers are kept for as long as the
+    /// claims that lead to them, but no more than 16,384, which take some 8 MB
+    /// besides their bytes.
     #[must_use]
     pub const fn new(limit: u32, buffer: usize) -> Self {
         Self {
@@ -55,8 +59,9 @@
             buffer,
             window: 256 << 10,
             replay: 256 << 10,
+            kept: 16_384,
             grace: Duration::from_secs(5),
-            keep: Duration::from_mins(10),
+            keep: RETENTION,
         }
     }
 }
@@ -219,6 +224,6 @@
     pub held: usize,
     /// Tombstones that are kept.
     pub tombs: usize,
-    /// Attempts that are running or done.
+    /// Attempts that are running or done, kept answers included.
     pub attempts: usize,
 }
--- a/src/gate/systems.rs
+++ b/src/gate/systems.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     error::ErrorKind,
-    gate::{Frame, Gate, LINK_SILENCE, LinkKey, Step, tomb::Tomb},
+    gate::{Frame, Gate, LINK_SILENCE, LinkKey, Step, attempt::Body, tomb::Tomb},
     id::RequestId,
 };
 use std::time::{Duration, Instant};
@@ -33,7 +33,13 @@
     /// Says when [`Gate::tick`] has something to do at the latest.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
-        let empty = self.links.is_empty() && self.attempts.is_empty() && self.tombs.len() == 0;
+        let tables = [
+            self.links.len(),
+            self.attempts.len(),
+            self.kept.len(),
+            self.tombs.len(),
+        ];
+        let empty = tables.iter().all(|rows| *rows == 0);
         if empty {
             return None;
         }
@@ -57,7 +63,12 @@
         let Some(row) = self.attempts.get(&id) else {
             return;
         };
-        if row.viewers.is_empty() && !(row.once && (!row.done || row.whole)) {
+        let unread = row.viewers.is_empty();
+        if unread && row.once && row.done && row.whole {
+            self.keep(now, id);
+            return;
+        }
+        if unread && (row.done || !row.once) {
             self.let_go(now, id);
             return;
         }
@@ -66,6 +77,33 @@
         self.resume_others();
     }
 
+    /// Keeps a whole answer for a repeat of its request.
+    fn keep(&mut self, now: Instant, id: RequestId) {
+        if let Some(row) = self.attempts.remove(&id) {
+            self.paused.remove(&id);
+            self.kept.insert(now, id, row.body);
+        }
+        if self.kept.len() > self.spec.kept {
+            self.drop_oldest();
+        }
+    }
+
+    /// Drops the oldest kept answer; returns false if there is none.
+    fn drop_oldest(&mut self) -> bool {
+        let oldest = self.kept.pop();
+        let found = oldest.is_some();
+        self.drop_kept(oldest);
+        found
+    }
+
+    fn drop_kept(&mut self, kept: Option<(Instant, RequestId, Body)>) {
+        if let Some((since, id, body)) = kept {
+            self.held -= body.held();
+            let kind = ErrorKind::OutcomeUnknown;
+            self.tombs.add(since, id, Tomb { ran: true, kind });
+        }
+    }
+
     /// Ends an attempt whose answer nobody needs any more.
     fn let_go(&mut self, now: Instant, id: RequestId) {
         if self.calls.contains(&id) {
@@ -105,15 +143,7 @@
     /// wait for. A caller who repeats a request later than that is told that
     /// the outcome is unknown, which is true.
     pub(super) fn make_room(&mut self, id: RequestId) {
-        while self.held > self.spec.buffer {
-            let kept = self.attempts.iter();
-            let kept = kept.filter(|(_, row)| row.done && row.viewers.is_empty());
-            let oldest = kept.min_by_key(|(_, row)| row.since);
-            let Some((oldest, since)) = oldest.map(|(id, row)| (*id, row.since)) else {
-                break;
-            };
-            self.bury(since, oldest, ErrorKind::OutcomeUnknown);
-        }
+        while self.held > self.spec.buffer && self.drop_oldest() {}
         let over = self.held > self.spec.buffer;
         if let Some(row) = self.attempts.get_mut(&id).filter(|_| over) {
             row.whole = false;
@@ -225,5 +255,11 @@
         for id in over {
             self.bury(now, id, ErrorKind::OutcomeUnknown);
         }
+        let Some(limit) = now.checked_sub(keep) else {
+            return;
+        };
+        while let Some(kept) = self.kept.pop_until(limit) {
+            self.drop_kept(Some(kept));
+        }
     }
 }
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -6,6 +6,7 @@
     gate::{
         Admission, Ask, Fences, Frame, GateSpec, LinkKey, OrderRefusal, Standing, Step,
         attempt::{Attempt, Body, Viewer},
+        kept::Kept,
         tomb::{Tomb, Tombs},
     },
     id::{Incarnation, RequestId},
@@ -35,6 +36,7 @@
     pub(super) leaving: bool,
     pub(super) links: SlotMap<LinkKey, Link>,
     pub(super) attempts: BTreeMap<RequestId, Attempt>,
+    pub(super) kept: Kept,
     pub(super) tombs: Tombs,
     /// Calls open at the endpoint, those being aborted included.
     pub(super) calls: BTreeSet<RequestId>,
@@ -55,6 +57,7 @@
             leaving: false,
             links: SlotMap::with_key(),
             attempts: BTreeMap::new(),
+            kept: Kept::default(),
             tombs: Tombs::default(),
             calls: BTreeSet::new(),
             paused: BTreeSet::new(),
@@ -163,6 +166,7 @@
         if !self.is_newest(link) {
             return;
         }
+        self.wake(now, id);
         let Some(row) = self.attempts.get_mut(&id) else {
             self.answer_ended(now, link, id);
             return;
@@ -227,6 +231,9 @@
                 Standing::Running
             };
         }
+        if self.kept.contains(id) {
+            return Standing::Done;
+        }
         if let Some(tomb) = self.tombs.get(id) {
             return tomb.standing();
         }
@@ -281,7 +288,7 @@
     }
 
     fn is_known(&self, id: RequestId) -> bool {
-        self.attempts.contains_key(&id) || self.tombs.get(id).is_some()
+        self.attempts.contains_key(&id) || self.kept.contains(id) || self.tombs.get(id).is_some()
     }
 
     /// Says whether an attempt's answer goes to this link already, so that a
@@ -328,6 +335,22 @@
         })
     }
 
+    /// Makes a kept answer an attempt again, for an entry that reads it.
+    fn wake(&mut self, now: Instant, id: RequestId) {
+        if let Some(body) = self.kept.take(id) {
+            let attempt = Attempt {
+                once: true,
+                done: true,
+                whole: true,
+                deadline: None,
+                since: now,
+                body,
+                viewers: Vec::new(),
+            };
+            self.attempts.insert(id, attempt);
+        }
+    }
+
     /// Answers an entry that attaches to what is not running and not kept.
     fn answer_ended(&mut self, now: Instant, link: LinkKey, id: RequestId) {
         let standing = self.seal(now, id);
--- a/tests/gate_world/mod.rs
+++ b/tests/gate_world/mod.rs
@@ -22,6 +22,7 @@
     buffer: 256,
     window: 160,
     replay: 96,
+    kept: 5,
     grace: Duration::from_secs(5),
     keep: Duration::from_mins(10),
 };
