--- a/hibiscusroad-measure/src/deployment/mod.rs
+++ b/hibiscusroad-measure/src/deployment/mod.rs
@@ -9,7 +9,7 @@
 pub mod settings;
 pub mod spec;
 
-pub use operator::Row;
+pub use operator::{Operator, Row};
 pub use spec::{Kind, Service, Spec};
 
 use crate::interrupt::Interrupt;
--- a/hibiscusroad-measure/src/deployment/operator.rs
+++ b/hibiscusroad-measure/src/deployment/operator.rs
@@ -3,7 +3,7 @@
 use super::{Deployment, Error};
 use serde_json::{Map, Value};
 use std::{
-    path::Path,
+    path::{Path, PathBuf},
     process::{Command, Output},
     thread,
     time::{Duration, Instant},
@@ -14,6 +14,29 @@
 /// One row of an answer.
 pub type Row = Map<String, Value>;
 
+/// An operator who may act from any thread.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    client: PathBuf,
+    entries: Vec<String>,
+}
+
+impl Operator {
+    /// Runs a statement and returns what was printed, be it done or refused.
+    #[must_use]
+    pub fn say(&self, statement: &str) -> String {
+        let entries = self.entries.iter().flat_map(|e| ["--entry", e]);
+        let args: Vec<&str> = entries.chain([statement]).collect();
+        let output = match run(&self.client, &args) {
+            Ok(output) => output,
+            Err(error) => return error.to_string(),
+        };
+        let out = String::from_utf8_lossy(&output.stdout).trim().to_owned();
+        let err = String::from_utf8_lossy(&output.stderr).trim().to_owned();
+        format!("{out}{err}")
+    }
+}
+
 impl Deployment {
     /// Runs a statement through one entry, and returns what was printed.
     ///
@@ -36,22 +59,14 @@
         rows.map_err(|error| Error::Statement(statement.to_owned(), error.to_string()))
     }
 
-    /// Runs a statement through whatever entry answers, and returns what was
-    /// printed, be it done or refused.
+    /// Returns an operator who asks whatever entry answers.
     #[must_use]
-    pub fn command(&self, statement: &str) -> String {
+    pub fn operator(&self) -> Operator {
         let entries = self.entries.iter();
-        let mut args: Vec<String> = entries
-            .flat_map(|e| ["--entry".to_owned(), e.daemon.operators.to_string()])
-            .collect();
-        args.push(statement.to_owned());
-        let output = match Command::new(&self.bins.client).args(&args).output() {
-            Ok(output) => output,
-            Err(error) => return error.to_string(),
-        };
-        let out = String::from_utf8_lossy(&output.stdout).trim().to_owned();
-        let err = String::from_utf8_lossy(&output.stderr).trim().to_owned();
-        format!("{out}{err}")
+        Operator {
+            client: self.bins.client.clone(),
+            entries: entries.map(|e| e.daemon.operators.to_string()).collect(),
+        }
     }
 
     fn statement(&self, entry: usize, statement: &str, more: &[&str]) -> Result<Output, Error> {
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -16,14 +16,14 @@
        measure path [--seconds N] [--step-seconds N] [--endpoints N] [--seed N]
                     [--json]
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
-                      [--json]
+                      [--trace] [--json]
        measure policy [--seed N] [--scenario NAME]
 
 demo    starts a deployment on this machine, puts mixed load on it and stops it;
         --keep leaves it running until Ctrl-C
 path    measures what an entry and a side add to a request
 faults  puts mixed load and random faults on a deployment and checks the
-        promises; KINDS is all, none, kill, freeze, store, link, stop or operate
+        promises; --trace tells what happened; KINDS is all, none, kill, freeze, store, link, stop or operate
 policy  runs the decisions under load in virtual time
 
 The programs hibiscusroadd, hibiscusroad and standin must lie beside this one.
@@ -36,11 +36,17 @@
 const WRONG_USAGE: u8 = 2;
 const NOT_RUN: u8 = 3;
 
+#[derive(Clone, Copy, Default)]
+struct Print {
+    json: bool,
+    trace: bool,
+}
+
 enum Command {
     Help,
     Version,
     Demo(demo::Options),
-    Faults(faults::Options, bool),
+    Faults(faults::Options, Print),
     Path(path::Options, bool),
     Policy(Parser),
 }
@@ -79,8 +85,11 @@
                 return Ok(ExitCode::from(WRONG_USAGE));
             }
         }
-        Command::Faults(options, json) => {
+        Command::Faults(options, Print { json, trace }) => {
             let counts = faults::run(&options, &Interrupt::watch()?)?;
+            for (at, text) in counts.trace.iter().filter(|_| trace) {
+                println!("# {at:.2?} {text}");
+            }
             for remark in &counts.remarks {
                 println!("# {remark}");
             }
@@ -143,11 +152,12 @@
 
 fn faults_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
     let mut options = faults::Options::default();
-    let mut json = false;
+    let mut print = Print::default();
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
-            Arg::Long("json") => json = true,
+            Arg::Long("json") => print.json = true,
+            Arg::Long("trace") => print.trace = true,
             Arg::Long("seconds") => options.time = seconds(&mut parser)?,
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             Arg::Long("rate") => options.rate = parser.value()?.parse()?,
@@ -159,7 +169,7 @@
             arg => return Err(arg.unexpected()),
         }
     }
-    Ok(Command::Faults(options, json))
+    Ok(Command::Faults(options, print))
 }
 
 fn path_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
