Count what an entry does, and cut off callers that take nothing

Cause: an entry sent no metrics; and nothing showed what becomes of a caller that stops reading its stream.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -1,6 +1,9 @@
 //! Attempts: sending them, taking them up again, and giving them up.
 
-use crate::entry::{assembly::Assembly, event::Head, side::SideKey, tables::Tables};
+use crate::{
+    entry::{assembly::Assembly, event::Head, side::SideKey, tables::Tables},
+    metrics,
+};
 use hibiscusroad::{
     ErrorKind, Incarnation, Repeat, RequestId,
     route::{EndpointKey, Outcome},
@@ -120,6 +123,7 @@
             return;
         };
         row.attempts.push(id);
+        row.tries += 1;
         let attempt = Attempt {
             call,
             side,
@@ -136,6 +140,10 @@
             pieces: 0,
             repeats: 0,
         };
+        if row.tries > 1 {
+            let tags = [("service", row.request.service.as_str())];
+            self.metrics.count(metrics::RETRIES, &tags);
+        }
         self.attempts.insert(id, attempt);
         self.sides[side].attempts.insert(id);
     }
--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -33,6 +33,7 @@
 pub(super) struct CallRow {
     pub(super) request: Inbound,
     pub(super) repeat: Repeat,
+    pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) reply: Sender<Part>,
     /// Its claim, if it carries an idempotency key and may not run twice.
@@ -41,6 +42,8 @@
     pub(super) attempts: Vec<RequestId>,
     /// The attempt whose answer the caller has begun to get.
     pub(super) winner: Option<RequestId>,
+    /// Attempts that were sent.
+    pub(super) tries: u32,
     /// Whether an attempt that ended may have run.
     pub(super) ran: bool,
 }
@@ -67,15 +70,18 @@
             let _ = reply.try_send(Part::Fail(kind, come_back()));
             return;
         }
+        self.count_request(&request.service);
         let repeat = self.repeat(&request);
         let mut row = CallRow {
             request,
             repeat,
+            arrived: now,
             deadline,
             reply,
             keyed: None,
             attempts: Vec::new(),
             winner: None,
+            tries: 0,
             ran: false,
         };
         if repeat == Repeat::Once {
@@ -126,6 +132,7 @@
             return;
         };
         let kind = self.truth(row, kind);
+        self.count_refused(&row.request.service, kind);
         let _ = row.reply.try_send(Part::Fail(kind, after));
         self.drop_call(now, id);
     }
--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -152,6 +152,9 @@
         if self.pass(now, call, part) {
             self.end_attempt(now, id, Outcome::Answered);
             self.steps(now);
+            if let Some(row) = self.calls.get(&call) {
+                self.count_answered(now, row);
+            }
             self.close_call(now, call);
         }
     }
--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -13,10 +13,13 @@
 //! its Start may be lost or may still arrive, and the side is asked to seal it:
 //! only then is "not run" true.
 
-use crate::entry::{
-    attempt::PATIENCE,
-    side::{Listing, SideKey},
-    tables::Tables,
+use crate::{
+    entry::{
+        attempt::PATIENCE,
+        side::{Listing, SideKey},
+        tables::Tables,
+    },
+    metrics,
 };
 use hibiscusroad::{Repeat, RequestId, config::Document, route::LoadReport};
 use hibiscusroad_wire::{Beat, Config, Hello, VERSION, Welcome, to_entry, to_side::Frame};
@@ -291,6 +294,7 @@
     }
 
     fn lose_link(&mut self, now: Instant, key: SideKey) {
+        self.metrics.count(metrics::LINKS_LOST, &[]);
         let side = &mut self.sides[key];
         side.link = None;
         side.stuck = false;
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod hosts;
 mod link;
 mod links;
+mod numbers;
 pub mod operators;
 mod show;
 pub mod side;
@@ -35,6 +36,7 @@
     tables::{TICK, Tables},
 };
 use crate::{
+    metrics::Metrics,
     platform::{Budget, HostList, Table},
     settings::{Entry as Part, Settings},
     stop, turn,
@@ -112,7 +114,8 @@
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let tables = Tables::new(settings, part.subset, ids, dialer, writes);
+    let metrics = Metrics::open(&settings.metrics)?;
+    let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
         shared: Arc::clone(&front.shared),
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -13,6 +13,7 @@
         link::Dialer,
         side::{Side, SideKey},
     },
+    metrics::Metrics,
     settings::Settings,
 };
 use flume::Sender;
@@ -46,6 +47,8 @@
     pub(super) calls: HashMap<RequestId, CallRow>,
     pub(super) attempts: HashMap<RequestId, Attempt>,
     pub(super) ticked: Instant,
+    pub(super) metrics: Metrics,
+    pub(super) reported: Instant,
     pub(super) writes: Sender<Write>,
     /// Calls of each key, in their turn.
     pub(super) keys: HashMap<String, VecDeque<RequestId>>,
@@ -62,6 +65,7 @@
         ids: Arc<Ids>,
         dialer: Dialer,
         writes: Sender<Write>,
+        metrics: Metrics,
     ) -> Self {
         let seed = ids.origin().0;
         Self {
@@ -77,6 +81,8 @@
             calls: HashMap::new(),
             attempts: HashMap::new(),
             ticked: Instant::now(),
+            metrics,
+            reported: Instant::now(),
             writes,
             keys: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -120,6 +126,7 @@
         self.expire(now);
         self.tick_sides(now);
         self.router.tick(now);
+        self.report_numbers(now);
         self.steps(now);
     }
 
--- a/hibiscusroad-daemon/tests/entry_input.rs
+++ b/hibiscusroad-daemon/tests/entry_input.rs
@@ -245,3 +245,34 @@
     assert!(took >= Duration::from_millis(390), "{took:?}");
     assert!(took < Duration::from_millis(500), "{took:?}");
 }
+
+// A caller that takes nothing of its stream any more is cut off, and its
+// endpoint is told to stop, long before its deadline. Otherwise it would hold a
+// worker, memory here and a slot of the engine for ten minutes. The limit of
+// five seconds begins anew with each part of a piece that still fits.
+#[test]
+fn a_caller_that_takes_nothing_is_cut_off() {
+    let side = Side::start("guide-lm", |side, out, frame| {
+        if let Frame::Start(start) = frame {
+            let (side, out) = (side.clone(), out.clone());
+            thread::spawn(move || {
+                out.head(start.id, "text/event-stream");
+                let piece = "x".repeat(64 << 10);
+                let cancelled = || side.count(|f| matches!(f, Frame::Cancel(_))) > 0;
+                for i in (0..).take_while(|_| !cancelled()) {
+                    out.chunk(start.id, i * (64 << 10), &piece);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    let entry = start(&[&side], "");
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    let request = "GET /s/guide-lm/x HTTP/1.1\r\nHost: x\r\nDeadline-Ms: 600000\r\n\r\n";
+    stream.write_all(request.as_bytes()).unwrap();
+    let begin = Instant::now();
+    while side.count(|f| matches!(f, Frame::Cancel(_))) == 0 {
+        assert!(begin.elapsed() < Duration::from_secs(25));
+        thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/hibiscusroad-daemon/tests/entry_path.rs
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -6,7 +6,7 @@
 use hibiscusroad_wire::to_side::Frame;
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{TcpStream, UdpSocket},
     time::{Duration, Instant},
 };
 
@@ -108,3 +108,23 @@
     let answer = rest(&mut stream);
     assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
 }
+
+// An operator who watches the metrics sees each request once, and how it ended.
+#[test]
+fn requests_are_counted() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let limit = Some(Duration::from_secs(3));
+    socket.set_read_timeout(limit).unwrap();
+    let target = socket.local_addr().unwrap();
+    let side = echo();
+    let entry = start(&[&side], &format!("[metrics]\ntarget = \"{target}\""));
+    call(&entry, "GET", "/s/hut-desk/huts", "", "");
+    let mut lines = String::new();
+    while !lines.contains("hibiscusroad.answered:1|c|#service:hut-desk") {
+        let mut datagram = [0; 2048];
+        let n = socket.recv(&mut datagram).unwrap();
+        lines.push_str(std::str::from_utf8(&datagram[..n]).unwrap());
+    }
+    assert!(lines.contains("hibiscusroad.requests:1|c|#service:hut-desk"));
+    assert!(lines.contains("hibiscusroad.latency:"));
+}
