Close the listener of a stopping entry before it ends

The entry waited until it saw no work for 0.5 s, but a refusal is over in less than one look.

Ruled out: waiting for a longer quiet time, since callers that go on asking keep it from ever coming. The entry now refuses connections once its work is done, and ends when every connection that stood has either brought a request, which was refused, or been closed for its silence.

--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -28,10 +28,10 @@
 };
 use flume::{Receiver, Sender, TrySendError};
 use hibiscusroad::{ErrorKind, RequestId};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::{
     io,
-    net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -80,7 +80,9 @@
     events: Sender<Event>,
     ids: Arc<Ids>,
     limits: request::Limits,
+    listener: TcpListener,
     stopping: AtomicBool,
+    closed: AtomicBool,
     busy: AtomicUsize,
 }
 
@@ -90,12 +92,28 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Takes no new connections from now on; those that stand are served.
+    ///
+    /// Shutting the socket ends accepting in every server that has a clone of
+    /// it; the system then refuses connections, which a balancer takes as a
+    /// sign to go elsewhere before anything was sent.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        if let Err(e) = SockRef::from(&self.listener).shutdown(Shutdown::Both) {
+            log::warn!(target: "callers", "The listener can't be closed: {e}.");
+        }
+    }
+
     /// Returns how many requests are being read or answered.
     #[must_use]
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::SeqCst)
     }
 
+    fn closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     fn stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
     }
@@ -156,7 +174,9 @@
                 body: settings.body,
                 deadline: Duration::from_millis(settings.deadline_ms),
             },
+            listener,
             stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
         });
         // No room at all: a job is taken only by a worker that waits for one.
@@ -171,7 +191,6 @@
             spawn("skipper", move || refused.iter().for_each(worker::skip))?;
         }
         let acceptor = Acceptor {
-            listener: Arc::new(listener),
             shared: Arc::clone(&shared),
             jobs,
             refusals,
@@ -223,7 +242,6 @@
 /// Takes requests off one server after another.
 #[derive(Clone)]
 struct Acceptor {
-    listener: Arc<TcpListener>,
     shared: Arc<Shared>,
     jobs: Sender<Job>,
     refusals: Sender<Refusal>,
@@ -231,8 +249,8 @@
 
 impl Acceptor {
     fn spawn(self) -> io::Result<()> {
-        let server =
-            Server::from_listener(self.listener.try_clone()?, None).map_err(io::Error::other)?;
+        let server = Server::from_listener(self.shared.listener.try_clone()?, None)
+            .map_err(io::Error::other)?;
         spawn("accept", move || self.run(&server))
     }
 
@@ -247,17 +265,19 @@
                 }
                 Ok(None) => {}
                 Err(e) => {
-                    log::warn!(target: "callers", "Accepting failed: {e}. Starting it again.");
                     retired = true;
-                    self.replace();
+                    self.replace(&e);
                 }
             }
         }
     }
 
     /// Starts another server on the same socket, however long that takes.
-    fn replace(&self) {
-        loop {
+    fn replace(&self, why: &io::Error) {
+        if !self.shared.closed() {
+            log::warn!(target: "callers", "Accepting failed: {why}. Starting it again.");
+        }
+        while !self.shared.closed() {
             thread::sleep(RESTART_PAUSE);
             match self.clone().spawn() {
                 Ok(()) => return,
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -30,7 +30,7 @@
 
 use self::{
     event::{Event, Ids},
-    front::{Front, Shared},
+    front::{Front, SILENCE, Shared},
     link::Dialer,
     operators::Desk,
     tables::{TICK, Tables},
@@ -54,9 +54,14 @@
 
 pub use self::assembly::{Assembly, Ending, Taken};
 
-/// How long a stopping entry goes on refusing after its last request, so that a
-/// request on its way over a kept connection gets an answer.
-const LINGER: Duration = Duration::from_millis(500);
+/// How long a stopping entry has to be without work before it closes its
+/// listener.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How long it goes on after that. A connection that stands either brings a
+/// request in this time, which is refused and the connection closed with it, or
+/// is closed for its silence: no request is cut off by the end of the process.
+const LINGER: Duration = SILENCE.saturating_add(Duration::from_millis(200));
 
 /// How long the process stays for callers that its deadline cut off.
 const LAST_WORDS: Duration = Duration::from_millis(300);
@@ -248,7 +253,10 @@
 #[derive(Clone, Copy)]
 struct Stop {
     deadline: Instant,
+    /// When there was work last.
     quiet: Instant,
+    /// When the listener was closed.
+    closed: Option<Instant>,
 }
 
 impl Entry {
@@ -287,15 +295,22 @@
         let stop = self.stop.get_or_insert(Stop {
             deadline: now + self.limit,
             quiet: now,
+            closed: None,
         });
         let open = self.tables.open_calls();
         if open > 0 || self.shared.busy() > 0 {
             stop.quiet = now;
         }
         if now >= stop.deadline {
-            log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            if open > 0 {
+                log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            }
             return true;
         }
-        now >= stop.quiet + LINGER
+        if stop.closed.is_none() && now >= stop.quiet + QUIET {
+            stop.closed = Some(now);
+            self.shared.close();
+        }
+        stop.closed.is_some_and(|at| now >= at + LINGER)
     }
 }
