Acknowledge of an answer what its caller has taken

Cause: the entry acknowledged bytes as they came, so the side read a large answer as fast as the endpoint wrote it. A caller that took 40 MB more slowly than that was cut off after 26 MB, with 1,024 pieces waiting for it.

Ruled out: a longer queue, which only moves the size. The worker now says what the caller took, and the side reads no further than its window past that. The new test fails before and passes now.

An answer that is being passed on also ends the other attempts of its call, and no new one is started.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -79,6 +79,11 @@
             self.router.cancel(now, call);
             return;
         }
+        if row.winner.is_some() {
+            // Its caller has part of an answer, and no other can replace it. The
+            // router forgets this attempt along with the call.
+            return;
+        }
         if row.keyed.is_some() {
             return self.claim(now, call, endpoint);
         }
--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -16,7 +16,10 @@
     ErrorKind, Repeat, RequestId,
     route::{Call, Outcome},
 };
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
 
 /// The earliest and latest time to come back after a refusal that the entry
 /// itself decides. Callers that were refused in one moment shall not all come
@@ -36,6 +39,8 @@
     pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) reply: Sender<Part>,
+    /// Bytes of the answer that the caller has taken.
+    pub(super) taken: Arc<AtomicU64>,
     /// Its claim, if it carries an idempotency key and may not run twice.
     pub(super) keyed: Option<Keyed>,
     /// Attempts that have not ended.
@@ -64,6 +69,7 @@
             request,
             deadline,
             reply,
+            taken,
         } = arrival;
         if self.known(&request.service).is_none() {
             let kind = self.unknown_service();
@@ -78,6 +84,7 @@
             arrived: now,
             deadline,
             reply,
+            taken,
             keyed: None,
             attempts: Vec::new(),
             winner: None,
@@ -200,8 +207,15 @@
         let Some(call) = self.attempts.get(&attempt).map(|a| a.call) else {
             return false;
         };
-        if let Some(row) = self.calls.get_mut(&call) {
-            row.winner = Some(attempt);
+        let Some(row) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        row.winner = Some(attempt);
+        let repeat = row.repeat;
+        // What else runs of it can't be of use any more.
+        let others = std::mem::replace(&mut row.attempts, vec![attempt]);
+        for other in others.into_iter().filter(|other| *other != attempt) {
+            self.abandon(other, repeat);
         }
         self.pass(now, call, Part::Head(head))
     }
--- a/hibiscusroad-daemon/src/entry/event.rs
+++ b/hibiscusroad-daemon/src/entry/event.rs
@@ -9,7 +9,10 @@
 use hibiscusroad::{Class, ErrorKind, Incarnation, RequestId, claim::Verdict, config::Document};
 use hibiscusroad_wire::{Header, to_entry::Frame};
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -90,6 +93,8 @@
     pub deadline: Instant,
     /// Where the answer goes.
     pub reply: Sender<Part>,
+    /// Bytes of the answer that the caller has taken.
+    pub taken: Arc<AtomicU64>,
 }
 
 /// Status and headers of an answer.
@@ -130,6 +135,8 @@
 pub enum Event {
     /// A request came in.
     Arrive(Box<Arrival>),
+    /// A caller took a good part of its answer.
+    Taken(RequestId),
     /// A caller went away.
     Left(RequestId),
     /// News from a link: its side, its epoch, and what happened.
--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -12,7 +12,7 @@
 };
 use hibiscusroad::{ErrorKind, Repeat, RequestId, claim::Fate, route::Outcome};
 use hibiscusroad_wire::{Ack, Chunk, End, Refused, Standing, State, to_side::Frame};
-use std::{mem, time::Instant};
+use std::{mem, sync::atomic::Ordering, time::Instant};
 
 /// Bytes of an answer that are held back. A longer one is passed on in pieces.
 ///
@@ -21,7 +21,7 @@
 const HELD_BACK: usize = 256 << 10;
 
 /// Bytes between two acknowledgements of a long answer.
-const ACK_EVERY: u64 = 64 << 10;
+pub(super) const ACK_EVERY: u64 = 64 << 10;
 
 impl Tables {
     /// Takes in the head of an answer.
@@ -98,12 +98,20 @@
 
     /// Acknowledges what came, so that the side reads on and can forget it. What
     /// may be asked for again under its key the side keeps for that reason.
+    ///
+    /// Of an answer that is being passed on, only what the caller has taken
+    /// counts: the side reads a few hundred kilobytes past that and no further.
+    /// Otherwise a large answer would pile up here as fast as the endpoint
+    /// writes, until its caller is cut off for being slow.
     fn acknowledge(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        let offset = attempt.assembly.offset();
-        if offset - attempt.acked < ACK_EVERY {
+        let row = self.calls.get(&attempt.call);
+        let taken = row.filter(|row| row.winner == Some(id));
+        let taken = taken.map_or(u64::MAX, |row| row.taken.load(Ordering::Relaxed));
+        let offset = attempt.assembly.offset().min(taken);
+        if offset.saturating_sub(attempt.acked) < ACK_EVERY {
             return;
         }
         attempt.acked = offset;
@@ -112,6 +120,23 @@
         self.tell(side, Frame::Ack(Ack { id, offset, done }));
     }
 
+    /// Acknowledges what a caller has taken of its answer.
+    pub(super) fn acknowledge_call(&mut self, call: RequestId) {
+        let row = self.calls.get(&call);
+        if let Some(winner) = row.and_then(|row| row.winner) {
+            self.acknowledge(winner);
+        }
+    }
+
+    /// Acknowledges what all callers have taken, for those whose word of it
+    /// found no room.
+    pub(super) fn acknowledge_all(&mut self) {
+        let winners = self.calls.values().filter_map(|row| row.winner);
+        for winner in winners.collect::<Vec<RequestId>>() {
+            self.acknowledge(winner);
+        }
+    }
+
     /// Takes in the declared end of an answer.
     pub(super) fn end(&mut self, now: Instant, end: &End) {
         let Some((id, attempt)) = self.find(end.id) else {
--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -3,6 +3,7 @@
 use crate::entry::{
     call::come_back,
     event::{Arrival, Event, Head, Inbound, Part},
+    frames::ACK_EVERY,
     front::{
         Guard, Job, Refusal, Shared,
         answer::{self, Pieces, Target},
@@ -14,7 +15,10 @@
 use std::{
     io::{self, Write},
     mem,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -29,6 +33,9 @@
 /// How long the news that a caller left may wait for room.
 const LEFT_LIMIT: Duration = Duration::from_secs(2);
 
+/// Bytes of an answer that are gathered for a caller that doesn't know chunks.
+const MOST_WHOLE: usize = 16 << 20;
+
 /// Bytes of a body that are skipped to keep a connection usable.
 const MOST_SKIPPED: usize = 64 << 20;
 
@@ -113,12 +120,14 @@
 
 fn serve(job: Job, shared: &Shared, inbound: Inbound, deadline: Instant) {
     let (reply, parts) = flume::bounded(PARTS);
+    let taken = Arc::new(AtomicU64::new(0));
     let id = job.id;
     let arrival = Arrival {
         id,
         request: inbound,
         deadline,
         reply,
+        taken: Arc::clone(&taken),
     };
     if shared
         .events
@@ -131,6 +140,7 @@
         id,
         shared,
         parts,
+        taken,
         limit: deadline + GRACE,
     };
     let chunks = target(&job).chunks;
@@ -161,6 +171,7 @@
     id: RequestId,
     shared: &'a Shared,
     parts: Receiver<Part>,
+    taken: Arc<AtomicU64>,
     limit: Instant,
 }
 
@@ -196,7 +207,14 @@
         let mut body = Vec::new();
         loop {
             match self.next() {
-                Part::Data(data) => body.extend(data),
+                Part::Data(data) => {
+                    self.took(data.len());
+                    body.extend(data);
+                    if body.len() > MOST_WHOLE {
+                        self.left();
+                        return First::Fail(ErrorKind::AnswerShort, come_back());
+                    }
+                }
                 Part::End => return First::Whole(head, body),
                 Part::Fail(kind, after) => return First::Fail(kind, after),
                 Part::Whole(..) | Part::Head(_) => {
@@ -211,7 +229,10 @@
         let mut part = self.next();
         loop {
             match part {
-                Part::Data(data) => pieces.write(&data)?,
+                Part::Data(data) => {
+                    pieces.write(&data)?;
+                    self.took(data.len());
+                }
                 Part::End => {
                     pieces.end();
                     return Ok(());
@@ -231,6 +252,16 @@
         }
     }
 
+    /// Tells the tables that the caller took bytes, each time that they can
+    /// acknowledge some.
+    fn took(&self, bytes: usize) {
+        let before = self.taken.fetch_add(bytes as u64, Ordering::Relaxed);
+        if before / ACK_EVERY != (before + bytes as u64) / ACK_EVERY {
+            // If there is no room, the tables look by themselves soon.
+            let _ = self.shared.events.try_send(Event::Taken(self.id));
+        }
+    }
+
     /// Tells the tables that nobody waits for the answer any more.
     fn left(&self) {
         let event = Event::Left(self.id);
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -94,6 +94,7 @@
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Arrive(arrival) => self.arrive(now, *arrival),
+            Event::Taken(id) => self.acknowledge_call(id),
             Event::Left(id) => self.drop_call(now, id),
             Event::Link(side, epoch, LinkEvent::Frame(frame)) => {
                 self.frame(now, side, epoch, frame);
@@ -124,6 +125,7 @@
             return;
         }
         self.expire(now);
+        self.acknowledge_all();
         self.tick_sides(now);
         self.router.tick(now);
         self.report_numbers(now);
--- a/hibiscusroad-daemon/tests/entry_claims.rs
+++ b/hibiscusroad-daemon/tests/entry_claims.rs
@@ -13,6 +13,8 @@
     platform::{self, Faults, Loss, Platform, hosts::Target},
 };
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -257,3 +259,26 @@
     });
     assert_eq!(world.runs("h"), 1);
 }
+
+// A caller that reads steadily, but more slowly than the endpoint writes, gets
+// all of a large answer. What the entry holds for it stays small, because the
+// side is told only of what the caller took, and reads no further than that.
+#[test]
+fn a_slow_reader_gets_all_of_a_large_answer() {
+    const SIZE: usize = 40 << 20;
+    let world = World::start("");
+    let mut stream = TcpStream::connect(world.entries[0].callers()).unwrap();
+    let request =
+        format!("GET /s/desk/x HTTP/1.1\r\nHost: x\r\nX-Size: {SIZE}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut piece = vec![0; 256 << 10];
+    let mut all = 0;
+    let mut last = Vec::new();
+    while let Ok(n @ 1..) = stream.read(&mut piece) {
+        all += n;
+        last = piece[n.saturating_sub(8)..n].to_vec();
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(all > SIZE, "{all}");
+    assert!(last.ends_with(b"\r\n0\r\n\r\n") || last.ends_with(b"0\r\n\r\n"));
+}
