--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod hosts;
 mod link;
 mod links;
+mod numbers;
 pub mod operators;
 mod show;
 pub mod side;
@@ -29,12 +30,13 @@
 
 use self::{
     event::{Event, Ids},
-    front::{Front, Shared},
+    front::{Front, SILENCE, Shared},
     link::Dialer,
     operators::Desk,
     tables::{TICK, Tables},
 };
 use crate::{
+    metrics::Metrics,
     platform::{Budget, HostList, Table},
     settings::{Entry as Part, Settings},
     stop, turn,
@@ -52,9 +54,14 @@
 
 pub use self::assembly::{Assembly, Ending, Taken};
 
-/// How long a stopping entry goes on refusing after its last request, so that a
-/// request on its way over a kept connection gets an answer.
-const LINGER: Duration = Duration::from_millis(500);
+/// How long a stopping entry has to be without work before it closes its
+/// listener.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How long it goes on after that. A connection that stands either brings a
+/// request in this time, which is refused and the connection closed with it, or
+/// is closed for its silence: no request is cut off by the end of the process.
+const LINGER: Duration = SILENCE.saturating_add(Duration::from_millis(200));
 
 /// How long the process stays for callers that its deadline cut off.
 const LAST_WORDS: Duration = Duration::from_millis(300);
@@ -112,7 +119,8 @@
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let tables = Tables::new(settings, part.subset, ids, dialer, writes);
+    let metrics = Metrics::open(&settings.metrics)?;
+    let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
         shared: Arc::clone(&front.shared),
@@ -245,7 +253,10 @@
 #[derive(Clone, Copy)]
 struct Stop {
     deadline: Instant,
+    /// When there was work last.
     quiet: Instant,
+    /// When the listener was closed.
+    closed: Option<Instant>,
 }
 
 impl Entry {
@@ -284,15 +295,22 @@
         let stop = self.stop.get_or_insert(Stop {
             deadline: now + self.limit,
             quiet: now,
+            closed: None,
         });
         let open = self.tables.open_calls();
         if open > 0 || self.shared.busy() > 0 {
             stop.quiet = now;
         }
         if now >= stop.deadline {
-            log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            if open > 0 {
+                log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            }
             return true;
         }
-        now >= stop.quiet + LINGER
+        if stop.closed.is_none() && now >= stop.quiet + QUIET {
+            stop.closed = Some(now);
+            self.shared.close();
+        }
+        stop.closed.is_some_and(|at| now >= at + LINGER)
     }
 }
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -13,6 +13,7 @@
         link::Dialer,
         side::{Side, SideKey},
     },
+    metrics::Metrics,
     settings::Settings,
 };
 use flume::Sender;
@@ -46,6 +47,8 @@
     pub(super) calls: HashMap<RequestId, CallRow>,
     pub(super) attempts: HashMap<RequestId, Attempt>,
     pub(super) ticked: Instant,
+    pub(super) metrics: Metrics,
+    pub(super) reported: Instant,
     pub(super) writes: Sender<Write>,
     /// Calls of each key, in their turn.
     pub(super) keys: HashMap<String, VecDeque<RequestId>>,
@@ -62,6 +65,7 @@
         ids: Arc<Ids>,
         dialer: Dialer,
         writes: Sender<Write>,
+        metrics: Metrics,
     ) -> Self {
         let seed = ids.origin().0;
         Self {
@@ -77,6 +81,8 @@
             calls: HashMap::new(),
             attempts: HashMap::new(),
             ticked: Instant::now(),
+            metrics,
+            reported: Instant::now(),
             writes,
             keys: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -88,6 +94,7 @@
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Arrive(arrival) => self.arrive(now, *arrival),
+            Event::Taken(id) => self.acknowledge_call(id),
             Event::Left(id) => self.drop_call(now, id),
             Event::Link(side, epoch, LinkEvent::Frame(frame)) => {
                 self.frame(now, side, epoch, frame);
@@ -118,8 +125,10 @@
             return;
         }
         self.expire(now);
+        self.acknowledge_all();
         self.tick_sides(now);
         self.router.tick(now);
+        self.report_numbers(now);
         self.steps(now);
     }
 
