Catch signals before a process listens

Cause: entry and side listened first and watched signals afterwards. A SIGTERM in between took the system's default and ended the process at once, with the callers or links that it served already. The two signal tests hid this behind a wait of 300 ms.

The tests now connect every 100 us and signal at once, for a side too. Ruled out: a wait in the process between listening and serving, which only narrows the gap.

--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -37,7 +37,8 @@
 use crate::{
     platform::{Budget, HostList, Table},
     settings::{Entry as Part, Settings},
-    stop, turn,
+    stop::Caught,
+    turn,
 };
 use flume::{Receiver, Sender};
 use hibiscusroad::Incarnation;
@@ -86,9 +87,10 @@
 ///
 /// Returns an [`Error`] if it can't start.
 pub fn run(settings: &Settings) -> Result<(), Error> {
+    let caught = Caught::new()?;
     let entry = start(settings)?;
     let stopper = entry.stopper();
-    stop::watch(move || stopper.stop())?;
+    caught.watch(move || stopper.stop())?;
     entry.join();
     Ok(())
 }
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -44,7 +44,8 @@
 };
 use crate::{
     settings::{self, Settings},
-    stop, turn,
+    stop::Caught,
+    turn,
 };
 use flume::Sender;
 use hibiscusroad::Incarnation;
@@ -109,9 +110,10 @@
 ///
 /// Returns an [`Error`] if the side can't start.
 pub fn run(settings: &Settings, lease: ReadLease) -> Result<(), Error> {
+    let caught = Caught::new()?;
     let mut watched = Ok(());
     serve(settings, lease, |handle| {
-        watched = stop::watch(move || handle.stop());
+        watched = caught.watch(move || handle.stop());
     })?;
     Ok(watched?)
 }
--- a/hibiscusroad-daemon/tests/check.rs
+++ b/hibiscusroad-daemon/tests/check.rs
@@ -3,7 +3,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs,
-    net::{TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     path::Path,
     process::{Child, Command, Output, Stdio},
     sync::Mutex,
@@ -14,9 +14,9 @@
 /// An entry that does not serve after this time never will.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// An entry serves callers a moment before it watches signals; one that comes
-/// in between ends it at once, which is not what these tests are about.
-const WATCHED: Duration = Duration::from_millis(300);
+/// Time between two tries to connect: short, so that a signal can come before
+/// the process has done anything else.
+const BETWEEN: Duration = Duration::from_micros(100);
 
 /// Held while ports are chosen and while a process is started.
 ///
@@ -92,26 +92,41 @@
 }
 
 /// Starts an entry whose platform can't be reached, and waits until it serves.
+fn entry(name: &str, ip: &str) -> Child {
+    process(name, ip, |address, other| {
+        format!("[entry]\ncallers = \"{address}\"\noperators = \"{other}\"\n")
+    })
+}
+
+/// Starts a side whose endpoint can't be reached, and waits until it serves.
+fn side(name: &str, ip: &str) -> Child {
+    process(name, ip, |address, other| {
+        format!(
+            "[side]\nlinks = \"{address}\"\nservice = \"desk\"\nendpoint = \"desk-1\"\n\
+             address = \"{other}\"\nkind = \"plain\"\n"
+        )
+    })
+}
+
+/// Starts a process that serves at the first of the addresses that `part` gets.
 ///
 /// Each test has a loopback address of its own, so that none takes a port that
 /// another has just chosen as free.
-fn entry(name: &str, ip: &str) -> Child {
+fn process(name: &str, ip: &str, part: impl Fn(SocketAddr, SocketAddr) -> String) -> Child {
     let lock = SPAWN.lock().unwrap();
     let free = || TcpListener::bind((ip, 0)).unwrap();
-    let (callers, operators, platform) = (free(), free(), free());
+    let (served, other, platform) = (free(), free(), free());
     let at = |listener: &TcpListener| listener.local_addr().unwrap();
+    let address = at(&served);
     let text = format!(
         "name = \"{name}\"\nhost = \"a\"\nplace = \"senec\"\nregion = \"zapad\"\n\
-         [platform]\ntable = \"http://{0}\"\nhosts = \"http://{0}\"\n\
-         [entry]\ncallers = \"{1}\"\noperators = \"{2}\"\n",
+         [platform]\ntable = \"http://{0}\"\nhosts = \"http://{0}\"\n{1}",
         at(&platform),
-        at(&callers),
-        at(&operators),
+        part(address, at(&other)),
     );
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
     fs::write(&file, text).unwrap();
-    let address = at(&callers);
-    drop((callers, operators, platform));
+    drop((served, other, platform));
     let child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
         .arg(file)
         .stderr(Stdio::null())
@@ -121,9 +136,8 @@
     let start = Instant::now();
     while TcpStream::connect(address).is_err() {
         assert!(start.elapsed() < PATIENCE, "{name} does not serve");
-        thread::sleep(Duration::from_millis(10));
+        thread::sleep(BETWEEN);
     }
-    thread::sleep(WATCHED);
     child
 }
 
@@ -132,6 +146,9 @@
     kill_process(pid, Signal::TERM).unwrap();
 }
 
+// The platform replaces hosts at any time, also one that has just begun to
+// serve. The signal comes with the first connection; a process that listened
+// before it caught signals would end at once and cut off whom it serves.
 #[test]
 fn planned_stop_exits_with_0() {
     let mut child = entry("planned-stop", "127.0.0.2");
@@ -139,6 +156,14 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+// As for an entry: the connection is one of an entry's links.
+#[test]
+fn planned_stop_of_side_exits_with_0() {
+    let mut child = side("planned-stop-side", "127.0.0.4");
+    signal(&child);
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 // An operator who can't wait sends a second signal while the entry still
 // lingers for requests on their way. The process ends at once, and its exit
 // code says that it was not a graceful stop.
