Send metrics from entries and sides

Cause: the names stood in the docs and only a part of an entry's counters was sent. Requests, their outcomes and times now carry their class; attempts, claims, callers who left, refusals before the tables, failed requests to the platform and a side's gate are counted too. Without a target a line is not written. A service's name that nobody knows becomes no tag: callers could make up thousands of series.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -1,9 +1,6 @@
 //! Attempts: sending them, taking them up again, and giving them up.
 
-use crate::{
-    entry::{assembly::Assembly, event::Head, side::SideKey, tables::Tables},
-    metrics,
-};
+use crate::entry::{assembly::Assembly, event::Head, side::SideKey, tables::Tables};
 use hibiscusroad::{
     ErrorKind, Incarnation, Repeat, RequestId,
     route::{EndpointKey, Outcome},
@@ -140,12 +137,11 @@
             pieces: 0,
             repeats: 0,
         };
-        if row.tries > 1 {
-            let tags = [("service", row.request.service.as_str())];
-            self.metrics.count(metrics::RETRIES, &tags);
-        }
         self.attempts.insert(id, attempt);
         self.sides[side].attempts.insert(id);
+        if let Some(row) = self.calls.get(&call) {
+            self.count_attempt(row);
+        }
     }
 
     fn start_frame(&self, now: Instant, call: RequestId, id: RequestId) -> Start {
--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -67,10 +67,11 @@
         } = arrival;
         if self.known(&request.service).is_none() {
             let kind = self.unknown_service();
+            self.count_unknown(kind);
             let _ = reply.try_send(Part::Fail(kind, come_back()));
             return;
         }
-        self.count_request(&request.service);
+        self.count_request(&request);
         let repeat = self.repeat(&request);
         let mut row = CallRow {
             request,
@@ -132,7 +133,7 @@
             return;
         };
         let kind = self.truth(row, kind);
-        self.count_refused(&row.request.service, kind);
+        self.count_refused(&row.request, kind);
         let _ = row.reply.try_send(Part::Fail(kind, after));
         self.drop_call(now, id);
     }
@@ -156,6 +157,14 @@
         ErrorKind::OutcomeUnknown
     }
 
+    /// Forgets a call whose caller has gone.
+    pub(super) fn left(&mut self, now: Instant, id: RequestId) {
+        if let Some(row) = self.calls.get(&id) {
+            self.count_left(row);
+        }
+        self.drop_call(now, id);
+    }
+
     /// Forgets a call; what runs of it is cancelled if it may be.
     pub(super) fn drop_call(&mut self, now: Instant, id: RequestId) {
         self.router.cancel(now, id);
@@ -185,11 +194,11 @@
             Ok(()) => true,
             Err(TrySendError::Full(_)) => {
                 log::info!(target: "callers", "The caller of {call} is too slow; it is cut off.");
-                self.drop_call(now, call);
+                self.left(now, call);
                 false
             }
             Err(TrySendError::Disconnected(_)) => {
-                self.drop_call(now, call);
+                self.left(now, call);
                 false
             }
         }
--- a/hibiscusroad-daemon/src/entry/claim.rs
+++ b/hibiscusroad-daemon/src/entry/claim.rs
@@ -127,6 +127,7 @@
         attempt: RequestId,
         verdict: Verdict,
     ) {
+        self.count_claim(&verdict);
         let row = self.calls.get_mut(&call);
         let keyed = row.and_then(|row| row.keyed.as_mut());
         let action = keyed.and_then(|k| k.holder.written(attempt, verdict, wall_ms()));
--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     entry::event::{Event, Ids},
+    metrics::{self, Metrics},
     settings::Entry,
 };
 use flume::{Receiver, Sender, TrySendError};
@@ -82,6 +83,7 @@
     limits: request::Limits,
     stopping: AtomicBool,
     busy: AtomicUsize,
+    metrics: Metrics,
 }
 
 impl Shared {
@@ -96,6 +98,13 @@
         self.busy.load(Ordering::SeqCst)
     }
 
+    /// Counts a refusal that the tables know nothing of.
+    fn count_refused(&self, kind: ErrorKind) {
+        let problem = kind.answer().problem;
+        self.metrics
+            .count(metrics::REFUSED, &[("problem", problem)]);
+    }
+
     fn stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
     }
@@ -146,7 +155,12 @@
     /// # Errors
     ///
     /// Returns the system's error if the address or a thread can't be had.
-    pub fn start(settings: &Entry, ids: Arc<Ids>, events: Sender<Event>) -> io::Result<Self> {
+    pub fn start(
+        settings: &Entry,
+        metrics: Metrics,
+        ids: Arc<Ids>,
+        events: Sender<Event>,
+    ) -> io::Result<Self> {
         let listener = listen(settings.callers)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -158,6 +172,7 @@
             },
             stopping: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
+            metrics,
         });
         // No room at all: a job is taken only by a worker that waits for one.
         let (jobs, free) = flume::bounded(0);
--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -58,6 +58,7 @@
 
 /// Refuses a request whose body was read.
 pub fn refuse(job: Job, kind: ErrorKind) {
+    job.guard.0.count_refused(kind);
     let target = target(&job);
     let (mut out, _guard) = split(job);
     if let Err(e) = answer::problem(&mut *out, target, kind, come_back()) {
@@ -86,6 +87,7 @@
 /// Its connection is left open and unused until the caller hangs up.
 pub fn skip(refusal: Refusal) {
     let Refusal { job, kind } = refusal;
+    job.guard.0.count_refused(kind);
     let target = target(&job);
     let length = job.request.body_length().unwrap_or_default();
     let interim = tiny_http::Response::empty(INTERIM);
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -106,17 +106,17 @@
     let part = settings.entry.as_ref().ok_or(Error::NoSettings)?;
     let (sender, events) = flume::bounded(part.handover);
     let ids = Arc::new(Ids::new(Incarnation::draw()));
-    let front = Front::start(part, Arc::clone(&ids), sender.clone())
+    let metrics = Metrics::open(&settings.metrics)?;
+    let front = Front::start(part, metrics.clone(), Arc::clone(&ids), sender.clone())
         .map_err(|e| Error::Callers(part.callers, e))?;
     let dialer = Dialer::start(sender.clone())?;
     let budget = Arc::new(Budget::new(Instant::now()));
-    let list = HostList::new(&settings.platform.hosts);
+    let list = HostList::new(&settings.platform.hosts).metrics(metrics.clone());
     hosts::watch(list, Arc::clone(&budget), sender.clone())?;
-    let table = Table::new(&settings.platform.table, Arc::clone(&budget));
+    let table = Table::new(&settings.platform.table, Arc::clone(&budget)).metrics(metrics.clone());
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let metrics = Metrics::open(&settings.metrics)?;
     let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
--- a/hibiscusroad-daemon/src/entry/numbers.rs
+++ b/hibiscusroad-daemon/src/entry/numbers.rs
@@ -1,42 +1,68 @@
 //! What an entry counts and measures.
 
 use crate::{
-    entry::{call::CallRow, tables::Tables},
-    metrics,
+    entry::{call::CallRow, event::Inbound, tables::Tables},
+    metrics::{self, Tag},
 };
-use hibiscusroad::{Class, ErrorKind};
-use std::{
-    collections::BTreeSet,
-    time::{Duration, Instant},
-};
-
-/// Time between two reports of the gauges.
-const REPORT: Duration = Duration::from_secs(1);
+use hibiscusroad::{Class, ErrorKind, claim::Verdict};
+use std::{collections::BTreeSet, time::Instant};
 
 impl Tables {
     /// Counts a request that came in.
-    pub(super) fn count_request(&self, service: &str) {
-        let tags = [("service", service)];
-        self.metrics.count(metrics::REQUESTS, &tags);
+    pub(super) fn count_request(&self, request: &Inbound) {
+        self.metrics.count(metrics::REQUESTS, &tags(request));
     }
 
     /// Counts a request that got its whole answer.
     pub(super) fn count_answered(&self, now: Instant, row: &CallRow) {
-        let tags = [("service", row.request.service.as_str())];
+        let tags = tags(&row.request);
         self.metrics.count(metrics::ANSWERED, &tags);
         let took = now.saturating_duration_since(row.arrived);
         self.metrics.time(metrics::LATENCY, took, &tags);
     }
 
     /// Counts a request that got a problem.
-    pub(super) fn count_refused(&self, service: &str, kind: ErrorKind) {
-        let tags = [("service", service), ("problem", kind.answer().problem)];
+    pub(super) fn count_refused(&self, request: &Inbound, kind: ErrorKind) {
+        let [service, class] = tags(request);
+        let tags = [service, class, ("problem", kind.answer().problem)];
+        self.metrics.count(metrics::REFUSED, &tags);
+    }
+
+    /// Counts a request whose service nobody knows. The name is the caller's
+    /// own word and becomes no tag: anybody could make up thousands.
+    pub(super) fn count_unknown(&self, kind: ErrorKind) {
+        let tags = [("problem", kind.answer().problem)];
         self.metrics.count(metrics::REFUSED, &tags);
     }
 
+    /// Counts a request whose caller has gone.
+    pub(super) fn count_left(&self, row: &CallRow) {
+        self.metrics.count(metrics::LEFT, &tags(&row.request));
+    }
+
+    /// Counts an attempt that was sent.
+    pub(super) fn count_attempt(&self, row: &CallRow) {
+        let [service, _] = tags(&row.request);
+        self.metrics.count(metrics::ATTEMPTS, &[service]);
+        if row.tries > 1 {
+            self.metrics.count(metrics::RETRIES, &[service]);
+        }
+    }
+
+    /// Counts what became of a claim.
+    pub(super) fn count_claim(&self, verdict: &Verdict) {
+        let verdict = match verdict {
+            Verdict::Won => "won",
+            Verdict::Held(_) => "held",
+            Verdict::Free => "free",
+            Verdict::Down => "down",
+        };
+        self.metrics.count(metrics::CLAIMS, &[("verdict", verdict)]);
+    }
+
     /// Reports the gauges, once a second.
     pub(super) fn report_numbers(&mut self, now: Instant) {
-        if now < self.reported + REPORT {
+        if !self.metrics.is_on() || now < self.reported + metrics::EVERY {
             return;
         }
         self.reported = now;
@@ -53,14 +79,22 @@
     }
 
     fn report_service(&self, name: &str) {
-        let tags = [("service", name)];
-        if let Some(key) = self.router.service(name) {
-            let waiting = |class| self.router.waiting(key, class) as u64;
-            let queued = Class::ALL.into_iter().map(waiting).sum();
+        let Some(key) = self.router.service(name) else {
+            return;
+        };
+        for class in Class::ALL {
+            let tags = [("service", name), ("class", class.name())];
+            let queued = self.router.waiting(key, class) as u64;
             self.metrics.gauge(metrics::QUEUED, queued, &tags);
+            let running = self.router.running(key, class).into();
+            self.metrics.gauge(metrics::RUNNING, running, &tags);
         }
-        let sides = self.sides.values().filter(|side| side.service == name);
-        let running: usize = sides.map(|side| side.attempts.len()).sum();
-        self.metrics.gauge(metrics::RUNNING, running as u64, &tags);
     }
 }
+
+fn tags(request: &Inbound) -> [Tag<'_>; 2] {
+    [
+        ("service", request.service.as_str()),
+        ("class", request.class.name()),
+    ]
+}
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -94,7 +94,7 @@
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Arrive(arrival) => self.arrive(now, *arrival),
-            Event::Left(id) => self.drop_call(now, id),
+            Event::Left(id) => self.left(now, id),
             Event::Link(side, epoch, LinkEvent::Frame(frame)) => {
                 self.frame(now, side, epoch, frame);
             }
--- a/hibiscusroad-daemon/src/metrics.rs
+++ b/hibiscusroad-daemon/src/metrics.rs
@@ -16,7 +16,7 @@
 //! ```
 
 use crate::settings;
-use cadence::{BufferedUdpMetricSink, NopMetricSink, StatsdClient, prelude::*};
+use cadence::{BufferedUdpMetricSink, StatsdClient, prelude::*};
 use std::{
     fmt, io,
     net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket},
@@ -27,30 +27,43 @@
 /// Prefix of all names.
 pub const PREFIX: &str = "hibiscusroad";
 
-/// Counter: requests that callers sent. Tag `service`.
+/// Counter: requests that entered an entry's tables. Tags `service`, `class`.
 pub const REQUESTS: &str = "requests";
-/// Counter: requests that got their whole answer. Tag `service`.
+/// Counter: requests that got their whole answer. Tags `service`, `class`.
 pub const ANSWERED: &str = "answered";
-/// Counter: requests that got a problem. Tags `service`, `problem`.
+/// Counter: requests that got a problem. Tag `problem`, and `service` and `class`
+/// where they are known.
 pub const REFUSED: &str = "refused";
-/// Counter: further attempts after the first. Tag `service`.
+/// Counter: requests whose caller went away or fell too far behind. Tags `service`,
+/// `class`.
+pub const LEFT: &str = "left";
+/// Counter: attempts sent to sides. Tag `service`.
+pub const ATTEMPTS: &str = "attempts";
+/// Counter: attempts after a request's first, hedges too. Tag `service`.
 pub const RETRIES: &str = "retries";
-/// Timer in milliseconds: from a request's arrival to the end of its answer.
-/// Tag `service`.
+/// Counter: verdicts on claims. Tag `verdict`.
+pub const CLAIMS: &str = "claims";
+/// Timer: milliseconds from a request's arrival in the tables to the end of its answer.
+/// Tags `service`, `class`.
 pub const LATENCY: &str = "latency";
-/// Gauge: requests that wait for an endpoint. Tag `service`.
+/// Gauge: requests that wait for an endpoint. Tags `service`, `class`.
 pub const QUEUED: &str = "queued";
-/// Gauge: requests at endpoints. Tag `service`.
+/// Gauge: requests at endpoints, of this entry. Tags `service`, `class`.
 pub const RUNNING: &str = "running";
 /// Gauge: links that are up.
 pub const LINKS: &str = "links";
 /// Counter: links that broke or went silent.
 pub const LINKS_LOST: &str = "links_lost";
-/// Gauge: bytes of answers kept until they are acknowledged.
-pub const BUFFERED: &str = "buffered";
 /// Gauge: version of the configuration in force.
 pub const CONFIG_VERSION: &str = "config_version";
-/// Counter: requests to the platform that failed. Tag `service`.
+/// Gauge: requests that a side's gate runs. Tag `service`.
+pub const GATE_RUNNING: &str = "gate_running";
+/// Counter: requests that a side's gate refused. Tags `service`, `problem`.
+pub const GATE_REFUSED: &str = "gate_refused";
+/// Gauge: bytes of answers that a side keeps until they are acknowledged. Tag
+/// `service`.
+pub const BUFFERED: &str = "buffered";
+/// Counter: requests to the platform that failed. Tag `part`.
 pub const PLATFORM_FAILED: &str = "platform_failed";
 
 /// All names, with what each is.
@@ -58,33 +71,47 @@
     (REQUESTS, "counter"),
     (ANSWERED, "counter"),
     (REFUSED, "counter"),
+    (LEFT, "counter"),
+    (ATTEMPTS, "counter"),
     (RETRIES, "counter"),
+    (CLAIMS, "counter"),
     (LATENCY, "timer"),
     (QUEUED, "gauge"),
     (RUNNING, "gauge"),
     (LINKS, "gauge"),
     (LINKS_LOST, "counter"),
-    (BUFFERED, "gauge"),
     (CONFIG_VERSION, "gauge"),
+    (GATE_RUNNING, "gauge"),
+    (GATE_REFUSED, "counter"),
+    (BUFFERED, "gauge"),
     (PLATFORM_FAILED, "counter"),
 ];
 
+/// Time between two readings of gauges, each followed by a flush.
+pub const EVERY: Duration = Duration::from_secs(1);
+
 /// A tag's key and value.
 pub type Tag<'a> = (&'a str, &'a str);
 
 /// Where a process sends its metrics. Clones share one socket.
-#[derive(Clone)]
+///
+/// Without a target a line costs one comparison: it is not even written.
+#[derive(Clone, Default)]
 pub struct Metrics {
-    client: Arc<StatsdClient>,
+    client: Option<Arc<StatsdClient>>,
 }
 
 impl Metrics {
     /// Creates metrics that are sent nowhere.
     #[must_use]
     pub fn off() -> Self {
-        Self {
-            client: Arc::new(StatsdClient::from_sink(PREFIX, NopMetricSink)),
-        }
+        Self::default()
+    }
+
+    /// Says whether lines are sent anywhere.
+    #[must_use]
+    pub const fn is_on(&self) -> bool {
+        self.client.is_some()
     }
 
     /// Creates metrics as the settings say: off without a target.
@@ -106,7 +133,7 @@
         // A lost line is not worth a record in the log; the default handler
         // of cadence drops it.
         Ok(Self {
-            client: Arc::new(StatsdClient::from_sink(PREFIX, sink)),
+            client: Some(Arc::new(StatsdClient::from_sink(PREFIX, sink))),
         })
     }
 
@@ -117,8 +144,11 @@
 
     /// Adds to a counter.
     pub fn add(&self, name: &str, by: u64, tags: &[Tag<'_>]) {
+        let Some(client) = &self.client else {
+            return;
+        };
         let by = i64::try_from(by).unwrap_or(i64::MAX);
-        let mut line = self.client.count_with_tags(name, by);
+        let mut line = client.count_with_tags(name, by);
         for (key, value) in tags {
             line = line.with_tag(key, value);
         }
@@ -127,7 +157,10 @@
 
     /// Sets a gauge.
     pub fn gauge(&self, name: &str, value: u64, tags: &[Tag<'_>]) {
-        let mut line = self.client.gauge_with_tags(name, value);
+        let Some(client) = &self.client else {
+            return;
+        };
+        let mut line = client.gauge_with_tags(name, value);
         for (key, value) in tags {
             line = line.with_tag(key, value);
         }
@@ -136,7 +169,10 @@
 
     /// Records how long something took, in whole milliseconds.
     pub fn time(&self, name: &str, took: Duration, tags: &[Tag<'_>]) {
-        let mut line = self.client.time_with_tags(name, took);
+        let Some(client) = &self.client else {
+            return;
+        };
+        let mut line = client.time_with_tags(name, took);
         for (key, value) in tags {
             line = line.with_tag(key, value);
         }
@@ -145,8 +181,10 @@
 
     /// Sends what has been gathered.
     pub fn flush(&self) {
-        // Lost like any other line.
-        drop(self.client.flush());
+        if let Some(client) = &self.client {
+            // Lost like any other line.
+            drop(client.flush());
+        }
     }
 }
 
--- a/hibiscusroad-daemon/src/platform/hosts.rs
+++ b/hibiscusroad-daemon/src/platform/hosts.rs
@@ -1,6 +1,9 @@
 //! The platform's host list.
 
-use crate::platform::{Fault, agent};
+use crate::{
+    metrics::{self, Metrics},
+    platform::{Fault, agent},
+};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -61,6 +64,7 @@
 pub struct HostList {
     agent: ureq::Agent,
     url: String,
+    metrics: Metrics,
 }
 
 impl HostList {
@@ -70,15 +74,32 @@
         Self {
             agent: agent(),
             url: format!("{}/hosts", url.trim_end_matches('/')),
+            metrics: Metrics::off(),
         }
     }
 
+    /// Counts the calls that fail.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     /// Fetches the list as it is now.
     ///
     /// # Errors
     ///
     /// Returns a [`Fault`] if the list gave no usable answer.
     pub fn fetch(&self) -> Result<Vec<Host>, Fault> {
+        let hosts = self.read();
+        if hosts.is_err() {
+            let part = [("part", "hosts")];
+            self.metrics.count(metrics::PLATFORM_FAILED, &part);
+        }
+        hosts
+    }
+
+    fn read(&self) -> Result<Vec<Host>, Fault> {
         let mut response = self
             .agent
             .get(&self.url)
--- a/hibiscusroad-daemon/src/platform/table.rs
+++ b/hibiscusroad-daemon/src/platform/table.rs
@@ -1,10 +1,13 @@
 //! The client of the table service.
 
-use crate::platform::{
-    Budget, agent,
-    wire::{
-        Compare, DeleteRequest, KeyValue, PutRequest, RangeRequest, RangeResponse, RequestOp,
-        TxnRequest, TxnResponse, encode, prefix_end,
+use crate::{
+    metrics::{self, Metrics},
+    platform::{
+        Budget, agent,
+        wire::{
+            Compare, DeleteRequest, KeyValue, PutRequest, RangeRequest, RangeResponse, RequestOp,
+            TxnRequest, TxnResponse, encode, prefix_end,
+        },
     },
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -123,6 +126,7 @@
     agent: ureq::Agent,
     url: String,
     budget: Arc<Budget>,
+    metrics: Metrics,
 }
 
 impl Table {
@@ -133,9 +137,17 @@
             agent: agent(),
             url: url.trim_end_matches('/').to_owned(),
             budget,
+            metrics: Metrics::off(),
         }
     }
 
+    /// Counts the calls that fail.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     /// Returns the budget that the calls draw on.
     #[must_use]
     pub fn budget(&self) -> &Budget {
@@ -222,6 +234,15 @@
     }
 
     fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, Fault> {
+        let answer = self.send(path, body);
+        if answer.is_err() {
+            let part = [("part", "table")];
+            self.metrics.count(metrics::PLATFORM_FAILED, &part);
+        }
+        answer
+    }
+
+    fn send<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, Fault> {
         let body = serde_json::to_vec(body).map_err(|e| Fault::Odd(e.to_string()))?;
         let url = format!("{}{path}", self.url);
         let request = self.agent.post(&url).content_type("application/json");
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -30,6 +30,7 @@
 mod event;
 mod link;
 mod news;
+mod numbers;
 mod pool;
 mod report;
 mod request;
@@ -43,6 +44,7 @@
     role::{Role, Setup},
 };
 use crate::{
+    metrics::Metrics,
     settings::{self, Settings},
     stop::Caught,
     turn,
@@ -129,6 +131,7 @@
     ready: impl FnOnce(Handle),
 ) -> Result<(), Error> {
     let side = settings.side.as_ref().ok_or(Error::NoSide)?;
+    let metrics = Metrics::open(&settings.metrics)?;
     let listener = TcpListener::bind(side.links).map_err(|e| Error::Listen(side.links, e))?;
     let links = listener.local_addr()?;
     let (sender, events) = flume::bounded(side.handover);
@@ -140,6 +143,7 @@
         incarnation: Incarnation::draw(),
         events: sender.clone(),
         lease,
+        metrics,
     };
     log::info!(target: LOG, "takes links for {} on {links}", side.endpoint);
     ready(Handle {
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the tables of a side.
 
 use crate::{
+    metrics::Metrics,
     settings::{Settings, Side},
     side::{
         LOG, ReadLease,
@@ -47,11 +48,13 @@
     pub events: Sender<Event>,
     /// Reads a duty's lease row.
     pub lease: ReadLease,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// A link to an entry.
 #[derive(Debug)]
-struct Link {
+pub(super) struct Link {
     out: Outbound,
     entry: String,
     /// The newest version of the configuration that the entry is known to have.
@@ -60,11 +63,11 @@
 
 /// The tables of a side.
 pub struct Role {
-    setup: Setup,
-    gate: Gate,
-    links: SecondaryMap<LinkKey, Link>,
+    pub(super) setup: Setup,
+    pub(super) gate: Gate,
+    pub(super) links: SecondaryMap<LinkKey, Link>,
     pool: Pool,
-    report: Report,
+    pub(super) report: Report,
     /// Duties whose lease rows are being read.
     learning: HashSet<String>,
     /// Orders at the engine.
@@ -72,6 +75,8 @@
     /// When the process ends even if work is in flight; set once it stops.
     ends: Option<Instant>,
     timer: MinTimerKey,
+    /// When the gauges were reported.
+    pub(super) reported: Instant,
 }
 
 impl Role {
@@ -89,6 +94,7 @@
             orders: 0,
             ends: None,
             timer: MinTimerKey::default(),
+            reported: cx.now(),
             setup,
         })
     }
@@ -146,6 +152,7 @@
     fn beat(&mut self, cx: CX![]) {
         after!(BEAT, [cx], beat());
         self.pool.sweep(cx.now());
+        self.report_numbers(cx.now());
         self.beat_all(cx.now());
     }
 
@@ -206,7 +213,10 @@
                 }
             }
             Admission::Known => log::debug!(target: LOG, "{id} is known already"),
-            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}"),
+            Admission::Refused(kind) => {
+                log::debug!(target: LOG, "{id} is refused: {kind}");
+                self.count_refused(kind);
+            }
         }
     }
 
--- a/src/class.rs
+++ b/src/class.rs
@@ -21,6 +21,16 @@
     /// All classes, most urgent first.
     pub const ALL: [Self; 3] = [Self::Interactive, Self::Partner, Self::Rollout];
 
+    /// Returns the name that operators see.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Interactive => "interactive",
+            Self::Partner => "partner",
+            Self::Rollout => "rollout",
+        }
+    }
+
     /// Returns the position in [`Class::ALL`].
     #[must_use]
     pub const fn index(self) -> usize {
