--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -39,7 +39,8 @@
     metrics::Metrics,
     platform::{Budget, HostList, Table},
     settings::{Entry as Part, Settings},
-    stop, turn,
+    stop::Caught,
+    turn,
 };
 use flume::{Receiver, Sender};
 use hibiscusroad::Incarnation;
@@ -93,9 +94,10 @@
 ///
 /// Returns an [`Error`] if it can't start.
 pub fn run(settings: &Settings) -> Result<(), Error> {
+    let caught = Caught::new()?;
     let entry = start(settings)?;
     let stopper = entry.stopper();
-    stop::watch(move || stopper.stop())?;
+    caught.watch(move || stopper.stop())?;
     entry.join();
     Ok(())
 }
@@ -109,17 +111,17 @@
     let part = settings.entry.as_ref().ok_or(Error::NoSettings)?;
     let (sender, events) = flume::bounded(part.handover);
     let ids = Arc::new(Ids::new(Incarnation::draw()));
-    let front = Front::start(part, Arc::clone(&ids), sender.clone())
+    let metrics = Metrics::open(&settings.metrics)?;
+    let front = Front::start(part, metrics.clone(), Arc::clone(&ids), sender.clone())
         .map_err(|e| Error::Callers(part.callers, e))?;
     let dialer = Dialer::start(sender.clone())?;
     let budget = Arc::new(Budget::new(Instant::now()));
-    let list = HostList::new(&settings.platform.hosts);
+    let list = HostList::new(&settings.platform.hosts).metrics(metrics.clone());
     hosts::watch(list, Arc::clone(&budget), sender.clone())?;
-    let table = Table::new(&settings.platform.table, Arc::clone(&budget));
+    let table = Table::new(&settings.platform.table, Arc::clone(&budget)).metrics(metrics.clone());
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let metrics = Metrics::open(&settings.metrics)?;
     let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -95,7 +95,7 @@
         match event {
             Event::Arrive(arrival) => self.arrive(now, *arrival),
             Event::Taken(id) => self.acknowledge_call(id),
-            Event::Left(id) => self.drop_call(now, id),
+            Event::Left(id) => self.left(now, id),
             Event::Link(side, epoch, LinkEvent::Frame(frame)) => {
                 self.frame(now, side, epoch, frame);
             }
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -30,6 +30,7 @@
 mod event;
 mod link;
 mod news;
+mod numbers;
 mod orders;
 mod pool;
 mod report;
@@ -47,7 +48,8 @@
     logs::SIDE as LOG,
     metrics::Metrics,
     settings::{self, Settings},
-    stop, turn,
+    stop::Caught,
+    turn,
 };
 use flume::Sender;
 use hibiscusroad::Incarnation;
@@ -109,9 +111,10 @@
 ///
 /// Returns an [`Error`] if the side can't start.
 pub fn run(settings: &Settings, lease: ReadLease) -> Result<(), Error> {
+    let caught = Caught::new()?;
     let mut watched = Ok(());
     serve(settings, lease, |handle| {
-        watched = stop::watch(move || handle.stop());
+        watched = caught.watch(move || handle.stop());
     })?;
     Ok(watched?)
 }
@@ -127,6 +130,7 @@
     ready: impl FnOnce(Handle),
 ) -> Result<(), Error> {
     let side = settings.side.as_ref().ok_or(Error::NoSide)?;
+    let metrics = Metrics::open(&settings.metrics)?;
     let listener = TcpListener::bind(side.links).map_err(|e| Error::Listen(side.links, e))?;
     let links = listener.local_addr()?;
     let (sender, events) = flume::bounded(side.handover);
@@ -137,8 +141,8 @@
         side: side.clone(),
         incarnation: Incarnation::draw(),
         events: sender.clone(),
-        metrics: Metrics::open(&settings.metrics)?,
         lease,
+        metrics,
     };
     log::info!(target: LOG, "Takes links for {} on {links}.", side.endpoint);
     ready(Handle {
