--- a/hibiscusroad-measure/src/policy/scenario.rs
+++ b/hibiscusroad-measure/src/policy/scenario.rs
@@ -204,6 +204,31 @@
     scenario
 }
 
+/// Rollouts hold every slot; then ten times as many guests come.
+fn lend_back() -> Scenario {
+    let mut scenario = engines("lend-back", true);
+    scenario.streams[0].load = 0.03;
+    let burst = (Duration::from_mins(2), Duration::from_mins(3));
+    scenario.burst = Some((burst.0, burst.1, 10.0));
+    scenario.window = burst;
+    scenario
+}
+
+/// Guests alone would fill the engines three times.
+fn floors() -> Scenario {
+    let mut scenario = engines("floors", true);
+    scenario.kind = Kind::Workers(16);
+    scenario.window = (Duration::from_mins(1), Duration::from_mins(2));
+    scenario.streams[0].load = 3.0;
+    let partner = Stream {
+        class: Class::Partner,
+        load: 1.0,
+        ..scenario.streams[0]
+    };
+    scenario.streams.push(partner);
+    scenario
+}
+
 /// Returns all scenarios, in the order of the table.
 #[must_use]
 pub fn scenarios() -> Vec<Scenario> {
@@ -246,5 +271,7 @@
         },
         engines("guests", false),
         engines("guests-rollouts", true),
+        lend_back(),
+        floors(),
     ]
 }
--- a/hibiscusroad-measure/src/policy/score.rs
+++ b/hibiscusroad-measure/src/policy/score.rs
@@ -105,7 +105,7 @@
         let capacity = lanes * to.saturating_sub(from).as_secs_f64();
         let share = |class: Class| {
             let done = records.iter().filter(ended).filter(|r| r.class == class);
-            done.map(|r| r.work).sum::<f64>() / capacity
+            done.fold(0.0, |sum, r| sum + r.work) / capacity
         };
         let shares = Class::ALL.map(share);
         let mut refusals: Vec<Duration> = seen.iter().filter_map(|r| r.refusal()).collect();
@@ -144,8 +144,9 @@
     pub fn header() -> String {
         let mut line = format!("{:<17}{:<15}", "scenario", "policy");
         for name in [
-            "goodput", "late", "int p50", "int p99", "par p50", "par p99", "rol p50", "rol p99",
-            "refused", "slow ref", "ref p99", "ref max", "retries", "work", "busiest", "hits",
+            "goodput", "classes", "late", "int p50", "int p99", "par p50", "par p99", "rol p50",
+            "rol p99", "refused", "slow ref", "ref p99", "ref max", "retries", "work", "busiest",
+            "hits",
         ] {
             let _ = write!(line, "{name:>9}");
         }
@@ -160,6 +161,11 @@
             let _ = write!(line, "{text:>9}");
         };
         cell(percent(self.goodput));
+        cell(
+            self.shares
+                .map(|share| format!("{:.0}", share * 100.0))
+                .join("/"),
+        );
         cell(format!("{:.2}%", self.late_share() * 100.0));
         for latency in self.latency {
             cell(millis(latency.p50));
