--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -4,6 +4,10 @@
 //! document that the entries spread; a process learns from its settings only
 //! who and where it is, and whom to ask.
 //!
+//! A file is checked whole before it is used, and all faults are told at once:
+//! an operator who installs fifteen hosts should not have to start each of them
+//! once for every slip.
+//!
 //! # Example
 //!
 //! ```
@@ -29,8 +33,50 @@
 //! # Ok::<(), toml::de::Error>(())
 //! ```
 
+mod check;
+mod roles;
+mod schema;
+
+pub use self::{
+    check::Problem,
+    roles::{Entry, Side, Tokens},
+};
+pub use hibiscusroad::config::Kind;
+
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+/// A settings file that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file can't be read.
+    #[error("{}: can't be read: {source}", .file.display())]
+    Unreadable {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The file has faults, of which there is at least one.
+    #[error("{}", list(.file, .problems))]
+    Invalid {
+        /// The file.
+        file: PathBuf,
+        /// All its faults, in the order of its lines.
+        problems: Vec<Problem>,
+    },
+}
+
+fn list(file: &Path, problems: &[Problem]) -> String {
+    let lines = problems
+        .iter()
+        .map(|problem| format!("{}:{problem}", file.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
 
 /// All settings of one process. Exactly one of `entry` and `side` is given.
 #[derive(Clone, Debug, Deserialize)]
@@ -61,6 +107,44 @@
     pub stop: Stop,
 }
 
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read, or all its faults.
+    pub fn load(file: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(file).map_err(|source| Error::Unreadable {
+            file: file.to_owned(),
+            source,
+        })?;
+        Self::parse(&text).map_err(|problems| Error::Invalid {
+            file: file.to_owned(),
+            problems,
+        })
+    }
+
+    /// Checks the content of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults, in the order of the lines.
+    pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
+        let problems = check::problems(text);
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        toml::from_str(text).map_err(|error| {
+            vec![Problem {
+                line: 1,
+                key: String::new(),
+                found: error.to_string(),
+                allowed: "what docs/OPERATIONS.md lists".to_owned(),
+            }]
+        })
+    }
+}
+
 /// Where the platform's services are, as URLs without a path.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,95 +159,6 @@
     pub weights: Option<String>,
 }
 
-/// Settings of an entry.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Entry {
-    /// Where callers connect.
-    pub callers: SocketAddr,
-    /// Where operators connect; apart from callers, so that a rush of them
-    /// can't lock operators out.
-    pub operators: SocketAddr,
-    /// Requests worked on at once: threads that read and answer.
-    #[serde(default = "default_workers")]
-    pub workers: usize,
-    /// Bytes that a request's body may have.
-    #[serde(default = "default_body")]
-    pub body: usize,
-    /// Events that may wait for the thread that owns the tables.
-    #[serde(default = "default_handover")]
-    pub handover: usize,
-    /// Milliseconds a caller waits who names no deadline.
-    #[serde(default = "default_deadline")]
-    pub deadline_ms: u64,
-    /// Sides of each service that this entry keeps a link to.
-    #[serde(default = "default_subset")]
-    pub subset: usize,
-    /// Tokens of those who may ask and act.
-    #[serde(default)]
-    pub tokens: Tokens,
-}
-
-/// Tokens that operators show.
-#[derive(Clone, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Tokens {
-    /// May ask what is running.
-    #[serde(default)]
-    pub ask: Vec<String>,
-    /// May also change the configuration.
-    #[serde(default)]
-    pub act: Vec<String>,
-}
-
-impl std::fmt::Debug for Tokens {
-    // Tokens must never reach a log.
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Tokens")
-            .field("ask", &self.ask.len())
-            .field("act", &self.act.len())
-            .finish()
-    }
-}
-
-/// Settings of a side.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Side {
-    /// Where entries open links.
-    pub links: SocketAddr,
-    /// The service of its endpoint.
-    pub service: String,
-    /// The endpoint's name, unique in the service.
-    pub endpoint: String,
-    /// The endpoint's address.
-    pub address: SocketAddr,
-    /// What the endpoint is.
-    pub kind: Kind,
-    /// Requests that the endpoint works on at once.
-    #[serde(default = "default_limit")]
-    pub limit: u32,
-    /// Bytes of answers kept for entries that have not acknowledged them.
-    #[serde(default = "default_buffer")]
-    pub buffer: usize,
-    /// Events that may wait for the thread that owns the tables.
-    #[serde(default = "default_handover")]
-    pub handover: usize,
-    /// Whether the endpoint itself refuses an order with an old number.
-    #[serde(default)]
-    pub fences: bool,
-}
-
-/// What an endpoint is.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// A model engine.
-    Model,
-    /// A plain HTTP service.
-    Plain,
-}
-
 /// Settings of logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -210,34 +205,6 @@
     }
 }
 
-fn default_workers() -> usize {
-    256
-}
-
-fn default_body() -> usize {
-    1 << 20
-}
-
-fn default_handover() -> usize {
-    8192
-}
-
-fn default_deadline() -> u64 {
-    10_000
-}
-
-fn default_subset() -> usize {
-    24
-}
-
-fn default_limit() -> u32 {
-    64
-}
-
-fn default_buffer() -> usize {
-    16 << 20
-}
-
 fn default_level() -> String {
     "info".to_owned()
 }
--- /dev/null
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -0,0 +1,110 @@
+//! The path of a request through an entry.
+
+mod entry_support;
+
+use entry_support::{Side, call, rest, start};
+use hibiscusroad_wire::to_side::Frame;
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
+
+fn echo() -> Side {
+    Side::start("hut-desk", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            let body = String::from_utf8_lossy(&start.body).into_owned();
+            let text = format!("{} {} {body}", start.method, start.path);
+            out.answer(start.id, &text);
+        }
+    })
+}
+
+#[test]
+fn a_plain_call_gets_the_whole_answer() {
+    let side = echo();
+    let entry = start(&[&side], "");
+    let answer = call(&entry, "GET", "/s/hut-desk/huts?lake=senec", "", "");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.contains("Content-Length: 21\r\n"), "{answer}");
+    assert!(
+        answer.ends_with("\r\n\r\nGET /huts?lake=senec "),
+        "{answer}"
+    );
+}
+
+#[test]
+fn a_stream_comes_in_pieces_and_ends() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.chunk(start.id, 9, "data: b\n\n");
+            out.end(start.id, 18);
+        }
+    });
+    let entry = start(&[&side], "");
+    let body = r#"{"prompt":"hi","stream":true}"#;
+    let answer = call(&entry, "POST", "/s/guide-lm/v1/completions", "", body);
+    assert!(
+        answer.contains("Transfer-Encoding: chunked\r\n"),
+        "{answer}"
+    );
+    assert!(answer.contains("data: a\n\n"), "{answer}");
+    assert!(answer.contains("data: b\n\n"), "{answer}");
+    assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+}
+
+// The caller sees the end of each stream at once, on a connection that it keeps
+// for the next. The last chunk must not stay in a buffer until more comes.
+#[test]
+fn streams_end_at_once_on_a_kept_connection() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.end(start.id, 9);
+        }
+    });
+    let entry = start(&[&side], "");
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    let limit = Some(Duration::from_secs(2));
+    stream.set_read_timeout(limit).unwrap();
+    let begin = Instant::now();
+    for _ in 0..3 {
+        let request = "GET /s/guide-lm/x HTTP/1.1\r\nHost: x\r\n\r\n";
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut answer = String::new();
+        while !answer.ends_with("\r\n0\r\n\r\n") {
+            let mut piece = [0; 1024];
+            let n = stream.read(&mut piece).unwrap();
+            answer.push_str(std::str::from_utf8(&piece[..n]).unwrap());
+        }
+    }
+    assert!(begin.elapsed() < Duration::from_secs(1));
+}
+
+// The caller keeps its connection. The side ends the stream right after its last
+// piece, so nothing follows that would push the end out of a buffer: the caller
+// must see the last chunk at once, not when the idle connection is closed.
+#[test]
+fn a_stream_ends_at_once_on_a_connection_that_is_kept() {
+    let side = Side::start("guide-lm", |_, out, frame| {
+        if let Frame::Start(start) = frame {
+            out.head(start.id, "text/event-stream");
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.end(start.id, 9);
+        }
+    });
+    let entry = start(&[&side], "");
+    let body = r#"{"prompt":"hi","stream":true}"#;
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    write!(
+        stream,
+        "POST /s/guide-lm/v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    let answer = rest(&mut stream);
+    assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+}
