Never try again what a caller has part of

Cause: an entry passes a stream on as it comes. A call moved, hedged or tried again after that would go on with another attempt's words, or hang. The entry now says so with Router::commit, and the call is bound to its attempt.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -178,7 +178,7 @@
         if row.runs() {
             return;
         }
-        let again = kind.answer().retry == Retry::After && row.tries < SENDS;
+        let again = kind.answer().retry == Retry::After && row.tries < SENDS && !row.committed;
         let again = again && self.in_time(now, &call);
         if again && self.services[call.service].budget.spend(RESEND) {
             self.enqueue(now, key);
@@ -236,7 +236,7 @@
             return;
         }
         let call = row.call;
-        let again = row.free() && row.tries < TRIES && self.in_time(now, &call);
+        let again = row.movable() && row.tries < TRIES && self.in_time(now, &call);
         if again && self.services[call.service].budget.spend(RERUN) {
             self.enqueue(now, key);
         } else {
@@ -254,7 +254,7 @@
         for key in keys {
             let row = &self.calls[key];
             let alone = row.attempts[1].is_none();
-            let may = alone && row.free() && row.tries < TRIES && self.in_time(now, &row.call);
+            let may = alone && row.movable() && row.tries < TRIES && self.in_time(now, &row.call);
             if may && self.services[service].budget.spend(RERUN) {
                 self.move_call(now, key);
             }
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -218,6 +218,7 @@
             let lower = call.call.class;
             let used = f64::from(row.used[lower.index()]);
             lower > class
+                && !call.committed
                 && call.yields < YIELDS
                 && used > row.spec.floors[lower.index()] * f64::from(row.lanes)
                 && call.work / used > first.work * PATIENCE
@@ -248,7 +249,7 @@
         };
         let service = &self.services[call.service];
         let slack = service.idle() && service.free * 10 > service.lanes;
-        if !slack || !row.free() || row.tries >= TRIES || !self.in_time(now, &call) {
+        if !slack || !row.movable() || row.tries >= TRIES || !self.in_time(now, &call) {
             return;
         }
         let there = self.endpoints.get(first.endpoint);
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -178,6 +178,30 @@
         }
     }
 
+    /// Notes that the caller has got part of this attempt's answer.
+    ///
+    /// From then on no other attempt can answer the call, so it is neither
+    /// hedged nor moved nor tried again, and a hedge of it is cancelled.
+    pub fn commit(&mut self, now: Instant, id: RequestId, endpoint: EndpointKey) {
+        let Some(key) = self.index.get(&id).copied() else {
+            return;
+        };
+        let row = &mut self.calls[key];
+        if !row.runs_at(endpoint) {
+            return;
+        }
+        row.committed = true;
+        row.ran = Some(ErrorKind::AnswerShort);
+        let attempts = row.attempts;
+        let service = row.call.service;
+        for (slot, attempt) in attempts.iter().enumerate() {
+            if attempt.is_some_and(|attempt| attempt.endpoint != endpoint) {
+                self.cancel_attempt(now, key, slot);
+            }
+        }
+        self.pump(now, service);
+    }
+
     /// Notes how an attempt ended.
     ///
     /// A [`Step::Refuse`] or another [`Step::Start`] follows unless it was
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -204,6 +204,8 @@
     /// Times that its slot was taken back.
     pub(super) yields: u8,
     pub(super) waits: bool,
+    /// Whether its caller has part of an answer.
+    pub(super) committed: bool,
     /// What to tell if it may have run.
     pub(super) ran: Option<ErrorKind>,
     /// Where the last attempt ran.
@@ -225,6 +227,7 @@
             tries: 0,
             yields: 0,
             waits: false,
+            committed: false,
             ran: None,
             last: None,
             attempts: [None; 2],
@@ -237,6 +240,11 @@
         self.call.repeat == Repeat::Free
     }
 
+    /// Says whether another attempt could still answer it.
+    pub(super) fn movable(&self) -> bool {
+        self.free() && !self.committed
+    }
+
     pub(super) fn spot(&self) -> Spot {
         Spot {
             deadline: self.call.deadline,
