--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -38,6 +38,7 @@
 mod ring;
 mod router;
 mod share;
+pub mod shift;
 mod spec;
 mod table;
 
