--- a/hibiscusroad-measure/src/policy/driver.rs
+++ b/hibiscusroad-measure/src/policy/driver.rs
@@ -3,7 +3,7 @@
 use super::{
     balance::{BROKEN, DOWN, Entry, FULL, Order, PLACES, Policy, SIDE_LIMIT},
     endpoint::{AttemptId, Endpoint, State},
-    scenario::{Fault, Scenario, Stream, Work},
+    scenario::{Callers, Fault, Scenario, Stream, Work},
     score::{Record, Score},
 };
 use hibiscusroad::{
@@ -254,8 +254,12 @@
 
     fn again(&mut self, seq: u64) {
         let first = self.records[record_index(seq)];
-        if first.deadline > self.now {
-            self.ask(first.again(self.now));
+        let mut next = first.again(self.now);
+        if self.scenario.callers == Callers::ComeBack {
+            next.deadline = self.now + first.deadline.saturating_sub(first.arrived);
+        }
+        if next.deadline > self.now {
+            self.ask(next);
         }
     }
 
@@ -311,9 +315,13 @@
         let now = self.now;
         let record = &mut self.records[record_index(seq)];
         record.refused = Some(now);
-        record.after = after;
-        if self.scenario.eager && record.asked < EAGER_TRIES {
-            self.at(now + EAGER, Event::Again { seq });
+        let wait = match self.scenario.callers {
+            Callers::Leave => return,
+            Callers::AskAtOnce => EAGER,
+            Callers::ComeBack => after,
+        };
+        if record.asked < EAGER_TRIES {
+            self.at(now + wait, Event::Again { seq });
         }
     }
 
@@ -483,7 +491,6 @@
             asked: 1,
             answered: None,
             refused: None,
-            after: Duration::ZERO,
         }
     }
 
--- a/hibiscusroad-measure/src/policy/mod.rs
+++ b/hibiscusroad-measure/src/policy/mod.rs
@@ -18,7 +18,7 @@
 pub use self::{
     balance::Policy,
     driver::run_one,
-    scenario::{Scenario, scenarios},
+    scenario::{Callers, Scenario, scenarios},
     score::Score,
 };
 
--- a/hibiscusroad-measure/src/policy/scenario.rs
+++ b/hibiscusroad-measure/src/policy/scenario.rs
@@ -79,6 +79,17 @@
     PlaceSilent,
 }
 
+/// What callers do when they are refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Callers {
+    /// They go.
+    Leave,
+    /// They ask again at once, until they would have waited too long.
+    AskAtOnce,
+    /// They come back when they are told to, and wait as long as before.
+    ComeBack,
+}
+
 /// One load with its faults.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -98,8 +109,8 @@
     pub fault: Option<(Duration, Fault)>,
     /// Age at which reports arrive; `None` for no reports.
     pub reports: Option<Duration>,
-    /// Whether refused callers ask again at once.
-    pub eager: bool,
+    /// What refused callers do.
+    pub callers: Callers,
     /// Calls that arrive between these instants are counted.
     pub window: (Duration, Duration),
 }
@@ -140,7 +151,7 @@
         entries: 1,
         fault: None,
         reports: Some(Duration::from_millis(250)),
-        eager: false,
+        callers: Callers::Leave,
         window: (Duration::from_secs(4), Duration::from_secs(16)),
     }
 }
@@ -240,6 +251,12 @@
             burst: Some((secs(8), secs(10), 10.0)),
             ..plain("burst", 0.4)
         },
+        Scenario {
+            callers: Callers::ComeBack,
+            burst: Some((secs(8), secs(10), 10.0)),
+            window: (secs(4), secs(40)),
+            ..plain("burst-returns", 0.4)
+        },
         skew(),
         fault("slow", 0.6, Fault::Slow(0.1)),
         fault("stuck", 0.6, Fault::Stuck),
@@ -252,7 +269,7 @@
             ..plain("three-entries-2x", 2.0)
         },
         Scenario {
-            eager: true,
+            callers: Callers::AskAtOnce,
             ..plain("storm", 2.0)
         },
         fault("half-gone", 0.4, Fault::Gone(6)),
--- a/hibiscusroad-measure/src/policy/score.rs
+++ b/hibiscusroad-measure/src/policy/score.rs
@@ -23,7 +23,6 @@
     pub(super) asked: u32,
     pub(super) answered: Option<Duration>,
     pub(super) refused: Option<Duration>,
-    pub(super) after: Duration,
 }
 
 impl Record {
@@ -69,6 +68,8 @@
     pub latency: [Latency; 3],
     /// Share of calls refused.
     pub refused: f64,
+    /// Share of those refused that asked again, over those who asked again.
+    pub refused_again: f64,
     /// Refusals that came later than on arrival.
     pub slow_refusals: usize,
     /// 99th percentile and maximum of the time that refusals took.
@@ -123,6 +124,7 @@
             late: seen.iter().filter(|r| r.admitted() && r.late()).count(),
             latency: Class::ALL.map(|class| latency(&seen, class)),
             refused: refusals.len() as f64 / seen.len().max(1) as f64,
+            refused_again: refused_again(&seen),
             slow_refusals: refusals.iter().filter(|took| **took > AT_ONCE).count(),
             refusal: (quantile(&refusals, 0.99), last),
             retries: f64::from(starts) / firsts.max(1) as f64 - 1.0,
@@ -145,8 +147,8 @@
         let mut line = format!("{:<17}{:<15}", "scenario", "policy");
         for name in [
             "goodput", "classes", "late", "int p50", "int p99", "par p50", "par p99", "rol p50",
-            "rol p99", "refused", "slow ref", "ref p99", "ref max", "retries", "work", "busiest",
-            "hits",
+            "rol p99", "refused", "again", "slow ref", "ref p99", "ref max", "retries", "work",
+            "busiest", "hits",
         ] {
             let _ = write!(line, "{name:>9}");
         }
@@ -172,6 +174,7 @@
             cell(millis(latency.p99));
         }
         cell(percent(self.refused));
+        cell(percent(self.refused_again));
         cell(self.slow_refusals.to_string());
         cell(millis(self.refusal.0));
         cell(millis(self.refusal.1));
@@ -183,6 +186,12 @@
     }
 }
 
+fn refused_again(seen: &[&Record]) -> f64 {
+    let again = seen.iter().filter(|r| r.asked > 1);
+    let refused = again.clone().filter(|r| r.refused.is_some()).count();
+    refused as f64 / again.count().max(1) as f64
+}
+
 fn latency(seen: &[&Record], class: Class) -> Latency {
     let answers = seen.iter().filter(|r| r.class == class);
     let mut all: Vec<Duration> = answers
--- a/hibiscusroad-measure/tests/policy.rs
+++ b/hibiscusroad-measure/tests/policy.rs
@@ -169,3 +169,13 @@
         assert_eq!(first, second);
     }
 }
+
+/// A burst is over, and those who were refused come back when they were told
+/// to. Nine in ten are then let in: they come one after the other, as fast as
+/// the service drains, and not together.
+#[test]
+fn refused_callers_come_back_to_an_answer() {
+    let score = run("burst-returns");
+    assert!(score.refused_again <= 0.1, "{score:?}");
+    assert!(score.late_share() <= 0.001, "{score:?}");
+}
--- a/src/route/drain.rs
+++ b/src/route/drain.rs
@@ -14,6 +14,10 @@
 /// told two minutes has gone. From here on returns are spread at random.
 const MOST: Duration = Duration::from_secs(30);
 
+/// Share of the drain rate that is promised to those who come back: others come
+/// for the first time meanwhile.
+const PROMISED: f64 = 0.5;
+
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Returns {
     next: Option<Instant>,
@@ -23,6 +27,7 @@
     /// Books a return after `wait`, where `gap` is the time in which one call
     /// drains and `draw` is random in [0, 1).
     pub(super) fn book(&mut self, now: Instant, wait: f64, gap: f64, draw: f64) -> Duration {
+        let gap = gap / PROMISED;
         let wait = secs(wait).clamp(LEAST, MOST);
         let first = now + wait;
         let next = self.next.map_or(first, |next| next.max(first));
--- a/tests/route_shift.rs
+++ b/tests/route_shift.rs
@@ -49,6 +49,7 @@
     }
 }
 
+#[expect(clippy::unnecessary_wraps, reason = "one of several outcomes")]
 fn obeys(order: Order) -> Option<(RoleKey, u64)> {
     Some((order.role, order.version))
 }
