Probe as often as calls take, and grow faster while little is known

Cause: the pause between two probes was reckoned from the last call of a window. A short guest's among rollouts of seconds made one endpoint in nine probe at any time. It is reckoned from the mean now. While no call has met few others the limit keeps 1.6 times the throughput, as the first calls to end are short ones.

Left: engines that are full from the first second take 100 s to reach their limits, as a rollout takes 4 s and a window needs 32 answers.

--- a/src/route/learn.rs
+++ b/src/route/learn.rs
@@ -31,7 +31,7 @@
 const SETTLED: u32 = 64;
 /// Calls that will do if too few met few others. The first to end are the
 /// shortest: fewer calls would give too short a time.
-const SURE: u32 = 256;
+const SURE: u32 = 512;
 
 /// What a call is expected to take at an endpoint, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -16,7 +16,7 @@
 //! below the mean, ordinary ones then pass for queues, and 15 per cent of the
 //! capacity stayed unused at saturation.
 
-use crate::route::meter::ceil;
+use crate::route::{drain::secs, meter::ceil};
 use std::time::{Duration, Instant};
 
 /// A new endpoint's limit: enough that four workers are busy from the start,
@@ -39,6 +39,10 @@
 /// What is kept above the throughput: covers an error of 15 per cent in what a
 /// call takes, below which the limit would shrink on and on.
 const HEADROOM: f64 = 1.25;
+/// The same while nothing is known of calls that met few others: what the first
+/// calls of a saturated service take is less than the mean, as the short ones
+/// end first, and a limit that doesn't grow past that error stays where it is.
+const FIRST_HEADROOM: f64 = 1.6;
 /// One more, so that a worker doesn't idle for a round trip between calls.
 const SPARE: f64 = 1.0;
 /// A window counts as full if so many of its calls met the limit.
@@ -91,6 +95,8 @@
     full: u32,
     /// Whether it is known well what all calls of the window take.
     sure: bool,
+    /// Whether that of some of them comes from calls that met few others.
+    settled: bool,
     /// Faded sums of the work and the seconds of full windows.
     done: f64,
     time: f64,
@@ -112,6 +118,7 @@
             count: 0,
             full: 0,
             sure: true,
+            settled: false,
             done: 0.0,
             time: 0.0,
             probe: 0,
@@ -178,34 +185,37 @@
         self.work += sample.usual * self.pace;
         self.count += 1;
         self.sure &= sample.sure;
+        self.settled |= sample.settled;
         self.full += u32::from(sample.running + 1 >= limit);
         if self.count >= WINDOW.max(limit * WINDOW_PART) {
-            self.close(now, sample);
+            self.close(now);
         }
     }
 
-    fn close(&mut self, now: Instant, sample: &Sample) {
+    fn close(&mut self, now: Instant) {
         let full = f64::from(self.full) >= FULL * f64::from(self.count);
         let probing = self.probe > 0;
-        let sure = self.sure;
+        let (sure, settled) = (self.sure, self.settled);
         let span = self.since.map(|since| now - since);
         let work = self.work;
+        let mean = secs(work / f64::from(self.count));
         self.clear(now);
         let Some(span) = span.filter(|span| !span.is_zero() && !probing) else {
             return;
         };
         if full && !sure {
-            self.plan_probe(now, sample);
+            self.plan_probe(now, mean, settled);
         } else if full {
             self.done += work;
             self.time += span.as_secs_f64();
-            self.set();
-            self.plan_probe(now, sample);
+            self.set(settled);
+            self.plan_probe(now, mean, settled);
         }
     }
 
-    fn set(&mut self) {
-        let target = self.done / self.time * HEADROOM + SPARE;
+    fn set(&mut self, settled: bool) {
+        let headroom = if settled { HEADROOM } else { FIRST_HEADROOM };
+        let target = self.done / self.time * headroom + SPARE;
         let keep = if target > self.now * GROWN {
             KEEP_GROWN
         } else {
@@ -216,9 +226,9 @@
         self.now = target.clamp(1.0, self.most);
     }
 
-    fn plan_probe(&mut self, now: Instant, sample: &Sample) {
-        let (pause, calls) = if sample.settled { PROBE } else { FIRST_PROBE };
-        let pause = pause.max(sample.took * calls);
+    fn plan_probe(&mut self, now: Instant, took: Duration, settled: bool) {
+        let (pause, calls) = if settled { PROBE } else { FIRST_PROBE };
+        let pause = pause.max(took * calls);
         if *self.probed.get_or_insert(now) + pause <= now {
             self.probe = PROBED;
             self.probed = Some(now);
@@ -231,5 +241,6 @@
         self.count = 0;
         self.full = 0;
         self.sure = true;
+        self.settled = false;
     }
 }
