Let a rare class not hold the limits where they are

A window with any call of a class of which little is known didn't count, and rollouts at 5 % of the work kept limits at 8 for minutes. Now a quarter of a window's work may be such.

--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -47,6 +47,9 @@
 const SPARE: f64 = 1.0;
 /// A window counts as full if so many of its calls met the limit.
 const FULL: f64 = 0.8;
+/// A window counts if so much of its work at most is of calls of which little
+/// is known: a class that seldom comes must not hold the limit where it is.
+const UNSURE: f64 = 0.25;
 /// Samples of the pace that are averaged: strays by 6 per cent.
 const PACE: u32 = 256;
 /// Until there are as many, an endpoint is taken for one like its peers: the
@@ -93,8 +96,8 @@
     since: Option<Instant>,
     count: u32,
     full: u32,
-    /// Whether it is known well what all calls of the window take.
-    sure: bool,
+    /// Work of calls of which it isn't known well what they take.
+    unsure: f64,
     /// Whether that of some of them comes from calls that met few others.
     settled: bool,
     /// Faded sums of the work and the seconds of full windows.
@@ -117,7 +120,7 @@
             since: None,
             count: 0,
             full: 0,
-            sure: true,
+            unsure: 0.0,
             settled: false,
             done: 0.0,
             time: 0.0,
@@ -184,7 +187,9 @@
         }
         self.work += sample.usual * self.pace;
         self.count += 1;
-        self.sure &= sample.sure;
+        if !sample.sure {
+            self.unsure += sample.usual * self.pace;
+        }
         self.settled |= sample.settled;
         self.full += u32::from(sample.running + 1 >= limit);
         if self.count >= WINDOW.max(limit * WINDOW_PART) {
@@ -195,7 +200,8 @@
     fn close(&mut self, now: Instant) {
         let full = f64::from(self.full) >= FULL * f64::from(self.count);
         let probing = self.probe > 0;
-        let (sure, settled) = (self.sure, self.settled);
+        let sure = self.unsure <= UNSURE * self.work;
+        let settled = self.settled;
         let span = self.since.map(|since| now - since);
         let work = self.work;
         let mean = secs(work / f64::from(self.count));
@@ -240,7 +246,7 @@
         self.since = Some(now);
         self.count = 0;
         self.full = 0;
-        self.sure = true;
+        self.unsure = 0.0;
         self.settled = false;
     }
 }
