--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -1,13 +1,14 @@
 //! The actor that owns the tables of a side.
 
 use crate::{
+    metrics::{self, Metrics},
     settings::{Settings, Side},
     side::{
         LOG, ReadLease,
         event::{Event, Outbound},
         pool::{Pool, WorkerKey},
         report::Report,
-        request::{Hello, Inbound, Order, Request},
+        request::{Hello, Inbound, Request},
         throttle::Throttle,
         wire,
     },
@@ -15,15 +16,14 @@
 use flume::Sender;
 use hibiscusroad::{
     ErrorKind, Incarnation, RequestId,
-    gate::{Admission, Gate, GateSpec, LinkKey, OrderRefusal, Run, Step},
+    gate::{Admission, Gate, GateSpec, LinkKey, Run, Step},
 };
-use hibiscusroad_wire::{OrderDone, ToEntry, to_entry::Frame};
+use hibiscusroad_wire::{ToEntry, to_entry::Frame};
 use slotmap::SecondaryMap;
 use stakker::{CX, MinTimerKey, after, stop, timer_min};
 use std::{
     collections::HashSet,
     sync::Arc,
-    thread,
     time::{Duration, Instant},
 };
 use tokio::sync::oneshot;
@@ -45,6 +45,8 @@
     pub incarnation: Incarnation,
     /// Where threads hand events over.
     pub events: Sender<Event>,
+    /// Where metrics go.
+    pub metrics: Metrics,
     /// Reads a duty's lease row.
     pub lease: ReadLease,
 }
@@ -60,15 +62,15 @@
 
 /// The tables of a side.
 pub struct Role {
-    setup: Setup,
-    gate: Gate,
+    pub(super) setup: Setup,
+    pub(super) gate: Gate,
     links: SecondaryMap<LinkKey, Link>,
-    pool: Pool,
+    pub(super) pool: Pool,
     report: Report,
     /// Duties whose lease rows are being read.
-    learning: HashSet<String>,
+    pub(super) learning: HashSet<String>,
     /// Orders at the engine.
-    orders: usize,
+    pub(super) orders: usize,
     /// When the process ends even if work is in flight; set once it stops.
     ends: Option<Instant>,
     timer: MinTimerKey,
@@ -131,10 +133,10 @@
         let Some(ends) = self.ends else {
             return;
         };
-        let idle = self.orders == 0 && self.gate.is_idle();
+        let idle = self.orders == 0 && self.gate.is_idle(now);
         if idle || ends <= now {
             let left = self.gate.load().running;
-            log::info!(target: LOG, "stops with {left} calls in flight");
+            log::info!(target: LOG, "Stops with {left} calls in flight.");
             stop!(cx);
         }
     }
@@ -147,6 +149,18 @@
         after!(BEAT, [cx], beat());
         self.pool.sweep(cx.now());
         self.beat_all(cx.now());
+        self.measure();
+    }
+
+    fn measure(&self) {
+        let load = self.gate.load();
+        let tags = [("endpoint", self.setup.side.endpoint.as_str())];
+        let gauge = |name, value| self.setup.metrics.gauge(name, value, &tags);
+        gauge(metrics::RUNNING, load.running.into());
+        gauge(metrics::BUFFERED, load.held as u64);
+        gauge(metrics::LINKS, self.links.len() as u64);
+        gauge(metrics::CONFIG_VERSION, self.report.version());
+        self.setup.metrics.flush();
     }
 
     fn beat_all(&mut self, now: Instant) {
@@ -159,7 +173,7 @@
 
     fn open(&mut self, now: Instant, hello: Hello, out: Outbound, reply: oneshot::Sender<LinkKey>) {
         let link = self.gate.open(now, hello.incarnation, hello.epoch);
-        log::info!(target: LOG, "link {} of {} is open", hello.epoch, hello.entry);
+        log::info!(target: LOG, "Link {} of {} is open.", hello.epoch, hello.entry);
         let row = Link {
             out,
             entry: hello.entry,
@@ -168,6 +182,9 @@
         self.links.insert(link, row);
         let welcome = self.report.welcome(&self.gate);
         self.push(now, link, Frame::Welcome(welcome).into());
+        // A side that is leaving says so before the first call is sent to it.
+        let beat = self.report.beat(now, &self.gate);
+        self.push(now, link, Frame::Beat(beat).into());
         self.hand_on(now, link);
         if reply.send(link).is_err() {
             self.lost(now, link);
@@ -176,7 +193,7 @@
 
     fn lost(&mut self, now: Instant, link: LinkKey) {
         if let Some(row) = self.links.remove(link) {
-            log::info!(target: LOG, "a link of {} is lost", row.entry);
+            log::info!(target: LOG, "A link of {} is lost.", row.entry);
         }
         self.gate.lost(now, link);
     }
@@ -205,8 +222,8 @@
                     self.gate.fail(now, id, kind);
                 }
             }
-            Admission::Known => log::debug!(target: LOG, "{id} is known already"),
-            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}"),
+            Admission::Known => log::debug!(target: LOG, "{id} is known already."),
+            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}."),
         }
     }
 
@@ -230,89 +247,12 @@
         match outcome {
             Ok(runs) => self.gate.finish(now, id, runs),
             Err(kind) => {
-                log::debug!(target: LOG, "{id} failed: {kind}");
+                log::debug!(target: LOG, "{id} failed: {kind}.");
                 self.gate.fail(now, id, kind);
             }
         }
     }
 
-    fn order(&mut self, now: Instant, link: LinkKey, order: Order) {
-        let seq = order.seq;
-        let passed = self.gate.order(link, &order.duty, order.fence);
-        if passed == Err(OrderRefusal::Unlearned) {
-            self.read_lease(&order.duty);
-        }
-        let sent = passed
-            .map_err(OrderRefusal::kind)
-            .and_then(|()| self.pool.order(now, link, order));
-        match sent {
-            Ok(()) => self.orders += 1,
-            Err(kind) => {
-                log::info!(target: LOG, "an order is refused: {kind}");
-                self.order_done(now, link, seq, Err(kind));
-            }
-        }
-    }
-
-    fn ordered(
-        &mut self,
-        now: Instant,
-        worker: WorkerKey,
-        link: LinkKey,
-        seq: u64,
-        outcome: Result<(u16, Vec<u8>), ErrorKind>,
-    ) {
-        self.pool.free(now, worker);
-        self.orders -= 1;
-        self.order_done(now, link, seq, outcome);
-    }
-
-    fn order_done(
-        &mut self,
-        now: Instant,
-        link: LinkKey,
-        seq: u64,
-        outcome: Result<(u16, Vec<u8>), ErrorKind>,
-    ) {
-        let problem = outcome.as_ref().err().map(|kind| kind.answer().problem);
-        let (status, body) = outcome.unwrap_or_default();
-        let done = OrderDone {
-            seq,
-            problem: problem.unwrap_or_default().to_owned(),
-            status: status.into(),
-            body,
-            fence: self.gate.fence(),
-        };
-        self.push(now, link, Frame::OrderDone(done).into());
-    }
-
-    fn read_lease(&mut self, duty: &str) {
-        if !self.learning.insert(duty.to_owned()) {
-            return;
-        }
-        let (duty, lease) = (duty.to_owned(), Arc::clone(&self.setup.lease));
-        let events = self.setup.events.clone();
-        let name = duty.clone();
-        let spawned = thread::Builder::new()
-            .name("lease".to_owned())
-            .spawn(move || {
-                let number = lease(&duty);
-                // An actor that has ended needs no word.
-                drop(events.send(Event::Lease(duty, number)));
-            });
-        if spawned.is_err() {
-            self.learning.remove(&name);
-        }
-    }
-
-    fn learn(&mut self, duty: &str, number: Option<u64>) {
-        self.learning.remove(duty);
-        match number {
-            Some(number) => self.gate.learn(duty, number),
-            None => log::warn!(target: LOG, "the lease row of {duty} can't be read"),
-        }
-    }
-
     fn heard_version(&mut self, now: Instant, link: LinkKey, version: u64) {
         if let Some(row) = self.links.get_mut(link) {
             row.config = row.config.max(version);
@@ -337,7 +277,7 @@
             row.config = row.config.max(version);
         }
         if self.report.offer(version, document) {
-            log::info!(target: LOG, "configuration {version} is in force");
+            log::info!(target: LOG, "Configuration {version} is in force.");
             self.gate.set_limit(self.report.limit());
             self.show_leaving(now);
         }
@@ -351,7 +291,7 @@
     }
 
     fn stop(&mut self, now: Instant) {
-        log::info!(target: LOG, "stops: no new work, work in flight completes");
+        log::info!(target: LOG, "Stops: no new work, work in flight completes.");
         let limit = Duration::from_secs(self.setup.settings.stop.deadline_s);
         self.ends.get_or_insert(now + limit);
         self.report.stopping = true;
@@ -362,7 +302,7 @@
     fn show_leaving(&mut self, now: Instant) {
         let leaving = self.report.is_leaving();
         if leaving != self.gate.is_leaving() {
-            log::info!(target: LOG, "takes new work: {}", !leaving);
+            log::info!(target: LOG, "Takes new work: {}.", !leaving);
         }
         self.gate.set_leaving(leaving);
         self.beat_all(now);
@@ -379,7 +319,8 @@
                 Step::Pause { id } => self.hold(id, |throttle| throttle.pause(true)),
                 Step::Resume { id } => self.hold(id, |throttle| throttle.pause(false)),
                 Step::Close { link, entry } => {
-                    log::warn!(target: LOG, "a link of entry {entry} is silent");
+                    log::warn!(target: LOG, "A link of entry {entry} is silent.");
+                    self.setup.metrics.count(metrics::LINKS_LOST, &[]);
                     self.links.remove(link);
                 }
             }
@@ -394,12 +335,12 @@
 
     /// Queues a frame. An entry that doesn't read loses its link: its queue is
     /// bounded, and it can attach anew at the offset where it stopped.
-    fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
+    pub(super) fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
         let Some(row) = self.links.get(link) else {
             return;
         };
         if let Err(error) = row.out.try_send(Ok(frame)) {
-            log::warn!(target: LOG, "the queue of a link of {}: {error}", row.entry);
+            log::warn!(target: LOG, "The queue of a link of {}: {error}.", row.entry);
             self.lost(now, link);
         }
     }
