--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -5,6 +5,7 @@
     error::ErrorKind,
     route::{
         EndpointKey, ServiceKey,
+        admit::CARE,
         drain::Returns,
         health::{Health, Peers},
         learn::Learned,
@@ -71,6 +72,8 @@
     /// What calls take now, over what they took on average: at the start of a
     /// burst endpoints fill up long before the averages show it.
     pub(super) stretch: f64,
+    /// How much longer than estimated a wait may become.
+    pub(super) care: f64,
     pub(super) budget: Budget,
     pub(super) returns: [Returns; 3],
     /// Work placed lately, over all endpoints.
@@ -100,6 +103,7 @@
             peers: Peers::default(),
             learned: Learned::new(),
             stretch: 1.0,
+            care: CARE,
             budget: Budget::new(),
             returns: [Returns::default(); 3],
             placed: Meter::new(PLACED),
@@ -204,6 +208,8 @@
     /// Times that its slot was taken back.
     pub(super) yields: u8,
     pub(super) waits: bool,
+    /// Whether its caller has part of an answer.
+    pub(super) committed: bool,
     /// What to tell if it may have run.
     pub(super) ran: Option<ErrorKind>,
     /// Where the last attempt ran.
@@ -225,6 +231,7 @@
             tries: 0,
             yields: 0,
             waits: false,
+            committed: false,
             ran: None,
             last: None,
             attempts: [None; 2],
@@ -237,6 +244,11 @@
         self.call.repeat == Repeat::Free
     }
 
+    /// Says whether another attempt could still answer it.
+    pub(super) fn movable(&self) -> bool {
+        self.free() && !self.committed
+    }
+
     pub(super) fn spot(&self) -> Spot {
         Spot {
             deadline: self.call.deadline,
