--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -24,14 +24,15 @@
 
 use crate::{
     entry::event::{Event, Ids},
+    metrics::{self, Metrics},
     settings::Entry,
 };
 use flume::{Receiver, Sender, TrySendError};
 use hibiscusroad::{ErrorKind, RequestId};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::{
     io,
-    net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -80,8 +81,11 @@
     events: Sender<Event>,
     ids: Arc<Ids>,
     limits: request::Limits,
+    listener: TcpListener,
     stopping: AtomicBool,
+    closed: AtomicBool,
     busy: AtomicUsize,
+    metrics: Metrics,
 }
 
 impl Shared {
@@ -90,12 +94,35 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Takes no new connections from now on; those that stand are served.
+    ///
+    /// Shutting the socket ends accepting in every server that has a clone of
+    /// it; the system then refuses connections, which a balancer takes as a
+    /// sign to go elsewhere before anything was sent.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        if let Err(e) = SockRef::from(&self.listener).shutdown(Shutdown::Both) {
+            log::warn!(target: "callers", "The listener can't be closed: {e}.");
+        }
+    }
+
     /// Returns how many requests are being read or answered.
     #[must_use]
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::SeqCst)
     }
 
+    fn closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    /// Counts a refusal that the tables know nothing of.
+    fn count_refused(&self, kind: ErrorKind) {
+        let problem = kind.answer().problem;
+        self.metrics
+            .count(metrics::REFUSED, &[("problem", problem)]);
+    }
+
     fn stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
     }
@@ -146,7 +173,12 @@
     /// # Errors
     ///
     /// Returns the system's error if the address or a thread can't be had.
-    pub fn start(settings: &Entry, ids: Arc<Ids>, events: Sender<Event>) -> io::Result<Self> {
+    pub fn start(
+        settings: &Entry,
+        metrics: Metrics,
+        ids: Arc<Ids>,
+        events: Sender<Event>,
+    ) -> io::Result<Self> {
         let listener = listen(settings.callers)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -156,8 +188,11 @@
                 body: settings.body,
                 deadline: Duration::from_millis(settings.deadline_ms),
             },
+            listener,
             stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
+            metrics,
         });
         // No room at all: a job is taken only by a worker that waits for one.
         let (jobs, free) = flume::bounded(0);
@@ -171,7 +206,6 @@
             spawn("skipper", move || refused.iter().for_each(worker::skip))?;
         }
         let acceptor = Acceptor {
-            listener: Arc::new(listener),
             shared: Arc::clone(&shared),
             jobs,
             refusals,
@@ -223,7 +257,6 @@
 /// Takes requests off one server after another.
 #[derive(Clone)]
 struct Acceptor {
-    listener: Arc<TcpListener>,
     shared: Arc<Shared>,
     jobs: Sender<Job>,
     refusals: Sender<Refusal>,
@@ -231,8 +264,8 @@
 
 impl Acceptor {
     fn spawn(self) -> io::Result<()> {
-        let server =
-            Server::from_listener(self.listener.try_clone()?, None).map_err(io::Error::other)?;
+        let server = Server::from_listener(self.shared.listener.try_clone()?, None)
+            .map_err(io::Error::other)?;
         spawn("accept", move || self.run(&server))
     }
 
@@ -247,17 +280,19 @@
                 }
                 Ok(None) => {}
                 Err(e) => {
-                    log::warn!(target: "callers", "Accepting failed: {e}. Starting it again.");
                     retired = true;
-                    self.replace();
+                    self.replace(&e);
                 }
             }
         }
     }
 
     /// Starts another server on the same socket, however long that takes.
-    fn replace(&self) {
-        loop {
+    fn replace(&self, why: &io::Error) {
+        if !self.shared.closed() {
+            log::warn!(target: "callers", "Accepting failed: {why}. Starting it again.");
+        }
+        while !self.shared.closed() {
             thread::sleep(RESTART_PAUSE);
             match self.clone().spawn() {
                 Ok(()) => return,
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod hosts;
 mod link;
 mod links;
+mod numbers;
 pub mod operators;
 mod show;
 pub mod side;
@@ -29,15 +30,17 @@
 
 use self::{
     event::{Event, Ids},
-    front::{Front, Shared},
+    front::{Front, SILENCE, Shared},
     link::Dialer,
     operators::Desk,
     tables::{TICK, Tables},
 };
 use crate::{
+    metrics::Metrics,
     platform::{Budget, HostList, Table},
     settings::{Entry as Part, Settings},
-    stop, turn,
+    stop::Caught,
+    turn,
 };
 use flume::{Receiver, Sender};
 use hibiscusroad::Incarnation;
@@ -52,9 +55,14 @@
 
 pub use self::assembly::{Assembly, Ending, Taken};
 
-/// How long a stopping entry goes on refusing after its last request, so that a
-/// request on its way over a kept connection gets an answer.
-const LINGER: Duration = Duration::from_millis(500);
+/// How long a stopping entry has to be without work before it closes its
+/// listener.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How long it goes on after that. A connection that stands either brings a
+/// request in this time, which is refused and the connection closed with it, or
+/// is closed for its silence: no request is cut off by the end of the process.
+const LINGER: Duration = SILENCE.saturating_add(Duration::from_millis(200));
 
 /// How long the process stays for callers that its deadline cut off.
 const LAST_WORDS: Duration = Duration::from_millis(300);
@@ -86,9 +94,10 @@
 ///
 /// Returns an [`Error`] if it can't start.
 pub fn run(settings: &Settings) -> Result<(), Error> {
+    let caught = Caught::new()?;
     let entry = start(settings)?;
     let stopper = entry.stopper();
-    stop::watch(move || stopper.stop())?;
+    caught.watch(move || stopper.stop())?;
     entry.join();
     Ok(())
 }
@@ -102,17 +111,18 @@
     let part = settings.entry.as_ref().ok_or(Error::NoSettings)?;
     let (sender, events) = flume::bounded(part.handover);
     let ids = Arc::new(Ids::new(Incarnation::draw()));
-    let front = Front::start(part, Arc::clone(&ids), sender.clone())
+    let metrics = Metrics::open(&settings.metrics)?;
+    let front = Front::start(part, metrics.clone(), Arc::clone(&ids), sender.clone())
         .map_err(|e| Error::Callers(part.callers, e))?;
     let dialer = Dialer::start(sender.clone())?;
     let budget = Arc::new(Budget::new(Instant::now()));
-    let list = HostList::new(&settings.platform.hosts);
+    let list = HostList::new(&settings.platform.hosts).metrics(metrics.clone());
     hosts::watch(list, Arc::clone(&budget), sender.clone())?;
-    let table = Table::new(&settings.platform.table, Arc::clone(&budget));
+    let table = Table::new(&settings.platform.table, Arc::clone(&budget)).metrics(metrics.clone());
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(part, table, sender.clone())?;
-    let tables = Tables::new(settings, part.subset, ids, dialer, writes);
+    let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
         shared: Arc::clone(&front.shared),
@@ -245,7 +255,10 @@
 #[derive(Clone, Copy)]
 struct Stop {
     deadline: Instant,
+    /// When there was work last.
     quiet: Instant,
+    /// When the listener was closed.
+    closed: Option<Instant>,
 }
 
 impl Entry {
@@ -284,15 +297,22 @@
         let stop = self.stop.get_or_insert(Stop {
             deadline: now + self.limit,
             quiet: now,
+            closed: None,
         });
         let open = self.tables.open_calls();
         if open > 0 || self.shared.busy() > 0 {
             stop.quiet = now;
         }
         if now >= stop.deadline {
-            log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            if open > 0 {
+                log::warn!(target: "process", "Stopped with {open} requests unanswered.");
+            }
             return true;
         }
-        now >= stop.quiet + LINGER
+        if stop.closed.is_none() && now >= stop.quiet + QUIET {
+            stop.closed = Some(now);
+            self.shared.close();
+        }
+        stop.closed.is_some_and(|at| now >= at + LINGER)
     }
 }
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -45,15 +45,15 @@
     pub incarnation: Incarnation,
     /// Where threads hand events over.
     pub events: Sender<Event>,
-    /// Where metrics go.
-    pub metrics: Metrics,
     /// Reads a duty's lease row.
     pub lease: ReadLease,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// A link to an entry.
 #[derive(Debug)]
-struct Link {
+pub(super) struct Link {
     out: Outbound,
     entry: String,
     /// The newest version of the configuration that the entry is known to have.
@@ -64,9 +64,9 @@
 pub struct Role {
     pub(super) setup: Setup,
     pub(super) gate: Gate,
-    links: SecondaryMap<LinkKey, Link>,
+    pub(super) links: SecondaryMap<LinkKey, Link>,
     pub(super) pool: Pool,
-    report: Report,
+    pub(super) report: Report,
     /// Duties whose lease rows are being read.
     pub(super) learning: HashSet<String>,
     /// Orders at the engine.
@@ -74,6 +74,8 @@
     /// When the process ends even if work is in flight; set once it stops.
     ends: Option<Instant>,
     timer: MinTimerKey,
+    /// When the gauges were reported.
+    pub(super) reported: Instant,
 }
 
 impl Role {
@@ -91,6 +93,7 @@
             orders: 0,
             ends: None,
             timer: MinTimerKey::default(),
+            reported: cx.now(),
             setup,
         })
     }
@@ -148,19 +151,8 @@
     fn beat(&mut self, cx: CX![]) {
         after!(BEAT, [cx], beat());
         self.pool.sweep(cx.now());
+        self.report_numbers(cx.now());
         self.beat_all(cx.now());
-        self.measure();
-    }
-
-    fn measure(&self) {
-        let load = self.gate.load();
-        let tags = [("endpoint", self.setup.side.endpoint.as_str())];
-        let gauge = |name, value| self.setup.metrics.gauge(name, value, &tags);
-        gauge(metrics::RUNNING, load.running.into());
-        gauge(metrics::BUFFERED, load.held as u64);
-        gauge(metrics::LINKS, self.links.len() as u64);
-        gauge(metrics::CONFIG_VERSION, self.report.version());
-        self.setup.metrics.flush();
     }
 
     fn beat_all(&mut self, now: Instant) {
@@ -223,7 +215,10 @@
                 }
             }
             Admission::Known => log::debug!(target: LOG, "{id} is known already."),
-            Admission::Refused(kind) => log::debug!(target: LOG, "{id} is refused: {kind}."),
+            Admission::Refused(kind) => {
+                log::debug!(target: LOG, "{id} is refused: {kind}.");
+                self.count_refused(kind);
+            }
         }
     }
 
--- a/hibiscusroad-measure/src/policy/scenario.rs
+++ b/hibiscusroad-measure/src/policy/scenario.rs
@@ -79,6 +79,17 @@
     PlaceSilent,
 }
 
+/// What callers do when they are refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Callers {
+    /// They go.
+    Leave,
+    /// They ask again at once, until they would have waited too long.
+    AskAtOnce,
+    /// They come back when they are told to, and wait as long as before.
+    ComeBack,
+}
+
 /// One load with its faults.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -98,8 +109,8 @@
     pub fault: Option<(Duration, Fault)>,
     /// Age at which reports arrive; `None` for no reports.
     pub reports: Option<Duration>,
-    /// Whether refused callers ask again at once.
-    pub eager: bool,
+    /// What refused callers do.
+    pub callers: Callers,
     /// Calls that arrive between these instants are counted.
     pub window: (Duration, Duration),
 }
@@ -140,7 +151,7 @@
         entries: 1,
         fault: None,
         reports: Some(Duration::from_millis(250)),
-        eager: false,
+        callers: Callers::Leave,
         window: (Duration::from_secs(4), Duration::from_secs(16)),
     }
 }
@@ -204,6 +215,31 @@
     scenario
 }
 
+/// Rollouts hold every slot; then ten times as many guests come.
+fn lend_back() -> Scenario {
+    let mut scenario = engines("lend-back", true);
+    scenario.streams[0].load = 0.03;
+    let burst = (Duration::from_mins(2), Duration::from_mins(3));
+    scenario.burst = Some((burst.0, burst.1, 10.0));
+    scenario.window = burst;
+    scenario
+}
+
+/// Guests alone would fill the engines three times.
+fn floors() -> Scenario {
+    let mut scenario = engines("floors", true);
+    scenario.kind = Kind::Workers(16);
+    scenario.window = (Duration::from_mins(1), Duration::from_mins(2));
+    scenario.streams[0].load = 3.0;
+    let partner = Stream {
+        class: Class::Partner,
+        load: 1.0,
+        ..scenario.streams[0]
+    };
+    scenario.streams.push(partner);
+    scenario
+}
+
 /// Returns all scenarios, in the order of the table.
 #[must_use]
 pub fn scenarios() -> Vec<Scenario> {
@@ -215,6 +251,12 @@
             burst: Some((secs(8), secs(10), 10.0)),
             ..plain("burst", 0.4)
         },
+        Scenario {
+            callers: Callers::ComeBack,
+            burst: Some((secs(8), secs(10), 10.0)),
+            window: (secs(4), secs(40)),
+            ..plain("burst-returns", 0.4)
+        },
         skew(),
         fault("slow", 0.6, Fault::Slow(0.1)),
         fault("stuck", 0.6, Fault::Stuck),
@@ -227,7 +269,7 @@
             ..plain("three-entries-2x", 2.0)
         },
         Scenario {
-            eager: true,
+            callers: Callers::AskAtOnce,
             ..plain("storm", 2.0)
         },
         fault("half-gone", 0.4, Fault::Gone(6)),
@@ -246,5 +288,7 @@
         },
         engines("guests", false),
         engines("guests-rollouts", true),
+        lend_back(),
+        floors(),
     ]
 }
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -16,7 +16,7 @@
 //! below the mean, ordinary ones then pass for queues, and 15 per cent of the
 //! capacity stayed unused at saturation.
 
-use crate::route::meter::ceil;
+use crate::route::{drain::secs, meter::ceil};
 use std::time::{Duration, Instant};
 
 /// A new endpoint's limit: enough that four workers are busy from the start,
@@ -39,10 +39,17 @@
 /// What is kept above the throughput: covers an error of 15 per cent in what a
 /// call takes, below which the limit would shrink on and on.
 const HEADROOM: f64 = 1.25;
+/// The same while nothing is known of calls that met few others: what the first
+/// calls of a saturated service take is less than the mean, as the short ones
+/// end first, and a limit that doesn't grow past that error stays where it is.
+const FIRST_HEADROOM: f64 = 1.6;
 /// One more, so that a worker doesn't idle for a round trip between calls.
 const SPARE: f64 = 1.0;
 /// A window counts as full if so many of its calls met the limit.
 const FULL: f64 = 0.8;
+/// A window counts if so much of its work at most is of calls of which little
+/// is known: a class that seldom comes must not hold the limit where it is.
+const UNSURE: f64 = 0.25;
 /// Samples of the pace that are averaged: strays by 6 per cent.
 const PACE: u32 = 256;
 /// Until there are as many, an endpoint is taken for one like its peers: the
@@ -89,8 +96,10 @@
     since: Option<Instant>,
     count: u32,
     full: u32,
-    /// Whether it is known well what all calls of the window take.
-    sure: bool,
+    /// Work of calls of which it isn't known well what they take.
+    unsure: f64,
+    /// Whether that of some of them comes from calls that met few others.
+    settled: bool,
     /// Faded sums of the work and the seconds of full windows.
     done: f64,
     time: f64,
@@ -111,7 +120,8 @@
             since: None,
             count: 0,
             full: 0,
-            sure: true,
+            unsure: 0.0,
+            settled: false,
             done: 0.0,
             time: 0.0,
             probe: 0,
@@ -177,35 +187,41 @@
         }
         self.work += sample.usual * self.pace;
         self.count += 1;
-        self.sure &= sample.sure;
+        if !sample.sure {
+            self.unsure += sample.usual * self.pace;
+        }
+        self.settled |= sample.settled;
         self.full += u32::from(sample.running + 1 >= limit);
         if self.count >= WINDOW.max(limit * WINDOW_PART) {
-            self.close(now, sample);
+            self.close(now);
         }
     }
 
-    fn close(&mut self, now: Instant, sample: &Sample) {
+    fn close(&mut self, now: Instant) {
         let full = f64::from(self.full) >= FULL * f64::from(self.count);
         let probing = self.probe > 0;
-        let sure = self.sure;
+        let sure = self.unsure <= UNSURE * self.work;
+        let settled = self.settled;
         let span = self.since.map(|since| now - since);
         let work = self.work;
+        let mean = secs(work / f64::from(self.count));
         self.clear(now);
         let Some(span) = span.filter(|span| !span.is_zero() && !probing) else {
             return;
         };
         if full && !sure {
-            self.plan_probe(now, sample);
+            self.plan_probe(now, mean, settled);
         } else if full {
             self.done += work;
             self.time += span.as_secs_f64();
-            self.set();
-            self.plan_probe(now, sample);
+            self.set(settled);
+            self.plan_probe(now, mean, settled);
         }
     }
 
-    fn set(&mut self) {
-        let target = self.done / self.time * HEADROOM + SPARE;
+    fn set(&mut self, settled: bool) {
+        let headroom = if settled { HEADROOM } else { FIRST_HEADROOM };
+        let target = self.done / self.time * headroom + SPARE;
         let keep = if target > self.now * GROWN {
             KEEP_GROWN
         } else {
@@ -216,9 +232,9 @@
         self.now = target.clamp(1.0, self.most);
     }
 
-    fn plan_probe(&mut self, now: Instant, sample: &Sample) {
-        let (pause, calls) = if sample.settled { PROBE } else { FIRST_PROBE };
-        let pause = pause.max(sample.took * calls);
+    fn plan_probe(&mut self, now: Instant, took: Duration, settled: bool) {
+        let (pause, calls) = if settled { PROBE } else { FIRST_PROBE };
+        let pause = pause.max(took * calls);
         if *self.probed.get_or_insert(now) + pause <= now {
             self.probe = PROBED;
             self.probed = Some(now);
@@ -230,6 +246,7 @@
         self.since = Some(now);
         self.count = 0;
         self.full = 0;
-        self.sure = true;
+        self.unsure = 0.0;
+        self.settled = false;
     }
 }
