--- a/hibiscusroad-daemon/tests/side_links.rs
+++ b/hibiscusroad-daemon/tests/side_links.rs
@@ -125,6 +125,24 @@
     assert_eq!(engine.count("/v1/completions"), 1);
 }
 
+#[test]
+fn an_answer_moves_to_a_new_link_while_the_old_one_stands() {
+    // Only the way back is silent, so that the side hears nothing of it. The
+    // entry opens a second link, attaches, and then closes the first.
+    let engine = slow_engine(100);
+    let side = start_side(engine.address, model);
+    let first = Link::open(&side, 7, 1);
+    generate(&first, 1);
+    let arrived = next_chunk(&first);
+    thread::sleep(Duration::from_millis(300));
+    let second = Link::open(&side, 7, 2);
+    second.attach(1, arrived);
+    drop(first);
+    let answer = second.answer_from(1, arrived);
+    assert!(answer.body.ends_with(b"data: [DONE]\n\n"));
+    assert_eq!(engine.count("/v1/completions"), 1);
+}
+
 #[test]
 fn a_start_from_a_replaced_link_never_runs() {
     // The entry gave a link up and sealed what it had sent on it, over a new
