End a side only when its entries send no more

Cause: a stopping side could end while a Start was on its way to it, and the caller of that Start was left without a word on whether it ran. A side now waits until each entry has echoed 'leaving' on its link, at most 3 s. The Start race itself was not reproduced.

--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -173,6 +173,9 @@
         if side.leaving.told != beat.leaving {
             side.leaving.told = beat.leaving;
             self.set_open(now, key);
+            // The side waits for this echo before it ends: frames of a link come
+            // in order, so no Start can follow it.
+            self.tell_beat(now, key);
         }
         if let Some(load) = &beat.load {
             let report = LoadReport {
@@ -216,16 +219,21 @@
     }
 
     fn send_beat(&mut self, now: Instant, key: SideKey) {
+        let side = &self.sides[key];
+        if side.link.is_some() && now >= side.beaten + BEAT {
+            self.tell_beat(now, key);
+        }
+    }
+
+    fn tell_beat(&mut self, now: Instant, key: SideKey) {
         let config_version = self.config.version();
         let side = &mut self.sides[key];
-        if side.link.is_none() || now < side.beaten + BEAT {
-            return;
-        }
         side.beaten = now;
         side.beats += 1;
         let beat = Beat {
             seq: side.beats,
             config_version,
+            leaving: side.leaving.told,
             ..Beat::default()
         };
         self.tell(key, Frame::Beat(beat));
--- a/hibiscusroad-daemon/src/side/request.rs
+++ b/hibiscusroad-daemon/src/side/request.rs
@@ -54,8 +54,9 @@
     Cancel(RequestId),
     /// The attempt must never start.
     Seal(RequestId),
-    /// The entry lives, and has this version of the configuration.
-    Beat(u64),
+    /// The entry lives, has this version of the configuration, and sends no
+    /// more new work if the flag is set.
+    Beat(u64, bool),
     /// A configuration.
     Config(u64, Vec<u8>),
     /// An order for the engine.
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -51,6 +51,10 @@
     pub metrics: Metrics,
 }
 
+/// How long a stopping side waits for its entries' word that they send no more:
+/// longer than an entry may be silent before its link is closed.
+const ECHO: Duration = Duration::from_secs(3);
+
 /// A link to an entry.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -58,6 +62,8 @@
     entry: String,
     /// The newest version of the configuration that the entry is known to have.
     config: u64,
+    /// Whether the entry has said that it sends no more new work.
+    quiet: bool,
 }
 
 /// The tables of a side.
@@ -71,6 +77,9 @@
     pub(super) learning: HashSet<String>,
     /// Orders at the engine.
     pub(super) orders: usize,
+    /// Until when a stopping side waits for its entries to say that they send
+    /// no more.
+    quiet: Instant,
     /// When the process ends even if work is in flight; set once it stops.
     ends: Option<Instant>,
     timer: MinTimerKey,
@@ -91,6 +100,7 @@
             report: Report::new(&setup),
             learning: HashSet::new(),
             orders: 0,
+            quiet: cx.now(),
             ends: None,
             timer: MinTimerKey::default(),
             reported: cx.now(),
@@ -136,7 +146,13 @@
         let Some(ends) = self.ends else {
             return;
         };
-        let idle = self.orders == 0 && self.gate.is_idle(now);
+        // A Start may be on its way while the gate stands idle. Ending now would
+        // leave its caller without a word on whether it ran, so the side waits
+        // until each entry has said that it sends no more. A link whose entry
+        // stands still is closed for its silence; one of an older release never
+        // says it, and is not waited for longer than ECHO.
+        let quiet = self.quiet <= now || self.links.values().all(|link| link.quiet);
+        let idle = quiet && self.orders == 0 && self.gate.is_idle(now);
         if idle || ends <= now {
             let left = self.gate.load().running;
             log::info!(target: LOG, "Stops with {left} calls in flight.");
@@ -170,6 +186,7 @@
             out,
             entry: hello.entry,
             config: hello.config,
+            quiet: false,
         };
         self.links.insert(link, row);
         let welcome = self.report.welcome(&self.gate);
@@ -200,7 +217,12 @@
             Inbound::Ack(id, offset, done) => self.gate.ack(now, link, id, offset, done),
             Inbound::Cancel(id) => self.gate.cancel(now, link, id),
             Inbound::Seal(id) => self.gate.ask(now, link, id),
-            Inbound::Beat(version) => self.heard_version(now, link, version),
+            Inbound::Beat(version, quiet) => {
+                if let Some(row) = self.links.get_mut(link) {
+                    row.quiet = quiet;
+                }
+                self.heard_version(now, link, version);
+            }
             Inbound::Config(version, document) => self.config(now, link, version, document),
             Inbound::Order(order) => self.order(now, link, *order),
         }
@@ -288,7 +310,10 @@
     fn stop(&mut self, now: Instant) {
         log::info!(target: LOG, "Stops: no new work, work in flight completes.");
         let limit = Duration::from_secs(self.setup.settings.stop.deadline_s);
-        self.ends.get_or_insert(now + limit);
+        if self.ends.is_none() {
+            self.ends = Some(now + limit);
+            self.quiet = now + ECHO;
+        }
         self.report.stopping = true;
         self.show_leaving(now);
     }
--- a/hibiscusroad-daemon/src/side/wire.rs
+++ b/hibiscusroad-daemon/src/side/wire.rs
@@ -60,7 +60,7 @@
         In::Ack(ack) => Inbound::Ack(id(ack.id)?, ack.offset, ack.done),
         In::Cancel(cancel) => Inbound::Cancel(id(cancel.id)?),
         In::Seal(seal) => Inbound::Seal(id(seal.id)?),
-        In::Beat(beat) => Inbound::Beat(beat.config_version),
+        In::Beat(beat) => Inbound::Beat(beat.config_version, beat.leaving),
         In::Config(config) => Inbound::Config(config.version, config.document),
         In::Order(order) => Inbound::Order(Box::new(self::order(order))),
     })
--- a/hibiscusroad-measure/src/faults/check.rs
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -218,7 +218,11 @@
                 counts.unknown += usize::from(problem == unknown);
                 if !gone && self.cut(made, problem) {
                     counts.cut_by_stop += 1;
-                    counts.remark(format!("cut by a stop: {}: {problem}", name(made)));
+                    let others = self.others(made);
+                    counts.remark(format!(
+                        "cut by a stop: {}: {problem}; {others}",
+                        name(made)
+                    ));
                 }
                 if gone && outcome.wait > call.deadline + GRACE {
                     counts.unserved += 1;
@@ -296,6 +300,15 @@
             .unwrap_or(entries.len())
     }
 
+    /// Says what the other calls with the same key were told.
+    fn others(&self, made: &Made) -> String {
+        let same =
+            |other: &&Made| other.call.request == made.call.request && !std::ptr::eq(*other, made);
+        let others = self.made.iter().filter(same);
+        let told = others.map(|m| format!("{} {:?}", name(m), m.outcome.ending));
+        told.collect::<Vec<_>>().join("; ")
+    }
+
     fn doubled(&self, counts: &mut Counts) {
         let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
         for (endpoint, log) in &self.runs {
