Ask once for what is missing of an answer

Cause: each piece after a hole, or of an attempt that is only being asked about, sent another Attach, and three without a new byte end an answer as short. A repeat of a key at the entry whose first caller gave up can meet such pieces, because the side still sends them to that entry.

Pieces are now left out while an answer was asked for and none of it came yet, since what was asked for follows in order on the same connection.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -44,6 +44,8 @@
     pub(super) assembly: Assembly,
     pub(super) acked: u64,
     pub(super) pieces: u64,
+    /// Whether the answer was asked for and none of it has come since.
+    pub(super) asked: bool,
     pub(super) repeats: u32,
 }
 
@@ -140,6 +142,7 @@
             assembly: Assembly::default(),
             acked: 0,
             pieces: 0,
+            asked: false,
             repeats: 0,
         };
         self.attempts.insert(id, attempt);
@@ -222,6 +225,7 @@
             return;
         };
         attempt.repeats += 1;
+        attempt.asked = true;
         if attempt.repeats > MOST_REPEATS {
             return self.end_attempt(now, id, Outcome::Failed(ErrorKind::AnswerShort));
         }
@@ -262,6 +266,16 @@
         self.end_attempt(now, id, Outcome::Failed(kind));
     }
 
+    /// Finds the attempt that a piece of an answer is for.
+    ///
+    /// While the side is asked how an attempt stands, pieces of it may still
+    /// come for an earlier call of this entry. They are sent again from the
+    /// beginning once the side has said that there is an answer.
+    pub(super) fn find_open(&mut self, id: Option<Id>) -> Option<(RequestId, &mut Attempt)> {
+        let (id, attempt) = self.find(id)?;
+        (attempt.phase == Phase::Sent).then_some((id, attempt))
+    }
+
     /// Finds the attempt that a frame is for, and notes the sign of life.
     ///
     /// Frames of attempts that ended, or of another life of this entry, find
--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -26,7 +26,7 @@
 impl Tables {
     /// Takes in the head of an answer.
     pub(super) fn head(&mut self, now: Instant, head: hibiscusroad_wire::Head) {
-        let Some((id, attempt)) = self.find(head.id) else {
+        let Some((id, attempt)) = self.find_open(head.id) else {
             return;
         };
         if attempt.head.is_some() {
@@ -38,6 +38,7 @@
         };
         let stream = is_stream(&head);
         attempt.head = Some(head.clone());
+        attempt.asked = false;
         let (call, endpoint) = (attempt.call, attempt.endpoint);
         self.router.progress(now, call, endpoint, 0);
         if stream
@@ -52,15 +53,21 @@
 
     /// Takes in bytes of an answer.
     pub(super) fn chunk(&mut self, now: Instant, chunk: Chunk) {
-        let Some((id, attempt)) = self.find(chunk.id) else {
+        let Some((id, attempt)) = self.find_open(chunk.id) else {
             return;
         };
+        // What was asked for follows on the same connection, in order; pieces
+        // that come before it are left out and not asked for again.
+        let asked = attempt.asked;
         if attempt.head.is_none() {
-            return self.attach(now, id);
+            if !asked {
+                self.attach(now, id);
+            }
+            return;
         }
         match attempt.assembly.chunk(chunk.offset, chunk.data) {
-            Taken::Old => {}
-            Taken::Gap => self.attach(now, id),
+            Taken::Gap if !asked => self.attach(now, id),
+            Taken::Old | Taken::Gap => {}
             Taken::New(data) => self.bytes(now, id, data),
         }
     }
@@ -70,6 +77,7 @@
             return;
         };
         attempt.repeats = 0;
+        attempt.asked = false;
         attempt.pieces += 1;
         let (call, endpoint, pieces) = (attempt.call, attempt.endpoint, attempt.pieces);
         // An engine sends a token a piece, so pieces count tokens well enough.
@@ -139,7 +147,7 @@
 
     /// Takes in the declared end of an answer.
     pub(super) fn end(&mut self, now: Instant, end: &End) {
-        let Some((id, attempt)) = self.find(end.id) else {
+        let Some((id, attempt)) = self.find_open(end.id) else {
             return;
         };
         let ending = attempt.assembly.end(end.length);
--- a/hibiscusroad-daemon/tests/entry_claims.rs
+++ b/hibiscusroad-daemon/tests/entry_claims.rs
@@ -173,7 +173,7 @@
 }
 
 // The first caller gives up while its request runs, and is told that it may
-// have run. It comes back through another entry and gets the answer.
+// have run. It comes back, through this entry and another, and gets the answer.
 #[test]
 fn a_caller_that_gave_up_gets_the_answer_later() {
     let world = World::start("");
@@ -181,8 +181,10 @@
     let first = world.reserve(0, "d", &format!("{slow}Deadline-Ms: 200\r\n"), "hut 3");
     assert!(first.contains("timed-out"), "{first}");
     assert!(first.contains(r#""not_run":false"#), "{first}");
+    let same = world.reserve(0, "d", slow, "hut 3");
     let again = world.reserve(1, "d", slow, "hut 3");
     assert!(again.contains(" 200 "), "{again}");
+    assert_eq!(body(&same), body(&again));
     assert_eq!(world.runs("d"), 1);
 }
 
--- a/hibiscusroad-daemon/tests/entry_links.rs
+++ b/hibiscusroad-daemon/tests/entry_links.rs
@@ -253,3 +253,27 @@
     assert_eq!(*epochs.lock().unwrap(), [1, 2]);
     drop(entry);
 }
+
+// The caller sees its whole answer though many pieces with a hole before them
+// come first. The entry asks for the hole once; asking with each piece would
+// use up the tries and end a good answer as a short one.
+#[test]
+fn many_pieces_after_a_hole_are_one_question() {
+    let side = Side::start("hut-desk", |_, out, frame| match frame {
+        Frame::Start(start) => {
+            out.head(start.id, "text/plain");
+            for i in 1..9 {
+                out.chunk(start.id, i, "x");
+            }
+        }
+        Frame::Attach(attach) => {
+            out.chunk(attach.id, 0, "abcdefghij");
+            out.end(attach.id, 10);
+        }
+        _ => {}
+    });
+    let entry = start(&[&side], "");
+    let answer = call(&entry, "GET", "/s/hut-desk/huts", "", "");
+    assert!(answer.ends_with("\r\n\r\nabcdefghij"), "{answer}");
+    assert_eq!(side.count(|f| matches!(f, Frame::Attach(_))), 1);
+}
