--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -22,8 +22,7 @@
 /// A new endpoint's limit: enough that four workers are busy from the start,
 /// little enough that a cold cache isn't met by a full batch.
 const START: f64 = 8.0;
-/// An endpoint that returns begins with one call; it has eight after 1 s or so
-/// of calls of 40 ms.
+/// An endpoint that returns begins with one call: it may be ejected again.
 const TRIAL: f64 = 1.0;
 /// Answers in a window, at least, and for each call of the limit: enough that
 /// a window is longer than one call.
@@ -36,8 +35,8 @@
 const KEEP_GROWN: f64 = 0.3;
 /// Growth by more than this makes earlier windows weigh less.
 const GROWN: f64 = 1.05;
-/// What is kept above the throughput: covers an error of 15 per cent in what a
-/// call takes, below which the limit would shrink on and on.
+/// What is kept above the throughput: covers an error of a fifth in what a call
+/// takes, below which the limit would shrink on and on.
 const HEADROOM: f64 = 1.25;
 /// The same while nothing is known of calls that met few others: what the first
 /// calls of a saturated service take is less than the mean, as the short ones
