Try a lost endpoint again after one pause, also when the others are full

Cause 1: each call on its way to an endpoint that was just ejected doubled its pause when it failed; after a crash with eight in flight it was 30 s. Cause 2: with all other slots in use an endpoint that waited to be tried got no call, when it was wanted most.

--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -180,6 +180,10 @@
         let Some(row) = self.endpoints.get_mut(key) else {
             return;
         };
+        // What was on its way when it was ejected must not lengthen the pause.
+        if matches!(row.health.phase, Phase::Out(_)) {
+            return;
+        }
         let service = &mut self.services[row.service];
         let fit = row.health.fit();
         let most = service.endpoints.len() as f64 * EJECTED;
--- a/src/route/share.rs
+++ b/src/route/share.rs
@@ -28,7 +28,10 @@
     let below = Class::ALL.into_iter().find(|c| waits(c) && owed(row, *c));
     below.or_else(|| {
         let class = Class::ALL.into_iter().find(waits)?;
-        (row.free > reserve(row, now, class)).then_some(class)
+        // An endpoint that waits to be tried is room, too: when the others are
+        // full it is wanted most.
+        let room = row.free as usize + row.ready.len();
+        (room > reserve(row, now, class) as usize).then_some(class)
     })
 }
 
--- a/tests/route_place.rs
+++ b/tests/route_place.rs
@@ -248,6 +248,28 @@
     }
 }
 
+/// An endpoint refuses connections while ten calls are on their way to it. It is
+/// tried again after one pause, not after ten that double each time.
+#[test]
+fn late_refusals_do_not_lengthen_the_pause() {
+    let mut world = World::new();
+    let gone = world.endpoint("gone", "senec", 8);
+    let calls: Vec<Call> = (0..8).map(|_| world.call()).collect();
+    for call in &calls {
+        assert_eq!(world.place(*call), Some(gone));
+    }
+    world.endpoint("other", "senec", 64);
+    for call in &calls {
+        let outcome = Outcome::NotRun(ErrorKind::EndpointDown);
+        world.router.finish(world.now, call.id, gone, outcome);
+        while world.started().is_some() {}
+    }
+    assert_eq!(world.limit(gone), 0);
+    world.pass(Duration::from_millis(1100));
+    let call = world.call();
+    assert_eq!(world.place(call), Some(gone));
+}
+
 /// All endpoints of a service fail every call. That is hardly the fault
 /// of one of them: at most half are ejected, and callers are still answered.
 #[test]
