--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     entry::event::{Event, Ids},
+    metrics::{self, Metrics},
     settings::Entry,
 };
 use flume::{Receiver, Sender, TrySendError};
@@ -84,6 +85,7 @@
     stopping: AtomicBool,
     closed: AtomicBool,
     busy: AtomicUsize,
+    metrics: Metrics,
 }
 
 impl Shared {
@@ -114,6 +116,13 @@
         self.closed.load(Ordering::SeqCst)
     }
 
+    /// Counts a refusal that the tables know nothing of.
+    fn count_refused(&self, kind: ErrorKind) {
+        let problem = kind.answer().problem;
+        self.metrics
+            .count(metrics::REFUSED, &[("problem", problem)]);
+    }
+
     fn stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
     }
@@ -164,7 +173,12 @@
     /// # Errors
     ///
     /// Returns the system's error if the address or a thread can't be had.
-    pub fn start(settings: &Entry, ids: Arc<Ids>, events: Sender<Event>) -> io::Result<Self> {
+    pub fn start(
+        settings: &Entry,
+        metrics: Metrics,
+        ids: Arc<Ids>,
+        events: Sender<Event>,
+    ) -> io::Result<Self> {
         let listener = listen(settings.callers)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -178,6 +192,7 @@
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
+            metrics,
         });
         // No room at all: a job is taken only by a worker that waits for one.
         let (jobs, free) = flume::bounded(0);
