Answer operators for all entries, and put the rule's limit in force

Cause: an entry answered from its own links alone. With a subset it left out endpoints, a drain was judged by those, and an endpoint that died behind a living side showed as open. Questions now go on to the other entries, eight at a time for at most 2 s, with the asker's token and marked so that none is passed on again; the youngest news of a linked entry wins, and who is missing is named. The side's heartbeat says when nothing listens at its endpoint. Callers in flight and lease rows are shown.

A rule's limit reached the side's gate, but raised again it had no effect for callers: in the new test an endpoint went on with 2 at once after 5 were allowed, because the router's measured limit stays where it was. A raised bound now starts it anew.

--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/fan.rs
@@ -0,0 +1,140 @@
+//! Asking the other entries what they know.
+//!
+//! An entry has links to a subset of the sides and knows its own callers only.
+//! An operator's question is therefore passed on to the other entries, with the
+//! operator's own token, so that nobody learns more this way than by asking
+//! each entry. A question that was passed on says so and is answered from what
+//! the asked entry knows: otherwise each would ask all others in turn.
+//!
+//! A few are asked at a time, and all of it ends after [`LIMIT`]: an operator is
+//! better served by an answer that names whom it lacks than by a wait.
+
+use crate::entry::operators::{Peer, Row, Shown};
+use serde::Deserialize;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+use ureq::Agent;
+
+/// What a question that was passed on says in its query.
+pub const ONLY_SELF: &str = "only=self";
+
+/// Entries that are asked at the same time. At 2 ms each, 360 entries take
+/// a tenth of a second.
+const WIDTH: usize = 8;
+
+/// How long one entry may take: its tables answer within a turn.
+const EACH: Duration = Duration::from_millis(700);
+
+/// How long all of them may take.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// Asks other entries.
+#[derive(Clone, Debug)]
+pub struct Fan {
+    agent: Agent,
+}
+
+/// What other entries said.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    /// The answers, in the order of the entries.
+    pub shown: Vec<Shown>,
+    /// The entries that gave none.
+    pub lacks: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    rows: Vec<Row>,
+    version: u64,
+}
+
+impl Default for Fan {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Fan {
+    /// Creates a client of the other entries.
+    #[must_use]
+    pub fn new() -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(EACH))
+            .max_idle_connections(0)
+            .proxy(None)
+            .build()
+            .into();
+        Self { agent }
+    }
+
+    /// Asks `peers` for the rows at `path`, below `/v1/`, until `enough` says
+    /// that the last answers have brought all that was wanted.
+    ///
+    /// `token` is what the operator showed in the header `Authorization`.
+    pub fn ask(
+        &self,
+        peers: &[Peer],
+        path: &str,
+        token: Option<&str>,
+        mut enough: impl FnMut(&[Shown]) -> bool,
+    ) -> Answers {
+        let end = Instant::now() + LIMIT;
+        let mut answers = Answers::default();
+        let mut groups = peers.chunks(WIDTH);
+        for group in groups.by_ref() {
+            let first = answers.shown.len();
+            for (peer, shown) in group.iter().zip(self.ask_group(group, path, token)) {
+                match shown {
+                    Some(shown) => answers.shown.push(shown),
+                    None => answers.lacks.push(peer.name.clone()),
+                }
+            }
+            if enough(&answers.shown[first..]) {
+                return answers;
+            }
+            if Instant::now() > end {
+                break;
+            }
+        }
+        let unasked = groups.flatten().map(|peer| peer.name.clone());
+        answers.lacks.extend(unasked);
+        answers
+    }
+
+    fn ask_group(&self, peers: &[Peer], path: &str, token: Option<&str>) -> Vec<Option<Shown>> {
+        thread::scope(|scope| {
+            let asked: Vec<_> = peers
+                .iter()
+                .map(|peer| scope.spawn(move || self.ask_one(peer, path, token)))
+                .collect();
+            let answers = asked.into_iter().map(|asked| asked.join().ok().flatten());
+            answers.collect()
+        })
+    }
+
+    fn ask_one(&self, peer: &Peer, path: &str, token: Option<&str>) -> Option<Shown> {
+        let url = format!("http://{}/v1/{path}?{ONLY_SELF}", peer.address);
+        let mut request = self.agent.get(url);
+        if let Some(token) = token {
+            request = request.header("authorization", token);
+        }
+        let said = request
+            .call()
+            .and_then(|mut answer| answer.body_mut().read_to_vec());
+        let body = match said {
+            Ok(bytes) => serde_json::from_slice::<Body>(&bytes).ok()?,
+            Err(error) => {
+                log::debug!(target: "operators", "{} gave no answer: {error}.", peer.name);
+                return None;
+            }
+        };
+        Some(Shown {
+            rows: body.rows,
+            version: body.version,
+            ..Shown::default()
+        })
+    }
+}
--- a/hibiscusroad-daemon/src/entry/hosts.rs
+++ b/hibiscusroad-daemon/src/entry/hosts.rs
@@ -63,7 +63,13 @@
 
 impl Tables {
     /// Takes in a host list.
-    pub(super) fn hosts(&mut self, now: Instant, hosts: &[Host]) {
+    pub(super) fn hosts(&mut self, now: Instant, hosts: Vec<Host>) {
+        self.take_hosts(now, &hosts);
+        self.hosts = hosts;
+        self.listed = Some(now);
+    }
+
+    fn take_hosts(&mut self, now: Instant, hosts: &[Host]) {
         for side in self.sides.values_mut() {
             if side.listing == Listing::Listed {
                 side.listing = Listing::Absent;
--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -170,6 +170,7 @@
     fn beat(&mut self, now: Instant, key: SideKey, beat: &Beat) {
         let side = &mut self.sides[key];
         let endpoint = side.endpoint;
+        side.unreachable = beat.unreachable;
         if side.leaving.told != beat.leaving {
             side.leaving.told = beat.leaving;
             self.set_open(now, key);
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -10,6 +10,7 @@
 //! takes microseconds, the reading and writing of requests is done elsewhere,
 //! and in return there are no locks and no order of locks to get wrong.
 
+mod ask;
 mod assembly;
 mod attempt;
 mod call;
@@ -17,6 +18,7 @@
 mod claims;
 pub mod config;
 pub mod event;
+pub mod fan;
 mod frames;
 pub mod front;
 mod hosts;
@@ -26,10 +28,12 @@
 pub mod operators;
 mod show;
 pub mod side;
+pub mod survey;
 mod tables;
 
 use self::{
     event::{Event, Ids},
+    fan::Fan,
     front::{Front, Shared},
     link::Dialer,
     operators::Desk,
@@ -116,7 +120,7 @@
     let table = Table::new(&settings.platform.table, Arc::clone(&budget)).metrics(metrics.clone());
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
-    let operators = listen(part, table, sender.clone())?;
+    let operators = listen(settings, part, table, sender.clone())?;
     let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
@@ -148,11 +152,18 @@
     Ok(())
 }
 
-fn listen(part: &Part, table: Table, events: Sender<Event>) -> Result<SocketAddr, Error> {
+fn listen(
+    settings: &Settings,
+    part: &Part,
+    table: Table,
+    events: Sender<Event>,
+) -> Result<SocketAddr, Error> {
     let news = events.clone();
     let desk = Desk {
         table,
         tokens: part.tokens.clone(),
+        name: settings.name.clone(),
+        fan: Fan::new(),
         ask: Box::new(move |subject| {
             let (reply, shown) = flume::bounded(1);
             events
--- a/hibiscusroad-daemon/src/entry/operators.rs
+++ b/hibiscusroad-daemon/src/entry/operators.rs
@@ -5,7 +5,11 @@
 //! of the thread that owns the tables; what lasts is asked of the platform.
 
 use crate::{
-    entry::config::{self, Reply},
+    entry::{
+        ask::{self, Question, Refusal},
+        config::{self, Reply},
+        fan::{Fan, ONLY_SELF},
+    },
     platform::Table,
     settings::Tokens,
 };
@@ -18,9 +22,10 @@
 use subtle::ConstantTimeEq;
 use tiny_http::{Header, Method, Request, Response, Server};
 
-/// Threads that answer operators; few people ask at once, and each of their
-/// questions may wait seconds for the table.
-const THREADS: usize = 4;
+/// Threads that answer operators; few people ask at once, but each of their
+/// questions may wait seconds for the table or for other entries, which ask
+/// here meanwhile.
+const THREADS: usize = 8;
 
 /// Bytes that a command may have.
 const LARGEST_COMMAND: u64 = 64 * 1024;
@@ -37,6 +42,17 @@
     pub lacks: Vec<String>,
     /// The configuration version in force at the entry.
     pub version: u64,
+    /// The other entries on the host list.
+    pub peers: Vec<Peer>,
+}
+
+/// Another entry.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// Where it answers operators.
+    pub address: SocketAddr,
 }
 
 /// Asks the thread that owns the tables; none if it is too busy to say.
@@ -55,6 +71,10 @@
     pub ask: Box<Ask>,
     /// Hands a document that was just accepted to the entry.
     pub news: Box<News>,
+    /// The name of the entry.
+    pub name: String,
+    /// Asks the other entries.
+    pub fan: Fan,
 }
 
 impl std::fmt::Debug for Desk {
@@ -63,21 +83,8 @@
     }
 }
 
-/// What a question is about.
-const SUBJECTS: &[&str] = &[
-    "audit",
-    "callers",
-    "config",
-    "endpoints",
-    "entries",
-    "hosts",
-    "leases",
-    "places",
-    "runs",
-    "services",
-    "trainers",
-    "versions",
-];
+const UNKNOWN_PATH: &str = "no such path; known are /v1/show/SUBJECT, \
+    /v1/explain/request/ID, /v1/explain/endpoint/NAME and /v1/change";
 
 struct Said {
     status: u16,
@@ -126,29 +133,36 @@
 }
 
 fn answer(request: &mut Request, desk: &Desk) -> Said {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    match (request.method(), path.strip_prefix("/v1/show/")) {
-        (Method::Get, Some(subject)) => {
+    let url = request.url().to_owned();
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    match (request.method(), path.strip_prefix("/v1/")) {
+        (Method::Get, Some(path)) if path.starts_with("show/") || path.starts_with("explain/") => {
             if !allowed(request, &[&desk.tokens.ask, &desk.tokens.act]) {
                 return denied();
             }
-            show(desk, subject)
+            let token = authorization(request);
+            let token = token.as_deref();
+            let alone = query == ONLY_SELF;
+            told(&ask::answer(&Question { desk, token, alone }, path))
         }
-        (Method::Post, None) if path == "/v1/change" => {
+        (Method::Post, Some("change")) => {
             if !allowed(request, &[&desk.tokens.act]) {
                 return denied();
             }
             change(request, desk)
         }
-        _ => Said::error(
-            404,
-            "no such path; /v1/show/SUBJECT and /v1/change are known",
+        _ => Said::error(404, UNKNOWN_PATH),
+    }
+}
+
+fn told(answer: &Result<Shown, Refusal>) -> Said {
+    match answer {
+        Ok(shown) => Said::new(
+            200,
+            json!({ "rows": shown.rows, "lacks": shown.lacks, "version": shown.version }),
         ),
+        Err(Refusal::Unknown(detail)) => Said::error(404, detail),
+        Err(Refusal::Unable(detail)) => Said::error(503, detail),
     }
 }
 
@@ -166,52 +180,17 @@
     if tokens.peek().is_none() {
         return true;
     }
-    let shown = request
-        .headers()
-        .iter()
-        .find(|header| header.field.equiv("authorization"))
-        .and_then(|header| header.value.as_str().strip_prefix("Bearer "))
-        .unwrap_or_default();
+    let shown = authorization(request).unwrap_or_default();
+    let shown = shown.strip_prefix("Bearer ").unwrap_or_default();
     tokens.fold(false, |found, token| {
         found | bool::from(token.as_bytes().ct_eq(shown.as_bytes()))
     })
 }
 
-fn show(desk: &Desk, subject: &str) -> Said {
-    if !SUBJECTS.contains(&subject) {
-        return Said::error(
-            404,
-            &format!("nothing to show; known are {}", SUBJECTS.join(", ")),
-        );
-    }
-    let shown = match subject {
-        "audit" => trail(desk),
-        _ => (desk.ask)(subject).ok_or_else(|| "the entry is too busy to say".to_owned()),
-    };
-    match shown {
-        Ok(shown) => Said::new(
-            200,
-            json!({ "rows": shown.rows, "lacks": shown.lacks, "version": shown.version }),
-        ),
-        Err(detail) => Said::error(503, &detail),
-    }
-}
-
-fn trail(desk: &Desk) -> Result<Shown, String> {
-    let lines = config::trail(&desk.table).map_err(|fault| fault.to_string())?;
-    let rows = lines.iter().map(|line| match serde_json::to_value(line) {
-        Ok(Value::Object(mut row)) => {
-            row.insert("source".to_owned(), json!("table"));
-            row.insert("age_ms".to_owned(), json!(0));
-            row
-        }
-        _ => Row::new(),
-    });
-    Ok(Shown {
-        rows: rows.collect(),
-        lacks: Vec::new(),
-        version: lines.last().map_or(0, |line| line.version),
-    })
+fn authorization(request: &Request) -> Option<String> {
+    let mut headers = request.headers().iter();
+    let header = headers.find(|header| header.field.equiv("authorization"))?;
+    Some(header.value.as_str().to_owned())
 }
 
 fn change(request: &mut Request, desk: &Desk) -> Said {
--- a/hibiscusroad-daemon/src/entry/show.rs
+++ b/hibiscusroad-daemon/src/entry/show.rs
@@ -3,72 +3,120 @@
 //! Each row says where it comes from and how old it is, because an entry knows
 //! of the rest only what links and lists last told it.
 
-use crate::entry::{
-    operators::{Row, Shown},
-    side::Side,
-    tables::Tables,
+use crate::{
+    entry::{
+        operators::{Peer, Row, Shown},
+        side::{Listing, Side},
+        survey::{OPEN, UNKNOWN, UNLINKED},
+        tables::Tables,
+    },
+    platform::Host,
 };
 use hibiscusroad::{
     Class,
     config::{Document, Edit},
 };
 use serde_json::{Value, json};
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
-
-/// How old a side's news may be before an answer says that it lacks the side:
-/// four heartbeats.
-const STALE: Duration = Duration::from_secs(1);
+use std::{collections::BTreeMap, time::Instant};
 
 impl Tables {
-    /// Answers what an operator asks about `subject`.
+    /// Answers what an operator asks about `subject`, from what this entry
+    /// knows.
     #[must_use]
     pub fn show(&self, now: Instant, subject: &str) -> Shown {
         let rows = match subject {
             "endpoints" => self.endpoint_rows(now),
             "services" => self.service_rows(),
-            "hosts" => self.group_rows(now, "host", |side| &side.host),
-            "places" => self.group_rows(now, "place", |side| &side.place),
-            "versions" => self.group_rows(now, "weights", |side| &side.weights),
             "entries" => vec![self.entry_row()],
+            "callers" => self.caller_rows(now),
             "config" => config_rows(&self.config.newest()),
             _ => Vec::new(),
         };
         Shown {
             rows,
-            lacks: self.lacks(now, subject),
+            lacks: Vec::new(),
             version: self.config.version(),
+            peers: self.peers(),
         }
     }
 
-    fn lacks(&self, now: Instant, subject: &str) -> Vec<String> {
-        if matches!(subject, "config" | "entries" | "services") {
-            return Vec::new();
-        }
-        let silent = self
-            .sides
-            .values()
-            .filter(|side| now.duration_since(side.heard) > STALE);
-        silent.map(|side| side.name.clone()).collect()
+    fn peers(&self) -> Vec<Peer> {
+        let hosts = self.hosts.iter();
+        let others = hosts.filter(|host| host.role == "entry" && host.endpoint != self.name);
+        let peers = others.map(|host| Peer {
+            name: host.endpoint.clone(),
+            address: host.address,
+        });
+        peers.collect()
     }
 
     fn endpoint_rows(&self, now: Instant) -> Vec<Row> {
-        let rows = self.sides.values().map(|side| {
+        let sides = self.sides.values();
+        let known = sides.filter(|side| side.listing != Listing::Guest);
+        let mut rows: Vec<Row> = known.map(|side| self.endpoint_row(now, side)).collect();
+        let hosts = self.hosts.iter().filter(|host| host.role == "side");
+        let others = hosts.filter(|host| !self.has_side(host));
+        rows.extend(others.map(|host| self.listed_row(now, host)));
+        rows
+    }
+
+    fn has_side(&self, host: &Host) -> bool {
+        let key = self.side(&host.service, &host.endpoint);
+        key.is_some_and(|key| self.sides[key].listing != Listing::Guest)
+    }
+
+    fn endpoint_row(&self, now: Instant, side: &Side) -> Row {
+        row([
+            ("endpoint", json!(side.name)),
+            ("service", json!(side.service)),
+            ("host", json!(side.host)),
+            ("place", json!(side.place)),
+            ("address", json!(side.address.to_string())),
+            ("state", json!(state(side))),
+            ("running", json!(side.report.running)),
+            ("queued", json!(side.report.queued)),
+            ("limit", json!(side.report.limit)),
+            ("mine", json!(side.attempts.len())),
+            ("weights", json!(side.weights)),
+            ("config", json!(side.config)),
+            ("age_ms", age(now, side.heard)),
+            ("source", json!(self.name)),
+        ])
+    }
+
+    /// The row of an endpoint that is only known from the host list.
+    fn listed_row(&self, now: Instant, host: &Host) -> Row {
+        row([
+            ("endpoint", json!(host.endpoint)),
+            ("service", json!(host.service)),
+            ("host", json!(host.name)),
+            ("place", json!(host.place)),
+            ("address", json!(host.address.to_string())),
+            ("state", json!(UNKNOWN)),
+            ("age_ms", age(now, self.listed.unwrap_or(now))),
+            ("source", json!("host list")),
+        ])
+    }
+
+    /// Callers in flight, by service and class.
+    fn caller_rows(&self, now: Instant) -> Vec<Row> {
+        let mut groups: BTreeMap<(&str, Class), (usize, usize, Instant)> = BTreeMap::new();
+        for call in self.calls.values() {
+            let key = (call.request.service.as_str(), call.request.class);
+            let (all, running, oldest) = groups.entry(key).or_insert((0, 0, call.arrived));
+            *all += 1;
+            *running += usize::from(!call.attempts.is_empty());
+            *oldest = call.arrived.min(*oldest);
+        }
+        let rows = groups.into_iter().map(|((service, class), group)| {
+            let (all, running, oldest) = group;
             row([
-                ("endpoint", json!(side.name)),
-                ("service", json!(side.service)),
-                ("host", json!(side.host)),
-                ("place", json!(side.place)),
-                ("address", json!(side.address.to_string())),
-                ("state", json!(state(side))),
-                ("running", json!(side.report.running)),
-                ("queued", json!(side.report.queued)),
-                ("mine", json!(side.attempts.len())),
-                ("weights", json!(side.weights)),
-                ("config", json!(side.config)),
-                ("age_ms", age(now, side.heard)),
+                ("service", json!(service)),
+                ("class", json!(class.name())),
+                ("callers", json!(all)),
+                ("running", json!(running)),
+                ("oldest_ms", age(now, oldest)),
+                ("age_ms", json!(0)),
                 ("source", json!(self.name)),
             ])
         });
@@ -78,17 +126,11 @@
     fn service_rows(&self) -> Vec<Row> {
         let document = self.config.newest();
         let rows = document.services.iter().map(|(name, service)| {
-            let sides = || self.sides.values().filter(|side| side.service == *name);
             let key = self.router.service(name);
             let waiting = |class| key.map_or(0, |key| self.router.waiting(key, class));
             row([
                 ("service", json!(name)),
                 ("kind", json!(service.kind)),
-                ("endpoints", json!(sides().count())),
-                (
-                    "open",
-                    json!(sides().filter(|side| side.takes_work()).count()),
-                ),
                 ("interactive", json!(waiting(Class::Interactive))),
                 ("partner", json!(waiting(Class::Partner))),
                 ("rollout", json!(waiting(Class::Rollout))),
@@ -102,26 +144,6 @@
         rows.collect()
     }
 
-    /// Counts endpoints by what `name` takes from them.
-    fn group_rows(&self, now: Instant, column: &str, name: impl Fn(&Side) -> &str) -> Vec<Row> {
-        let mut groups: BTreeMap<&str, Vec<&Side>> = BTreeMap::new();
-        for side in self.sides.values() {
-            groups.entry(name(side)).or_default().push(side);
-        }
-        let rows = groups.into_iter().map(|(name, sides)| {
-            let open = sides.iter().filter(|side| side.takes_work()).count();
-            let oldest = sides.iter().map(|side| side.heard).min();
-            row([
-                (column, json!(name)),
-                ("endpoints", json!(sides.len())),
-                ("open", json!(open)),
-                ("age_ms", age(now, oldest.unwrap_or(now))),
-                ("source", json!(self.name)),
-            ])
-        });
-        rows.collect()
-    }
-
     fn entry_row(&self) -> Row {
         let linked = self.sides.values().filter(|side| side.link.is_some());
         row([
@@ -150,18 +172,21 @@
     rows.collect()
 }
 
-const fn state(side: &Side) -> &'static str {
+/// Names the state of an endpoint as this entry sees it.
+pub(super) const fn state(side: &Side) -> &'static str {
     let leaving = side.leaving;
     if side.link.is_none() {
-        "unlinked"
+        UNLINKED
     } else if side.suspect {
         "silent"
     } else if leaving.drained {
         "drained"
     } else if leaving.listed || leaving.told {
         "leaving"
+    } else if side.unreachable {
+        "unreachable"
     } else {
-        "open"
+        OPEN
     }
 }
 
--- a/hibiscusroad-daemon/src/entry/side.rs
+++ b/hibiscusroad-daemon/src/entry/side.rs
@@ -67,6 +67,8 @@
     pub lost: Option<Instant>,
     /// Whether the host list or its heartbeat says that it is leaving.
     pub leaving: Leaving,
+    /// Whether it says that nothing listens at its endpoint's address.
+    pub unreachable: bool,
     /// The configuration version that it last said to have.
     pub config: u64,
     /// What it last reported of its endpoint.
@@ -125,6 +127,7 @@
             suspect: false,
             lost: Some(now),
             leaving: Leaving::default(),
+            unreachable: false,
             config: 0,
             report: LoadReport::default(),
             weights: String::new(),
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/survey.rs
@@ -0,0 +1,134 @@
+//! One answer out of what several entries know.
+//!
+//! Of an endpoint, an entry that has a link to its side knows most; among those
+//! the youngest news wins. Rows without such an entry come from the host list
+//! alone, and the answer says that it lacks them.
+
+use crate::entry::operators::Row;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, btree_map::Entry};
+
+/// How old a side's news may be before an answer says that it lacks the side:
+/// four heartbeats.
+const STALE_MS: u64 = 1000;
+
+/// The state of an endpoint that takes new work.
+pub const OPEN: &str = "open";
+/// The state of an endpoint whose side an entry has no link to.
+pub const UNLINKED: &str = "unlinked";
+/// The state of an endpoint that an entry knows from the host list alone.
+pub const UNKNOWN: &str = "unknown";
+
+/// The rows of endpoints, one each.
+#[derive(Clone, Debug, Default)]
+pub struct Survey {
+    rows: BTreeMap<(String, String), Row>,
+}
+
+impl Survey {
+    /// Creates a survey of what one entry knows.
+    #[must_use]
+    pub fn new(rows: Vec<Row>) -> Self {
+        let mut survey = Self::default();
+        survey.add(rows);
+        survey
+    }
+
+    /// Takes in what another entry knows.
+    pub fn add(&mut self, rows: Vec<Row>) {
+        for row in rows {
+            let key = (text(&row, "service"), text(&row, "endpoint"));
+            match self.rows.entry(key) {
+                Entry::Vacant(place) => {
+                    place.insert(row);
+                }
+                Entry::Occupied(mut place) => {
+                    if rank(&row) < rank(place.get()) {
+                        place.insert(row);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Says whether an entry with a link has told of each endpoint.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.rows.values().all(|row| rank(row).0 == 0)
+    }
+
+    /// Returns the endpoints without fresh news.
+    #[must_use]
+    pub fn lacks(&self) -> Vec<String> {
+        let rows = self.rows.values();
+        let lacking = rows.filter(|row| rank(row) > (0, STALE_MS));
+        lacking.map(|row| text(row, "endpoint")).collect()
+    }
+
+    /// Returns the rows.
+    #[must_use]
+    pub fn into_rows(self) -> Vec<Row> {
+        self.rows.into_values().collect()
+    }
+
+    /// Counts the endpoints by what they have in `column`; `more` are columns
+    /// that all of a group have in common.
+    #[must_use]
+    pub fn groups(&self, column: &str, more: &[&str], source: &str) -> Vec<Row> {
+        let mut groups: BTreeMap<String, Vec<&Row>> = BTreeMap::new();
+        for row in self.rows.values() {
+            groups.entry(text(row, column)).or_default().push(row);
+        }
+        let rows = groups.into_iter().map(|(name, rows)| {
+            let mut group = Row::new();
+            group.insert(column.to_owned(), json!(name));
+            for column in more {
+                group.insert((*column).to_owned(), json!(text(rows[0], column)));
+            }
+            let oldest = rows.iter().map(|row| age(row)).max();
+            group.insert("endpoints".to_owned(), json!(rows.len()));
+            group.insert("open".to_owned(), json!(open(&rows)));
+            group.insert("age_ms".to_owned(), json!(oldest));
+            group.insert("source".to_owned(), json!(source));
+            group
+        });
+        rows.collect()
+    }
+
+    /// Adds the counts to rows of services.
+    #[must_use]
+    pub fn count(&self, mut services: Vec<Row>) -> Vec<Row> {
+        for service in &mut services {
+            let name = text(service, "service");
+            let rows = self.rows.values();
+            let rows: Vec<&Row> = rows.filter(|row| text(row, "service") == name).collect();
+            service.insert("endpoints".to_owned(), json!(rows.len()));
+            service.insert("open".to_owned(), json!(open(&rows)));
+        }
+        services
+    }
+}
+
+fn open(rows: &[&Row]) -> usize {
+    let open = rows.iter().filter(|row| text(row, "state") == OPEN);
+    open.count()
+}
+
+/// Orders rows of one endpoint: the lowest one knows most.
+fn rank(row: &Row) -> (u8, u64) {
+    let far = match text(row, "state").as_str() {
+        UNKNOWN => 2,
+        UNLINKED => 1,
+        _ => 0,
+    };
+    (far, age(row))
+}
+
+fn age(row: &Row) -> u64 {
+    row.get("age_ms").and_then(Value::as_u64).unwrap_or(0)
+}
+
+fn text(row: &Row, column: &str) -> String {
+    let text = row.get(column).and_then(Value::as_str);
+    text.unwrap_or_default().to_owned()
+}
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -14,6 +14,7 @@
         side::{Side, SideKey},
     },
     metrics::Metrics,
+    platform::Host,
     settings::Settings,
 };
 use flume::Sender;
@@ -43,6 +44,9 @@
     pub(super) router: Router,
     pub(super) config: Register,
     pub(super) sides: SlotMap<SideKey, Side>,
+    /// The last host list, and when it came.
+    pub(super) hosts: Vec<Host>,
+    pub(super) listed: Option<Instant>,
     pub(super) endpoints: HashMap<EndpointKey, SideKey>,
     pub(super) calls: HashMap<RequestId, CallRow>,
     pub(super) attempts: HashMap<RequestId, Attempt>,
@@ -77,6 +81,8 @@
             router: Router::new(&settings.place, seed),
             config: Register::new(),
             sides: SlotMap::with_key(),
+            hosts: Vec::new(),
+            listed: None,
             endpoints: HashMap::new(),
             calls: HashMap::new(),
             attempts: HashMap::new(),
@@ -101,7 +107,7 @@
             Event::Link(side, epoch, LinkEvent::Down(reason)) => {
                 self.link_down(now, side, epoch, &reason);
             }
-            Event::Hosts(hosts) => self.hosts(now, &hosts),
+            Event::Hosts(hosts) => self.hosts(now, hosts),
             Event::Claimed(call, attempt, verdict) => {
                 self.claimed(now, call, attempt, *verdict);
             }
--- a/hibiscusroad-daemon/src/platform/leases.rs
+++ b/hibiscusroad-daemon/src/platform/leases.rs
@@ -3,10 +3,26 @@
 use crate::platform::{Fault, Table};
 use hibiscusroad::lease::Row;
 
+const PREFIX: &str = "lease/";
+
 /// Returns the key of a duty's row.
 #[must_use]
 pub fn key(duty: &str) -> String {
-    format!("lease/{duty}")
+    format!("{PREFIX}{duty}")
+}
+
+/// Reads the rows of all duties.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] if the table gave no usable answer.
+pub fn all(table: &Table) -> Result<Vec<(String, Row)>, Fault> {
+    let found = table.list(PREFIX, 0)?;
+    let rows = found.iter().map(|found| {
+        let duty = found.key.strip_prefix(PREFIX).unwrap_or(&found.key);
+        Ok((duty.to_owned(), parse(&found.value)?))
+    });
+    rows.collect()
 }
 
 /// Reads the highest fencing number given out for a duty; 0 if there was none.
@@ -21,6 +37,9 @@
     let Some(found) = table.get(&key(duty))? else {
         return Ok(0);
     };
-    let row: Row = serde_json::from_slice(&found.value).map_err(|e| Fault::Odd(e.to_string()))?;
-    Ok(row.fence)
+    Ok(parse(&found.value)?.fence)
+}
+
+fn parse(value: &[u8]) -> Result<Row, Fault> {
+    serde_json::from_slice(value).map_err(|e| Fault::Odd(e.to_string()))
 }
--- a/hibiscusroad-daemon/src/side/event.rs
+++ b/hibiscusroad-daemon/src/side/event.rs
@@ -58,6 +58,8 @@
     },
     /// The endpoint reported its load.
     Load(EndpointLoad),
+    /// Whether anything listens at the endpoint's address.
+    Reached(bool),
     /// The host list says whether this host is leaving.
     Listed {
         /// Whether it is.
--- a/hibiscusroad-daemon/src/side/news.rs
+++ b/hibiscusroad-daemon/src/side/news.rs
@@ -59,9 +59,13 @@
     let agent = load_agent();
     let address = side.address;
     Poll::start("load", move || {
-        if let Some(load) = fetch_load(&agent, address) {
-            // News that finds no room is replaced by the next.
-            drop(events.try_send(Event::Load(load)));
+        // News that finds no room is replaced by the next.
+        match fetch_load(&agent, address) {
+            Ok(load) => {
+                drop(events.try_send(Event::Reached(true)));
+                drop(events.try_send(Event::Load(load)));
+            }
+            Err(error) => drop(events.try_send(Event::Reached(!nobody_listens(&error)))),
         }
         LOAD_EVERY
     })
@@ -115,12 +119,20 @@
         .into()
 }
 
-fn fetch_load(agent: &ureq::Agent, address: SocketAddr) -> Option<EndpointLoad> {
+/// Says whether a question shows that the endpoint is not there.
+///
+/// One that answers late, or has nothing at the path, is there: only a refused
+/// connection is proof.
+fn nobody_listens(error: &ureq::Error) -> bool {
+    matches!(error, ureq::Error::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+fn fetch_load(agent: &ureq::Agent, address: SocketAddr) -> Result<EndpointLoad, ureq::Error> {
     let asked = Instant::now();
-    let mut response = agent.get(format!("http://{address}/load")).call().ok()?;
-    let bytes = response.body_mut().read_to_vec().ok()?;
-    let report: Report = serde_json::from_slice(&bytes).ok()?;
-    Some(EndpointLoad {
+    let mut response = agent.get(format!("http://{address}/load")).call()?;
+    let bytes = response.body_mut().read_to_vec()?;
+    let report: Report = serde_json::from_slice(&bytes).map_err(io::Error::other)?;
+    Ok(EndpointLoad {
         running: report.running,
         queued: report.queued,
         tokens: report.tokens,
--- a/hibiscusroad-daemon/src/side/report.rs
+++ b/hibiscusroad-daemon/src/side/report.rs
@@ -18,6 +18,8 @@
     pub load: EndpointLoad,
     /// Whether the host list calls this host leaving.
     pub unlisted: bool,
+    /// Whether nothing listens at the endpoint's address.
+    pub unreachable: bool,
     /// Whether the process was told to stop.
     pub stopping: bool,
     names: Names,
@@ -54,6 +56,7 @@
         Self {
             load: EndpointLoad::default(),
             unlisted: false,
+            unreachable: false,
             stopping: false,
             names,
             register: Register::new(),
@@ -85,6 +88,7 @@
             load: Some(self.load_at(now, gate)),
             leaving: gate.is_leaving(),
             fence: gate.fence(),
+            unreachable: self.unreachable,
         }
     }
 
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -120,6 +120,7 @@
                 outcome,
             } => self.ordered(now, worker, link, seq, outcome),
             Event::Load(load) => self.report.load = load,
+            Event::Reached(reached) => self.reached(now, reached),
             Event::Listed { leaving } => self.listed(now, leaving),
             Event::Lease(duty, number) => self.learn(&duty, number),
             Event::Stop => self.stop(now),
@@ -353,6 +354,15 @@
         }
     }
 
+    /// Takes note whether anything listens at the endpoint's address.
+    fn reached(&mut self, now: Instant, reached: bool) {
+        if self.report.unreachable == reached {
+            log::info!(target: LOG, "the endpoint can be reached: {reached}");
+            self.report.unreachable = !reached;
+            self.beat_all(now);
+        }
+    }
+
     fn listed(&mut self, now: Instant, leaving: bool) {
         if self.report.unlisted != leaving {
             self.report.unlisted = leaving;
--- /dev/null
+++ b/hibiscusroad-daemon/tests/operators.rs
@@ -0,0 +1,195 @@
+//! What operators are told through one entry, of all of them.
+
+mod entry_support;
+mod world;
+
+use entry_support::call;
+use serde_json::{Value, json};
+use std::{
+    net::TcpListener,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
+use world::{Shown, World, column, text};
+
+const SUBSETS: [&str; 2] = ["subset = 1", ""];
+
+fn all_open(shown: &Shown) -> bool {
+    shown.rows.len() == 2 && shown.rows.iter().all(|row| text(row, "state") == "open")
+}
+
+// The first entry has a link to one of the two sides only. Both endpoints are
+// shown, once each; the news of the other one comes from the second entry.
+#[test]
+fn endpoints_outside_of_the_subset_are_shown() {
+    let world = World::start(&SUBSETS);
+    let shown = world.wait(0, "show/endpoints", all_open);
+    assert_eq!(column(&shown, "endpoint"), ["desk-0", "desk-1"]);
+    assert!(column(&shown, "source").contains(&"entry-1".to_owned()));
+    assert!(shown.lacks.is_empty(), "{shown:?}");
+    world.wait(0, "show/endpoints?only=self", |alone| {
+        column(alone, "state") == ["open", "unknown"]
+    });
+    for (subject, place) in [("hosts", "place"), ("places", "place")] {
+        let shown = world.ask(0, &format!("show/{subject}"));
+        assert_eq!(column(&shown, place), ["senec", "trnava"], "{shown:?}");
+    }
+    let shown = world.ask(0, "show/hosts");
+    assert_eq!(column(&shown, "host"), ["host-desk-0", "host-desk-1"]);
+}
+
+// The entry that knows the other endpoint dies. The operator still sees that
+// the endpoint is listed, that nobody knows its state, and who is missing.
+#[test]
+fn endpoint_that_nobody_knows_is_named() {
+    let mut world = World::start(&SUBSETS);
+    world.wait(0, "show/endpoints", all_open);
+    world.entries.pop().unwrap().stopper().stop();
+    thread::sleep(Duration::from_secs(1));
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap();
+    let gone = nobody.local_addr().unwrap();
+    drop(nobody);
+    world.list(&[("entry-1", gone)]);
+    let shown = world.wait(0, "show/endpoints", |shown| shown.lacks.len() == 2);
+    assert_eq!(column(&shown, "state"), ["open", "unknown"]);
+    assert!(shown.lacks.contains(&"entry-1".to_owned()), "{shown:?}");
+}
+
+// One entry of three is not there. The rows of the others come at once, and
+// the answer names the one that it lacks.
+#[test]
+fn entries_are_all_asked_and_missing_ones_named() {
+    let world = World::start(&["", ""]);
+    // Takes connections and never answers.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.list(&[("entry-2", silent.local_addr().unwrap())]);
+    let shown = world.wait(0, "show/entries", |shown| !shown.lacks.is_empty());
+    assert_eq!(column(&shown, "entry"), ["entry-0", "entry-1"]);
+    assert_eq!(shown.lacks, ["entry-2"]);
+    let alone = world.ask(0, "show/entries?only=self");
+    assert_eq!(column(&alone, "entry"), ["entry-0"]);
+}
+
+// A question is passed on with the asker's token: the second entry, which knows
+// another one, tells its rows to nobody who couldn't ask it directly.
+#[test]
+fn token_of_the_asker_is_passed_on() {
+    let tokens = |token: &str| format!("[entry.tokens]\nask = [\"{token}\"]\n");
+    let (one, two) = (tokens("0123456789abcdef"), tokens("fedcba9876543210"));
+    let same = World::start(&[&one, &one]);
+    let other = World::start(&[&one, &two]);
+    for (world, rows) in [(&same, 2), (&other, 1)] {
+        let asked = || world.ask_with(0, "show/entries", "0123456789abcdef");
+        entry_support::wait_until(|| asked().rows.len() + asked().lacks.len() == 2);
+        assert_eq!(asked().rows.len(), rows);
+        assert_eq!(world.ask(0, "show/entries").status, 401);
+    }
+}
+
+// An endpoint dies; its side lives on and its link stands.
+#[test]
+fn dead_endpoint_behind_a_living_side_is_unreachable() {
+    let world = World::start(&[""]);
+    world.wait(0, "show/endpoints", all_open);
+    world.desks[1].stop();
+    let shown = world.wait(0, "show/endpoints", |shown| !all_open(shown));
+    assert_eq!(column(&shown, "state"), ["open", "unreachable"]);
+    let shown = world.ask(0, "show/services");
+    if let Some(row) = shown.rows.first() {
+        assert_eq!(row["open"], json!(1));
+    }
+}
+
+#[test]
+fn callers_and_leases_are_shown() {
+    let world = World::start(&[""]);
+    world.wait(0, "show/endpoints", all_open);
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            call(
+                &world.entries[0],
+                "GET",
+                "/s/desk/x",
+                "X-Work-Ms: 800\r\n",
+                "",
+            );
+            done.store(true, Ordering::SeqCst);
+        });
+        let shown = world.wait(0, "show/callers", |shown| !shown.rows.is_empty());
+        let row = &shown.rows[0];
+        assert_eq!(
+            (text(row, "service"), text(row, "class")),
+            ("desk", "interactive")
+        );
+        assert_eq!(row["callers"], json!(1));
+    });
+    assert!(done.load(Ordering::SeqCst));
+    assert!(world.ask(0, "show/leases").rows.is_empty());
+}
+
+/// The most requests that an endpoint had at once, while callers asked for it.
+fn most_at_once(world: &World, callers: usize) -> u64 {
+    let busy = AtomicBool::new(true);
+    thread::scope(|scope| {
+        let most = scope.spawn(|| {
+            let mut most = 0;
+            while busy.load(Ordering::SeqCst) {
+                for desk in &world.desks {
+                    let url = format!("http://{}/load", desk.addr());
+                    let text = ureq::get(url).call().unwrap().body_mut().read_to_string();
+                    let load: Value = serde_json::from_str(&text.unwrap()).unwrap();
+                    most = most.max(load["running"].as_u64().unwrap());
+                }
+            }
+            most
+        });
+        let asked: Vec<_> = (0..callers)
+            .map(|_| {
+                scope.spawn(|| {
+                    call(
+                        &world.entries[0],
+                        "GET",
+                        "/s/desk/x",
+                        "X-Work-Ms: 250\r\n",
+                        "",
+                    )
+                })
+            })
+            .collect();
+        let answers: Vec<_> = asked.into_iter().map(|asked| asked.join()).collect();
+        busy.store(false, Ordering::SeqCst);
+        for answer in answers {
+            let answer = answer.unwrap();
+            assert!(answer.contains(" 200 "), "{answer}");
+        }
+        most.join().unwrap()
+    })
+}
+
+// An operator lowers how many requests an endpoint takes at once, and raises it
+// again. Callers wait in the entry's queue meanwhile, and all get their answer.
+#[test]
+fn limit_of_the_rule_is_in_force_at_the_endpoint() {
+    let world = World::start(&[""]);
+    let limit = |shown: &Shown, limit: u64| {
+        shown.rows.len() == 2 && shown.rows.iter().all(|row| row["limit"] == json!(limit))
+    };
+    let create = json!({ "op": "create_service", "name": "desk", "kind": "plain" });
+    world.change(0, &create);
+    world.wait(0, "show/endpoints", |shown| limit(shown, 64));
+    world.change(
+        1,
+        &json!({ "op": "alter_service", "name": "desk", "set": { "limit": 2 } }),
+    );
+    world.wait(0, "show/endpoints", |shown| limit(shown, 2));
+    assert_eq!(most_at_once(&world, 12), 2);
+    world.change(
+        2,
+        &json!({ "op": "alter_service", "name": "desk", "set": { "limit": 5 } }),
+    );
+    world.wait(0, "show/endpoints", |shown| limit(shown, 5));
+    let most = most_at_once(&world, 24);
+    assert!((3..=5).contains(&most), "{most}");
+}
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -151,8 +151,14 @@
     /// Takes in what the endpoint's side says that it takes at once.
     pub(super) fn bound(&mut self, most: u32) {
         if most > 0 {
+            let raised = f64::from(most) > self.most;
             self.most = f64::from(most);
             self.now = self.now.min(self.most);
+            if raised {
+                // What was measured under the lower bound says nothing of more
+                // than that, and an operator who raises it would see no effect.
+                self.now = self.now.max(START.min(self.most));
+            }
         }
     }
 
