--- a/hibiscusroad-daemon/tests/operators.rs
+++ b/hibiscusroad-daemon/tests/operators.rs
@@ -8,7 +8,7 @@
 use std::{
     net::TcpListener,
     sync::atomic::{AtomicBool, Ordering},
-    thread,
+    thread::{self, ScopedJoinHandle},
     time::Duration,
 };
 use world::{Shown, World, column, text};
@@ -158,7 +158,7 @@
                 })
             })
             .collect();
-        let answers: Vec<_> = asked.into_iter().map(|asked| asked.join()).collect();
+        let answers: Vec<_> = asked.into_iter().map(ScopedJoinHandle::join).collect();
         busy.store(false, Ordering::SeqCst);
         for answer in answers {
             let answer = answer.unwrap();
