--- a/hibiscusroad-measure/src/faults/inject.rs
+++ b/hibiscusroad-measure/src/faults/inject.rs
@@ -194,8 +194,8 @@
 
     fn undo(&mut self, index: usize) -> Result<(), Error> {
         match self.done[index].fault {
-            Fault::KillEntry(n) => self.deployment.entries[n].process.restart(),
-            Fault::KillSide(n) => self.deployment.sides[n].process.restart(),
+            Fault::KillEntry(n) => restarted(&mut self.deployment.entries[n]),
+            Fault::KillSide(n) => restarted(&mut self.deployment.sides[n]),
             Fault::KillEndpoint(n) => self.deployment.endpoints[n].process.restart(),
             Fault::FreezeEntry(n) => self.deployment.entries[n].process.thaw(),
             Fault::FreezeSide(n) => self.deployment.sides[n].process.thaw(),
@@ -254,12 +254,19 @@
     }
 }
 
+/// Starts a process again and waits until it listens: a signal before that
+/// would end it before it can know of signals.
+fn restarted(member: &mut Member) -> Result<(), Error> {
+    member.process.restart()?;
+    member.process.wait_for(member.daemon.address)
+}
+
 /// Waits for a planned stop to end, and starts the process again.
 fn stopped(member: &mut Member) -> Result<(), Error> {
     let status = member.process.wait(Instant::now() + STOP)?;
-    let restarted = member.process.restart();
+    restarted(member)?;
     if status.success() {
-        return restarted;
+        return Ok(());
     }
     let name = member.daemon.name.clone();
     Err(Error::Process(
