Give callers who name no deadline the time of their service's rule

Cause: the entry took its own setting of 10 s for them. After a side was killed, a caller of a service with a rule of 2 s waited 10.0 s for its final answer. The new test fails without the change (504 only after 10 s) and passes with it.

The router is told when a caller has got part of an answer, so that the attempt behind it is neither hedged nor moved.

--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -63,12 +63,20 @@
 }
 
 impl Tables {
+    /// Returns how long the callers of a service wait who don't say.
+    fn wait(&self, service: &str) -> Duration {
+        let document = self.config.newest();
+        let service = document.services.get(service);
+        service.map_or(self.patience, |s| Duration::from_millis(s.rule.deadline_ms))
+    }
+
     /// Takes in a request.
     pub(super) fn arrive(&mut self, now: Instant, arrival: Arrival) {
         let Arrival {
             id,
             request,
-            deadline,
+            arrived,
+            wait,
             reply,
             taken,
         } = arrival;
@@ -80,6 +88,7 @@
         }
         self.count_request(&request);
         let repeat = self.repeat(&request);
+        let deadline = arrived + wait.unwrap_or_else(|| self.wait(&request.service));
         let mut row = CallRow {
             request,
             repeat,
@@ -224,6 +233,9 @@
             return false;
         };
         row.winner = Some(attempt);
+        if let Some(endpoint) = self.attempts.get(&attempt).map(|a| a.endpoint) {
+            self.router.commit(now, call, endpoint);
+        }
         let repeat = row.repeat;
         // What else runs of it can't be of use any more.
         let others = std::mem::replace(&mut row.attempts, vec![attempt]);
--- a/hibiscusroad-daemon/src/entry/event.rs
+++ b/hibiscusroad-daemon/src/entry/event.rs
@@ -89,8 +89,10 @@
     pub id: RequestId,
     /// What is asked.
     pub request: Inbound,
-    /// When the caller stops waiting.
-    pub deadline: Instant,
+    /// When it came.
+    pub arrived: Instant,
+    /// How long the caller waits, if it said so.
+    pub wait: Option<Duration>,
     /// Where the answer goes.
     pub reply: Sender<Part>,
     /// Bytes of the answer that the caller has taken.
--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -80,7 +80,8 @@
 pub struct Shared {
     events: Sender<Event>,
     ids: Arc<Ids>,
-    limits: request::Limits,
+    /// Bytes that a body may have.
+    largest: usize,
     listener: TcpListener,
     stopping: AtomicBool,
     closed: AtomicBool,
@@ -184,10 +185,7 @@
         let shared = Arc::new(Shared {
             events,
             ids,
-            limits: request::Limits {
-                body: settings.body,
-                deadline: Duration::from_millis(settings.deadline_ms),
-            },
+            largest: settings.body,
             listener,
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
--- a/hibiscusroad-daemon/src/entry/front/request.rs
+++ b/hibiscusroad-daemon/src/entry/front/request.rs
@@ -23,6 +23,9 @@
 /// The range of [`DEADLINE`], in milliseconds.
 const DEADLINES: std::ops::RangeInclusive<u64> = 1..=600_000;
 
+/// The longest time that a caller may wait, by its header or a service's rule.
+pub const LONGEST_WAIT: Duration = Duration::from_millis(*DEADLINES.end());
+
 /// The longest idempotency key.
 const LONGEST_KEY: usize = 128;
 
@@ -66,15 +69,6 @@
     "upgrade",
 ];
 
-/// Limits that the settings lay down.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Bytes of a body.
-    pub body: usize,
-    /// The time of a caller who names none.
-    pub deadline: Duration,
-}
-
 /// Says whether a header belongs to one connection and isn't passed on.
 pub fn is_hop(name: &str) -> bool {
     NOT_PASSED.iter().any(|hop| name.eq_ignore_ascii_case(hop))
@@ -87,30 +81,30 @@
         || all(request, "Connection").any(is_upgrade)
 }
 
-/// Returns the time that the caller waits.
+/// Returns the time that the caller waits, if it says so.
 ///
 /// # Errors
 ///
 /// Returns [`ErrorKind::BadDeadline`] if the header is no number in its range.
-pub fn deadline(request: &Request, limits: &Limits) -> Result<Duration, ErrorKind> {
+pub fn deadline(request: &Request) -> Result<Option<Duration>, ErrorKind> {
     let Some(text) = one(request, DEADLINE, ErrorKind::BadDeadline)? else {
-        return Ok(limits.deadline);
+        return Ok(None);
     };
     if !text.bytes().all(|b| b.is_ascii_digit()) {
         return Err(ErrorKind::BadDeadline);
     }
     match text.parse() {
-        Ok(ms) if DEADLINES.contains(&ms) => Ok(Duration::from_millis(ms)),
+        Ok(ms) if DEADLINES.contains(&ms) => Ok(Some(Duration::from_millis(ms))),
         _ => Err(ErrorKind::BadDeadline),
     }
 }
 
-/// Reads a request whole.
+/// Reads a request whole; its body may have `largest` bytes.
 ///
 /// # Errors
 ///
 /// Returns the kind of what is wrong with it.
-pub fn read(request: &mut Request, limits: &Limits) -> Result<Inbound, ErrorKind> {
+pub fn read(request: &mut Request, largest: usize) -> Result<Inbound, ErrorKind> {
     check_headers(request)?;
     let (service, path) = target(request.url())?;
     let idempotent = idempotent(request.method())?;
@@ -118,7 +112,7 @@
     let key = key(request)?;
     let headers = passed(request);
     let method = request.method().as_str().to_owned();
-    let body = body(request, limits)?;
+    let body = body(request, largest)?;
     let prompt = is_model_path(&path).then(|| prompt(&body)).flatten();
     Ok(Inbound {
         service,
@@ -233,9 +227,9 @@
         .collect()
 }
 
-fn body(request: &mut Request, limits: &Limits) -> Result<Vec<u8>, ErrorKind> {
+fn body(request: &mut Request, largest: usize) -> Result<Vec<u8>, ErrorKind> {
     let length = request.body_length();
-    if length.is_some_and(|n| n > limits.body) {
+    if length.is_some_and(|n| n > largest) {
         return Err(ErrorKind::BodyTooLarge);
     }
     let mut body = Vec::with_capacity(length.unwrap_or_default());
@@ -252,7 +246,7 @@
             Err(_) => return Err(ErrorKind::BadBody),
         };
         body.extend_from_slice(&piece[..n]);
-        if body.len() > limits.body {
+        if body.len() > largest {
             return Err(ErrorKind::BodyTooLarge);
         }
         if start.elapsed() > BODY_LIMIT {
--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -46,14 +46,10 @@
 pub fn run(jobs: &Receiver<Job>, refusals: &Sender<Refusal>) {
     for mut job in jobs {
         let shared = Arc::clone(&job.guard.0);
-        let limits = &shared.limits;
-        let read = request::deadline(&job.request, limits)
-            .and_then(|wait| Ok((request::read(&mut job.request, limits)?, wait)));
+        let read = request::deadline(&job.request)
+            .and_then(|wait| Ok((request::read(&mut job.request, shared.largest)?, wait)));
         match read {
-            Ok((inbound, wait)) => {
-                let deadline = job.arrived + wait;
-                serve(job, &shared, inbound, deadline);
-            }
+            Ok((inbound, wait)) => serve(job, &shared, inbound, wait),
             // Only the server knows how much of the body was read.
             Err(kind) if request::has_body(&job.request) => {
                 leave(refusals, Refusal { job, kind });
@@ -120,14 +116,15 @@
     (job.request.into_writer(), job.guard)
 }
 
-fn serve(job: Job, shared: &Shared, inbound: Inbound, deadline: Instant) {
+fn serve(job: Job, shared: &Shared, inbound: Inbound, wait: Option<Duration>) {
     let (reply, parts) = flume::bounded(PARTS);
     let taken = Arc::new(AtomicU64::new(0));
     let id = job.id;
     let arrival = Arrival {
         id,
         request: inbound,
-        deadline,
+        arrived: job.arrived,
+        wait,
         reply,
         taken: Arc::clone(&taken),
     };
@@ -138,6 +135,8 @@
     {
         return refuse(job, ErrorKind::HandoverFull);
     }
+    // Only the tables know how long the service's callers wait who don't say.
+    let deadline = job.arrived + wait.unwrap_or(request::LONGEST_WAIT);
     let answer = Answer {
         id,
         shared,
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -127,7 +127,7 @@
     let writes = claims::start(&table, &sender)?;
     watch_config(table.clone(), sender.clone())?;
     let operators = listen(settings, part, table, sender.clone())?;
-    let tables = Tables::new(settings, part.subset, ids, dialer, writes, metrics);
+    let tables = Tables::new(settings, part, ids, dialer, writes, metrics);
     let stopper = Stopper {
         events: sender,
         shared: Arc::clone(&front.shared),
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -16,7 +16,7 @@
     },
     metrics::Metrics,
     platform::Host,
-    settings::Settings,
+    settings::{Entry as Part, Settings},
 };
 use flume::Sender;
 use hibiscusroad::{
@@ -58,6 +58,8 @@
     pub(super) writes: Sender<Write>,
     /// Calls of each key, in their turn.
     pub(super) keys: HashMap<String, VecDeque<RequestId>>,
+    /// How long callers wait who don't say, of a service without a rule.
+    pub(super) patience: Duration,
     pub(super) deadlines: BTreeSet<(Instant, RequestId)>,
     stopping: bool,
 }
@@ -67,7 +69,7 @@
     #[must_use]
     pub fn new(
         settings: &Settings,
-        subset: usize,
+        part: &Part,
         ids: Arc<Ids>,
         dialer: Dialer,
         writes: Sender<Write>,
@@ -77,7 +79,7 @@
         Self {
             name: settings.name.clone(),
             place: settings.place.clone(),
-            subset,
+            subset: part.subset,
             ids,
             dialer,
             router: Router::new(&settings.place, seed),
@@ -94,6 +96,7 @@
             trace: Trace::default(),
             writes,
             keys: HashMap::new(),
+            patience: Duration::from_millis(part.deadline_ms),
             deadlines: BTreeSet::new(),
             stopping: false,
         }
--- a/hibiscusroad-daemon/tests/entry_path.rs
+++ b/hibiscusroad-daemon/tests/entry_path.rs
@@ -3,7 +3,8 @@
 mod entry_support;
 
 use entry_support::{Side, call, rest, start};
-use hibiscusroad_wire::to_side::Frame;
+use hibiscusroad::config::{Change, Document, Kind, Rule};
+use hibiscusroad_wire::{Config, to_entry, to_side::Frame};
 use std::{
     io::{Read, Write},
     net::{TcpStream, UdpSocket},
@@ -128,3 +129,33 @@
     assert!(lines.contains("hibiscusroad.requests:1|c|#service:hut-desk"));
     assert!(lines.contains("hibiscusroad.latency:"));
 }
+
+// The caller names no deadline. The service's rule, which a side hands on, says
+// 300 ms; the side takes the call and then says nothing. The caller gets its
+// final answer when the rule's time is over, not the settings' ten seconds.
+#[test]
+fn a_rule_says_how_long_a_caller_waits() {
+    let change = Change::CreateService {
+        name: "hut-desk".to_owned(),
+        kind: Kind::Plain,
+        rule: Rule {
+            deadline_ms: 300,
+            ..Rule::default()
+        },
+    };
+    let document = change.apply(&Document::default(), false).unwrap();
+    let side = Side::start("hut-desk", move |_, out, frame| {
+        if let Frame::Hello(_) = frame {
+            out.send(to_entry::Frame::Config(Config {
+                version: document.version,
+                document: serde_json::to_vec(&document).unwrap(),
+            }));
+        }
+    });
+    let entry = start(&[&side], "");
+    let asked = Instant::now();
+    let answer = call(&entry, "GET", "/s/hut-desk/huts", "", "");
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert!(answer.contains("timed-out"), "{answer}");
+    assert!(asked.elapsed() < Duration::from_secs(2));
+}
