Add the steps of a trainer, with their ledger and its proof

Cause: two trainers' samples must each be delivered once, with the versions that truly made them and within the bound, whichever process holds the run.

A batch is fixed under the run's head row and handed out after that write. The cursor alone as the record was ruled out: a holder's loss would take finished samples with it, and a repeated pull would get another batch.

--- a/src/error.rs
+++ b/src/error.rs
@@ -88,6 +88,16 @@
     BadMethod = 405, "bad-method", "The method is not allowed here", true, Never;
     /// A command was written for a version of the configuration that is gone.
     ConfigConflict = 409, "config-conflict", "Another change came first", true, Never;
+    /// No run has this name.
+    UnknownRun = 404, "unknown-run", "No such run", true, Never;
+    /// A run of this name was opened with other settings.
+    RunTaken = 409, "run-taken", "A run of this name has other settings", true, Never;
+    /// The cursor is neither the next step nor one of the last few.
+    BadCursor = 409, "bad-cursor", "The cursor is not near the run's step", true, Never;
+    /// The step before was not reported done, so its weights aren't known.
+    StepOpen = 409, "step-open", "The step before was not reported done", true, Never;
+    /// A trainer's weight version went back.
+    BadVersion = 409, "bad-version", "The weight version is older than the last", true, Never;
     /// The same idempotency key is being worked on; this copy did not start.
     KeyRunning = 409, "key-running", "A request with this key is still running", false, SameKey;
     /// The key was used before with another body.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 //! * [`lease`]: duties with one holder, and their fencing numbers.
 //! * [`route`]: admission, queues, placement, limits, retries.
 //! * [`subset`]: which sides an entry keeps links to.
+//! * [`train`]: a trainer's steps, samples and pace.
 
 pub mod claim;
 pub mod class;
@@ -43,6 +44,7 @@
 pub mod lease;
 pub mod route;
 pub mod subset;
+pub mod train;
 
 pub use crate::{
     class::{Class, Repeat},
