Measure training in virtual time; move slow generations early

Cause: a long sample that spends two steps on a slow engine can't be whole inside the bound, and its step stalls for it.

Ruled out: waiting for no group.

--- a/hibiscusroad-measure/src/lib.rs
+++ b/hibiscusroad-measure/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`caller`]: makes one call and says how it ended for its caller.
 //! * [`load`]: makes many calls at the times that were set for them.
 //! * [`judge`]: counts what callers saw and what endpoints ran.
-//! * [`demo`], [`faults`], [`path`] and [`policy`]: what the program `measure` does.
+//! * [`demo`], [`faults`], [`path`], [`policy`] and [`train`]: what the program `measure` does.
 
 pub mod caller;
 pub mod demo;
@@ -16,3 +16,4 @@
 pub mod path;
 pub mod policy;
 pub mod report;
+pub mod train;
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -7,6 +7,7 @@
     interrupt::Interrupt,
     path, policy,
     report::Report,
+    train,
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{process::ExitCode, time::Duration};
@@ -18,6 +19,7 @@
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
                       [--json]
        measure policy [--seed N] [--scenario NAME]
+       measure train [--deployment pobrezie|lakeshore] [--seed N]
 
 demo    starts a deployment on this machine, puts mixed load on it and stops it;
         --keep leaves it running until Ctrl-C
@@ -25,6 +27,7 @@
 faults  puts mixed load and random faults on a deployment and checks the
         promises; KINDS is all, none, kill, freeze, store, link, stop or operate
 policy  runs the decisions under load in virtual time
+train   runs the training decisions in virtual time
 
 The programs hibiscusroadd, hibiscusroad and standin must lie beside this one.
 
@@ -43,6 +46,7 @@
     Faults(faults::Options, bool),
     Path(path::Options, bool),
     Policy(Parser),
+    Train(Parser),
 }
 
 fn main() -> ExitCode {
@@ -79,6 +83,12 @@
                 return Ok(ExitCode::from(WRONG_USAGE));
             }
         }
+        Command::Train(args) => {
+            if let Err(error) = train::run(args) {
+                eprintln!("measure: {error}; see measure --help");
+                return Ok(ExitCode::from(WRONG_USAGE));
+            }
+        }
         Command::Faults(options, json) => {
             let counts = faults::run(&options, &Interrupt::watch()?)?;
             for remark in &counts.remarks {
@@ -115,6 +125,7 @@
         Arg::Value(word) if word == "faults" => faults_options(parser),
         Arg::Value(word) if word == "path" => path_options(parser),
         Arg::Value(word) if word == "policy" => Ok(Command::Policy(parser)),
+        Arg::Value(word) if word == "train" => Ok(Command::Train(parser)),
         arg => Err(arg.unexpected()),
     }
 }
--- /dev/null
+++ b/hibiscusroad-measure/src/train/mod.rs
@@ -0,0 +1,69 @@
+//! Runs the training decisions in virtual time and measures idle trainers and
+//! stale samples.
+//!
+//! Two trainers with the real [`Run`](hibiscusroad::train::Run) each share
+//! simple engines; a plain policy runs on the same load for comparison. There is
+//! no network and no process. A run depends on its seed alone.
+//!
+//! The trade-off: engines are lanes of one speed and stores answer in a fixed
+//! time, so the figures compare policies; they don't foretell a deployment.
+
+mod driver;
+mod engine;
+mod load;
+mod plain;
+mod score;
+mod trainer;
+
+pub use self::{
+    driver::run_one,
+    load::{Load, Policy},
+    score::Score,
+};
+
+use lexopt::{Arg, Parser, ValueExt};
+use std::io::{self, Write};
+
+/// What went wrong with a run.
+#[derive(Debug, thiserror::Error)]
+pub enum TrainError {
+    /// The arguments can't be understood.
+    #[error("bad arguments: {0}")]
+    Args(#[from] lexopt::Error),
+    /// No deployment has this name.
+    #[error("no deployment {0:?}; pobrezie or lakeshore")]
+    Deployment(String),
+    /// The table could not be written.
+    #[error("can't write: {0}")]
+    Write(#[from] io::Error),
+}
+
+/// Runs `measure train --deployment NAME [--seed N]` and prints the table.
+///
+/// # Errors
+///
+/// Fails if the arguments are wrong or the output can't be written.
+pub fn run(mut args: Parser) -> Result<(), TrainError> {
+    let mut seed = 1;
+    let mut name = "pobrezie".to_owned();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Arg::Long("seed") => seed = args.value()?.parse()?,
+            Arg::Long("deployment") => name = args.value()?.string()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let load = match name.as_str() {
+        "pobrezie" => Load::pobrezie(),
+        "lakeshore" => Load::lakeshore(),
+        _ => return Err(TrainError::Deployment(name)),
+    };
+    let mut out = io::stdout().lock();
+    writeln!(out, "deployment {name}, seed {seed}")?;
+    writeln!(out, "{}", Score::header())?;
+    for policy in Policy::ALL {
+        let score = run_one(&load, policy, seed);
+        writeln!(out, "{}", score.row(policy))?;
+    }
+    Ok(())
+}
--- a/src/train/deliver.rs
+++ b/src/train/deliver.rs
@@ -56,8 +56,8 @@
         if !self.pace.may_bump() {
             return false;
         }
-        let floor = self.floor();
-        let last = |group: &Group| self.oldest(group).is_some_and(|oldest| oldest <= floor);
+        let (bound, version) = (self.spec.bound, self.head().version);
+        let last = |group: &Group| self.oldest(group).is_some_and(|old| old + bound <= version);
         self.groups
             .iter()
             .take_while(|(number, _)| self.is_due(**number))
--- a/src/train/straggle.rs
+++ b/src/train/straggle.rs
@@ -67,11 +67,14 @@
                 generation.urgent = true;
                 self.steps.push_back(Step::Raise(key));
             }
-            if urgent && is_slow(generation, self.pace.rate(), now) {
-                slow.push(key);
+            if is_slow(generation, self.pace.rate(), now) {
+                slow.push((!urgent, generation.slot, key));
             }
         }
-        for key in slow {
+        // Not only what is urgent: a long sample that spends two steps on a
+        // slow engine can't make it inside the bound any more when it is due.
+        slow.sort_unstable();
+        for (_, _, key) in slow {
             self.hedge(now, key);
         }
     }
@@ -105,15 +108,17 @@
         let Some(copy) = self.gens.get(key) else {
             return;
         };
-        let (slot, tokens) = (copy.slot, copy.text.tokens);
-        let Some((main, passed)) = self.passed(slot, key, tokens) else {
+        let (slot, tokens, base) = (copy.slot, copy.text.tokens, copy.base.tokens);
+        let Some((main, true)) = self.passed(slot, key, tokens) else {
             return;
         };
-        if passed {
-            self.cancel(main);
-            let main = key;
-            self.set(slot, Phase::Running { main, hedge: None });
+        if let Some(old) = self.gens.remove(main) {
+            // What the copy goes on from is not wasted.
+            self.counts.wasted += u64::from(old.text.tokens - base);
         }
+        self.steps.push_back(Step::Cancel(main));
+        let main = key;
+        self.set(slot, Phase::Running { main, hedge: None });
     }
 
     /// Returns the generation that `copy` is a second one of, and whether the
