--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -76,6 +76,11 @@
             self.router.cancel(now, call);
             return;
         }
+        if row.winner.is_some() {
+            // Its caller has part of an answer, and no other can replace it. The
+            // router forgets this attempt along with the call.
+            return;
+        }
         if row.keyed.is_some() {
             return self.claim(now, call, endpoint);
         }
@@ -120,6 +125,7 @@
             return;
         };
         row.attempts.push(id);
+        row.tries += 1;
         let attempt = Attempt {
             call,
             side,
@@ -138,6 +144,9 @@
         };
         self.attempts.insert(id, attempt);
         self.sides[side].attempts.insert(id);
+        if let Some(row) = self.calls.get(&call) {
+            self.count_attempt(row);
+        }
     }
 
     fn start_frame(&self, now: Instant, call: RequestId, id: RequestId) -> Start {
--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -16,7 +16,10 @@
     ErrorKind, Repeat, RequestId,
     route::{Call, Outcome},
 };
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
 
 /// The earliest and latest time to come back after a refusal that the entry
 /// itself decides. Callers that were refused in one moment shall not all come
@@ -33,14 +36,19 @@
 pub(super) struct CallRow {
     pub(super) request: Inbound,
     pub(super) repeat: Repeat,
+    pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) reply: Sender<Part>,
+    /// Bytes of the answer that the caller has taken.
+    pub(super) taken: Arc<AtomicU64>,
     /// Its claim, if it carries an idempotency key and may not run twice.
     pub(super) keyed: Option<Keyed>,
     /// Attempts that have not ended.
     pub(super) attempts: Vec<RequestId>,
     /// The attempt whose answer the caller has begun to get.
     pub(super) winner: Option<RequestId>,
+    /// Attempts that were sent.
+    pub(super) tries: u32,
     /// Whether an attempt that ended may have run.
     pub(super) ran: bool,
 }
@@ -61,21 +69,27 @@
             request,
             deadline,
             reply,
+            taken,
         } = arrival;
         if self.known(&request.service).is_none() {
             let kind = self.unknown_service();
+            self.count_unknown(kind);
             let _ = reply.try_send(Part::Fail(kind, come_back()));
             return;
         }
+        self.count_request(&request);
         let repeat = self.repeat(&request);
         let mut row = CallRow {
             request,
             repeat,
+            arrived: now,
             deadline,
             reply,
+            taken,
             keyed: None,
             attempts: Vec::new(),
             winner: None,
+            tries: 0,
             ran: false,
         };
         if repeat == Repeat::Once {
@@ -126,6 +140,7 @@
             return;
         };
         let kind = self.truth(row, kind);
+        self.count_refused(&row.request, kind);
         let _ = row.reply.try_send(Part::Fail(kind, after));
         self.drop_call(now, id);
     }
@@ -149,6 +164,14 @@
         ErrorKind::OutcomeUnknown
     }
 
+    /// Forgets a call whose caller has gone.
+    pub(super) fn left(&mut self, now: Instant, id: RequestId) {
+        if let Some(row) = self.calls.get(&id) {
+            self.count_left(row);
+        }
+        self.drop_call(now, id);
+    }
+
     /// Forgets a call; what runs of it is cancelled if it may be.
     pub(super) fn drop_call(&mut self, now: Instant, id: RequestId) {
         self.router.cancel(now, id);
@@ -178,11 +201,11 @@
             Ok(()) => true,
             Err(TrySendError::Full(_)) => {
                 log::info!(target: "callers", "The caller of {call} is too slow; it is cut off.");
-                self.drop_call(now, call);
+                self.left(now, call);
                 false
             }
             Err(TrySendError::Disconnected(_)) => {
-                self.drop_call(now, call);
+                self.left(now, call);
                 false
             }
         }
@@ -193,8 +216,15 @@
         let Some(call) = self.attempts.get(&attempt).map(|a| a.call) else {
             return false;
         };
-        if let Some(row) = self.calls.get_mut(&call) {
-            row.winner = Some(attempt);
+        let Some(row) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        row.winner = Some(attempt);
+        let repeat = row.repeat;
+        // What else runs of it can't be of use any more.
+        let others = std::mem::replace(&mut row.attempts, vec![attempt]);
+        for other in others.into_iter().filter(|other| *other != attempt) {
+            self.abandon(other, repeat);
         }
         self.pass(now, call, Part::Head(head))
     }
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -30,6 +30,8 @@
 mod event;
 mod link;
 mod news;
+mod numbers;
+mod orders;
 mod pool;
 mod report;
 mod request;
@@ -43,8 +45,11 @@
     role::{Role, Setup},
 };
 use crate::{
+    logs::SIDE as LOG,
+    metrics::Metrics,
     settings::{self, Settings},
-    stop, turn,
+    stop::Caught,
+    turn,
 };
 use flume::Sender;
 use hibiscusroad::Incarnation;
@@ -56,9 +61,6 @@
     time::Instant,
 };
 
-/// Prefix of this part's logs.
-const LOG: &str = "side";
-
 /// Why a side did not run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -109,9 +111,10 @@
 ///
 /// Returns an [`Error`] if the side can't start.
 pub fn run(settings: &Settings, lease: ReadLease) -> Result<(), Error> {
+    let caught = Caught::new()?;
     let mut watched = Ok(());
     serve(settings, lease, |handle| {
-        watched = stop::watch(move || handle.stop());
+        watched = caught.watch(move || handle.stop());
     })?;
     Ok(watched?)
 }
@@ -127,6 +130,7 @@
     ready: impl FnOnce(Handle),
 ) -> Result<(), Error> {
     let side = settings.side.as_ref().ok_or(Error::NoSide)?;
+    let metrics = Metrics::open(&settings.metrics)?;
     let listener = TcpListener::bind(side.links).map_err(|e| Error::Listen(side.links, e))?;
     let links = listener.local_addr()?;
     let (sender, events) = flume::bounded(side.handover);
@@ -138,8 +142,9 @@
         incarnation: Incarnation::draw(),
         events: sender.clone(),
         lease,
+        metrics,
     };
-    log::info!(target: LOG, "takes links for {} on {links}", side.endpoint);
+    log::info!(target: LOG, "Takes links for {} on {links}.", side.endpoint);
     ready(Handle {
         events: sender,
         links,
--- a/hibiscusroad-daemon/tests/side_support/mod.rs
+++ b/hibiscusroad-daemon/tests/side_support/mod.rs
@@ -117,7 +117,12 @@
 impl Link {
     /// Opens a link and waits for Welcome.
     pub fn open(side: &RunningSide, origin: u64, epoch: u64) -> Self {
-        let link = Self::hello(side.handle.links, origin, epoch, VERSION);
+        Self::open_at(side.handle.links, origin, epoch)
+    }
+
+    /// Opens a link to the side at `links` and waits for Welcome.
+    pub fn open_at(links: SocketAddr, origin: u64, epoch: u64) -> Self {
+        let link = Self::hello(links, origin, epoch, VERSION);
         assert!(matches!(link.next(), Frame::Welcome(_)));
         link
     }
@@ -233,7 +238,9 @@
 
     /// The next frame that is no heartbeat.
     pub fn next(&self) -> Frame {
+        let until = Instant::now() + PATIENCE;
         loop {
+            assert!(Instant::now() < until, "only heartbeats come");
             match self.next_result().expect("a frame").expect("no status") {
                 Frame::Beat(_) => {}
                 frame => return frame,
--- a/hibiscusroad-measure/src/policy/score.rs
+++ b/hibiscusroad-measure/src/policy/score.rs
@@ -23,7 +23,6 @@
     pub(super) asked: u32,
     pub(super) answered: Option<Duration>,
     pub(super) refused: Option<Duration>,
-    pub(super) after: Duration,
 }
 
 impl Record {
@@ -69,6 +68,8 @@
     pub latency: [Latency; 3],
     /// Share of calls refused.
     pub refused: f64,
+    /// Share of those refused that asked again, over those who asked again.
+    pub refused_again: f64,
     /// Refusals that came later than on arrival.
     pub slow_refusals: usize,
     /// 99th percentile and maximum of the time that refusals took.
@@ -105,7 +106,7 @@
         let capacity = lanes * to.saturating_sub(from).as_secs_f64();
         let share = |class: Class| {
             let done = records.iter().filter(ended).filter(|r| r.class == class);
-            done.map(|r| r.work).sum::<f64>() / capacity
+            done.fold(0.0, |sum, r| sum + r.work) / capacity
         };
         let shares = Class::ALL.map(share);
         let mut refusals: Vec<Duration> = seen.iter().filter_map(|r| r.refusal()).collect();
@@ -123,6 +124,7 @@
             late: seen.iter().filter(|r| r.admitted() && r.late()).count(),
             latency: Class::ALL.map(|class| latency(&seen, class)),
             refused: refusals.len() as f64 / seen.len().max(1) as f64,
+            refused_again: refused_again(&seen),
             slow_refusals: refusals.iter().filter(|took| **took > AT_ONCE).count(),
             refusal: (quantile(&refusals, 0.99), last),
             retries: f64::from(starts) / firsts.max(1) as f64 - 1.0,
@@ -144,8 +146,9 @@
     pub fn header() -> String {
         let mut line = format!("{:<17}{:<15}", "scenario", "policy");
         for name in [
-            "goodput", "late", "int p50", "int p99", "par p50", "par p99", "rol p50", "rol p99",
-            "refused", "slow ref", "ref p99", "ref max", "retries", "work", "busiest", "hits",
+            "goodput", "classes", "late", "int p50", "int p99", "par p50", "par p99", "rol p50",
+            "rol p99", "refused", "again", "slow ref", "ref p99", "ref max", "retries", "work",
+            "busiest", "hits",
         ] {
             let _ = write!(line, "{name:>9}");
         }
@@ -160,12 +163,18 @@
             let _ = write!(line, "{text:>9}");
         };
         cell(percent(self.goodput));
+        cell(
+            self.shares
+                .map(|share| format!("{:.0}", share * 100.0))
+                .join("/"),
+        );
         cell(format!("{:.2}%", self.late_share() * 100.0));
         for latency in self.latency {
             cell(millis(latency.p50));
             cell(millis(latency.p99));
         }
         cell(percent(self.refused));
+        cell(percent(self.refused_again));
         cell(self.slow_refusals.to_string());
         cell(millis(self.refusal.0));
         cell(millis(self.refusal.1));
@@ -177,6 +186,12 @@
     }
 }
 
+fn refused_again(seen: &[&Record]) -> f64 {
+    let again = seen.iter().filter(|r| r.asked > 1);
+    let refused = again.clone().filter(|r| r.refused.is_some()).count();
+    refused as f64 / again.count().max(1) as f64
+}
+
 fn latency(seen: &[&Record], class: Class) -> Latency {
     let answers = seen.iter().filter(|r| r.class == class);
     let mut all: Vec<Duration> = answers
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -138,6 +138,7 @@
         // The loser's endpoint took at least so long: without this a slow one
         // whose calls are all hedged would never be found out.
         self.time_out(now, key);
+        self.kept(call.service);
         let stretch = self
             .expect(&call)
             .map_or(1.0, |e| took.as_secs_f64() / e.mean);
@@ -178,7 +179,7 @@
         if row.runs() {
             return;
         }
-        let again = kind.answer().retry == Retry::After && row.tries < SENDS;
+        let again = kind.answer().retry == Retry::After && row.tries < SENDS && !row.committed;
         let again = again && self.in_time(now, &call);
         if again && self.services[call.service].budget.spend(RESEND) {
             self.enqueue(now, key);
@@ -236,7 +237,7 @@
             return;
         }
         let call = row.call;
-        let again = row.free() && row.tries < TRIES && self.in_time(now, &call);
+        let again = row.movable() && row.tries < TRIES && self.in_time(now, &call);
         if again && self.services[call.service].budget.spend(RERUN) {
             self.enqueue(now, key);
         } else {
@@ -254,7 +255,7 @@
         for key in keys {
             let row = &self.calls[key];
             let alone = row.attempts[1].is_none();
-            let may = alone && row.free() && row.tries < TRIES && self.in_time(now, &row.call);
+            let may = alone && row.movable() && row.tries < TRIES && self.in_time(now, &row.call);
             if may && self.services[service].budget.spend(RERUN) {
                 self.move_call(now, key);
             }
