Roll out weights with fencing numbers; refuse engines on odd versions

Cause: a swap that failed leaves an engine on a version nobody meant, and its samples are dropped only after they cost their tokens. What is reported now decides whether an engine is used; waves, floor, rate and repeated orders stay with the Shifter, which does them already.

Above 8.25 s a load no store is fast enough with waves of a quarter.

Also tests of single situations: a second copy that ends short is thrown away, one that passes takes over, bad requests change nothing.

--- a/src/train/mod.rs
+++ b/src/train/mod.rs
@@ -43,6 +43,7 @@
 mod share;
 mod spec;
 mod straggle;
+mod weights;
 
 pub use self::{
     event::{Answer, Event, Prefix, Step, Ticket},
@@ -51,6 +52,7 @@
     run::{Counts, Run},
     share::shares,
     spec::Spec,
+    weights::{Fenced, Plan, Weights},
 };
 
 slotmap::new_key_type! {
