Let a stopping side answer the calls that are on their way to it

An idle side ended in the turn that it was told to. A reservation that an entry had sent before it heard of it was lost with the link, and since the side was gone nobody could say that it did not run: its caller was told "unknown". The side now answers for a second more, which refuses them as "stopping".

The case in side_links covers the fault that this mends.

--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -34,6 +34,13 @@
 /// When an entry may try a refused attempt again here, at the earliest.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// How long a side that stops goes on answering, at the least.
+///
+/// Calls that entries sent before they heard of the stop are on their way. Had
+/// the side gone, nobody could say that they did not run: a reservation ended
+/// as "unknown". A second is far above the way and an entry's turn.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// What a side is made of.
 #[derive(Clone)]
 pub struct Setup {
@@ -71,8 +78,9 @@
     pub(super) learning: HashSet<String>,
     /// Orders at the engine.
     pub(super) orders: usize,
-    /// When the process ends even if work is in flight; set once it stops.
-    ends: Option<Instant>,
+    /// When the process may end, and when it does even if work is in flight;
+    /// set once it stops.
+    ends: Option<[Instant; 2]>,
     timer: MinTimerKey,
     /// When the gauges were reported.
     pub(super) reported: Instant,
@@ -133,11 +141,11 @@
         if let Some(due) = self.gate.next_due() {
             timer_min!(&mut self.timer, due, [cx], wake());
         }
-        let Some(ends) = self.ends else {
+        let Some([from, until]) = self.ends else {
             return;
         };
         let idle = self.orders == 0 && self.gate.is_idle(now);
-        if idle || ends <= now {
+        if (idle && from <= now) || until <= now {
             let left = self.gate.load().running;
             log::info!(target: LOG, "Stops with {left} calls in flight.");
             stop!(cx);
@@ -288,7 +296,7 @@
     fn stop(&mut self, now: Instant) {
         log::info!(target: LOG, "Stops: no new work, work in flight completes.");
         let limit = Duration::from_secs(self.setup.settings.stop.deadline_s);
-        self.ends.get_or_insert(now + limit);
+        self.ends.get_or_insert([now + LINGER, now + limit]);
         self.report.stopping = true;
         self.show_leaving(now);
     }
--- a/hibiscusroad-daemon/tests/side_links.rs
+++ b/hibiscusroad-daemon/tests/side_links.rs
@@ -273,6 +273,22 @@
     assert_eq!(engine.count("/late"), 0);
 }
 
+#[test]
+fn a_call_on_its_way_to_a_stopping_side_is_refused() {
+    // A side with nothing to do is stopped. A reservation was sent before its
+    // entry heard of it. It must be refused, and its refusal must arrive: once
+    // the side is gone nobody can say that it did not run.
+    let endpoint = Endpoint::start(|_, stream| answer(stream, "hut 4"));
+    let mut side = start_side(endpoint.address, |_| {});
+    let link = Link::open(&side, 7, 1);
+    side.stop();
+    thread::sleep(Duration::from_millis(600));
+    link.post_once(1, "/reserve");
+    assert_eq!(link.refusal(), "stopping");
+    side.join();
+    assert_eq!(endpoint.count("/reserve"), 0);
+}
+
 #[test]
 fn a_stop_has_a_deadline() {
     let engine = slow_engine(1_000);
