--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -12,8 +12,10 @@
         event::{Event, Ids, Inbound, LinkEvent},
         link::Dialer,
         side::{Side, SideKey},
+        trace::Trace,
     },
     metrics::Metrics,
+    platform::Host,
     settings::Settings,
 };
 use flume::Sender;
@@ -43,12 +45,16 @@
     pub(super) router: Router,
     pub(super) config: Register,
     pub(super) sides: SlotMap<SideKey, Side>,
+    /// The last host list, and when it came.
+    pub(super) hosts: Vec<Host>,
+    pub(super) listed: Option<Instant>,
     pub(super) endpoints: HashMap<EndpointKey, SideKey>,
     pub(super) calls: HashMap<RequestId, CallRow>,
     pub(super) attempts: HashMap<RequestId, Attempt>,
     pub(super) ticked: Instant,
     pub(super) metrics: Metrics,
     pub(super) reported: Instant,
+    pub(super) trace: Trace,
     pub(super) writes: Sender<Write>,
     /// Calls of each key, in their turn.
     pub(super) keys: HashMap<String, VecDeque<RequestId>>,
@@ -77,12 +83,15 @@
             router: Router::new(&settings.place, seed),
             config: Register::new(),
             sides: SlotMap::with_key(),
+            hosts: Vec::new(),
+            listed: None,
             endpoints: HashMap::new(),
             calls: HashMap::new(),
             attempts: HashMap::new(),
             ticked: Instant::now(),
             metrics,
             reported: Instant::now(),
+            trace: Trace::default(),
             writes,
             keys: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -102,7 +111,7 @@
             Event::Link(side, epoch, LinkEvent::Down(reason)) => {
                 self.link_down(now, side, epoch, &reason);
             }
-            Event::Hosts(hosts) => self.hosts(now, &hosts),
+            Event::Hosts(hosts) => self.hosts(now, hosts),
             Event::Claimed(call, attempt, verdict) => {
                 self.claimed(now, call, attempt, *verdict);
             }
@@ -129,6 +138,7 @@
         self.tick_sides(now);
         self.router.tick(now);
         self.report_numbers(now);
+        self.trace_endpoints(now);
         self.steps(now);
     }
 
--- a/hibiscusroad-measure/src/faults/check.rs
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -267,6 +267,9 @@
         let timed_out = ErrorKind::TimedOut.answer().problem;
         may_have_run
             && problem != timed_out
+            // A repeat of a key whose request was answered whole asks for an
+            // answer that went with its side. It is told so, and nothing runs.
+            && !self.was_answered(made)
             && self.during(made, |fault, _| stop(fault))
             && !self.during(made, |fault, _| !stop(fault))
     }
@@ -296,6 +299,14 @@
             .unwrap_or(entries.len())
     }
 
+    fn was_answered(&self, made: &Made) -> bool {
+        let mut same = self
+            .made
+            .iter()
+            .filter(|other| other.call.request == made.call.request);
+        same.any(|other| other.outcome.ending == Ending::Answered)
+    }
+
     fn doubled(&self, counts: &mut Counts) {
         let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
         for (endpoint, log) in &self.runs {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -65,10 +65,12 @@
 pub mod shift;
 mod spec;
 mod table;
+mod view;
 
 pub use self::{
     router::Router,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
+    view::{Standing, View},
 };
 
 slotmap::new_key_type! {
