--- a/hibiscusroad-measure/src/deployment/mod.rs
+++ b/hibiscusroad-measure/src/deployment/mod.rs
@@ -18,7 +18,7 @@
 use settings::{Daemon, Generator, choose_port, endpoint_args};
 use std::{
     collections::BTreeMap,
-    env, fs, io,
+    env, fs, io, iter,
     net::SocketAddr,
     path::{Path, PathBuf},
     process as system,
@@ -185,11 +185,25 @@
                     kind: service.kind,
                     process,
                 });
+                if self.spec.shared {
+                    break;
+                }
             }
         }
         Ok(())
     }
 
+    /// Returns the address of each endpoint of each service, in order.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        if !self.spec.shared {
+            return self.endpoints.iter().map(|e| e.address).collect();
+        }
+        let services = self.spec.services.iter().zip(&self.endpoints);
+        services
+            .flat_map(|(service, endpoint)| iter::repeat_n(endpoint.address, service.count))
+            .collect()
+    }
+
     fn start_daemons(&mut self) -> Result<(), Error> {
         let generator = Generator {
             spec: &self.spec,
@@ -201,11 +215,11 @@
             let ports = [choose_port()?, choose_port()?];
             daemons.push(generator.entry(number, ports)?);
         }
-        let mut endpoints = self.endpoints.iter();
+        let mut addresses = self.addresses().into_iter();
         for service in &self.spec.services {
-            for (number, endpoint) in endpoints.by_ref().take(service.count).enumerate() {
+            for (number, address) in addresses.by_ref().take(service.count).enumerate() {
                 let links = choose_port()?;
-                daemons.push(generator.side(service, number, links, endpoint.address)?);
+                daemons.push(generator.side(service, number, links, address)?);
             }
         }
         for daemon in daemons {
--- a/hibiscusroad-measure/src/deployment/spec.rs
+++ b/hibiscusroad-measure/src/deployment/spec.rs
@@ -57,6 +57,9 @@
     /// Whether endpoints may be killed and started again: they then have fixed
     /// ports, and plain services keep their logs in files.
     pub restarts: bool,
+    /// Whether all endpoints of a service are one process: for measurements of
+    /// the daemons alone.
+    pub shared: bool,
 }
 
 const ENGINE_LIMIT: u32 = 16;
@@ -94,6 +97,7 @@
             ],
             lag: LAG,
             restarts: false,
+            shared: false,
         }
     }
 
@@ -127,6 +131,7 @@
             ],
             lag: LAG,
             restarts: false,
+            shared: false,
         }
     }
 
--- a/hibiscusroad-measure/src/lib.rs
+++ b/hibiscusroad-measure/src/lib.rs
@@ -4,9 +4,11 @@
 //! * [`caller`]: makes one call and says how it ended for its caller.
 //! * [`load`]: makes many calls at the times that were set for them.
 //! * [`judge`]: counts what callers saw and what endpoints ran.
-//! * [`demo`], [`faults`], [`path`], [`policy`] and [`train`]: what the program `measure` does.
+//! * [`control`], [`demo`], [`faults`], [`path`], [`policy`] and [`train`]: what
+//!   the program `measure` does.
 
 pub mod caller;
+pub mod control;
 pub mod demo;
 pub mod deployment;
 pub mod faults;
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -1,7 +1,7 @@
 //! `measure`: load, experiments and the demonstration.
 
 use hibiscusroad_measure::{
-    demo,
+    control, demo,
     deployment::{Error, Spec},
     faults::{self, plan::Kinds},
     interrupt::Interrupt,
@@ -14,6 +14,7 @@
 
 const USAGE: &str = "\
 usage: measure demo [pobrezie|lakeshore] [--seconds N] [--keep]
+       measure control [--seconds N] [--json]
        measure path [--seconds N] [--step-seconds N] [--endpoints N] [--seed N]
                     [--json]
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
@@ -23,6 +24,7 @@
 
 demo    starts a deployment on this machine, puts mixed load on it and stops it;
         --keep leaves it running until Ctrl-C
+control measures what a daemon costs that has nothing to do
 path    measures what an entry and a side add to a request
 faults  puts mixed load and random faults on a deployment and checks the
         promises; --trace tells what happened; KINDS is all, none, kill, freeze, store, link, stop or operate
@@ -50,6 +52,7 @@
     Version,
     Demo(demo::Options),
     Faults(faults::Options, Print),
+    Control(control::Options, bool),
     Path(path::Options, bool),
     Policy(Parser),
     Train(Parser),
@@ -111,6 +114,9 @@
         Command::Path(options, json) => {
             print(&path::run(&options, &Interrupt::watch()?)?, json);
         }
+        Command::Control(options, json) => {
+            print(&control::run(options, &Interrupt::watch()?)?, json);
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -132,6 +138,7 @@
         Arg::Short('V') | Arg::Long("version") => Ok(Command::Version),
         Arg::Value(word) if word == "demo" => demo_options(parser),
         Arg::Value(word) if word == "faults" => faults_options(parser),
+        Arg::Value(word) if word == "control" => control_options(parser),
         Arg::Value(word) if word == "path" => path_options(parser),
         Arg::Value(word) if word == "policy" => Ok(Command::Policy(parser)),
         Arg::Value(word) if word == "train" => Ok(Command::Train(parser)),
@@ -183,6 +190,20 @@
     Ok(Command::Faults(options, print))
 }
 
+fn control_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut options = control::Options::default();
+    let mut json = false;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("json") => json = true,
+            Arg::Long("seconds") => options.time = seconds(&mut parser)?,
+            arg => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Command::Control(options, json))
+}
+
 fn path_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
     let mut options = path::Options::default();
     let mut json = false;
--- a/hibiscusroad-measure/src/path.rs
+++ b/hibiscusroad-measure/src/path.rs
@@ -101,6 +101,7 @@
         ],
         lag: Duration::ZERO,
         restarts: false,
+        shared: false,
     }
 }
 
--- a/hibiscusroad-measure/tests/processes.rs
+++ b/hibiscusroad-measure/tests/processes.rs
@@ -36,6 +36,7 @@
         ],
         lag: Duration::from_millis(100),
         restarts: false,
+        shared: false,
     }
 }
 
