Tell operators of a side that speaks another version

Seen with a side built as version 2: the endpoint was unlinked and neither log gave a reason. The entry now logs the side's reason each 5 s, and tries as seldom.

--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -21,7 +21,7 @@
     },
     metrics,
 };
-use hibiscusroad::{Repeat, RequestId, config::Document, route::LoadReport};
+use hibiscusroad::{ErrorKind, Repeat, RequestId, config::Document, route::LoadReport};
 use hibiscusroad_wire::{Beat, Config, Hello, VERSION, Welcome, to_entry, to_side::Frame};
 use std::time::{Duration, Instant};
 
@@ -90,6 +90,13 @@
             return self.lose_link(now, key);
         }
         if side.opening.as_ref().is_some_and(|(l, _)| l.epoch == epoch) {
+            // A side checks the version first, so it is mostly the one to say.
+            if reason.contains(ErrorKind::WireVersion.answer().problem) {
+                log::error!(target: "link", "No link to {}: {reason}.", side.name);
+                side.opening = None;
+                side.retry = now + OTHER_VERSION;
+                return;
+            }
             log::debug!(target: "link", "No link to {}: {reason}.", side.name);
             self.opening_failed(now, key);
         }
--- a/hibiscusroad-daemon/tests/operators.rs
+++ b/hibiscusroad-daemon/tests/operators.rs
@@ -201,7 +201,7 @@
         &json!({ "op": "alter_service", "name": "desk", "set": { "limit": 5 } }),
     );
     world.wait(0, "show/endpoints", |shown| limit(shown, 5));
-    // Now and then the router halves what it sends, to measure; so one round
+    // Now and then the router sends a quarter, to measure; so one round
     // may stay below.
     let rounds = (0..ROUNDS).map(|_| most_at_once(&world, 10));
     let most = rounds.max().unwrap();
