--- a/hibiscusroad-daemon/src/platform/hosts.rs
+++ b/hibiscusroad-daemon/src/platform/hosts.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     metrics::{self, Metrics},
-    platform::{Fault, agent},
+    platform::{Fault, agent, parse},
 };
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -100,20 +100,12 @@
     }
 
     fn read(&self) -> Result<Vec<Host>, Fault> {
-        let mut response = self
+        let response = self
             .agent
             .get(&self.url)
             .call()
             .map_err(|e| Fault::Unreachable(e.to_string()))?;
-        if response.status() != 200 {
-            return Err(Fault::Odd(format!("status {}", response.status())));
-        }
-        let bytes = response
-            .body_mut()
-            .read_to_vec()
-            .map_err(|e| Fault::Silent(e.to_string()))?;
-        let groups: Vec<Group> =
-            serde_json::from_slice(&bytes).map_err(|e| Fault::Odd(e.to_string()))?;
+        let groups: Vec<Group> = parse(response)?;
         Ok(groups.into_iter().flat_map(hosts).collect())
     }
 }
--- a/hibiscusroad-daemon/src/platform/mod.rs
+++ b/hibiscusroad-daemon/src/platform/mod.rs
@@ -25,7 +25,9 @@
     table::{Cond, Fault, Op, Outcome, Row, Table, Transaction},
 };
 
+use serde::de::DeserializeOwned;
 use std::time::Duration;
+use ureq::{Body, http::Response};
 
 /// How long one call may take before its outcome counts as unknown.
 ///
@@ -44,3 +46,15 @@
         .build()
         .into()
 }
+
+/// Reads the JSON body of an answer that says that all is well.
+fn parse<T: DeserializeOwned>(mut response: Response<Body>) -> Result<T, Fault> {
+    if response.status() != 200 {
+        return Err(Fault::Odd(format!("status {}", response.status())));
+    }
+    let bytes = response
+        .body_mut()
+        .read_to_vec()
+        .map_err(|e| Fault::Silent(e.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|e| Fault::Odd(e.to_string()))
+}
--- a/hibiscusroad-daemon/src/platform/table.rs
+++ b/hibiscusroad-daemon/src/platform/table.rs
@@ -3,7 +3,7 @@
 use crate::{
     metrics::{self, Metrics},
     platform::{
-        Budget, agent,
+        Budget, agent, parse,
         wire::{
             Compare, DeleteRequest, KeyValue, PutRequest, RangeRequest, RangeResponse, RequestOp,
             TxnRequest, TxnResponse, encode, prefix_end,
@@ -246,15 +246,8 @@
         let body = serde_json::to_vec(body).map_err(|e| Fault::Odd(e.to_string()))?;
         let url = format!("{}{path}", self.url);
         let request = self.agent.post(&url).content_type("application/json");
-        let mut response = request.send(&body).map_err(|e| fault(&e))?;
-        if response.status() != 200 {
-            return Err(Fault::Odd(format!("status {}", response.status())));
-        }
-        let bytes = response
-            .body_mut()
-            .read_to_vec()
-            .map_err(|e| Fault::Silent(e.to_string()))?;
-        serde_json::from_slice(&bytes).map_err(|e| Fault::Odd(e.to_string()))
+        let response = request.send(&body).map_err(|e| fault(&e))?;
+        parse(response)
     }
 }
 
