--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -17,7 +17,10 @@
     ErrorKind, Repeat, RequestId,
     route::{Call, Outcome},
 };
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
 
 /// The earliest and latest time to come back after a refusal that the entry
 /// itself decides. Callers that were refused in one moment shall not all come
@@ -37,6 +40,8 @@
     pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) reply: Sender<Part>,
+    /// Bytes of the answer that the caller has taken.
+    pub(super) taken: Arc<AtomicU64>,
     /// Its claim, if it carries an idempotency key and may not run twice.
     pub(super) keyed: Option<Keyed>,
     /// Attempts that have not ended.
@@ -58,13 +63,22 @@
 }
 
 impl Tables {
+    /// Returns how long the callers of a service wait who don't say.
+    fn wait(&self, service: &str) -> Duration {
+        let document = self.config.newest();
+        let service = document.services.get(service);
+        service.map_or(self.patience, |s| Duration::from_millis(s.rule.deadline_ms))
+    }
+
     /// Takes in a request.
     pub(super) fn arrive(&mut self, now: Instant, arrival: Arrival) {
         let Arrival {
             id,
             request,
-            deadline,
+            arrived,
+            wait,
             reply,
+            taken,
         } = arrival;
         if self.known(&request.service).is_none() {
             let kind = self.unknown_service();
@@ -74,12 +88,14 @@
         }
         self.count_request(&request);
         let repeat = self.repeat(&request);
+        let deadline = arrived + wait.unwrap_or_else(|| self.wait(&request.service));
         let mut row = CallRow {
             request,
             repeat,
             arrived: now,
             deadline,
             reply,
+            taken,
             keyed: None,
             attempts: Vec::new(),
             winner: None,
@@ -213,8 +229,18 @@
         let Some(call) = self.attempts.get(&attempt).map(|a| a.call) else {
             return false;
         };
-        if let Some(row) = self.calls.get_mut(&call) {
-            row.winner = Some(attempt);
+        let Some(row) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        row.winner = Some(attempt);
+        if let Some(endpoint) = self.attempts.get(&attempt).map(|a| a.endpoint) {
+            self.router.commit(now, call, endpoint);
+        }
+        let repeat = row.repeat;
+        // What else runs of it can't be of use any more.
+        let others = std::mem::replace(&mut row.attempts, vec![attempt]);
+        for other in others.into_iter().filter(|other| *other != attempt) {
+            self.abandon(other, repeat);
         }
         self.pass(now, call, Part::Head(head))
     }
--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -13,7 +13,7 @@
 };
 use hibiscusroad::{ErrorKind, Repeat, RequestId, claim::Fate, route::Outcome};
 use hibiscusroad_wire::{Ack, Chunk, End, Refused, Standing, State, to_side::Frame};
-use std::{mem, time::Instant};
+use std::{mem, sync::atomic::Ordering, time::Instant};
 
 /// Bytes of an answer that are held back. A longer one is passed on in pieces.
 ///
@@ -22,12 +22,12 @@
 const HELD_BACK: usize = 256 << 10;
 
 /// Bytes between two acknowledgements of a long answer.
-const ACK_EVERY: u64 = 64 << 10;
+pub(super) const ACK_EVERY: u64 = 64 << 10;
 
 impl Tables {
     /// Takes in the head of an answer.
     pub(super) fn head(&mut self, now: Instant, head: hibiscusroad_wire::Head) {
-        let Some((id, attempt)) = self.find(head.id) else {
+        let Some((id, attempt)) = self.find_open(head.id) else {
             return;
         };
         if attempt.head.is_some() {
@@ -39,6 +39,7 @@
         };
         let stream = is_stream(&head);
         attempt.head = Some(head.clone());
+        attempt.asked = false;
         let (call, endpoint) = (attempt.call, attempt.endpoint);
         self.router.progress(now, call, endpoint, 0);
         if stream
@@ -53,15 +54,21 @@
 
     /// Takes in bytes of an answer.
     pub(super) fn chunk(&mut self, now: Instant, chunk: Chunk) {
-        let Some((id, attempt)) = self.find(chunk.id) else {
+        let Some((id, attempt)) = self.find_open(chunk.id) else {
             return;
         };
+        // What was asked for follows on the same connection, in order; pieces
+        // that come before it are left out and not asked for again.
+        let asked = attempt.asked;
         if attempt.head.is_none() {
-            return self.attach(now, id);
+            if !asked {
+                self.attach(now, id);
+            }
+            return;
         }
         match attempt.assembly.chunk(chunk.offset, chunk.data) {
-            Taken::Old => {}
-            Taken::Gap => self.attach(now, id),
+            Taken::Gap if !asked => self.attach(now, id),
+            Taken::Old | Taken::Gap => {}
             Taken::New(data) => self.bytes(now, id, data),
         }
     }
@@ -71,6 +78,7 @@
             return;
         };
         attempt.repeats = 0;
+        attempt.asked = false;
         attempt.pieces += 1;
         let (call, endpoint, pieces) = (attempt.call, attempt.endpoint, attempt.pieces);
         // An engine sends a token a piece, so pieces count tokens well enough.
@@ -99,12 +107,20 @@
 
     /// Acknowledges what came, so that the side reads on and can forget it. What
     /// may be asked for again under its key the side keeps for that reason.
+    ///
+    /// Of an answer that is being passed on, only what the caller has taken
+    /// counts: the side reads a few hundred kilobytes past that and no further.
+    /// Otherwise a large answer would pile up here as fast as the endpoint
+    /// writes, until its caller is cut off for being slow.
     fn acknowledge(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        let offset = attempt.assembly.offset();
-        if offset - attempt.acked < ACK_EVERY {
+        let row = self.calls.get(&attempt.call);
+        let taken = row.filter(|row| row.winner == Some(id));
+        let taken = taken.map_or(u64::MAX, |row| row.taken.load(Ordering::Relaxed));
+        let offset = attempt.assembly.offset().min(taken);
+        if offset.saturating_sub(attempt.acked) < ACK_EVERY {
             return;
         }
         attempt.acked = offset;
@@ -113,9 +129,26 @@
         self.tell(side, Frame::Ack(Ack { id, offset, done }));
     }
 
+    /// Acknowledges what a caller has taken of its answer.
+    pub(super) fn acknowledge_call(&mut self, call: RequestId) {
+        let row = self.calls.get(&call);
+        if let Some(winner) = row.and_then(|row| row.winner) {
+            self.acknowledge(winner);
+        }
+    }
+
+    /// Acknowledges what all callers have taken, for those whose word of it
+    /// found no room.
+    pub(super) fn acknowledge_all(&mut self) {
+        let winners = self.calls.values().filter_map(|row| row.winner);
+        for winner in winners.collect::<Vec<RequestId>>() {
+            self.acknowledge(winner);
+        }
+    }
+
     /// Takes in the declared end of an answer.
     pub(super) fn end(&mut self, now: Instant, end: &End) {
-        let Some((id, attempt)) = self.find(end.id) else {
+        let Some((id, attempt)) = self.find_open(end.id) else {
             return;
         };
         let ending = attempt.assembly.end(end.length);
--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -29,10 +29,10 @@
 };
 use flume::{Receiver, Sender, TrySendError};
 use hibiscusroad::{ErrorKind, RequestId};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::{
     io,
-    net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -80,8 +80,11 @@
 pub struct Shared {
     events: Sender<Event>,
     ids: Arc<Ids>,
-    limits: request::Limits,
+    /// Bytes that a body may have.
+    largest: usize,
+    listener: TcpListener,
     stopping: AtomicBool,
+    closed: AtomicBool,
     busy: AtomicUsize,
     metrics: Metrics,
 }
@@ -92,12 +95,28 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Takes no new connections from now on; those that stand are served.
+    ///
+    /// Shutting the socket ends accepting in every server that has a clone of
+    /// it; the system then refuses connections, which a balancer takes as a
+    /// sign to go elsewhere before anything was sent.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        if let Err(e) = SockRef::from(&self.listener).shutdown(Shutdown::Both) {
+            log::warn!(target: "callers", "The listener can't be closed: {e}.");
+        }
+    }
+
     /// Returns how many requests are being read or answered.
     #[must_use]
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::SeqCst)
     }
 
+    fn closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// Counts a refusal that the tables know nothing of.
     fn count_refused(&self, kind: ErrorKind) {
         let problem = kind.answer().problem;
@@ -166,11 +185,10 @@
         let shared = Arc::new(Shared {
             events,
             ids,
-            limits: request::Limits {
-                body: settings.body,
-                deadline: Duration::from_millis(settings.deadline_ms),
-            },
+            largest: settings.body,
+            listener,
             stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
             metrics,
         });
@@ -186,7 +204,6 @@
             spawn("skipper", move || refused.iter().for_each(worker::skip))?;
         }
         let acceptor = Acceptor {
-            listener: Arc::new(listener),
             shared: Arc::clone(&shared),
             jobs,
             refusals,
@@ -238,7 +255,6 @@
 /// Takes requests off one server after another.
 #[derive(Clone)]
 struct Acceptor {
-    listener: Arc<TcpListener>,
     shared: Arc<Shared>,
     jobs: Sender<Job>,
     refusals: Sender<Refusal>,
@@ -246,8 +262,8 @@
 
 impl Acceptor {
     fn spawn(self) -> io::Result<()> {
-        let server =
-            Server::from_listener(self.listener.try_clone()?, None).map_err(io::Error::other)?;
+        let server = Server::from_listener(self.shared.listener.try_clone()?, None)
+            .map_err(io::Error::other)?;
         spawn("accept", move || self.run(&server))
     }
 
@@ -262,17 +278,19 @@
                 }
                 Ok(None) => {}
                 Err(e) => {
-                    log::warn!(target: "callers", "Accepting failed: {e}. Starting it again.");
                     retired = true;
-                    self.replace();
+                    self.replace(&e);
                 }
             }
         }
     }
 
     /// Starts another server on the same socket, however long that takes.
-    fn replace(&self) {
-        loop {
+    fn replace(&self, why: &io::Error) {
+        if !self.shared.closed() {
+            log::warn!(target: "callers", "Accepting failed: {why}. Starting it again.");
+        }
+        while !self.shared.closed() {
             thread::sleep(RESTART_PAUSE);
             match self.clone().spawn() {
                 Ok(()) => return,
--- a/hibiscusroad-daemon/src/entry/front/worker.rs
+++ b/hibiscusroad-daemon/src/entry/front/worker.rs
@@ -3,6 +3,7 @@
 use crate::entry::{
     call::come_back,
     event::{Arrival, Event, Head, Inbound, Part},
+    frames::ACK_EVERY,
     front::{
         Guard, Job, Refusal, Shared,
         answer::{self, Pieces, Target},
@@ -14,7 +15,10 @@
 use std::{
     io::{self, Write},
     mem,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -29,6 +33,9 @@
 /// How long the news that a caller left may wait for room.
 const LEFT_LIMIT: Duration = Duration::from_secs(2);
 
+/// Bytes of an answer that are gathered for a caller that doesn't know chunks.
+const MOST_WHOLE: usize = 16 << 20;
+
 /// Bytes of a body that are skipped to keep a connection usable.
 const MOST_SKIPPED: usize = 64 << 20;
 
@@ -39,14 +46,10 @@
 pub fn run(jobs: &Receiver<Job>, refusals: &Sender<Refusal>) {
     for mut job in jobs {
         let shared = Arc::clone(&job.guard.0);
-        let limits = &shared.limits;
-        let read = request::deadline(&job.request, limits)
-            .and_then(|wait| Ok((request::read(&mut job.request, limits)?, wait)));
+        let read = request::deadline(&job.request)
+            .and_then(|wait| Ok((request::read(&mut job.request, shared.largest)?, wait)));
         match read {
-            Ok((inbound, wait)) => {
-                let deadline = job.arrived + wait;
-                serve(job, &shared, inbound, deadline);
-            }
+            Ok((inbound, wait)) => serve(job, &shared, inbound, wait),
             // Only the server knows how much of the body was read.
             Err(kind) if request::has_body(&job.request) => {
                 leave(refusals, Refusal { job, kind });
@@ -113,14 +116,17 @@
     (job.request.into_writer(), job.guard)
 }
 
-fn serve(job: Job, shared: &Shared, inbound: Inbound, deadline: Instant) {
+fn serve(job: Job, shared: &Shared, inbound: Inbound, wait: Option<Duration>) {
     let (reply, parts) = flume::bounded(PARTS);
+    let taken = Arc::new(AtomicU64::new(0));
     let id = job.id;
     let arrival = Arrival {
         id,
         request: inbound,
-        deadline,
+        arrived: job.arrived,
+        wait,
         reply,
+        taken: Arc::clone(&taken),
     };
     if shared
         .events
@@ -129,10 +135,13 @@
     {
         return refuse(job, ErrorKind::HandoverFull);
     }
+    // Only the tables know how long the service's callers wait who don't say.
+    let deadline = job.arrived + wait.unwrap_or(request::LONGEST_WAIT);
     let answer = Answer {
         id,
         shared,
         parts,
+        taken,
         limit: deadline + GRACE,
     };
     let chunks = target(&job).chunks;
@@ -163,6 +172,7 @@
     id: RequestId,
     shared: &'a Shared,
     parts: Receiver<Part>,
+    taken: Arc<AtomicU64>,
     limit: Instant,
 }
 
@@ -198,7 +208,14 @@
         let mut body = Vec::new();
         loop {
             match self.next() {
-                Part::Data(data) => body.extend(data),
+                Part::Data(data) => {
+                    self.took(data.len());
+                    body.extend(data);
+                    if body.len() > MOST_WHOLE {
+                        self.left();
+                        return First::Fail(ErrorKind::AnswerShort, come_back());
+                    }
+                }
                 Part::End => return First::Whole(head, body),
                 Part::Fail(kind, after) => return First::Fail(kind, after),
                 Part::Whole(..) | Part::Head(_) => {
@@ -213,7 +230,10 @@
         let mut part = self.next();
         loop {
             match part {
-                Part::Data(data) => pieces.write(&data)?,
+                Part::Data(data) => {
+                    pieces.write(&data)?;
+                    self.took(data.len());
+                }
                 Part::End => {
                     pieces.end();
                     return Ok(());
@@ -233,6 +253,16 @@
         }
     }
 
+    /// Tells the tables that the caller took bytes, each time that they can
+    /// acknowledge some.
+    fn took(&self, bytes: usize) {
+        let before = self.taken.fetch_add(bytes as u64, Ordering::Relaxed);
+        if before / ACK_EVERY != (before + bytes as u64) / ACK_EVERY {
+            // If there is no room, the tables look by themselves soon.
+            let _ = self.shared.events.try_send(Event::Taken(self.id));
+        }
+    }
+
     /// Tells the tables that nobody waits for the answer any more.
     fn left(&self) {
         let event = Event::Left(self.id);
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -16,7 +16,7 @@
     },
     metrics::Metrics,
     platform::Host,
-    settings::Settings,
+    settings::{Entry as Part, Settings},
 };
 use flume::Sender;
 use hibiscusroad::{
@@ -58,6 +58,8 @@
     pub(super) writes: Sender<Write>,
     /// Calls of each key, in their turn.
     pub(super) keys: HashMap<String, VecDeque<RequestId>>,
+    /// How long callers wait who don't say, of a service without a rule.
+    pub(super) patience: Duration,
     pub(super) deadlines: BTreeSet<(Instant, RequestId)>,
     stopping: bool,
 }
@@ -67,7 +69,7 @@
     #[must_use]
     pub fn new(
         settings: &Settings,
-        subset: usize,
+        part: &Part,
         ids: Arc<Ids>,
         dialer: Dialer,
         writes: Sender<Write>,
@@ -77,7 +79,7 @@
         Self {
             name: settings.name.clone(),
             place: settings.place.clone(),
-            subset,
+            subset: part.subset,
             ids,
             dialer,
             router: Router::new(&settings.place, seed),
@@ -94,6 +96,7 @@
             trace: Trace::default(),
             writes,
             keys: HashMap::new(),
+            patience: Duration::from_millis(part.deadline_ms),
             deadlines: BTreeSet::new(),
             stopping: false,
         }
@@ -103,6 +106,7 @@
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Arrive(arrival) => self.arrive(now, *arrival),
+            Event::Taken(id) => self.acknowledge_call(id),
             Event::Left(id) => self.left(now, id),
             Event::Link(side, epoch, LinkEvent::Frame(frame)) => {
                 self.frame(now, side, epoch, frame);
@@ -133,6 +137,7 @@
             return;
         }
         self.expire(now);
+        self.acknowledge_all();
         self.tick_sides(now);
         self.router.tick(now);
         self.report_numbers(now);
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -31,6 +31,7 @@
 mod link;
 mod news;
 mod numbers;
+mod orders;
 mod pool;
 mod report;
 mod request;
@@ -44,6 +45,7 @@
     role::{Role, Setup},
 };
 use crate::{
+    logs::SIDE as LOG,
     metrics::Metrics,
     settings::{self, Settings},
     stop::Caught,
@@ -59,9 +61,6 @@
     time::Instant,
 };
 
-/// Prefix of this part's logs.
-const LOG: &str = "side";
-
 /// Why a side did not run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -145,7 +144,7 @@
         lease,
         metrics,
     };
-    log::info!(target: LOG, "takes links for {} on {links}", side.endpoint);
+    log::info!(target: LOG, "Takes links for {} on {links}.", side.endpoint);
     ready(Handle {
         events: sender,
         links,
--- a/hibiscusroad-daemon/src/side/pool.rs
+++ b/hibiscusroad-daemon/src/side/pool.rs
@@ -15,15 +15,17 @@
     },
 };
 use flume::{Receiver, Sender};
-use hibiscusroad::{ErrorKind, RequestId, gate::LinkKey};
+use hibiscusroad::{ErrorKind, Repeat, RequestId, gate::LinkKey};
 use slotmap::SlotMap;
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    panic::{self, AssertUnwindSafe},
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
+use ureq::Agent;
 
 slotmap::new_key_type! {
     /// Names a worker.
@@ -138,7 +140,7 @@
         let sent = self.workers[key].jobs.try_send(job);
         sent.map_err(|_error| {
             // The thread has panicked; its row must not be used again.
-            log::error!(target: LOG, "a worker is gone");
+            log::error!(target: LOG, "A worker is gone.");
             self.workers.remove(key);
             ErrorKind::HandoverFull
         })
@@ -158,7 +160,7 @@
             .name("endpoint".to_owned())
             .spawn(move || work(key, address, model, &queue, &events));
         if let Err(error) = spawned {
-            log::error!(target: LOG, "no thread for a call: {error}");
+            log::error!(target: LOG, "No thread for a call: {error}.");
             self.workers.remove(key);
             return Err(ErrorKind::HandoverFull);
         }
@@ -174,11 +176,11 @@
     jobs: &Receiver<Job>,
     events: &Sender<Event>,
 ) {
-    let mut agent = call::agent();
+    let mut kept = call::agent();
     for job in jobs {
-        let throttle = match &job {
-            Job::Call(_, throttle) => Arc::clone(throttle),
-            Job::Order(..) => Arc::default(),
+        let (agent, throttle) = match &job {
+            Job::Call(request, throttle) => (agent_for(request, &kept), Arc::clone(throttle)),
+            Job::Order(..) => (call::agent(), Arc::default()),
         };
         let line = Line {
             agent: &agent,
@@ -189,7 +191,7 @@
         };
         let event = carry_out(worker, line, job);
         if throttle.release() {
-            agent = call::agent();
+            kept = call::agent();
         }
         if events.send(event).is_err() {
             return;
@@ -197,22 +199,41 @@
     }
 }
 
+/// A call that may run only once gets a connection of its own. An endpoint may
+/// close a kept one just as the next request is sent on it; such a call would
+/// then count as "may have run" though it never arrived.
+fn agent_for(request: &Request, kept: &Agent) -> Agent {
+    match request.ask.repeat {
+        Repeat::Free => kept.clone(),
+        Repeat::Once => call::agent(),
+    }
+}
+
 fn carry_out(worker: WorkerKey, line: Line<'_>, job: Job) -> Event {
     match job {
         Job::Call(request, _) => Event::Ended {
             worker,
             id: request.ask.id,
-            outcome: if line.throttle.hold(line.agent) {
-                call::run(line, request.ask, request.http)
-            } else {
-                Err(ErrorKind::OutcomeUnknown)
-            },
+            outcome: guard(|| {
+                if line.throttle.hold(line.agent) {
+                    call::run(line, request.ask, request.http)
+                } else {
+                    Err(ErrorKind::OutcomeUnknown)
+                }
+            }),
         },
         Job::Order(origin, seq, http) => Event::Ordered {
             worker,
             link: origin,
             seq,
-            outcome: call::order(line, http),
+            outcome: guard(|| call::order(line, http)),
         },
     }
 }
+
+/// Turns a panic into an error: without the event that ends its call, an
+/// attempt would count against the limit for as long as the side lives.
+fn guard<T>(call: impl FnOnce() -> Result<T, ErrorKind>) -> Result<T, ErrorKind> {
+    let caught = panic::catch_unwind(AssertUnwindSafe(call));
+    caught.unwrap_or(Err(ErrorKind::Internal))
+}
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -1,14 +1,14 @@
 //! The actor that owns the tables of a side.
 
 use crate::{
-    metrics::Metrics,
+    metrics::{self, Metrics},
     settings::{Settings, Side},
     side::{
         LOG, ReadLease,
         event::{Event, Outbound},
         pool::{Pool, WorkerKey},
         report::Report,
-        request::{Hello, Inbound, Order, Request},
+        request::{Hello, Inbound, Request},
         throttle::Throttle,
         wire,
     },
@@ -16,15 +16,14 @@
 use flume::Sender;
 use hibiscusroad::{
     ErrorKind, Incarnation, RequestId,
-    gate::{Admission, Gate, GateSpec, LinkKey, OrderRefusal, Run, Step},
+    gate::{Admission, Gate, GateSpec, LinkKey, Run, Step},
 };
-use hibiscusroad_wire::{OrderDone, ToEntry, to_entry::Frame};
+use hibiscusroad_wire::{ToEntry, to_entry::Frame};
 use slotmap::SecondaryMap;
 use stakker::{CX, MinTimerKey, after, stop, timer_min};
 use std::{
     collections::HashSet,
     sync::Arc,
-    thread,
     time::{Duration, Instant},
 };
 use tokio::sync::oneshot;
@@ -52,6 +51,10 @@
     pub metrics: Metrics,
 }
 
+/// How long a stopping side waits for its entries' word that they send no more:
+/// longer than an entry may be silent before its link is closed.
+const ECHO: Duration = Duration::from_secs(3);
+
 /// A link to an entry.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -59,6 +62,8 @@
     entry: String,
     /// The newest version of the configuration that the entry is known to have.
     config: u64,
+    /// Whether the entry has said that it sends no more new work.
+    quiet: bool,
 }
 
 /// The tables of a side.
@@ -66,12 +71,15 @@
     pub(super) setup: Setup,
     pub(super) gate: Gate,
     pub(super) links: SecondaryMap<LinkKey, Link>,
-    pool: Pool,
+    pub(super) pool: Pool,
     pub(super) report: Report,
     /// Duties whose lease rows are being read.
-    learning: HashSet<String>,
+    pub(super) learning: HashSet<String>,
     /// Orders at the engine.
-    orders: usize,
+    pub(super) orders: usize,
+    /// Until when a stopping side waits for its entries to say that they send
+    /// no more.
+    quiet: Instant,
     /// When the process ends even if work is in flight; set once it stops.
     ends: Option<Instant>,
     timer: MinTimerKey,
@@ -92,6 +100,7 @@
             report: Report::new(&setup),
             learning: HashSet::new(),
             orders: 0,
+            quiet: cx.now(),
             ends: None,
             timer: MinTimerKey::default(),
             reported: cx.now(),
@@ -138,10 +147,16 @@
         let Some(ends) = self.ends else {
             return;
         };
-        let idle = self.orders == 0 && self.gate.is_idle();
+        // A Start may be on its way while the gate stands idle. Ending now would
+        // leave its caller without a word on whether it ran, so the side waits
+        // until each entry has said that it sends no more. A link whose entry
+        // stands still is closed for its silence; one of an older release never
+        // says it, and is not waited for longer than ECHO.
+        let quiet = self.quiet <= now || self.links.values().all(|link| link.quiet);
+        let idle = quiet && self.orders == 0 && self.gate.is_idle(now);
         if idle || ends <= now {
             let left = self.gate.load().running;
-            log::info!(target: LOG, "stops with {left} calls in flight");
+            log::info!(target: LOG, "Stops with {left} calls in flight.");
             stop!(cx);
         }
     }
@@ -167,15 +182,19 @@
 
     fn open(&mut self, now: Instant, hello: Hello, out: Outbound, reply: oneshot::Sender<LinkKey>) {
         let link = self.gate.open(now, hello.incarnation, hello.epoch);
-        log::info!(target: LOG, "link {} of {} is open", hello.epoch, hello.entry);
+        log::info!(target: LOG, "Link {} of {} is open.", hello.epoch, hello.entry);
         let row = Link {
             out,
             entry: hello.entry,
             config: hello.config,
+            quiet: false,
         };
         self.links.insert(link, row);
         let welcome = self.report.welcome(&self.gate);
         self.push(now, link, Frame::Welcome(welcome).into());
+        // A side that is leaving says so before the first call is sent to it.
+        let beat = self.report.beat(now, &self.gate);
+        self.push(now, link, Frame::Beat(beat).into());
         self.hand_on(now, link);
         if reply.send(link).is_err() {
             self.lost(now, link);
@@ -184,7 +203,7 @@
 
     fn lost(&mut self, now: Instant, link: LinkKey) {
         if let Some(row) = self.links.remove(link) {
-            log::info!(target: LOG, "a link of {} is lost", row.entry);
+            log::info!(target: LOG, "A link of {} is lost.", row.entry);
         }
         self.gate.lost(now, link);
     }
@@ -199,7 +218,12 @@
             Inbound::Ack(id, offset, done) => self.gate.ack(now, link, id, offset, done),
             Inbound::Cancel(id) => self.gate.cancel(now, link, id),
             Inbound::Seal(id) => self.gate.ask(now, link, id),
-            Inbound::Beat(version) => self.heard_version(now, link, version),
+            Inbound::Beat(version, quiet) => {
+                if let Some(row) = self.links.get_mut(link) {
+                    row.quiet = quiet;
+                }
+                self.heard_version(now, link, version);
+            }
             Inbound::Config(version, document) => self.config(now, link, version, document),
             Inbound::Order(order) => self.order(now, link, *order),
         }
@@ -213,9 +237,9 @@
                     self.gate.fail(now, id, kind);
                 }
             }
-            Admission::Known => log::debug!(target: LOG, "{id} is known already"),
+            Admission::Known => log::debug!(target: LOG, "{id} is known already."),
             Admission::Refused(kind) => {
-                log::debug!(target: LOG, "{id} is refused: {kind}");
+                log::debug!(target: LOG, "{id} is refused: {kind}.");
                 self.count_refused(kind);
             }
         }
@@ -241,89 +265,12 @@
         match outcome {
             Ok(runs) => self.gate.finish(now, id, runs),
             Err(kind) => {
-                log::debug!(target: LOG, "{id} failed: {kind}");
+                log::debug!(target: LOG, "{id} failed: {kind}.");
                 self.gate.fail(now, id, kind);
             }
         }
     }
 
-    fn order(&mut self, now: Instant, link: LinkKey, order: Order) {
-        let seq = order.seq;
-        let passed = self.gate.order(link, &order.duty, order.fence);
-        if passed == Err(OrderRefusal::Unlearned) {
-            self.read_lease(&order.duty);
-        }
-        let sent = passed
-            .map_err(OrderRefusal::kind)
-            .and_then(|()| self.pool.order(now, link, order));
-        match sent {
-            Ok(()) => self.orders += 1,
-            Err(kind) => {
-                log::info!(target: LOG, "an order is refused: {kind}");
-                self.order_done(now, link, seq, Err(kind));
-            }
-        }
-    }
-
-    fn ordered(
-        &mut self,
-        now: Instant,
-        worker: WorkerKey,
-        link: LinkKey,
-        seq: u64,
-        outcome: Result<(u16, Vec<u8>), ErrorKind>,
-    ) {
-        self.pool.free(now, worker);
-        self.orders -= 1;
-        self.order_done(now, link, seq, outcome);
-    }
-
-    fn order_done(
-        &mut self,
-        now: Instant,
-        link: LinkKey,
-        seq: u64,
-        outcome: Result<(u16, Vec<u8>), ErrorKind>,
-    ) {
-        let problem = outcome.as_ref().err().map(|kind| kind.answer().problem);
-        let (status, body) = outcome.unwrap_or_default();
-        let done = OrderDone {
-            seq,
-            problem: problem.unwrap_or_default().to_owned(),
-            status: status.into(),
-            body,
-            fence: self.gate.fence(),
-        };
-        self.push(now, link, Frame::OrderDone(done).into());
-    }
-
-    fn read_lease(&mut self, duty: &str) {
-        if !self.learning.insert(duty.to_owned()) {
-            return;
-        }
-        let (duty, lease) = (duty.to_owned(), Arc::clone(&self.setup.lease));
-        let events = self.setup.events.clone();
-        let name = duty.clone();
-        let spawned = thread::Builder::new()
-            .name("lease".to_owned())
-            .spawn(move || {
-                let number = lease(&duty);
-                // An actor that has ended needs no word.
-                drop(events.send(Event::Lease(duty, number)));
-            });
-        if spawned.is_err() {
-            self.learning.remove(&name);
-        }
-    }
-
-    fn learn(&mut self, duty: &str, number: Option<u64>) {
-        self.learning.remove(duty);
-        match number {
-            Some(number) => self.gate.learn(duty, number),
-            None => log::warn!(target: LOG, "the lease row of {duty} can't be read"),
-        }
-    }
-
     fn heard_version(&mut self, now: Instant, link: LinkKey, version: u64) {
         if let Some(row) = self.links.get_mut(link) {
             row.config = row.config.max(version);
@@ -348,7 +295,7 @@
             row.config = row.config.max(version);
         }
         if self.report.offer(version, document) {
-            log::info!(target: LOG, "configuration {version} is in force");
+            log::info!(target: LOG, "Configuration {version} is in force.");
             self.gate.set_limit(self.report.limit());
             self.show_leaving(now);
         }
@@ -371,9 +318,12 @@
     }
 
     fn stop(&mut self, now: Instant) {
-        log::info!(target: LOG, "stops: no new work, work in flight completes");
+        log::info!(target: LOG, "Stops: no new work, work in flight completes.");
         let limit = Duration::from_secs(self.setup.settings.stop.deadline_s);
-        self.ends.get_or_insert(now + limit);
+        if self.ends.is_none() {
+            self.ends = Some(now + limit);
+            self.quiet = now + ECHO;
+        }
         self.report.stopping = true;
         self.show_leaving(now);
     }
@@ -382,7 +332,7 @@
     fn show_leaving(&mut self, now: Instant) {
         let leaving = self.report.is_leaving();
         if leaving != self.gate.is_leaving() {
-            log::info!(target: LOG, "takes new work: {}", !leaving);
+            log::info!(target: LOG, "Takes new work: {}.", !leaving);
         }
         self.gate.set_leaving(leaving);
         self.beat_all(now);
@@ -399,7 +349,8 @@
                 Step::Pause { id } => self.hold(id, |throttle| throttle.pause(true)),
                 Step::Resume { id } => self.hold(id, |throttle| throttle.pause(false)),
                 Step::Close { link, entry } => {
-                    log::warn!(target: LOG, "a link of entry {entry} is silent");
+                    log::warn!(target: LOG, "A link of entry {entry} is silent.");
+                    self.setup.metrics.count(metrics::LINKS_LOST, &[]);
                     self.links.remove(link);
                 }
             }
@@ -414,12 +365,12 @@
 
     /// Queues a frame. An entry that doesn't read loses its link: its queue is
     /// bounded, and it can attach anew at the offset where it stopped.
-    fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
+    pub(super) fn push(&mut self, now: Instant, link: LinkKey, frame: ToEntry) {
         let Some(row) = self.links.get(link) else {
             return;
         };
         if let Err(error) = row.out.try_send(Ok(frame)) {
-            log::warn!(target: LOG, "the queue of a link of {}: {error}", row.entry);
+            log::warn!(target: LOG, "The queue of a link of {}: {error}.", row.entry);
             self.lost(now, link);
         }
     }
