--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -20,6 +20,7 @@
                       [--trace] [--json]
        measure policy [--seed N] [--scenario NAME]
        measure train [--deployment pobrezie|lakeshore] [--seed N]
+                     [--outage SECONDS]
 
 demo    starts a deployment on this machine, puts mixed load on it and stops it;
         --keep leaves it running until Ctrl-C
--- a/hibiscusroad-measure/src/train/driver.rs
+++ b/hibiscusroad-measure/src/train/driver.rs
@@ -6,7 +6,7 @@
     plain::{Plain, Sample},
     score::Score,
 };
-use hibiscusroad::train::{Event, GenKey, Head, Row, RowName, Run, Span, Step, Write, shares};
+use hibiscusroad::train::{Event, GenKey, Head, Row, RowName, Run, Span, shares};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::{
@@ -21,8 +21,6 @@
 const REPORT: f64 = 0.5;
 /// Seconds until a lost engine's generations are known to have failed.
 const NOTICE: f64 = 5.0;
-/// Seconds that a scorer takes.
-const SCORING: f64 = 1.0;
 /// Share of swaps that fail and are ordered again.
 const FAILED: f64 = 0.02;
 /// Mean length of a sample in tokens, without the long ones.
@@ -54,6 +52,8 @@
 
 pub(super) struct Model<'a> {
     pub(super) load: &'a Load,
+    pub(super) policy: Policy,
+    pub(super) ready: f64,
     pub(super) start: Instant,
     pub(super) now: f64,
     pub(super) rng: Pcg64,
@@ -86,7 +86,7 @@
         let mut engines = vec![Engine::new(load.rate); load.engines];
         engines[0].speed *= load.slow;
         let trainer = || Trainer {
-            run: (policy == Policy::Ours).then(|| Run::new(load.spec, OWNER, 0, 1)),
+            run: (policy != Policy::Plain).then(|| Run::new(load.spec, OWNER, 0, 1)),
             plain: Plain::default(),
             head: None,
             rows: BTreeMap::new(),
@@ -104,6 +104,7 @@
         };
         Self {
             load,
+            policy,
             start: Instant::now(),
             now: 0.0,
             rng: Pcg64::seed_from_u64(seed),
@@ -119,15 +120,23 @@
             age: Vec::new(),
             delivered: 0.0,
             broken: 0,
+            ready: 0.0,
         }
     }
 
-    fn instant(&self) -> Instant {
+    pub(super) fn instant(&self) -> Instant {
         self.start + Duration::from_secs_f64(self.now)
     }
 
     fn turn(&mut self) {
         self.now += TURN;
+        for trainer in &self.trainers {
+            let samples = trainer.rows.keys();
+            let ready = samples
+                .filter(|name| matches!(name, RowName::Sample(_)))
+                .count();
+            self.ready += ready as f64 / self.load.samples() as f64 * TURN / 2.0;
+        }
         self.lose();
         self.swap();
         for n in 0..self.engines.len() {
@@ -268,7 +277,7 @@
         }
     }
 
-    fn draw(&mut self) -> f64 {
+    pub(super) fn draw(&mut self) -> f64 {
         self.lengths += 1;
         let length = self.rng.random_range(LENGTH).floor();
         if self.rng.random_range(0..TAIL) == 0 {
@@ -279,7 +288,7 @@
     }
 
     /// Puts a job on the engine with the fewest, not on the one it comes from.
-    fn place(&mut self, job: Job, avoid: Option<usize>) {
+    pub(super) fn place(&mut self, job: Job, avoid: Option<usize>) {
         let alive = |n: &usize| self.engines[*n].alive && Some(*n) != avoid;
         let best = (0..self.engines.len())
             .filter(alive)
@@ -294,118 +303,9 @@
         let job = job(run, Id::Plain(n), length);
         self.place(job, None);
     }
-
-    fn hold(&mut self, n: usize) {
-        let at = self.instant();
-        let now = self.now;
-        let inbox = mem::take(&mut self.trainers[n].inbox);
-        let (due, later): (Vec<_>, Vec<_>) = inbox.into_iter().partition(|(at, _)| *at <= now);
-        self.trainers[n].inbox = later;
-        let Some(mut run) = self.trainers[n].run.take() else {
-            return;
-        };
-        for (_, event) in due {
-            run.handle(at, event);
-        }
-        run.handle(at, Event::Tick);
-        while let Some(step) = run.next_step() {
-            self.carry_out(n, &run, step);
-        }
-        self.trainers[n].run = Some(run);
-    }
-
-    fn carry_out(&mut self, n: usize, run: &Run, step: Step) {
-        let now = self.now;
-        let later = |model: &mut Self, after: f64, event: Event| {
-            model.trainers[n].inbox.push((now + after, event));
-        };
-        match step {
-            Step::ReadHead => {
-                let head = self.trainers[n].head.clone();
-                later(self, TURN, Event::Head(head));
-            }
-            Step::ReadRows => {
-                let rows = self.trainers[n].rows.values().cloned().collect();
-                later(self, TURN, Event::Rows(rows));
-            }
-            Step::Write(write) => {
-                self.trainers[n].write(*write);
-                later(self, TURN, Event::Committed);
-            }
-            Step::Start {
-                generation,
-                urgent,
-                prefix,
-                ..
-            } => {
-                let from = prefix.map(|prefix| prefix.generation);
-                let first = prefix.map_or(0.0, |prefix| f64::from(prefix.tokens));
-                let mut length = self.draw();
-                while length <= first {
-                    // What is longer than the prefix is drawn as it would go on.
-                    length = self.draw();
-                }
-                let mut job = job(n, Id::Ours(generation), length);
-                job.urgent = urgent;
-                job.first = first;
-                job.tokens = first;
-                job.told = first;
-                if let Some(begun) = from.and_then(|from| self.trainers[n].begun.get(&from)) {
-                    let begun = *begun;
-                    self.trainers[n].begun.insert(generation, begun);
-                }
-                let avoid = from.and_then(|from| self.find(n, from));
-                self.place(job, avoid.map(|(engine, _)| engine));
-            }
-            Step::Raise(key) => {
-                if let Some((engine, i)) = self.find(n, key) {
-                    self.engines[engine].jobs[i].urgent = true;
-                }
-            }
-            Step::Cancel(key) => {
-                if let Some((engine, i)) = self.find(n, key) {
-                    let job = self.engines[engine].jobs.remove(i);
-                    self.lost += job.tokens - job.told;
-                }
-            }
-            Step::Score { generation, slot } => {
-                let begun = self.trainers[n].begun.get(&generation).copied();
-                let age = begun.unwrap_or(now);
-                self.trainers[n].ages.insert((slot.group, slot.index), age);
-                later(
-                    self,
-                    SCORING,
-                    Event::Scored {
-                        generation,
-                        score: 1.0,
-                    },
-                );
-            }
-            Step::Release(_) => {}
-            Step::Answer(_, answer) => self.answer(n, run, answer),
-        }
-    }
-
-    fn find(&self, run: usize, key: GenKey) -> Option<(usize, usize)> {
-        let is = |job: &Job| job.run == run && job.id == Id::Ours(key);
-        let mut all = self.engines.iter().enumerate();
-        all.find_map(|(n, engine)| engine.jobs.iter().position(is).map(|i| (n, i)))
-    }
-}
-
-impl Trainer {
-    fn write(&mut self, write: Write) {
-        for name in &write.deletes {
-            self.rows.remove(name);
-        }
-        for row in write.puts {
-            self.rows.insert(row.name(), row);
-        }
-        self.head = Some((write.expect + 1, write.head));
-    }
 }
 
-const fn job(run: usize, id: Id, length: f64) -> Job {
+pub(super) const fn job(run: usize, id: Id, length: f64) -> Job {
     Job {
         run,
         id,
--- a/hibiscusroad-measure/src/train/load.rs
+++ b/hibiscusroad-measure/src/train/load.rs
@@ -7,19 +7,23 @@
 pub enum Policy {
     /// The decisions of the project.
     Ours,
+    /// The same with the trainer's cursor as the only record: the table is
+    /// never waited for, and a lost holder's finished samples are lost.
+    Cursor,
     /// A step's groups at once, first come first served, waiting for all.
     Plain,
 }
 
 impl Policy {
-    /// Both policies.
-    pub const ALL: [Self; 2] = [Self::Ours, Self::Plain];
+    /// All policies.
+    pub const ALL: [Self; 3] = [Self::Ours, Self::Cursor, Self::Plain];
 
     /// Returns the name in the table.
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
             Self::Ours => "ours",
+            Self::Cursor => "cursor",
             Self::Plain => "plain",
         }
     }
@@ -48,6 +52,8 @@
     pub swap: f64,
     /// Engines that change weights together.
     pub wave: usize,
+    /// How long the table is down, from the middle on.
+    pub outage: f64,
     /// How long all of it lasts.
     pub span: f64,
 }
@@ -67,6 +73,7 @@
             between: 3,
             swap: 4.0,
             wave: 3,
+            outage: 0.0,
             span: 7200.0,
         }
     }
--- a/hibiscusroad-measure/src/train/mod.rs
+++ b/hibiscusroad-measure/src/train/mod.rs
@@ -10,6 +10,7 @@
 
 mod driver;
 mod engine;
+mod holder;
 mod load;
 mod plain;
 mod score;
@@ -38,26 +39,29 @@
     Write(#[from] io::Error),
 }
 
-/// Runs `measure train --deployment NAME [--seed N]` and prints the table.
+/// Runs `measure train --deployment NAME [--seed N] [--outage SECONDS]` and prints the table.
 ///
 /// # Errors
 ///
 /// Fails if the arguments are wrong or the output can't be written.
 pub fn run(mut args: Parser) -> Result<(), TrainError> {
     let mut seed = 1;
+    let mut outage = 0.0;
     let mut name = "pobrezie".to_owned();
     while let Some(arg) = args.next()? {
         match arg {
             Arg::Long("seed") => seed = args.value()?.parse()?,
+            Arg::Long("outage") => outage = args.value()?.parse()?,
             Arg::Long("deployment") => name = args.value()?.string()?,
             other => return Err(other.unexpected().into()),
         }
     }
-    let load = match name.as_str() {
+    let mut load = match name.as_str() {
         "pobrezie" => Load::pobrezie(),
         "lakeshore" => Load::lakeshore(),
         _ => return Err(TrainError::Deployment(name)),
     };
+    load.outage = outage;
     let mut out = io::stdout().lock();
     writeln!(out, "deployment {name}, seed {seed}")?;
     writeln!(out, "{}", Score::header())?;
--- a/hibiscusroad-measure/src/train/score.rs
+++ b/hibiscusroad-measure/src/train/score.rs
@@ -26,6 +26,9 @@
     pub length: f64,
     /// Samples dropped over the bound, over those delivered.
     pub dropped: f64,
+    /// Finished samples that wait for their batch, as a share of a step's; what
+    /// a lost holder costs a run without a ledger.
+    pub ready: f64,
     /// Samples delivered over the bound.
     pub broken: usize,
 }
@@ -37,7 +40,7 @@
         let mut line = format!("{:<8}", "policy");
         for name in [
             "batches", "idle", "over", "v mean", "v p99", "v max", "s mean", "s p99", "s max",
-            "wasted", "step p50", "step p99", "used", "length", "dropped", "broken",
+            "wasted", "step p50", "step p99", "used", "length", "dropped", "ready", "broken",
         ] {
             let _ = write!(line, "{name:>9}");
         }
@@ -67,6 +70,7 @@
         cell(percent(self.used));
         cell(format!("{:.3}", self.length));
         cell(percent(self.dropped));
+        cell(percent(self.ready));
         cell(self.broken.to_string());
         line
     }
--- a/hibiscusroad-measure/src/train/trainer.rs
+++ b/hibiscusroad-measure/src/train/trainer.rs
@@ -158,6 +158,7 @@
             used: self.used / self.lanes,
             batches: steps.len() + 2,
             dropped: dropped as f64 / count,
+            ready: self.ready / self.now,
             broken: self.broken,
         }
     }
