--- a/src/train/mod.rs
+++ b/src/train/mod.rs
@@ -26,8 +26,7 @@
 //!   but a holder's loss would take every finished sample with it, and a pull
 //!   repeated at the next holder would get another batch. With the ledger a
 //!   trainer waits out the table's outage after the batch that it has; a minute
-//!   of outage costs it most of a minute. That is rarer than a lost holder, and
-//!   loses nothing.
+//!   of outage costs it most of a minute, but loses nothing.
 //! * One transaction at a time for each run. At a few milliseconds each, with
 //!   tens of changes gathered, that is far above the samples that engines make.
 //! * A batch is fixed when the step before is done, not ahead of it, since the
