Give an engine half of what it has free, by its own batch size

The side reported its own limit of 256, not the engine's batch of 64, so the free room was not known.

--- a/hibiscusroad-daemon/src/side/news.rs
+++ b/hibiscusroad-daemon/src/side/news.rs
@@ -102,6 +102,8 @@
     #[serde(default)]
     queued: u32,
     #[serde(default)]
+    limit: u32,
+    #[serde(default)]
     tokens: u64,
     #[serde(default)]
     cache_free: u64,
@@ -135,6 +137,7 @@
     Ok(EndpointLoad {
         running: report.running,
         queued: report.queued,
+        limit: report.limit,
         tokens: report.tokens,
         cache_free: report.cache_free,
         weights: report.version,
--- a/hibiscusroad-daemon/src/side/report.rs
+++ b/hibiscusroad-daemon/src/side/report.rs
@@ -103,10 +103,15 @@
                 ..Load::default()
             };
         };
+        // More than the endpoint can work on would wait inside it.
+        let limit = match self.load.limit {
+            0 => own.limit,
+            theirs => theirs.min(own.limit),
+        };
         Load {
             running: self.load.running,
             queued: self.load.queued,
-            limit: own.limit,
+            limit,
             tokens: self.load.tokens,
             cache_free: self.load.cache_free,
             age_ms: wire::millis(age),
--- a/hibiscusroad-daemon/src/side/request.rs
+++ b/hibiscusroad-daemon/src/side/request.rs
@@ -83,6 +83,8 @@
     pub running: u32,
     /// Requests that wait inside it.
     pub queued: u32,
+    /// Requests that it can work on at once; 0 if it doesn't say.
+    pub limit: u32,
     /// Tokens that it still has to read and generate.
     pub tokens: u64,
     /// Free tokens of its cache.
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -178,13 +178,16 @@
     /// seconds: a window of such calls lasts ten seconds and more, and meanwhile
     /// callers waited here before engines that were nearly idle (64 streams got
     /// their first token after 2.2 s in the median and 11 s at worst, where the
-    /// engine alone needs 16 ms). An engine knows whether anything waits in it.
-    /// While nothing does, it may get twice what it works on and [`START`]; once
-    /// something does, windows alone decide. What is sent before the next report
-    /// is bounded so, however late that comes.
+    /// engine alone needs 16 ms). An engine knows how much it can work on at once
+    /// and whether anything waits in it. While nothing does, it may get half of
+    /// what it has free: the other half is for other entries, who have the same
+    /// report, and for what was sent since. Once something waits, windows alone
+    /// decide.
     pub(super) fn engine(&mut self, running: u32, queued: u32) {
         if queued == 0 {
-            let room = f64::from(running).mul_add(2.0, START).min(self.most);
+            let running = f64::from(running);
+            let free = (self.most - running).max(0.0);
+            let room = (running + free / 2.0 + START).min(self.most);
             self.now = self.now.max(room);
         }
     }
