--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -12,6 +12,11 @@
 /// before it counts as failed.
 pub(super) const PATIENCE: Duration = Duration::from_millis(300);
 
+/// The same for one of whose answer its caller has a part. A connection that was
+/// cut or fell silent is back within a second, a side that died never is: a
+/// stream stood still for its caller's whole deadline of 5 s.
+pub(super) const BEGUN_PATIENCE: Duration = Duration::from_secs(2);
+
 /// How often an attempt is asked for again without a new byte.
 const MOST_REPEATS: u32 = 3;
 
--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     entry::{
-        attempt::PATIENCE,
+        attempt::{BEGUN_PATIENCE, PATIENCE},
         side::{Listing, SideKey},
         tables::Tables,
     },
@@ -329,8 +329,10 @@
     /// Gives up attempts that may be repeated, and sides that are gone.
     ///
     /// A caller gains nothing from waiting for a side while others could
-    /// answer. One that has part of an answer can't change any more and waits
-    /// until its deadline, as does one whose request may not run twice.
+    /// answer. One that has part of an answer can't change any more: it waits
+    /// longer, as the side may only have lost its connection, and then sees its
+    /// answer broken off and can ask anew. One whose request may not run twice
+    /// waits until its deadline, because only that side knows what became of it.
     fn impatience(&mut self, now: Instant, key: SideKey) {
         let side = &self.sides[key];
         if side.listing == Listing::Guest && side.attempts.is_empty() {
@@ -344,21 +346,23 @@
         if absent && away > FORGET && side.attempts.is_empty() {
             return self.remove_side(now, key);
         }
-        if away < PATIENCE {
-            return;
-        }
         for id in self.in_flight(key) {
-            if self.can_move(id) {
+            if self.patience(id).is_some_and(|patience| away >= patience) {
                 self.lose(now, id);
             }
         }
     }
 
-    fn can_move(&self, id: RequestId) -> bool {
-        let Some(attempt) = self.attempts.get(&id) else {
-            return false;
-        };
+    /// Returns how long an attempt waits for its side; without end if it may
+    /// not run twice.
+    fn patience(&self, id: RequestId) -> Option<Duration> {
+        let attempt = self.attempts.get(&id)?;
         let row = self.calls.get(&attempt.call);
-        attempt.repeat == Repeat::Free && row.is_none_or(|row| row.winner != Some(id))
+        let begun = row.is_some_and(|row| row.winner == Some(id));
+        match attempt.repeat {
+            Repeat::Once => None,
+            Repeat::Free if begun => Some(BEGUN_PATIENCE),
+            Repeat::Free => Some(PATIENCE),
+        }
     }
 }
--- a/hibiscusroad-daemon/tests/entry_links.rs
+++ b/hibiscusroad-daemon/tests/entry_links.rs
@@ -5,6 +5,8 @@
 use entry_support::{Out, Side, call, start, wait_until};
 use hibiscusroad_wire::{Id, Standing, State, to_entry, to_side::Frame};
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::{
         Mutex,
         atomic::Ordering::{Relaxed, SeqCst},
@@ -277,3 +279,28 @@
     assert!(answer.ends_with("\r\n\r\nabcdefghij"), "{answer}");
     assert_eq!(side.count(|f| matches!(f, Frame::Attach(_))), 1);
 }
+
+// A caller has the first piece of a stream when the side dies for good. No other
+// side can go on with it. The caller must see the answer broken off soon, and
+// not stand before a silent stream until its deadline of ten seconds.
+#[test]
+fn a_stream_whose_side_died_is_broken_off_soon() {
+    let side = half_stream(|side, out| {
+        side.deaf.store(true, SeqCst);
+        out.cut();
+    });
+    let entry = start(&[&side], "");
+    let asked = Instant::now();
+    let mut stream = TcpStream::connect(entry.callers()).unwrap();
+    let length = PROMPT.len();
+    let head = "POST /s/guide-lm/v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close";
+    write!(stream, "{head}\r\nContent-Length: {length}\r\n\r\n{PROMPT}").unwrap();
+    let limit = Duration::from_secs(6);
+    stream.set_read_timeout(Some(limit)).unwrap();
+    let mut answer = String::new();
+    let end = stream.read_to_string(&mut answer);
+    assert!(end.is_ok(), "nothing came for {limit:?} after {answer}");
+    assert!(answer.contains("data: "), "{answer}");
+    assert!(answer.ends_with("broken off\r\n"), "{answer}");
+    assert!(asked.elapsed() < Duration::from_secs(4));
+}
--- a/hibiscusroad-measure/src/faults/check.rs
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -62,6 +62,9 @@
     pub unknown: usize,
     /// Calls whose entry was gone: killed, stopped or standing still.
     pub unserved: usize,
+    /// Answers that broke off visibly while a side or endpoint was gone: what
+    /// had come of them can't come from elsewhere.
+    pub broken: usize,
     /// Final answers after the deadline, or none, from an entry that ran.
     pub late: usize,
     /// Keys that ran more than once.
@@ -117,6 +120,7 @@
             ("refused", self.refused),
             ("unknown", self.unknown),
             ("unserved", self.unserved),
+            ("broken", self.broken),
             ("faults", self.faults),
             ("late", self.late),
             ("doubled", self.doubled),
@@ -229,6 +233,7 @@
                 counts.remark(format!("short: {}: {why}", name(made)));
             }
             Ending::Lost(_) if gone => counts.unserved += 1,
+            Ending::Lost(_) if self.broken(made) => counts.broken += 1,
             Ending::Lost(why) => wrong = Some(why.clone()),
         }
         if !gone {
@@ -258,6 +263,21 @@
         }) || (self.stopping(made) && refused_connection(made))
     }
 
+    /// Says whether a stream had begun and broke off, while a crash or a pause
+    /// was at work behind the entry. A planned stop is none.
+    fn broken(&self, made: &Made) -> bool {
+        let behind = |fault| {
+            matches!(
+                fault,
+                Fault::KillSide(_)
+                    | Fault::KillEndpoint(_)
+                    | Fault::FreezeSide(_)
+                    | Fault::FreezeEndpoint(_)
+            )
+        };
+        made.outcome.tokens > 0 && self.during(made, |fault, _| behind(fault))
+    }
+
     /// Says whether a refusal shows that a planned stop cut off a request: it
     /// may have run, and nothing but planned stops was at work.
     fn cut(&self, made: &Made, problem: &str) -> bool {
