--- a/hibiscusroad-cli/src/client.rs
+++ b/hibiscusroad-cli/src/client.rs
@@ -48,7 +48,7 @@
 }
 
 /// Why a question has no answer.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// An entry answered with a refusal.
     #[error("{0}")]
--- a/hibiscusroad-cli/src/format.rs
+++ b/hibiscusroad-cli/src/format.rs
@@ -30,7 +30,7 @@
 }
 
 /// A word that is no format.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("no format {0:?}; there are table, json, csv")]
 pub struct Unknown(pub String);
 
--- a/hibiscusroad-cli/src/rows.rs
+++ b/hibiscusroad-cli/src/rows.rs
@@ -22,7 +22,7 @@
 const LAST: &[&str] = &["age_ms", "source"];
 
 /// A column that no row has.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("no column {column}; there are {}", .known.join(", "))]
 pub struct Unknown {
     /// The column.
--- a/hibiscusroad-daemon/src/entry/front/request.rs
+++ b/hibiscusroad-daemon/src/entry/front/request.rs
@@ -1,6 +1,9 @@
 //! Reads and checks a caller's request.
 
-use crate::entry::event::{Inbound, Prompt};
+use crate::{
+    entry::event::{Inbound, Prompt},
+    headers::is_hop_by_hop,
+};
 use hibiscusroad::{Class, ErrorKind};
 use hibiscusroad_wire::Header;
 use serde::Deserialize;
@@ -51,27 +54,13 @@
 /// Tokens that a model call generates if it doesn't say.
 const DEFAULT_TOKENS: u32 = 16;
 
-/// Headers that belong to one connection (RFC 9110, 7.6.1), or that the entry
-/// has read for itself.
-const NOT_PASSED: [&str; 13] = [
-    "connection",
-    "content-length",
-    "deadline-ms",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Says whether a header belongs to one connection and isn't passed on.
+/// Headers that the entry has read for itself.
+const READ: [&str; 2] = ["content-length", "deadline-ms"];
+
+/// Says whether a header belongs to one connection, or is read here, and isn't
+/// passed on.
 pub fn is_hop(name: &str) -> bool {
-    NOT_PASSED.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+    is_hop_by_hop(name) || READ.iter().any(|read| name.eq_ignore_ascii_case(read))
 }
 
 /// Says whether a body may follow the headers.
--- a/hibiscusroad-daemon/src/platform/table.rs
+++ b/hibiscusroad-daemon/src/platform/table.rs
@@ -89,7 +89,7 @@
 }
 
 /// Why a call gave nothing.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Fault {
     /// The process has used up its share of the service.
     #[error("the share of the table service is used up")]
@@ -170,7 +170,7 @@
     /// Returns a [`Fault`] if the service gave no usable answer.
     pub fn get_since(&self, key: &str, revision: u64) -> Result<Option<Row>, Fault> {
         let mut request = one(key);
-        request.min_mod_revision = revision;
+        request.since = revision;
         let rows = self.range(&request)?;
         Ok(rows.into_iter().find(|row| row.revision >= revision))
     }
@@ -288,7 +288,7 @@
         key: encode(key.as_bytes()),
         range_end: None,
         limit: 0,
-        min_mod_revision: 0,
+        since: 0,
     }
 }
 
--- a/hibiscusroad-daemon/src/platform/wire.rs
+++ b/hibiscusroad-daemon/src/platform/wire.rs
@@ -10,8 +10,8 @@
     pub(super) range_end: Option<String>,
     #[serde(skip_serializing_if = "is_zero")]
     pub(super) limit: u64,
-    #[serde(skip_serializing_if = "is_zero")]
-    pub(super) min_mod_revision: u64,
+    #[serde(rename = "min_mod_revision", skip_serializing_if = "is_zero")]
+    pub(super) since: u64,
 }
 
 #[derive(Debug, Serialize)]
--- a/hibiscusroad-daemon/src/side/call.rs
+++ b/hibiscusroad-daemon/src/side/call.rs
@@ -1,10 +1,13 @@
 //! One call at the endpoint, from a worker's thread.
 
-use crate::side::{
-    event::Event,
-    request::Http,
-    sse::{self, Scanner},
-    throttle::Throttle,
+use crate::{
+    headers,
+    side::{
+        event::Event,
+        request::Http,
+        sse::{self, Scanner},
+        throttle::Throttle,
+    },
 };
 use flume::Sender;
 use hibiscusroad::{
@@ -41,22 +44,6 @@
 /// How long a connection that is not used is kept.
 const IDLE_AGE: Duration = Duration::from_secs(5);
 
-/// Headers that concern one connection only (RFC 9110, 7.6.1), and those that
-/// the client library sets itself.
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Creates a client for one worker.
 pub fn agent() -> Agent {
     Agent::config_builder()
@@ -284,8 +271,5 @@
         .iter()
         .filter(|header| header.name.eq_ignore_ascii_case("connection"))
         .flat_map(|header| header.value.split(','));
-    HOP_BY_HOP
-        .iter()
-        .any(|known| name.eq_ignore_ascii_case(known))
-        || named.any(|other| name.eq_ignore_ascii_case(other.trim()))
+    headers::is_hop_by_hop(name) || named.any(|other| name.eq_ignore_ascii_case(other.trim()))
 }
--- a/hibiscusroad-measure/src/faults/check.rs
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -72,7 +72,7 @@
     /// Successes that are not whole or answer another request.
     pub short: usize,
     /// Refusals that say "not run" of what ran.
-    pub false_not_run: usize,
+    pub untrue: usize,
     /// Times that an entry went back to an older configuration.
     pub config_reverts: usize,
     /// Commands that were told "done" and are not in the trail.
@@ -80,7 +80,7 @@
     /// Requests that started at an endpoint 3 s after its drain or later.
     pub after_drain: usize,
     /// Calls that a planned stop cut off.
-    pub cut_by_stop: usize,
+    pub cut: usize,
     /// The longest time that a caller waited past its deadline.
     pub overdue: Duration,
     /// Faults that happened.
@@ -100,11 +100,11 @@
         self.late
             + self.doubled
             + self.short
-            + self.false_not_run
+            + self.untrue
             + self.config_reverts
             + self.lost_commands
             + self.after_drain
-            + self.cut_by_stop
+            + self.cut
             == 0
     }
 
@@ -125,11 +125,11 @@
             ("late", self.late),
             ("doubled", self.doubled),
             ("short", self.short),
-            ("false_not_run", self.false_not_run),
+            ("false_not_run", self.untrue),
             ("config_reverts", self.config_reverts),
             ("lost_commands", self.lost_commands),
             ("after_drain", self.after_drain),
-            ("cut_by_stop", self.cut_by_stop),
+            ("cut_by_stop", self.cut),
         ];
         for (name, value) in figures {
             report.add(name, value as f64, "");
@@ -221,7 +221,7 @@
                 let unknown = ErrorKind::OutcomeUnknown.answer().problem;
                 counts.unknown += usize::from(problem == unknown);
                 if !gone && self.cut(made, problem) {
-                    counts.cut_by_stop += 1;
+                    counts.cut += 1;
                     counts.remark(format!("cut by a stop: {}: {problem}", name(made)));
                 }
                 if gone && outcome.wait > call.deadline + GRACE {
@@ -245,7 +245,7 @@
         }
         if let Some(why) = wrong {
             if self.stopping(made) {
-                counts.cut_by_stop += 1;
+                counts.cut += 1;
                 counts.remark(format!("cut by a stop: {}: {why}", name(made)));
             } else {
                 counts.late += 1;
@@ -352,7 +352,7 @@
         }
         for (request, made) in calls {
             if ran.contains(request) && made.iter().all(|made| says_not_run(made)) {
-                counts.false_not_run += 1;
+                counts.untrue += 1;
                 counts.remark(format!("false not run: {}", name(made[0])));
             }
         }
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -66,7 +66,7 @@
 }
 
 /// Why a change can't be made to a document.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Refusal {
     /// A service of this name stands already.
     #[error("service {0} stands already; use alter service")]
