--- a/hibiscusroad-daemon/src/entry/frames.rs
+++ b/hibiscusroad-daemon/src/entry/frames.rs
@@ -27,29 +27,22 @@
 impl Tables {
     /// Takes in the head of an answer.
     pub(super) fn head(&mut self, now: Instant, head: hibiscusroad_wire::Head) {
-        let Some((id, attempt)) = self.find_open(head.id) else {
+        let Some((_, attempt)) = self.find_open(head.id) else {
             return;
         };
         if attempt.head.is_some() {
             return;
         }
-        let head = Head {
+        // A stream isn't begun for its caller before its first bytes are there:
+        // an endpoint that dies between the two leaves the call free to go
+        // elsewhere, where its caller else sees an empty answer broken off.
+        attempt.head = Some(Head {
             status: u16::try_from(head.status).unwrap_or(502),
             headers: head.headers,
-        };
-        let stream = is_stream(&head);
-        attempt.head = Some(head.clone());
+        });
         attempt.asked = false;
         let (call, endpoint) = (attempt.call, attempt.endpoint);
         self.router.progress(now, call, endpoint, 0);
-        if stream
-            && self
-                .calls
-                .get(&call)
-                .is_some_and(|row| row.winner.is_none())
-        {
-            self.commit(now, id, head);
-        }
     }
 
     /// Takes in bytes of an answer.
@@ -96,7 +89,8 @@
             return;
         };
         attempt.body.extend(data);
-        if winner.is_none() && attempt.body.len() > HELD_BACK {
+        let begins = attempt.body.len() > HELD_BACK || attempt.head.as_ref().is_some_and(is_stream);
+        if winner.is_none() && begins {
             let body = mem::take(&mut attempt.body);
             let head = attempt.head.clone().unwrap_or_default();
             if self.commit(now, id, head) {
--- a/hibiscusroad-daemon/tests/entry_links.rs
+++ b/hibiscusroad-daemon/tests/entry_links.rs
@@ -3,13 +3,17 @@
 mod entry_support;
 
 use entry_support::{Out, Side, call, start, wait_until};
-use hibiscusroad_wire::{Id, Standing, State, to_entry, to_side::Frame};
+use hibiscusroad::ErrorKind;
+use hibiscusroad_wire::{Id, Refused, Standing, State, to_entry, to_side::Frame};
 use std::{
     io::{Read, Write},
     net::TcpStream,
     sync::{
-        Mutex,
-        atomic::Ordering::{Relaxed, SeqCst},
+        Arc, Mutex,
+        atomic::{
+            AtomicU32,
+            Ordering::{Relaxed, SeqCst},
+        },
     },
     thread,
     time::{Duration, Instant},
@@ -304,3 +308,32 @@
     assert!(answer.ends_with("broken off\r\n"), "{answer}");
     assert!(asked.elapsed() < Duration::from_secs(4));
 }
+
+// The endpoint dies between the head of a stream and its first byte. The caller
+// has nothing of the answer yet, so it gets a whole one from another endpoint
+// instead of an empty one that breaks off.
+#[test]
+fn a_stream_that_died_before_its_first_byte_is_answered_elsewhere() {
+    let starts = Arc::new(AtomicU32::new(0));
+    let side = || {
+        let starts = Arc::clone(&starts);
+        Side::start("guide-lm", move |_, out, frame| {
+            let Frame::Start(start) = frame else { return };
+            out.head(start.id, STREAM);
+            if starts.fetch_add(1, SeqCst) == 0 {
+                return out.send(to_entry::Frame::Refused(Refused {
+                    id: start.id,
+                    problem: ErrorKind::EndpointBroken.answer().problem.to_owned(),
+                    retry_ms: 0,
+                }));
+            }
+            out.chunk(start.id, 0, "data: a\n\n");
+            out.end(start.id, 9);
+        })
+    };
+    let (one, other) = (side(), side());
+    let entry = start(&[&one, &other], "");
+    let answer = call(&entry, "POST", "/s/guide-lm/v1/completions", "", PROMPT);
+    assert!(whole(&answer), "{answer}");
+    assert_eq!(starts.load(SeqCst), 2);
+}
