--- a/hibiscusroad-measure/src/path.rs
+++ b/hibiscusroad-measure/src/path.rs
@@ -31,6 +31,7 @@
 ];
 const STREAMS: usize = 64;
 const STREAM_TOKENS: u64 = 400;
+const STREAM_DEADLINE: Duration = Duration::from_mins(1);
 const MAX_MICROS: u64 = 60_000_000;
 
 /// How the path is measured.
@@ -283,49 +284,61 @@
     made.iter().filter(whole).count()
 }
 
-// In microseconds from the time that was set for each call.
+// From the time that was set for each call.
 fn latency(made: &[Made]) -> Histogram<u64> {
+    histogram(made.iter().map(|made| made.outcome.latency))
+}
+
+// In microseconds.
+fn histogram(times: impl Iterator<Item = Duration>) -> Histogram<u64> {
     let histogram = Histogram::new_with_bounds(1, MAX_MICROS, 3);
     let mut histogram = histogram.unwrap_or_else(|_| unreachable!("the bounds are constant"));
-    for made in made {
-        let micros = u64::try_from(made.outcome.latency.as_micros());
+    for time in times {
+        let micros = u64::try_from(time.as_micros());
         histogram.saturating_record(micros.unwrap_or(MAX_MICROS));
     }
     histogram
 }
 
-// Streams that all begin at once and generate for some seconds.
+// Streams that all begin at once and generate for some seconds: first on an
+// entry that has sent the engines nothing yet, then again.
 fn tokens(deployment: &Deployment, interrupt: &Interrupt, report: &mut Report) {
-    for way in Way::BOTH {
-        let call = |number| Call {
-            at: Duration::ZERO,
-            base: base(deployment, way, Kind::Model, number),
-            path: "/v1/completions".to_owned(),
-            work: Work::Complete {
-                prompt: format!("stream {number}"),
-                tokens: STREAM_TOKENS,
-                stream: true,
-            },
-            request: format!("{}{number}", way.name()),
-            class: Class::Interactive,
-            deadline: DEADLINE * 12,
-            size: 0,
-        };
+    for (name, way) in [
+        ("cold", Way::Through),
+        ("through", Way::Through),
+        ("direct", Way::Direct),
+    ] {
         let start = Instant::now();
-        let calls = (0..STREAMS).map(call).collect();
+        let calls = streams(deployment, way);
         let made = load::run(calls, STREAMS, &Arc::default(), interrupt);
         let time = start.elapsed().as_secs_f64();
         let tokens: u64 = made.iter().map(|made| made.outcome.tokens).sum();
-        let whole = answered(&made) as f64;
-        report.add(
-            format!("{}_tokens", way.name()),
-            tokens as f64 / time,
-            "tokens/s",
-        );
-        report.add(format!("{}_streams", way.name()), whole, "");
+        let first = made.iter().filter_map(|made| made.outcome.first);
+        report.add(format!("{name}_tokens"), tokens as f64 / time, "tokens/s");
+        report.add(format!("{name}_streams"), answered(&made) as f64, "");
+        quantiles(&histogram(first), &format!("{name}_first"), report);
+        quantiles(&latency(&made), &format!("{name}_stream"), report);
     }
 }
 
+fn streams(deployment: &Deployment, way: Way) -> Vec<Call> {
+    let call = |number| Call {
+        at: Duration::ZERO,
+        base: base(deployment, way, Kind::Model, number),
+        path: "/v1/completions".to_owned(),
+        work: Work::Complete {
+            prompt: format!("stream {number}"),
+            tokens: STREAM_TOKENS,
+            stream: true,
+        },
+        request: format!("{}{number}", way.name()),
+        class: Class::Interactive,
+        deadline: STREAM_DEADLINE,
+        size: 0,
+    };
+    (0..STREAMS).map(call).collect()
+}
+
 fn memory(deployment: &Deployment, when: &str, report: &mut Report) -> Result<(), Error> {
     let groups = [("entry", &deployment.entries), ("side", &deployment.sides)];
     for (name, members) in groups {
