Read one line of the audit trail where one is wanted

Cause: a read of the whole change found an operator's conflict answered by listing the entire trail to name the winner of one version; a read of the document that nothing calls; and a second function for milliseconds since 1970 in the measuring crate, beside the stand-ins'.

Nothing else behaves differently.

--- a/hibiscusroad-daemon/src/entry/config.rs
+++ b/hibiscusroad-daemon/src/entry/config.rs
@@ -89,7 +89,7 @@
 
 fn transaction(plan: &Plan) -> Transaction {
     let command = format!("{COMMANDS}{}", plan.audit.command);
-    let trail = format!("{TRAIL}{:020}", plan.audit.version);
+    let trail = trail_key(plan.audit.version);
     let version = plan.next.version.to_string();
     Transaction::new()
         .when(Cond::Version(CURRENT.to_owned(), plan.base))
@@ -99,6 +99,11 @@
         .then(Op::Put(trail, json(&plan.audit)))
 }
 
+/// The key of the line that tells of a version; keys sort as versions do.
+fn trail_key(version: u64) -> String {
+    format!("{TRAIL}{version:020}")
+}
+
 fn read(table: &Table, command: &str) -> Result<Rows, Fault> {
     let command = format!("{COMMANDS}{command}");
     let mut rows = Rows::default();
@@ -121,13 +126,17 @@
     table.list(TRAIL, 0)?.iter().map(parse).collect()
 }
 
-/// Reads the document as the table holds it.
+/// Reads the line of the audit trail that tells of one version.
 ///
 /// # Errors
 ///
 /// Returns a [`Fault`] if the table gave no usable answer.
-pub fn current(table: &Table) -> Result<Option<Document>, Fault> {
-    table.get(CURRENT)?.as_ref().map(parse).transpose()
+pub fn line(table: &Table, version: u64) -> Result<Option<Audit>, Fault> {
+    table
+        .get(&trail_key(version))?
+        .as_ref()
+        .map(parse)
+        .transpose()
 }
 
 /// Looks at the document's row for as long as `news` returns true.
--- a/hibiscusroad-daemon/src/entry/operators.rs
+++ b/hibiscusroad-daemon/src/entry/operators.rs
@@ -277,7 +277,6 @@
 }
 
 fn winner(desk: &Desk, version: u64) -> String {
-    let lines = config::trail(&desk.table).unwrap_or_default();
-    let line = lines.into_iter().find(|line| line.version == version);
+    let line = config::line(&desk.table, version).ok().flatten();
     line.map_or_else(|| "another operator".to_owned(), |line| line.who)
 }
--- a/hibiscusroad-measure/src/faults/mod.rs
+++ b/hibiscusroad-measure/src/faults/mod.rs
@@ -22,6 +22,7 @@
 };
 use check::History;
 use counts::Counts;
+use hibiscusroad_standins::platform::history::epoch_ms;
 use inject::Injector;
 use plan::{Kinds, plan};
 use std::{
@@ -30,7 +31,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 use watch::Watcher;
 
@@ -78,7 +79,7 @@
     let faults = plan(options.time, options.seed, options.kinds, &deployment.spec);
     let calls = calls::draw(&deployment, options.time + CALM, options.seed, options.rate);
     let start = Instant::now();
-    let epoch_ms = now_ms();
+    let epoch_ms = epoch_ms();
     let over = AtomicBool::new(false);
     let watchers = Watcher::all(&deployment);
     let counters = Arc::new(Counters::default());
@@ -128,10 +129,3 @@
     debug_assert!(spec.service(Kind::Plain).is_some());
     spec
 }
-
-fn now_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
