--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -0,0 +1,160 @@
+//! Answers that this process gives its callers.
+
+use super::{attempt::Guard, store::millis};
+use hibiscusroad::ErrorKind;
+use http_body_util::Full;
+use hyper::{
+    Response, StatusCode,
+    body::{Body, Bytes, Frame, Incoming, SizeHint},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use serde::Serialize;
+use std::{
+    collections::VecDeque,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+/// The body of an answer.
+pub(super) enum Out {
+    /// All of it is there.
+    Whole(Full<Bytes>),
+    /// It is passed on as it comes.
+    Flow(Flow),
+    /// Pieces made by this process, one after the other.
+    Pieces(tokio::sync::mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+/// An endpoint's answer on its way.
+pub(super) struct Flow {
+    pub(super) first: VecDeque<Bytes>,
+    pub(super) rest: Incoming,
+    /// Ends the attempt when the body is dropped or read to its end.
+    pub(super) guard: Guard,
+}
+
+/// The answer breaks off: its reader must not take it for whole.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer broke off")]
+pub(super) struct Broken;
+
+impl Body for Out {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Self::Whole(body) => match Pin::new(body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+                Poll::Ready(_) => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            },
+            Self::Flow(flow) => flow.poll(cx),
+            Self::Pieces(pieces) => pieces
+                .poll_recv(cx)
+                .map(|piece| piece.map(|p| p.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Flow(_) | Self::Pieces(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Flow(flow) => flow.size_hint(),
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
+
+impl Flow {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if let Some(first) = self.first.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        match Pin::new(&mut self.rest).poll_frame(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(None) => {
+                self.guard.complete();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                // Trailers concern the connection that they came on.
+                Err(_trailers) => {
+                    self.guard.complete();
+                    Poll::Ready(None)
+                }
+            },
+            Poll::Ready(Some(Err(error))) => {
+                self.guard.broke(&error);
+                Poll::Ready(Some(Err(Broken)))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first: usize = self.first.iter().map(Bytes::len).sum();
+        let rest = self.rest.size_hint();
+        match rest.exact() {
+            Some(rest) => SizeHint::with_exact(rest + first as u64),
+            None => SizeHint::default(),
+        }
+    }
+}
+
+/// Builds an answer with a whole body.
+pub(super) fn whole(
+    status: StatusCode,
+    kind: &'static str,
+    body: impl Into<Bytes>,
+) -> Response<Out> {
+    let mut response = Response::new(Out::Whole(Full::new(body.into())));
+    *response.status_mut() = status;
+    if !kind.is_empty() {
+        let kind = HeaderValue::from_static(kind);
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+    }
+    response
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    r#type: &'a str,
+    title: &'a str,
+    status: u16,
+}
+
+/// Builds the answer that the table of kinds has for `kind`.
+///
+/// `after` is when it makes sense to come back; it is told where the kind says
+/// that the request did not run.
+pub(super) fn problem(kind: ErrorKind, after: Duration) -> Response<Out> {
+    let answer = kind.answer();
+    let body = serde_json::to_vec(&Problem {
+        r#type: answer.problem,
+        title: answer.title,
+        status: answer.status,
+    });
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = whole(status, "application/problem+json", body.unwrap_or_default());
+    if matches!(answer.status, 429 | 503) {
+        let secs = millis(after.max(LEAST_WAIT)) as f64 / 1000.0;
+        if let Ok(value) = HeaderValue::from_str(&format!("{secs:.3}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// A caller that comes back sooner finds what it left.
+const LEAST_WAIT: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -0,0 +1,302 @@
+//! One attempt to run a request at one endpoint.
+//!
+//! What an endpoint answers is believed only if it is a whole answer to this
+//! request: the id must be the one that was sent, a success must bear the
+//! endpoint's signature, and the body must reach its declared end. Faulty
+//! endpoints send torn, late and additional answers on kept connections, and a
+//! caller would otherwise get another caller's answer.
+
+use super::{
+    calls::{Calls, Peer, Ticket},
+    http::{Channel, Channels, Fault, Sent},
+};
+use crate::logs::CALLS;
+use hibiscusroad::{
+    ErrorKind,
+    route::{EndpointKey, Outcome},
+};
+use hibiscusroad_platform::header;
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::{Body, Bytes, Incoming},
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, HeaderValue},
+};
+use std::{
+    collections::VecDeque,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Answers up to this size are read whole before any of them is passed on, so
+/// that a torn one can still be tried elsewhere. Larger ones would cost memory:
+/// a process with 160 MB holds a few hundred of these.
+const WHOLE: usize = 256 << 10;
+
+/// A request as it is sent to endpoints, without its body.
+#[derive(Clone, Debug)]
+pub(super) struct Head {
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    pub(super) headers: HeaderMap,
+    /// The caller's id of this request.
+    pub(super) id: String,
+    pub(super) deadline: Instant,
+}
+
+/// An answer of an endpoint.
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Received,
+}
+
+/// The body of an answer.
+pub(super) enum Received {
+    Whole(Bytes),
+    /// What was read, and the rest with the connection that it comes on.
+    Flow(VecDeque<Bytes>, Incoming, Box<Channel>),
+}
+
+/// How an attempt ended.
+pub(super) enum Done {
+    /// The endpoint answered, or began to.
+    Answer(Answer),
+    /// It surely did not run.
+    NotRun(ErrorKind),
+    /// It may have run; the endpoint's own failure, if it told one.
+    Failed(ErrorKind, Option<Answer>),
+}
+
+/// What attempts need of the process.
+#[derive(Clone)]
+pub(super) struct Line {
+    pub(super) calls: Rc<Calls>,
+    pub(super) channels: Rc<Channels>,
+}
+
+/// Ends an attempt whose answer is passed on as it comes.
+pub(super) struct Guard {
+    line: Line,
+    ticket: Ticket,
+    endpoint: EndpointKey,
+    channel: Option<Box<Channel>>,
+    keep: Option<Duration>,
+    id: String,
+}
+
+impl Guard {
+    pub(super) fn new(
+        line: &Line,
+        ticket: Ticket,
+        endpoint: EndpointKey,
+        channel: Box<Channel>,
+        head: &Head,
+        headers: &HeaderMap,
+    ) -> Self {
+        Self {
+            line: line.clone(),
+            ticket,
+            endpoint,
+            channel: Some(channel),
+            keep: kept(headers),
+            id: head.id.clone(),
+        }
+    }
+
+    /// Notes that the answer was read to its end.
+    pub(super) fn complete(&mut self) {
+        self.ticket.finish(self.endpoint, Outcome::Answered);
+        if let Some(channel) = self.channel.take() {
+            self.line.channels.give_back(*channel, self.keep);
+        }
+    }
+
+    /// Notes that the answer broke off.
+    pub(super) fn broke(&mut self, error: &hyper::Error) {
+        log::warn!(target: CALLS, id = self.id.as_str(), error = error.to_string().as_str();
+            "An answer broke off midway.");
+        let outcome = Outcome::Failed(ErrorKind::AnswerShort);
+        self.ticket.finish(self.endpoint, outcome);
+        self.channel = None;
+    }
+}
+
+/// Builds the request for an endpoint.
+pub(super) fn request(head: &Head, peer: &Peer, body: Sent) -> Request<Sent> {
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = head.target.clone();
+    *request.headers_mut() = head.headers.clone();
+    let left = head.deadline.saturating_duration_since(Instant::now());
+    let headers = request.headers_mut();
+    set(headers, header::DEADLINE, &left.as_millis().to_string());
+    set(headers, header::EXPECT_ENDPOINT, &peer.id);
+    request
+}
+
+/// Sets a header; a value that no header can hold is left out.
+pub(super) fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Reads a header as text.
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Removes headers that concern one connection only.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    let named = headers.get_all("connection").iter();
+    let named: Vec<String> = named
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in header::HOP_BY_HOP {
+        headers.remove(*name);
+    }
+}
+
+/// Runs one attempt; with `flow` the answer is passed on from its head.
+pub(super) async fn run(
+    line: Line,
+    head: Rc<Head>,
+    endpoint: EndpointKey,
+    peer: Peer,
+    body: Sent,
+    flow: bool,
+) -> Done {
+    let sent = request(&head, &peer, body);
+    let (response, channel) = match line.channels.send(peer.address, sent).await {
+        Ok(answer) => answer,
+        Err(fault) => return faulted(&head, &peer, &fault),
+    };
+    let told = text(response.headers(), header::LOAD).and_then(header::load);
+    if let Some((running, queued, slots)) = told {
+        line.calls.told(endpoint, running, queued, slots);
+    }
+    let done = received(&line, &head, response, channel, flow).await;
+    if let Done::NotRun(kind) | Done::Failed(kind, _) = &done {
+        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*peer.id;
+            "An attempt failed: {kind}.");
+    }
+    done
+}
+
+fn faulted(head: &Head, peer: &Peer, fault: &Fault) -> Done {
+    log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*peer.id,
+        error = fault.to_string().as_str(); "An endpoint did not answer.");
+    if fault.unsent() {
+        Done::NotRun(ErrorKind::EndpointDown)
+    } else {
+        Done::Failed(ErrorKind::EndpointBroken, None)
+    }
+}
+
+async fn received(
+    line: &Line,
+    head: &Head,
+    response: Response<Incoming>,
+    channel: Channel,
+    flow: bool,
+) -> Done {
+    let (mut parts, body) = response.into_parts();
+    let echo = text(&parts.headers, header::REQUEST);
+    let foreign = echo.is_some_and(|echo| echo != head.id);
+    if foreign {
+        // Late for an earlier request: the connection is out of step.
+        return Done::Failed(ErrorKind::EndpointBroken, None);
+    }
+    let status = parts.status;
+    if parts.headers.contains_key(header::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
+        // Its body says no more, but has to be read to keep the connection.
+        drain(line, body, channel, &parts.headers).await;
+        return Done::NotRun(match status {
+            StatusCode::MISDIRECTED_REQUEST => ErrorKind::Stopping,
+            _ => ErrorKind::Saturated,
+        });
+    }
+    let signed = parts.headers.contains_key(header::SIGNATURE);
+    let whole = echo.is_some() && signed && !parts.headers.contains_key(CONTENT_ENCODING);
+    if status.is_success() && !whole {
+        return Done::Failed(ErrorKind::EndpointBroken, None);
+    }
+    let keep = kept(&parts.headers);
+    let received = match read(body, flow && status.is_success()).await {
+        Ok((first, None)) => {
+            line.channels.give_back(channel, keep);
+            Received::Whole(join(first))
+        }
+        Ok((first, Some(rest))) => Received::Flow(first, rest, Box::new(channel)),
+        Err(error) => {
+            log::info!(target: CALLS, id = head.id.as_str(), error = error.to_string().as_str();
+                "An answer is not whole.");
+            return Done::Failed(ErrorKind::AnswerShort, None);
+        }
+    };
+    strip(&mut parts.headers);
+    if matches!(received, Received::Whole(_)) {
+        parts.headers.remove(CONTENT_LENGTH);
+    }
+    let answer = Answer {
+        status,
+        headers: parts.headers,
+        body: received,
+    };
+    if status.is_server_error() {
+        return Done::Failed(ErrorKind::EndpointBroken, Some(answer));
+    }
+    Done::Answer(answer)
+}
+
+/// Reads a body whole, or its beginning if it is long or passed on as it comes.
+async fn read(
+    mut body: Incoming,
+    flow: bool,
+) -> Result<(VecDeque<Bytes>, Option<Incoming>), hyper::Error> {
+    let mut first = VecDeque::new();
+    let mut length = 0;
+    if flow || body.size_hint().lower() > WHOLE as u64 {
+        return Ok((first, Some(body)));
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        length += data.len();
+        first.push_back(data);
+        if length > WHOLE {
+            return Ok((first, Some(body)));
+        }
+    }
+    Ok((first, None))
+}
+
+fn join(mut parts: VecDeque<Bytes>) -> Bytes {
+    if parts.len() == 1 {
+        return parts.pop_front().unwrap_or_default();
+    }
+    parts.into_iter().flatten().collect()
+}
+
+async fn drain(line: &Line, body: Incoming, channel: Channel, headers: &HeaderMap) {
+    let keep = kept(headers);
+    if let Ok((_, None)) = read(body, false).await {
+        line.channels.give_back(channel, keep);
+    }
+}
+
+/// Reads how long an endpoint keeps an idle connection.
+pub(super) fn kept(headers: &HeaderMap) -> Option<Duration> {
+    let value = text(headers, "keep-alive")?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -0,0 +1,176 @@
+//! Starts items at engines.
+//!
+//! The batch that is due first goes first: its trainer waits for it, and the
+//! next step can't be asked for before it is done.
+
+use super::{Batches, Owned};
+use crate::logs::BATCHES;
+use hibiscusroad::{
+    catalog::{Kind, Route},
+    rollout::{
+        batch::Break,
+        engines::{EngineKey, Want},
+    },
+};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{task::spawn_local, time::sleep_until};
+
+/// While items wait for room the engines are looked at again so often: what
+/// other owners leave shows without an event here.
+const LOOK: Duration = Duration::from_millis(40);
+
+/// An item's place at an engine, given up when it is dropped.
+pub(super) struct Seat {
+    batches: Rc<Batches>,
+    pub(super) key: EngineKey,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.batches.engines.borrow_mut().end(self.key);
+        self.batches.work.notify_one();
+    }
+}
+
+impl Batches {
+    /// Starts items for as long as the process runs.
+    pub(in crate::gateway) async fn dispatch(self: Rc<Self>) {
+        loop {
+            let now = Instant::now();
+            let mut mine: Vec<Rc<Owned>> = self.mine.borrow().values().cloned().collect();
+            mine.sort_by_key(|owned| owned.due);
+            for owned in &mine {
+                self.start_all(now, owned);
+            }
+            let waits = mine.iter().any(|owned| owned.batch.borrow().waiting() > 0);
+            if waits {
+                tokio::select! {
+                    () = self.work.notified() => {}
+                    () = sleep_until((now + LOOK).into()) => {}
+                }
+            } else {
+                self.work.notified().await;
+            }
+        }
+    }
+
+    /// Returns the route of a batch, as it is in force now.
+    pub(super) fn route(&self, owned: &Owned) -> Option<Route> {
+        let catalog = self.known.catalog()?;
+        let route = catalog.find(&owned.host, &owned.path)?;
+        (route.kind == Kind::Rollout).then(|| route.clone())
+    }
+
+    fn start_all(self: &Rc<Self>, now: Instant, owned: &Rc<Owned>) {
+        if owned.over.get() || owned.batch.borrow().next_start(now).is_none() {
+            return;
+        }
+        let Some(route) = self.route(owned) else {
+            log::warn!(target: BATCHES, batch = owned.id.as_str();
+                "A batch's route is gone; what is not done is given up.");
+            owned.batch.borrow_mut().give_up();
+            owned.ready.notify_one();
+            return;
+        };
+        loop {
+            let next = owned.batch.borrow().next_start(now);
+            let Some(n) = next else { return };
+            let Some(key) = self.choose(now, owned, &route, n) else {
+                return;
+            };
+            self.start(now, owned, &route, n, key);
+        }
+    }
+
+    fn choose(&self, now: Instant, owned: &Owned, route: &Route, n: usize) -> Option<EngineKey> {
+        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
+        let service = route.service(draw)?;
+        let submission = &owned.submission;
+        let model = submission.model.as_deref();
+        let engines = self.engines.borrow();
+        let pinned = owned.batch.borrow().pinned(n);
+        let lost = pinned
+            .zip(model)
+            .is_some_and(|(version, model)| !engines.has_version(service, model, version));
+        if lost {
+            // No engine can go on with the text under its version.
+            owned.batch.borrow_mut().restart(n);
+        }
+        let group = &submission.items[n].group;
+        engines.choose(
+            now,
+            &Want {
+                service,
+                model,
+                floor: submission.floor,
+                exact: pinned.filter(|_| !lost),
+                group,
+                near: owned.near.borrow().get(group).copied(),
+            },
+        )
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        now: Instant,
+        owned: &Rc<Owned>,
+        route: &Route,
+        n: usize,
+        key: EngineKey,
+    ) {
+        let id = self.engines.borrow().id(key).map(str::to_owned);
+        let endpoint = id.and_then(|id| self.members.get(&id));
+        let Some(endpoint) = endpoint else {
+            self.engines.borrow_mut().failed(now, key);
+            return;
+        };
+        self.engines.borrow_mut().start(key);
+        let seat = Seat {
+            batches: Rc::clone(self),
+            key,
+        };
+        let group = owned.submission.items[n].group.clone();
+        owned.near.borrow_mut().insert(group, key);
+        let (partial, exact) = owned.batch.borrow_mut().start(n);
+        let (batches, route) = (Rc::clone(self), route.clone());
+        let run = {
+            let owned = Rc::clone(owned);
+            async move {
+                batches
+                    .item(&owned, &route, n, seat, endpoint, partial, exact)
+                    .await;
+            }
+        };
+        let task = spawn_local(run);
+        let mut tasks = owned.tasks.borrow_mut();
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(task);
+    }
+
+    /// Notes that a run broke off, for the item and for the engine.
+    pub(super) fn broke(
+        &self,
+        owned: &Owned,
+        n: usize,
+        key: EngineKey,
+        partial: hibiscusroad::rollout::batch::Partial,
+        cause: Break,
+    ) {
+        let now = Instant::now();
+        let mut engines = self.engines.borrow_mut();
+        match cause {
+            Break::NotRun => engines.refused(now, key),
+            Break::Lost => engines.failed(now, key),
+            Break::Failed | Break::Never => {}
+        }
+        owned
+            .near
+            .borrow_mut()
+            .remove(&owned.submission.items[n].group);
+        owned.batch.borrow_mut().broke(now, n, partial, cause);
+        owned.ready.notify_one();
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -0,0 +1,185 @@
+//! Batches of trainers: accepted once, run by one owner, readable everywhere.
+//!
+//! * [`submit`]: acceptance, by one conditional write.
+//! * [`heads`]: what every process knows of all batches, from the store.
+//! * [`owner`]: who runs a batch, and when another takes it over.
+//! * [`dispatch`]: starts items at engines.
+//! * [`generate`]: one run of one item.
+//! * [`score`]: the scorer's call.
+//! * [`list`]: writes results, in order.
+//! * [`read`]: answers about batches, at any process.
+//!
+//! Everything that a trainer may rely on is in the store before it is said:
+//! the submission before its 202, a result before it is read. The owner's
+//! memory only saves the way there.
+
+mod dispatch;
+mod generate;
+mod heads;
+mod list;
+mod owner;
+mod read;
+mod score;
+mod submit;
+
+use super::{attempt::Line, known::Known, store::Store, sync::Members};
+use hibiscusroad::{
+    rollout::{
+        Submission,
+        batch::Batch,
+        engines::{EngineKey, Engines},
+        row::Head,
+    },
+    roster::News,
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Instant,
+};
+use tokio::{sync::Notify, task::JoinHandle};
+
+pub(super) use self::heads::sink;
+
+/// A batch as the store holds it.
+#[derive(Clone, Debug)]
+pub(super) struct HeadRow {
+    head: Head,
+    /// The row's version.
+    version: u64,
+    /// When this process first heard of this owner.
+    since: Instant,
+}
+
+/// All batches, as this process sees them.
+pub(super) struct Batches {
+    /// This life of this process.
+    life: String,
+    /// The name of this process.
+    name: String,
+    row_bytes: usize,
+    store: Rc<Store>,
+    line: Line,
+    members: Rc<Members>,
+    known: Rc<Known>,
+    engines: RefCell<Engines>,
+    heads: RefCell<HashMap<String, HeadRow>>,
+    mine: RefCell<HashMap<String, Rc<Owned>>>,
+    /// Submissions read for their bodies, the last ones used.
+    bodies: RefCell<Vec<(String, Rc<Submission>)>>,
+    /// Something may start, or has to be looked at.
+    work: Notify,
+    /// Owners of batches changed.
+    owners: Notify,
+    /// This process has got a batch.
+    owning: Notify,
+    /// No batch is accepted or taken over any more.
+    leaving: Cell<bool>,
+}
+
+/// A batch that this process runs.
+struct Owned {
+    id: String,
+    submission: Submission,
+    path: String,
+    host: String,
+    /// The version of its head's row.
+    version: Cell<u64>,
+    due: Instant,
+    /// When it may be given up.
+    expires: Option<Instant>,
+    batch: RefCell<Batch>,
+    /// Results in the order of their positions, as they are kept.
+    listed: RefCell<Vec<Vec<u8>>>,
+    /// Where items of each group went last.
+    near: RefCell<HashMap<String, EngineKey>>,
+    /// A result is ready to be listed.
+    ready: Notify,
+    /// A result was listed.
+    news: Notify,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    over: Cell<bool>,
+}
+
+impl Owned {
+    /// Stops all that runs of it.
+    fn stop(&self) {
+        self.over.set(true);
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+        self.news.notify_waiters();
+    }
+}
+
+impl Batches {
+    pub(super) fn new(
+        name: &str,
+        life: &str,
+        row_bytes: usize,
+        store: Rc<Store>,
+        line: Line,
+        members: Rc<Members>,
+        known: Rc<Known>,
+    ) -> Self {
+        Self {
+            life: life.to_owned(),
+            name: name.to_owned(),
+            row_bytes,
+            store,
+            line,
+            members,
+            known,
+            engines: RefCell::new(Engines::new()),
+            heads: RefCell::default(),
+            mine: RefCell::default(),
+            bodies: RefCell::default(),
+            work: Notify::new(),
+            owners: Notify::new(),
+            owning: Notify::new(),
+            leaving: Cell::new(false),
+        }
+    }
+
+    /// Takes in a change of the roster.
+    pub(super) fn roster(&self, news: &News) {
+        let mut engines = self.engines.borrow_mut();
+        match news {
+            News::Seen(e) if !e.weights.is_empty() => {
+                engines.set(&e.id, &e.service, e.slots, !e.leaving, &e.weights);
+            }
+            News::Seen(_) => {}
+            News::Gone(id) => engines.remove(id),
+        }
+        drop(engines);
+        self.work.notify_one();
+    }
+
+    /// Returns by model the lag that its newest step allows, and its work.
+    pub(super) fn needs(&self) -> HashMap<String, (u64, u64)> {
+        let heads = self.heads.borrow();
+        let mut rows: Vec<&Head> = heads.values().map(|row| &row.head).collect();
+        rows.sort_by_key(|head| head.accepted);
+        let needs = rows.into_iter().filter_map(|head| {
+            let model = head.model.clone()?;
+            Some((model, (head.lag, head.work)))
+        });
+        needs.collect()
+    }
+
+    /// Returns how many items of this process run at an engine.
+    pub(super) fn running_at(&self, endpoint: &str) -> u32 {
+        self.engines.borrow().mine(endpoint)
+    }
+
+    /// Takes in a version that an engine reported.
+    pub(super) fn saw(&self, endpoint: &str, model: &str, version: u64) {
+        let mut engines = self.engines.borrow_mut();
+        if let Some(key) = engines.key(endpoint) {
+            engines.weights(key, model, version);
+        }
+        drop(engines);
+        self.work.notify_one();
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -0,0 +1,307 @@
+//! Who runs a batch, and when another takes it over.
+//!
+//! The owner renews its row while it has batches. The others look at those rows
+//! while there are batches of others; one that did not change for
+//! [`SILENCE`], or that another life of the process has overwritten, has no
+//! living owner. Time counts only while this process itself reached the store:
+//! after an outage no row has changed for long, and all owners live.
+//!
+//! A wrong suspicion costs work that is done twice: the former owner's writes
+//! fail from the takeover on, since they require the head as it left it.
+
+use super::{Batches, HeadRow, Owned};
+use crate::{gateway::store::millis, logs::BATCHES, platform::Backoff};
+use hibiscusroad::{
+    rollout::{
+        Submission,
+        batch::Batch,
+        row::{self, Head, Presence},
+    },
+    table::{Change, Commit, Range},
+};
+use hibiscusroad_platform::batch;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::Notify,
+    task::spawn_local,
+    time::{sleep, sleep_until},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Time between two renewals, and between two looks: three fit in the silence.
+const RENEWAL: Duration = Duration::from_millis(600);
+/// A row that did not change for so long has no living owner. A slow store
+/// answers within a third of a second, and a pause of this length has cost the
+/// owner its items anyway.
+const SILENCE: Duration = Duration::from_millis(2_000);
+/// A batch whose owner has no row at all is given so long for its first.
+const FIRST: Duration = Duration::from_millis(1_200);
+/// Processes that see the same silence are spread over this time, so that one
+/// of them writes and the others hear of it.
+const SPREAD: u64 = 250;
+/// Rows of this many processes are looked at as often as renewed; beyond, less
+/// often in proportion, so that looking takes the same share of the store.
+const WATCHERS: usize = 32;
+const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
+
+/// What was seen of the rows of processes.
+#[derive(Default)]
+struct Seen {
+    rows: HashMap<String, (u64, String, Instant)>,
+    at: Option<Instant>,
+}
+
+impl Batches {
+    /// Renews this process's row while it has batches.
+    pub(in crate::gateway) async fn renew(self: Rc<Self>) {
+        let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        let value = serde_json::to_vec(&Presence {
+            life: self.life.clone(),
+        });
+        let value = value.unwrap_or_default();
+        // The first row tells of this life, and ends the time of the former.
+        loop {
+            let change = Change::new().put(row::entry(&self.name), value.clone());
+            let done = self.store.transact(&change).await;
+            if !matches!(done, Commit::Done { .. }) {
+                sleep(backoff.next_wait(&mut rand::rng())).await;
+                continue;
+            }
+            backoff.reset();
+            loop {
+                sleep(RENEWAL).await;
+                if !self.mine.borrow().is_empty() {
+                    break;
+                }
+                self.owning.notified().await;
+            }
+        }
+    }
+
+    /// Takes over batches whose owners are gone.
+    pub(in crate::gateway) async fn watch(self: Rc<Self>) {
+        let mut seen = Seen::default();
+        loop {
+            let foreign = self.foreign();
+            if foreign.is_empty() || self.leaving.get() {
+                self.owners.notified().await;
+                continue;
+            }
+            match self.look(&mut seen).await {
+                Ok(()) => {
+                    let now = Instant::now();
+                    for (id, row) in foreign {
+                        if let Some(why) = seen.lost(now, &row) {
+                            self.take_over(&id, &row, why).await;
+                        }
+                    }
+                }
+                Err(error) => {
+                    seen = Seen::default();
+                    log::debug!(target: BATCHES, error = error.as_str();
+                        "Owners of batches could not be looked at.");
+                }
+            }
+            let share = seen.rows.len().div_ceil(WATCHERS).max(1);
+            sleep(RENEWAL * u32::try_from(share).unwrap_or(1)).await;
+        }
+    }
+
+    fn foreign(&self) -> Vec<(String, HeadRow)> {
+        let heads = self.heads.borrow();
+        let now = millis(self.store.now().unwrap_or_default());
+        let open = |row: &HeadRow| !row.head.ended && now < row.head.until;
+        let open = heads.iter().filter(|(_, row)| open(row));
+        let foreign = open.filter(|(_, row)| row.head.owner != self.life);
+        foreign.map(|(id, row)| (id.clone(), row.clone())).collect()
+    }
+
+    async fn look(&self, seen: &mut Seen) -> Result<(), String> {
+        let page = self
+            .store
+            .read(&Range {
+                table: row::ENTRIES,
+                part: "",
+                from: None,
+                end: None,
+                limit: None,
+            })
+            .await;
+        let page = page.map_err(|failure| failure.to_string())?;
+        let now = Instant::now();
+        for found in page.rows {
+            let Ok(presence) = serde_json::from_slice::<Presence>(&found.value) else {
+                log::error!(target: BATCHES, entry = found.id.key.as_str();
+                    "The row of a process is broken; it is ignored.");
+                continue;
+            };
+            let known = seen.rows.get(&found.id.key);
+            if known.is_none_or(|(version, ..)| *version != found.version) {
+                let row = (found.version, presence.life, now);
+                seen.rows.insert(found.id.key, row);
+            }
+        }
+        seen.at = Some(now);
+        Ok(())
+    }
+
+    async fn take_over(self: &Rc<Self>, id: &str, row: &HeadRow, why: &str) {
+        let draw = xxh3_64_with_seed(self.life.as_bytes(), row.version);
+        sleep(Duration::from_millis(draw % SPREAD)).await;
+        let now = self.head(id);
+        if self.leaving.get() || now.is_none_or(|now| now.version != row.version) {
+            return;
+        }
+        let head = Head {
+            owner: self.life.clone(),
+            ..row.head.clone()
+        };
+        let change = Change::new()
+            .expect(row::head(id), row.version)
+            .put(row::head(id), head.encode());
+        match self.store.transact(&change).await {
+            Commit::Done { version, .. } => {
+                log::info!(target: BATCHES, batch = id, from = row.head.owner.as_str(),
+                    why = why, row = version; "A batch is taken over.");
+                self.set(id, head.clone(), version);
+                spawn_local(Rc::clone(self).adopt(id.to_owned(), head, version));
+            }
+            Commit::Conflict(rows) => rows.iter().for_each(|row| self.note(row)),
+            Commit::Refused | Commit::Unknown => {}
+        }
+    }
+
+    /// Begins to run a batch that the store says is this process's.
+    pub(super) async fn adopt(self: Rc<Self>, id: String, head: Head, version: u64) {
+        let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        loop {
+            if self.mine.borrow().contains_key(&id) || self.leaving.get() {
+                return;
+            }
+            if self.head(&id).is_none_or(|row| row.version != version) {
+                return;
+            }
+            match self.load(&id).await {
+                Ok((submission, results)) => {
+                    if !self.mine.borrow().contains_key(&id) {
+                        self.run(&id, head, version, submission, &results);
+                    }
+                    return;
+                }
+                Err(error) => {
+                    log::warn!(target: BATCHES, batch = id.as_str(), error = error.as_str();
+                        "A batch could not be loaded yet.");
+                    sleep(backoff.next_wait(&mut rand::rng())).await;
+                }
+            }
+        }
+    }
+
+    async fn load(&self, id: &str) -> Result<(Submission, Vec<Vec<u8>>), String> {
+        let object = self.store.get_object(&row::object(id)).await;
+        let object = object.map_err(|failure| failure.to_string())?;
+        let object = object.ok_or("its submission is not there")?;
+        let submission = batch::submission(&object).map_err(|error| error.to_string())?;
+        let results = self
+            .kept(id, 0)
+            .await
+            .map_err(|failure| failure.to_string())?;
+        Ok((submission, results))
+    }
+
+    /// Runs a batch from what is listed of it.
+    pub(super) fn run(
+        self: &Rc<Self>,
+        id: &str,
+        head: Head,
+        version: u64,
+        submission: Submission,
+        results: &[Vec<u8>],
+    ) {
+        let now = Instant::now();
+        let catalog = self.known.catalog();
+        let route = catalog.and_then(|c| c.find(&head.host, &head.path).cloned());
+        let attempts = route.as_ref().map_or(1, |route| route.attempts);
+        let single = route.as_ref().is_some_and(|route| route.single);
+        let mut batch = Batch::new(now, &submission, attempts, single);
+        for result in results {
+            match batch::result_item(result) {
+                Ok(item) => batch.restore(&item),
+                Err(error) => log::error!(target: BATCHES, batch = id,
+                    error = error.to_string().as_str(); "A kept result is broken."),
+            }
+        }
+        let age = head.age(self.store.now().unwrap_or_default());
+        let accepted = now.checked_sub(age).unwrap_or(now);
+        let owned = Rc::new(Owned {
+            id: id.to_owned(),
+            path: head.path,
+            host: head.host,
+            submission,
+            due: accepted + route.as_ref().and_then(|r| r.due).unwrap_or_default(),
+            expires: route.and_then(|r| r.ttl).map(|ttl| accepted + ttl),
+            version: Cell::new(version),
+            batch: RefCell::new(batch),
+            listed: RefCell::new(results.to_vec()),
+            near: RefCell::default(),
+            ready: Notify::new(),
+            news: Notify::new(),
+            tasks: RefCell::default(),
+            over: Cell::new(false),
+        });
+        log::info!(target: BATCHES, batch = id, listed = results.len(),
+            age_ms = millis(age); "A batch is run here.");
+        let lister = spawn_local(Rc::clone(self).list(Rc::clone(&owned)));
+        owned.tasks.borrow_mut().push(lister);
+        if let Some(expires) = owned.expires {
+            let expiry = spawn_local(Rc::clone(&owned).expire(expires));
+            owned.tasks.borrow_mut().push(expiry);
+        }
+        self.mine.borrow_mut().insert(id.to_owned(), owned);
+        self.owning.notify_one();
+        self.work.notify_one();
+    }
+
+    /// Gives all batches back, so that others take them over at once.
+    pub(in crate::gateway) async fn leave(&self) {
+        self.leaving.set(true);
+        for (_, owned) in self.mine.borrow_mut().drain() {
+            owned.stop();
+        }
+        let change = Change::new().remove(row::entry(&self.name));
+        let done = self.store.transact(&change).await;
+        log::info!(target: BATCHES, done = matches!(done, Commit::Done { .. });
+            "All batches are given back.");
+    }
+}
+
+impl Owned {
+    /// Gives up what isn't done when its time is over.
+    async fn expire(self: Rc<Self>, at: Instant) {
+        sleep_until(at.into()).await;
+        log::info!(target: BATCHES, batch = self.id.as_str(); "A batch is given up: its time is over.");
+        self.batch.borrow_mut().give_up();
+        self.ready.notify_one();
+    }
+}
+
+impl Seen {
+    /// Says why the owner of a batch is taken to be gone, if it is.
+    fn lost(&self, now: Instant, row: &HeadRow) -> Option<&'static str> {
+        let (name, _) = row.head.owner.rsplit_once('/')?;
+        let Some((_, life, since)) = self.rows.get(name) else {
+            let waited = now.saturating_duration_since(row.since);
+            return (waited > FIRST).then_some("it has no row");
+        };
+        if *life != row.head.owner {
+            return Some("it lives anew");
+        }
+        let since = (*since).max(row.since);
+        (now.saturating_duration_since(since) > SILENCE).then_some("it is silent")
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -0,0 +1,260 @@
+//! Answers about batches, at any process.
+//!
+//! The owner answers from its memory, which holds only what the store has;
+//! others read the rows. What can't be read is never said to be missing: only
+//! the store's word that there is no head is a "not found".
+
+use super::{Batches, HeadRow, Owned, list::REFERENCE};
+use crate::{
+    gateway::{
+        answer::{Out, problem, whole},
+        store::Failure,
+    },
+    logs::BATCHES,
+};
+use hibiscusroad::{
+    ErrorKind,
+    rollout::{
+        Submission,
+        row::{self, Head},
+    },
+    table::{Change, Commit, Range},
+};
+use hibiscusroad_platform::batch::{self, Call};
+use hyper::{Response, StatusCode};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time::{sleep, sleep_until, timeout_at};
+
+/// Bytes of results in one answer.
+const MOST: usize = 900 << 10;
+/// Longest time that a reader is kept waiting, whatever it asks for.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause between looks for a waiting reader: a tenth of the time in which an
+/// item is generated.
+const LOOK: Duration = Duration::from_millis(150);
+/// When a reader comes back to a process that can't read.
+const RETURN: Duration = Duration::from_millis(300);
+/// Submissions kept for requests of their bodies: a few hundred KB each.
+const BODIES: usize = 4;
+/// Tries to end a batch, each after the row has changed meanwhile.
+const ENDS: usize = 5;
+
+impl Batches {
+    /// Answers a call about a batch.
+    pub(in crate::gateway) async fn answer(
+        self: &Rc<Self>,
+        call: Call,
+        wait: Duration,
+    ) -> Response<Out> {
+        let answer = match &call {
+            Call::Read { batch, after } => self.results(batch, *after, wait.min(WAIT)).await,
+            Call::Body { batch, item } => self.body(batch, item).await,
+            Call::End { batch } => self.end(batch).await,
+        };
+        answer.unwrap_or_else(|failure| {
+            log::info!(target: BATCHES, call:? = call, error = failure.to_string().as_str();
+                "A call about a batch can't be answered.");
+            problem(ErrorKind::StoreDown, RETURN)
+        })
+    }
+
+    /// Finds the head of a batch, in the store if it isn't known here.
+    async fn find(self: &Rc<Self>, id: &str) -> Result<Option<HeadRow>, Failure> {
+        if let Some(row) = self.head(id) {
+            return Ok(Some(row));
+        }
+        let name = row::head(id);
+        let end = format!("{id}\0");
+        let page = self
+            .store
+            .read(&Range {
+                table: &name.table,
+                part: &name.part,
+                from: Some(id),
+                end: Some(&end),
+                limit: Some(1),
+            })
+            .await?;
+        page.rows.iter().for_each(|row| self.note(row));
+        Ok(self.head(id))
+    }
+
+    async fn results(
+        self: &Rc<Self>,
+        id: &str,
+        after: usize,
+        wait: Duration,
+    ) -> Result<Response<Out>, Failure> {
+        let end = Instant::now() + wait;
+        let Some(row) = self.find(id).await? else {
+            return Ok(problem(ErrorKind::UnknownBatch, Duration::ZERO));
+        };
+        let total = row.head.total;
+        loop {
+            let mine = self.mine.borrow().get(id).cloned();
+            let found = match &mine {
+                Some(owned) => listed(owned, after),
+                None => self.kept(id, after).await?,
+            };
+            let ended = self.head(id).is_some_and(|row| row.head.ended);
+            if !found.is_empty() || after >= total || ended || Instant::now() >= end {
+                let body = batch::results(total, after, &some(found));
+                return Ok(whole(StatusCode::OK, "application/json", body));
+            }
+            match mine {
+                Some(owned) => {
+                    let news = owned.news.notified();
+                    if listed(&owned, after).is_empty() && !owned.over.get() {
+                        let _over = timeout_at(end.into(), news).await.is_err();
+                    }
+                }
+                None => sleep_until((Instant::now() + LOOK).min(end).into()).await,
+            }
+        }
+    }
+
+    /// Reads the kept results of a batch from a position on.
+    pub(super) async fn kept(&self, id: &str, after: usize) -> Result<Vec<Vec<u8>>, Failure> {
+        let name = row::result(id, after);
+        // The slash before the position is followed by a zero in byte order.
+        let end = format!("{id}0");
+        let mut from = name.key.clone();
+        let mut found = Vec::new();
+        loop {
+            let page = self
+                .store
+                .read(&Range {
+                    table: &name.table,
+                    part: &name.part,
+                    from: Some(&from),
+                    end: Some(&end),
+                    limit: None,
+                })
+                .await?;
+            let more = page.truncated;
+            for row in page.rows {
+                from = format!("{}\0", row.id.key);
+                found.push(self.result_value(row.value).await?);
+            }
+            if !more {
+                return Ok(found);
+            }
+        }
+    }
+
+    /// Follows the name of an object where a result was too long for its row.
+    async fn result_value(&self, value: Vec<u8>) -> Result<Vec<u8>, Failure> {
+        let Some(name) = value.strip_prefix(REFERENCE.as_bytes()) else {
+            return Ok(value);
+        };
+        let name = String::from_utf8_lossy(name);
+        let object = self.store.get_object(&name).await?;
+        let object = object.ok_or_else(|| Failure::Refused(format!("{name} is not there")))?;
+        Ok(object.to_vec())
+    }
+
+    async fn body(self: &Rc<Self>, id: &str, item: &str) -> Result<Response<Out>, Failure> {
+        let unknown = || problem(ErrorKind::UnknownBatch, Duration::ZERO);
+        let Some(row) = self.find(id).await? else {
+            return Ok(unknown());
+        };
+        if row.head.ended {
+            return Ok(unknown());
+        }
+        let mine = self.mine.borrow().get(id).cloned();
+        let body = match mine {
+            Some(owned) => item_body(&owned.submission, item),
+            None => item_body(&*self.submission(id).await?, item),
+        };
+        Ok(body.map_or_else(unknown, |body| {
+            whole(StatusCode::OK, "application/octet-stream", body)
+        }))
+    }
+
+    /// Reads a batch's submission, or remembers it.
+    async fn submission(&self, id: &str) -> Result<Rc<Submission>, Failure> {
+        let known = self
+            .bodies
+            .borrow()
+            .iter()
+            .find(|(known, _)| known == id)
+            .cloned();
+        if let Some((_, submission)) = known {
+            return Ok(submission);
+        }
+        let object = self.store.get_object(&row::object(id)).await?;
+        let object = object.ok_or_else(|| Failure::Refused("no submission is there".into()))?;
+        let submission = Rc::new(batch::submission(&object)?);
+        let mut bodies = self.bodies.borrow_mut();
+        if bodies.len() >= BODIES {
+            bodies.remove(0);
+        }
+        bodies.push((id.to_owned(), Rc::clone(&submission)));
+        Ok(submission)
+    }
+
+    /// Ends a batch, which a repeated call finds done.
+    async fn end(self: &Rc<Self>, id: &str) -> Result<Response<Out>, Failure> {
+        for _ in 0..ENDS {
+            let Some(row) = self.find(id).await? else {
+                return Ok(problem(ErrorKind::UnknownBatch, Duration::ZERO));
+            };
+            if row.head.ended {
+                return Ok(whole(StatusCode::OK, "", ""));
+            }
+            let head = Head {
+                ended: true,
+                ..row.head
+            };
+            let name = row::head(id);
+            let change = Change::new()
+                .expect(name.clone(), row.version)
+                .put(name.clone(), head.encode());
+            match self.store.transact(&change).await {
+                Commit::Done { version, .. } => {
+                    log::info!(target: BATCHES, batch = id, row = version; "A batch is ended.");
+                    self.note(&hibiscusroad::table::Row {
+                        id: name,
+                        value: head.encode(),
+                        version,
+                    });
+                    return Ok(whole(StatusCode::OK, "", ""));
+                }
+                Commit::Conflict(rows) => rows.iter().for_each(|row| self.note(row)),
+                Commit::Refused => sleep(LOOK).await,
+                Commit::Unknown => {}
+            }
+        }
+        Err(Failure::Lost(
+            "the end of a batch could not be written".into(),
+        ))
+    }
+}
+
+/// Returns what the owner has listed from a position on.
+fn listed(owned: &Owned, after: usize) -> Vec<Vec<u8>> {
+    let listed = owned.listed.borrow();
+    listed.get(after..).unwrap_or_default().to_vec()
+}
+
+/// Takes as many results as fit in one answer, one at least.
+fn some(results: Vec<Vec<u8>>) -> Vec<Vec<u8>> {
+    let mut bytes = 0;
+    let mut taken = Vec::new();
+    for result in results {
+        bytes += result.len();
+        if bytes > MOST && !taken.is_empty() {
+            break;
+        }
+        taken.push(result);
+    }
+    taken
+}
+
+fn item_body(submission: &Submission, id: &str) -> Option<Vec<u8>> {
+    let item = submission.items.iter().find(|item| item.id == id)?;
+    Some(item.body.clone())
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -0,0 +1,179 @@
+//! Acceptance of a batch.
+//!
+//! The submission is kept as an object first; nothing refers to it yet. The
+//! batch exists from the write of its head on, on the condition that there is
+//! none. So a refusal is true as long as no head was sent, or the store said
+//! that it did not write it. If no answer comes, the write may still be done
+//! seconds later: the caller gets an answer that promises nothing and submits
+//! again, and finds the head or writes it then.
+
+use super::Batches;
+use crate::{
+    gateway::{
+        answer::{Out, problem, whole},
+        store::millis,
+    },
+    logs::BATCHES,
+    platform::Backoff,
+};
+use hibiscusroad::{
+    ErrorKind,
+    catalog::Route,
+    rollout::{
+        Submission,
+        row::{self, Head},
+    },
+    table::{Change, Commit, Row},
+};
+use hibiscusroad_platform::batch;
+use hyper::{Response, StatusCode, body::Bytes};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time::sleep;
+
+/// A submission is worth an answer within its route's target; beyond this its
+/// trainer does better to ask another process.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// When a trainer comes back that was refused: outages of the store last
+/// seconds, and another process may reach it.
+const RETURN: Duration = Duration::from_millis(400);
+/// How long a batch is run if its route doesn't say.
+const LIFE: Duration = Duration::from_secs(600);
+/// Pauses between tries.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
+
+impl Batches {
+    /// Accepts a batch, once, or refuses it.
+    pub(in crate::gateway) async fn submit(
+        self: &Rc<Self>,
+        id: &str,
+        path: &str,
+        route: &Route,
+        body: Bytes,
+    ) -> Response<Out> {
+        if self.head(id).is_some() {
+            return accepted();
+        }
+        let submission = match batch::submission(&body) {
+            Ok(submission) if unique(&submission) => submission,
+            Ok(_) => return problem(ErrorKind::BadBody, Duration::ZERO),
+            Err(error) => {
+                log::warn!(target: BATCHES, batch = id, error = error.to_string().as_str();
+                    "A submission is not understood.");
+                return problem(ErrorKind::BadBody, Duration::ZERO);
+            }
+        };
+        let end = Instant::now() + PATIENCE;
+        if let Err(failure) = self.keep(id, &body, end).await {
+            log::warn!(target: BATCHES, batch = id, error = failure.as_str();
+                "A submission could not be kept; it is refused.");
+            return problem(ErrorKind::StoreDown, RETURN);
+        }
+        self.enter(id, path, route, submission, end).await
+    }
+
+    /// Keeps the submission's object.
+    async fn keep(&self, id: &str, body: &Bytes, end: Instant) -> Result<(), String> {
+        let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        loop {
+            let kept = self.store.put_object(&row::object(id), body.to_vec()).await;
+            let Err(failure) = kept else {
+                return Ok(());
+            };
+            if Instant::now() >= end {
+                return Err(failure.to_string());
+            }
+            sleep(backoff.next_wait(&mut rand::rng())).await;
+        }
+    }
+
+    /// Writes the head.
+    async fn enter(
+        self: &Rc<Self>,
+        id: &str,
+        path: &str,
+        route: &Route,
+        submission: Submission,
+        end: Instant,
+    ) -> Response<Out> {
+        let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        // Whether a write may be done although no answer said so.
+        let mut open = false;
+        let head = self.new_head(path, route, &submission);
+        loop {
+            let change = Change::new()
+                .expect(row::head(id), 0)
+                .put(row::head(id), head.encode());
+            match self.store.transact(&change).await {
+                Commit::Done { version, .. } => {
+                    log::info!(target: BATCHES, batch = id, items = submission.items.len(),
+                        floor = submission.floor, row = version; "A batch is accepted.");
+                    self.set(id, head.clone(), version);
+                    self.run(id, head, version, submission, &[]);
+                    return accepted();
+                }
+                Commit::Conflict(rows) => {
+                    rows.iter().for_each(|row| self.note(row));
+                    return self.found(id, &rows);
+                }
+                Commit::Refused => {}
+                Commit::Unknown => open = true,
+            }
+            if Instant::now() >= end {
+                break;
+            }
+            sleep(backoff.next_wait(&mut rand::rng())).await;
+        }
+        log::warn!(target: BATCHES, batch = id, unknown = open; "A batch is not accepted.");
+        if open {
+            problem(ErrorKind::OutcomeUnknown, RETURN)
+        } else {
+            problem(ErrorKind::StoreDown, RETURN)
+        }
+    }
+
+    fn found(&self, id: &str, rows: &[Row]) -> Response<Out> {
+        if rows.iter().any(|row| row.id.key == id) {
+            return accepted();
+        }
+        log::error!(target: BATCHES, batch = id; "The store refuses a head without naming its row.");
+        problem(ErrorKind::OutcomeUnknown, RETURN)
+    }
+
+    fn new_head(&self, path: &str, route: &Route, submission: &Submission) -> Head {
+        let tokens = |item: &hibiscusroad::rollout::Item| u64::from(item.tokens);
+        let model = submission.model.clone();
+        let named = model
+            .as_ref()
+            .and_then(|model| self.known.named().get(model).copied());
+        let accepted = millis(self.store.now().unwrap_or_default());
+        Head {
+            host: route.host.clone(),
+            path: path.to_owned(),
+            accepted,
+            until: accepted + millis(route.ttl.or(route.due).unwrap_or(LIFE)),
+            owner: self.life.clone(),
+            total: submission.items.len(),
+            ended: false,
+            lag: named.unwrap_or(1).saturating_sub(submission.floor),
+            work: submission.items.iter().map(tokens).sum(),
+            model,
+        }
+    }
+}
+
+fn unique(submission: &Submission) -> bool {
+    let mut ids: Vec<&str> = submission
+        .items
+        .iter()
+        .map(|item| item.id.as_str())
+        .collect();
+    ids.sort_unstable();
+    ids.windows(2).all(|pair| pair[0] != pair[1])
+}
+
+fn accepted() -> Response<Out> {
+    whole(StatusCode::ACCEPTED, "", Bytes::new())
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -0,0 +1,251 @@
+//! The router of this process and the requests that wait for its steps.
+//!
+//! A request hands its call over and gets the router's steps for it, one after
+//! the other, through a queue of its own. Dropped, it takes its call back, so
+//! that a caller that leaves frees what it held at once.
+
+use super::store::millis;
+use crate::logs::CALLS;
+use hibiscusroad::{
+    Class, ErrorKind, Incarnation, RequestId,
+    catalog::Catalog,
+    roster::{Endpoint, News},
+    route::{
+        Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
+    },
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::{
+        Notify,
+        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    },
+    time::sleep_until,
+};
+
+/// An endpoint that the router may name.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) id: Rc<str>,
+    pub(super) address: SocketAddr,
+}
+
+/// The router and those who wait for it.
+#[derive(Debug)]
+pub(super) struct Calls {
+    router: RefCell<Router>,
+    waiting: RefCell<HashMap<RequestId, UnboundedSender<Step>>>,
+    keys: RefCell<HashMap<String, EndpointKey>>,
+    peers: RefCell<HashMap<EndpointKey, Peer>>,
+    changed: Notify,
+    life: Incarnation,
+    seq: Cell<u64>,
+}
+
+/// One request's place at the router.
+#[derive(Debug)]
+pub(super) struct Ticket {
+    calls: Rc<Calls>,
+    id: RequestId,
+    steps: UnboundedReceiver<Step>,
+    over: bool,
+}
+
+impl Calls {
+    pub(super) fn new(place: &str, life: Incarnation) -> Self {
+        Self {
+            router: RefCell::new(Router::new(place, life.0)),
+            waiting: RefCell::default(),
+            keys: RefCell::default(),
+            peers: RefCell::default(),
+            changed: Notify::new(),
+            life,
+            seq: Cell::new(0),
+        }
+    }
+
+    /// Takes in the services of a configuration.
+    pub(super) fn configure(&self, catalog: &Catalog) {
+        let now = Instant::now();
+        for service in catalog.services() {
+            self.service(now, &service.name);
+        }
+        self.flush();
+    }
+
+    /// Takes in a change of the roster.
+    pub(super) fn roster(&self, news: &News) {
+        let now = Instant::now();
+        match news {
+            News::Seen(endpoint) => self.seen(now, endpoint),
+            News::Gone(id) => {
+                if let Some(key) = self.keys.borrow_mut().remove(id) {
+                    self.router.borrow_mut().remove_endpoint(now, key);
+                }
+            }
+        }
+        self.flush();
+    }
+
+    fn seen(&self, now: Instant, endpoint: &Endpoint) {
+        let known = self.keys.borrow().get(&endpoint.id).copied();
+        let key = known.unwrap_or_else(|| {
+            let service = self.service(now, &endpoint.service);
+            let spec = EndpointSpec::new(&endpoint.id, &endpoint.place).limit(endpoint.slots);
+            let key = self.router.borrow_mut().add_endpoint(now, service, spec);
+            self.keys.borrow_mut().insert(endpoint.id.clone(), key);
+            key
+        });
+        let peer = Peer {
+            id: endpoint.id.as_str().into(),
+            address: endpoint.address,
+        };
+        self.peers.borrow_mut().insert(key, peer);
+        self.router
+            .borrow_mut()
+            .set_open(now, key, !endpoint.leaving);
+    }
+
+    fn service(&self, now: Instant, name: &str) -> ServiceKey {
+        let mut router = self.router.borrow_mut();
+        let known = router.service(name);
+        known.unwrap_or_else(|| router.set_service(now, name, ServiceSpec::new()))
+    }
+
+    /// Hands a call over; `shape` completes it.
+    pub(super) fn arrive(
+        self: &Rc<Self>,
+        service: &str,
+        class: Class,
+        deadline: Instant,
+        shape: impl FnOnce(Call) -> Call,
+    ) -> Ticket {
+        let now = Instant::now();
+        let key = self.service(now, service);
+        self.seq.set(self.seq.get() + 1);
+        let id = RequestId {
+            origin: self.life,
+            seq: self.seq.get(),
+        };
+        let (sender, steps) = unbounded_channel();
+        self.waiting.borrow_mut().insert(id, sender);
+        let call = shape(Call::new(id, key, class, deadline));
+        self.router.borrow_mut().arrive(now, call);
+        self.flush();
+        Ticket {
+            calls: Rc::clone(self),
+            id,
+            steps,
+            over: false,
+        }
+    }
+
+    /// Takes in the load that an endpoint told.
+    pub(super) fn told(&self, endpoint: EndpointKey, running: u32, queued: u32, slots: u32) {
+        let report = LoadReport {
+            running,
+            queued,
+            limit: slots,
+            ..LoadReport::default()
+        };
+        self.router
+            .borrow_mut()
+            .report(Instant::now(), endpoint, report);
+        self.flush();
+    }
+
+    /// Returns where an endpoint is.
+    pub(super) fn peer(&self, key: EndpointKey) -> Option<Peer> {
+        self.peers.borrow().get(&key).cloned()
+    }
+
+    /// Runs what the router has to do at a time of its own.
+    pub(super) async fn run(&self) {
+        loop {
+            let due = self.router.borrow().next_due();
+            let changed = self.changed.notified();
+            match due {
+                Some(due) => {
+                    tokio::select! {
+                        () = sleep_until(due.into()) => {
+                            self.router.borrow_mut().tick(Instant::now());
+                            self.flush();
+                        }
+                        () = changed => {}
+                    }
+                }
+                None => changed.await,
+            }
+        }
+    }
+
+    fn flush(&self) {
+        loop {
+            let step = self.router.borrow_mut().next_step();
+            let Some(step) = step else { break };
+            let (Step::Start { id, .. } | Step::Cancel { id, .. } | Step::Refuse { id, .. }) = step;
+            if let Some(sender) = self.waiting.borrow().get(&id) {
+                // A request that is gone has taken its call back already.
+                let _gone = sender.send(step).is_err();
+            }
+        }
+        self.changed.notify_one();
+    }
+}
+
+impl Ticket {
+    /// Waits for the router's next step.
+    pub(super) async fn next(&mut self) -> Step {
+        let refused = Step::Refuse {
+            id: self.id,
+            kind: ErrorKind::Internal,
+            after: Duration::ZERO,
+        };
+        let step = self.steps.recv().await.unwrap_or(refused);
+        if let Step::Refuse { kind, after, .. } = step {
+            self.over = true;
+            log::debug!(target: CALLS, after_ms = millis(after); "The router refuses: {kind}.");
+        }
+        step
+    }
+
+    /// Tells how an attempt ended.
+    pub(super) fn finish(&mut self, endpoint: EndpointKey, outcome: Outcome) {
+        self.over |= outcome == Outcome::Answered;
+        let now = Instant::now();
+        self.calls
+            .router
+            .borrow_mut()
+            .finish(now, self.id, endpoint, outcome);
+        self.calls.flush();
+    }
+
+    /// Tells that the caller has got a part of this attempt's answer.
+    pub(super) fn commit(&mut self, endpoint: EndpointKey) {
+        let now = Instant::now();
+        self.calls
+            .router
+            .borrow_mut()
+            .commit(now, self.id, endpoint);
+        self.calls.flush();
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.calls.waiting.borrow_mut().remove(&self.id);
+        if !self.over {
+            self.calls
+                .router
+                .borrow_mut()
+                .cancel(Instant::now(), self.id);
+        }
+        self.calls.flush();
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -0,0 +1,164 @@
+//! The path of one request from its caller to an endpoint and back.
+//!
+//! The router says where it starts, where it starts again, and when there is no
+//! point in going on; this module carries that out, with two attempts under way
+//! at the most. Dropped, it drops the attempts and with them their connections:
+//! that is how the work of a caller that has left is cancelled.
+
+use super::{
+    answer::{Flow, Out, problem, whole},
+    attempt::{Answer, Done, Guard, Head, Line, Received, run},
+    calls::Ticket,
+    http::{Rest, Sent, whole as whole_body},
+};
+use crate::logs::CALLS;
+use hibiscusroad::{
+    Class, ErrorKind, Repeat,
+    catalog::Kind,
+    route::{EndpointKey, Outcome, Step},
+};
+use http_body_util::Either;
+use hyper::{Response, body::Bytes};
+use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
+
+/// A request's body, as far as it can be sent again.
+pub(super) enum Content {
+    /// All of it; can be sent any number of times.
+    Whole(Bytes),
+    /// It comes while it is sent; can be sent once.
+    Once(Option<Box<Rest>>),
+}
+
+impl Content {
+    fn send(&mut self) -> Option<Sent> {
+        match self {
+            Self::Whole(body) => Some(whole_body(body.clone())),
+            Self::Once(rest) => rest.take().map(|rest| Either::Right(*rest)),
+        }
+    }
+}
+
+/// A request that is to be run.
+pub(super) struct Forward {
+    pub(super) head: Rc<Head>,
+    pub(super) content: Content,
+    pub(super) service: String,
+    pub(super) class: Class,
+    pub(super) kind: Kind,
+    pub(super) attempts: u32,
+    pub(super) tokens: u32,
+}
+
+/// How a request ended.
+pub(super) enum Ended {
+    /// With an endpoint's answer; the ticket if more of it is to come.
+    Answer(Answer, Option<(Ticket, EndpointKey)>),
+    /// Without one.
+    Refused(ErrorKind, Duration),
+}
+
+type Running = (EndpointKey, Pin<Box<dyn Future<Output = Done>>>);
+
+/// Runs a request and returns its answer for the caller.
+pub(super) async fn forward(line: &Line, request: Forward) -> Response<Out> {
+    let head = Rc::clone(&request.head);
+    match ended(line, request).await {
+        Ended::Answer(answer, more) => respond(line, &head, answer, more),
+        Ended::Refused(kind, after) => {
+            log::info!(target: CALLS, id = head.id.as_str(), kind = kind.answer().problem,
+                after_ms = super::store::millis(after); "A request is refused.");
+            problem(kind, after)
+        }
+    }
+}
+
+/// Runs a request until it is answered or refused.
+pub(super) async fn ended(line: &Line, mut request: Forward) -> Ended {
+    let repeat = match request.kind {
+        Kind::Idempotent => Repeat::Free,
+        Kind::Once | Kind::Stream { .. } | Kind::Rollout => Repeat::Once,
+    };
+    let flow = matches!(request.kind, Kind::Stream { .. });
+    let tries = u8::try_from(request.attempts).unwrap_or(u8::MAX);
+    let deadline = request.head.deadline;
+    let shape =
+        |call: hibiscusroad::route::Call| call.repeat(repeat).tries(tries).tokens(request.tokens);
+    let mut ticket = line
+        .calls
+        .arrive(&request.service, request.class, deadline, shape);
+    let mut running: Vec<Running> = Vec::new();
+    // What an endpoint told of its own failure, if nothing better comes.
+    let mut told = None;
+    loop {
+        tokio::select! {
+            step = ticket.next() => match step {
+                Step::Start { endpoint, .. } => {
+                    let peer = line.calls.peer(endpoint);
+                    let (Some(peer), Some(body)) = (peer, request.content.send()) else {
+                        ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
+                        continue;
+                    };
+                    let head = Rc::clone(&request.head);
+                    let attempt = run(line.clone(), head, endpoint, peer, body, flow);
+                    running.push((endpoint, Box::pin(attempt)));
+                }
+                Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
+                Step::Refuse { kind, after, .. } => {
+                    return match told {
+                        Some(answer) => Ended::Answer(answer, None),
+                        None => Ended::Refused(kind, after),
+                    };
+                }
+            },
+            (endpoint, done) = first(&mut running) => match done {
+                Done::Answer(answer) if matches!(answer.body, Received::Whole(_)) => {
+                    ticket.finish(endpoint, Outcome::Answered);
+                    return Ended::Answer(answer, None);
+                }
+                Done::Answer(answer) => {
+                    ticket.commit(endpoint);
+                    return Ended::Answer(answer, Some((ticket, endpoint)));
+                }
+                Done::NotRun(kind) => ticket.finish(endpoint, Outcome::NotRun(kind)),
+                Done::Failed(kind, answer) => {
+                    told = answer.filter(|a| matches!(a.body, Received::Whole(_))).or(told);
+                    ticket.finish(endpoint, Outcome::Failed(kind));
+                }
+            },
+        }
+    }
+}
+
+/// Waits for the first attempt that ends; for ever if there is none.
+async fn first(running: &mut Vec<Running>) -> (EndpointKey, Done) {
+    poll_fn(|cx| {
+        for n in 0..running.len() {
+            if let Poll::Ready(done) = running[n].1.as_mut().poll(cx) {
+                let (endpoint, _) = running.swap_remove(n);
+                return Poll::Ready((endpoint, done));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+fn respond(
+    line: &Line,
+    head: &Head,
+    answer: Answer,
+    more: Option<(Ticket, EndpointKey)>,
+) -> Response<Out> {
+    let mut response = match (answer.body, more) {
+        (Received::Whole(body), _) => whole(answer.status, "", body),
+        (Received::Flow(first, rest, channel), Some((ticket, endpoint))) => {
+            let guard = Guard::new(line, ticket, endpoint, channel, head, &answer.headers);
+            let mut response = Response::new(Out::Flow(Flow { first, rest, guard }));
+            *response.status_mut() = answer.status;
+            response
+        }
+        (Received::Flow(..), None) => return problem(ErrorKind::Internal, Duration::ZERO),
+    };
+    *response.headers_mut() = answer.headers;
+    response
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -0,0 +1,235 @@
+//! Connections from this process to endpoints and to the store.
+//!
+//! One request runs on a connection at a time. Whoever sends gets the answer
+//! together with the connection, and gives it back once the answer was read to
+//! its end; one that is dropped instead is closed, which is how work that is no
+//! longer wanted is cancelled at its endpoint. What comes on an idle connection
+//! belongs to nobody: hyper closes it then.
+
+use http_body_util::{Either, Full};
+use hyper::{
+    Request, Response,
+    body::{Body, Bytes, Frame, Incoming, SizeHint},
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::TcpStream,
+    task::{JoinHandle, spawn_local},
+    time::timeout,
+};
+
+/// A connection that isn't there by then won't be: hosts are some milliseconds
+/// apart, and a lost first packet is sent again after a second.
+const CONNECT: Duration = Duration::from_millis(600);
+/// Bytes that were sent and not acknowledged for so long mean a host without
+/// power or behind a partition, which never answers.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Idle connections kept to one address. More are needed only in bursts.
+const KEPT: usize = 16;
+/// Idle connections are kept so long if the other side doesn't say: shorter
+/// than the five seconds that are common among servers.
+const KEEP: Duration = Duration::from_millis(4_000);
+
+/// The body of a request: whole, or what was read of it and the rest as it
+/// comes.
+pub(super) type Sent = Either<Full<Bytes>, Rest>;
+
+/// A body of which the first part was read.
+#[derive(Debug)]
+pub(super) struct Rest {
+    pub(super) first: Option<Bytes>,
+    pub(super) rest: Incoming,
+}
+
+impl Body for Rest {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, |first| first.len() as u64);
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + first);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + first);
+        }
+        hint
+    }
+}
+
+/// Wraps bytes as a request's body.
+pub(super) fn whole(body: Bytes) -> Sent {
+    Either::Left(Full::new(body))
+}
+
+/// Why no answer came.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Fault {
+    /// No connection could be had, or it was closed before anything was sent.
+    #[error("not reached: {0}")]
+    Unreached(String),
+    /// The request was sent, at least in part.
+    #[error("broken: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+impl Fault {
+    /// Says whether nothing of the request can have arrived.
+    pub(super) const fn unsent(&self) -> bool {
+        matches!(self, Self::Unreached(_))
+    }
+}
+
+/// The task that drives a connection; dropped, it closes it.
+#[derive(Debug)]
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection on which one request runs.
+#[derive(Debug)]
+pub(super) struct Channel {
+    sender: SendRequest<Sent>,
+    driver: Driver,
+    address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Idle {
+    channel: Channel,
+    until: Instant,
+}
+
+/// Connections to many addresses, kept while they are of use.
+#[derive(Debug, Default)]
+pub(super) struct Channels {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    opened: Cell<u64>,
+}
+
+impl Channels {
+    pub(super) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how many connections were opened.
+    pub(super) fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Sent>,
+    ) -> Result<(Response<Incoming>, Channel), Fault> {
+        loop {
+            let (mut channel, kept) = match self.take(address) {
+                Some(channel) => (channel, true),
+                None => (self.open(address).await?, false),
+            };
+            match channel.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, channel)),
+                Err(mut error) => match error.take_message() {
+                    // A kept connection was closed meanwhile: nothing was sent.
+                    Some(back) if kept => request = back,
+                    Some(_) => return Err(Fault::Unreached(error.into_error().to_string())),
+                    None => return Err(Fault::Broken(error.into_error())),
+                },
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(super) fn give_back(&self, channel: Channel, keep: Option<Duration>) {
+        if channel.sender.is_closed() {
+            return;
+        }
+        let keep = keep.map_or(KEEP, |told| told.mul_f64(0.8));
+        let until = Instant::now() + keep;
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(channel.address).or_default();
+        kept.retain(|idle| !idle.channel.sender.is_closed());
+        if kept.len() < KEPT {
+            kept.push(Idle { channel, until });
+        }
+    }
+
+    /// Closes idle connections to an address whose endpoint is gone.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Channel> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        // The one that was used last is the least likely to have been closed.
+        while let Some(found) = kept.pop() {
+            if now < found.until && found.channel.sender.is_ready() {
+                return Some(found.channel);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Channel, Fault> {
+        self.opened.set(self.opened.get() + 1);
+        let unreached = |error: io::Error| Fault::Unreached(error.to_string());
+        let stream = timeout(CONNECT, TcpStream::connect(address))
+            .await
+            .map_err(|_elapsed| Fault::Unreached("no connection in time".to_owned()))?
+            .map_err(unreached)?;
+        stream.set_nodelay(true).map_err(unreached)?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+            .map_err(unreached)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = Driver(spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: crate::logs::CALLS, "A connection to {address} ended: {error}.");
+            }
+        }));
+        Ok(Channel {
+            sender,
+            driver,
+            address,
+        })
+    }
+}
+
+impl Channel {
+    /// Says whether the other side closed it.
+    pub(super) fn is_closed(&self) -> bool {
+        self.driver.0.is_finished() || self.sender.is_closed()
+    }
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -0,0 +1,250 @@
+//! The role gateway: callers on one side, endpoints on the other, and what must
+//! last in the platform's store.
+//!
+//! A gateway is for deployments in which endpoints can be called directly and
+//! say themselves whether a request ran. No side stands between then, and
+//! several gateways share the endpoints without talking to each other: what
+//! they have to agree on, who runs a batch and who orders weights, goes through
+//! the store.
+//!
+//! # Threads
+//!
+//! One. A gateway has a small part of a core, where threads only take turns and
+//! each hand-over costs a wake-up of its own. All tasks run on one tokio
+//! runtime, which hyper needs in any case; state is plain tables in cells that
+//! no task holds across a wait. Timers and feeds wake it, nothing polls.
+//!
+//! # Layout
+//!
+//! * [`front`], [`request`], [`forward`], [`attempt`], [`answer`]: a request's
+//!   way, from its caller to an endpoint and back.
+//! * [`calls`]: the router, and the requests that wait for it.
+//! * [`batches`]: batches of trainers. [`weights`]: the duty of loading weights.
+//! * [`store`], [`sync`], [`known`]: the store, and what is known from it.
+//! * [`http`]: connections to endpoints and to the store.
+//! * [`stopping`], [`ready`], [`boot`]: planned stops, readiness, time.
+
+mod answer;
+mod attempt;
+mod batches;
+mod boot;
+mod calls;
+mod forward;
+mod front;
+mod http;
+mod known;
+mod ready;
+mod request;
+mod stopping;
+mod store;
+mod sync;
+mod weights;
+
+use self::{
+    attempt::Line,
+    batches::Batches,
+    calls::Calls,
+    http::Channels,
+    known::Known,
+    stopping::Stop,
+    store::Store,
+    sync::Members,
+    weights::{Parts, Weights},
+};
+use crate::{
+    logs::{self, PROCESS},
+    settings::{Gateway as GatewaySettings, Settings},
+};
+use hibiscusroad::Incarnation;
+use std::{io, path::Path, rc::Rc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    runtime,
+    signal::unix::{SignalKind, signal},
+    task::{LocalSet, spawn_local},
+    time::{interval, timeout},
+};
+
+/// How often the settings file is looked at for a change without a signal.
+const LOOK: Duration = Duration::from_secs(5);
+/// How long giving up duties may take of a planned stop.
+const LEAVING: Duration = Duration::from_millis(1_500);
+
+/// All parts of a gateway.
+struct Gateway {
+    known: Rc<Known>,
+    line: Line,
+    store: Rc<Store>,
+    batches: Rc<Batches>,
+    weights: Rc<Weights>,
+    members: Rc<Members>,
+    stop: Stop,
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Returns the system's error if it can't listen or catch signals.
+pub fn run(settings: &Settings, gateway: &GatewaySettings, file: &Path) -> io::Result<()> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, gateway, file))
+}
+
+async fn serve(settings: &Settings, own: &GatewaySettings, file: &Path) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let callers = TcpListener::bind(own.callers).await?;
+    let ready = TcpListener::bind(own.ready).await?;
+    let gateway = assemble(settings, own);
+    spawn_local(logs::flush());
+    spawn_local(reload(
+        file.to_owned(),
+        settings.clone(),
+        Rc::clone(&gateway),
+    ));
+    follow(&gateway);
+    let accepting = spawn_local(front::accept(Rc::clone(&gateway), callers));
+    spawn_local(ready::serve(Rc::clone(&gateway), ready));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!(target: PROCESS, deadline_s = settings.stop.deadline_s; "A planned stop begins.");
+    gateway.stop.begin();
+    let leaving = async {
+        gateway.batches.leave().await;
+        gateway.weights.leave().await;
+    };
+    if timeout(LEAVING, leaving).await.is_err() {
+        log::warn!(target: PROCESS, "Duties could not be given back; they lapse.");
+    }
+    let grace = Duration::from_secs(settings.stop.deadline_s);
+    gateway.stop.carry_out(grace).await;
+    accepting.abort();
+    logs::flush_now();
+    Ok(())
+}
+
+fn assemble(settings: &Settings, own: &GatewaySettings) -> Rc<Gateway> {
+    let incarnation = Incarnation::draw();
+    let life = format!("{}/{incarnation}", settings.name);
+    let known = Rc::new(Known::new());
+    let store = Rc::new(Store::new(own.store));
+    let calls = Rc::new(Calls::new(&settings.place, incarnation));
+    let channels = Rc::new(Channels::new());
+    let line = Line {
+        calls: Rc::clone(&calls),
+        channels: Rc::clone(&channels),
+    };
+    Rc::new_cyclic(|gateway: &std::rc::Weak<Gateway>| {
+        let hearer = gateway.clone();
+        let members = Rc::new(Members::new(move |news| {
+            if let Some(gateway) = hearer.upgrade() {
+                gateway.line.calls.roster(news);
+                gateway.batches.roster(news);
+                gateway.weights.wake();
+            }
+        }));
+        let batches = Rc::new(Batches::new(
+            &settings.name,
+            &life,
+            own.row_bytes,
+            Rc::clone(&store),
+            line.clone(),
+            Rc::clone(&members),
+            Rc::clone(&known),
+        ));
+        let parts = Parts {
+            store: Rc::clone(&store),
+            known: Rc::clone(&known),
+            members: Rc::clone(&members),
+            batches: Rc::clone(&batches),
+            channels,
+        };
+        let weights = Rc::new(Weights::new(&life, own.lease_ms, own.fences, parts));
+        Gateway {
+            known,
+            line,
+            store,
+            batches,
+            weights,
+            members,
+            stop: Stop::new(),
+        }
+    })
+}
+
+/// Starts the tasks that keep a gateway up to date and carry out its duties.
+fn follow(gateway: &Rc<Gateway>) {
+    let Gateway {
+        known,
+        line,
+        store,
+        batches,
+        weights,
+        members,
+        ..
+    } = &**gateway;
+    store.on_return({
+        let members = Rc::clone(members);
+        move || members.store_back()
+    });
+    let wake = {
+        let weights = Rc::clone(weights);
+        move || weights.wake()
+    };
+    let sinks = [
+        sync::operator(Rc::clone(known), Rc::clone(&line.calls), wake),
+        sync::endpoints(Rc::clone(members)),
+        batches::sink(Rc::clone(batches)),
+    ];
+    for sink in sinks {
+        spawn_local(sync::follow(Rc::clone(store), sink));
+    }
+    let (calls, lapsing) = (Rc::clone(&line.calls), Rc::clone(members));
+    spawn_local(async move { calls.run().await });
+    spawn_local(async move { lapsing.run().await });
+    spawn_local(Rc::clone(batches).renew());
+    spawn_local(Rc::clone(batches).watch());
+    spawn_local(Rc::clone(batches).dispatch());
+    spawn_local(Rc::clone(weights).run());
+}
+
+/// Reads the settings again when a signal says that they changed, or they did.
+async fn reload(file: std::path::PathBuf, mut settings: Settings, gateway: Rc<Gateway>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!(target: PROCESS, "Signals of changed settings can't be caught.");
+        return;
+    };
+    let mut looks = interval(LOOK);
+    loop {
+        let told = tokio::select! {
+            _ = hangup.recv() => true,
+            _ = looks.tick() => false,
+        };
+        match Settings::load(&file) {
+            Ok(new) if new != settings => {
+                apply(&settings, &new, &gateway);
+                settings = new;
+            }
+            Ok(_) if told => log::info!(target: PROCESS, "The settings are read again: no change."),
+            Ok(_) => {}
+            Err(error) => log::error!(target: PROCESS, error = error.to_string().as_str();
+                "Changed settings are broken; those before stay in force."),
+        }
+    }
+}
+
+fn apply(old: &Settings, new: &Settings, gateway: &Gateway) {
+    let (Some(before), Some(own)) = (&old.gateway, &new.gateway) else {
+        log::error!(target: PROCESS, "The role can't change while the process runs.");
+        return;
+    };
+    gateway.store.set_address(own.store);
+    let bound = before.callers != own.callers || before.ready != own.ready;
+    log::info!(target: PROCESS, store = own.store.to_string().as_str(), restart = bound;
+        "Changed settings are in force; what listens changes with a restart.");
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -0,0 +1,234 @@
+//! What a caller's request is, and who answers it.
+
+use super::{
+    Gateway,
+    answer::{Out, problem, whole},
+    attempt::{Head, set, strip, text},
+    forward::{Content, Forward, forward},
+    http::Rest,
+};
+use crate::logs::CALLS;
+use hibiscusroad::{
+    Class, ErrorKind,
+    catalog::{Catalog, Kind, Limits, Route},
+};
+use hibiscusroad_platform::{batch, header};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Body, Bytes, Incoming},
+    header::{HOST, HeaderValue},
+    http::request::Parts,
+};
+use std::{
+    collections::VecDeque,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Bodies up to this size are read whole, so that they can be sent again. One
+/// of 33 MB would be a fifth of a small host's memory.
+const WHOLE: usize = 256 << 10;
+/// Submissions are read whole in any case: a thousand items of 1 KiB each, three
+/// times over for their encoding.
+const SUBMISSION: usize = 8 << 20;
+/// How long a caller waits who names no deadline.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// When callers come back to a process that knows nothing yet: it asks the
+/// store several times a second.
+const UNKNOWING: Duration = Duration::from_millis(300);
+
+impl Gateway {
+    /// Answers a caller's request.
+    pub(super) async fn answer(self: &Rc<Self>, request: Request<Incoming>) -> Response<Out> {
+        let now = Instant::now();
+        let (parts, body) = request.into_parts();
+        let Some(catalog) = self.known.catalog() else {
+            return problem(ErrorKind::NoConfig, UNKNOWING);
+        };
+        let method = parts.method.as_str();
+        if let Some(call) = batch::call(method, parts.uri.path(), parts.uri.query()) {
+            let wait = text(&parts.headers, header::WAIT).and_then(|ms| ms.trim().parse().ok());
+            let wait = Duration::from_millis(wait.unwrap_or(0));
+            return self.batches.answer(call, wait).await;
+        }
+        let route = host(&parts).and_then(|host| catalog.find(host, parts.uri.path()));
+        let Some(route) = route else {
+            return self.unknown(now, &catalog, &parts);
+        };
+        let Some(id) = text(&parts.headers, header::REQUEST).map(str::to_owned) else {
+            return problem(ErrorKind::BadRequest, Duration::ZERO);
+        };
+        if route.kind == Kind::Rollout {
+            return self.submit(&parts, body, route, &id, catalog.limits).await;
+        }
+        let deadline = match deadline(now, &parts.headers, route) {
+            Ok(deadline) => deadline,
+            Err(kind) => return problem(kind, Duration::ZERO),
+        };
+        let content = match content(body, catalog.limits, deadline).await {
+            Ok(content) => content,
+            Err(kind) => return problem(kind, Duration::ZERO),
+        };
+        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
+        let Some(service) = route.service(draw) else {
+            return problem(ErrorKind::NoEndpoint, UNKNOWING);
+        };
+        let tokens = text(&parts.headers, header::TOKENS).and_then(header::tokens);
+        let request = Forward {
+            service: service.to_owned(),
+            class: class(route),
+            kind: route.kind,
+            attempts: route.attempts,
+            tokens: tokens.unwrap_or(0),
+            content,
+            head: Rc::new(head(parts, id, deadline)),
+        };
+        forward(&self.line, request).await
+    }
+
+    /// Answers a request that no route takes.
+    ///
+    /// Only a configuration that is surely current proves that there is none: a
+    /// process that was cut off would otherwise deny a route that was just
+    /// added.
+    fn unknown(&self, now: Instant, catalog: &Catalog, parts: &Parts) -> Response<Out> {
+        if self.known.is_current(now) {
+            return problem(ErrorKind::UnknownPath, Duration::ZERO);
+        }
+        log::info!(target: CALLS, path = parts.uri.path(), version = catalog.version;
+            "No route is known, but the configuration may be old.");
+        problem(ErrorKind::NoConfig, UNKNOWING)
+    }
+
+    async fn submit(
+        self: &Rc<Self>,
+        parts: &Parts,
+        body: Incoming,
+        route: &Route,
+        id: &str,
+        limits: Limits,
+    ) -> Response<Out> {
+        if parts.method != hyper::Method::POST {
+            return problem(ErrorKind::BadMethod, Duration::ZERO);
+        }
+        let most = limits.body.min(SUBMISSION);
+        let body = match read(body, most).await {
+            Ok((body, None)) => body,
+            Ok((_, Some(_))) => return problem(ErrorKind::BodyTooLarge, Duration::ZERO),
+            Err(kind) => return problem(kind, Duration::ZERO),
+        };
+        if self.stop.is_stopping() {
+            return problem(ErrorKind::Stopping, UNKNOWING);
+        }
+        self.batches.submit(id, parts.uri.path(), route, body).await
+    }
+}
+
+fn host(parts: &Parts) -> Option<&str> {
+    let host = text(&parts.headers, "host").or_else(|| parts.uri.host())?;
+    Some(host.split_once(':').map_or(host, |(name, _)| name))
+}
+
+/// The earliest of what the caller, the operator and common sense allow.
+fn deadline(now: Instant, headers: &HeaderMap, route: &Route) -> Result<Instant, ErrorKind> {
+    let told = match text(headers, header::DEADLINE) {
+        Some(ms) => {
+            let ms: f64 = ms.trim().parse().map_err(|_odd| ErrorKind::BadDeadline)?;
+            Duration::try_from_secs_f64(ms / 1000.0).map_err(|_odd| ErrorKind::BadDeadline)?
+        }
+        None => PATIENCE,
+    };
+    Ok(now + told.min(route.timeout.unwrap_or(told)))
+}
+
+/// Callers of routes that rank high wait in person; the others are systems.
+const fn class(route: &Route) -> Class {
+    match route.kind {
+        Kind::Rollout => Class::Rollout,
+        Kind::Idempotent | Kind::Once | Kind::Stream { .. } => Class::Interactive,
+    }
+}
+
+fn head(mut parts: Parts, id: String, deadline: Instant) -> Head {
+    strip(&mut parts.headers);
+    parts.headers.remove("expect");
+    Head {
+        method: parts.method,
+        target: parts.uri,
+        headers: parts.headers,
+        id,
+        deadline,
+    }
+}
+
+/// Builds the head of a request that this process makes itself.
+pub(super) fn own_head(
+    host: &str,
+    path: &str,
+    id: &str,
+    deadline: Instant,
+) -> Result<Head, hyper::http::Error> {
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_str(host)?);
+    set(&mut headers, header::REQUEST, id);
+    Ok(Head {
+        method: hyper::Method::POST,
+        target: path.parse::<hyper::Uri>()?,
+        headers,
+        id: id.to_owned(),
+        deadline,
+    })
+}
+
+async fn content(body: Incoming, limits: Limits, deadline: Instant) -> Result<Content, ErrorKind> {
+    if body.size_hint().lower() > limits.body as u64 {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    let whole = WHOLE.min(limits.body);
+    let read = tokio::time::timeout_at(deadline.into(), read(body, whole));
+    let (first, rest) = read.await.map_err(|_elapsed| ErrorKind::Expired)??;
+    Ok(match rest {
+        None => Content::Whole(first),
+        Some(rest) => Content::Once(Some(Box::new(Rest {
+            first: Some(first),
+            rest,
+        }))),
+    })
+}
+
+/// Reads a body up to `most` bytes; returns the rest if it is longer.
+async fn read(mut body: Incoming, most: usize) -> Result<(Bytes, Option<Incoming>), ErrorKind> {
+    let mut parts = VecDeque::new();
+    let mut length = 0;
+    while length <= most {
+        let Some(frame) = body.frame().await else {
+            let whole = match parts.len() {
+                1 => parts.pop_front().unwrap_or_default(),
+                _ => parts.into_iter().flatten().collect(),
+            };
+            return Ok((whole, None));
+        };
+        let frame = frame.map_err(|error| {
+            log::info!(target: CALLS, error = error.to_string().as_str();
+                "A request's body is not whole.");
+            ErrorKind::BadBody
+        })?;
+        if let Ok(data) = frame.into_data() {
+            length += data.len();
+            parts.push_back(data);
+        }
+    }
+    Ok((parts.into_iter().flatten().collect(), Some(body)))
+}
+
+/// Answers the balancer: whether this process takes callers.
+pub(super) fn readiness(gateway: &Gateway) -> Response<Out> {
+    let ready = gateway.known.catalog().is_some() && !gateway.stop.is_stopping();
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    whole(status, "text/plain", status.as_str().to_owned())
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -0,0 +1,254 @@
+//! The client of the store: one request a call, with time limits.
+//!
+//! It tells apart what callers must tell apart: a call that was surely not
+//! carried out, and one that may have been. It never repeats a call by itself,
+//! since only the caller knows whether that is safe.
+
+use super::http::{Channels, Fault, whole};
+use crate::logs::STORE;
+use hibiscusroad::table::{Change, Changes, Commit, Page, Range};
+use hibiscusroad_platform::{Error as Odd, request::Request, table as wire};
+use http_body_util::BodyExt;
+use hyper::{Request as HttpRequest, body::Bytes};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::time::timeout;
+
+/// An answer takes 4 ms as a rule and up to eighty times that in a slow store;
+/// four such waits fit in the time in which a configuration must be in force.
+const CALL: Duration = Duration::from_millis(900);
+/// Objects take 25 ms as a rule, and are larger.
+const OBJECT: Duration = Duration::from_millis(3_000);
+/// What an answer to a wait may take beyond it.
+const FEED_SLACK: Duration = Duration::from_millis(700);
+
+/// Why a call gave no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Failure {
+    /// It was surely not carried out.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// No answer came; it may have been carried out.
+    #[error("no answer: {0}")]
+    Lost(String),
+    /// The answer isn't what the call asks for.
+    #[error("odd answer: {0}")]
+    Odd(#[from] Odd),
+}
+
+/// The store, as this process reaches it.
+pub(super) struct Store {
+    channels: Channels,
+    address: Cell<SocketAddr>,
+    /// The store's clock and when it was told.
+    told: Cell<Option<(Duration, Instant)>>,
+    /// Since when no call was answered.
+    away: Cell<Option<Instant>>,
+    /// Calls that were sent.
+    calls: Cell<u64>,
+    watchers: RefCell<Vec<Box<dyn Fn()>>>,
+}
+
+impl Store {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self {
+            channels: Channels::new(),
+            address: Cell::new(address),
+            told: Cell::new(None),
+            away: Cell::new(None),
+            calls: Cell::new(0),
+            watchers: RefCell::default(),
+        }
+    }
+
+    /// Goes on at another address.
+    pub(super) fn set_address(&self, address: SocketAddr) {
+        self.address.set(address);
+    }
+
+    /// Calls `act` each time the store answers again after it was away.
+    pub(super) fn on_return(&self, act: impl Fn() + 'static) {
+        self.watchers.borrow_mut().push(Box::new(act));
+    }
+
+    /// Returns the store's steady clock, if it has told it.
+    pub(super) fn now(&self) -> Option<Duration> {
+        let (told, at) = self.told.get()?;
+        Some(told + at.elapsed())
+    }
+
+    /// Returns how many calls were sent.
+    pub(super) fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Says whether the last call was answered.
+    pub(super) fn is_here(&self) -> bool {
+        self.away.get().is_none()
+    }
+
+    /// Reads a range of rows.
+    pub(super) async fn read(&self, range: &Range<'_>) -> Result<Page, Failure> {
+        let (status, body) = self.call(wire::read(range), CALL).await?;
+        let page = wire::page(status, &body, range)?;
+        self.tell(page.now);
+        Ok(page)
+    }
+
+    /// Reads a whole part, page by page.
+    pub(super) async fn read_all(&self, table: &str, part: &str) -> Result<Page, Failure> {
+        let mut all: Option<Page> = None;
+        loop {
+            // The successor of a key is the key with a zero byte behind it.
+            let from = all.as_ref().and_then(|page| page.rows.last());
+            let from = from.map(|row| format!("{}\0", row.id.key));
+            let page = self
+                .read(&Range {
+                    table,
+                    part,
+                    from: from.as_deref(),
+                    end: None,
+                    limit: None,
+                })
+                .await?;
+            let more = page.truncated && !page.rows.is_empty();
+            match &mut all {
+                // The first version is kept: what changed since is in the feed.
+                Some(all) => all.rows.extend(page.rows),
+                None => all = Some(page),
+            }
+            if !more {
+                return Ok(all.unwrap_or_else(|| unreachable!("a page was read")));
+            }
+        }
+    }
+
+    /// Waits for changes of a table; `None` if the history is gone.
+    pub(super) async fn feed(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Changes>, Failure> {
+        let request = wire::feed(table, after, wait);
+        let (status, body) = self.call(request, wait + FEED_SLACK).await?;
+        let changes = wire::changes(status, &body, table)?;
+        if let Some(changes) = &changes {
+            self.tell(changes.now);
+        }
+        Ok(changes)
+    }
+
+    /// Carries out a transaction, or finds out that its outcome is unknown.
+    pub(super) async fn transact(&self, change: &Change) -> Commit {
+        let answer = match self.call(wire::transact(change), CALL).await {
+            Ok((status, body)) => wire::commit(status, &body).map_err(Failure::Odd),
+            Err(failure) => Err(failure),
+        };
+        match answer {
+            Ok(commit) => {
+                if let Commit::Done { now, .. } = commit {
+                    self.tell(now);
+                }
+                commit
+            }
+            Err(Failure::Refused(why)) => {
+                log::debug!(target: STORE, why = why.as_str(); "A write was not sent.");
+                Commit::Refused
+            }
+            Err(failure) => {
+                log::warn!(target: STORE, error = failure.to_string().as_str();
+                    "The outcome of a write is unknown.");
+                Commit::Unknown
+            }
+        }
+    }
+
+    /// Keeps an object; one that exists under this name is the same.
+    pub(super) async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<(), Failure> {
+        match self.call(wire::put_object(name, body), OBJECT).await? {
+            (200..=299 | 412, _) => Ok(()),
+            (status, _) => Err(Failure::Refused(format!("status {status}"))),
+        }
+    }
+
+    /// Reads an object; `None` if there is none.
+    pub(super) async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Failure> {
+        match self.call(wire::get_object(name), OBJECT).await? {
+            (200, body) => Ok(Some(body)),
+            (404, _) => Ok(None),
+            (status, _) => Err(Failure::Refused(format!("status {status}"))),
+        }
+    }
+
+    /// Removes an object.
+    pub(super) async fn drop_object(&self, name: &str) -> Result<(), Failure> {
+        self.call(wire::drop_object(name), OBJECT).await.map(|_| ())
+    }
+
+    async fn call(&self, request: Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
+        self.calls.set(self.calls.get() + 1);
+        let answer = timeout(limit, self.exchange(request)).await;
+        let answer = answer.unwrap_or_else(|_elapsed| Err(Failure::Lost("time is over".into())));
+        match &answer {
+            Ok((status, _)) if !matches!(status, 429 | 503) => self.is_back(),
+            Ok((status, _)) => self.is_away(&format!("status {status}")),
+            Err(failure) => self.is_away(&failure.to_string()),
+        }
+        answer
+    }
+
+    async fn exchange(&self, request: Request) -> Result<(u16, Bytes), Failure> {
+        let mut http = HttpRequest::builder()
+            .method(request.method)
+            .uri(request.target)
+            .header("host", self.address.get().to_string());
+        for (name, value) in request.headers {
+            http = http.header(name, value);
+        }
+        let http = http
+            .body(whole(request.body.into()))
+            .map_err(|error| Failure::Refused(error.to_string()))?;
+        let (response, channel) =
+            self.channels
+                .send(self.address.get(), http)
+                .await
+                .map_err(|fault| match fault {
+                    Fault::Unreached(why) => Failure::Refused(why),
+                    Fault::Broken(error) => Failure::Lost(error.to_string()),
+                })?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| Failure::Lost(error.to_string()))?;
+        self.channels.give_back(channel, None);
+        Ok((status, body.to_bytes()))
+    }
+
+    fn tell(&self, now: Duration) {
+        self.told.set(Some((now, Instant::now())));
+    }
+
+    fn is_back(&self) {
+        if let Some(since) = self.away.take() {
+            log::info!(target: STORE, away_ms = millis(since.elapsed()); "The store answers again.");
+            for act in self.watchers.borrow().iter() {
+                act();
+            }
+        }
+    }
+
+    fn is_away(&self, why: &str) {
+        if self.away.get().is_none() {
+            self.away.set(Some(Instant::now()));
+            log::warn!(target: STORE, error = why; "The store does not answer.");
+        }
+    }
+}
+
+/// Returns whole milliseconds, for logs.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -0,0 +1,434 @@
+//! The duty of loading weights: one holder gives all orders.
+//!
+//! The holder has a lease in the store and sends its fencing number with each
+//! order. It looks at the lease right before it sends, on a clock that runs on
+//! through a suspension, so a holder that was paused past its time sends
+//! nothing. An engine's own count of accepted orders goes along as a condition:
+//! an order whose answer was lost, and that is carried out late, is refused then
+//! because others came after it.
+
+use super::{
+    attempt::set,
+    batches::Batches,
+    boot::BootClock,
+    http::{Channels, whole},
+    known::Known,
+    store::{Store, millis},
+    sync::Members,
+};
+use crate::logs::WEIGHTS;
+use hibiscusroad::{
+    lease::{Lease, Next, Row as LeaseRow, Terms},
+    rollout::{
+        Order, OrderAnswer,
+        wave::{Goal, Load, Loader, Pace, plan},
+    },
+    roster::Endpoint,
+    table::{Change, Commit, Range, RowId},
+};
+use hibiscusroad_platform::{
+    engine::{self, Report},
+    request::Request as Wire,
+};
+use http_body_util::BodyExt;
+use hyper::{Request, body::Bytes};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::Notify,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+/// The table of duties.
+const DUTIES: &str = "duties";
+/// The key of this duty.
+const DUTY: &str = "weights";
+/// An engine answers a report or an order in milliseconds, a slow one in some
+/// hundred; the lease leaves room for several such waits.
+const CALL: Duration = Duration::from_millis(700);
+/// Pause between looks at an engine that loads: a fifth of a load, so that the
+/// next engine starts soon after.
+const LOOK: Duration = Duration::from_millis(180);
+/// A load that isn't seen to end by then is planned anew.
+const LONGEST: Duration = Duration::from_secs(8);
+/// Pause before an engine that didn't take an order is asked again.
+const AGAIN: Duration = Duration::from_millis(400);
+/// Processes that start together are spread over this time.
+const SPREAD_MS: u64 = 300;
+
+/// The duty, as this process sees it.
+pub(super) struct Weights {
+    life: String,
+    lease_ms: u64,
+    fences: bool,
+    clock: BootClock,
+    store: Rc<Store>,
+    known: Rc<Known>,
+    members: Rc<Members>,
+    batches: Rc<Batches>,
+    channels: Rc<Channels>,
+    lease: RefCell<Lease>,
+    /// Engines with an order under way, or that are left alone for a while.
+    loading: RefCell<HashMap<String, Instant>>,
+    /// Versions that engines reported, beyond their entries.
+    seen: RefCell<HashMap<(String, String), u64>>,
+    pace: RefCell<Pace>,
+    /// The lease was another's before: its last order may be so recent.
+    quiet: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+/// What the duty works with.
+pub(super) struct Parts {
+    pub(super) store: Rc<Store>,
+    pub(super) known: Rc<Known>,
+    pub(super) members: Rc<Members>,
+    pub(super) batches: Rc<Batches>,
+    pub(super) channels: Rc<Channels>,
+}
+
+impl Weights {
+    pub(super) fn new(life: &str, lease_ms: u64, fences: bool, parts: Parts) -> Self {
+        let terms = Terms::new().span(Duration::from_millis(lease_ms));
+        Self {
+            life: life.to_owned(),
+            lease_ms,
+            fences,
+            clock: BootClock::new(),
+            store: parts.store,
+            known: parts.known,
+            members: parts.members,
+            batches: parts.batches,
+            channels: parts.channels,
+            lease: RefCell::new(Lease::new(life, terms)),
+            loading: RefCell::default(),
+            seen: RefCell::default(),
+            pace: RefCell::new(Pace::new()),
+            quiet: Cell::new(None),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Notes that engines or versions changed.
+    pub(super) fn wake(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Gives the lease back, so that another process takes it at once.
+    pub(super) async fn leave(&self) {
+        self.lease.borrow_mut().give_back();
+        let step = self.lease.borrow_mut().next(self.clock.now());
+        if let Next::Write { version, row } = step {
+            self.write(version, &row).await;
+        }
+    }
+
+    /// Holds the duty, or watches who does.
+    pub(super) async fn run(self: Rc<Self>) {
+        sleep(Duration::from_millis(rand::random::<u64>() % SPREAD_MS)).await;
+        loop {
+            if self.known.named().is_empty() {
+                self.changed.notified().await;
+                continue;
+            }
+            let now = self.clock.now();
+            let step = self.lease.borrow_mut().next(now);
+            match step {
+                Next::Read => self.read().await,
+                Next::Write { version, row } => self.write(version, &row).await,
+                Next::Sleep(until) => {
+                    if self.fence().is_some() {
+                        self.order();
+                    }
+                    tokio::select! {
+                        () = sleep(until.saturating_duration_since(now)) => {}
+                        () = self.changed.notified() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn fence(&self) -> Option<u64> {
+        self.lease.borrow().fence(self.clock.now())
+    }
+
+    async fn read(&self) {
+        let end = format!("{DUTY}\0");
+        let page = self
+            .store
+            .read(&Range {
+                table: DUTIES,
+                part: "",
+                from: Some(DUTY),
+                end: Some(&end),
+                limit: Some(1),
+            })
+            .await;
+        let now = self.clock.now();
+        match page {
+            Ok(page) => {
+                let row = page.rows.first();
+                let found = row.and_then(|row| {
+                    let lease: LeaseRow = serde_json::from_slice(&row.value).ok()?;
+                    Some((row.version, lease))
+                });
+                self.lease.borrow_mut().seen(now, found);
+            }
+            Err(failure) => {
+                log::debug!(target: WEIGHTS, error = failure.to_string().as_str();
+                    "The lease could not be read.");
+                self.lease.borrow_mut().lost(now);
+                sleep(LOOK).await;
+            }
+        }
+    }
+
+    async fn write(&self, version: u64, row: &LeaseRow) {
+        let held = self.fence();
+        let id = RowId::new(DUTIES, "", DUTY);
+        let value = serde_json::to_vec(row).unwrap_or_default();
+        let change = Change::new().expect(id.clone(), version).put(id, value);
+        let done = self.store.transact(&change).await;
+        let now = self.clock.now();
+        match done {
+            Commit::Done { version, .. } => {
+                self.lease.borrow_mut().written(version);
+                if let (None, Some(fence)) = (held, self.fence()) {
+                    self.taken(now, fence);
+                }
+            }
+            Commit::Conflict(_) => self.lease.borrow_mut().beaten(),
+            Commit::Refused | Commit::Unknown => {
+                self.lease.borrow_mut().lost(now);
+                sleep(LOOK).await;
+            }
+        }
+    }
+
+    /// Notes that the lease is this process's now.
+    fn taken(&self, now: Instant, fence: u64) {
+        log::info!(target: WEIGHTS, holder = self.life.as_str(), fence = fence;
+            "The lease of the weights is held.");
+        self.seen.borrow_mut().clear();
+        self.loading.borrow_mut().clear();
+        // Engines that check no numbers can't tell an old holder's order from
+        // a new one's: what the old one sent last has to be over.
+        let wait = !self.fences && fence > 1;
+        let quiet = now + Duration::from_millis(self.lease_ms);
+        self.quiet.set(wait.then_some(quiet));
+    }
+
+    /// Gives the orders that are due.
+    fn order(self: &Rc<Self>) {
+        let now = self.clock.now();
+        if self.quiet.get().is_some_and(|until| now < until) {
+            return;
+        }
+        let goals = self.goals();
+        let engines = self.engines(now, &goals);
+        let at_once = self.pace.borrow().at_once();
+        let busy = engines.iter().filter(|engine| engine.busy).count();
+        for load in plan(&engines, &goals, at_once) {
+            let until = now + LONGEST;
+            self.loading
+                .borrow_mut()
+                .insert(load.endpoint.clone(), until);
+            spawn_local(Rc::clone(self).load(load, busy + 1));
+        }
+    }
+
+    fn goals(&self) -> Vec<Goal> {
+        let needs = self.batches.needs();
+        let goals = self.known.named().into_iter().map(|(model, named)| {
+            let need = needs.get(&model).copied();
+            let (lag, work) = need.unwrap_or((0, 0));
+            Goal {
+                model,
+                named,
+                lag,
+                work: work as f64,
+            }
+        });
+        goals.collect()
+    }
+
+    fn engines(&self, now: Instant, goals: &[Goal]) -> Vec<Loader> {
+        let Some(catalog) = self.known.catalog() else {
+            return Vec::new();
+        };
+        let wanted = |models: &[String]| goals.iter().any(|g| models.contains(&g.model));
+        let services = catalog.services().filter(|service| {
+            let engine = service.engine.as_ref();
+            engine.is_some_and(|engine| wanted(&engine.models))
+        });
+        let endpoints = services.flat_map(|service| self.members.of(&service.name));
+        let open = endpoints.filter(|endpoint| !endpoint.leaving);
+        open.map(|endpoint| self.loader(now, endpoint)).collect()
+    }
+
+    fn loader(&self, now: Instant, endpoint: Endpoint) -> Loader {
+        let seen = self.seen.borrow();
+        let weights = endpoint.weights.into_iter().map(|weights| {
+            let key = (endpoint.id.clone(), weights.model.clone());
+            let seen = seen.get(&key).copied().unwrap_or(0);
+            (weights.model, weights.version.max(seen))
+        });
+        let weights = weights.collect();
+        let until = self.loading.borrow().get(&endpoint.id).copied();
+        Loader {
+            weights,
+            busy: until.is_some_and(|until| now < until),
+            load: self.batches.running_at(&endpoint.id),
+            id: endpoint.id,
+        }
+    }
+
+    /// Has one engine load one version, and waits until it is seen to run it.
+    async fn load(self: Rc<Self>, load: Load, at_once: usize) {
+        let start = Instant::now();
+        let done = self.try_load(&load).await;
+        let took = start.elapsed();
+        log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
+            version = load.version, at_once = at_once, took_ms = millis(took), done = done;
+            "A load of weights ended.");
+        if done {
+            self.pace.borrow_mut().loaded(at_once, took);
+            self.loading.borrow_mut().remove(&load.endpoint);
+        } else {
+            let until = self.clock.now() + AGAIN;
+            self.loading.borrow_mut().insert(load.endpoint, until);
+            sleep(AGAIN).await;
+        }
+        self.changed.notify_one();
+    }
+
+    async fn try_load(&self, load: &Load) -> bool {
+        let Some(endpoint) = self.members.get(&load.endpoint) else {
+            return false;
+        };
+        let Some(report) = self.report(&endpoint).await else {
+            return false;
+        };
+        if self.runs(load, &report) {
+            return true;
+        }
+        // Looked at last: nothing is waited for between this and the order.
+        let Some(fence) = self.fence().filter(|_| !report.busy) else {
+            return false;
+        };
+        let order = Order {
+            endpoint: load.endpoint.clone(),
+            model: load.model.clone(),
+            version: load.version,
+            holder: self.life.clone(),
+            fence,
+            expected: report.orders,
+        };
+        let answer = self.ask(&endpoint, engine::order(&order)).await;
+        let answer = answer.map_or(OrderAnswer::Unknown, |(status, _)| {
+            engine::order_answer(status)
+        });
+        log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
+            version = load.version, fence = fence, orders = report.orders, answer:? = answer;
+            "An order was given.");
+        match answer {
+            OrderAnswer::Accepted => self.watch(&endpoint, load).await,
+            OrderAnswer::Holds => {
+                self.saw(&load.endpoint, &load.model, load.version);
+                true
+            }
+            OrderAnswer::Fenced => {
+                self.lease.borrow_mut().beaten();
+                false
+            }
+            OrderAnswer::Busy | OrderAnswer::Gone | OrderAnswer::Refused | OrderAnswer::Unknown => {
+                false
+            }
+        }
+    }
+
+    async fn watch(&self, endpoint: &Endpoint, load: &Load) -> bool {
+        let end = Instant::now() + LONGEST;
+        while Instant::now() < end {
+            sleep(LOOK).await;
+            let Some(report) = self.report(endpoint).await else {
+                if self.members.get(&load.endpoint).is_none() {
+                    return false;
+                }
+                continue;
+            };
+            if self.runs(load, &report) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Notes what an engine reports; `true` if it runs the version.
+    fn runs(&self, load: &Load, report: &Report) -> bool {
+        for weights in &report.weights {
+            self.saw(&load.endpoint, &weights.model, weights.version);
+        }
+        let runs = report
+            .weights
+            .iter()
+            .any(|weights| weights.model == load.model && weights.version >= load.version);
+        runs && !report.busy
+    }
+
+    fn saw(&self, endpoint: &str, model: &str, version: u64) {
+        let key = (endpoint.to_owned(), model.to_owned());
+        let mut seen = self.seen.borrow_mut();
+        let known = seen.entry(key).or_default();
+        *known = (*known).max(version);
+        drop(seen);
+        self.batches.saw(endpoint, model, version);
+    }
+
+    async fn report(&self, endpoint: &Endpoint) -> Option<Report> {
+        let (status, body) = self.ask(endpoint, engine::ask_report(&endpoint.id)).await?;
+        match engine::report(status, &body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!(target: WEIGHTS, endpoint = endpoint.id.as_str(),
+                    error = error.to_string().as_str(); "A report is not understood.");
+                None
+            }
+        }
+    }
+
+    async fn ask(&self, endpoint: &Endpoint, wire: Wire) -> Option<(u16, Bytes)> {
+        let answer = timeout(CALL, self.exchange(endpoint, wire)).await;
+        let error = match answer {
+            Ok(Ok(answer)) => return Some(answer),
+            Ok(Err(error)) => error,
+            Err(_elapsed) => "time is over".to_owned(),
+        };
+        log::info!(target: WEIGHTS, endpoint = endpoint.id.as_str(), error = error.as_str();
+            "An engine did not answer.");
+        None
+    }
+
+    async fn exchange(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), String> {
+        let mut request = Request::new(whole(wire.body.into()));
+        *request.method_mut() = wire.method.parse().map_err(|_odd| "odd method")?;
+        *request.uri_mut() = wire.target.parse().map_err(|_odd| "odd target")?;
+        set(request.headers_mut(), "host", &endpoint.address.to_string());
+        for (name, value) in &wire.headers {
+            set(request.headers_mut(), name, value);
+        }
+        let sent = self.channels.send(endpoint.address, request).await;
+        let (response, channel) = sent.map_err(|fault| fault.to_string())?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| error.to_string())?;
+        self.channels.give_back(channel, None);
+        Ok((status, body.to_bytes()))
+    }
+}
--- a/hibiscusroad-daemon/src/lib.rs
+++ b/hibiscusroad-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 //! hand typed events over through one bounded channel. See [`turn`].
 
 pub mod entry;
+pub mod gateway;
 mod headers;
 pub mod logs;
 pub mod metrics;
--- a/hibiscusroad-daemon/src/logs.rs
+++ b/hibiscusroad-daemon/src/logs/mod.rs
@@ -9,16 +9,26 @@
 //! is written for an event of a link, an endpoint or the platform, never for
 //! each request.
 
+mod output;
+
+pub use self::output::{flush, flush_now};
+
 use crate::settings::Log;
 use fern::{Dispatch, FormatCallback};
-use log::{LevelFilter, Record};
+use log::{
+    LevelFilter, Record,
+    kv::{self, VisitSource},
+};
 use serde::Serialize;
+use serde_json::{Map, Value};
 use std::{fmt, io, time::SystemTime};
 
 /// Start and end of a process.
 pub const PROCESS: &str = "process";
 /// An entry's callers.
 pub const CALLERS: &str = "callers";
+/// Batches of trainers.
+pub const BATCHES: &str = "batches";
 /// Requests on their way through an entry.
 pub const CALLS: &str = "calls";
 /// Claims of requests that may not run twice.
@@ -31,12 +41,16 @@
 pub const LINK: &str = "link";
 /// An entry's operators.
 pub const OPERATORS: &str = "operators";
+/// The platform's store, as a gateway reaches it.
+pub const STORE: &str = "store";
+/// Weights of model engines and who orders them.
+pub const WEIGHTS: &str = "weights";
 /// The role side: its links, its gate and its endpoint.
 pub const SIDE: &str = "side";
 
 /// All prefixes of the project's own parts.
 pub const PARTS: &[&str] = &[
-    PROCESS, CALLERS, CALLS, CLAIMS, CONFIG, HOSTS, LINK, OPERATORS, SIDE,
+    PROCESS, BATCHES, CALLERS, CALLS, CLAIMS, CONFIG, HOSTS, LINK, OPERATORS, SIDE, STORE, WEIGHTS,
 ];
 
 /// Libraries whose records below a warning are of no use to operators.
@@ -67,6 +81,26 @@
     Started(#[from] log::SetLoggerError),
 }
 
+/// Starts the logs of a gateway: structured lines on standard output.
+///
+/// Lines are kept in a [`Buffer`] and written by [`flush`], so that a reader of
+/// standard output that stops reading never holds up a request.
+///
+/// # Errors
+///
+/// Returns an error for an unknown level, or if a logger is already set.
+pub fn start_structured(log: &Log) -> Result<(), Error> {
+    let log = Log {
+        format: "json".to_owned(),
+        ..log.clone()
+    };
+    let writer: Box<dyn io::Write + Send> = Box::new(output::Writer);
+    dispatch(&log)?
+        .chain(fern::Output::writer(writer, "\n"))
+        .apply()?;
+    Ok(())
+}
+
 /// Starts the logs of this process.
 ///
 /// # Errors
@@ -104,19 +138,34 @@
 
 fn text(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
     out.finish(format_args!(
-        "{} {:5} {}: {message}",
+        "{} {:5} {}: {message}{}",
         humantime::format_rfc3339_millis(SystemTime::now()),
         record.level(),
         record.target(),
+        Inputs(record),
     ));
 }
 
+/// What decided, behind a line's sentence.
+struct Inputs<'a>(&'a Record<'a>);
+
+impl fmt::Display for Inputs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, value) in fields(self.0) {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
+    }
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     time: String,
     level: &'a str,
     part: &'a str,
     text: String,
+    #[serde(flatten)]
+    fields: Map<String, Value>,
 }
 
 fn json(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
@@ -125,9 +174,32 @@
         level: record.level().as_str(),
         part: record.target(),
         text: message.to_string(),
+        fields: fields(record),
     };
     match serde_json::to_string(&line) {
         Ok(line) => out.finish(format_args!("{line}")),
         Err(error) => out.finish(format_args!("{{\"text\":\"{error}\"}}")),
     }
 }
+
+/// Returns a record's fields by name.
+fn fields(record: &Record<'_>) -> Map<String, Value> {
+    let mut found = Fields(Map::new());
+    // The visitor below never fails.
+    let _whole = record.key_values().visit(&mut found).is_ok();
+    found.0
+}
+
+struct Fields(Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(n), _) => Value::from(n),
+            (None, Some(flag)) => Value::from(flag),
+            (None, None) => Value::from(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- a/hibiscusroad-daemon/src/main.rs
+++ b/hibiscusroad-daemon/src/main.rs
@@ -4,25 +4,31 @@
 //! a second signal.
 
 use hibiscusroad_daemon::{
-    entry, logs,
+    entry, gateway, logs,
     platform::{Budget, Table, leases},
     settings::Settings,
     side,
 };
 use lexopt::prelude::*;
 use std::{
-    error::Error, ffi::OsString, path::PathBuf, process::ExitCode, sync::Arc, time::Instant,
+    error::Error,
+    ffi::OsString,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
+    time::Instant,
 };
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 
 const HELP: &str = "\
-hibiscusroadd: one process of hibiscusroad, entry or side by its settings
+hibiscusroadd: one process of hibiscusroad, its role by its settings
 
 Usage: hibiscusroadd [--check] FILE
 
-  FILE       settings, in TOML; a table [entry] or [side] chooses the role
+  FILE       settings, in TOML; a table [entry], [side] or [gateway]
+             chooses the role
   --check    check the settings and exit
   --help     print this and exit
   --version  print the version and exit
@@ -56,7 +62,7 @@
             Err(error) => return refuse(&error),
         },
         Job::Run(file) => match Settings::load(&file) {
-            Ok(settings) => return run(&settings),
+            Ok(settings) => return run(&settings, &file),
             Err(error) => return refuse(&error),
         },
     }
@@ -89,29 +95,34 @@
     ExitCode::from(EXIT_USAGE)
 }
 
-fn run(settings: &Settings) -> ExitCode {
-    if let Err(error) = logs::start(&settings.log) {
+fn run(settings: &Settings, file: &Path) -> ExitCode {
+    let (role, started) = match (&settings.entry, &settings.gateway) {
+        (Some(_), _) => ("entry", logs::start(&settings.log)),
+        (None, Some(_)) => ("gateway", logs::start_structured(&settings.log)),
+        (None, None) => ("side", logs::start(&settings.log)),
+    };
+    if let Err(error) = started {
         return refuse(&error);
     }
-    let role = if settings.entry.is_some() {
-        "entry"
-    } else {
-        "side"
-    };
     log::info!(target: logs::PROCESS, "{} starts as {role} in {}.", settings.name, settings.place);
-    match serve(settings) {
+    match serve(settings, file) {
         Ok(()) => {
             log::info!(target: logs::PROCESS, "{} stopped.", settings.name);
+            logs::flush_now();
             ExitCode::SUCCESS
         }
         Err(error) => {
             log::error!(target: logs::PROCESS, "{} failed: {error}.", settings.name);
+            logs::flush_now();
             ExitCode::from(EXIT_FAILED)
         }
     }
 }
 
-fn serve(settings: &Settings) -> Result<(), Box<dyn Error>> {
+fn serve(settings: &Settings, file: &Path) -> Result<(), Box<dyn Error>> {
+    if let Some(own) = &settings.gateway {
+        return Ok(gateway::run(settings, own, file)?);
+    }
     if settings.entry.is_some() {
         return Ok(entry::run(settings)?);
     }
--- a/hibiscusroad-daemon/src/settings/check.rs
+++ b/hibiscusroad-daemon/src/settings/check.rs
@@ -14,8 +14,14 @@
 const APART: &[(&str, &str, &str)] = &[
     ("entry", "callers", "operators"),
     ("side", "links", "address"),
+    ("gateway", "callers", "ready"),
+    ("gateway", "callers", "metrics"),
+    ("gateway", "ready", "metrics"),
 ];
 
+/// Tables of which a file has exactly one.
+const ROLES: &[&str] = &["entry", "side", "gateway"];
+
 /// One fault of a settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Problem {
@@ -144,14 +150,18 @@
     }
 
     fn roles(&mut self, root: &DeTable<'_>) {
-        let allowed = "exactly one of the tables [entry] and [side]";
-        match (root.get("entry"), root.get("side")) {
-            (None, None) => self.report(0, "", "no role".into(), allowed.into()),
-            (Some(entry), Some(side)) => {
-                let at = entry.span().start.max(side.span().start);
-                self.report(at, "", "both roles".into(), allowed.into());
-            }
-            _ => {}
+        // A gateway names its store itself and asks nothing else.
+        if !root.contains_key("gateway") && !root.contains_key("platform") {
+            let allowed = "a table [platform]".to_owned();
+            self.report(0, "platform", "nothing".into(), allowed);
+        }
+        let roles = ROLES.iter().filter_map(|role| root.get(*role));
+        let starts: Vec<usize> = roles.map(|table| table.span().start).collect();
+        let allowed = "exactly one of the tables [entry], [side] and [gateway]";
+        match starts.as_slice() {
+            [] => self.report(0, "", "no role".into(), allowed.into()),
+            [_] => {}
+            [.., last] => self.report(*last, "", "several roles".into(), allowed.into()),
         }
     }
 
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -39,7 +39,7 @@
 
 pub use self::{
     check::Problem,
-    roles::{Entry, Side, Tokens},
+    roles::{Entry, Gateway, Side, Tokens},
 };
 pub use hibiscusroad::config::Kind;
 
@@ -78,8 +78,8 @@
     lines.collect::<Vec<_>>().join("\n")
 }
 
-/// All settings of one process. Exactly one of `entry` and `side` is given.
-#[derive(Clone, Debug, Deserialize)]
+/// All settings of one process. Exactly one of the roles is given.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The process's name, unique in the deployment.
@@ -90,12 +90,15 @@
     pub place: String,
     /// The region of the place.
     pub region: String,
-    /// Where the platform's services are.
+    /// Where the platform's services are; a gateway has none.
+    #[serde(default)]
     pub platform: Platform,
     /// Settings of the role entry.
     pub entry: Option<Entry>,
     /// Settings of the role side.
     pub side: Option<Side>,
+    /// Settings of the role gateway.
+    pub gateway: Option<Gateway>,
     /// Logs.
     #[serde(default)]
     pub log: Log,
@@ -146,7 +149,7 @@
 }
 
 /// Where the platform's services are, as URLs without a path.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// The table service, etcd's JSON gateway.
@@ -160,7 +163,7 @@
 }
 
 /// Settings of logs.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     /// `error`, `warn`, `info`, `debug` or `trace`.
@@ -181,7 +184,7 @@
 }
 
 /// Settings of metrics.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Metrics {
     /// Where statsd lines are sent by UDP; none are, without it.
@@ -189,7 +192,7 @@
 }
 
 /// Settings of a planned stop.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Stop {
     /// Seconds that work in flight may take before the process ends anyway.
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -5,7 +5,7 @@
 use std::{fmt, net::SocketAddr};
 
 /// Settings of an entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// Where callers connect.
@@ -107,7 +107,7 @@
 }
 
 /// Tokens that operators show.
-#[derive(Clone, Default, Deserialize)]
+#[derive(Clone, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Tokens {
     /// May ask what is running.
@@ -129,7 +129,7 @@
 }
 
 /// Settings of a side.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Side {
     /// Where entries open links.
@@ -209,6 +209,37 @@
     }
 }
 
+/// Settings of a gateway.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Gateway {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this process takes callers.
+    pub ready: SocketAddr,
+    /// The table service.
+    pub store: SocketAddr,
+    /// Where metrics are served; they aren't, without it.
+    pub metrics: Option<SocketAddr>,
+    /// Milliseconds that a lease lasts.
+    #[serde(default = "default_lease")]
+    pub lease_ms: u64,
+    /// Bytes that a row of the store holds.
+    #[serde(default = "default_row")]
+    pub row_bytes: usize,
+    /// Whether endpoints refuse an order with an old fencing number.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+fn default_lease() -> u64 {
+    3_000
+}
+
+fn default_row() -> usize {
+    64 << 10
+}
+
 fn default_workers() -> usize {
     256
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -94,7 +94,8 @@
     },
     Table {
         path: "platform",
-        needed: true,
+        // Only entries and sides need it; see `Check::roles`.
+        needed: false,
         fields: &[
             needed("table", Rule::Url),
             needed("hosts", Rule::Url),
@@ -135,6 +136,19 @@
             optional("fences", Rule::Flag),
         ],
     },
+    Table {
+        path: "gateway",
+        needed: false,
+        fields: &[
+            needed("callers", Rule::Address),
+            needed("ready", Rule::Address),
+            needed("store", Rule::Address),
+            optional("metrics", Rule::Address),
+            integer("lease_ms", 100, MILLIS_AN_HOUR),
+            integer("row_bytes", 1024, 16 << 20),
+            optional("fences", Rule::Flag),
+        ],
+    },
     Table {
         path: "log",
         needed: false,
--- a/src/error.rs
+++ b/src/error.rs
@@ -88,6 +88,8 @@
     BadMethod = 405, "bad-method", "The method is not allowed here", true, Never;
     /// A command was written for a version of the configuration that is gone.
     ConfigConflict = 409, "config-conflict", "Another change came first", true, Never;
+    /// No batch has this id, or it has ended.
+    UnknownBatch = 404, "unknown-batch", "No such batch", true, Never;
     /// No run has this name.
     UnknownRun = 404, "unknown-run", "No such run", true, Never;
     /// A run of this name was opened with other settings.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //!
 //! One module a concept, each opened by its design and trade-offs:
 //!
+//! * [`catalog`]: routes, services and limits that are in force.
 //! * [`claim`]: how a request that may not run twice runs at most once.
 //! * [`clock`]: the interface through which time enters.
 //! * [`config`]: the document that operators change, and how it spreads.
@@ -30,10 +31,14 @@
 //! * [`id`]: the small keys that name requests and processes.
 //! * [`gate`]: what a side admits, seals, buffers and replays.
 //! * [`lease`]: duties with one holder, and their fencing numbers.
+//! * [`rollout`]: batches for trainers, and the weights they run on.
+//! * [`roster`]: which endpoints there are, as they register themselves.
 //! * [`route`]: admission, queues, placement, limits, retries.
 //! * [`subset`]: which sides an entry keeps links to.
+//! * [`table`]: the narrow interface to what must last.
 //! * [`train`]: a trainer's steps, samples and pace.
 
+pub mod catalog;
 pub mod claim;
 pub mod class;
 pub mod clock;
@@ -42,8 +47,11 @@
 pub mod gate;
 pub mod id;
 pub mod lease;
+pub mod rollout;
+pub mod roster;
 pub mod route;
 pub mod subset;
+pub mod table;
 pub mod train;
 
 pub use crate::{
--- /dev/null
+++ b/src/rollout/batch.rs
@@ -0,0 +1,284 @@
+//! One batch: which item starts next, and what is listed in which order.
+//!
+//! Load: a step of a hundred items before seventy slots, of which the trainer
+//! waits for nine groups in ten. Harm: started in any order, every group waits
+//! for its last item, and the trainer for nearly all groups. So items start by
+//! whole groups, in the order of the submission, whose first groups are those
+//! that were carried over and that the trainer waits for in any case.
+//!
+//! Results are listed in the order in which they were written to the store.
+//! Positions are handed out only here and only after the write before is known
+//! to be done, so a position never holds two results.
+
+use crate::rollout::{ItemResult, Outcome, Submission};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+/// First pause before an item that broke off starts again: an engine that
+/// refused it needs a moment, and another may have room at once.
+const PAUSE_FIRST: Duration = Duration::from_millis(20);
+/// Longest pause: an item has seconds, and engines come back within them.
+const PAUSE_MOST: Duration = Duration::from_millis(500);
+
+/// What of an item's text is there.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Partial {
+    /// The number of the last event in `text`; `None` before the first.
+    pub last: Option<u64>,
+    /// The data of all events so far, joined by line feeds.
+    pub text: String,
+    /// The weight versions that made them.
+    pub versions: Vec<u64>,
+}
+
+/// How a generation broke off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Break {
+    /// The engine said that it did not run.
+    NotRun,
+    /// The connection or the stream failed.
+    Lost,
+    /// The engine failed the run by itself; so many may be tried.
+    Failed,
+    /// The engine said that it can never be done.
+    Never,
+}
+
+#[derive(Debug)]
+enum Phase {
+    Waiting { after: Instant },
+    Running,
+    Scoring,
+    Ready(Outcome),
+    Listed,
+}
+
+#[derive(Debug)]
+struct Row {
+    phase: Phase,
+    partial: Partial,
+    /// Runs that the engine failed by itself.
+    failures: u32,
+    /// Scorer calls that failed by themselves.
+    rejected: u32,
+    /// Breaks in a row, for the pause.
+    breaks: u32,
+}
+
+/// One batch in the hands of its owner.
+#[derive(Debug)]
+pub struct Batch {
+    rows: Vec<Row>,
+    index: HashMap<String, usize>,
+    /// Items in the order in which they start.
+    order: Vec<usize>,
+    listed: usize,
+    attempts: u32,
+    floor: u64,
+    single: bool,
+}
+
+impl Batch {
+    /// Creates the state of a batch of which nothing has run.
+    ///
+    /// `attempts` is how often an item or its scorer may fail; with `single`
+    /// all of a text has to come from one weight version.
+    #[must_use]
+    pub fn new(now: Instant, submission: &Submission, attempts: u32, single: bool) -> Self {
+        let items = &submission.items;
+        let row = || Row {
+            phase: Phase::Waiting { after: now },
+            partial: Partial::default(),
+            failures: 0,
+            rejected: 0,
+            breaks: 0,
+        };
+        let index = items.iter().enumerate().map(|(n, i)| (i.id.clone(), n));
+        Self {
+            rows: items.iter().map(|_| row()).collect(),
+            index: index.collect(),
+            order: start_order(submission),
+            listed: 0,
+            attempts: attempts.max(1),
+            floor: submission.floor,
+            single,
+        }
+    }
+
+    /// Notes a result that was listed by an earlier owner.
+    pub fn restore(&mut self, item: &str) {
+        self.listed += 1;
+        if let Some(n) = self.index.get(item) {
+            self.rows[*n].phase = Phase::Listed;
+        }
+    }
+
+    /// Returns how many results are listed.
+    #[must_use]
+    pub const fn listed(&self) -> usize {
+        self.listed
+    }
+
+    /// Says whether every item is listed.
+    #[must_use]
+    pub const fn complete(&self) -> bool {
+        self.listed >= self.rows.len()
+    }
+
+    /// Returns the item that starts next, if one may start now.
+    #[must_use]
+    pub fn next_start(&self, now: Instant) -> Option<usize> {
+        let due =
+            |n: &usize| matches!(self.rows[*n].phase, Phase::Waiting { after } if after <= now);
+        self.order.iter().copied().find(due)
+    }
+
+    /// Says when an item that pauses may start, if one does.
+    #[must_use]
+    pub fn next_due(&self, now: Instant) -> Option<Instant> {
+        let pauses = self.rows.iter().filter_map(|row| match row.phase {
+            Phase::Waiting { after } if after > now => Some(after),
+            _ => None,
+        });
+        pauses.min()
+    }
+
+    /// Returns how many items wait for an engine.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let waits = |row: &&Row| matches!(row.phase, Phase::Waiting { .. });
+        self.rows.iter().filter(waits).count()
+    }
+
+    /// Notes that an item was sent to an engine, and returns what of its text
+    /// is there and the version that has to go on with it, if only one may.
+    pub fn start(&mut self, n: usize) -> (Partial, Option<u64>) {
+        let row = &mut self.rows[n];
+        row.phase = Phase::Running;
+        let same = self.single.then(|| row.partial.versions.last().copied());
+        (row.partial.clone(), same.flatten())
+    }
+
+    /// Drops what there is of an item's text, because no engine can go on.
+    pub fn restart(&mut self, n: usize) {
+        self.rows[n].partial = Partial::default();
+    }
+
+    /// Returns the version that has to go on with an item, if only one may.
+    #[must_use]
+    pub fn pinned(&self, n: usize) -> Option<u64> {
+        let last = self.rows[n].partial.versions.last().copied();
+        last.filter(|_| self.single)
+    }
+
+    /// Notes that a generation broke off with `partial` of its text.
+    pub fn broke(&mut self, now: Instant, n: usize, partial: Partial, cause: Break) {
+        let keep = self.fits(&partial);
+        let row = &mut self.rows[n];
+        let grown = partial.last > row.partial.last;
+        row.partial = if keep { partial } else { Partial::default() };
+        row.breaks = if grown { 1 } else { row.breaks + 1 };
+        match cause {
+            Break::Never => {
+                row.phase = Phase::Ready(Outcome::Errored);
+                return;
+            }
+            Break::Failed => row.failures += 1,
+            Break::NotRun | Break::Lost => {}
+        }
+        if row.failures >= self.attempts {
+            row.phase = Phase::Ready(Outcome::Errored);
+            return;
+        }
+        let factor = 1 << row.breaks.saturating_sub(1).min(6);
+        let pause = (PAUSE_FIRST * factor).min(PAUSE_MOST);
+        row.phase = Phase::Waiting { after: now + pause };
+    }
+
+    /// Notes that an item's text is whole; `false` if it has to run again
+    /// because its versions don't do.
+    pub fn generated(&mut self, now: Instant, n: usize, partial: Partial) -> bool {
+        if !self.fits(&partial) {
+            self.broke(now, n, Partial::default(), Break::Lost);
+            return false;
+        }
+        let row = &mut self.rows[n];
+        row.partial = partial;
+        row.phase = Phase::Scoring;
+        true
+    }
+
+    /// Notes the scorer's signature, or that none is needed.
+    pub fn scored(&mut self, n: usize, score: Option<String>) {
+        let row = &mut self.rows[n];
+        let partial = std::mem::take(&mut row.partial);
+        row.phase = Phase::Ready(Outcome::Completed {
+            text: partial.text,
+            versions: partial.versions,
+            score,
+        });
+    }
+
+    /// Notes that a scorer call failed by itself; `true` if it was the last.
+    pub fn rejected(&mut self, n: usize, attempts: u32) -> bool {
+        let row = &mut self.rows[n];
+        row.rejected += 1;
+        let over = row.rejected >= attempts.max(self.attempts);
+        if over {
+            row.phase = Phase::Ready(Outcome::Errored);
+        }
+        over
+    }
+
+    /// Gives up what is not done: its time is over.
+    pub fn give_up(&mut self) {
+        for row in &mut self.rows {
+            if !matches!(row.phase, Phase::Ready(_) | Phase::Listed) {
+                row.phase = Phase::Ready(Outcome::Errored);
+            }
+        }
+    }
+
+    /// Returns results that can be listed next, at most `most` of them.
+    #[must_use]
+    pub fn ready(&self, submission: &Submission, most: usize) -> Vec<(usize, ItemResult)> {
+        let ready = self.rows.iter().enumerate().filter_map(|(n, row)| {
+            let Phase::Ready(outcome) = &row.phase else {
+                return None;
+            };
+            let item = submission.items[n].id.clone();
+            let outcome = outcome.clone();
+            Some((n, ItemResult { item, outcome }))
+        });
+        ready.take(most).collect()
+    }
+
+    /// Notes that results were listed, in this order.
+    pub fn list(&mut self, items: impl IntoIterator<Item = usize>) {
+        for n in items {
+            self.rows[n].phase = Phase::Listed;
+            self.listed += 1;
+        }
+    }
+
+    fn fits(&self, partial: &Partial) -> bool {
+        let old = partial.versions.iter().any(|v| *v < self.floor);
+        !old && !(self.single && partial.versions.len() > 1)
+    }
+}
+
+/// Orders items by group, groups as they stand in the submission.
+fn start_order(submission: &Submission) -> Vec<usize> {
+    let mut groups: Vec<Vec<usize>> = Vec::new();
+    let mut index: HashMap<&str, usize> = HashMap::new();
+    for (n, item) in submission.items.iter().enumerate() {
+        let group = *index.entry(&item.group).or_insert_with(|| {
+            groups.push(Vec::new());
+            groups.len() - 1
+        });
+        groups[group].push(n);
+    }
+    groups.into_iter().flatten().collect()
+}
--- /dev/null
+++ b/src/rollout/engines.rs
@@ -0,0 +1,271 @@
+//! Which engine an item of a batch goes to.
+//!
+//! Load: several owners that each send to the same engines, engines of unequal
+//! speed, and engines that load weights meanwhile. Harm: owners that see only
+//! their own items and break ties alike all choose the same engine, which then
+//! refuses most of them; a whole group waits for the one item that went to a
+//! slow engine.
+//!
+//! So an engine's room is its slots less own items and what it last told of
+//! others, which fades with age; engines that refused are left alone for a
+//! while; ties are broken by a hash of group and engine; items of a group
+//! follow each other, since the shared part of their prompt is then read once.
+//! An engine much slower than its peers gets an item only while it has none,
+//! which is enough to see when it recovers.
+
+use slotmap::SlotMap;
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::roster::Weights;
+
+slotmap::new_key_type! {
+    /// Names an engine in [`Engines`].
+    pub struct EngineKey;
+}
+
+/// What an engine told of other callers' requests is believed for so long; a
+/// generation takes about a second, after which the load is another.
+const BELIEVED: Duration = Duration::from_millis(800);
+/// Pause after a refusal: the time in which about one slot in ten becomes free.
+const REFUSED: Duration = Duration::from_millis(100);
+/// Pause after a failed connection, doubled by each further one.
+const FAILED: Duration = Duration::from_millis(250);
+/// Longest pause: an engine that is back is found within it.
+const FAILED_MOST: Duration = Duration::from_secs(4);
+/// Slower than its median peer by this factor is slow. Engines of one service
+/// differ by up to a third when sound; a disturbed one by three and more.
+const SLOW: f64 = 1.9;
+/// Weight of a new sample of an engine's pace.
+const PACE_WEIGHT: f64 = 0.4;
+
+#[derive(Debug)]
+struct Row {
+    id: String,
+    service: String,
+    slots: u32,
+    open: bool,
+    weights: HashMap<String, u64>,
+    mine: u32,
+    others: Option<(Instant, u32)>,
+    away: Option<Instant>,
+    failures: u32,
+    /// Seconds from one event to the next.
+    pace: Option<f64>,
+}
+
+impl Row {
+    fn others(&self, now: Instant) -> u32 {
+        let told = self.others.filter(|(at, _)| now < *at + BELIEVED);
+        told.map_or(0, |(_, n)| n)
+    }
+
+    fn room(&self, now: Instant) -> u32 {
+        self.slots.saturating_sub(self.mine + self.others(now))
+    }
+}
+
+/// What an item needs of its engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model, if it names one.
+    pub model: Option<&'a str>,
+    /// The oldest weight version that will do.
+    pub floor: u64,
+    /// The only weight version that will do.
+    pub exact: Option<u64>,
+    /// Its group.
+    pub group: &'a str,
+    /// Where items of its group went last.
+    pub near: Option<EngineKey>,
+}
+
+/// All engines, as one owner of batches sees them.
+#[derive(Debug, Default)]
+pub struct Engines {
+    rows: SlotMap<EngineKey, Row>,
+    index: HashMap<String, EngineKey>,
+}
+
+impl Engines {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds an engine or takes in what it registered.
+    pub fn set(&mut self, id: &str, service: &str, slots: u32, open: bool, weights: &[Weights]) {
+        let key = self.index.get(id).copied().unwrap_or_else(|| {
+            let key = self.rows.insert(Row {
+                id: id.to_owned(),
+                service: service.to_owned(),
+                slots,
+                open,
+                weights: HashMap::new(),
+                mine: 0,
+                others: None,
+                away: None,
+                failures: 0,
+                pace: None,
+            });
+            self.index.insert(id.to_owned(), key);
+            key
+        });
+        let row = &mut self.rows[key];
+        row.slots = slots;
+        row.open = open;
+        for weights in weights {
+            note(&mut row.weights, &weights.model, weights.version);
+        }
+    }
+
+    /// Drops an engine that is gone.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(key) = self.index.remove(id) {
+            self.rows.remove(key);
+        }
+    }
+
+    /// Returns the id of an engine.
+    #[must_use]
+    pub fn id(&self, key: EngineKey) -> Option<&str> {
+        self.rows.get(key).map(|row| row.id.as_str())
+    }
+
+    /// Finds an engine by its id.
+    #[must_use]
+    pub fn key(&self, id: &str) -> Option<EngineKey> {
+        self.index.get(id).copied()
+    }
+
+    /// Returns how many items of this owner run there.
+    #[must_use]
+    pub fn mine(&self, id: &str) -> u32 {
+        self.key(id).map_or(0, |key| self.rows[key].mine)
+    }
+
+    /// Says whether any engine has the version, to go on with a text.
+    #[must_use]
+    pub fn has_version(&self, service: &str, model: &str, version: u64) -> bool {
+        self.rows.values().any(|row| {
+            row.open && row.service == service && row.weights.get(model) == Some(&version)
+        })
+    }
+
+    /// Chooses an engine with room for an item.
+    #[must_use]
+    pub fn choose(&self, now: Instant, want: &Want<'_>) -> Option<EngineKey> {
+        let usual = self.usual(want.service);
+        let fits = |row: &Row| {
+            let slow = usual.zip(row.pace).is_some_and(|(u, p)| p > u * SLOW);
+            row.open
+                && row.service == want.service
+                && row.away.is_none_or(|until| until <= now)
+                && row.room(now) > 0
+                && (!slow || row.mine == 0)
+                && has(row, want)
+        };
+        let near = want
+            .near
+            .filter(|key| self.rows.get(*key).is_some_and(&fits));
+        if near.is_some() {
+            return near;
+        }
+        let found = self.rows.iter().filter(|(_, row)| fits(row));
+        let best = found.max_by_key(|(_, row)| {
+            // Slow ones come last, then by room; a hash keeps owners apart.
+            let slow = usual.zip(row.pace).is_some_and(|(u, p)| p > u * SLOW);
+            let tie = xxh3_64_with_seed(
+                row.id.as_bytes(),
+                xxh3_64_with_seed(want.group.as_bytes(), 0),
+            );
+            (!slow, row.room(now), tie)
+        });
+        best.map(|(key, _)| key)
+    }
+
+    /// Notes that an item was sent.
+    pub fn start(&mut self, key: EngineKey) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.mine += 1;
+        }
+    }
+
+    /// Notes that an item is no longer there.
+    pub fn end(&mut self, key: EngineKey) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.mine = row.mine.saturating_sub(1);
+        }
+    }
+
+    /// Takes in what an engine told: all its running and waiting requests.
+    pub fn told(&mut self, now: Instant, key: EngineKey, all: u32) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.others = Some((now, all.saturating_sub(row.mine)));
+        }
+    }
+
+    /// Takes in the weight version that an engine named with an answer.
+    pub fn weights(&mut self, key: EngineKey, model: &str, version: u64) {
+        if let Some(row) = self.rows.get_mut(key) {
+            note(&mut row.weights, model, version);
+        }
+    }
+
+    /// Notes that an engine refused an item without running it.
+    pub fn refused(&mut self, now: Instant, key: EngineKey) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.away = Some(now + REFUSED);
+        }
+    }
+
+    /// Notes that an engine couldn't be reached or broke off.
+    pub fn failed(&mut self, now: Instant, key: EngineKey) {
+        if let Some(row) = self.rows.get_mut(key) {
+            let pause = FAILED * (1 << row.failures.min(5));
+            row.failures += 1;
+            row.away = Some(now + pause.min(FAILED_MOST));
+        }
+    }
+
+    /// Notes a whole generation and its pace, in seconds an event.
+    pub fn generated(&mut self, key: EngineKey, pace: f64) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.failures = 0;
+            let old = row.pace.unwrap_or(pace);
+            row.pace = Some(old + (pace - old) * PACE_WEIGHT);
+        }
+    }
+
+    /// Returns the median pace of a service's engines, in seconds an event.
+    #[must_use]
+    pub fn usual(&self, service: &str) -> Option<f64> {
+        let rows = self.rows.values().filter(|row| row.service == service);
+        let mut paces: Vec<f64> = rows.filter_map(|row| row.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied()
+    }
+}
+
+fn has(row: &Row, want: &Want<'_>) -> bool {
+    let Some(model) = want.model else {
+        return true;
+    };
+    let Some(version) = row.weights.get(model).copied() else {
+        return false;
+    };
+    version >= want.floor && want.exact.is_none_or(|exact| exact == version)
+}
+
+/// Keeps the highest version: an engine's own word comes with its answers, and
+/// its registration lags behind.
+fn note(weights: &mut HashMap<String, u64>, model: &str, version: u64) {
+    let known = weights.entry(model.to_owned()).or_default();
+    *known = (*known).max(version);
+}
--- /dev/null
+++ b/src/rollout/row.rs
@@ -0,0 +1,129 @@
+//! What the store keeps of batches.
+//!
+//! | table | part | key | holds | written under the condition |
+//! |---|---|---|---|---|
+//! | `batches` | bucket | batch | [`Head`] | absent at acceptance; else its version |
+//! | `results` | bucket | batch/position | one result | absent, and the head's version |
+//! | `entries` | | process | [`Presence`] | none: only the process writes it |
+//!
+//! The submission itself is an object named after the batch. The bucket is a
+//! hash of the batch: a part of the store takes a few hundred transactions a
+//! second one after another, and all rows of a batch must share one.
+//!
+//! Positions are decided by the row's absence: two writers of one position, or
+//! one whose first write comes late, can't both succeed. The head's version
+//! fences off a former owner, and its `ended` flag ends the listing.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::table::RowId;
+
+/// Heads of batches.
+pub const BATCHES: &str = "batches";
+/// Results by batch and position.
+pub const RESULTS: &str = "results";
+/// Processes that own batches.
+pub const ENTRIES: &str = "entries";
+
+/// Parts over which batches are spread. Sixteen parts of 300 transactions a
+/// second each are above what the whole store takes.
+const BUCKETS: u64 = 16;
+
+/// What every entry knows of a batch.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// The host that its route is found by.
+    pub host: String,
+    /// The path that it was submitted to.
+    pub path: String,
+    /// The store's steady clock when it was accepted, in milliseconds.
+    pub accepted: u64,
+    /// The store's steady clock when nothing of it runs any more.
+    pub until: u64,
+    /// The life of the process that runs it, behind the process's name.
+    pub owner: String,
+    /// How many items it has.
+    pub total: usize,
+    /// Whether its trainer has ended it.
+    pub ended: bool,
+    /// The model that generates.
+    pub model: Option<String>,
+    /// By how many versions its floor was behind the newest named one.
+    pub lag: u64,
+    /// Tokens of all its items.
+    pub work: u64,
+}
+
+impl Head {
+    /// Encodes the head.
+    ///
+    /// # Panics
+    ///
+    /// Never: texts and numbers always become JSON.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("texts and numbers become JSON")
+    }
+
+    /// Decodes a head; `None` if it isn't one.
+    #[must_use]
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        serde_json::from_slice(value).ok()
+    }
+
+    /// Returns how long ago it was accepted by the store's clock.
+    #[must_use]
+    pub fn age(&self, store: Duration) -> Duration {
+        store.saturating_sub(Duration::from_millis(self.accepted))
+    }
+}
+
+/// That a process lives; each write changes the row's version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Presence {
+    /// The life of the process.
+    pub life: String,
+}
+
+/// Returns the part of the store that holds a batch.
+#[must_use]
+pub fn bucket(batch: &str) -> String {
+    format!("{:x}", xxh3_64(batch.as_bytes()) % BUCKETS)
+}
+
+/// Returns all parts that hold batches.
+pub fn buckets() -> impl Iterator<Item = String> {
+    (0..BUCKETS).map(|n| format!("{n:x}"))
+}
+
+/// Names the head of a batch.
+#[must_use]
+pub fn head(batch: &str) -> RowId {
+    RowId::new(BATCHES, &bucket(batch), batch)
+}
+
+/// Names the result at a position of a batch.
+#[must_use]
+pub fn result(batch: &str, position: usize) -> RowId {
+    RowId::new(RESULTS, &bucket(batch), &result_key(batch, position))
+}
+
+/// Returns the key of the result at a position; keys sort by position.
+#[must_use]
+pub fn result_key(batch: &str, position: usize) -> String {
+    format!("{batch}/{position:06}")
+}
+
+/// Names the row of a process.
+#[must_use]
+pub fn entry(name: &str) -> RowId {
+    RowId::new(ENTRIES, "", name)
+}
+
+/// Names the object that holds a batch's submission.
+#[must_use]
+pub fn object(batch: &str) -> String {
+    format!("batch-{batch}")
+}
--- /dev/null
+++ b/src/rollout/wave.rs
@@ -0,0 +1,182 @@
+//! Which engine loads which weights next.
+//!
+//! Load: a new version of each model every few seconds, a load that stops an
+//! engine for about a second and gets slower when more than a few load at once.
+//! Harm: if every engine loads every version, engines stand still for a quarter
+//! of the time, and with three models loads can't even keep up, until steps
+//! find no engine that is fresh enough.
+//!
+//! A step allows weights some versions older than the newest (its lag, one as a
+//! rule). So an engine need not load each version: with a lag of one half of
+//! the engines may skip one and load the next. And with several models each
+//! engine keeps only one of them fresh, by shares of the work that each model's
+//! steps bring.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Engines that a model keeps at least, so that losing one doesn't stop it.
+const LEAST: usize = 2;
+/// Loads at once before anything was measured.
+const AT_ONCE: usize = 2;
+/// More at once has to load so much faster in all to be kept.
+const GAIN: f64 = 1.1;
+/// Weight of a new sample of how long a load takes.
+const WEIGHT: f64 = 0.3;
+/// Most loads at once that are ever tried.
+const MOST: usize = 32;
+
+/// An engine as the holder of the duty sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Loader {
+    /// Its id.
+    pub id: String,
+    /// Versions of its models.
+    pub weights: HashMap<String, u64>,
+    /// Whether an order is in progress there.
+    pub busy: bool,
+    /// Requests that run there, as far as known.
+    pub load: u32,
+}
+
+/// What the trainer of a model needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Goal {
+    /// The model.
+    pub model: String,
+    /// The newest version that was named.
+    pub named: u64,
+    /// By how many versions its steps may lag.
+    pub lag: u64,
+    /// Its share of the work, in any unit.
+    pub work: f64,
+}
+
+/// A load to order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// The engine.
+    pub endpoint: String,
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// Chooses the loads to order now, at most as many as `at_once` leaves free.
+#[must_use]
+pub fn plan(engines: &[Loader], goals: &[Goal], at_once: usize) -> Vec<Load> {
+    let busy = engines.iter().filter(|engine| engine.busy).count();
+    let mut wanted = Vec::new();
+    for (goal, mut mine) in goals.iter().zip(assign(engines, goals)) {
+        let version = |n: &usize| engines[*n].weights.get(&goal.model).copied().unwrap_or(0);
+        let oldest = goal.named.saturating_sub(goal.lag);
+        // Least loaded first: fewest runs are held up.
+        mine.sort_by_key(|n| (version(n), engines[*n].load, engines[*n].id.clone()));
+        let lasting = mine.iter().filter(|n| version(n) > oldest).count();
+        let mut missing = mine.len().div_ceil(2).saturating_sub(lasting);
+        for n in mine {
+            let stale = version(&n) < oldest;
+            if version(&n) >= goal.named || !(stale || missing > 0) {
+                continue;
+            }
+            missing = missing.saturating_sub(1);
+            wanted.push((stale, goal.named - version(&n), n, goal));
+        }
+    }
+    // What no step can use comes first.
+    wanted.sort_by_key(|(stale, behind, ..)| std::cmp::Reverse((*stale, *behind)));
+    let mut taken = HashSet::new();
+    let free = wanted.into_iter().filter(|(_, _, n, _)| !engines[*n].busy);
+    free.filter(|(_, _, n, _)| taken.insert(*n))
+        .take(at_once.saturating_sub(busy))
+        .map(|(_, _, n, goal)| Load {
+            endpoint: engines[n].id.clone(),
+            model: goal.model.clone(),
+            version: goal.named,
+        })
+        .collect()
+}
+
+/// Gives each model its engines, those first whose weights are the newest, so
+/// that the same ones stay with it whoever decides.
+fn assign(engines: &[Loader], goals: &[Goal]) -> Vec<Vec<usize>> {
+    let mut quotas = quotas(engines.len(), goals);
+    let mut pairs = Vec::new();
+    for (g, goal) in goals.iter().enumerate() {
+        for (n, engine) in engines.iter().enumerate() {
+            let version = engine.weights.get(&goal.model).copied().unwrap_or(0);
+            let tie = xxh3_64_with_seed(engine.id.as_bytes(), g as u64);
+            pairs.push((goal.named.saturating_sub(version), tie, g, n));
+        }
+    }
+    pairs.sort_unstable();
+    let mut found = vec![Vec::new(); goals.len()];
+    let mut taken = vec![false; engines.len()];
+    for (_, _, g, n) in pairs {
+        if quotas[g] > 0 && !taken[n] {
+            quotas[g] -= 1;
+            taken[n] = true;
+            found[g].push(n);
+        }
+    }
+    found
+}
+
+/// Shares `n` engines among models by their work.
+fn quotas(n: usize, goals: &[Goal]) -> Vec<usize> {
+    let total: f64 = goals.iter().map(|goal| goal.work.max(1.0)).sum();
+    let mut quotas = vec![LEAST.min(n / goals.len().max(1)); goals.len()];
+    let given: usize = quotas.iter().sum();
+    for _ in given..n {
+        let need = |g: &usize| goals[*g].work.max(1.0) / total * n as f64 - quotas[*g] as f64;
+        let most = (0..goals.len()).max_by(|a, b| need(a).total_cmp(&need(b)));
+        if let Some(g) = most {
+            quotas[g] += 1;
+        }
+    }
+    quotas
+}
+
+/// Learns how many loads at once are fastest in all.
+///
+/// The number at which loads get slower differs between deployments and is told
+/// nowhere. One more at once is tried as long as it paid before.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    /// Seconds that a load took, by how many ran at once.
+    seconds: HashMap<usize, f64>,
+}
+
+impl Pace {
+    /// Creates a pace without samples.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes how long a load took while so many ran at once.
+    pub fn loaded(&mut self, at_once: usize, took: Duration) {
+        let took = took.as_secs_f64().max(0.001);
+        let known = self.seconds.entry(at_once).or_insert(took);
+        *known += (took - *known) * WEIGHT;
+    }
+
+    /// Returns how many loads to run at once.
+    #[must_use]
+    pub fn at_once(&self) -> usize {
+        let rate = |n: usize| self.seconds.get(&n).map(|seconds| n as f64 / seconds);
+        let mut best = AT_ONCE;
+        while best < MOST {
+            match (rate(best), rate(best + 1)) {
+                (Some(_), None) => return best + 1,
+                (Some(here), Some(more)) if more > here * GAIN => best += 1,
+                _ => return best,
+            }
+        }
+        best
+    }
+}
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -14,7 +14,7 @@
         health::{Health, Phase},
         limit::Sample,
         meter::ceil,
-        retry::{RERUN, RESEND, TRIES},
+        retry::{RERUN, RESEND},
         router::Router,
         spec::{Call, Step},
         table::{Attempt, CallKey},
@@ -237,7 +237,7 @@
             return;
         }
         let call = row.call;
-        let again = row.movable() && row.tries < TRIES && self.in_time(now, &call);
+        let again = row.movable() && row.tries < row.call.tries && self.in_time(now, &call);
         if again && self.services[call.service].budget.spend(RERUN) {
             self.enqueue(now, key);
         } else {
@@ -255,7 +255,10 @@
         for key in keys {
             let row = &self.calls[key];
             let alone = row.attempts[1].is_none();
-            let may = alone && row.movable() && row.tries < TRIES && self.in_time(now, &row.call);
+            let may = alone
+                && row.movable()
+                && row.tries < row.call.tries
+                && self.in_time(now, &row.call);
             if may && self.services[service].budget.spend(RERUN) {
                 self.move_call(now, key);
             }
--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -14,7 +14,7 @@
     error::ErrorKind,
     route::{
         EndpointKey, ServiceKey,
-        retry::{RERUN, TRIES},
+        retry::RERUN,
         router::Router,
         share,
         spec::Call,
@@ -250,7 +250,7 @@
         };
         let service = &self.services[call.service];
         let slack = service.idle() && service.free * 10 > service.lanes;
-        if !slack || !row.movable() || row.tries >= TRIES || !self.in_time(now, &call) {
+        if !slack || !row.movable() || row.tries >= call.tries || !self.in_time(now, &call) {
             return;
         }
         let there = self.endpoints.get(first.endpoint);
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -4,7 +4,7 @@
     class::{Class, Repeat},
     error::ErrorKind,
     id::RequestId,
-    route::{EndpointKey, ServiceKey},
+    route::{EndpointKey, ServiceKey, retry::TRIES},
 };
 use std::time::{Duration, Instant};
 
@@ -108,6 +108,8 @@
     pub tokens: u32,
     /// Hash of the prompt's prefix, to find an engine that has it cached.
     pub prefix: Option<u64>,
+    /// Endpoints that it may be sent to at most, hedges included.
+    pub tries: u8,
 }
 
 impl Call {
@@ -122,9 +124,17 @@
             repeat: Repeat::Free,
             tokens: 0,
             prefix: None,
+            tries: TRIES,
         }
     }
 
+    /// Sets how many endpoints it may be sent to at most.
+    #[must_use]
+    pub const fn tries(mut self, tries: u8) -> Self {
+        self.tries = tries;
+        self
+    }
+
     /// Sets whether it may run more than once.
     #[must_use]
     pub const fn repeat(mut self, repeat: Repeat) -> Self {
