Move runs off slow and stalled engines, and keep unfinished texts

Cause: a step lasts as long as its longest item, seven seconds of the seven and a half that it has. Items stayed on engines that were slow (3.4 times) or stood still for a load, and a takeover began every item anew.

A run is cut and goes on behind its last event at another engine when its engine stalls or is 1.7 times slower than the median, if that one has room.

Ruled out: placement and admission as the cause (items waited for no room).

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -78,14 +78,22 @@
         loop {
             let next = owned.batch.borrow().next_start(now);
             let Some(n) = next else { return };
-            let Some(key) = self.choose(now, owned, &route, n) else {
+            let Some(key) = self.choose(now, owned, &route, n, None) else {
                 return;
             };
             self.start(now, owned, &route, n, key);
         }
     }
 
-    fn choose(&self, now: Instant, owned: &Owned, route: &Route, n: usize) -> Option<EngineKey> {
+    /// Chooses an engine for an item, other than the one that won't do.
+    pub(super) fn choose(
+        &self,
+        now: Instant,
+        owned: &Owned,
+        route: &Route,
+        n: usize,
+        not: Option<EngineKey>,
+    ) -> Option<EngineKey> {
         let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
         let service = route.service(draw)?;
         let submission = &owned.submission;
@@ -109,6 +117,7 @@
                 exact: pinned.filter(|_| !lost),
                 group,
                 near: owned.near.borrow().get(group).copied(),
+                not: not.or_else(|| owned.avoid.borrow().get(&n).copied()),
             },
         )
     }
@@ -134,13 +143,15 @@
         };
         let group = owned.submission.items[n].group.clone();
         owned.near.borrow_mut().insert(group, key);
-        let (partial, exact) = owned.batch.borrow_mut().start(n);
+        owned.avoid.borrow_mut().remove(&n);
+        let exact = owned.batch.borrow().pinned(n);
+        let before = owned.batch.borrow_mut().start(n);
         let (batches, route) = (Rc::clone(self), route.clone());
         let run = {
             let owned = Rc::clone(owned);
             async move {
                 batches
-                    .item(&owned, &route, n, seat, endpoint, partial, exact)
+                    .item(&owned, &route, n, seat, endpoint, before, exact)
                     .await;
             }
         };
@@ -156,7 +167,7 @@
         owned: &Owned,
         n: usize,
         key: EngineKey,
-        partial: hibiscusroad::rollout::batch::Partial,
+        before: Option<u64>,
         cause: Break,
     ) {
         let now = Instant::now();
@@ -164,13 +175,16 @@
         match cause {
             Break::NotRun => engines.refused(now, key),
             Break::Lost => engines.failed(now, key),
-            Break::Failed | Break::Never => {}
+            Break::Moved | Break::Failed | Break::Never => {}
         }
         owned
             .near
             .borrow_mut()
             .remove(&owned.submission.items[n].group);
-        owned.batch.borrow_mut().broke(now, n, partial, cause);
+        owned.batch.borrow_mut().broke(now, n, before, cause);
+        if cause == Break::Moved {
+            owned.avoid.borrow_mut().insert(n, key);
+        }
         owned.ready.notify_one();
     }
 }
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -17,11 +17,7 @@
 };
 use hibiscusroad::{
     catalog::Route,
-    rollout::{
-        Item,
-        batch::{Break, Partial},
-        engines::EngineKey,
-    },
+    rollout::{Item, batch::Break, engines::EngineKey},
     roster::Endpoint,
 };
 use hibiscusroad_platform::{
@@ -29,7 +25,11 @@
     header,
 };
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming, header::HeaderName};
+use hyper::{
+    Response,
+    body::{Bytes, Frame, Incoming},
+    header::HeaderName,
+};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -45,14 +45,37 @@
 /// How long an item may run if its batch has no end.
 const LONGEST: Duration = Duration::from_secs(60);
 
+/// Gaps between events that pass for usual: six times the usual one. Then an
+/// engine loads weights or stands still, and one with room is faster: reading
+/// the text so far again takes some milliseconds.
+const STALL: f64 = 6.0;
+/// The least gap that counts as a stall: queues and quotas on the way make gaps
+/// of a tenth of a second.
+const LEAST_STALL: Duration = Duration::from_millis(160);
+/// While an engine stalls, others are looked at again so often.
+const STALL_LOOK: Duration = Duration::from_millis(60);
+/// Events after which the pace of a run is looked at, and again each time.
+const PACE_EVENTS: u32 = 6;
+/// Weight of the last gap in a run's pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// The pace of engines before any was seen, in seconds an event.
+const PACE: f64 = 0.05;
+
 /// A run under way.
 struct Run<'a> {
     batches: &'a Batches,
+    owned: &'a Owned,
+    service: &'a str,
+    n: usize,
     key: EngineKey,
-    model: Option<&'a str>,
-    partial: Partial,
     /// The weight version that makes the next event.
     version: Option<u64>,
+    /// Seconds from one event to the next, averaged.
+    pace: Option<f64>,
+    events: u32,
+    /// When the last bytes came, and the last event.
+    heard: Instant,
+    last: Instant,
 }
 
 impl Batches {
@@ -65,21 +88,25 @@
         n: usize,
         seat: Seat,
         endpoint: Endpoint,
-        partial: Partial,
+        before: Option<u64>,
         exact: Option<u64>,
     ) {
         let item = &owned.submission.items[n];
         let start = Instant::now();
-        let before = partial.last;
         let mut run = Run {
             batches: self,
+            owned,
+            service: &endpoint.service,
+            n,
             key: seat.key,
-            model: owned.submission.model.as_deref(),
-            partial,
             version: None,
+            pace: None,
+            events: 0,
+            heard: start,
+            last: start,
         };
         let deadline = owned.expires.unwrap_or(start + LONGEST);
-        let ended = match item_head(item, owned, route, deadline, &run, exact) {
+        let ended = match item_head(item, owned, route, deadline, before, exact) {
             Ok(head) => run.generate(&head, &endpoint, &item.body).await,
             Err(error) => {
                 log::error!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
@@ -87,27 +114,19 @@
                 Err(Break::Never)
             }
         };
-        let partial = run.partial;
+        let pace = run.pace.filter(|_| run.events > PACE_EVENTS);
+        if let Some(pace) = pace {
+            self.engines.borrow_mut().paced(seat.key, pace);
+        }
         if let Err(cause) = ended {
             log::debug!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
-                endpoint = endpoint.id.as_str(), cause:? = cause, last:? = partial.last;
-                "A run of an item broke off.");
-            self.broke(owned, n, seat.key, partial, cause);
+                endpoint = endpoint.id.as_str(), cause:? = cause, before:? = before,
+                events = run.events; "A run of an item broke off.");
+            self.broke(owned, n, seat.key, before, cause);
             return;
         }
-        let events = partial
-            .last
-            .unwrap_or(0)
-            .saturating_sub(before.unwrap_or(0));
-        if events > 0 {
-            let pace = start.elapsed().as_secs_f64() / events as f64;
-            self.engines.borrow_mut().generated(seat.key, pace);
-        }
         drop(seat);
-        let whole = owned
-            .batch
-            .borrow_mut()
-            .generated(Instant::now(), n, partial);
+        let whole = owned.batch.borrow_mut().generated(Instant::now(), n);
         if whole {
             self.score(owned, n).await;
         } else {
@@ -121,7 +140,7 @@
     owned: &Owned,
     route: &Route,
     deadline: Instant,
-    run: &Run<'_>,
+    before: Option<u64>,
     exact: Option<u64>,
 ) -> Result<Head, hyper::http::Error> {
     let mut head = own_head(&owned.host, &item.path, &item.id, deadline)?;
@@ -130,7 +149,7 @@
         let value = hyper::header::HeaderValue::try_from(value.as_str())?;
         head.headers.insert(name, value);
     }
-    if let Some(last) = run.partial.last {
+    if let Some(last) = before {
         set(&mut head.headers, header::LAST_EVENT, &last.to_string());
     }
     if let Some(exact) = exact {
@@ -201,7 +220,7 @@
             _ => return Err(Break::Lost),
         }
         self.version = text(headers, header::WEIGHTS).and_then(|v| v.trim().parse().ok());
-        if let Some((model, version)) = self.model.zip(self.version) {
+        if let Some((model, version)) = self.owned.submission.model.as_deref().zip(self.version) {
             engines.weights(self.key, model, version);
         }
         Ok(())
@@ -209,12 +228,10 @@
 
     async fn read(&mut self, mut body: Incoming) -> Result<(), Break> {
         let mut events = Events::new();
+        self.heard = Instant::now();
         loop {
-            let frame = timeout(GAP, body.frame()).await;
-            let frame = match frame {
-                Ok(None) => break,
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) | Err(_) => return Err(Break::Lost),
+            let Some(frame) = self.frame(&mut body).await? else {
+                break;
             };
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -222,44 +239,98 @@
             events.push(&data);
             loop {
                 match events.next_event() {
-                    Ok(Some(event)) => self.take(event)?,
+                    Ok(Some(event)) => self.take(&event)?,
                     Ok(None) => break,
                     Err(_garbled) => return Err(Break::Lost),
                 }
             }
         }
-        if events.is_between() && self.partial.last.is_some() {
+        let begun = self.owned.batch.borrow().last(self.n).is_some();
+        if events.is_between() && begun {
             Ok(())
         } else {
             Err(Break::Lost)
         }
     }
 
-    /// Adds an event to the text; one that doesn't follow the last ends the run.
-    fn take(&mut self, event: Event) -> Result<(), Break> {
-        if self
-            .partial
-            .last
-            .is_some_and(|last| event.number != last + 1)
-        {
-            return Err(Break::Lost);
+    /// Waits for the next bytes, unless the run is better off elsewhere.
+    async fn frame(&mut self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Break> {
+        let usual = self.batches.engines.borrow().usual(self.service);
+        let stall = Duration::from_secs_f64(usual.unwrap_or(PACE) * STALL).max(LEAST_STALL);
+        let mut wait = stall;
+        loop {
+            match timeout(wait, body.frame()).await {
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => {
+                    self.heard = Instant::now();
+                    return Ok(Some(frame));
+                }
+                Ok(Some(Err(_))) => return Err(Break::Lost),
+                Err(_elapsed) => {}
+            }
+            let now = Instant::now();
+            if now.saturating_duration_since(self.heard) > GAP {
+                return Err(Break::Lost);
+            }
+            self.batches.engines.borrow_mut().stalled(now, self.key);
+            if self.elsewhere(now) {
+                return Err(Break::Moved);
+            }
+            wait = STALL_LOOK;
         }
+    }
+
+    /// Says whether another engine has room for this item.
+    fn elsewhere(&self, now: Instant) -> bool {
+        let route = self.batches.route(self.owned);
+        route.is_some_and(|route| {
+            let other = self
+                .batches
+                .choose(now, self.owned, &route, self.n, Some(self.key));
+            other.is_some()
+        })
+    }
+
+    /// Adds an event to the text; one that doesn't follow the last ends the run.
+    fn take(&mut self, event: &Event) -> Result<(), Break> {
         if let Some(version) = event.version {
             self.version = Some(version);
-            if let Some(model) = self.model {
+            if let Some(model) = self.owned.submission.model.as_deref() {
                 let mut engines = self.batches.engines.borrow_mut();
                 engines.weights(self.key, model, version);
             }
         }
-        if self.partial.last.is_some() {
-            self.partial.text.push('\n');
+        let mut batch = self.owned.batch.borrow_mut();
+        if !batch.extend(self.n, event.number, &event.data, self.version) {
+            return Err(Break::Lost);
+        }
+        drop(batch);
+        self.count()
+    }
+
+    /// Measures the pace, and cuts a run that is slow if another engine isn't.
+    fn count(&mut self) -> Result<(), Break> {
+        let now = Instant::now();
+        let gap = now.saturating_duration_since(self.last).as_secs_f64();
+        self.last = now;
+        self.events += 1;
+        if self.events == 1 {
+            // The time to the first event tells of queues and prompts.
+            return Ok(());
+        }
+        let pace = self.pace.unwrap_or(gap);
+        self.pace = Some(pace + (gap - pace) * PACE_WEIGHT);
+        if self.events % PACE_EVENTS != 0 {
+            return Ok(());
         }
-        self.partial.text.push_str(&event.data);
-        self.partial.last = Some(event.number);
-        if let Some(version) = self.version
-            && !self.partial.versions.contains(&version)
-        {
-            self.partial.versions.push(version);
+        let pace = self.pace.unwrap_or(gap);
+        let slow = {
+            let mut engines = self.batches.engines.borrow_mut();
+            engines.paced(self.key, pace);
+            engines.is_slow(self.service, pace)
+        };
+        if slow && self.elsewhere(now) {
+            return Err(Break::Moved);
         }
         Ok(())
     }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -6,7 +6,7 @@
 //! * [`dispatch`]: starts items at engines.
 //! * [`generate`]: one run of one item.
 //! * [`score`]: the scorer's call.
-//! * [`list`]: writes results, in order.
+//! * [`list`]: writes results, in order. [`pieces`]: keeps unfinished texts.
 //! * [`read`]: answers about batches, at any process.
 //!
 //! Everything that a trainer may rely on is in the store before it is said:
@@ -18,6 +18,7 @@
 mod heads;
 mod list;
 mod owner;
+mod pieces;
 mod read;
 mod score;
 mod submit;
@@ -31,6 +32,7 @@
         row::Head,
     },
     roster::News,
+    table::RowId,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -94,6 +96,10 @@
     listed: RefCell<Vec<Vec<u8>>>,
     /// Where items of each group went last.
     near: RefCell<HashMap<String, EngineKey>>,
+    /// Engines that items were just moved away from.
+    avoid: RefCell<HashMap<usize, EngineKey>>,
+    /// Rows in the store that hold parts of texts.
+    pieces: RefCell<Vec<RowId>>,
     /// A result is ready to be listed.
     ready: Notify,
     /// A result was listed.
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -14,10 +14,10 @@
 use hibiscusroad::{
     rollout::{
         Submission,
-        batch::Batch,
+        batch::{Batch, Piece},
         row::{self, Head, Presence},
     },
-    table::{Change, Commit, Range},
+    table::{Change, Commit, Range, RowId},
 };
 use hibiscusroad_platform::batch;
 use std::{
@@ -34,21 +34,24 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time between two renewals, and between two looks: three fit in the silence.
-const RENEWAL: Duration = Duration::from_millis(600);
+const RENEWAL: Duration = Duration::from_millis(350);
 /// A row that did not change for so long has no living owner. A slow store
 /// answers within a third of a second, and a pause of this length has cost the
 /// owner its items anyway.
-const SILENCE: Duration = Duration::from_millis(2_000);
+const SILENCE: Duration = Duration::from_millis(1_100);
 /// A batch whose owner has no row at all is given so long for its first.
 const FIRST: Duration = Duration::from_millis(1_200);
 /// Processes that see the same silence are spread over this time, so that one
 /// of them writes and the others hear of it.
-const SPREAD: u64 = 250;
+const SPREAD: u64 = 150;
 /// Rows of this many processes are looked at as often as renewed; beyond, less
 /// often in proportion, so that looking takes the same share of the store.
 const WATCHERS: usize = 32;
 const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
+/// A submission, its results and the parts of its texts.
+type Loaded = (Submission, Vec<Vec<u8>>, Vec<(RowId, String, Piece)>);
+
 /// What was seen of the rows of processes.
 #[derive(Default)]
 struct Seen {
@@ -187,9 +190,9 @@
                 return;
             }
             match self.load(&id).await {
-                Ok((submission, results)) => {
+                Ok((submission, results, pieces)) => {
                     if !self.mine.borrow().contains_key(&id) {
-                        self.run(&id, head, version, submission, &results);
+                        self.run(&id, head, version, submission, &results, pieces);
                     }
                     return;
                 }
@@ -202,7 +205,7 @@
         }
     }
 
-    async fn load(&self, id: &str) -> Result<(Submission, Vec<Vec<u8>>), String> {
+    async fn load(&self, id: &str) -> Result<Loaded, String> {
         let object = self.store.get_object(&row::object(id)).await;
         let object = object.map_err(|failure| failure.to_string())?;
         let object = object.ok_or("its submission is not there")?;
@@ -211,7 +214,9 @@
             .kept(id, 0)
             .await
             .map_err(|failure| failure.to_string())?;
-        Ok((submission, results))
+        let pieces = self.pieces(id).await;
+        let pieces = pieces.map_err(|failure| failure.to_string())?;
+        Ok((submission, results, pieces))
     }
 
     /// Runs a batch from what is listed of it.
@@ -222,6 +227,7 @@
         version: u64,
         submission: Submission,
         results: &[Vec<u8>],
+        pieces: Vec<(RowId, String, Piece)>,
     ) {
         let now = Instant::now();
         let catalog = self.known.catalog();
@@ -236,6 +242,11 @@
                     error = error.to_string().as_str(); "A kept result is broken."),
             }
         }
+        let mut kept = Vec::new();
+        for (row, item, piece) in pieces {
+            batch.resume(&item, piece);
+            kept.push(row);
+        }
         let age = head.age(self.store.now().unwrap_or_default());
         let accepted = now.checked_sub(age).unwrap_or(now);
         let owned = Rc::new(Owned {
@@ -249,6 +260,8 @@
             batch: RefCell::new(batch),
             listed: RefCell::new(results.to_vec()),
             near: RefCell::default(),
+            avoid: RefCell::default(),
+            pieces: RefCell::new(kept),
             ready: Notify::new(),
             news: Notify::new(),
             tasks: RefCell::default(),
@@ -257,7 +270,8 @@
         log::info!(target: BATCHES, batch = id, listed = results.len(),
             age_ms = millis(age); "A batch is run here.");
         let lister = spawn_local(Rc::clone(self).list(Rc::clone(&owned)));
-        owned.tasks.borrow_mut().push(lister);
+        let keeper = spawn_local(Rc::clone(self).keep_pieces(Rc::clone(&owned)));
+        owned.tasks.borrow_mut().extend([lister, keeper]);
         if let Some(expires) = owned.expires {
             let expiry = spawn_local(Rc::clone(&owned).expire(expires));
             owned.tasks.borrow_mut().push(expiry);
@@ -270,8 +284,11 @@
     /// Gives all batches back, so that others take them over at once.
     pub(in crate::gateway) async fn leave(&self) {
         self.leaving.set(true);
-        for (_, owned) in self.mine.borrow_mut().drain() {
+        let mine: Vec<Rc<Owned>> = self.mine.borrow_mut().drain().map(|(_, o)| o).collect();
+        for owned in mine {
             owned.stop();
+            // What was generated since the last time goes to the next owner.
+            self.keep_once(&owned).await;
         }
         let change = Change::new().remove(row::entry(&self.name));
         let done = self.store.transact(&change).await;
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -111,7 +111,7 @@
                     log::info!(target: BATCHES, batch = id, items = submission.items.len(),
                         floor = submission.floor, row = version; "A batch is accepted.");
                     self.set(id, head.clone(), version);
-                    self.run(id, head, version, submission, &[]);
+                    self.run(id, head, version, submission, &[], Vec::new());
                     return accepted();
                 }
                 Commit::Conflict(rows) => {
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -11,6 +11,7 @@
 //! to be done, so a position never holds two results.
 
 use crate::rollout::{ItemResult, Outcome, Submission};
+use serde::{Deserialize, Serialize};
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -24,13 +25,31 @@
 
 /// What of an item's text is there.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Partial {
+struct Partial {
     /// The number of the last event in `text`; `None` before the first.
-    pub last: Option<u64>,
+    last: Option<u64>,
     /// The data of all events so far, joined by line feeds.
-    pub text: String,
+    text: String,
     /// The weight versions that made them.
+    versions: Vec<u64>,
+    /// The last event that is kept in the store, and the length of its text.
+    kept: Option<u64>,
+    kept_bytes: usize,
+}
+
+/// A part of an item's text, as it is kept for a next owner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Piece {
+    /// How often the text began anew before.
+    pub round: u32,
+    /// The last event before it; `None` at the beginning.
+    pub after: Option<u64>,
+    /// Its last event.
+    pub last: u64,
+    /// The weight versions of the text up to here.
     pub versions: Vec<u64>,
+    /// The data of its events, joined by line feeds.
+    pub text: String,
 }
 
 /// How a generation broke off.
@@ -40,6 +59,8 @@
     NotRun,
     /// The connection or the stream failed.
     Lost,
+    /// It was cut here, because another engine is faster.
+    Moved,
     /// The engine failed the run by itself; so many may be tried.
     Failed,
     /// The engine said that it can never be done.
@@ -59,6 +80,8 @@
 struct Row {
     phase: Phase,
     partial: Partial,
+    /// How often the text began anew.
+    round: u32,
     /// Runs that the engine failed by itself.
     failures: u32,
     /// Scorer calls that failed by themselves.
@@ -91,6 +114,7 @@
         let row = || Row {
             phase: Phase::Waiting { after: now },
             partial: Partial::default(),
+            round: 0,
             failures: 0,
             rejected: 0,
             breaks: 0,
@@ -152,18 +176,113 @@
         self.rows.iter().filter(waits).count()
     }
 
-    /// Notes that an item was sent to an engine, and returns what of its text
-    /// is there and the version that has to go on with it, if only one may.
-    pub fn start(&mut self, n: usize) -> (Partial, Option<u64>) {
+    /// Takes in a part of a text that an earlier owner kept; parts come in the
+    /// order in which they were kept.
+    pub fn resume(&mut self, item: &str, piece: Piece) {
+        let Some(n) = self.index.get(item).copied() else {
+            return;
+        };
+        let row = &mut self.rows[n];
+        if piece.round > row.round {
+            row.round = piece.round;
+            row.partial = Partial::default();
+        }
+        if piece.round < row.round || piece.after != row.partial.last {
+            return;
+        }
+        let partial = &mut row.partial;
+        if partial.last.is_some() {
+            partial.text.push('\n');
+        }
+        partial.text.push_str(&piece.text);
+        partial.last = Some(piece.last);
+        partial.versions = piece.versions;
+        partial.kept = partial.last;
+        partial.kept_bytes = partial.text.len();
+        if !self.fits(n) {
+            self.restart(n);
+        }
+    }
+
+    /// Notes that an item was sent to an engine, and returns the last event of
+    /// its text.
+    pub fn start(&mut self, n: usize) -> Option<u64> {
         let row = &mut self.rows[n];
         row.phase = Phase::Running;
-        let same = self.single.then(|| row.partial.versions.last().copied());
-        (row.partial.clone(), same.flatten())
+        row.partial.last
+    }
+
+    /// Adds an event that a version made; `false` if it doesn't follow the last.
+    pub fn extend(&mut self, n: usize, number: u64, data: &str, version: Option<u64>) -> bool {
+        let partial = &mut self.rows[n].partial;
+        if partial.last.is_some_and(|last| number != last + 1) {
+            return false;
+        }
+        if partial.last.is_some() {
+            partial.text.push('\n');
+        }
+        partial.text.push_str(data);
+        partial.last = Some(number);
+        if let Some(version) = version
+            && !partial.versions.contains(&version)
+        {
+            partial.versions.push(version);
+        }
+        true
+    }
+
+    /// Returns the last event of an item's text.
+    #[must_use]
+    pub fn last(&self, n: usize) -> Option<u64> {
+        self.rows[n].partial.last
+    }
+
+    /// Returns what of running items' texts isn't kept yet, the longest first,
+    /// at most `most` parts.
+    #[must_use]
+    pub fn unkept(&self, most: usize) -> Vec<(usize, Piece)> {
+        let mut found: Vec<(usize, Piece)> = Vec::new();
+        for (n, row) in self.rows.iter().enumerate() {
+            let partial = &row.partial;
+            let (Some(last), Phase::Running | Phase::Waiting { .. } | Phase::Scoring) =
+                (partial.last, &row.phase)
+            else {
+                continue;
+            };
+            if partial.kept == partial.last {
+                continue;
+            }
+            // The line feed behind what is kept is put back when it is read.
+            let begin = partial.kept_bytes + usize::from(partial.kept.is_some());
+            let piece = Piece {
+                round: row.round,
+                after: partial.kept,
+                last,
+                versions: partial.versions.clone(),
+                text: partial.text[begin..].to_owned(),
+            };
+            found.push((n, piece));
+        }
+        found.sort_by_key(|(n, _)| std::cmp::Reverse(self.rows[*n].partial.last));
+        found.truncate(most);
+        found
+    }
+
+    /// Notes that a part of a text is kept.
+    pub fn keep(&mut self, n: usize, piece: &Piece) {
+        let row = &mut self.rows[n];
+        let partial = &mut row.partial;
+        if row.round == piece.round && partial.kept == piece.after {
+            partial.kept_bytes += usize::from(partial.kept.is_some()) + piece.text.len();
+            partial.kept = Some(piece.last);
+        }
     }
 
     /// Drops what there is of an item's text, because no engine can go on.
     pub fn restart(&mut self, n: usize) {
-        self.rows[n].partial = Partial::default();
+        let row = &mut self.rows[n];
+        row.partial = Partial::default();
+        row.round += 1;
     }
 
     /// Returns the version that has to go on with an item, if only one may.
@@ -173,12 +292,13 @@
         last.filter(|_| self.single)
     }
 
-    /// Notes that a generation broke off with `partial` of its text.
-    pub fn broke(&mut self, now: Instant, n: usize, partial: Partial, cause: Break) {
-        let keep = self.fits(&partial);
+    /// Notes that a run broke off; `before` is the last event that it began with.
+    pub fn broke(&mut self, now: Instant, n: usize, before: Option<u64>, cause: Break) {
+        if !self.fits(n) {
+            self.restart(n);
+        }
         let row = &mut self.rows[n];
-        let grown = partial.last > row.partial.last;
-        row.partial = if keep { partial } else { Partial::default() };
+        let grown = row.partial.last > before;
         row.breaks = if grown { 1 } else { row.breaks + 1 };
         match cause {
             Break::Never => {
@@ -186,6 +306,10 @@
                 return;
             }
             Break::Failed => row.failures += 1,
+            Break::Moved => {
+                row.phase = Phase::Waiting { after: now };
+                return;
+            }
             Break::NotRun | Break::Lost => {}
         }
         if row.failures >= self.attempts {
@@ -199,14 +323,12 @@
 
     /// Notes that an item's text is whole; `false` if it has to run again
     /// because its versions don't do.
-    pub fn generated(&mut self, now: Instant, n: usize, partial: Partial) -> bool {
-        if !self.fits(&partial) {
-            self.broke(now, n, Partial::default(), Break::Lost);
+    pub fn generated(&mut self, now: Instant, n: usize) -> bool {
+        if !self.fits(n) {
+            self.broke(now, n, None, Break::Lost);
             return false;
         }
-        let row = &mut self.rows[n];
-        row.partial = partial;
-        row.phase = Phase::Scoring;
+        self.rows[n].phase = Phase::Scoring;
         true
     }
 
@@ -263,13 +385,16 @@
         }
     }
 
-    fn fits(&self, partial: &Partial) -> bool {
-        let old = partial.versions.iter().any(|v| *v < self.floor);
-        !old && !(self.single && partial.versions.len() > 1)
+    fn fits(&self, n: usize) -> bool {
+        let versions = &self.rows[n].partial.versions;
+        let old = versions.iter().any(|version| *version < self.floor);
+        !old && !(self.single && versions.len() > 1)
     }
 }
 
-/// Orders items by group, groups as they stand in the submission.
+/// Orders items by group: those that the trainer surely waits for first, as they
+/// stand; then those that are expected to take longest, since a step lasts at
+/// least as long as the last of them.
 fn start_order(submission: &Submission) -> Vec<usize> {
     let mut groups: Vec<Vec<usize>> = Vec::new();
     let mut index: HashMap<&str, usize> = HashMap::new();
@@ -280,5 +405,12 @@
         });
         groups[group].push(n);
     }
+    let longest = |group: &Vec<usize>| {
+        let hints = group.iter().map(|n| submission.items[*n].hint.unwrap_or(0));
+        hints.max().unwrap_or(0)
+    };
+    // At most half of the groups that are waited for are carried over.
+    let carried = submission.target.unwrap_or(0).div_ceil(2).min(groups.len());
+    groups[carried..].sort_by_key(|group| std::cmp::Reverse(longest(group)));
     groups.into_iter().flatten().collect()
 }
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -36,9 +36,12 @@
 const FAILED: Duration = Duration::from_millis(250);
 /// Longest pause: an engine that is back is found within it.
 const FAILED_MOST: Duration = Duration::from_secs(4);
+/// Pause after an engine made no events: a third of a load of weights, after
+/// which it is tried by one item that moves on at once if it has to.
+const STALLED: Duration = Duration::from_millis(300);
 /// Slower than its median peer by this factor is slow. Engines of one service
 /// differ by up to a third when sound; a disturbed one by three and more.
-const SLOW: f64 = 1.9;
+const SLOW: f64 = 1.7;
 /// Weight of a new sample of an engine's pace.
 const PACE_WEIGHT: f64 = 0.4;
 
@@ -83,6 +86,8 @@
     pub group: &'a str,
     /// Where items of its group went last.
     pub near: Option<EngineKey>,
+    /// An engine that won't do.
+    pub not: Option<EngineKey>,
 }
 
 /// All engines, as one owner of batches sees them.
@@ -162,22 +167,24 @@
     #[must_use]
     pub fn choose(&self, now: Instant, want: &Want<'_>) -> Option<EngineKey> {
         let usual = self.usual(want.service);
-        let fits = |row: &Row| {
+        let fits = |key: EngineKey, row: &Row| {
             let slow = usual.zip(row.pace).is_some_and(|(u, p)| p > u * SLOW);
-            row.open
+            Some(key) != want.not
+                && row.open
                 && row.service == want.service
                 && row.away.is_none_or(|until| until <= now)
                 && row.room(now) > 0
                 && (!slow || row.mine == 0)
                 && has(row, want)
         };
-        let near = want
-            .near
-            .filter(|key| self.rows.get(*key).is_some_and(&fits));
+        let near = want.near.filter(|key| {
+            let row = self.rows.get(*key);
+            row.is_some_and(|row| fits(*key, row))
+        });
         if near.is_some() {
             return near;
         }
-        let found = self.rows.iter().filter(|(_, row)| fits(row));
+        let found = self.rows.iter().filter(|(key, row)| fits(*key, row));
         let best = found.max_by_key(|(_, row)| {
             // Slow ones come last, then by room; a hash keeps owners apart.
             let slow = usual.zip(row.pace).is_some_and(|(u, p)| p > u * SLOW);
@@ -234,8 +241,23 @@
         }
     }
 
-    /// Notes a whole generation and its pace, in seconds an event.
-    pub fn generated(&mut self, key: EngineKey, pace: f64) {
+    /// Notes that an engine makes no events for a while: it loads weights, or
+    /// something is wrong with it.
+    pub fn stalled(&mut self, now: Instant, key: EngineKey) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.away = Some(now + STALLED);
+        }
+    }
+
+    /// Says whether a run would be faster elsewhere: its engine is slow at
+    /// `pace`, and one that isn't has room.
+    #[must_use]
+    pub fn is_slow(&self, service: &str, pace: f64) -> bool {
+        self.usual(service).is_some_and(|usual| pace > usual * SLOW)
+    }
+
+    /// Notes an engine's pace, in seconds an event.
+    pub fn paced(&mut self, key: EngineKey, pace: f64) {
         if let Some(row) = self.rows.get_mut(key) {
             row.failures = 0;
             let old = row.pace.unwrap_or(pace);
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -4,8 +4,11 @@
 //! |---|---|---|---|---|
 //! | `batches` | bucket | batch | [`Head`] | absent at acceptance; else its version |
 //! | `results` | bucket | batch/position | one result | absent, and the head's version |
+//! | `pieces` | bucket | batch/item/round/event | a part of a text, [`Piece`] | the head's version |
 //! | `entries` | | process | [`Presence`] | none: only the process writes it |
 //!
+//! [`Piece`]: crate::rollout::batch::Piece
+//!
 //! The submission itself is an object named after the batch. The bucket is a
 //! hash of the batch: a part of the store takes a few hundred transactions a
 //! second one after another, and all rows of a batch must share one.
@@ -18,12 +21,14 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::table::RowId;
+use crate::{rollout::batch::Piece, table::RowId};
 
 /// Heads of batches.
 pub const BATCHES: &str = "batches";
 /// Results by batch and position.
 pub const RESULTS: &str = "results";
+/// Parts of unfinished texts by batch and item.
+pub const PIECES: &str = "pieces";
 /// Processes that own batches.
 pub const ENTRIES: &str = "entries";
 
@@ -116,6 +121,23 @@
     format!("{batch}/{position:06}")
 }
 
+/// Names the row of a part of an item's text.
+///
+/// Keys sort by item and, within an item, in the order in which it grew.
+#[must_use]
+pub fn piece(batch: &str, item: &str, piece: &Piece) -> RowId {
+    let from = piece.after.map_or(0, |after| after + 1);
+    let key = format!("{batch}/{item}/{:04}/{from:08}", piece.round);
+    RowId::new(PIECES, &bucket(batch), &key)
+}
+
+/// Returns the item that the key of a part of a text names.
+#[must_use]
+pub fn piece_item<'a>(batch: &str, key: &'a str) -> Option<&'a str> {
+    let rest = key.strip_prefix(batch)?.strip_prefix('/')?;
+    rest.rsplitn(3, '/').nth(2)
+}
+
 /// Names the row of a process.
 #[must_use]
 pub fn entry(name: &str) -> RowId {
