Leave a batch accepted during a planned stop to the next owner

Cause: a process that was told to stop while a submission was under way gave its batches back, then ran the new one, and renewed its row for all of the time it had left: nobody took over, for seven seconds, what it had given back. Ruled out: the feed (every process had the head) and the watch (it looked three times a second).

It stops renewing when it leaves, a missing row counts at once, and connections that never brought a request no longer hold a stop up.

--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -22,7 +22,7 @@
 use hibiscusroad_platform::batch;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -69,6 +69,11 @@
         let value = value.unwrap_or_default();
         // The first row tells of this life, and ends the time of the former.
         loop {
+            // A process that has given its batches back must not seem to run
+            // what it accepted at the last moment.
+            if self.leaving.get() {
+                return;
+            }
             let change = Change::new().put(row::entry(&self.name), value.clone());
             let done = self.store.transact(&change).await;
             if !matches!(done, Commit::Done { .. }) {
@@ -137,6 +142,8 @@
             .await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
+        let there: HashSet<&str> = page.rows.iter().map(|row| row.id.key.as_str()).collect();
+        seen.rows.retain(|name, _| there.contains(name.as_str()));
         for found in page.rows {
             let Ok(presence) = serde_json::from_slice::<Presence>(&found.value) else {
                 log::error!(target: BATCHES, entry = found.id.key.as_str();
@@ -229,6 +236,10 @@
         results: &[Vec<u8>],
         pieces: Vec<(RowId, String, Piece)>,
     ) {
+        if self.leaving.get() {
+            log::info!(target: BATCHES, batch = id; "A batch is left to the next owner.");
+            return;
+        }
         let now = Instant::now();
         let catalog = self.known.catalog();
         let route = catalog.and_then(|c| c.find(&head.host, &head.path).cloned());
--- a/hibiscusroad-daemon/src/gateway/front.rs
+++ b/hibiscusroad-daemon/src/gateway/front.rs
@@ -46,6 +46,8 @@
 struct Watch {
     /// Requests that are being worked on.
     busy: Cell<u32>,
+    /// Whether a request ever came.
+    used: Cell<bool>,
     /// When the connection became idle, or was opened.
     idle: Cell<Option<Instant>>,
     /// When the first byte of a request came that isn't read whole yet.
@@ -55,6 +57,7 @@
 impl Watch {
     fn began(&self) {
         self.busy.set(self.busy.get() + 1);
+        self.used.set(true);
         self.reading.set(None);
     }
 
@@ -187,6 +190,10 @@
             () = sleep_until(due.into()) => {}
             () = gateway.stop.closing(), if !closing => {
                 closing = true;
+                // hyper would wait for the first request of such a connection.
+                if !watch.used.get() && watch.reading.get().is_none() {
+                    return;
+                }
                 connection.as_mut().graceful_shutdown();
             }
         }
