Start long items first on fast engines, and end loads by registration

Cause: a third of the engines is 1.3 times slower, and an item of 195 events took 9.6 s there, 7.3 s elsewhere, of the 7.5 s that a step has; items with the longest hints started last; a load was noticed 0.2 s late by reports that lag, while the engine's own entry changes at once.

--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -12,6 +12,7 @@
         calls::Peer,
         http::whole,
         request::own_head,
+        store::millis,
     },
     logs::BATCHES,
 };
@@ -119,13 +120,20 @@
             self.engines.borrow_mut().paced(seat.key, pace);
         }
         if let Err(cause) = ended {
-            log::debug!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
+            log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
                 endpoint = endpoint.id.as_str(), cause:? = cause, before:? = before,
-                events = run.events; "A run of an item broke off.");
+                events = run.events, pace_us = micros(run.pace), took_ms = millis(start.elapsed());
+                "A run of an item broke off.");
             self.broke(owned, n, seat.key, before, cause);
             return;
         }
+        log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
+            endpoint = endpoint.id.as_str(), before:? = before, events = run.events,
+            pace_us = micros(run.pace), hint:? = item.hint, took_ms = millis(start.elapsed());
+            "The text of an item is whole.");
         drop(seat);
+        let events = owned.batch.borrow().last(n).unwrap_or(0);
+        self.engines.borrow_mut().whole(events);
         let whole = owned.batch.borrow_mut().generated(Instant::now(), n);
         if whole {
             self.score(owned, n).await;
@@ -135,6 +143,13 @@
     }
 }
 
+/// Returns seconds as whole microseconds, for logs.
+fn micros(seconds: Option<f64>) -> u64 {
+    seconds.map_or(0, |s| {
+        u64::try_from(Duration::from_secs_f64(s).as_micros()).unwrap_or(0)
+    })
+}
+
 fn item_head(
     item: &Item,
     owned: &Owned,
@@ -273,22 +288,18 @@
                 return Err(Break::Lost);
             }
             self.batches.engines.borrow_mut().stalled(now, self.key);
-            if self.elsewhere(now) {
+            if self.elsewhere(now).is_some() {
                 return Err(Break::Moved);
             }
             wait = STALL_LOOK;
         }
     }
 
-    /// Says whether another engine has room for this item.
-    fn elsewhere(&self, now: Instant) -> bool {
-        let route = self.batches.route(self.owned);
-        route.is_some_and(|route| {
-            let other = self
-                .batches
-                .choose(now, self.owned, &route, self.n, Some(self.key));
-            other.is_some()
-        })
+    /// Finds another engine that has room for this item.
+    fn elsewhere(&self, now: Instant) -> Option<EngineKey> {
+        let route = self.batches.route(self.owned)?;
+        self.batches
+            .choose(now, self.owned, &route, self.n, Some(self.key))
     }
 
     /// Adds an event to the text; one that doesn't follow the last ends the run.
@@ -324,12 +335,13 @@
             return Ok(());
         }
         let pace = self.pace.unwrap_or(gap);
-        let slow = {
-            let mut engines = self.batches.engines.borrow_mut();
-            engines.paced(self.key, pace);
-            engines.is_slow(self.service, pace)
+        self.batches.engines.borrow_mut().paced(self.key, pace);
+        let Some(other) = self.elsewhere(now) else {
+            return Ok(());
         };
-        if slow && self.elsewhere(now) {
+        let events = self.owned.batch.borrow().last(self.n).unwrap_or(0);
+        let engines = self.batches.engines.borrow();
+        if engines.is_better(self.service, pace, events, other) {
             return Err(Break::Moved);
         }
         Ok(())
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -245,7 +245,7 @@
         let route = catalog.and_then(|c| c.find(&head.host, &head.path).cloned());
         let attempts = route.as_ref().map_or(1, |route| route.attempts);
         let single = route.as_ref().is_some_and(|route| route.single);
-        let mut batch = Batch::new(now, &submission, attempts, single);
+        let mut batch = Batch::new(now, &submission, attempts, single, head.carried);
         for result in results {
             match batch::result_item(result) {
                 Ok(item) => batch.restore(&item),
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -28,6 +28,7 @@
 use hibiscusroad_platform::batch;
 use hyper::{Response, StatusCode, body::Bytes};
 use std::{
+    collections::HashSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -148,6 +149,7 @@
         let named = model
             .as_ref()
             .and_then(|model| self.known.named().get(model).copied());
+        let groups = groups(submission);
         let accepted = millis(self.store.now().unwrap_or_default());
         Head {
             host: route.host.clone(),
@@ -159,9 +161,36 @@
             ended: false,
             lag: named.unwrap_or(1).saturating_sub(submission.floor),
             work: submission.items.iter().map(tokens).sum(),
+            carried: self.carried(model.as_deref(), &groups),
+            groups,
             model,
         }
     }
+
+    /// Counts the groups at the beginning that are known from earlier batches.
+    fn carried(&self, model: Option<&str>, groups: &[u32]) -> usize {
+        let heads = self.heads.borrow();
+        let same = heads
+            .values()
+            .filter(|row| row.head.model.as_deref() == model);
+        let known: HashSet<u32> = same
+            .flat_map(|row| row.head.groups.iter().copied())
+            .collect();
+        groups
+            .iter()
+            .take_while(|group| known.contains(group))
+            .count()
+    }
+}
+
+/// Returns the hashes of the groups, in the order of the submission.
+fn groups(submission: &Submission) -> Vec<u32> {
+    let mut seen = HashSet::new();
+    let hashes = submission
+        .items
+        .iter()
+        .map(|item| row::group_hash(&item.group));
+    hashes.filter(|hash| seen.insert(*hash)).collect()
 }
 
 fn unique(submission: &Submission) -> bool {
--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -41,7 +41,7 @@
 use tokio::{
     sync::Notify,
     task::spawn_local,
-    time::{sleep, timeout},
+    time::{sleep, timeout, timeout_at},
 };
 
 /// The table of duties.
@@ -51,9 +51,12 @@
 /// An engine answers a report or an order in milliseconds, a slow one in some
 /// hundred; the lease leaves room for several such waits.
 const CALL: Duration = Duration::from_millis(700);
-/// Pause between looks at an engine that loads: a fifth of a load, so that the
-/// next engine starts soon after.
-const LOOK: Duration = Duration::from_millis(180);
+/// Pause between looks at an engine that loads and says nothing, and between
+/// tries to reach the store.
+const LOOK: Duration = Duration::from_millis(250);
+/// An engine that hasn't registered its new weights by then is asked: half as
+/// much again as a load that others slow down.
+const SILENT: Duration = Duration::from_millis(2_200);
 /// A load that isn't seen to end by then is planned anew.
 const LONGEST: Duration = Duration::from_secs(8);
 /// Pause before an engine that didn't take an order is asked again.
@@ -77,10 +80,14 @@
     loading: RefCell<HashMap<String, Instant>>,
     /// Versions that engines reported, beyond their entries.
     seen: RefCell<HashMap<(String, String), u64>>,
+    /// Orders that engines accepted, as far as known.
+    orders: RefCell<HashMap<String, u64>>,
     pace: RefCell<Pace>,
     /// The lease was another's before: its last order may be so recent.
     quiet: Cell<Option<Instant>>,
     changed: Notify,
+    /// Engines registered something new.
+    news: Notify,
 }
 
 /// What the duty works with.
@@ -108,15 +115,18 @@
             lease: RefCell::new(Lease::new(life, terms)),
             loading: RefCell::default(),
             seen: RefCell::default(),
+            orders: RefCell::default(),
             pace: RefCell::new(Pace::new()),
             quiet: Cell::new(None),
             changed: Notify::new(),
+            news: Notify::new(),
         }
     }
 
     /// Notes that engines or versions changed.
     pub(super) fn wake(&self) {
         self.changed.notify_one();
+        self.news.notify_waiters();
     }
 
     /// Gives the lease back, so that another process takes it at once.
@@ -217,6 +227,7 @@
             "The lease of the weights is held.");
         self.seen.borrow_mut().clear();
         self.loading.borrow_mut().clear();
+        self.orders.borrow_mut().clear();
         // Engines that check no numbers can't tell an old holder's order from
         // a new one's: what the old one sent last has to be over.
         let wait = !self.fences && fence > 1;
@@ -312,14 +323,17 @@
         let Some(endpoint) = self.members.get(&load.endpoint) else {
             return false;
         };
-        let Some(report) = self.report(&endpoint).await else {
-            return false;
+        let known = self.orders.borrow_mut().remove(&load.endpoint);
+        let orders = match known {
+            Some(orders) => orders,
+            None => match self.report(&endpoint).await {
+                Some(report) if self.runs(load, &report) => return true,
+                Some(report) if !report.busy => report.orders,
+                _ => return false,
+            },
         };
-        if self.runs(load, &report) {
-            return true;
-        }
         // Looked at last: nothing is waited for between this and the order.
-        let Some(fence) = self.fence().filter(|_| !report.busy) else {
+        let Some(fence) = self.fence() else {
             return false;
         };
         let order = Order {
@@ -328,17 +342,24 @@
             version: load.version,
             holder: self.life.clone(),
             fence,
-            expected: report.orders,
+            expected: orders,
         };
         let answer = self.ask(&endpoint, engine::order(&order)).await;
         let answer = answer.map_or(OrderAnswer::Unknown, |(status, _)| {
             engine::order_answer(status)
         });
         log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
-            version = load.version, fence = fence, orders = report.orders, answer:? = answer;
+            version = load.version, fence = fence, orders = orders, answer:? = answer;
             "An order was given.");
         match answer {
-            OrderAnswer::Accepted => self.watch(&endpoint, load).await,
+            OrderAnswer::Accepted => {
+                let done = self.watch(&endpoint, load).await;
+                if done {
+                    let id = load.endpoint.clone();
+                    self.orders.borrow_mut().insert(id, orders + 1);
+                }
+                done
+            }
             OrderAnswer::Holds => {
                 self.saw(&load.endpoint, &load.model, load.version);
                 true
@@ -353,17 +374,29 @@
         }
     }
 
+    /// Waits until an engine has loaded: it registers that at once. Its report
+    /// lags behind, and is asked for only if it says nothing for long.
     async fn watch(&self, endpoint: &Endpoint, load: &Load) -> bool {
         let end = Instant::now() + LONGEST;
+        let mut look = Instant::now() + SILENT;
         while Instant::now() < end {
-            sleep(LOOK).await;
-            let Some(report) = self.report(endpoint).await else {
-                if self.members.get(&load.endpoint).is_none() {
-                    return false;
-                }
-                continue;
+            let news = self.news.notified();
+            let Some(now) = self.members.get(&load.endpoint) else {
+                return false;
             };
-            if self.runs(load, &report) {
+            let runs = now
+                .weights
+                .iter()
+                .any(|weights| weights.model == load.model && weights.version >= load.version);
+            if runs {
+                return true;
+            }
+            if timeout_at(look.into(), news).await.is_ok() {
+                continue;
+            }
+            look = Instant::now() + LOOK;
+            let report = self.report(endpoint).await;
+            if report.is_some_and(|report| self.runs(load, &report)) {
                 return true;
             }
         }
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -3,8 +3,9 @@
 //! Load: a step of a hundred items before seventy slots, of which the trainer
 //! waits for nine groups in ten. Harm: started in any order, every group waits
 //! for its last item, and the trainer for nearly all groups. So items start by
-//! whole groups, in the order of the submission, whose first groups are those
-//! that were carried over and that the trainer waits for in any case.
+//! whole groups: first those that were carried over from an earlier step, which
+//! the trainer waits for in any case, then those with the longest items, since
+//! a step lasts at least as long as the last of them.
 //!
 //! Results are listed in the order in which they were written to the store.
 //! Positions are handed out only here and only after the write before is known
@@ -107,9 +108,16 @@
     /// Creates the state of a batch of which nothing has run.
     ///
     /// `attempts` is how often an item or its scorer may fail; with `single`
-    /// all of a text has to come from one weight version.
+    /// all of a text has to come from one weight version; so many groups at the
+    /// beginning are carried over from an earlier step.
     #[must_use]
-    pub fn new(now: Instant, submission: &Submission, attempts: u32, single: bool) -> Self {
+    pub fn new(
+        now: Instant,
+        submission: &Submission,
+        attempts: u32,
+        single: bool,
+        carried: usize,
+    ) -> Self {
         let items = &submission.items;
         let row = || Row {
             phase: Phase::Waiting { after: now },
@@ -123,7 +131,7 @@
         Self {
             rows: items.iter().map(|_| row()).collect(),
             index: index.collect(),
-            order: start_order(submission),
+            order: start_order(submission, carried),
             listed: 0,
             attempts: attempts.max(1),
             floor: submission.floor,
@@ -395,7 +403,7 @@
 /// Orders items by group: those that the trainer surely waits for first, as they
 /// stand; then those that are expected to take longest, since a step lasts at
 /// least as long as the last of them.
-fn start_order(submission: &Submission) -> Vec<usize> {
+fn start_order(submission: &Submission, carried: usize) -> Vec<usize> {
     let mut groups: Vec<Vec<usize>> = Vec::new();
     let mut index: HashMap<&str, usize> = HashMap::new();
     for (n, item) in submission.items.iter().enumerate() {
@@ -409,8 +417,7 @@
         let hints = group.iter().map(|n| submission.items[*n].hint.unwrap_or(0));
         hints.max().unwrap_or(0)
     };
-    // At most half of the groups that are waited for are carried over.
-    let carried = submission.target.unwrap_or(0).div_ceil(2).min(groups.len());
+    let carried = carried.min(groups.len());
     groups[carried..].sort_by_key(|group| std::cmp::Reverse(longest(group)));
     groups.into_iter().flatten().collect()
 }
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -42,6 +42,16 @@
 /// Slower than its median peer by this factor is slow. Engines of one service
 /// differ by up to a third when sound; a disturbed one by three and more.
 const SLOW: f64 = 1.7;
+/// Slower than the fastest peers by this factor is worth a move for a run that
+/// has become long: what is left of it ends that much sooner.
+const MILD: f64 = 1.12;
+/// The fastest peers are this share of the engines.
+const FASTEST: f64 = 0.25;
+/// A run is long when it has made so many times the events of a usual one: half
+/// of the runs that get there make as many again.
+const LONG: f64 = 1.5;
+/// Weight of a new sample of how many events a run makes.
+const EVENTS_WEIGHT: f64 = 0.05;
 /// Weight of a new sample of an engine's pace.
 const PACE_WEIGHT: f64 = 0.4;
 
@@ -60,6 +70,35 @@
     pace: Option<f64>,
 }
 
+/// How fast the engines of a service are, in seconds an event.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    /// The median.
+    median: f64,
+    /// Of the fastest ones.
+    best: f64,
+}
+
+/// How an engine compares with its peers, best last.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Tier {
+    Slow,
+    Mild,
+    Fast,
+}
+
+impl Usual {
+    fn tier(self, pace: f64) -> Tier {
+        if pace > self.median * SLOW {
+            Tier::Slow
+        } else if pace > self.best * MILD {
+            Tier::Mild
+        } else {
+            Tier::Fast
+        }
+    }
+}
+
 impl Row {
     fn others(&self, now: Instant) -> u32 {
         let told = self.others.filter(|(at, _)| now < *at + BELIEVED);
@@ -95,6 +134,8 @@
 pub struct Engines {
     rows: SlotMap<EngineKey, Row>,
     index: HashMap<String, EngineKey>,
+    /// Events of a usual text.
+    events: Option<f64>,
 }
 
 impl Engines {
@@ -166,37 +207,60 @@
     /// Chooses an engine with room for an item.
     #[must_use]
     pub fn choose(&self, now: Instant, want: &Want<'_>) -> Option<EngineKey> {
-        let usual = self.usual(want.service);
+        let usual = self.paces(want.service);
+        let tier = |row: &Row| {
+            let known = usual.zip(row.pace);
+            known.map_or(Tier::Fast, |(usual, pace)| usual.tier(pace))
+        };
         let fits = |key: EngineKey, row: &Row| {
-            let slow = usual.zip(row.pace).is_some_and(|(u, p)| p > u * SLOW);
             Some(key) != want.not
                 && row.open
                 && row.service == want.service
                 && row.away.is_none_or(|until| until <= now)
                 && row.room(now) > 0
-                && (!slow || row.mine == 0)
+                && (tier(row) != Tier::Slow || row.mine == 0)
                 && has(row, want)
         };
         let near = want.near.filter(|key| {
             let row = self.rows.get(*key);
-            row.is_some_and(|row| fits(*key, row))
+            row.is_some_and(|row| tier(row) == Tier::Fast && fits(*key, row))
         });
         if near.is_some() {
             return near;
         }
         let found = self.rows.iter().filter(|(key, row)| fits(*key, row));
         let best = found.max_by_key(|(_, row)| {
-            // Slow ones come last, then by room; a hash keeps owners apart.
-            let slow = usual.zip(row.pace).is_some_and(|(u, p)| p > u * SLOW);
-            let tie = xxh3_64_with_seed(
-                row.id.as_bytes(),
-                xxh3_64_with_seed(want.group.as_bytes(), 0),
-            );
-            (!slow, row.room(now), tie)
+            // A hash keeps owners apart that see the same room.
+            let group = xxh3_64_with_seed(want.group.as_bytes(), 0);
+            let tie = xxh3_64_with_seed(row.id.as_bytes(), group);
+            (tier(row), row.room(now), tie)
         });
         best.map(|(key, _)| key)
     }
 
+    /// Says whether an engine with room is clearly faster than one of `pace`:
+    /// far faster for any run, somewhat faster for one with many events.
+    #[must_use]
+    pub fn is_better(&self, service: &str, pace: f64, events: u64, other: EngineKey) -> bool {
+        let Some(usual) = self.paces(service) else {
+            return false;
+        };
+        let there = self.rows.get(other).and_then(|row| row.pace);
+        let there = there.map_or(Tier::Fast, |pace| usual.tier(pace));
+        let long = self.events.is_some_and(|mean| events as f64 > mean * LONG);
+        match usual.tier(pace) {
+            Tier::Slow => there != Tier::Slow,
+            Tier::Mild => long && there == Tier::Fast,
+            Tier::Fast => false,
+        }
+    }
+
+    /// Notes how many events a whole text has.
+    pub fn whole(&mut self, events: u64) {
+        let mean = self.events.unwrap_or(events as f64);
+        self.events = Some(mean + (events as f64 - mean) * EVENTS_WEIGHT);
+    }
+
     /// Notes that an item was sent.
     pub fn start(&mut self, key: EngineKey) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -226,9 +290,12 @@
     }
 
     /// Notes that an engine refused an item without running it.
+    ///
+    /// One that has room by its own word refuses because it loads weights.
     pub fn refused(&mut self, now: Instant, key: EngineKey) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.away = Some(now + REFUSED);
+            let pause = if row.room(now) > 0 { STALLED } else { REFUSED };
+            row.away = Some(now + pause);
         }
     }
 
@@ -249,13 +316,6 @@
         }
     }
 
-    /// Says whether a run would be faster elsewhere: its engine is slow at
-    /// `pace`, and one that isn't has room.
-    #[must_use]
-    pub fn is_slow(&self, service: &str, pace: f64) -> bool {
-        self.usual(service).is_some_and(|usual| pace > usual * SLOW)
-    }
-
     /// Notes an engine's pace, in seconds an event.
     pub fn paced(&mut self, key: EngineKey, pace: f64) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -268,10 +328,18 @@
     /// Returns the median pace of a service's engines, in seconds an event.
     #[must_use]
     pub fn usual(&self, service: &str) -> Option<f64> {
+        self.paces(service).map(|usual| usual.median)
+    }
+
+    fn paces(&self, service: &str) -> Option<Usual> {
         let rows = self.rows.values().filter(|row| row.service == service);
         let mut paces: Vec<f64> = rows.filter_map(|row| row.pace).collect();
         paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied()
+        let rank = (paces.len() as f64 * FASTEST) as usize;
+        Some(Usual {
+            median: *paces.get(paces.len() / 2)?,
+            best: *paces.get(rank)?,
+        })
     }
 }
 
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -59,6 +59,10 @@
     pub lag: u64,
     /// Tokens of all its items.
     pub work: u64,
+    /// Hashes of its groups: one that was in an earlier batch is carried over.
+    pub groups: Vec<u32>,
+    /// How many groups at its beginning are carried over.
+    pub carried: usize,
 }
 
 impl Head {
@@ -103,6 +107,14 @@
     (0..BUCKETS).map(|n| format!("{n:x}"))
 }
 
+/// Returns the hash of a group's name, as heads hold it. Two groups that share
+/// one by chance make a group start earlier than it has to.
+#[must_use]
+pub fn group_hash(group: &str) -> u32 {
+    let hash = xxh3_64(group.as_bytes());
+    (hash & u64::from(u32::MAX)) as u32
+}
+
 /// Names the head of a batch.
 #[must_use]
 pub fn head(batch: &str) -> RowId {
