Order loads and items by the rank of their route, and keep connections longer

Cause: on deployments with several trainers the urgent ones were served less than the others, and a step's connections were closed before the next step.

Tried and taken back: less urgent items leave one slot of each engine and the fast engines to others.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -1,7 +1,8 @@
 //! Starts items at engines.
 //!
-//! The batch that is due first goes first: its trainer waits for it, and the
-//! next step can't be asked for before it is done.
+//! The most urgent batch goes first, and of two alike the one that is due first:
+//! its trainer waits for it, and the next step can't be asked for before it is
+//! done.
 
 use super::{Batches, Owned};
 use crate::logs::BATCHES;
@@ -41,7 +42,7 @@
         loop {
             let now = Instant::now();
             let mut mine: Vec<Rc<Owned>> = self.mine.borrow().values().cloned().collect();
-            mine.sort_by_key(|owned| owned.due);
+            mine.sort_by_key(|owned| (owned.priority, owned.due));
             for owned in &mine {
                 self.start_all(now, owned);
             }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -89,6 +89,8 @@
     /// The version of its head's row.
     version: Cell<u64>,
     due: Instant,
+    /// The rank of its route; 0 is the highest.
+    priority: u8,
     /// When it may be given up.
     expires: Option<Instant>,
     batch: RefCell<Batch>,
@@ -162,14 +164,14 @@
         self.work.notify_one();
     }
 
-    /// Returns by model the lag that its newest step allows, and its work.
-    pub(super) fn needs(&self) -> HashMap<String, (u64, u64)> {
+    /// Returns the newest head of each model: what its steps need.
+    pub(super) fn needs(&self) -> HashMap<String, Head> {
         let heads = self.heads.borrow();
         let mut rows: Vec<&Head> = heads.values().map(|row| &row.head).collect();
         rows.sort_by_key(|head| head.accepted);
         let needs = rows.into_iter().filter_map(|head| {
             let model = head.model.clone()?;
-            Some((model, (head.lag, head.work)))
+            Some((model, head.clone()))
         });
         needs.collect()
     }
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -265,6 +265,7 @@
             path: head.path,
             host: head.host,
             submission,
+            priority: head.priority,
             due: accepted + route.as_ref().and_then(|r| r.due).unwrap_or_default(),
             expires: route.and_then(|r| r.ttl).map(|ttl| accepted + ttl),
             version: Cell::new(version),
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -162,6 +162,7 @@
             lag: named.unwrap_or(1).saturating_sub(submission.floor),
             work: submission.items.iter().map(tokens).sum(),
             carried: self.carried(model.as_deref(), &groups),
+            priority: route.priority,
             groups,
             model,
         }
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -37,9 +37,9 @@
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
 /// Idle connections kept to one address. More are needed only in bursts.
 const KEPT: usize = 16;
-/// Idle connections are kept so long if the other side doesn't say: shorter
-/// than the five seconds that are common among servers.
-const KEEP: Duration = Duration::from_millis(4_000);
+/// Idle connections are kept so long if the other side doesn't say: a trainer's
+/// steps are seconds apart, and each reuses the connections of the one before.
+const KEEP: Duration = Duration::from_millis(9_000);
 
 /// The body of a request: whole, or what was read of it and the rest as it
 /// comes.
--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -257,13 +257,13 @@
     fn goals(&self) -> Vec<Goal> {
         let needs = self.batches.needs();
         let goals = self.known.named().into_iter().map(|(model, named)| {
-            let need = needs.get(&model).copied();
-            let (lag, work) = need.unwrap_or((0, 0));
+            let need = needs.get(&model);
             Goal {
-                model,
                 named,
-                lag,
-                work: work as f64,
+                lag: need.map_or(0, |head| head.lag),
+                work: need.map_or(0, |head| head.work) as f64,
+                priority: need.map_or(0, |head| head.priority),
+                model,
             }
         });
         goals.collect()
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -59,6 +59,8 @@
     pub lag: u64,
     /// Tokens of all its items.
     pub work: u64,
+    /// The rank of its route; 0 is the highest.
+    pub priority: u8,
     /// Hashes of its groups: one that was in an earlier batch is carried over.
     pub groups: Vec<u32>,
     /// How many groups at its beginning are carried over.
--- a/src/rollout/wave.rs
+++ b/src/rollout/wave.rs
@@ -53,6 +53,8 @@
     pub lag: u64,
     /// Its share of the work, in any unit.
     pub work: f64,
+    /// The rank of its steps; 0 is the highest.
+    pub priority: u8,
 }
 
 /// A load to order.
@@ -87,8 +89,10 @@
             wanted.push((stale, goal.named - version(&n), n, goal));
         }
     }
-    // What no step can use comes first.
-    wanted.sort_by_key(|(stale, behind, ..)| std::cmp::Reverse((*stale, *behind)));
+    // What no step can use comes first, and of that what is most urgent.
+    wanted.sort_by_key(|(stale, behind, _, goal)| {
+        std::cmp::Reverse((*stale, std::cmp::Reverse(goal.priority), *behind))
+    });
     let mut taken = HashSet::new();
     let free = wanted.into_iter().filter(|(_, _, n, _)| !engines[*n].busy);
     free.filter(|(_, _, n, _)| taken.insert(*n))
