Test gateways as processes, and mend two limits that the tests found

Two failed at first. A connection that sent half of its headers was closed at the idle limit (3.0 s in place of 0.6 s): its timer was set before the first byte came. A caller whose body was too large saw a reset in place of 413: what was unread reset the connection. Both pass now.

--- a/hibiscusroad-daemon/src/gateway/answer.rs
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -22,8 +22,6 @@
     Whole(Full<Bytes>),
     /// It is passed on as it comes.
     Flow(Flow),
-    /// Pieces made by this process, one after the other.
-    Pieces(tokio::sync::mpsc::Receiver<Result<Bytes, Broken>>),
 }
 
 /// An endpoint's answer on its way.
@@ -54,16 +52,13 @@
                 Poll::Pending => Poll::Pending,
             },
             Self::Flow(flow) => flow.poll(cx),
-            Self::Pieces(pieces) => pieces
-                .poll_recv(cx)
-                .map(|piece| piece.map(|p| p.map(Frame::data))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body) => body.is_end_stream(),
-            Self::Flow(_) | Self::Pieces(_) => false,
+            Self::Flow(_) => false,
         }
     }
 
@@ -71,7 +66,6 @@
         match self {
             Self::Whole(body) => body.size_hint(),
             Self::Flow(flow) => flow.size_hint(),
-            Self::Pieces(_) => SizeHint::default(),
         }
     }
 }
--- a/hibiscusroad-daemon/src/gateway/front.rs
+++ b/hibiscusroad-daemon/src/gateway/front.rs
@@ -12,6 +12,7 @@
     answer::{Broken, Out},
 };
 use crate::logs::CALLERS;
+use hibiscusroad::catalog::Limits;
 use hyper::{
     Request, Response,
     body::{Body, Bytes, Frame, Incoming, SizeHint},
@@ -23,6 +24,7 @@
 use std::{
     cell::Cell,
     convert::Infallible,
+    future::poll_fn,
     io,
     pin::{Pin, pin},
     rc::Rc,
@@ -66,6 +68,16 @@
         self.idle.set(Some(Instant::now()));
     }
 
+    /// Says when the connection is to be closed, unless something happens.
+    fn due(&self, limits: &Limits) -> Instant {
+        let now = Instant::now();
+        match (self.reading.get(), self.busy.get()) {
+            (Some(since), 0) => since + limits.reading,
+            (None, 0) => self.idle.get().unwrap_or(now) + limits.idle,
+            (_, _) => now + limits.reading.min(limits.idle),
+        }
+    }
+
     fn read(&self) {
         if self.busy.get() == 0 && self.reading.get().is_none() {
             self.reading.set(Some(Instant::now()));
@@ -165,29 +177,39 @@
         .max_buf_size(limits.headers.max(LEAST_BUFFER))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
+    let mut timer = pin!(sleep_until(watch.due(&limits).into()));
     let mut closing = false;
     loop {
-        let now = Instant::now();
-        let due = match (watch.reading.get(), watch.busy.get()) {
-            (Some(since), 0) => since + limits.reading,
-            (None, 0) => watch.idle.get().unwrap_or(now) + limits.idle,
-            (_, _) => now + limits.reading.min(limits.idle),
-        };
-        if due <= now && watch.busy.get() == 0 {
-            // Nothing of a request was read whole: closing answers nobody.
-            log::debug!(target: CALLERS, reading = watch.reading.get().is_some();
-                "A connection is closed for its limits.");
-            return;
-        }
+        // The connection may have read the beginning of a request: then less
+        // time is left than the timer was set for.
+        let step = poll_fn(|cx| {
+            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                return Poll::Ready(Some(ended));
+            }
+            let due = watch.due(&limits).into();
+            if due < timer.deadline() {
+                timer.as_mut().reset(due);
+            }
+            timer.as_mut().poll(cx).map(|()| None)
+        });
         tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    log::debug!(target: CALLERS, error = error.to_string().as_str();
-                        "A caller's connection ended.");
+            stepped = step => {
+                if let Some(ended) = stepped {
+                    if let Err(error) = ended {
+                        log::debug!(target: CALLERS, error = error.to_string().as_str();
+                            "A caller's connection ended.");
+                    }
+                    return;
+                }
+                let due = watch.due(&limits);
+                if due <= Instant::now() {
+                    // Nothing of a request was read whole: this cuts off nobody.
+                    log::debug!(target: CALLERS, reading = watch.reading.get().is_some();
+                        "A connection is closed for its limits.");
+                    return;
                 }
-                return;
+                timer.as_mut().reset(due.into());
             }
-            () = sleep_until(due.into()) => {}
             () = gateway.stop.closing(), if !closing => {
                 closing = true;
                 // hyper would wait for the first request of such a connection.
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -119,7 +119,7 @@
 #[derive(Debug)]
 pub(super) struct Channel {
     sender: SendRequest<Sent>,
-    driver: Driver,
+    _driver: Driver,
     address: SocketAddr,
 }
 
@@ -221,15 +221,8 @@
         }));
         Ok(Channel {
             sender,
-            driver,
+            _driver: driver,
             address,
         })
     }
 }
-
-impl Channel {
-    /// Says whether the other side closed it.
-    pub(super) fn is_closed(&self) -> bool {
-        self.driver.0.is_finished() || self.sender.is_closed()
-    }
-}
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -32,6 +32,10 @@
 /// Submissions are read whole in any case: a thousand items of 1 KiB each, three
 /// times over for their encoding.
 const SUBMISSION: usize = 8 << 20;
+/// Bytes of a refused body that are read at most, and for how long: enough for
+/// a body that is somewhat too large, and no burden.
+const SKIPPED: usize = 4 << 20;
+const SKIPPING: Duration = Duration::from_millis(500);
 /// How long a caller waits who names no deadline.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// When callers come back to a process that knows nothing yet: it asks the
@@ -115,7 +119,10 @@
         let most = limits.body.min(SUBMISSION);
         let body = match read(body, most).await {
             Ok((body, None)) => body,
-            Ok((_, Some(_))) => return problem(ErrorKind::BodyTooLarge, Duration::ZERO),
+            Ok((_, Some(rest))) => {
+                skip(rest).await;
+                return problem(ErrorKind::BodyTooLarge, Duration::ZERO);
+            }
             Err(kind) => return problem(kind, Duration::ZERO),
         };
         if self.stop.is_stopping() {
@@ -183,6 +190,7 @@
 
 async fn content(body: Incoming, limits: Limits, deadline: Instant) -> Result<Content, ErrorKind> {
     if body.size_hint().lower() > limits.body as u64 {
+        skip(body).await;
         return Err(ErrorKind::BodyTooLarge);
     }
     let whole = WHOLE.min(limits.body);
@@ -197,6 +205,23 @@
     })
 }
 
+/// Reads some of a body that nobody wants: a connection that is closed with
+/// bytes unread is reset, and its caller never sees the answer.
+async fn skip(mut body: Incoming) {
+    let mut length = 0;
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > SKIPPED {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(SKIPPING, reading).await.is_err() {
+        log::debug!(target: CALLS, "A body that is too large came slowly; the rest is cut off.");
+    }
+}
+
 /// Reads a body up to `most` bytes; returns the rest if it is longer.
 async fn read(mut body: Incoming, most: usize) -> Result<(Bytes, Option<Incoming>), ErrorKind> {
     let mut parts = VecDeque::new();
--- a/hibiscusroad-daemon/src/gateway/stopping.rs
+++ b/hibiscusroad-daemon/src/gateway/stopping.rs
@@ -73,11 +73,6 @@
         self.phase.send_replace(Phase::Stopping);
     }
 
-    /// Waits until a planned stop begins.
-    pub(super) async fn stopping(&self) {
-        self.reached(Phase::Stopping).await;
-    }
-
     /// Waits until idle connections are to be closed.
     pub(super) async fn closing(&self) {
         self.reached(Phase::Closing).await;
--- /dev/null
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -0,0 +1,342 @@
+//! Batches of trainers, over processes that fail.
+
+mod gateway_world;
+
+use gateway_world::{Answer, World, submission, until};
+use hibiscusroad_standins::direct::{Faults, Manner};
+use rustix::process::Signal;
+use serde_json::Value;
+use std::{collections::BTreeSet, time::Duration};
+
+fn submit(world: &World, n: usize, id: &str, body: &Value) -> Answer {
+    world.gateways[n].call("POST", "/lm/step", id, body.to_string().as_bytes())
+}
+
+/// Reads results from a position on.
+fn read(world: &World, n: usize, id: &str, after: usize) -> Answer {
+    world.gateways[n].call("GET", &format!("/lots/{id}?after={after}"), "reader", b"")
+}
+
+/// Waits until a batch has so many results and returns them.
+fn results(world: &World, n: usize, id: &str, count: usize) -> Vec<Value> {
+    until("all results are listed", || {
+        let answer = read(world, n, id, 0);
+        if answer.status != 200 {
+            return None;
+        }
+        let found = answer.json()["results"].as_array().unwrap().clone();
+        (found.len() >= count).then_some(found)
+    })
+}
+
+fn text(item: &str, events: u64) -> String {
+    let lines: Vec<String> = (1..=events).map(|n| format!("{item}-{n}")).collect();
+    lines.join("\n")
+}
+
+fn check_whole(results: &[Value], events: u64) {
+    let ids: BTreeSet<&str> = results.iter().map(|r| r["id"].as_str().unwrap()).collect();
+    assert_eq!(ids.len(), results.len(), "an item stands at two positions");
+    for result in results {
+        let id = result["id"].as_str().unwrap();
+        assert_eq!(result["state"], "completed");
+        assert_eq!(result["text"], text(id, events));
+        assert_eq!(result["score"], format!("stamp-score-{id}"));
+    }
+}
+
+#[test]
+fn batch_is_run_scored_and_read_at_every_gateway() {
+    let (world, desk, engine) = World::ready("batch", 2);
+    let step = submission(1, 1, 2, 3);
+    assert_eq!(submit(&world, 0, "b1", &step).status, 202);
+    for n in 0..2 {
+        let found = results(&world, n, "b1", 6);
+        check_whole(&found, 8);
+        assert!(
+            found
+                .iter()
+                .all(|result| result["versions"] == serde_json::json!([1]))
+        );
+    }
+    // Positions stay as they are, wherever they are read.
+    let (here, there) = (read(&world, 0, "b1", 2), read(&world, 1, "b1", 2));
+    assert_eq!(here.json(), there.json());
+    assert_eq!(here.json()["next"], 6);
+    // The same submission again, at another gateway: accepted, and nothing runs.
+    assert_eq!(submit(&world, 1, "b1", &step).status, 202);
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(engine.ran().len(), 6);
+    let scored = desk
+        .ran()
+        .iter()
+        .filter(|ran| ran.id.starts_with("score-"))
+        .count();
+    assert_eq!(scored, 6);
+}
+
+#[test]
+fn bodies_are_given_until_the_end() {
+    let (world, _desk, engine) = World::ready("bodies", 2);
+    engine.work(Duration::from_millis(200));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    for n in 0..2 {
+        let gateway = &world.gateways[n];
+        let answer = gateway.call("GET", "/items/b1?id=item-1-0-1", "reader", b"");
+        assert_eq!((answer.status, answer.body), (200, vec![0xab, 0xcd, 0xef]));
+        let answer = gateway.call("GET", "/items/b1?id=item-9", "reader", b"");
+        assert_eq!(answer.status, 404);
+        assert_eq!(read(&world, n, "no-such", 0).status, 404);
+    }
+    assert_eq!(
+        world.gateways[1]
+            .call("DELETE", "/lots/b1", "end", b"")
+            .status,
+        200
+    );
+    assert_eq!(
+        world.gateways[0]
+            .call("DELETE", "/lots/b1", "end", b"")
+            .status,
+        200
+    );
+    let answer = world.gateways[0].call("GET", "/items/b1?id=item-1-0-1", "reader", b"");
+    assert_eq!(answer.status, 404);
+    assert_eq!(read(&world, 0, "b1", 0).status, 200);
+}
+
+// The trainer ends a batch while its items run: they are cancelled at their
+// engine within moments, by whichever process runs them.
+#[test]
+fn ended_batch_stops_at_its_engine() {
+    let (world, _desk, engine) = World::ready("ended", 2);
+    engine.work(Duration::from_millis(400));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    until("items run", || (engine.ran().len() == 3).then_some(()));
+    assert_eq!(
+        world.gateways[1]
+            .call("DELETE", "/lots/b1", "end", b"")
+            .status,
+        200
+    );
+    std::thread::sleep(Duration::from_millis(800));
+    let runs = engine.ran().len();
+    std::thread::sleep(Duration::from_secs(3));
+    let ran = engine.ran();
+    assert_eq!(ran.len(), runs, "items were started after the end");
+    assert!(ran.iter().all(|ran| !ran.whole), "the engine worked on");
+}
+
+// The trainer sees every item once, at the position where it was read, though
+// the process that runs the batch is killed in the middle of it. Another takes
+// the batch over, and goes on behind the events that were kept.
+#[test]
+fn killed_owners_batch_goes_on_elsewhere() {
+    let (mut world, _desk, engine) = World::ready("killed", 2);
+    engine.work(Duration::from_millis(100));
+    engine.events(40);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 2, 2)).status, 202);
+    until("texts are kept", || {
+        (world.store.rows("pieces").len() >= 4).then_some(())
+    });
+    world.gateways[0].kill();
+    let found = results(&world, 1, "b1", 4);
+    check_whole(&found, 40);
+    world.gateways[1].line("A batch is taken over.");
+    let resumed = engine
+        .ran()
+        .iter()
+        .filter(|ran| ran.after > Some(2))
+        .count();
+    assert!(resumed >= 4, "texts began anew: {:?}", engine.ran());
+}
+
+// A planned stop loses nothing of what was generated: the process keeps all
+// texts as they are and gives its batches back, and the next owner goes on.
+#[test]
+fn stopped_owners_batch_goes_on_elsewhere() {
+    let (mut world, _desk, engine) = World::ready("stopped", 2);
+    engine.work(Duration::from_millis(100));
+    engine.events(40);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    until("items run", || (engine.ran().len() == 3).then_some(()));
+    std::thread::sleep(Duration::from_millis(1_000));
+    world.gateways[0].signal(Signal::TERM);
+    check_whole(&results(&world, 1, "b1", 3), 40);
+    let resumed = engine
+        .ran()
+        .iter()
+        .filter(|ran| ran.after > Some(5))
+        .count();
+    assert_eq!(resumed, 3, "{:?}", engine.ran());
+    assert_eq!(world.gateways[0].wait().code(), Some(0));
+}
+
+// A batch is accepted while its process is told to stop. It must not run there,
+// or the process would keep all its batches for as long as it takes to end.
+#[test]
+fn batch_accepted_during_a_stop_is_left_to_others() {
+    let (mut world, _desk, engine) = World::ready("late", 2);
+    engine.work(Duration::from_millis(50));
+    world.store.fail(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    let callers = world.gateways[0].callers;
+    let body = submission(1, 1, 1, 2).to_string().into_bytes();
+    let submitting = std::thread::spawn(move || {
+        let headers = [("X-Request-Id", "b1"), ("X-Deadline-Ms", "5000")];
+        let limit = Duration::from_secs(9);
+        gateway_world::ask("POST", callers, "/lm/step", &headers, &body, limit)
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    world.gateways[0].signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(100));
+    world.store.fail(Faults::default());
+    let answer = submitting.join().unwrap().expect("an answer");
+    if answer.status == 202 {
+        check_whole(&results(&world, 1, "b1", 2), 8);
+        assert!(
+            world.gateways[0]
+                .lines()
+                .iter()
+                .all(|line| { line["text"] != "A batch is run here." })
+        );
+    }
+    assert_eq!(world.gateways[0].wait().code(), Some(0));
+}
+
+// All processes die at once: what was accepted is in the store, and the next
+// lives of the processes finish it.
+#[test]
+fn batch_outlives_all_processes() {
+    let (mut world, _desk, engine) = World::ready("all", 2);
+    engine.work(Duration::from_millis(80));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 2, 2)).status, 202);
+    world
+        .gateways
+        .iter_mut()
+        .for_each(gateway_world::Gateway::kill);
+    world.gateways.clear();
+    world.gateway();
+    world.wait_ready(0);
+    check_whole(&results(&world, 0, "b1", 4), 8);
+}
+
+// The store carries writes out and loses the answers, at once or seconds later.
+// Each item still stands at one position, and the batch is accepted once.
+#[test]
+fn lost_answers_of_the_store_double_nothing() {
+    for late in [Duration::ZERO, Duration::from_millis(700)] {
+        let (world, _desk, _engine) = World::ready(&format!("lost-{}", late.as_millis()), 2);
+        world.store.fail(Faults {
+            lose: 3,
+            late,
+            ..Faults::default()
+        });
+        let step = submission(1, 1, 3, 3);
+        until("the batch is accepted", || {
+            (submit(&world, 0, "b1", &step).status == 202).then_some(())
+        });
+        world.store.fail(Faults {
+            lose: 3,
+            late,
+            ..Faults::default()
+        });
+        check_whole(&results(&world, 1, "b1", 9), 8);
+        std::thread::sleep(late + Duration::from_millis(300));
+        check_whole(&results(&world, 0, "b1", 9), 8);
+        assert_eq!(read(&world, 0, "b1", 0).json()["total"], 9);
+    }
+}
+
+// The store refuses every write: the trainer is told that nothing runs, and
+// nothing does.
+#[test]
+fn refused_batch_never_runs() {
+    let (world, _desk, engine) = World::ready("refused", 1);
+    world.store.fail(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    let answer = submit(&world, 0, "b1", &submission(1, 1, 1, 2));
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(read(&world, 0, "b1", 0).status, 503, "nobody can be sure");
+    world.store.fail(Faults::default());
+    std::thread::sleep(Duration::from_millis(800));
+    assert!(engine.ran().is_empty());
+    assert_eq!(read(&world, 0, "b1", 0).status, 404);
+}
+
+#[test]
+fn malformed_batch_is_told_so() {
+    let (world, _desk, _engine) = World::ready("malformed", 1);
+    let gateway = &world.gateways[0];
+    assert_eq!(
+        gateway
+            .call("POST", "/lm/step", "b1", b"{\"requests\":7}")
+            .status,
+        400
+    );
+    let mut twice = submission(1, 1, 1, 2);
+    twice["requests"][1]["id"] = twice["requests"][0]["id"].clone();
+    assert_eq!(submit(&world, 0, "b2", &twice).status, 400);
+    assert_eq!(read(&world, 0, "b1", 0).status, 404);
+}
+
+// An engine fails every run of an item by itself: the item is listed as errored
+// after as many runs as its route allows, so that its trainer can go on.
+#[test]
+fn item_that_always_fails_is_errored() {
+    let (world, _desk, engine) = World::ready("errored", 1);
+    engine.behave(Manner::Failing);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 1)).status, 202);
+    let found = results(&world, 0, "b1", 1);
+    assert_eq!(found[0]["state"], "errored");
+    assert_eq!(engine.ran().len(), 3);
+}
+
+// A step must not contain text of weights that are too old: an engine that has
+// only those gets nothing of it, until it has loaded the version that the
+// trainer named. One process orders the load, once.
+#[test]
+fn items_wait_for_fresh_weights() {
+    let (world, _desk, engine) = World::ready("weights", 3);
+    assert_eq!(submit(&world, 0, "b1", &submission(2, 2, 1, 2)).status, 202);
+    std::thread::sleep(Duration::from_millis(600));
+    assert!(engine.ran().is_empty());
+    let named = serde_json::json!({ "model": "guide", "version": 2 });
+    world.store.put("op", "version/guide", &named);
+    let found = results(&world, 1, "b1", 2);
+    assert!(
+        found
+            .iter()
+            .all(|result| result["versions"] == serde_json::json!([2]))
+    );
+    assert_eq!(engine.version("guide"), 2);
+    assert_eq!(engine.holders().len(), 1, "{:?}", engine.holders());
+}
+
+// The holder of the weights' duty is killed. Another takes the lease with a
+// higher number and goes on; no engine sees two holders with one number.
+#[test]
+fn killed_holders_duty_goes_on_elsewhere() {
+    let (mut world, _desk, engine) = World::ready("holder", 2);
+    for version in 2..=3 {
+        let named = serde_json::json!({ "model": "guide", "version": version });
+        world.store.put("op", "version/guide", &named);
+        until("the engine has it", || {
+            (engine.version("guide") == version).then_some(())
+        });
+        if version == 2 {
+            let holder = engine.holders()[0].0.clone();
+            let n = usize::from(!holder.starts_with("gateway-1"));
+            world.gateways[n].kill();
+        }
+    }
+    let holders = engine.holders();
+    assert_eq!(holders.len(), 2);
+    assert_ne!(holders[0].0, holders[1].0);
+    assert!(holders[0].1 < holders[1].1, "{holders:?}");
+}
--- /dev/null
+++ b/hibiscusroad-daemon/tests/gateway_calls.rs
@@ -0,0 +1,175 @@
+//! Calls through a gateway, to endpoints that answer well and badly.
+
+mod gateway_world;
+
+use gateway_world::{HOST, World, ask, raw, until};
+use hibiscusroad_standins::direct::{Faults, Manner};
+use std::time::{Duration, Instant};
+
+#[test]
+fn call_gets_its_endpoints_whole_answer() {
+    let (world, desk, _engine) = World::ready("calls", 1);
+    let answer = world.gateways[0].call("POST", "/desk/4/a?b=c", "id-1", b"two nights");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.text(), "i-desk answers two nights");
+    assert_eq!(answer.header("x-server-stamp"), Some("stamp-id-1"));
+    assert_eq!(answer.header("x-request-id"), Some("id-1"));
+    let ran = desk.ran();
+    let ran = ran.iter().find(|ran| ran.id == "id-1").unwrap();
+    assert_eq!(ran.path, "/desk/4/a");
+}
+
+// The caller sees one answer, its own. An endpoint sends an answer that belongs
+// to another request, or none with a signature, or stops in the middle of it;
+// the gateway must not pass any of these on, and has another endpoint to ask.
+#[test]
+fn answers_of_faulty_endpoints_reach_nobody() {
+    let (world, desk, _engine) = World::ready("faulty", 1);
+    let sound = world.endpoint("hut-desk", "i-sound", &[]);
+    until("the second endpoint is known", || {
+        let answer = world.gateways[0].call("POST", "/desk/x", "warm", b"");
+        answer.text().starts_with("i-sound").then_some(())
+    });
+    for manner in [Manner::Foreign, Manner::Unsigned, Manner::Torn] {
+        desk.behave(manner);
+        for n in 0..6 {
+            let id = format!("{manner:?}-{n}");
+            let answer = world.gateways[0].call("POST", "/desk/x", &id, b"");
+            assert_eq!(answer.status, 200, "{id}: {}", answer.text());
+            assert_eq!(answer.header("x-request-id"), Some(id.as_str()));
+            assert!(
+                answer.text().starts_with("i-sound"),
+                "{id}: {}",
+                answer.text()
+            );
+        }
+    }
+    assert!(!sound.ran().is_empty());
+}
+
+// The caller of a request that must not run twice gets "unknown", not another
+// run: its endpoint began to work and the answer broke off.
+#[test]
+fn once_only_request_is_not_repeated_after_a_torn_answer() {
+    let (world, desk, _engine) = World::ready("once", 1);
+    let other = world.endpoint("hut-desk", "i-other", &[]);
+    desk.behave(Manner::Torn);
+    other.behave(Manner::Torn);
+    let answer = world.gateways[0].call("POST", "/once/book", "once-1", b"");
+    assert_eq!(answer.status, 502, "{}", answer.text());
+    let ran = desk.ran().into_iter().chain(other.ran());
+    assert_eq!(ran.filter(|ran| ran.id == "once-1").count(), 1);
+}
+
+// The caller is told "not run" with a time to come back, and nothing ran: every
+// endpoint says that it is full.
+#[test]
+fn refusal_by_full_endpoints_names_a_time_to_return() {
+    let (world, desk, _engine) = World::ready("full", 1);
+    desk.behave(Manner::Refusing);
+    let start = Instant::now();
+    let answer = world.gateways[0].call("POST", "/once/book", "full-1", b"");
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0);
+    assert!(start.elapsed() < Duration::from_secs(4));
+    assert!(desk.ran().iter().all(|ran| ran.id != "full-1"));
+}
+
+// A parent puts the phone away while the answer is awaited: the connection
+// closes. The endpoint must see its own connection close, or it would go on
+// working for nobody.
+#[test]
+fn work_of_a_caller_that_left_is_cancelled() {
+    let (world, desk, _engine) = World::ready("left", 1);
+    desk.work(Duration::from_secs(8));
+    let head = format!(
+        "POST /desk/slow HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: left-1\r\n\
+         X-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n"
+    );
+    let stream = raw(world.gateways[0].callers, head.as_bytes());
+    until("the endpoint has it", || {
+        desk.ran()
+            .iter()
+            .any(|ran| ran.id == "left-1")
+            .then_some(())
+    });
+    drop(stream);
+    std::thread::sleep(Duration::from_millis(600));
+    desk.work(Duration::from_millis(5));
+    let answer = world.gateways[0].call("POST", "/desk/next", "next-1", b"");
+    assert_eq!(answer.status, 200);
+    let ran = desk.ran();
+    let left = ran.iter().find(|ran| ran.id == "left-1").unwrap();
+    assert!(!left.whole, "the endpoint worked on");
+}
+
+// The caller gets its answer at its route's time limit, not at its own far
+// deadline: the endpoint says nothing at all.
+#[test]
+fn silent_endpoint_is_given_up_at_the_routes_time_limit() {
+    let (world, desk, _engine) = World::ready("silent", 1);
+    desk.behave(Manner::Silent);
+    let start = Instant::now();
+    let headers = [("X-Request-Id", "silent-1"), ("X-Deadline-Ms", "60000")];
+    let callers = world.gateways[0].callers;
+    let answer = ask(
+        "POST",
+        callers,
+        "/desk/x",
+        &headers,
+        b"",
+        Duration::from_secs(20),
+    );
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 504, "{}", answer.text());
+    let took = start.elapsed();
+    assert!(took > Duration::from_millis(2_500), "{took:?}");
+    assert!(took < Duration::from_millis(3_500), "{took:?}");
+}
+
+// Callers are served while the store is away: what is known stays in force, and
+// the process stays ready. Only a path without a route is not denied then,
+// since a route may have been added that this process can't have heard of.
+#[test]
+fn outage_of_the_store_stops_no_call() {
+    let (world, _desk, _engine) = World::ready("outage", 1);
+    let gateway = &world.gateways[0];
+    assert_eq!(gateway.call("POST", "/nowhere/x", "n-1", b"").status, 404);
+    world.store.fail(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    until("the configuration is no longer sure", || {
+        let answer = gateway.call("POST", "/nowhere/x", "n-2", b"");
+        (answer.status == 503).then_some(())
+    });
+    assert_eq!(gateway.call("POST", "/desk/x", "o-1", b"").status, 200);
+    world.wait_ready(0);
+    world.store.fail(Faults::default());
+    until("the configuration is sure again", || {
+        let answer = gateway.call("POST", "/nowhere/x", "n-3", b"");
+        (answer.status == 404).then_some(())
+    });
+}
+
+// An endpoint that says that it leaves gets no new work, though it still
+// answers; one whose entry is removed neither.
+#[test]
+fn leaving_endpoint_gets_no_new_work() {
+    let (world, desk, _engine) = World::ready("leaving", 1);
+    let other = world.endpoint("hut-desk", "i-other", &[]);
+    until("the second endpoint is known", || {
+        let answer = world.gateways[0].call("POST", "/desk/x", "warm", b"");
+        answer.text().starts_with("i-other").then_some(())
+    });
+    desk.register("draining");
+    std::thread::sleep(Duration::from_millis(300));
+    let before = desk.ran().len();
+    for n in 0..10 {
+        let answer = world.gateways[0].call("POST", "/desk/x", &format!("l-{n}"), b"");
+        assert!(answer.text().starts_with("i-other"));
+    }
+    assert_eq!(desk.ran().len(), before);
+    drop(other);
+}
--- /dev/null
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -0,0 +1,293 @@
+//! A gateway as a process: signals, settings, limits, logs.
+
+mod gateway_world;
+
+use gateway_world::{Gateway, HOST, World, ask, config, raw, read_all, settings_text, until};
+use hibiscusroad_standins::direct::Store;
+use rustix::process::Signal;
+use std::{
+    fs,
+    io::{Read, Write},
+    process::{Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+// The balancer sends callers only to a process that knows what to do with them:
+// one that has started and found no configuration isn't ready, and tells its
+// callers to come back.
+#[test]
+fn gateway_without_configuration_is_not_ready() {
+    let mut world = World::start("unready");
+    world.gateway();
+    let ready = world.gateways[0].ready;
+    let answer = until("the process listens", || {
+        ask("GET", ready, "/readyz", &[], b"", Duration::from_secs(1))
+    });
+    assert_eq!(answer.status, 503);
+    let answer = world.gateways[0].call("POST", "/desk/x", "u-1", b"");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    world.configure(1, &[]);
+    world.wait_ready(0);
+}
+
+// A hangup means changed settings, and is no reason to end: callers would be
+// cut off by an operator's edit.
+#[test]
+fn hangup_reads_the_settings_again() {
+    let (mut world, _desk, _engine) = World::ready("hangup", 1);
+    let other = std::sync::Arc::new(Store::start().unwrap());
+    other.put("op", "config", &config(9, &[]));
+    let gateway = &mut world.gateways[0];
+    let text = settings_text(
+        &gateway.name,
+        gateway.callers,
+        gateway.ready,
+        gateway.metrics,
+        other.addr(),
+        "",
+    );
+    fs::write(&gateway.settings, text).unwrap();
+    gateway.signal(Signal::HUP);
+    until("the new store is asked", || {
+        other
+            .calls()
+            .iter()
+            .any(|call| call.contains("rows-"))
+            .then_some(())
+    });
+    assert!(gateway.is_running());
+    fs::write(&gateway.settings, "name = 7").unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.line("Changed settings are broken");
+    assert_eq!(gateway.call("POST", "/desk/x", "h-1", b"").status, 200);
+}
+
+// The caller's request was read when the process was told to stop: it gets its
+// whole answer, and is told that the connection closes. The balancer is told at
+// once, and the process ends with 0 as soon as nobody waits any more.
+#[test]
+fn planned_stop_answers_what_was_read() {
+    let (mut world, desk, _engine) = World::ready("stop", 1);
+    desk.work(Duration::from_millis(1_200));
+    let callers = world.gateways[0].callers;
+    let slow = thread::spawn(move || {
+        let headers = [("X-Request-Id", "slow-1"), ("X-Deadline-Ms", "5000")];
+        ask(
+            "POST",
+            callers,
+            "/desk/slow",
+            &headers,
+            b"",
+            Duration::from_secs(9),
+        )
+    });
+    until("the endpoint has it", || {
+        desk.ran()
+            .iter()
+            .any(|ran| ran.id == "slow-1")
+            .then_some(())
+    });
+    let gateway = &mut world.gateways[0];
+    gateway.signal(Signal::TERM);
+    let ready = gateway.ready;
+    until("the balancer is told", || {
+        let answer = ask("GET", ready, "/readyz", &[], b"", Duration::from_secs(1));
+        (answer?.status == 503).then_some(())
+    });
+    let answer = slow.join().unwrap().expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert_eq!(gateway.wait().code(), Some(0));
+}
+
+// Somebody opens connections and sends half of a request, or nothing: they must
+// not hold descriptors for ever. Whoever keeps a connection for its next
+// request, within the limit, is not cut off.
+#[test]
+fn slow_and_idle_connections_are_closed_at_their_limits() {
+    let (world, _desk, _engine) = World::ready("limits", 1);
+    let callers = world.gateways[0].callers;
+    let start = Instant::now();
+    let mut slow = raw(callers, b"POST /desk/x HTTP/1.1\r\nHost: huts");
+    let mut idle = raw(callers, b"");
+    assert_eq!(read_all(&mut slow), "");
+    let took = start.elapsed();
+    assert!(
+        took > Duration::from_millis(500) && took < Duration::from_millis(2_500),
+        "{took:?}"
+    );
+    assert_eq!(read_all(&mut idle), "");
+    assert!(start.elapsed() > Duration::from_millis(2_700));
+    let request = format!(
+        "POST /desk/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: k-1\r\nContent-Length: 0\r\n\r\n"
+    );
+    let mut kept = raw(callers, request.as_bytes());
+    let mut buffer = [0; 4096];
+    assert!(kept.read(&mut buffer).unwrap() > 0);
+    thread::sleep(Duration::from_millis(2_300));
+    kept.write_all(request.as_bytes()).unwrap();
+    let n = kept.read(&mut buffer).unwrap();
+    assert!(buffer[..n].starts_with(b"HTTP/1.1 200"));
+}
+
+#[test]
+fn too_large_requests_are_told_so() {
+    let (world, _desk, _engine) = World::ready("large", 1);
+    let gateway = &world.gateways[0];
+    let answer = gateway.call("POST", "/desk/x", "b-1", &vec![b'x'; 1_100_000]);
+    assert_eq!(answer.status, 413);
+    let long = "x".repeat(40_000);
+    let headers = [("X-Request-Id", "h-1"), ("X-Long", long.as_str())];
+    let answer = ask(
+        "GET",
+        gateway.callers,
+        "/desk/x",
+        &headers,
+        b"",
+        Duration::from_secs(5),
+    );
+    assert_eq!(answer.unwrap().status, 431);
+    let answer = ask(
+        "POST",
+        gateway.callers,
+        "/desk/x",
+        &[],
+        b"",
+        Duration::from_secs(5),
+    );
+    assert_eq!(answer.unwrap().status, 400, "a request without an id");
+}
+
+// What is broken in the store is told and leaves what was in force: one row
+// with a slip must not take a whole deployment down.
+#[test]
+fn broken_rows_leave_what_is_known_in_force() {
+    let (world, _desk, _engine) = World::ready("broken", 1);
+    let gateway = &world.gateways[0];
+    world
+        .store
+        .put_bytes("op", "config", b"{\"version\": 2, \"routes\": 7}");
+    gateway.line("A configuration is broken");
+    world.store.put_bytes("servers", "i-odd", b"not json");
+    gateway.line("An endpoint's entry is broken");
+    world.store.put_bytes("op", "version/guide", b"[]");
+    gateway.line("A weight version is broken");
+    world.store.put_bytes("batches", "odd", b"{}");
+    assert_eq!(gateway.call("POST", "/desk/x", "s-1", b"").status, 200);
+    // An older version that comes late changes nothing.
+    world.configure(5, &[]);
+    gateway.line("A configuration is in force");
+    world.store.put(
+        "op",
+        "config",
+        &serde_json::json!({ "version": 3, "routes": [] }),
+    );
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(gateway.call("POST", "/desk/x", "s-2", b"").status, 200);
+}
+
+// The feed's history is gone, as after a compaction while nobody heard: the
+// table is read whole, and what changed meanwhile is in force.
+#[test]
+fn configuration_arrives_though_the_history_is_gone() {
+    let (world, _desk, _engine) = World::ready("history", 1);
+    let route = serde_json::json!({ "name": "late", "hostname": HOST, "prefix": "/late/",
+        "type": "idempotent", "timeoutMs": 2000, "service": "hut-desk", "maxAttempts": 2 });
+    world.store.forget_history();
+    world.configure(2, &[route]);
+    world.store.forget_history();
+    until("the new route is served", || {
+        let answer = world.gateways[0].call("POST", "/late/x", "late-1", b"");
+        (answer.status == 200).then_some(())
+    });
+}
+
+// On-call engineers' log collector hangs: nobody reads standard output any
+// more. Requests must be answered as before.
+#[test]
+fn unread_output_holds_up_no_request() {
+    let (world, _desk, _engine) = World::ready("unread", 1);
+    let name = "gateway-unread";
+    let [callers, ready, metrics] = [0, 1, 2].map(|_| {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        free.local_addr().unwrap()
+    });
+    let more = "\n[log]\nlevel = \"debug\"\n";
+    let text = settings_text(name, callers, ready, metrics, world.store.addr(), more);
+    let file = world.dir.join("unread.toml");
+    fs::write(&file, text).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let call = |id: &str| {
+        let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "3000")];
+        ask(
+            "POST",
+            callers,
+            "/nowhere/x",
+            &headers,
+            b"",
+            Duration::from_secs(4),
+        )
+    };
+    until("the process answers", || {
+        call("u-0").filter(|a| a.status == 404).map(|_| ())
+    });
+    // Far more lines than a pipe holds.
+    let desk = |id: &str| {
+        let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "3000")];
+        ask(
+            "POST",
+            callers,
+            "/desk/x",
+            &headers,
+            b"",
+            Duration::from_secs(4),
+        )
+    };
+    until("endpoints are known", || {
+        desk("u-1").filter(|a| a.status == 200).map(|_| ())
+    });
+    for n in 0..1_500 {
+        let start = Instant::now();
+        assert_eq!(
+            desk(&format!("{n}-{}", "i".repeat(200))).unwrap().status,
+            200
+        );
+        assert!(start.elapsed() < Duration::from_secs(1));
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
+
+#[test]
+fn faults_of_gateway_settings_are_told_at_once() {
+    let world = World::start("faults");
+    let file = world.dir.join("faults.toml");
+    fs::write(
+        &file,
+        "name = \"g\"\nhost = \"g\"\nplace = \"senec\"\nregion = \"zapad\"\n\
+         [gateway]\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:1\"\nstore = \"here\"\n\
+         lease = 3\n",
+    )
+    .unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
+        .arg("--check")
+        .arg(&file)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    for line in [
+        "gateway.ready: found 127.0.0.1:1",
+        "gateway.store: found \"here\"",
+        "gateway.lease:",
+    ] {
+        assert!(told.contains(line), "{line} is not in {told}");
+    }
+    let _unused = Gateway::kill;
+}
--- /dev/null
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -0,0 +1,338 @@
+//! Real gateways as processes, before a stand-in of the store and of endpoints.
+
+#![allow(dead_code, reason = "each test uses its part")]
+
+use hibiscusroad_standins::direct::{Endpoint, Store};
+use serde_json::{Value, json};
+use std::{
+    fs::{self, File},
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use ureq::Agent;
+
+/// Longer than anything here takes on a busy host.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// The host that all routes of these tests have.
+pub const HOST: &str = "huts.example";
+const LOOK: Duration = Duration::from_millis(15);
+
+/// An answer as its caller gets it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut found = self.headers.iter().filter(|(n, _)| n == name);
+        found.next().map(|(_, value)| value.as_str())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+}
+
+/// One gateway; killed when it is dropped.
+pub struct Gateway {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    pub settings: PathBuf,
+    pub output: PathBuf,
+    child: Child,
+}
+
+/// A deployment of gateways.
+pub struct World {
+    pub store: Arc<Store>,
+    pub dir: PathBuf,
+    pub gateways: Vec<Gateway>,
+}
+
+impl World {
+    /// Starts a store; gateways are started one by one.
+    pub fn start(test: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!("gateway-{test}-{}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        Self {
+            store: Arc::new(Store::start().unwrap()),
+            dir,
+            gateways: Vec::new(),
+        }
+    }
+
+    /// Starts a store with a configuration, endpoints and ready gateways.
+    pub fn ready(test: &str, gateways: usize) -> (Self, Endpoint, Endpoint) {
+        let mut world = Self::start(test);
+        world.configure(1, &[]);
+        let desk = world.endpoint("hut-desk", "i-desk", &[]);
+        let engine = world.endpoint("guide-lm", "i-lm", &["guide"]);
+        for _ in 0..gateways {
+            world.gateway();
+        }
+        for n in 0..gateways {
+            world.wait_ready(n);
+        }
+        // The endpoints are heard of a moment after the configuration.
+        for gateway in &world.gateways {
+            until("the endpoints are known", || {
+                let answer = gateway.call("POST", "/desk/warm", "warm", b"");
+                (answer.status == 200).then_some(())
+            });
+        }
+        (world, desk, engine)
+    }
+
+    pub fn endpoint(&self, service: &str, id: &str, models: &[&str]) -> Endpoint {
+        Endpoint::start(&self.store, service, id, models).unwrap()
+    }
+
+    /// Writes a configuration with the routes that all tests have, and more.
+    pub fn configure(&self, version: u64, more: &[Value]) {
+        self.store.put("op", "config", &config(version, more));
+    }
+
+    /// Starts another gateway.
+    pub fn gateway(&mut self) -> &Gateway {
+        let name = format!("gateway-{}", self.gateways.len() + 1);
+        let gateway = Gateway::start(&self.dir, &name, self.store.addr(), "");
+        self.gateways.push(gateway);
+        self.gateways.last().unwrap()
+    }
+
+    pub fn wait_ready(&self, n: usize) {
+        let ready = self.gateways[n].ready;
+        until("the gateway is ready", || {
+            let answer = ask("GET", ready, "/readyz", &[], b"", Duration::from_secs(2));
+            (answer?.status == 200).then_some(())
+        });
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.gateways.clear();
+        // What is left is in the system's own temporary folder.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway with lines added to its settings.
+    pub fn start(dir: &std::path::Path, name: &str, store: SocketAddr, more: &str) -> Self {
+        let [callers, ready, metrics] = free();
+        let settings = dir.join(format!("{name}.toml"));
+        fs::write(
+            &settings,
+            settings_text(name, callers, ready, metrics, store, more),
+        )
+        .unwrap();
+        let output = dir.join(format!("{name}.log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
+            .arg(&settings)
+            .stdout(File::create(&output).unwrap())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        Self {
+            name: name.to_owned(),
+            callers,
+            ready,
+            metrics,
+            settings,
+            output,
+            child,
+        }
+    }
+
+    /// Sends a request with an id, and a deadline of five seconds.
+    pub fn call(&self, method: &str, path: &str, id: &str, body: &[u8]) -> Answer {
+        let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "5000")];
+        ask(method, self.callers, path, &headers, body, PATIENCE).expect("an answer")
+    }
+
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends the process a signal by its number.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).unwrap();
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        until("the process ends", || self.child.try_wait().unwrap())
+    }
+
+    /// Returns the lines that it has written, as JSON.
+    pub fn lines(&self) -> Vec<Value> {
+        let text = fs::read_to_string(&self.output).unwrap();
+        let lines = text
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines.collect()
+    }
+
+    /// Waits for a line with this sentence and returns it.
+    pub fn line(&self, text: &str) -> Value {
+        until(text, || {
+            let mut lines = self.lines().into_iter();
+            lines.find(|line| line["text"].as_str().is_some_and(|t| t.starts_with(text)))
+        })
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn settings_text(
+    name: &str,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+    store: SocketAddr,
+    more: &str,
+) -> String {
+    format!(
+        "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
+         [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\n\
+         store = \"{store}\"\nlease_ms = 1500\nfences = true\n{more}\n[stop]\ndeadline_s = 4\n"
+    )
+}
+
+/// A configuration with a plain service, an engine and their routes.
+pub fn config(version: u64, more: &[Value]) -> Value {
+    let mut routes = vec![
+        json!({ "name": "desk", "hostname": HOST, "prefix": "/desk/", "type": "idempotent",
+            "timeoutMs": 3000, "targetLatencyMs": 150, "priority": 2, "service": "hut-desk",
+            "maxAttempts": 3 }),
+        json!({ "name": "once", "hostname": HOST, "prefix": "/once/", "type": "non_idempotent",
+            "timeoutMs": 3000, "targetLatencyMs": 150, "priority": 2, "service": "hut-desk",
+            "maxAttempts": 2 }),
+        json!({ "name": "lm", "hostname": HOST, "prefix": "/lm/", "type": "rollout",
+            "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 0, "service": "guide-lm",
+            "maxAttempts": 3, "dueMs": 7500, "itemTtlS": 30 }),
+    ];
+    routes.extend_from_slice(more);
+    json!({ "version": version, "routes": routes,
+        "services": [
+            { "name": "hut-desk", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1" },
+            { "name": "guide-lm", "healthPath": "/healthz", "maxConns": 140, "protocol": "h1",
+              "engine": { "slots": 8, "kvCapacity": 40000, "models": [{ "name": "guide" }] } },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 600, "idleTimeoutMs": 3000 } })
+}
+
+/// A submission of groups of items, each scored by the plain service.
+pub fn submission(step: u64, floor: u64, groups: usize, size: usize) -> Value {
+    let mut items = Vec::new();
+    for group in 0..groups {
+        for n in 0..size {
+            let id = format!("item-{step}-{group}-{n}");
+            items.push(json!({ "id": id, "path": format!("/lm/{id}"),
+                "headers": { "X-Model": "guide", "X-Token-Counts": "20,400" },
+                "body": "q83v", "tokens": 420, "group": format!("group-{step}-{group}"),
+                "scorer": { "id": format!("score-{id}"), "hostname": HOST,
+                    "path": format!("/desk/{id}"), "body": "3q2+" } }));
+        }
+    }
+    json!({ "step": step, "model": "guide", "minVersion": floor, "targetGroups": groups,
+        "requests": items })
+}
+
+/// Waits until `found` finds something.
+pub fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = found() {
+            return found;
+        }
+        assert!(Instant::now() < end, "not in time: {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+/// Sends a request and waits for the whole answer; `None` if none came.
+pub fn ask(
+    method: &str,
+    addr: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+) -> Option<Answer> {
+    let agent: Agent = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(limit))
+        .build()
+        .new_agent();
+    let mut request = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .header("Host", HOST);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut response = agent.run(request.body(body.to_vec()).unwrap()).ok()?;
+    let headers = response.headers().iter().map(|(name, value)| {
+        let value = value.to_str().unwrap_or_default();
+        (name.to_string(), value.to_owned())
+    });
+    Some(Answer {
+        status: response.status().as_u16(),
+        headers: headers.collect(),
+        body: response.body_mut().read_to_vec().ok()?,
+    })
+}
+
+/// Opens a connection and sends bytes as they are.
+pub fn raw(addr: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream
+}
+
+/// Reads what comes until the other side closes.
+pub fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    // A reset ends what was sent as well.
+    let _ = stream.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+fn free<const N: usize>() -> [SocketAddr; N] {
+    // All are bound at once, so that no two are the same.
+    let bound = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    bound.map(|listener| listener.local_addr().unwrap())
+}
--- /dev/null
+++ b/hibiscusroad-standins/src/direct/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for deployments in which endpoints are called directly: the
+//! metadata store that everybody agrees through, plain services that sign their
+//! answers, and engines that register their weights.
+//!
+//! They speak the wire of the users' platform by its published form, and no
+//! more of it than the tests of the gateway need.
+
+mod endpoint;
+mod store;
+
+pub use self::{
+    endpoint::{Endpoint, Manner, Ran},
+    store::{Faults, Store},
+};
--- a/hibiscusroad-standins/src/http.rs
+++ b/hibiscusroad-standins/src/http.rs
@@ -247,9 +247,22 @@
     ///
     /// Returns an error if the caller has left.
     pub fn stream(self) -> io::Result<Events> {
+        self.stream_with(&[])
+    }
+
+    /// Begins an answer of server-sent events with more headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has left.
+    pub fn stream_with(self, headers: &[(&str, &str)]) -> io::Result<Events> {
         let (relay, peer) = (self.relay, self.peer);
         let mut writer = self.request.into_writer();
         writer.write_all(STREAM_HEAD)?;
+        for (name, value) in headers {
+            write!(writer, "{name}: {value}\r\n")?;
+        }
+        writer.write_all(b"\r\n")?;
         writer.flush()?;
         Ok(Events {
             encoder: Encoder::new(Flushing(writer)),
@@ -262,7 +275,7 @@
 const STREAM_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n\
     Content-Type: text/event-stream\r\n\
     Cache-Control: no-store\r\n\
-    Transfer-Encoding: chunked\r\n\r\n";
+    Transfer-Encoding: chunked\r\n";
 
 // The encoder writes the last chunk when it is dropped, into a buffer that the
 // library shares between answers and doesn't flush: without this the caller
@@ -300,7 +313,16 @@
     ///
     /// Returns an error if the caller has left.
     pub fn send(&mut self, data: &str) -> io::Result<()> {
-        write!(self.encoder, "data: {data}\n\n")?;
+        self.send_lines(&format!("data: {data}"))
+    }
+
+    /// Sends one event, given as its lines, at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has left.
+    pub fn send_lines(&mut self, lines: &str) -> io::Result<()> {
+        write!(self.encoder, "{lines}\n\n")?;
         // The encoder gathers a chunk, and the library below it a buffer: both
         // would hold the event back until the answer's end.
         self.encoder.flush()?;
--- a/hibiscusroad-standins/src/lib.rs
+++ b/hibiscusroad-standins/src/lib.rs
@@ -7,11 +7,13 @@
 //!
 //! * [`platform`]: table service, object store, host list and weight store.
 //! * [`engine`]: a model engine with continuous batching.
+//! * [`direct`]: the store of a deployment without sides, and its endpoints.
 //! * [`plain`]: a plain service that logs what it ran.
 //! * [`trainer`] and [`scorer`]: the two ends of training.
 //! * [`relay`]: a TCP relay that cuts connections or makes them silent.
 //! * [`http`]: the server that all of them share.
 
+pub mod direct;
 pub mod engine;
 pub mod http;
 pub mod plain;
