--- a/hibiscusroad-daemon/src/gateway/answer.rs
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -141,6 +141,7 @@
     });
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = whole(status, "application/problem+json", body.unwrap_or_default());
+    response.extensions_mut().insert(kind);
     if matches!(answer.status, 429 | 503) {
         let secs = millis(after.max(LEAST_WAIT)) as f64 / 1000.0;
         if let Ok(value) = HeaderValue::from_str(&format!("{secs:.3}")) {
--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use super::{
     calls::{Calls, Peer, Ticket},
     http::{Channel, Channels, Fault, Sent},
+    meters::Meters,
 };
 use crate::logs::CALLS;
 use hibiscusroad::{
@@ -73,6 +74,7 @@
 pub(super) struct Line {
     pub(super) calls: Rc<Calls>,
     pub(super) channels: Rc<Channels>,
+    pub(super) meters: Rc<Meters>,
 }
 
 /// Ends an attempt whose answer is passed on as it comes.
@@ -182,6 +184,12 @@
         line.calls.told(endpoint, running, queued, slots);
     }
     let done = received(&line, &head, response, channel, flow).await;
+    let outcome = match &done {
+        Done::Answer(_) => "answered",
+        Done::NotRun(_) => "not-run",
+        Done::Failed(..) => "failed",
+    };
+    line.meters.attempts.with_label_values(&[outcome]).inc();
     if let Done::NotRun(kind) | Done::Failed(kind, _) = &done {
         log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*peer.id;
             "An attempt failed: {kind}.");
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -173,6 +173,14 @@
     ) {
         let now = Instant::now();
         let mut engines = self.engines.borrow_mut();
+        let outcome = match cause {
+            Break::NotRun => "not-run",
+            Break::Lost => "lost",
+            Break::Moved => "moved",
+            Break::Failed => "failed",
+            Break::Never => "never",
+        };
+        self.line.meters.runs.with_label_values(&[outcome]).inc();
         match cause {
             Break::NotRun => engines.refused(now, key),
             Break::Lost => engines.failed(now, key),
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -131,6 +131,9 @@
             endpoint = endpoint.id.as_str(), before:? = before, events = run.events,
             pace_us = micros(run.pace), hint:? = item.hint, took_ms = millis(start.elapsed());
             "The text of an item is whole.");
+        let meters = &self.line.meters;
+        meters.runs.with_label_values(&["whole"]).inc();
+        meters.run_seconds.observe(start.elapsed().as_secs_f64());
         drop(seat);
         let events = owned.batch.borrow().last(n).unwrap_or(0);
         self.engines.borrow_mut().whole(events);
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -91,6 +91,7 @@
         }
         log::info!(target: BATCHES, batch = owned.id.as_str(), first = first, results = kept.len();
             "Results are listed.");
+        self.line.meters.results.inc_by(kept.len() as u64);
         owned.batch.borrow_mut().list(kept.iter().map(|(n, _)| *n));
         owned
             .listed
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -8,6 +8,7 @@
 //! * [`score`]: the scorer's call.
 //! * [`list`]: writes results, in order. [`pieces`]: keeps unfinished texts.
 //! * [`read`]: answers about batches, at any process.
+//! * [`sweep`]: removes what nobody may ask for any more.
 //!
 //! Everything that a trainer may rely on is in the store before it is said:
 //! the submission before its 202, a result before it is read. The owner's
@@ -22,8 +23,10 @@
 mod read;
 mod score;
 mod submit;
+mod sweep;
 
 use super::{attempt::Line, known::Known, store::Store, sync::Members};
+use crate::settings::Gateway as GatewaySettings;
 use hibiscusroad::{
     rollout::{
         Submission,
@@ -38,7 +41,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 use tokio::{sync::Notify, task::JoinHandle};
 
@@ -61,6 +64,8 @@
     /// The name of this process.
     name: String,
     row_bytes: usize,
+    /// How long a batch stays readable after its submission.
+    keep: Duration,
     store: Rc<Store>,
     line: Line,
     members: Rc<Members>,
@@ -125,7 +130,7 @@
     pub(super) fn new(
         name: &str,
         life: &str,
-        row_bytes: usize,
+        own: &GatewaySettings,
         store: Rc<Store>,
         line: Line,
         members: Rc<Members>,
@@ -134,7 +139,8 @@
         Self {
             life: life.to_owned(),
             name: name.to_owned(),
-            row_bytes,
+            row_bytes: own.row_bytes,
+            keep: Duration::from_secs(own.keep_s),
             store,
             line,
             members,
@@ -176,6 +182,16 @@
         needs.collect()
     }
 
+    /// Returns how many batches run here.
+    pub(super) fn running(&self) -> usize {
+        self.mine.borrow().len()
+    }
+
+    /// Counts what happened to a batch.
+    fn count(&self, event: &str) {
+        self.line.meters.batches.with_label_values(&[event]).inc();
+    }
+
     /// Returns how many items of this process run at an engine.
     pub(super) fn running_at(&self, endpoint: &str) -> u32 {
         self.engines.borrow().mine(endpoint)
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -178,6 +178,7 @@
             Commit::Done { version, .. } => {
                 log::info!(target: BATCHES, batch = id, from = row.head.owner.as_str(),
                     why = why, row = version; "A batch is taken over.");
+                self.count("taken-over");
                 self.set(id, head.clone(), version);
                 spawn_local(Rc::clone(self).adopt(id.to_owned(), head, version));
             }
@@ -298,6 +299,7 @@
         self.leaving.set(true);
         let mine: Vec<Rc<Owned>> = self.mine.borrow_mut().drain().map(|(_, o)| o).collect();
         for owned in mine {
+            self.count("given-back");
             owned.stop();
             // What was generated since the last time goes to the next owner.
             self.keep_once(&owned).await;
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -111,6 +111,7 @@
                 Commit::Done { version, .. } => {
                     log::info!(target: BATCHES, batch = id, items = submission.items.len(),
                         floor = submission.floor, row = version; "A batch is accepted.");
+                    self.count("accepted");
                     self.set(id, head.clone(), version);
                     self.run(id, head, version, submission, &[], Vec::new());
                     return accepted();
@@ -127,6 +128,7 @@
             }
             sleep(backoff.next_wait(&mut rand::rng())).await;
         }
+        self.count("refused");
         log::warn!(target: BATCHES, batch = id, unknown = open; "A batch is not accepted.");
         if open {
             problem(ErrorKind::OutcomeUnknown, RETURN)
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -184,11 +184,6 @@
         }
     }
 
-    /// Closes idle connections to an address whose endpoint is gone.
-    pub(super) fn forget(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
-    }
-
     fn take(&self, address: SocketAddr) -> Option<Channel> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -0,0 +1,214 @@
+//! Counters and latencies of a gateway, served as text to whoever asks.
+//!
+//! The role entry pushes its metrics by cadence. Here the users' on-call
+//! engineers fetch them from an address of the settings, which is why a registry
+//! with an exposition takes cadence's place.
+
+use super::{
+    Gateway,
+    answer::{Out, whole},
+};
+use hyper::{Response, StatusCode};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use std::time::Duration;
+
+/// Bounds of latencies, in seconds: from a lookup's best to a step's longest.
+const SECONDS: &[f64] = &[
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// All metrics: name, kind, label, meaning. The operations page has the same.
+pub const NAMES: &[(&str, &str, &str, &str)] = &[
+    (
+        "gateway_answers_total",
+        "counter",
+        "outcome",
+        "callers' requests by how they ended: a status class, or the problem that was told",
+    ),
+    (
+        "gateway_answer_seconds",
+        "histogram",
+        "",
+        "seconds from a request's head to its answer's head",
+    ),
+    (
+        "gateway_attempts_total",
+        "counter",
+        "outcome",
+        "attempts at endpoints: answered, not-run, failed",
+    ),
+    (
+        "gateway_batches_total",
+        "counter",
+        "event",
+        "batches: accepted, refused, taken-over, given-back, ended, swept",
+    ),
+    (
+        "gateway_runs_total",
+        "counter",
+        "outcome",
+        "runs of items: whole, moved, not-run, lost, failed, never",
+    ),
+    (
+        "gateway_run_seconds",
+        "histogram",
+        "",
+        "seconds of a run that made a text whole",
+    ),
+    (
+        "gateway_results_total",
+        "counter",
+        "",
+        "results that were listed",
+    ),
+    (
+        "gateway_batches_running",
+        "gauge",
+        "",
+        "batches that run here",
+    ),
+    (
+        "gateway_loads_total",
+        "counter",
+        "outcome",
+        "loads of weights that were ordered: done, failed",
+    ),
+    (
+        "gateway_load_seconds",
+        "histogram",
+        "",
+        "seconds from an order to the weights' registration",
+    ),
+    (
+        "gateway_store_calls_total",
+        "counter",
+        "outcome",
+        "calls to the store: answered, refused, lost",
+    ),
+    (
+        "gateway_connections_total",
+        "counter",
+        "",
+        "connections that were opened to endpoints",
+    ),
+    (
+        "gateway_config_version",
+        "gauge",
+        "",
+        "version of the configuration in force",
+    ),
+    (
+        "gateway_lines_dropped_total",
+        "counter",
+        "",
+        "log lines left out for want of room",
+    ),
+];
+
+/// All metrics of a gateway.
+#[derive(Debug)]
+pub(super) struct Meters {
+    registry: Registry,
+    pub(super) answers: IntCounterVec,
+    pub(super) answer_seconds: Histogram,
+    pub(super) attempts: IntCounterVec,
+    pub(super) batches: IntCounterVec,
+    pub(super) runs: IntCounterVec,
+    pub(super) run_seconds: Histogram,
+    pub(super) results: IntCounter,
+    pub(super) running: IntGauge,
+    pub(super) loads: IntCounterVec,
+    pub(super) load_seconds: Histogram,
+    pub(super) store_calls: IntCounterVec,
+    connections: IntGauge,
+    config: IntGauge,
+    dropped: IntGauge,
+}
+
+impl Meters {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns the registry's error if two metrics have one name.
+    pub(super) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |n: usize| -> prometheus::Result<IntCounterVec> {
+            let (name, _, label, help) = NAMES[n];
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let seconds = |n: usize| -> prometheus::Result<Histogram> {
+            let (name, _, _, help) = NAMES[n];
+            let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            let histogram = Histogram::with_opts(opts)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let gauge = |n: usize| -> prometheus::Result<IntGauge> {
+            let (name, _, _, help) = NAMES[n];
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let results = IntCounter::new(NAMES[6].0, NAMES[6].3)?;
+        registry.register(Box::new(results.clone()))?;
+        Ok(Self {
+            answers: counters(0)?,
+            answer_seconds: seconds(1)?,
+            attempts: counters(2)?,
+            batches: counters(3)?,
+            runs: counters(4)?,
+            run_seconds: seconds(5)?,
+            results,
+            running: gauge(7)?,
+            loads: counters(8)?,
+            load_seconds: seconds(9)?,
+            store_calls: counters(10)?,
+            connections: gauge(11)?,
+            config: gauge(12)?,
+            dropped: gauge(13)?,
+            registry,
+        })
+    }
+
+    /// Notes how a caller's request ended, and after which time.
+    pub(super) fn answered(&self, status: StatusCode, problem: Option<&str>, took: Duration) {
+        let class = match status.as_u16() {
+            200..=299 => "2xx",
+            300..=399 => "3xx",
+            400..=499 => "4xx",
+            _ => "5xx",
+        };
+        self.answers
+            .with_label_values(&[problem.unwrap_or(class)])
+            .inc();
+        self.answer_seconds.observe(took.as_secs_f64());
+    }
+}
+
+impl Gateway {
+    /// Answers with all metrics as text.
+    pub(super) fn exposition(&self) -> Response<Out> {
+        let meters = &self.meters;
+        let count = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        meters.connections.set(count(self.line.channels.opened()));
+        meters.dropped.set(count(crate::logs::dropped()));
+        let version = self.known.catalog().map_or(0, |catalog| catalog.version);
+        meters.config.set(count(version));
+        meters.running.set(count(self.batches.running() as u64));
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&meters.registry.gather(), &mut text) {
+            Ok(()) => whole(StatusCode::OK, "text/plain; version=0.0.4", text),
+            Err(error) => {
+                log::error!(target: crate::logs::PROCESS, error = error.to_string().as_str();
+                    "Metrics can't be told.");
+                whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "")
+            }
+        }
+    }
+}
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 //! * [`store`], [`sync`], [`known`]: the store, and what is known from it.
 //! * [`http`]: connections to endpoints and to the store.
 //! * [`stopping`], [`ready`], [`boot`]: planned stops, readiness, time.
+//! * [`meters`]: counters and latencies.
 
 mod answer;
 mod attempt;
@@ -33,6 +34,7 @@
 mod front;
 mod http;
 mod known;
+pub mod meters;
 mod ready;
 mod request;
 mod stopping;
@@ -46,6 +48,7 @@
     calls::Calls,
     http::Channels,
     known::Known,
+    meters::Meters,
     stopping::Stop,
     store::Store,
     sync::Members,
@@ -78,6 +81,7 @@
     batches: Rc<Batches>,
     weights: Rc<Weights>,
     members: Rc<Members>,
+    meters: Rc<Meters>,
     stop: Stop,
 }
 
@@ -98,7 +102,12 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let callers = TcpListener::bind(own.callers).await?;
     let ready = TcpListener::bind(own.ready).await?;
-    let gateway = assemble(settings, own);
+    let meters = Rc::new(Meters::new().map_err(io::Error::other)?);
+    let metrics = match own.metrics {
+        Some(address) => Some(TcpListener::bind(address).await?),
+        None => None,
+    };
+    let gateway = assemble(settings, own, meters);
     spawn_local(logs::flush());
     spawn_local(reload(
         file.to_owned(),
@@ -107,7 +116,14 @@
     ));
     follow(&gateway);
     let accepting = spawn_local(front::accept(Rc::clone(&gateway), callers));
-    spawn_local(ready::serve(Rc::clone(&gateway), ready));
+    spawn_local(ready::serve(ready, {
+        let gateway = Rc::clone(&gateway);
+        move || request::readiness(&gateway)
+    }));
+    if let Some(metrics) = metrics {
+        let gateway = Rc::clone(&gateway);
+        spawn_local(ready::serve(metrics, move || gateway.exposition()));
+    }
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -128,16 +144,17 @@
     Ok(())
 }
 
-fn assemble(settings: &Settings, own: &GatewaySettings) -> Rc<Gateway> {
+fn assemble(settings: &Settings, own: &GatewaySettings, meters: Rc<Meters>) -> Rc<Gateway> {
     let incarnation = Incarnation::draw();
     let life = format!("{}/{incarnation}", settings.name);
     let known = Rc::new(Known::new());
-    let store = Rc::new(Store::new(own.store));
+    let store = Rc::new(Store::new(own.store, Rc::clone(&meters)));
     let calls = Rc::new(Calls::new(&settings.place, incarnation));
     let channels = Rc::new(Channels::new());
     let line = Line {
         calls: Rc::clone(&calls),
         channels: Rc::clone(&channels),
+        meters: Rc::clone(&meters),
     };
     Rc::new_cyclic(|gateway: &std::rc::Weak<Gateway>| {
         let hearer = gateway.clone();
@@ -151,7 +168,7 @@
         let batches = Rc::new(Batches::new(
             &settings.name,
             &life,
-            own.row_bytes,
+            own,
             Rc::clone(&store),
             line.clone(),
             Rc::clone(&members),
@@ -163,6 +180,7 @@
             members: Rc::clone(&members),
             batches: Rc::clone(&batches),
             channels,
+            meters: Rc::clone(&meters),
         };
         let weights = Rc::new(Weights::new(&life, own.lease_ms, own.fences, parts));
         Gateway {
@@ -172,6 +190,7 @@
             batches,
             weights,
             members,
+            meters,
             stop: Stop::new(),
         }
     })
@@ -210,6 +229,7 @@
     spawn_local(Rc::clone(batches).renew());
     spawn_local(Rc::clone(batches).watch());
     spawn_local(Rc::clone(batches).dispatch());
+    spawn_local(Rc::clone(batches).sweep());
     spawn_local(Rc::clone(weights).run());
 }
 
--- a/hibiscusroad-daemon/src/gateway/ready.rs
+++ b/hibiscusroad-daemon/src/gateway/ready.rs
@@ -1,10 +1,11 @@
-//! Answers the balancer's question whether this process takes callers.
+//! Answers short questions that need no waiting: whether this process takes
+//! callers, and its metrics.
 
-use super::{Gateway, request::readiness};
+use super::answer::Out;
 use crate::logs::CALLERS;
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{Response, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{convert::Infallible, time::Duration};
 use tokio::{
     net::TcpListener,
     task::spawn_local,
@@ -13,26 +14,29 @@
 
 /// Pause after accepting failed.
 const PAUSE: Duration = Duration::from_millis(50);
-/// A connection of the balancer that asks nothing for so long is closed.
+/// A connection that asks nothing for so long is closed.
 const IDLE: Duration = Duration::from_secs(30);
 
 /// Answers until the process ends.
-pub(super) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+pub(super) async fn serve(
+    listener: TcpListener,
+    answer: impl Fn() -> Response<Out> + Clone + 'static,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(PAUSE).await;
             continue;
         };
-        let gateway = Rc::clone(&gateway);
+        let answer = answer.clone();
         spawn_local(async move {
             let service = service_fn(move |_request| {
-                let answer = readiness(&gateway);
+                let answer = answer();
                 async move { Ok::<_, Infallible>(answer) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Ok(Err(error)) = timeout(IDLE, connection).await {
                 log::debug!(target: CALLERS, error = error.to_string().as_str();
-                    "A question for readiness ended early.");
+                    "A question ended early.");
             }
         });
     }
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -43,9 +43,18 @@
 const UNKNOWING: Duration = Duration::from_millis(300);
 
 impl Gateway {
-    /// Answers a caller's request.
+    /// Answers a caller's request, and counts it.
     pub(super) async fn answer(self: &Rc<Self>, request: Request<Incoming>) -> Response<Out> {
         let now = Instant::now();
+        let response = self.respond(now, request).await;
+        let problem = response.extensions().get::<ErrorKind>();
+        let problem = problem.map(|kind| kind.answer().problem);
+        self.meters
+            .answered(response.status(), problem, now.elapsed());
+        response
+    }
+
+    async fn respond(self: &Rc<Self>, now: Instant, request: Request<Incoming>) -> Response<Out> {
         let (parts, body) = request.into_parts();
         let Some(catalog) = self.known.catalog() else {
             return problem(ErrorKind::NoConfig, UNKNOWING);
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -4,7 +4,10 @@
 //! carried out, and one that may have been. It never repeats a call by itself,
 //! since only the caller knows whether that is safe.
 
-use super::http::{Channels, Fault, whole};
+use super::{
+    http::{Channels, Fault, whole},
+    meters::Meters,
+};
 use crate::logs::STORE;
 use hibiscusroad::table::{Change, Changes, Commit, Page, Range};
 use hibiscusroad_platform::{Error as Odd, request::Request, table as wire};
@@ -13,6 +16,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 use tokio::time::timeout;
@@ -47,19 +51,18 @@
     told: Cell<Option<(Duration, Instant)>>,
     /// Since when no call was answered.
     away: Cell<Option<Instant>>,
-    /// Calls that were sent.
-    calls: Cell<u64>,
+    meters: Rc<Meters>,
     watchers: RefCell<Vec<Box<dyn Fn()>>>,
 }
 
 impl Store {
-    pub(super) fn new(address: SocketAddr) -> Self {
+    pub(super) fn new(address: SocketAddr, meters: Rc<Meters>) -> Self {
         Self {
             channels: Channels::new(),
             address: Cell::new(address),
             told: Cell::new(None),
             away: Cell::new(None),
-            calls: Cell::new(0),
+            meters,
             watchers: RefCell::default(),
         }
     }
@@ -80,16 +83,6 @@
         Some(told + at.elapsed())
     }
 
-    /// Returns how many calls were sent.
-    pub(super) fn calls(&self) -> u64 {
-        self.calls.get()
-    }
-
-    /// Says whether the last call was answered.
-    pub(super) fn is_here(&self) -> bool {
-        self.away.get().is_none()
-    }
-
     /// Reads a range of rows.
     pub(super) async fn read(&self, range: &Range<'_>) -> Result<Page, Failure> {
         let (status, body) = self.call(wire::read(range), CALL).await?;
@@ -190,9 +183,14 @@
     }
 
     async fn call(&self, request: Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
-        self.calls.set(self.calls.get() + 1);
         let answer = timeout(limit, self.exchange(request)).await;
         let answer = answer.unwrap_or_else(|_elapsed| Err(Failure::Lost("time is over".into())));
+        let outcome = match &answer {
+            Ok((429 | 503, _)) | Err(Failure::Refused(_)) => "refused",
+            Ok(_) => "answered",
+            Err(_) => "lost",
+        };
+        self.meters.store_calls.with_label_values(&[outcome]).inc();
         match &answer {
             Ok((status, _)) if !matches!(status, 429 | 503) => self.is_back(),
             Ok((status, _)) => self.is_away(&format!("status {status}")),
--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -13,6 +13,7 @@
     boot::BootClock,
     http::{Channels, whole},
     known::Known,
+    meters::Meters,
     store::{Store, millis},
     sync::Members,
 };
@@ -75,6 +76,7 @@
     members: Rc<Members>,
     batches: Rc<Batches>,
     channels: Rc<Channels>,
+    meters: Rc<Meters>,
     lease: RefCell<Lease>,
     /// Engines with an order under way, or that are left alone for a while.
     loading: RefCell<HashMap<String, Instant>>,
@@ -97,6 +99,7 @@
     pub(super) members: Rc<Members>,
     pub(super) batches: Rc<Batches>,
     pub(super) channels: Rc<Channels>,
+    pub(super) meters: Rc<Meters>,
 }
 
 impl Weights {
@@ -112,6 +115,7 @@
             members: parts.members,
             batches: parts.batches,
             channels: parts.channels,
+            meters: parts.meters,
             lease: RefCell::new(Lease::new(life, terms)),
             loading: RefCell::default(),
             seen: RefCell::default(),
@@ -308,7 +312,10 @@
         log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
             version = load.version, at_once = at_once, took_ms = millis(took), done = done;
             "A load of weights ended.");
+        let outcome = if done { "done" } else { "failed" };
+        self.meters.loads.with_label_values(&[outcome]).inc();
         if done {
+            self.meters.load_seconds.observe(took.as_secs_f64());
             self.pace.borrow_mut().loaded(at_once, took);
             self.loading.borrow_mut().remove(&load.endpoint);
         } else {
--- a/hibiscusroad-daemon/src/logs/mod.rs
+++ b/hibiscusroad-daemon/src/logs/mod.rs
@@ -11,7 +11,7 @@
 
 mod output;
 
-pub use self::output::{flush, flush_now};
+pub use self::output::{dropped, flush, flush_now};
 
 use crate::settings::Log;
 use fern::{Dispatch, FormatCallback};
--- a/hibiscusroad-daemon/src/logs/output.rs
+++ b/hibiscusroad-daemon/src/logs/output.rs
@@ -29,6 +29,7 @@
 
 static LINES: Mutex<Vec<u8>> = Mutex::new(Vec::new());
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static DROPPED_IN_ALL: AtomicU64 = AtomicU64::new(0);
 static ADDED: Notify = Notify::const_new();
 
 /// Adds lines to what is written later.
@@ -40,6 +41,7 @@
         let mut lines = lines();
         if lines.len() + line.len() > MOST {
             DROPPED.fetch_add(1, Ordering::Relaxed);
+            DROPPED_IN_ALL.fetch_add(1, Ordering::Relaxed);
         } else {
             lines.extend_from_slice(line);
         }
@@ -57,6 +59,11 @@
     LINES.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Returns how many lines were left out so far.
+pub fn dropped() -> u64 {
+    DROPPED_IN_ALL.load(Ordering::Relaxed)
+}
+
 /// Writes lines for as long as the process runs.
 pub async fn flush() {
     if let Err(error) =
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -227,6 +227,9 @@
     /// Bytes that a row of the store holds.
     #[serde(default = "default_row")]
     pub row_bytes: usize,
+    /// Seconds for which a batch can be read after its submission.
+    #[serde(default = "default_keep")]
+    pub keep_s: u64,
     /// Whether endpoints refuse an order with an old fencing number.
     #[serde(default)]
     pub fences: bool,
@@ -236,6 +239,10 @@
     3_000
 }
 
+fn default_keep() -> u64 {
+    120
+}
+
 fn default_row() -> usize {
     64 << 10
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -146,6 +146,7 @@
             optional("metrics", Rule::Address),
             integer("lease_ms", 100, MILLIS_AN_HOUR),
             integer("row_bytes", 1024, 16 << 20),
+            integer("keep_s", 1, SECONDS_AN_HOUR),
             optional("fences", Rule::Flag),
         ],
     },
--- /dev/null
+++ b/tests/rollout_batch.rs
@@ -0,0 +1,217 @@
+//! One batch in the hands of its owner, without input or output.
+
+use hibiscusroad::rollout::{
+    Item, Outcome, Submission,
+    batch::{Batch, Break},
+};
+use proptest::prelude::*;
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::{Duration, Instant},
+};
+
+fn item(group: usize, n: usize, hint: u32) -> Item {
+    Item {
+        id: format!("{group}-{n}"),
+        path: "/lm/x".to_owned(),
+        headers: BTreeMap::new(),
+        body: Vec::new(),
+        tokens: 100,
+        hint: Some(hint),
+        group: format!("g{group}"),
+        scorer: None,
+    }
+}
+
+/// Groups of two, with the hint of their first item.
+fn submission(hints: &[u32]) -> Submission {
+    let groups = hints.iter().enumerate();
+    let items = groups.flat_map(|(group, hint)| [item(group, 0, *hint), item(group, 1, 1)]);
+    Submission {
+        step: Some(1),
+        model: Some("guide".to_owned()),
+        floor: 3,
+        target: Some(hints.len()),
+        items: items.collect(),
+    }
+}
+
+fn starts(batch: &mut Batch, now: Instant) -> Vec<usize> {
+    let mut found = Vec::new();
+    while let Some(n) = batch.next_start(now) {
+        batch.start(n);
+        found.push(n);
+    }
+    found
+}
+
+// The trainer waits for carried groups in any case, and for the longest item of
+// the others: whichever starts late ends late.
+#[test]
+fn carried_groups_start_first_and_long_ones_next() {
+    let now = Instant::now();
+    let step = submission(&[10, 20, 900, 50]);
+    let mut batch = Batch::new(now, &step, 3, false, 0);
+    assert_eq!(starts(&mut batch, now), [4, 5, 6, 7, 2, 3, 0, 1]);
+    let mut batch = Batch::new(now, &step, 3, false, 2);
+    assert_eq!(starts(&mut batch, now), [0, 1, 2, 3, 4, 5, 6, 7]);
+}
+
+#[test]
+fn text_grows_over_runs_and_only_in_order() {
+    let now = Instant::now();
+    let mut batch = Batch::new(now, &submission(&[1]), 3, false, 0);
+    assert_eq!(batch.start(0), None);
+    assert!(batch.extend(0, 0, "a", Some(3)));
+    assert!(batch.extend(0, 1, "b", Some(3)));
+    assert!(!batch.extend(0, 3, "d", Some(3)), "event 2 is missing");
+    assert!(!batch.extend(0, 1, "b", Some(3)), "event 1 came before");
+    batch.broke(now, 0, None, Break::Lost);
+    assert_eq!(batch.start(0), Some(1));
+    assert!(batch.extend(0, 2, "c", Some(4)));
+    assert!(batch.generated(now, 0));
+    batch.scored(0, Some("s".to_owned()));
+    let ready = batch.ready(&submission(&[1]), 10);
+    let expected = Outcome::Completed {
+        text: "a\nb\nc".to_owned(),
+        versions: vec![3, 4],
+        score: Some("s".to_owned()),
+    };
+    assert_eq!(ready[0].1.outcome, expected);
+}
+
+// A text of weights that the step doesn't allow, or of two versions where one
+// is asked for, is not handed to the trainer: it is made anew.
+#[test]
+fn text_of_wrong_versions_begins_anew() {
+    let now = Instant::now();
+    let mut batch = Batch::new(now, &submission(&[1]), 3, false, 0);
+    batch.start(0);
+    batch.extend(0, 0, "a", Some(2));
+    assert!(!batch.generated(now, 0), "version 2 is under the floor");
+    assert_eq!(batch.last(0), None);
+    let mut single = Batch::new(now, &submission(&[1]), 3, true, 0);
+    single.start(0);
+    single.extend(0, 0, "a", Some(3));
+    assert_eq!(single.pinned(0), Some(3));
+    single.extend(0, 1, "b", Some(4));
+    single.broke(now, 0, None, Break::Moved);
+    assert_eq!(single.last(0), None);
+}
+
+#[test]
+fn failures_are_counted_and_refusals_are_not() {
+    let now = Instant::now();
+    let step = submission(&[1]);
+    let mut batch = Batch::new(now, &step, 3, false, 0);
+    for _ in 0..20 {
+        batch.start(0);
+        batch.broke(now, 0, None, Break::NotRun);
+        batch.broke(now, 0, None, Break::Lost);
+    }
+    assert!(batch.ready(&step, 9).is_empty());
+    for _ in 0..3 {
+        batch.start(0);
+        batch.broke(now, 0, None, Break::Failed);
+    }
+    assert_eq!(batch.ready(&step, 9)[0].1.outcome, Outcome::Errored);
+    batch.start(1);
+    batch.broke(now, 1, None, Break::Never);
+    assert_eq!(batch.ready(&step, 9).len(), 2);
+}
+
+#[test]
+fn broken_item_pauses_longer_each_time() {
+    let now = Instant::now();
+    let mut batch = Batch::new(now, &submission(&[1]), 3, false, 0);
+    let mut last = Duration::ZERO;
+    batch.start(1);
+    for _ in 0..4 {
+        batch.start(0);
+        batch.broke(now, 0, None, Break::NotRun);
+        let pause = batch.next_due(now).unwrap() - now;
+        assert!(pause > last);
+        last = pause;
+    }
+    batch.start(0);
+    batch.broke(now, 0, None, Break::Moved);
+    assert_eq!(batch.next_start(now), Some(0), "a move starts at once");
+}
+
+// Whatever order events come in, and wherever owners change: the pieces that
+// were kept give the next owner the beginning of the same text.
+proptest! {
+    #[test]
+    fn kept_pieces_give_the_text_back(
+        steps in prop::collection::vec((0usize..3, 1usize..5), 1..30),
+        lost in prop::collection::vec(any::<bool>(), 30),
+    ) {
+        let now = Instant::now();
+        let step = submission(&[1]);
+        let mut batch = Batch::new(now, &step, 3, false, 0);
+        let mut store = Vec::new();
+        let mut next = 0;
+        batch.start(0);
+        for (turn, (what, events)) in steps.into_iter().enumerate() {
+            match what {
+                0 | 1 => for _ in 0..events {
+                    let data = format!("e{next}");
+                    prop_assert!(batch.extend(0, next, &data, Some(3)));
+                    next += 1;
+                },
+                _ => {
+                    batch.broke(now, 0, None, Break::Moved);
+                    batch.start(0);
+                }
+            }
+            for (n, piece) in batch.unkept(9) {
+                // A write whose answer is lost is repeated later, longer.
+                if !lost[turn] {
+                    batch.keep(n, &piece);
+                    store.push(piece);
+                }
+            }
+        }
+        let mut heir = Batch::new(now, &step, 3, false, 0);
+        let kept = store.last().map(|piece| piece.last);
+        store.into_iter().for_each(|piece| heir.resume("0-0", piece));
+        prop_assert_eq!(heir.last(0), kept);
+        heir.start(0);
+        for number in kept.map_or(0, |last| last + 1)..next.max(1) {
+            let data = format!("e{number}");
+            prop_assert!(heir.extend(0, number, &data, Some(3)));
+        }
+        prop_assert!(heir.generated(now, 0));
+        heir.scored(0, None);
+        let whole: Vec<String> = (0..next.max(1)).map(|n| format!("e{n}")).collect();
+        match &heir.ready(&step, 9)[0].1.outcome {
+            Outcome::Completed { text, .. } => prop_assert_eq!(text, &whole.join("\n")),
+            Outcome::Errored => prop_assert!(false),
+        }
+    }
+}
+
+// Each item is listed once and in the order of the positions, whatever is
+// ready when, and what an earlier owner listed is not listed again.
+#[test]
+fn every_item_is_listed_once() {
+    let now = Instant::now();
+    let step = submission(&[1, 2, 3]);
+    let mut batch = Batch::new(now, &step, 3, false, 0);
+    batch.restore("1-0");
+    assert_eq!(batch.listed(), 1);
+    let mut listed = HashSet::new();
+    for n in starts(&mut batch, now) {
+        assert_ne!(n, 2, "it is listed already");
+        batch.generated(now, n);
+        batch.scored(n, None);
+        let ready = batch.ready(&step, 1);
+        for (n, _) in &ready {
+            assert!(listed.insert(*n));
+        }
+        batch.list(ready.iter().map(|(n, _)| *n));
+    }
+    assert!(batch.complete());
+    batch.give_up();
+    assert!(batch.ready(&step, 9).is_empty());
+}
--- /dev/null
+++ b/tests/rollout_engines.rs
@@ -0,0 +1,257 @@
+//! Which engine an item goes to, and which loads which weights.
+
+use hibiscusroad::{
+    rollout::{
+        engines::{Engines, Want},
+        wave::{Goal, Loader, Pace, plan},
+    },
+    roster::Weights,
+};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+const WANT: Want<'static> = Want {
+    service: "lm",
+    model: Some("guide"),
+    floor: 3,
+    exact: None,
+    group: "g",
+    near: None,
+    not: None,
+};
+
+fn engines(versions: &[u64]) -> Engines {
+    let mut engines = Engines::new();
+    for (n, version) in versions.iter().enumerate() {
+        let weights = Weights {
+            model: "guide".to_owned(),
+            version: *version,
+        };
+        engines.set(&format!("e{n}"), "lm", 2, true, &[weights]);
+    }
+    engines
+}
+
+#[test]
+fn only_fresh_engines_with_room_are_chosen() {
+    let now = Instant::now();
+    let mut engines = engines(&[2, 3, 9]);
+    let mut found = Vec::new();
+    while let Some(key) = engines.choose(now, &WANT) {
+        engines.start(key);
+        found.push(engines.id(key).unwrap().to_owned());
+    }
+    found.sort();
+    assert_eq!(found, ["e1", "e1", "e2", "e2"]);
+    let exact = Want {
+        exact: Some(9),
+        ..WANT
+    };
+    assert_eq!(engines.choose(now, &exact), None);
+    engines.end(engines.key("e2").unwrap());
+    assert_eq!(engines.choose(now, &exact), engines.key("e2"));
+}
+
+// Several owners see the same room and no engine of another's items. If they
+// broke ties alike, all would send to one engine, which refuses most of them.
+#[test]
+fn ties_are_broken_by_group() {
+    let now = Instant::now();
+    let engines = engines(&[3; 12]);
+    let chosen = (0..200).filter_map(|n| {
+        let group = format!("g{n}");
+        let want = Want {
+            group: &group,
+            ..WANT
+        };
+        engines.choose(now, &want)
+    });
+    let mut counts = HashMap::new();
+    chosen.for_each(|key| *counts.entry(key).or_insert(0) += 1);
+    assert_eq!(counts.len(), 12);
+    assert!(counts.values().all(|n| *n < 40), "{counts:?}");
+}
+
+// What others run there takes room, until the word is old.
+#[test]
+fn load_that_an_engine_told_fades() {
+    let now = Instant::now();
+    let mut engines = engines(&[3]);
+    let key = engines.key("e0").unwrap();
+    engines.told(now, key, 2);
+    assert_eq!(engines.choose(now, &WANT), None);
+    assert_eq!(
+        engines.choose(now + Duration::from_secs(1), &WANT),
+        Some(key)
+    );
+}
+
+// One engine in five is 3.4 times slower for some seconds, a third is always
+// 1.3 times slower. Items go to the fast ones; a run on the slow one is worth a
+// move at once, on the other only when it has become long.
+#[test]
+fn items_prefer_fast_engines_and_leave_slow_ones() {
+    let now = Instant::now();
+    let mut engines = engines(&[3; 6]);
+    let paces = [0.037, 0.037, 0.037, 0.049, 0.049, 0.13];
+    for (n, pace) in paces.iter().enumerate() {
+        let key = engines.key(&format!("e{n}")).unwrap();
+        engines.paced(key, *pace);
+    }
+    let mut order = Vec::new();
+    while let Some(key) = engines.choose(now, &WANT) {
+        engines.start(key);
+        order.push(engines.id(key).unwrap().to_owned());
+    }
+    assert!(
+        order[..6]
+            .iter()
+            .all(|id| ["e0", "e1", "e2"].contains(&id.as_str())),
+        "{order:?}"
+    );
+    assert_eq!(
+        order[10..],
+        ["e5"],
+        "one item tells when the slow one recovers"
+    );
+    let fast = engines.key("e0").unwrap();
+    assert!(engines.is_better("lm", 0.13, 1, fast));
+    engines.whole(20);
+    assert!(!engines.is_better("lm", 0.049, 20, fast));
+    assert!(engines.is_better("lm", 0.049, 60, fast));
+    assert!(!engines.is_better("lm", 0.049, 60, engines.key("e4").unwrap()));
+    assert!(!engines.is_better("lm", 0.037, 60, fast));
+}
+
+#[test]
+fn failing_engine_is_left_alone_longer_each_time() {
+    let now = Instant::now();
+    let mut engines = engines(&[3]);
+    let key = engines.key("e0").unwrap();
+    engines.failed(now, key);
+    assert_eq!(engines.choose(now, &WANT), None);
+    let later = now + Duration::from_millis(300);
+    assert_eq!(engines.choose(later, &WANT), Some(key));
+    engines.failed(later, key);
+    assert_eq!(
+        engines.choose(later + Duration::from_millis(300), &WANT),
+        None
+    );
+    engines.remove("e0");
+    assert_eq!(engines.choose(later + Duration::from_secs(9), &WANT), None);
+}
+
+/// Engines that all have the same weights.
+fn loaders(count: usize, weights: &[(&str, u64)]) -> Vec<Loader> {
+    let engines = (0..count).map(|n| Loader {
+        id: format!("e{n}"),
+        weights: weights.iter().map(|(m, v)| ((*m).to_owned(), *v)).collect(),
+        busy: false,
+        load: 0,
+    });
+    engines.collect()
+}
+
+fn goal(model: &str, named: u64, lag: u64) -> Goal {
+    Goal {
+        model: model.to_owned(),
+        named,
+        lag,
+        work: 1.0,
+        priority: 0,
+    }
+}
+
+/// Carries out loads until none is wanted; returns how many there were.
+fn settle(engines: &mut [Loader], goals: &[Goal]) -> usize {
+    let mut loads = 0;
+    loop {
+        let wanted = plan(engines, goals, 2);
+        if wanted.is_empty() {
+            return loads;
+        }
+        for load in wanted {
+            let engine = engines.iter_mut().find(|e| e.id == load.endpoint).unwrap();
+            engine.weights.insert(load.model, load.version);
+            loads += 1;
+        }
+        assert!(loads < 1000, "loads never end");
+    }
+}
+
+// A version is named every few seconds and steps may lag by one. All engines
+// that a step can use are there when it is asked for, and each loads only every
+// other version: half of the pauses.
+#[test]
+fn engines_take_turns_when_steps_may_lag() {
+    let mut engines = loaders(9, &[("guide", 1)]);
+    let mut loads = Vec::new();
+    for named in 2..12 {
+        let fresh = |e: &Loader| e.weights["guide"] + 1 >= named;
+        let usable = engines.iter().filter(|e| fresh(e)).count();
+        assert!(usable >= 4, "{usable} engines for step {named}");
+        loads.push(settle(&mut engines, &[goal("guide", named, 1)]));
+    }
+    assert!(loads.iter().all(|n| *n <= 5), "{loads:?}");
+}
+
+#[test]
+fn every_engine_loads_when_steps_may_not_lag() {
+    let mut engines = loaders(5, &[("guide", 1)]);
+    assert_eq!(settle(&mut engines, &[goal("guide", 2, 0)]), 5);
+    assert_eq!(settle(&mut engines, &[goal("guide", 2, 0)]), 0);
+}
+
+// Three models on nine engines: each keeps its own engines from version to
+// version, whoever decides, and no two models want the same one.
+#[test]
+fn models_keep_their_engines() {
+    let mut engines = loaders(9, &[("a", 1), ("b", 1), ("c", 1)]);
+    let goals = |named| {
+        [
+            goal("a", named, 1),
+            goal("b", named, 1),
+            goal("c", named, 1),
+        ]
+    };
+    settle(&mut engines, &goals(2));
+    for named in 3..8 {
+        let loads = settle(&mut engines, &goals(named));
+        assert!(loads <= 6, "{loads} loads for version {named}");
+        for model in ["a", "b", "c"] {
+            let fresh = engines.iter().filter(|e| e.weights[model] + 1 >= named);
+            assert!(fresh.count() >= 2, "model {model}, version {named}");
+        }
+    }
+}
+
+#[test]
+fn no_more_loads_than_allowed_run_at_once() {
+    let mut engines = loaders(9, &[("guide", 1)]);
+    assert_eq!(plan(&engines, &[goal("guide", 9, 1)], 2).len(), 2);
+    engines[0].busy = true;
+    let loads = plan(&engines, &[goal("guide", 9, 1)], 2);
+    assert_eq!(loads.len(), 1);
+    assert_ne!(loads[0].endpoint, "e0");
+}
+
+// Up to some number that nobody tells, loads don't slow each other down; beyond
+// it they do in proportion. The pace finds the number from how long they took.
+#[test]
+fn number_of_loads_at_once_is_learned() {
+    for knee in [2, 5, 8] {
+        let mut pace = Pace::new();
+        for _ in 0..60 {
+            let n = pace.at_once();
+            let slower = (n as f64 / f64::from(knee)).max(1.0);
+            pace.loaded(n, Duration::from_secs_f64(0.9 * slower));
+        }
+        assert!(
+            pace.at_once().abs_diff(knee as usize) <= 1,
+            "{knee}: {}",
+            pace.at_once()
+        );
+    }
+}
