Follow the store's pace, and decide apart whether an owner lives

The time limit of a kind of call follows its last answers; the silence of an owner is extended by the store's latency.

--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -1,13 +1,7 @@
 //! Who runs a batch, and when another takes it over.
 //!
-//! The owner renews its row while it has batches. The others look at those rows
-//! while there are batches of others; one that did not change for
-//! [`SILENCE`], or that another life of the process has overwritten, has no
-//! living owner. Time counts only while this process itself reached the store:
-//! after an outage no row has changed for long, and all owners live.
-//!
-//! A wrong suspicion costs work that is done twice: the former owner's writes
-//! fail from the takeover on, since they require the head as it left it.
+//! The owner renews its row while it has batches, and the others look at those
+//! rows while there are batches of others; [`hibiscusroad::rollout::presence`] decides who is gone.
 
 use super::{Batches, HeadRow, Owned};
 use crate::{gateway::store::millis, logs::BATCHES, platform::Backoff};
@@ -15,14 +9,14 @@
     rollout::{
         Submission,
         batch::{Batch, Piece},
+        presence::{Loss, Presences, RENEWAL, Sign},
         row::{self, Head, Presence},
     },
-    table::{Change, Commit, Range, RowId},
+    table::{Change, Commit, Range, Row, RowId},
 };
 use hibiscusroad_platform::batch;
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -33,14 +27,6 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Time between two renewals, and between two looks: three fit in the silence.
-const RENEWAL: Duration = Duration::from_millis(350);
-/// A row that did not change for so long has no living owner. A slow store
-/// answers within a third of a second, and a pause of this length has cost the
-/// owner its items anyway.
-const SILENCE: Duration = Duration::from_millis(1_100);
-/// A batch whose owner has no row at all is given so long for its first.
-const FIRST: Duration = Duration::from_millis(1_200);
 /// Processes that see the same silence are spread over this time, so that one
 /// of them writes and the others hear of it.
 const SPREAD: u64 = 150;
@@ -52,13 +38,6 @@
 /// A submission, its results and the parts of its texts.
 type Loaded = (Submission, Vec<Vec<u8>>, Vec<(RowId, String, Piece)>);
 
-/// What was seen of the rows of processes.
-#[derive(Default)]
-struct Seen {
-    rows: HashMap<String, (u64, String, Instant)>,
-    at: Option<Instant>,
-}
-
 impl Batches {
     /// Renews this process's row while it has batches.
     pub(in crate::gateway) async fn renew(self: Rc<Self>) {
@@ -93,7 +72,7 @@
 
     /// Takes over batches whose owners are gone.
     pub(in crate::gateway) async fn watch(self: Rc<Self>) {
-        let mut seen = Seen::default();
+        let mut seen = Presences::new();
         loop {
             let foreign = self.foreign();
             if foreign.is_empty() || self.leaving.get() {
@@ -104,18 +83,18 @@
                 Ok(()) => {
                     let now = Instant::now();
                     for (id, row) in foreign {
-                        if let Some(why) = seen.lost(now, &row) {
+                        if let Some(why) = seen.lost(now, &row.head.owner, row.since) {
                             self.take_over(&id, &row, why).await;
                         }
                     }
                 }
                 Err(error) => {
-                    seen = Seen::default();
+                    seen.blind();
                     log::debug!(target: BATCHES, error = error.as_str();
                         "Owners of batches could not be looked at.");
                 }
             }
-            let share = seen.rows.len().div_ceil(WATCHERS).max(1);
+            let share = seen.count().div_ceil(WATCHERS).max(1);
             sleep(RENEWAL * u32::try_from(share).unwrap_or(1)).await;
         }
     }
@@ -129,7 +108,8 @@
         foreign.map(|(id, row)| (id.clone(), row.clone())).collect()
     }
 
-    async fn look(&self, seen: &mut Seen) -> Result<(), String> {
+    async fn look(&self, seen: &mut Presences) -> Result<(), String> {
+        let start = Instant::now();
         let page = self
             .store
             .read(&Range {
@@ -142,25 +122,12 @@
             .await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
-        let there: HashSet<&str> = page.rows.iter().map(|row| row.id.key.as_str()).collect();
-        seen.rows.retain(|name, _| there.contains(name.as_str()));
-        for found in page.rows {
-            let Ok(presence) = serde_json::from_slice::<Presence>(&found.value) else {
-                log::error!(target: BATCHES, entry = found.id.key.as_str();
-                    "The row of a process is broken; it is ignored.");
-                continue;
-            };
-            let known = seen.rows.get(&found.id.key);
-            if known.is_none_or(|(version, ..)| *version != found.version) {
-                let row = (found.version, presence.life, now);
-                seen.rows.insert(found.id.key, row);
-            }
-        }
-        seen.at = Some(now);
+        let signs = page.rows.iter().filter_map(sign).collect();
+        seen.seen(now, now.saturating_duration_since(start), signs);
         Ok(())
     }
 
-    async fn take_over(self: &Rc<Self>, id: &str, row: &HeadRow, why: &str) {
+    async fn take_over(self: &Rc<Self>, id: &str, row: &HeadRow, why: Loss) {
         let draw = xxh3_64_with_seed(self.life.as_bytes(), row.version);
         sleep(Duration::from_millis(draw % SPREAD)).await;
         let now = self.head(id);
@@ -177,7 +144,7 @@
         match self.store.transact(&change).await {
             Commit::Done { version, .. } => {
                 log::info!(target: BATCHES, batch = id, from = row.head.owner.as_str(),
-                    why = why, row = version; "A batch is taken over.");
+                    why:? = why, row = version; "A batch is taken over.");
                 self.count("taken-over");
                 self.set(id, head.clone(), version);
                 spawn_local(Rc::clone(self).adopt(id.to_owned(), head, version));
@@ -311,6 +278,20 @@
     }
 }
 
+/// Understands the row of a process.
+fn sign(row: &Row) -> Option<Sign> {
+    let Ok(presence) = serde_json::from_slice::<Presence>(&row.value) else {
+        log::error!(target: BATCHES, entry = row.id.key.as_str();
+            "The row of a process is broken; it is ignored.");
+        return None;
+    };
+    Some(Sign {
+        name: row.id.key.clone(),
+        life: presence.life,
+        version: row.version,
+    })
+}
+
 impl Owned {
     /// Gives up what isn't done when its time is over.
     async fn expire(self: Rc<Self>, at: Instant) {
@@ -320,19 +301,3 @@
         self.ready.notify_one();
     }
 }
-
-impl Seen {
-    /// Says why the owner of a batch is taken to be gone, if it is.
-    fn lost(&self, now: Instant, row: &HeadRow) -> Option<&'static str> {
-        let (name, _) = row.head.owner.rsplit_once('/')?;
-        let Some((_, life, since)) = self.rows.get(name) else {
-            let waited = now.saturating_duration_since(row.since);
-            return (waited > FIRST).then_some("it has no row");
-        };
-        if *life != row.head.owner {
-            return Some("it lives anew");
-        }
-        let since = (*since).max(row.since);
-        (now.saturating_duration_since(since) > SILENCE).then_some("it is silent")
-    }
-}
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -9,7 +9,10 @@
     meters::Meters,
 };
 use crate::logs::STORE;
-use hibiscusroad::table::{Change, Changes, Commit, Page, Range};
+use hibiscusroad::{
+    patience::Patience,
+    table::{Change, Changes, Commit, Page, Range},
+};
 use hibiscusroad_platform::{Error as Odd, request::Request, table as wire};
 use http_body_util::BodyExt;
 use hyper::{Request as HttpRequest, body::Bytes};
@@ -21,11 +24,15 @@
 };
 use tokio::time::timeout;
 
-/// An answer takes 4 ms as a rule and up to eighty times that in a slow store;
-/// four such waits fit in the time in which a configuration must be in force.
-const CALL: Duration = Duration::from_millis(900);
+/// An answer takes 4 ms as a rule and up to eighty times that in a slow store. A
+/// read whose connection went silent is given up in time for another try before
+/// anybody misses the answer.
+const READ: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(1_000));
+/// A write takes twice as long, and longer where writes queue; one that is given
+/// up may still be done, and its outcome has to be found out.
+const WRITE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1_800));
 /// Objects take 25 ms as a rule, and are larger.
-const OBJECT: Duration = Duration::from_millis(3_000);
+const OBJECT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(3_000));
 /// What an answer to a wait may take beyond it.
 const FEED_SLACK: Duration = Duration::from_millis(700);
 
@@ -51,6 +58,9 @@
     told: Cell<Option<(Duration, Instant)>>,
     /// Since when no call was answered.
     away: Cell<Option<Instant>>,
+    reads: Cell<Patience>,
+    writes: Cell<Patience>,
+    objects: Cell<Patience>,
     meters: Rc<Meters>,
     watchers: RefCell<Vec<Box<dyn Fn()>>>,
 }
@@ -62,6 +72,9 @@
             address: Cell::new(address),
             told: Cell::new(None),
             away: Cell::new(None),
+            reads: Cell::new(Patience::new(READ.0, READ.1)),
+            writes: Cell::new(Patience::new(WRITE.0, WRITE.1)),
+            objects: Cell::new(Patience::new(OBJECT.0, OBJECT.1)),
             meters,
             watchers: RefCell::default(),
         }
@@ -85,7 +98,7 @@
 
     /// Reads a range of rows.
     pub(super) async fn read(&self, range: &Range<'_>) -> Result<Page, Failure> {
-        let (status, body) = self.call(wire::read(range), CALL).await?;
+        let (status, body) = self.paced(wire::read(range), &self.reads).await?;
         let page = wire::page(status, &body, range)?;
         self.tell(page.now);
         Ok(page)
@@ -137,7 +150,7 @@
 
     /// Carries out a transaction, or finds out that its outcome is unknown.
     pub(super) async fn transact(&self, change: &Change) -> Commit {
-        let answer = match self.call(wire::transact(change), CALL).await {
+        let answer = match self.paced(wire::transact(change), &self.writes).await {
             Ok((status, body)) => wire::commit(status, &body).map_err(Failure::Odd),
             Err(failure) => Err(failure),
         };
@@ -162,7 +175,10 @@
 
     /// Keeps an object; one that exists under this name is the same.
     pub(super) async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<(), Failure> {
-        match self.call(wire::put_object(name, body), OBJECT).await? {
+        match self
+            .paced(wire::put_object(name, body), &self.objects)
+            .await?
+        {
             (200..=299 | 412, _) => Ok(()),
             (status, _) => Err(Failure::Refused(format!("status {status}"))),
         }
@@ -170,7 +186,7 @@
 
     /// Reads an object; `None` if there is none.
     pub(super) async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Failure> {
-        match self.call(wire::get_object(name), OBJECT).await? {
+        match self.paced(wire::get_object(name), &self.objects).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
             (status, _) => Err(Failure::Refused(format!("status {status}"))),
@@ -179,7 +195,27 @@
 
     /// Removes an object.
     pub(super) async fn drop_object(&self, name: &str) -> Result<(), Failure> {
-        self.call(wire::drop_object(name), OBJECT).await.map(|_| ())
+        self.paced(wire::drop_object(name), &self.objects)
+            .await
+            .map(|_| ())
+    }
+
+    /// Sends a call with the time limit of its kind, which learns from it.
+    async fn paced(
+        &self,
+        request: Request,
+        patience: &Cell<Patience>,
+    ) -> Result<(u16, Bytes), Failure> {
+        let start = Instant::now();
+        let answer = self.call(request, patience.get().limit()).await;
+        let mut next = patience.get();
+        match &answer {
+            Ok(_) => next.answered(start.elapsed()),
+            Err(Failure::Lost(_)) => next.expired(),
+            Err(_) => {}
+        }
+        patience.set(next);
+        answer
     }
 
     async fn call(&self, request: Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -340,3 +340,27 @@
     assert_ne!(holders[0].0, holders[1].0);
     assert!(holders[0].1 < holders[1].1, "{holders:?}");
 }
+
+// The store answers slowly, so that an owner's renewals come late to everybody
+// else. The owner lives: nobody takes its batch, or items would run twice and
+// each change of owner would cost the step seconds.
+#[test]
+fn slow_store_is_no_silent_owner() {
+    let (world, _desk, engine) = World::ready("slow-store", 3);
+    engine.work(Duration::from_millis(120));
+    engine.events(45);
+    world.store.fail(Faults {
+        slow: Duration::from_millis(800),
+        ..Faults::default()
+    });
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    check_whole(&results(&world, 0, "b1", 3), 45);
+    for gateway in &world.gateways {
+        let taken = gateway
+            .lines()
+            .into_iter()
+            .find(|line| line["text"] == "A batch is taken over.");
+        assert_eq!(taken, None);
+    }
+    assert!(engine.ran().iter().all(|ran| ran.after.is_none()));
+}
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -26,6 +26,8 @@
     pub lose: u32,
     /// Writes that are lost are carried out so much later.
     pub late: Duration,
+    /// Every answer takes so much longer.
+    pub slow: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -234,6 +236,7 @@
         }
         return exchange.cut();
     }
+    thread::sleep(faults.slow);
     match exchange.path() {
         "/rows-tx" => transact(shared, exchange),
         "/rows-get" => read(shared, exchange),
@@ -325,7 +328,7 @@
             })
             .collect();
         let left = end.saturating_duration_since(Instant::now());
-        if !rows.is_empty() || left.is_zero() || inner.faults != Faults::default() {
+        if !rows.is_empty() || left.is_zero() || inner.faults.busy || inner.faults.silent {
             let body = json!({ "rows": rows, "ver": inner.version, "nowMs": shared.now() });
             drop(inner);
             return exchange.answer(200, &body);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 //! * [`id`]: the small keys that name requests and processes.
 //! * [`gate`]: what a side admits, seals, buffers and replays.
 //! * [`lease`]: duties with one holder, and their fencing numbers.
+//! * [`patience`]: how long to wait for a service whose pace changes.
 //! * [`rollout`]: batches for trainers, and the weights they run on.
 //! * [`roster`]: which endpoints there are, as they register themselves.
 //! * [`route`]: admission, queues, placement, limits, retries.
@@ -47,6 +48,7 @@
 pub mod gate;
 pub mod id;
 pub mod lease;
+pub mod patience;
 pub mod rollout;
 pub mod roster;
 pub mod route;
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 //! * [`batch`]: which item of a batch starts next and what is listed when.
 //! * [`engines`]: which engine an item goes to.
 //! * [`wave`]: which engine loads which weights next.
+//! * [`presence`]: whether the owner of a batch still lives.
 //! * [`row`]: what the store keeps of a batch, and under which conditions.
 //!
 //! # Design
@@ -20,6 +21,7 @@
 
 pub mod batch;
 pub mod engines;
+pub mod presence;
 pub mod row;
 mod spec;
 pub mod wave;
--- /dev/null
+++ b/src/rollout/presence.rs
@@ -0,0 +1,121 @@
+//! Whether the owner of a batch still lives.
+//!
+//! Each owner renews a row of its own, whose version changes with it; the others
+//! look at all rows now and then. No clocks are compared: a process only counts
+//! for how long it saw a row unchanged itself. It counts only while it reaches
+//! the store, since after an outage no row has changed for long, and all owners
+//! live.
+//!
+//! A wrong suspicion costs work that is done twice: the former owner's writes
+//! fail from the takeover on. So the times are short, and only as long as a slow
+//! store makes it necessary: it delays renewals and looks alike, and owners that
+//! are suspected then would change hands for as long as it is slow.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+/// Time between two renewals, and between two looks: three fit in the silence.
+pub const RENEWAL: Duration = Duration::from_millis(350);
+/// A row that did not change for so long has no living owner: three renewals
+/// were missed, and a pause of this length has cost the owner its items anyway.
+pub const SILENCE: Duration = Duration::from_millis(1_100);
+/// So many of the store's own latencies are added: a slow store delays the
+/// owner's renewal by two (its write takes longer than a read) and the look by
+/// one or two.
+const LATENCIES: u32 = 4;
+/// An owner that has no row at all is given so long for its first.
+const FIRST: Duration = Duration::from_millis(1_200);
+
+/// Why an owner is taken to be gone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// Its row is missing: it gave its batches back, or never had one.
+    NoRow,
+    /// Its process was started again and knows nothing of its batches.
+    LivesAnew,
+    /// Its row doesn't change any more.
+    Silent,
+}
+
+/// The row of a process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Sign {
+    /// The name of the process.
+    pub name: String,
+    /// Its life.
+    pub life: String,
+    /// The version of the row.
+    pub version: u64,
+}
+
+#[derive(Debug)]
+struct Row {
+    life: String,
+    version: u64,
+    /// When it was first seen with this version.
+    since: Instant,
+}
+
+/// What one process saw of the rows of all.
+#[derive(Debug, Default)]
+pub struct Presences {
+    rows: HashMap<String, Row>,
+    /// How long the store took for the last look.
+    latency: Duration,
+}
+
+impl Presences {
+    /// Creates the view of a process that has seen nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how many processes have a row.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Takes in a look that the store answered at `now`, after `latency`.
+    pub fn seen(&mut self, now: Instant, latency: Duration, signs: Vec<Sign>) {
+        self.latency = latency;
+        let there: HashSet<&str> = signs.iter().map(|sign| sign.name.as_str()).collect();
+        self.rows.retain(|name, _| there.contains(name.as_str()));
+        for sign in signs {
+            let known = self.rows.get(&sign.name);
+            if known.is_none_or(|row| row.version != sign.version) {
+                let row = Row {
+                    life: sign.life,
+                    version: sign.version,
+                    since: now,
+                };
+                self.rows.insert(sign.name, row);
+            }
+        }
+    }
+
+    /// Forgets everything, because a look failed: time that passes unseen must
+    /// not count as an owner's silence.
+    pub fn blind(&mut self) {
+        self.rows.clear();
+    }
+
+    /// Says why an owner is taken to be gone, if it is. It is named by the name
+    /// of its process and a life behind a slash, and known since `since`.
+    #[must_use]
+    pub fn lost(&self, now: Instant, owner: &str, since: Instant) -> Option<Loss> {
+        let (name, _) = owner.rsplit_once('/')?;
+        let Some(row) = self.rows.get(name) else {
+            let waited = now.saturating_duration_since(since);
+            return (waited > FIRST).then_some(Loss::NoRow);
+        };
+        if row.life != owner {
+            return Some(Loss::LivesAnew);
+        }
+        let still = now.saturating_duration_since(row.since.max(since));
+        (still > SILENCE + self.latency * LATENCIES).then_some(Loss::Silent)
+    }
+}
--- /dev/null
+++ b/tests/rollout_presence.rs
@@ -0,0 +1,109 @@
+//! Whether an owner lives, seen through a store that is slow or away.
+
+use hibiscusroad::rollout::presence::{Loss, Presences, RENEWAL, SILENCE, Sign};
+use std::time::{Duration, Instant};
+
+const OWNER: &str = "gateway-1/aa";
+
+fn sign(life: &str, version: u64) -> Sign {
+    Sign {
+        name: "gateway-1".to_owned(),
+        life: life.to_owned(),
+        version,
+    }
+}
+
+/// Plays renewals until `stop` and looks for `total`, both over a store whose
+/// reads take `latency` and whose writes take twice as long, or four times if
+/// they queue. Returns when the owner was first taken to be gone.
+fn play(latency: Duration, stop: Duration, total: Duration, offset: Duration) -> Option<Duration> {
+    let start = Instant::now();
+    let mut writes = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < stop {
+        let queued = writes.len() % 3 == 2;
+        at += latency * if queued { 4 } else { 2 };
+        writes.push(at);
+        at += RENEWAL;
+    }
+    let mut seen = Presences::new();
+    let mut at = offset;
+    while at < total {
+        // The store answers as of the middle of the call.
+        let as_of = at + latency / 2;
+        at += latency;
+        let version = writes.iter().filter(|write| **write <= as_of).count() as u64;
+        if version > 0 {
+            seen.seen(start + at, latency, vec![sign(OWNER, version)]);
+        }
+        if seen.lost(start + at, OWNER, start).is_some() {
+            return Some(at);
+        }
+        at += RENEWAL;
+    }
+    None
+}
+
+// The store takes up to eighty times as long as usual. The owner lives and
+// renews as fast as the store lets it: nobody may take its batch, or it would
+// change hands again and again and its step be lost.
+#[test]
+fn slow_store_is_no_silent_owner() {
+    for latency in [4, 50, 200, 320, 450] {
+        let latency = Duration::from_millis(latency);
+        for offset in (0..40).map(|n| Duration::from_millis(n * 25)) {
+            let long = Duration::from_secs(30);
+            let lost = play(latency, long, long, offset);
+            assert_eq!(lost, None, "{latency:?} {offset:?}");
+        }
+    }
+}
+
+// The owner is killed: another knows within a second and a half, of the seven
+// and a half that a step has.
+#[test]
+fn dead_owner_is_missed_soon() {
+    let latency = Duration::from_millis(5);
+    let stop = Duration::from_secs(5);
+    let found = play(latency, stop, Duration::from_secs(10), Duration::ZERO).unwrap();
+    assert!(found > stop, "{found:?}");
+    assert!(found < stop + SILENCE + 2 * RENEWAL, "{found:?}");
+}
+
+// Nobody reached the store for a minute, so no row has changed for as long. The
+// owners live; only time that was seen counts.
+#[test]
+fn outage_of_the_store_is_nobodys_silence() {
+    let start = Instant::now();
+    let mut seen = Presences::new();
+    let brief = Duration::from_millis(5);
+    seen.seen(start, brief, vec![sign(OWNER, 7)]);
+    seen.blind();
+    let back = start + Duration::from_secs(60);
+    seen.seen(back, brief, vec![sign(OWNER, 7)]);
+    assert_eq!(seen.lost(back, OWNER, start), None);
+    assert_eq!(seen.lost(back + SILENCE, OWNER, start), None);
+    let later = back + SILENCE * 2;
+    assert_eq!(seen.lost(later, OWNER, start), Some(Loss::Silent));
+}
+
+// An owner that gave its batches back has no row, one that was restarted has
+// another life: both are known at once, without waiting.
+#[test]
+fn owner_that_left_or_lives_anew_is_known_at_once() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(9);
+    let mut seen = Presences::new();
+    let brief = Duration::from_millis(5);
+    seen.seen(now, brief, vec![sign(OWNER, 1)]);
+    assert_eq!(seen.lost(now, OWNER, start), None);
+    seen.seen(now, brief, Vec::new());
+    assert_eq!(seen.lost(now, OWNER, start), Some(Loss::NoRow));
+    assert_eq!(
+        seen.lost(now, OWNER, now),
+        None,
+        "its row may be on its way"
+    );
+    seen.seen(now, brief, vec![sign("gateway-1/bb", 2)]);
+    assert_eq!(seen.lost(now, OWNER, now), Some(Loss::LivesAnew));
+}
