Tell a request's story from logs, and prove the way from an id to its cause

hibiscusroad trace puts the lines of all processes in order although their clocks differ, by what all of them hear of at once.

--- a/hibiscusroad-cli/src/args.rs
+++ b/hibiscusroad-cli/src/args.rs
@@ -30,6 +30,7 @@
 Usage: hibiscusroad [OPTIONS] 'STATEMENT'
        hibiscusroad [OPTIONS] -f FILE
        hibiscusroad [OPTIONS]            (a prompt, if a terminal is there)
+       hibiscusroad trace ID [LOG...]    (logs of gateways; - or none: standard input)
 
   --entry IP:PORT    an entry's port for operators; several are tried in turn
   --token-file FILE  a file that holds the token
@@ -60,6 +61,13 @@
     Help,
     /// Print the version.
     Version,
+    /// Tell the story of an id from logs.
+    Trace {
+        /// The request, batch or item.
+        id: String,
+        /// The logs; standard input, if there is none.
+        logs: Vec<PathBuf>,
+    },
     /// Run statements.
     Run(Box<Options>),
 }
@@ -124,6 +132,9 @@
     /// No entry is named anywhere.
     #[error("no entry is named; give --entry IP:PORT or set HIBISCUSROAD_ENTRY")]
     NoEntry,
+    /// `trace` needs an id.
+    #[error("trace needs the id of a request, batch or item")]
+    NoId,
     /// `--id` needs the base that the command was sent with.
     #[error("--id needs --base VERSION as it was printed with the id")]
     NoBase,
@@ -194,9 +205,19 @@
             other => return Err(other.unexpected().into()),
         }
     }
+    if flags.words.first().is_some_and(|word| word == "trace") {
+        return trace(flags.words);
+    }
     resolve(flags, env).map(|options| Job::Run(Box::new(options)))
 }
 
+fn trace(words: Vec<String>) -> Result<Job, Error> {
+    let mut words = words.into_iter().skip(1);
+    let id = words.next().ok_or(Error::NoId)?;
+    let logs = words.map(PathBuf::from).collect();
+    Ok(Job::Trace { id, logs })
+}
+
 fn resolve(flags: Flags, env: &dyn Fn(&str) -> Option<String>) -> Result<Options, Error> {
     let config = match env(env::CONFIG) {
         Some(file) => load(Path::new(&file))?,
--- a/hibiscusroad-cli/src/lib.rs
+++ b/hibiscusroad-cli/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A statement is read by [`language`], asked of entries by [`client`], and its
 //! rows are chosen by [`rows`] and printed by [`mod@format`]. [`session`] joins
-//! them and says how each statement ended.
+//! them and says how each statement ended. [`trace`] tells a request's story
+//! from logs, without asking anybody.
 //!
 //! # Example
 //!
@@ -25,3 +26,4 @@
 pub mod rows;
 pub mod session;
 mod stop;
+pub mod trace;
--- a/hibiscusroad-cli/src/main.rs
+++ b/hibiscusroad-cli/src/main.rs
@@ -4,11 +4,12 @@
     args::{self, HELP, Job, Options, Source},
     language::{self, Statement},
     session::{Exit, Session},
+    trace::Logs,
 };
 use std::{
     fs,
     io::{self, IsTerminal, Read, Write},
-    path::Path,
+    path::{Path, PathBuf},
     process::ExitCode,
 };
 
@@ -19,6 +20,7 @@
     let exit = match args::parse(std::env::args_os().skip(1), &env) {
         Ok(Job::Help) => print(HELP),
         Ok(Job::Version) => print(&format!("hibiscusroad {}", env!("CARGO_PKG_VERSION"))),
+        Ok(Job::Trace { id, logs }) => trace(&id, &logs),
         Ok(Job::Run(options)) => run(*options),
         Err(error) => usage(&error.to_string()),
     };
@@ -43,6 +45,30 @@
     Ok(Exit::Usage)
 }
 
+fn trace(id: &str, files: &[PathBuf]) -> io::Result<Exit> {
+    let input = [PathBuf::from("-")];
+    let files = if files.is_empty() { &input } else { files };
+    let mut logs = Logs::new();
+    for file in files {
+        match read(file) {
+            Ok(text) => {
+                let name = file.file_stem().unwrap_or_default();
+                logs.add(&name.to_string_lossy(), &text);
+            }
+            Err(error) => return usage(&format!("{}: {error}", file.display())),
+        }
+    }
+    if logs.odd() > 0 {
+        writeln!(io::stderr(), "{} lines are no log lines", logs.odd())?;
+    }
+    let Some(story) = logs.story(id) else {
+        writeln!(io::stderr(), "no line names {id}")?;
+        return Ok(Exit::Refused);
+    };
+    write!(io::stdout(), "{story}")?;
+    Ok(Exit::Done)
+}
+
 fn run(options: Options) -> io::Result<Exit> {
     let source = options.source.clone();
     let (mut out, mut err) = (io::stdout(), io::stderr());
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -39,12 +39,12 @@
 
 /// An engine that says nothing for so long before its first event is taken to
 /// be gone: queues inside engines turn over in a second.
-const HEAD: Duration = Duration::from_millis(3_000);
+const HEAD: Duration = Duration::from_secs(3);
 /// The same between two events. Events are some tens of milliseconds apart; a
 /// load of weights holds them up for a second, a slow one for two.
 const GAP: Duration = Duration::from_millis(2_500);
 /// How long an item may run if its batch has no end.
-const LONGEST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_mins(1);
 
 /// Gaps between events that pass for usual: six times the usual one. Then an
 /// engine loads weights or stands still, and one with room is faster: reading
@@ -334,7 +334,7 @@
         }
         let pace = self.pace.unwrap_or(gap);
         self.pace = Some(pace + (gap - pace) * PACE_WEIGHT);
-        if self.events % PACE_EVENTS != 0 {
+        if !self.events.is_multiple_of(PACE_EVENTS) {
             return Ok(());
         }
         let pace = self.pace.unwrap_or(gap);
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -27,7 +27,7 @@
     /// Lists a batch's results as they become ready.
     pub(super) async fn list(self: Rc<Self>, owned: Rc<Owned>) {
         loop {
-            let ready = self.next_write(&owned).await;
+            let ready = Self::next_write(&owned);
             if ready.is_empty() {
                 if owned.batch.borrow().complete() {
                     return;
@@ -42,7 +42,7 @@
         }
     }
 
-    async fn next_write(&self, owned: &Owned) -> Kept {
+    fn next_write(owned: &Owned) -> Kept {
         // The head and each row are conditions of the same write.
         let ready = owned
             .batch
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -129,7 +129,7 @@
 impl Batches {
     pub(super) fn new(
         name: &str,
-        life: &str,
+        holder: &str,
         own: &GatewaySettings,
         store: Rc<Store>,
         line: Line,
@@ -137,7 +137,7 @@
         known: Rc<Known>,
     ) -> Self {
         Self {
-            life: life.to_owned(),
+            life: holder.to_owned(),
             name: name.to_owned(),
             row_bytes: own.row_bytes,
             keep: Duration::from_secs(own.keep_s),
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -57,7 +57,9 @@
         match self.store.transact(&change).await {
             Commit::Done { .. } => {
                 let mut batch = owned.batch.borrow_mut();
-                pieces.iter().for_each(|(n, piece)| batch.keep(*n, piece));
+                for (n, piece) in &pieces {
+                    batch.keep(*n, piece);
+                }
                 owned.pieces.borrow_mut().extend(rows);
             }
             Commit::Conflict(_) => {
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -31,7 +31,7 @@
 /// Bytes of results in one answer.
 const MOST: usize = 900 << 10;
 /// Longest time that a reader is kept waiting, whatever it asks for.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 /// Pause between looks for a waiting reader: a tenth of the time in which an
 /// item is generated.
 const LOOK: Duration = Duration::from_millis(150);
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -41,7 +41,7 @@
 /// seconds, and another process may reach it.
 const RETURN: Duration = Duration::from_millis(400);
 /// How long a batch is run if its route doesn't say.
-const LIFE: Duration = Duration::from_secs(600);
+const LIFE: Duration = Duration::from_mins(10);
 /// Pauses between tries.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
 
@@ -117,8 +117,10 @@
                     return accepted();
                 }
                 Commit::Conflict(rows) => {
-                    rows.iter().for_each(|row| self.note(row));
-                    return self.found(id, &rows);
+                    for row in &rows {
+                        self.note(row);
+                    }
+                    return found(id, &rows);
                 }
                 Commit::Refused => {}
                 Commit::Unknown => open = true,
@@ -137,14 +139,6 @@
         }
     }
 
-    fn found(&self, id: &str, rows: &[Row]) -> Response<Out> {
-        if rows.iter().any(|row| row.id.key == id) {
-            return accepted();
-        }
-        log::error!(target: BATCHES, batch = id; "The store refuses a head without naming its row.");
-        problem(ErrorKind::OutcomeUnknown, RETURN)
-    }
-
     fn new_head(&self, path: &str, route: &Route, submission: &Submission) -> Head {
         let tokens = |item: &hibiscusroad::rollout::Item| u64::from(item.tokens);
         let model = submission.model.clone();
@@ -186,6 +180,15 @@
     }
 }
 
+/// Answers when the head exists already: it was accepted before.
+fn found(id: &str, rows: &[Row]) -> Response<Out> {
+    if rows.iter().any(|row| row.id.key == id) {
+        return accepted();
+    }
+    log::error!(target: BATCHES, batch = id; "The store refuses a head without naming its row.");
+    problem(ErrorKind::OutcomeUnknown, RETURN)
+}
+
 /// Returns the hashes of the groups, in the order of the submission.
 fn groups(submission: &Submission) -> Vec<u32> {
     let mut seen = HashSet::new();
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -52,7 +52,7 @@
 /// How a request ended.
 pub(super) enum Ended {
     /// With an endpoint's answer; the ticket if more of it is to come.
-    Answer(Answer, Option<(Ticket, EndpointKey)>),
+    Answer(Box<Answer>, Option<(Ticket, EndpointKey)>),
     /// Without one.
     Refused(ErrorKind, Duration),
 }
@@ -63,7 +63,7 @@
 pub(super) async fn forward(line: &Line, request: Forward) -> Response<Out> {
     let head = Rc::clone(&request.head);
     match ended(line, request).await {
-        Ended::Answer(answer, more) => respond(line, &head, answer, more),
+        Ended::Answer(answer, more) => respond(line, &head, *answer, more),
         Ended::Refused(kind, after) => {
             log::info!(target: CALLS, id = head.id.as_str(), kind = kind.answer().problem,
                 after_ms = super::store::millis(after); "A request is refused.");
@@ -105,7 +105,7 @@
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
                 Step::Refuse { kind, after, .. } => {
                     return match told {
-                        Some(answer) => Ended::Answer(answer, None),
+                        Some(answer) => Ended::Answer(Box::new(answer), None),
                         None => Ended::Refused(kind, after),
                     };
                 }
@@ -113,11 +113,11 @@
             (endpoint, done) = first(&mut running) => match done {
                 Done::Answer(answer) if matches!(answer.body, Received::Whole(_)) => {
                     ticket.finish(endpoint, Outcome::Answered);
-                    return Ended::Answer(answer, None);
+                    return Ended::Answer(Box::new(answer), None);
                 }
                 Done::Answer(answer) => {
                     ticket.commit(endpoint);
-                    return Ended::Answer(answer, Some((ticket, endpoint)));
+                    return Ended::Answer(Box::new(answer), Some((ticket, endpoint)));
                 }
                 Done::NotRun(kind) => ticket.finish(endpoint, Outcome::NotRun(kind)),
                 Done::Failed(kind, answer) => {
--- a/hibiscusroad-daemon/src/gateway/front.rs
+++ b/hibiscusroad-daemon/src/gateway/front.rs
@@ -1,7 +1,7 @@
 //! Callers' connections: what may be sent, how long it may take, how it ends.
 //!
 //! hyper reads and writes HTTP/1.1. It drops the work on a request when the
-//! caller closes the connection, which cancels it; tiny_http, which the role
+//! caller closes the connection, which cancels it; `tiny_http`, which the role
 //! entry uses, can't tell before it writes. Two limits are kept here: how long
 //! a caller may take to send headers, and how long a connection may be idle.
 //! hyper has one limit for both, and closing an idle connection that early would
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -39,7 +39,7 @@
 const KEPT: usize = 16;
 /// Idle connections are kept so long if the other side doesn't say: a trainer's
 /// steps are seconds apart, and each reuses the connections of the one before.
-const KEEP: Duration = Duration::from_millis(9_000);
+const KEEP: Duration = Duration::from_secs(9);
 
 /// The body of a request: whole, or what was read of it and the rest as it
 /// comes.
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -59,7 +59,12 @@
     settings::{Gateway as GatewaySettings, Settings},
 };
 use hibiscusroad::Incarnation;
-use std::{io, path::Path, rc::Rc, time::Duration};
+use std::{
+    io,
+    path::Path,
+    rc::{Rc, Weak},
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
     runtime,
@@ -144,20 +149,20 @@
     Ok(())
 }
 
-fn assemble(settings: &Settings, own: &GatewaySettings, meters: Rc<Meters>) -> Rc<Gateway> {
+fn assemble(settings: &Settings, own: &GatewaySettings, counts: Rc<Meters>) -> Rc<Gateway> {
     let incarnation = Incarnation::draw();
-    let life = format!("{}/{incarnation}", settings.name);
+    let holder = format!("{}/{incarnation}", settings.name);
     let known = Rc::new(Known::new());
-    let store = Rc::new(Store::new(own.store, Rc::clone(&meters)));
+    let store = Rc::new(Store::new(own.store, Rc::clone(&counts)));
     let calls = Rc::new(Calls::new(&settings.place, incarnation));
     let channels = Rc::new(Channels::new());
     let line = Line {
         calls: Rc::clone(&calls),
         channels: Rc::clone(&channels),
-        meters: Rc::clone(&meters),
+        meters: Rc::clone(&counts),
     };
-    Rc::new_cyclic(|gateway: &std::rc::Weak<Gateway>| {
-        let hearer = gateway.clone();
+    Rc::new_cyclic(|gateway: &Weak<Gateway>| {
+        let hearer = Weak::clone(gateway);
         let members = Rc::new(Members::new(move |news| {
             if let Some(gateway) = hearer.upgrade() {
                 gateway.line.calls.roster(news);
@@ -167,7 +172,7 @@
         }));
         let batches = Rc::new(Batches::new(
             &settings.name,
-            &life,
+            &holder,
             own,
             Rc::clone(&store),
             line.clone(),
@@ -180,9 +185,9 @@
             members: Rc::clone(&members),
             batches: Rc::clone(&batches),
             channels,
-            meters: Rc::clone(&meters),
+            meters: Rc::clone(&counts),
         };
-        let weights = Rc::new(Weights::new(&life, own.lease_ms, own.fences, parts));
+        let weights = Rc::new(Weights::new(&holder, own.lease_ms, own.fences, parts));
         Gateway {
             known,
             line,
@@ -190,7 +195,7 @@
             batches,
             weights,
             members,
-            meters,
+            meters: counts,
             stop: Stop::new(),
         }
     })
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -27,12 +27,12 @@
 /// An answer takes 4 ms as a rule and up to eighty times that in a slow store. A
 /// read whose connection went silent is given up in time for another try before
 /// anybody misses the answer.
-const READ: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(1_000));
+const READ: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
 /// A write takes twice as long, and longer where writes queue; one that is given
 /// up may still be done, and its outcome has to be found out.
 const WRITE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1_800));
 /// Objects take 25 ms as a rule, and are larger.
-const OBJECT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(3_000));
+const OBJECT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
 /// What an answer to a wait may take beyond it.
 const FEED_SLACK: Duration = Duration::from_millis(700);
 
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -33,7 +33,7 @@
 
 /// How long the store may keep a wait: a connection that went silent shows
 /// before a change on it would be late beyond what the operator allows for.
-const WAIT: Duration = Duration::from_millis(2_000);
+const WAIT: Duration = Duration::from_secs(2);
 /// First and longest pause after a failed call: a store that is back is noticed
 /// well within the second, and 360 processes make 900 calls a second at most.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
--- a/hibiscusroad-daemon/src/logs/output.rs
+++ b/hibiscusroad-daemon/src/logs/output.rs
@@ -37,17 +37,17 @@
 pub(super) struct Writer;
 
 impl io::Write for Writer {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let mut lines = lines();
-        if lines.len() + line.len() > MOST {
+        if lines.len() + buf.len() > MOST {
             DROPPED.fetch_add(1, Ordering::Relaxed);
             DROPPED_IN_ALL.fetch_add(1, Ordering::Relaxed);
         } else {
-            lines.extend_from_slice(line);
+            lines.extend_from_slice(buf);
         }
         drop(lines);
         ADDED.notify_one();
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -160,7 +160,7 @@
     engine.events(40);
     assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
     until("items run", || (engine.ran().len() == 3).then_some(()));
-    std::thread::sleep(Duration::from_millis(1_000));
+    std::thread::sleep(Duration::from_secs(1));
     world.gateways[0].signal(Signal::TERM);
     check_whole(&results(&world, 1, "b1", 3), 40);
     let resumed = engine
--- a/hibiscusroad-daemon/tests/gateway_process.rs
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -2,7 +2,7 @@
 
 mod gateway_world;
 
-use gateway_world::{Gateway, HOST, World, ask, config, raw, read_all, settings_text, until};
+use gateway_world::{HOST, World, ask, config, raw, read_all, settings_text, until};
 use hibiscusroad_standins::direct::Store;
 use rustix::process::Signal;
 use std::{
@@ -289,5 +289,4 @@
     ] {
         assert!(told.contains(line), "{line} is not in {told}");
     }
-    let _unused = Gateway::kill;
 }
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -291,7 +291,7 @@
     body: &[u8],
     limit: Duration,
 ) -> Option<Answer> {
-    let agent: Agent = Agent::config_builder()
+    let agent = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(limit))
         .build()
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -122,7 +122,7 @@
             headers: 16 << 10,
             body: 1 << 20,
             reading: Duration::from_secs(10),
-            idle: Duration::from_secs(60),
+            idle: Duration::from_mins(1),
         }
     }
 }
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -396,7 +396,8 @@
     fn fits(&self, n: usize) -> bool {
         let versions = &self.rows[n].partial.versions;
         let old = versions.iter().any(|version| *version < self.floor);
-        !old && !(self.single && versions.len() > 1)
+        let mixed = self.single && versions.len() > 1;
+        !old && !mixed
     }
 }
 
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -45,8 +45,8 @@
 /// Slower than the fastest peers by this factor is worth a move for a run that
 /// has become long: what is left of it ends that much sooner.
 const MILD: f64 = 1.12;
-/// The fastest peers are this share of the engines.
-const FASTEST: f64 = 0.25;
+/// The fastest peers are one in so many engines.
+const FASTEST: usize = 4;
 /// A run is long when it has made so many times the events of a usual one: half
 /// of the runs that get there make as many again.
 const LONG: f64 = 1.5;
@@ -335,7 +335,7 @@
         let rows = self.rows.values().filter(|row| row.service == service);
         let mut paces: Vec<f64> = rows.filter_map(|row| row.pace).collect();
         paces.sort_by(f64::total_cmp);
-        let rank = (paces.len() as f64 * FASTEST) as usize;
+        let rank = paces.len() / FASTEST;
         Some(Usual {
             median: *paces.get(paces.len() / 2)?,
             best: *paces.get(rank)?,
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -113,8 +113,8 @@
 /// one by chance make a group start earlier than it has to.
 #[must_use]
 pub fn group_hash(group: &str) -> u32 {
-    let hash = xxh3_64(group.as_bytes());
-    (hash & u64::from(u32::MAX)) as u32
+    let [a, b, c, d, ..] = xxh3_64(group.as_bytes()).to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
 }
 
 /// Names the head of a batch.
--- a/tests/rollout_batch.rs
+++ b/tests/rollout_batch.rs
@@ -174,7 +174,9 @@
         }
         let mut heir = Batch::new(now, &step, 3, false, 0);
         let kept = store.last().map(|piece| piece.last);
-        store.into_iter().for_each(|piece| heir.resume("0-0", piece));
+        for piece in store {
+            heir.resume("0-0", piece);
+        }
         prop_assert_eq!(heir.last(0), kept);
         heir.start(0);
         for number in kept.map_or(0, |last| last + 1)..next.max(1) {
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -241,7 +241,7 @@
 // it they do in proportion. The pace finds the number from how long they took.
 #[test]
 fn number_of_loads_at_once_is_learned() {
-    for knee in [2, 5, 8] {
+    for knee in [2_u32, 5, 8] {
         let mut pace = Pace::new();
         for _ in 0..60 {
             let n = pace.at_once();
@@ -249,7 +249,7 @@
             pace.loaded(n, Duration::from_secs_f64(0.9 * slower));
         }
         assert!(
-            pace.at_once().abs_diff(knee as usize) <= 1,
+            u32::try_from(pace.at_once()).unwrap().abs_diff(knee) <= 1,
             "{knee}: {}",
             pace.at_once()
         );
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -79,7 +79,7 @@
     let brief = Duration::from_millis(5);
     seen.seen(start, brief, vec![sign(OWNER, 7)]);
     seen.blind();
-    let back = start + Duration::from_secs(60);
+    let back = start + Duration::from_mins(1);
     seen.seen(back, brief, vec![sign(OWNER, 7)]);
     assert_eq!(seen.lost(back, OWNER, start), None);
     assert_eq!(seen.lost(back + SILENCE, OWNER, start), None);
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -126,7 +126,7 @@
 #[test]
 fn keys_sort_as_they_are_read() {
     assert!(row::result_key("b", 9) < row::result_key("b", 10));
-    assert!(row::result_key("b", 99_999) < "b0".to_owned());
+    assert!(row::result_key("b", 99_999).as_str() < "b0");
     let piece = |round, after| Piece {
         round,
         after,
