Soak gateways under drawn faults, checked from what callers and endpoints see

measure soak: one plan drawer, relays of ours before the store and endpoints, signals to processes, a store that is away, slow, loses and delays writes.

--- a/hibiscusroad-measure/src/lib.rs
+++ b/hibiscusroad-measure/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`caller`]: makes one call and says how it ended for its caller.
 //! * [`load`]: makes many calls at the times that were set for them.
 //! * [`judge`]: counts what callers saw and what endpoints ran.
-//! * [`control`], [`demo`], [`faults`], [`path`], [`policy`] and [`train`]: what
+//! * [`control`], [`demo`], [`faults`], [`path`], [`policy`], [`soak`] and [`train`]: what
 //!   the program `measure` does.
 
 pub mod caller;
@@ -18,4 +18,5 @@
 pub mod path;
 pub mod policy;
 pub mod report;
+pub mod soak;
 pub mod train;
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -7,7 +7,7 @@
     interrupt::Interrupt,
     path, policy,
     report::Report,
-    train,
+    soak, train,
 };
 use lexopt::{Arg, Parser, ValueExt};
 use std::{process::ExitCode, time::Duration};
@@ -19,6 +19,7 @@
                     [--json]
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
                       [--trace] [--json]
+       measure soak [--seconds N] [--seed N] [--processes N]
        measure policy [--seed N] [--scenario NAME]
        measure train [--deployment pobrezie|lakeshore] [--seed N]
                      [--outage SECONDS]
@@ -29,6 +30,8 @@
 path    measures what an entry and a side add to a request
 faults  puts mixed load and random faults on a deployment and checks the
         promises; --trace tells what happened; KINDS is all, none, kill, freeze, store, link, stop or operate
+soak    puts callers and trainers on gateways, injects faults from outside and
+        checks the promises while they run
 policy  runs the decisions under load in virtual time
 train   runs the training decisions in virtual time
 
@@ -55,6 +58,7 @@
     Faults(faults::Options, Print),
     Control(control::Options, bool),
     Path(path::Options, bool),
+    Soak(soak::Options),
     Policy(Parser),
     Train(Parser),
 }
@@ -112,6 +116,13 @@
                 return Ok(ExitCode::from(BROKEN));
             }
         }
+        Command::Soak(options) => {
+            let found = soak::run(&options, &Interrupt::watch()?)?;
+            print!("{}", found.text());
+            if !found.is_clean() {
+                return Ok(ExitCode::from(BROKEN));
+            }
+        }
         Command::Path(options, json) => {
             print(&path::run(&options, &Interrupt::watch()?)?, json);
         }
@@ -141,6 +152,7 @@
         Arg::Value(word) if word == "faults" => faults_options(parser),
         Arg::Value(word) if word == "control" => control_options(parser),
         Arg::Value(word) if word == "path" => path_options(parser),
+        Arg::Value(word) if word == "soak" => soak_options(parser),
         Arg::Value(word) if word == "policy" => Ok(Command::Policy(parser)),
         Arg::Value(word) if word == "train" => Ok(Command::Train(parser)),
         arg => Err(arg.unexpected()),
@@ -191,6 +203,20 @@
     Ok(Command::Faults(options, print))
 }
 
+fn soak_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut options = soak::Options::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Long("seconds") => options.time = seconds(&mut parser)?,
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("processes") => options.processes = parser.value()?.parse()?,
+            arg => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Command::Soak(options))
+}
+
 fn control_options(mut parser: Parser) -> Result<Command, lexopt::Error> {
     let mut options = control::Options::default();
     let mut json = false;
--- /dev/null
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -0,0 +1,299 @@
+//! Gateways as processes, the store, the endpoints, and the relays between.
+
+use super::plan::Fault;
+use crate::deployment::{Bins, Error, process::Process};
+use hibiscusroad_standins::{
+    direct::{Endpoint, Faults, Manner, Store},
+    http::FREE,
+    relay::{Direction, Relay},
+};
+use serde_json::{Value, json};
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// The host that all routes have.
+pub(super) const HOST: &str = "soak.example";
+/// Plain endpoints come first, then engines.
+pub(super) const DESKS: usize = 3;
+pub(super) const ENDPOINTS: usize = 6;
+/// Models, one a trainer.
+pub(super) const MODELS: [&str; 2] = ["alpha", "beta"];
+const READY: Duration = Duration::from_secs(20);
+/// A process that was told to stop and has not ended by then is ended.
+const GRACE: Duration = Duration::from_secs(6);
+
+struct Gateway {
+    process: Process,
+    /// Its own way to the store.
+    relay: Relay,
+    /// When it has to have stopped, if it was told to.
+    stopping: Option<Instant>,
+}
+
+enum Undo {
+    Thaw(usize),
+    Store,
+    Delay(usize),
+    Manner(usize),
+    Return(usize),
+}
+
+/// Everything that runs.
+pub(super) struct World {
+    pub(super) store: Arc<Store>,
+    pub(super) endpoints: Vec<Endpoint>,
+    /// Where callers of each gateway connect.
+    pub(super) callers: Vec<SocketAddr>,
+    gateways: Vec<Gateway>,
+    folder: PathBuf,
+    version: u64,
+    undo: Vec<(Instant, Undo)>,
+    /// Processes that ended by themselves.
+    pub(super) ended: usize,
+}
+
+impl World {
+    pub(super) fn start(processes: usize) -> Result<Self, Error> {
+        let id = std::process::id();
+        let folder = std::env::temp_dir().join(format!("hibiscusroad-soak-{id}"));
+        fs::create_dir_all(&folder)?;
+        let store = Arc::new(Store::start()?);
+        store.put("op", "config", &config(1));
+        let mut endpoints = Vec::new();
+        for n in 0..ENDPOINTS {
+            let (service, models) = if n < DESKS {
+                ("desk", &[][..])
+            } else {
+                ("lm", &MODELS[..])
+            };
+            let endpoint = Endpoint::start(&store, service, &format!("e{n}"), models)?;
+            endpoint.work(Duration::from_millis(25));
+            endpoint.events(20);
+            endpoints.push(endpoint);
+        }
+        let mut world = Self {
+            store,
+            endpoints,
+            callers: Vec::new(),
+            gateways: Vec::new(),
+            folder,
+            version: 1,
+            undo: Vec::new(),
+            ended: 0,
+        };
+        let daemon = Bins::find()?.daemon;
+        for n in 0..processes {
+            world.add(n, &daemon)?;
+        }
+        Ok(world)
+    }
+
+    fn add(&mut self, n: usize, daemon: &std::path::Path) -> Result<(), Error> {
+        let name = format!("gateway-{n}");
+        let relay = Relay::start(FREE, self.store.addr())?;
+        let bound = [
+            TcpListener::bind("127.0.0.1:0")?,
+            TcpListener::bind("127.0.0.1:0")?,
+        ];
+        let [callers, ready] = [bound[0].local_addr()?, bound[1].local_addr()?];
+        drop(bound);
+        let file = self.folder.join(format!("{name}.toml"));
+        let text = format!(
+            "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
+             [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nstore = \"{}\"\n\
+             lease_ms = 1500\nfences = true\n\n[stop]\ndeadline_s = 4\n",
+            relay.addr()
+        );
+        fs::write(&file, text)?;
+        let args = [file.to_string_lossy().into_owned()];
+        let process = Process::start(&name, daemon, &args, &self.folder)?;
+        self.callers.push(callers);
+        self.gateways.push(Gateway {
+            process,
+            relay,
+            stopping: None,
+        });
+        Ok(())
+    }
+
+    pub(super) fn wait_ready(&mut self) -> Result<(), Error> {
+        for (gateway, callers) in self.gateways.iter_mut().zip(&self.callers) {
+            gateway.process.wait_for(*callers)?;
+        }
+        // Configuration and endpoints are heard of a moment later.
+        thread::sleep(Duration::from_millis(500));
+        Ok(())
+    }
+
+    pub(super) fn inject(&mut self, fault: Fault) -> Result<(), Error> {
+        let now = Instant::now();
+        match fault {
+            Fault::Kill(n) => self.kill(n)?,
+            Fault::KillAll => {
+                for n in 0..self.gateways.len() {
+                    self.kill(n)?;
+                }
+            }
+            Fault::Freeze(n, time) => {
+                self.gateways[n].process.freeze()?;
+                self.undo.push((now + time, Undo::Thaw(n)));
+            }
+            Fault::Stop(n) => {
+                let gateway = &mut self.gateways[n];
+                gateway.process.terminate()?;
+                gateway.stopping.get_or_insert(now + GRACE);
+            }
+            Fault::Store(faults, time) => {
+                self.store.fail(faults);
+                self.undo.push((now + time, Undo::Store));
+            }
+            Fault::Forget => self.store.forget_history(),
+            Fault::SilenceStore(n, way) => self.gateways[n].relay.silence(way),
+            Fault::CutStore(n, time) => {
+                self.gateways[n].relay.cut_all();
+                // Longer than any time limit: as good as no way at all.
+                self.gateways[n].relay.set_delay(Duration::from_secs(9));
+                self.undo.push((now + time, Undo::Delay(n)));
+            }
+            Fault::DelayStore(n, delay) => {
+                self.gateways[n].relay.set_delay(delay);
+                self.undo
+                    .push((now + Duration::from_secs(2), Undo::Delay(n)));
+            }
+            Fault::ResetStore => self.store.relay().cut_all(),
+            Fault::Endpoint(n, manner, time) => {
+                self.endpoints[n].behave(manner);
+                self.undo.push((now + time, Undo::Manner(n)));
+            }
+            Fault::SilenceEndpoint(n, way) => self.endpoints[n].relay().silence(way),
+            Fault::Leave(n) => {
+                self.endpoints[n].register("draining");
+                self.undo
+                    .push((now + Duration::from_secs(2), Undo::Return(n)));
+            }
+            Fault::Config => {
+                self.version += 3;
+                self.store.put("op", "config", &config(self.version));
+            }
+        }
+        Ok(())
+    }
+
+    fn kill(&mut self, n: usize) -> Result<(), Error> {
+        let gateway = &mut self.gateways[n];
+        gateway.process.kill()?;
+        gateway.stopping = None;
+        gateway.process.restart()
+    }
+
+    /// Ends faults whose time is over, and starts again what has stopped.
+    pub(super) fn heal(&mut self) -> Result<(), Error> {
+        let now = Instant::now();
+        let (due, later): (Vec<_>, Vec<_>) = self.undo.drain(..).partition(|(at, _)| *at <= now);
+        self.undo = later;
+        for (_, undo) in due {
+            self.undo(&undo)?;
+        }
+        for gateway in &mut self.gateways {
+            let over = gateway.stopping.is_some_and(|end| end <= now);
+            let ended = gateway.process.wait(now).is_ok();
+            if ended {
+                self.ended += usize::from(gateway.stopping.is_none());
+            } else if over {
+                gateway.process.kill()?;
+            }
+            if ended || over {
+                gateway.stopping = None;
+                gateway.process.restart()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn undo(&mut self, undo: &Undo) -> Result<(), Error> {
+        match undo {
+            Undo::Thaw(n) => self.gateways[*n].process.thaw()?,
+            Undo::Store => self.store.fail(Faults::default()),
+            Undo::Delay(n) => {
+                self.gateways[*n].relay.set_delay(Duration::ZERO);
+                self.gateways[*n].relay.cut_all();
+            }
+            Undo::Manner(n) => self.endpoints[*n].behave(Manner::Sound),
+            Undo::Return(n) => self.endpoints[*n].register("ready"),
+        }
+        Ok(())
+    }
+
+    /// Ends all faults.
+    pub(super) fn calm(&mut self) -> Result<(), Error> {
+        for (_, undo) in std::mem::take(&mut self.undo) {
+            self.undo(&undo)?;
+        }
+        for gateway in &mut self.gateways {
+            if let Some(end) = gateway.stopping.take() {
+                if gateway.process.wait(end).is_err() {
+                    gateway.process.kill()?;
+                }
+                gateway.process.restart()?;
+            }
+        }
+        let end = Instant::now() + READY;
+        while Instant::now() < end {
+            let up = |at: &SocketAddr| std::net::TcpStream::connect(at).is_ok();
+            if self.callers.iter().all(up) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    /// Returns where logs and settings are.
+    pub(super) fn folder(&self) -> &std::path::Path {
+        &self.folder
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for gateway in &mut self.gateways {
+            // One that is frozen would not end, and one may have ended.
+            let _ = gateway.process.thaw();
+            let _ = gateway.process.kill();
+            gateway.relay.silence(Direction::Forth);
+            gateway.relay.stop();
+        }
+    }
+}
+
+fn config(version: u64) -> Value {
+    let mut routes = vec![
+        json!({ "name": "desk", "hostname": HOST, "prefix": "/desk/", "type": "idempotent",
+            "timeoutMs": 3000, "targetLatencyMs": 150, "priority": 2, "service": "desk",
+            "maxAttempts": 3 }),
+        json!({ "name": "once", "hostname": HOST, "prefix": "/once/", "type": "non_idempotent",
+            "timeoutMs": 3000, "targetLatencyMs": 150, "priority": 2, "service": "desk",
+            "maxAttempts": 3 }),
+        json!({ "name": "lm", "hostname": HOST, "prefix": "/lm/", "type": "rollout",
+            "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 0, "service": "lm",
+            "maxAttempts": 9, "dueMs": 7500, "itemTtlS": 120 }),
+    ];
+    for n in 0..version % 5 {
+        routes.push(
+            json!({ "name": format!("r{n}"), "hostname": HOST, "type": "idempotent",
+            "prefix": format!("/more/{n}/"), "timeoutMs": 900, "service": "desk" }),
+        );
+    }
+    let models = MODELS.map(|name| json!({ "name": name }));
+    json!({ "version": version, "routes": routes,
+        "services": [{ "name": "desk", "maxConns": 90 }, { "name": "lm", "maxConns": 90,
+            "engine": { "slots": 8, "kvCapacity": 40000, "models": models } }],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 9000 } })
+}
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -1,7 +1,10 @@
 //! Endpoints that are called directly: plain services and model engines.
 
 use super::Store;
-use crate::http::{Exchange, FREE, Server};
+use crate::{
+    http::{Exchange, FREE, Server},
+    relay::Relay,
+};
 use serde::Deserialize;
 use serde_json::json;
 use std::{
@@ -122,6 +125,12 @@
         self.server.addr()
     }
 
+    /// Returns the relay that its callers come through.
+    #[must_use]
+    pub fn relay(&self) -> &Relay {
+        self.server.relay()
+    }
+
     /// Sets how it behaves from now on.
     pub fn behave(&self, manner: Manner) {
         self.shared.lock().manner = manner;
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -1,6 +1,9 @@
 //! The metadata store: rows with versions, transactions, feeds and objects.
 
-use crate::http::{Exchange, FREE, Server};
+use crate::{
+    http::{Exchange, FREE, Server},
+    relay::Relay,
+};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -108,6 +111,12 @@
         self.server.addr()
     }
 
+    /// Returns the relay that its callers come through.
+    #[must_use]
+    pub fn relay(&self) -> &Relay {
+        self.server.relay()
+    }
+
     /// Writes a row as the operator or an endpoint does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let key = (table.to_owned(), String::new(), key.to_owned());
