Wait for a configuration before a batch is run or given up

Cause: a process that had just started heard of a batch before it heard of any configuration, found no route for it, and listed all its items as errored.

Ruled out: the route's removal (the soak removes none of it) and failing engines (none fails by itself there).

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -70,6 +70,10 @@
             return;
         }
         let Some(route) = self.route(owned) else {
+            // A route that was added a moment ago may not be known here yet.
+            if !self.known.is_current(now) {
+                return;
+            }
             log::warn!(target: BATCHES, batch = owned.id.as_str();
                 "A batch's route is gone; what is not done is given up.");
             owned.batch.borrow_mut().give_up();
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -164,6 +164,12 @@
             if self.head(&id).is_none_or(|row| row.version != version) {
                 return;
             }
+            // Without a configuration nobody knows how often an item may fail, or
+            // whether its route still stands: it would be given up for nothing.
+            if self.known.catalog().is_none() {
+                sleep(backoff.next_wait(&mut rand::rng())).await;
+                continue;
+            }
             match self.load(&id).await {
                 Ok((submission, results, pieces)) => {
                     if !self.mine.borrow().contains_key(&id) {
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -364,3 +364,25 @@
     }
     assert!(engine.ran().iter().all(|ran| ran.after.is_none()));
 }
+
+// All processes are killed and one comes back that hears of the batch before it
+// hears of any configuration. It doesn't know the batch's route then, and must
+// wait for it: the trainer got a whole step of errored items.
+#[test]
+fn batch_waits_for_a_configuration() {
+    let (mut world, _desk, engine) = World::ready("no-config", 1);
+    engine.work(Duration::from_millis(100));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    world.gateways[0].kill();
+    world.gateways.clear();
+    world.store.remove("op", "config");
+    world.gateway();
+    world.gateways[0].line("A batch is taken over.");
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(
+        world.store.rows("results").is_empty(),
+        "something was listed"
+    );
+    world.configure(2, &[]);
+    check_whole(&results(&world, 0, "b1", 3), 8);
+}
--- a/hibiscusroad-measure/src/deployment/process.rs
+++ b/hibiscusroad-measure/src/deployment/process.rs
@@ -26,6 +26,8 @@
     log: PathBuf,
     program: PathBuf,
     args: Vec<String>,
+    /// Whether its output goes to its log as well.
+    whole: bool,
 }
 
 impl Process {
@@ -39,15 +41,41 @@
         program: &Path,
         args: &[String],
         folder: &Path,
+    ) -> Result<Self, Error> {
+        Self::begin(name, program, args, folder, false)
+    }
+
+    /// Starts a program of which the output goes to its log as well, and no
+    /// address is read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start_logged(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        folder: &Path,
+    ) -> Result<Self, Error> {
+        Self::begin(name, program, args, folder, true)
+    }
+
+    fn begin(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        folder: &Path,
+        whole: bool,
     ) -> Result<Self, Error> {
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(program, args, File::create(&log)?)?;
+        let child = spawn(program, args, File::create(&log)?, whole)?;
         Ok(Self {
             name: name.to_owned(),
             child,
             log,
             program: program.to_owned(),
             args: args.to_vec(),
+            whole,
         })
     }
 
@@ -58,7 +86,7 @@
     /// Returns an error if the program can't be started.
     pub fn restart(&mut self) -> Result<(), Error> {
         let file = OpenOptions::new().append(true).open(&self.log)?;
-        self.child = spawn(&self.program, &self.args, file)?;
+        self.child = spawn(&self.program, &self.args, file, self.whole)?;
         Ok(())
     }
 
@@ -206,11 +234,16 @@
     }
 }
 
-fn spawn(program: &Path, args: &[String], log: File) -> Result<Child, Error> {
+fn spawn(program: &Path, args: &[String], log: File, whole: bool) -> Result<Child, Error> {
+    let output = if whole {
+        log.try_clone()?.into()
+    } else {
+        Stdio::piped()
+    };
     let child = Command::new(program)
         .args(args)
         .stdin(Stdio::null())
-        .stdout(Stdio::piped())
+        .stdout(output)
         .stderr(log)
         .spawn();
     child.map_err(|error| Error::NotStarted(program.to_owned(), error))
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -112,7 +112,7 @@
         );
         fs::write(&file, text)?;
         let args = [file.to_string_lossy().into_owned()];
-        let process = Process::start(&name, daemon, &args, &self.folder)?;
+        let process = Process::start_logged(&name, daemon, &args, &self.folder)?;
         self.callers.push(callers);
         self.gateways.push(Gateway {
             process,
