--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
     http::{Channel, Channels, Fault, Sent},
     meters::Meters,
 };
-use crate::logs::CALLS;
+use crate::{headers::is_hop_by_hop, logs::CALLS};
 use hibiscusroad::{
     ErrorKind,
     route::{EndpointKey, Outcome},
@@ -21,7 +21,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::{Body, Bytes, Incoming},
-    header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, HeaderValue},
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
 };
 use std::{
     collections::VecDeque,
@@ -160,8 +160,12 @@
     for name in named {
         headers.remove(name.as_str());
     }
-    for name in header::HOP_BY_HOP {
-        headers.remove(*name);
+    // The route was found by the host, and endpoints are told it as well.
+    let hops = headers
+        .keys()
+        .filter(|name| *name != HOST && is_hop_by_hop(name.as_str()));
+    for name in hops.cloned().collect::<Vec<_>>() {
+        headers.remove(name);
     }
 }
 
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -110,16 +110,7 @@
 
     async fn look(&self, seen: &mut Presences) -> Result<(), String> {
         let start = Instant::now();
-        let page = self
-            .store
-            .read(&Range {
-                table: row::ENTRIES,
-                part: "",
-                from: None,
-                end: None,
-                limit: None,
-            })
-            .await;
+        let page = self.store.read_whole(&Range::part(row::ENTRIES, "")).await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
         let signs = page.rows.iter().filter_map(sign).collect();
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -74,35 +74,24 @@
     /// Reads the kept parts of a batch's texts, in the order of their growth.
     pub(super) async fn pieces(&self, id: &str) -> Result<Vec<(RowId, String, Piece)>, Failure> {
         let part = row::bucket(id);
-        let mut from = format!("{id}/");
+        let from = format!("{id}/");
         // The slash behind the batch is followed by a zero in byte order.
         let end = format!("{id}0");
+        let range = Range {
+            from: Some(&from),
+            end: Some(&end),
+            ..Range::part(PIECES, &part)
+        };
         let mut found = Vec::new();
-        loop {
-            let page = self
-                .store
-                .read(&Range {
-                    table: PIECES,
-                    part: &part,
-                    from: Some(&from),
-                    end: Some(&end),
-                    limit: None,
-                })
-                .await?;
-            let more = page.truncated;
-            for row in page.rows {
-                from = format!("{}\0", row.id.key);
-                let item = row::piece_item(id, &row.id.key).map(str::to_owned);
-                let piece = serde_json::from_slice(&row.value).ok();
-                match item.zip(piece) {
-                    Some((item, piece)) => found.push((row.id, item, piece)),
-                    None => log::error!(target: BATCHES, row = row.id.key.as_str();
-                        "A kept part of a text is broken; it is ignored."),
-                }
-            }
-            if !more {
-                return Ok(found);
+        for row in self.store.read_whole(&range).await?.rows {
+            let item = row::piece_item(id, &row.id.key).map(str::to_owned);
+            let piece = serde_json::from_slice(&row.value).ok();
+            match item.zip(piece) {
+                Some((item, piece)) => found.push((row.id, item, piece)),
+                None => log::error!(target: BATCHES, row = row.id.key.as_str();
+                    "A kept part of a text is broken; it is ignored."),
             }
         }
+        Ok(found)
     }
 }
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -71,11 +71,10 @@
         let page = self
             .store
             .read(&Range {
-                table: &name.table,
-                part: &name.part,
                 from: Some(id),
                 end: Some(&end),
                 limit: Some(1),
+                ..Range::part(&name.table, &name.part)
             })
             .await?;
         page.rows.iter().for_each(|row| self.note(row));
@@ -121,28 +120,16 @@
         let name = row::result(id, after);
         // The slash before the position is followed by a zero in byte order.
         let end = format!("{id}0");
-        let mut from = name.key.clone();
+        let range = Range {
+            from: Some(&name.key),
+            end: Some(&end),
+            ..Range::part(&name.table, &name.part)
+        };
         let mut found = Vec::new();
-        loop {
-            let page = self
-                .store
-                .read(&Range {
-                    table: &name.table,
-                    part: &name.part,
-                    from: Some(&from),
-                    end: Some(&end),
-                    limit: None,
-                })
-                .await?;
-            let more = page.truncated;
-            for row in page.rows {
-                from = format!("{}\0", row.id.key);
-                found.push(self.result_value(row.value).await?);
-            }
-            if !more {
-                return Ok(found);
-            }
+        for row in self.store.read_whole(&range).await?.rows {
+            found.push(self.result_value(row.value).await?);
         }
+        Ok(found)
     }
 
     /// Follows the name of an object where a result was too long for its row.
--- a/hibiscusroad-daemon/src/gateway/batches/sweep.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/sweep.rs
@@ -100,11 +100,10 @@
         let page = self
             .store
             .read(&Range {
-                table,
-                part: &part,
                 from: Some(&from),
                 end: Some(&end),
                 limit: Some(limit),
+                ..Range::part(table, &part)
             })
             .await?;
         let more = page.truncated || page.rows.len() >= limit;
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -168,7 +168,6 @@
 
 fn head(mut parts: Parts, id: String, deadline: Instant) -> Head {
     strip(&mut parts.headers);
-    parts.headers.remove("expect");
     Head {
         method: parts.method,
         target: parts.uri,
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -104,32 +104,28 @@
         Ok(page)
     }
 
-    /// Reads a whole part, page by page.
-    pub(super) async fn read_all(&self, table: &str, part: &str) -> Result<Page, Failure> {
-        let mut all: Option<Page> = None;
-        loop {
+    /// Reads a range whole, page by page.
+    ///
+    /// The version is that of the first page: what changes while the others are
+    /// read comes again with the feed from there.
+    pub(super) async fn read_whole(&self, range: &Range<'_>) -> Result<Page, Failure> {
+        let mut whole = self.read(range).await?;
+        while whole.truncated {
+            let Some(last) = whole.rows.last() else {
+                break;
+            };
             // The successor of a key is the key with a zero byte behind it.
-            let from = all.as_ref().and_then(|page| page.rows.last());
-            let from = from.map(|row| format!("{}\0", row.id.key));
+            let from = format!("{}\0", last.id.key);
             let page = self
                 .read(&Range {
-                    table,
-                    part,
-                    from: from.as_deref(),
-                    end: None,
-                    limit: None,
+                    from: Some(&from),
+                    ..*range
                 })
                 .await?;
-            let more = page.truncated && !page.rows.is_empty();
-            match &mut all {
-                // The first version is kept: what changed since is in the feed.
-                Some(all) => all.rows.extend(page.rows),
-                None => all = Some(page),
-            }
-            if !more {
-                return Ok(all.unwrap_or_else(|| unreachable!("a page was read")));
-            }
+            whole.truncated = page.truncated && !page.rows.is_empty();
+            whole.rows.extend(page.rows);
         }
+        Ok(whole)
     }
 
     /// Waits for changes of a table; `None` if the history is gone.
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -18,7 +18,7 @@
 };
 use hibiscusroad::{
     roster::{Endpoint, News, Roster},
-    table::{Changes, Row},
+    table::{Changes, Range, Row},
 };
 use hibiscusroad_platform::{catalog, roster, table};
 use std::{
@@ -79,7 +79,7 @@
     let mut rows = Vec::new();
     let mut version = u64::MAX;
     for part in &sink.parts {
-        let page = store.read_all(sink.table, part).await?;
+        let page = store.read_whole(&Range::part(sink.table, part)).await?;
         version = version.min(page.version);
         rows.extend(page.rows);
     }
--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -177,11 +177,10 @@
         let page = self
             .store
             .read(&Range {
-                table: DUTIES,
-                part: "",
                 from: Some(DUTY),
                 end: Some(&end),
                 limit: Some(1),
+                ..Range::part(DUTIES, "")
             })
             .await;
         let now = self.clock.now();
--- a/hibiscusroad-daemon/src/headers.rs
+++ b/hibiscusroad-daemon/src/headers.rs
@@ -1,4 +1,4 @@
-//! Headers that both roles treat alike.
+//! Headers that all roles treat alike.
 
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and `Host` and
 /// `Expect`, which a client library sets for its own connection.
--- a/src/table.rs
+++ b/src/table.rs
@@ -61,6 +61,20 @@
     pub limit: Option<usize>,
 }
 
+impl<'a> Range<'a> {
+    /// Names all rows of a part.
+    #[must_use]
+    pub const fn part(table: &'a str, part: &'a str) -> Self {
+        Self {
+            table,
+            part,
+            from: None,
+            end: None,
+            limit: None,
+        }
+    }
+}
+
 /// What a read found, all as of one moment.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Page {
