--- a/hibiscusroad-daemon/src/gateway/batches/sweep.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/sweep.rs
@@ -18,14 +18,13 @@
 use tokio::time::sleep;
 
 /// Time between two sweeps of a process, drawn anew each time up to twice this.
-/// 360 processes look through what they know every 20 s, and write only for
-/// what is due.
-const SWEEP: Duration = Duration::from_secs(10);
+/// A sweep looks through what the process knows, and writes only for what is due.
+const SWEEP: Duration = Duration::from_secs(4);
 /// Batches that one sweep removes at most: a few dozen calls to the store.
 const MOST: usize = 4;
-/// Time beyond the promised one for which a batch is kept, for readers whose
-/// clock or patience differs.
-const SPARE: Duration = Duration::from_secs(30);
+/// Time beyond the promised one for which a batch is kept, for a reader that
+/// asks in time and is answered late.
+const SPARE: Duration = Duration::from_secs(5);
 
 impl Batches {
     /// Sweeps for as long as the process runs.
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -3,7 +3,7 @@
 mod gateway_world;
 
 use gateway_world::{Answer, World, submission, until};
-use hibiscusroad_standins::direct::{Faults, Manner};
+use hibiscusroad_standins::direct::{Endpoint, Faults, Manner};
 use rustix::process::Signal;
 use serde_json::Value;
 use std::{collections::BTreeSet, time::Duration};
@@ -386,3 +386,66 @@
     world.configure(2, &[]);
     check_whole(&results(&world, 0, "b1", 3), 8);
 }
+
+/// A deployment of gateways with lines added to their settings.
+fn with_settings(test: &str, gateways: usize, more: &str) -> (World, [Endpoint; 2]) {
+    let mut world = World::start(test);
+    world.configure(1, &[]);
+    let endpoints = [
+        world.endpoint("hut-desk", "i-desk", &[]),
+        world.endpoint("guide-lm", "i-lm", &["guide"]),
+    ];
+    for n in 0..gateways {
+        world.gateway_with(more);
+        world.wait_ready(n);
+    }
+    (world, endpoints)
+}
+
+// A text is longer than a row of the store may be. The trainer reads it whole,
+// at the process that runs the batch and at the other one.
+#[test]
+fn result_longer_than_a_row_is_read_whole() {
+    let (world, [_desk, engine]) = with_settings("long", 2, "row_bytes = 1024\n");
+    engine.work(Duration::from_millis(1));
+    engine.events(200);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    for n in 0..2 {
+        check_whole(&results(&world, n, "b1", 3), 200);
+    }
+    assert!(
+        world
+            .store
+            .rows("results")
+            .iter()
+            .all(|(_, _, value)| value.len() <= 1024)
+    );
+}
+
+// Nobody may ask for the batch any more: everything that the store holds of it
+// is removed, or the store would be full some day and refuse every batch.
+#[test]
+fn outlived_batch_is_swept() {
+    let (world, [_desk, _engine]) = with_settings("swept", 2, "keep_s = 1\n");
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    check_whole(&results(&world, 1, "b1", 2), 8);
+    assert_eq!(
+        world.gateways[1]
+            .call("DELETE", "/lots/b1", "end", b"")
+            .status,
+        200
+    );
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(
+        read(&world, 0, "b1", 0).status,
+        200,
+        "it was swept too early"
+    );
+    until("the batch is swept", || {
+        let left = ["batches", "results", "pieces"].map(|table| world.store.rows(table).len());
+        (left == [0; 3]).then_some(())
+    });
+    until("it is denied", || {
+        (read(&world, 1, "b1", 0).status == 404).then_some(())
+    });
+}
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -111,8 +111,13 @@
 
     /// Starts another gateway.
     pub fn gateway(&mut self) -> &Gateway {
+        self.gateway_with("")
+    }
+
+    /// Starts another gateway with lines added to its settings.
+    pub fn gateway_with(&mut self, more: &str) -> &Gateway {
         let name = format!("gateway-{}", self.gateways.len() + 1);
-        let gateway = Gateway::start(&self.dir, &name, self.store.addr(), "");
+        let gateway = Gateway::start(&self.dir, &name, self.store.addr(), more);
         self.gateways.push(gateway);
         self.gateways.last().unwrap()
     }
