--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -25,7 +25,7 @@
         wave::{Goal, Load, Loader, Pace, plan},
     },
     roster::Endpoint,
-    table::{Change, Commit, Range, RowId},
+    table::{Change, Commit, Range, Row, RowId},
 };
 use hibiscusroad_platform::{
     engine::{self, Report},
@@ -187,10 +187,7 @@
         match page {
             Ok(page) => {
                 let row = page.rows.first();
-                let found = row.and_then(|row| {
-                    let lease: LeaseRow = serde_json::from_slice(&row.value).ok()?;
-                    Some((row.version, lease))
-                });
+                let found = row.map(|row| (row.version, lease_row(row)));
                 self.lease.borrow_mut().seen(now, found);
             }
             Err(failure) => {
@@ -471,3 +468,20 @@
         Ok((status, body.to_bytes()))
     }
 }
+
+/// Understands the row of the lease.
+///
+/// A broken one is taken for another's, which lapses like any other. Its number
+/// is unknown; the row's version is above all numbers given out, since each of
+/// them was a write.
+fn lease_row(row: &Row) -> LeaseRow {
+    serde_json::from_slice(&row.value).unwrap_or_else(|error| {
+        log::error!(target: WEIGHTS, row = row.version, error = error.to_string().as_str();
+            "The lease's row is broken; it is waited for as another's.");
+        LeaseRow {
+            holder: "unknown".to_owned(),
+            fence: row.version,
+            renewals: 0,
+        }
+    })
+}
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -80,3 +80,65 @@
     let services = [("map-trainers", true, 9), ("map-lookup", false, 6)];
     assert_eq!(endpoints(&all), expected(services, &places));
 }
+
+/// Fills the template of a gateway's settings as the platform does, with these
+/// values for its placeholders.
+fn filled(values: &[(&str, &str)]) -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/gateway.toml");
+    let mut text = fs::read_to_string(file).unwrap();
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    text
+}
+
+const VALUES: &[(&str, &str)] = &[
+    ("node", "edge-senec-1"),
+    ("zone", "senec"),
+    ("region", "zapad"),
+    ("ip", "10.1.0.10"),
+    ("listen.front", "10.1.0.10:8161"),
+    ("listen.ready", "10.1.0.10:8167"),
+    ("internalPorts.0", "7720"),
+    ("provider.address", "10.200.1.7:8169"),
+    ("provider.rowBytes", "65536"),
+    ("bounds.leaseMs", "3000"),
+    ("bounds.statusS", "120"),
+    ("bounds.graceS", "8"),
+    ("bounds.enforceFencing", "true"),
+];
+
+#[test]
+fn template_gives_whole_settings() {
+    let text = filled(VALUES);
+    assert!(!text.contains("{{"), "{text}");
+    let settings = Settings::parse(&text).unwrap();
+    let gateway = settings.gateway.unwrap();
+    assert_eq!(
+        (gateway.lease_ms, gateway.keep_s, gateway.fences),
+        (3000, 120, true)
+    );
+    assert_eq!(gateway.metrics, "10.1.0.10:7720".parse().ok());
+}
+
+// A value that the platform doesn't have is filled in as nothing. All such
+// faults are told at once, with their lines.
+#[test]
+fn template_without_values_tells_all_faults() {
+    let empty: Vec<(&str, &str)> = VALUES.iter().map(|(name, _)| (*name, "")).collect();
+    let text = filled(&empty).replace("= \n", "= 0\n");
+    let problems = Settings::parse(&text).unwrap_err();
+    let keys: Vec<&str> = problems
+        .iter()
+        .map(|problem| problem.key.as_str())
+        .collect();
+    for key in [
+        "name",
+        "place",
+        "gateway.callers",
+        "gateway.store",
+        "gateway.lease_ms",
+    ] {
+        assert!(keys.contains(&key), "{key} is not in {keys:?}");
+    }
+}
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -449,3 +449,19 @@
         (read(&world, 1, "b1", 0).status == 404).then_some(())
     });
 }
+
+// The lease's row holds what no process can read. Its holder's number is
+// unknown, so the next one has to be above all that may have been given out.
+#[test]
+fn broken_lease_is_taken_over_with_a_higher_number() {
+    let (world, _desk, engine) = World::ready("lease", 1);
+    for _ in 0..5 {
+        world.store.put_bytes("duties", "weights", b"broken");
+    }
+    let named = serde_json::json!({ "model": "guide", "version": 2 });
+    world.store.put("op", "version/guide", &named);
+    until("the engine has it", || {
+        (engine.version("guide") == 2).then_some(())
+    });
+    assert!(engine.holders()[0].1 > 5, "{:?}", engine.holders());
+}
