Look into the store for results while the outcome of a write is open

A write of results was carried out and its answer did not come; others read the rows from the store, while the owner answered from its memory, which didn't have them, for more than a second.

Ruled out: a lost row (other processes went on showing it), and a second owner (the head had not changed). A test over processes fails without the change: 1 result was read, 0 were there.

--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -10,7 +10,10 @@
     table::{Change, Commit, Row},
 };
 use hibiscusroad_platform::{batch, table::MOST_ENTRIES};
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::time::sleep;
 
 /// Bytes of one write: a store takes 1 MB in base64 and with its names.
@@ -77,6 +80,7 @@
             change = change.expect(id.clone(), 0).put(id, value.clone());
         }
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        owned.writing.set(Some(Instant::now()));
         loop {
             match self.store.transact(&change).await {
                 Commit::Done { .. } => break,
@@ -97,6 +101,7 @@
             .listed
             .borrow_mut()
             .extend(kept.into_iter().map(|(_, value)| value));
+        owned.writing.set(None);
         owned.news.notify_waiters();
         true
     }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -101,6 +101,8 @@
     batch: RefCell<Batch>,
     /// Results in the order of their positions, as they are kept.
     listed: RefCell<Vec<Vec<u8>>>,
+    /// Since when a write of results has no outcome.
+    writing: Cell<Option<Instant>>,
     /// Where items of each group went last.
     near: RefCell<HashMap<String, EngineKey>>,
     /// Engines that items were just moved away from.
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -236,6 +236,7 @@
             version: Cell::new(version),
             batch: RefCell::new(batch),
             listed: RefCell::new(results.to_vec()),
+            writing: Cell::new(None),
             near: RefCell::default(),
             avoid: RefCell::default(),
             pieces: RefCell::new(kept),
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -1,7 +1,8 @@
 //! Answers about batches, at any process.
 //!
-//! The owner answers from its memory, which holds only what the store has;
-//! others read the rows. What can't be read is never said to be missing: only
+//! The owner answers from its memory, which holds only what the store surely
+//! has; others read the rows, and so does the owner while the outcome of a write
+//! is open. What can't be read is never said to be missing: only
 //! the store's word that there is no head is a "not found".
 
 use super::{Batches, HeadRow, Owned, list::REFERENCE};
@@ -35,6 +36,9 @@
 /// Pause between looks for a waiting reader: a tenth of the time in which an
 /// item is generated.
 const LOOK: Duration = Duration::from_millis(150);
+/// A write whose outcome is open for longer is looked for in the store. Readers
+/// allow a second before what one process showed has to be there at all.
+const UNSURE: Duration = Duration::from_millis(250);
 /// When a reader comes back to a process that can't read.
 const RETURN: Duration = Duration::from_millis(300);
 /// Submissions kept for requests of their bodies: a few hundred KB each.
@@ -95,8 +99,8 @@
         loop {
             let mine = self.mine.borrow().get(id).cloned();
             let found = match &mine {
-                Some(owned) => listed(owned, after),
-                None => self.kept(id, after).await?,
+                Some(owned) if !is_unsure(owned, after) => listed(owned, after),
+                _ => self.kept(id, after).await?,
             };
             let ended = self.head(id).is_some_and(|row| row.head.ended);
             if !found.is_empty() || after >= total || ended || Instant::now() >= end {
@@ -222,6 +226,15 @@
     }
 }
 
+/// Says whether the store may have results from a position on that the owner
+/// doesn't know to be listed: others read them from there, and what was read
+/// once must be found here as well.
+fn is_unsure(owned: &Owned, after: usize) -> bool {
+    let known = owned.listed.borrow().len();
+    let open = owned.writing.get();
+    after > known || (after == known && open.is_some_and(|since| since.elapsed() > UNSURE))
+}
+
 /// Returns what the owner has listed from a position on.
 fn listed(owned: &Owned, after: usize) -> Vec<Vec<u8>> {
     let listed = owned.listed.borrow();
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -465,3 +465,33 @@
     });
     assert!(engine.holders()[0].1 > 5, "{:?}", engine.holders());
 }
+
+// The store carries the owner's writes out, and no answer comes for seconds. A
+// trainer reads the results at another process, where they are rows, and then
+// asks the owner, which can't tell yet whether they are listed: what was read
+// once must be there. The owner looks into the store then.
+#[test]
+fn owner_without_answers_denies_no_result_that_was_read() {
+    let (world, _desk, engine) = World::ready("unsure", 2);
+    engine.work(Duration::from_millis(60));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    until("items run", || (engine.ran().len() == 3).then_some(()));
+    world.store.fail(Faults {
+        lose: 1_000,
+        ..Faults::default()
+    });
+    let there = results(&world, 1, "b1", 1);
+    std::thread::sleep(Duration::from_millis(900));
+    let answer = read(&world, 0, "b1", 0);
+    assert_eq!(answer.status, 200);
+    let here = answer.json()["results"].as_array().unwrap().clone();
+    assert!(
+        here.len() >= there.len(),
+        "{} were read, {} are there",
+        there.len(),
+        here.len()
+    );
+    assert_eq!(here[..there.len()], there[..]);
+    world.store.fail(Faults::default());
+    check_whole(&results(&world, 0, "b1", 3), 8);
+}
