Try ports and start processes apart in tests and soaks

Five soaks start twenty-five processes at once in one process; one that is being started holds copies of all descriptors until it runs its program, the probe of another thread's port too.

Ruled out: the range of outgoing connections (ports are below it) and two tests with one port (the counter is the process's).

--- a/hibiscusroad-daemon/tests/gateway_process.rs
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -215,11 +215,9 @@
     let text = settings_text(name, callers, ready, metrics, world.store.addr(), more);
     let file = world.dir.join("unread.toml");
     fs::write(&file, text).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
-        .arg(&file)
-        .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"));
+    command.arg(&file).stdout(Stdio::piped());
+    let mut child = ports::apart(|| command.spawn()).unwrap();
     let call = |id: &str| {
         let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "3000")];
         ask(
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -150,12 +150,12 @@
         )
         .unwrap();
         let output = dir.join(format!("{name}.log"));
-        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"));
+        command
             .arg(&settings)
-            .stdout(File::create(&output).unwrap())
-            .stderr(Stdio::inherit())
-            .spawn()
-            .unwrap();
+            .stdout(File::create(&output).unwrap());
+        command.stderr(Stdio::inherit());
+        let child = ports::apart(|| command.spawn()).unwrap();
         Self {
             name: name.to_owned(),
             callers,
--- a/hibiscusroad-measure/src/deployment/process.rs
+++ b/hibiscusroad-measure/src/deployment/process.rs
@@ -1,6 +1,7 @@
 //! One process of a deployment.
 
 use super::Error;
+use hibiscusroad_standins::ports;
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs::{self, File, OpenOptions},
@@ -240,12 +241,13 @@
     } else {
         Stdio::piped()
     };
-    let child = Command::new(program)
+    let mut command = Command::new(program);
+    command
         .args(args)
         .stdin(Stdio::null())
         .stdout(output)
-        .stderr(log)
-        .spawn();
+        .stderr(log);
+    let child = ports::apart(|| command.spawn());
     child.map_err(|error| Error::NotStarted(program.to_owned(), error))
 }
 
--- a/hibiscusroad-standins/src/ports.rs
+++ b/hibiscusroad-standins/src/ports.rs
@@ -4,7 +4,10 @@
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     process,
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 // Below the range from which the system takes ports for outgoing connections:
@@ -18,6 +21,18 @@
 // tests, must not both find a port free before either uses it.
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
+// Held while a port is tried and while a process is started. A process that is
+// being started holds copies of all descriptors until it runs its program: one of
+// a port that another thread tries just then would keep the port taken for some
+// milliseconds, and whoever was given it could not listen.
+static APART: Mutex<()> = Mutex::new(());
+
+/// Starts a process while no port is tried.
+pub fn apart<T>(start: impl FnOnce() -> T) -> T {
+    let _apart = APART.lock().unwrap_or_else(PoisonError::into_inner);
+    start()
+}
+
 /// Chooses a free port on the loopback interface that this process has not
 /// chosen lately.
 ///
@@ -25,6 +40,7 @@
 ///
 /// Returns an error if there is none.
 pub fn choose() -> io::Result<SocketAddr> {
+    let _apart = APART.lock().unwrap_or_else(PoisonError::into_inner);
     let span = u32::from(LAST - FIRST);
     // Neighbouring process ids begin far from each other.
     let first = (process::id().wrapping_mul(SPREAD) >> 8) % span;
