Let all soaks of a test end before one is judged

Cause: a soak that could not start failed its test at once, the test's process ended with the other soaks still running, and their gateways were left behind: twenty-five were found and ended by their ids. Ruled out: the programs' own end, which is killed by id when a soak is dropped.

--- a/hibiscusroad-measure/tests/soak.rs
+++ b/hibiscusroad-measure/tests/soak.rs
@@ -49,8 +49,15 @@
         let play = thread::spawn(move || play(*seed, 15, 5));
         (seed, cause, play)
     });
-    for (seed, cause, play) in plays.collect::<Vec<_>>() {
-        let found = play.join().unwrap();
+    let plays: Vec<_> = plays.collect();
+    // All come to their end before any is judged: a thread that is left behind
+    // would leave its processes behind.
+    let ended: Vec<_> = plays
+        .into_iter()
+        .map(|(s, c, play)| (s, c, play.join()))
+        .collect();
+    for (seed, cause, found) in ended {
+        let found = found.unwrap();
         assert!(
             found.is_clean(),
             "seed {seed}, once {cause}:\n{}",
