Drop no text of an item that runs

Cause, found by reading the change again: choosing an engine dropped an item's text if no engine had its weight version any more, and running items ask for an engine too, while theirs stalls. On a route for texts of one version, an engine that loaded between two events then left a text without its beginning, which was scored and listed as whole.

Choosing changes nothing now; a text is dropped only before a run starts. A test over processes fails without the change (events 3 to 8 of 8 were listed) and passes with it.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -83,6 +83,7 @@
         loop {
             let next = owned.batch.borrow().next_start(now);
             let Some(n) = next else { return };
+            self.drop_lost(owned, &route, n);
             let Some(key) = self.choose(now, owned, &route, n, None) else {
                 return;
             };
@@ -90,6 +91,23 @@
         }
     }
 
+    /// Drops the text of an item that waits, if no engine can go on with it under
+    /// its version.
+    ///
+    /// Only between runs: events of a run that goes on would be added to nothing,
+    /// and the trainer would get a text without its beginning.
+    fn drop_lost(&self, owned: &Owned, route: &Route, n: usize) {
+        let pinned = owned.batch.borrow().pinned(n);
+        let Some((version, model)) = pinned.zip(owned.submission.model.as_deref()) else {
+            return;
+        };
+        let engines = self.engines.borrow();
+        let mut services = route.shares.iter().map(|share| share.service.as_str());
+        if !services.any(|service| engines.has_version(service, model, version)) {
+            owned.batch.borrow_mut().restart(n);
+        }
+    }
+
     /// Chooses an engine for an item, other than the one that won't do.
     pub(super) fn choose(
         &self,
@@ -105,13 +123,6 @@
         let model = submission.model.as_deref();
         let engines = self.engines.borrow();
         let pinned = owned.batch.borrow().pinned(n);
-        let lost = pinned
-            .zip(model)
-            .is_some_and(|(version, model)| !engines.has_version(service, model, version));
-        if lost {
-            // No engine can go on with the text under its version.
-            owned.batch.borrow_mut().restart(n);
-        }
         let group = &submission.items[n].group;
         engines.choose(
             now,
@@ -119,7 +130,7 @@
                 service,
                 model,
                 floor: submission.floor,
-                exact: pinned.filter(|_| !lost),
+                exact: pinned,
                 group,
                 near: owned.near.borrow().get(group).copied(),
                 not: not.or_else(|| owned.avoid.borrow().get(&n).copied()),
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -495,3 +495,35 @@
     world.store.fail(Faults::default());
     check_whole(&results(&world, 0, "b1", 3), 8);
 }
+
+// A route asks for texts of one weight version, and its engine loads another in
+// the middle of a run, between two events. The run looks for a better engine then;
+// that must not drop its text while events go on coming, or the trainer gets a text
+// without its beginning. The text is made anew, whole, under one version.
+#[test]
+fn text_of_one_version_is_whole_over_a_load() {
+    let (world, _desk, engine) = World::ready("single", 1);
+    let route = serde_json::json!({ "name": "single", "hostname": gateway_world::HOST,
+        "prefix": "/lm/one/", "type": "rollout", "timeoutMs": 10000, "priority": 0,
+        "service": "guide-lm", "maxAttempts": 3, "dueMs": 7500, "itemTtlS": 30,
+        "singleVersion": true });
+    world.configure(2, &[route]);
+    engine.work(Duration::from_millis(450));
+    engine.events(8);
+    let body = submission(1, 1, 1, 2).to_string();
+    let gateway = &world.gateways[0];
+    std::thread::sleep(Duration::from_millis(300));
+    let answer = gateway.call("POST", "/lm/one/step", "b1", body.as_bytes());
+    assert_eq!(answer.status, 202);
+    until("items run", || (engine.ran().len() == 2).then_some(()));
+    std::thread::sleep(Duration::from_millis(900));
+    let named = serde_json::json!({ "model": "guide", "version": 2 });
+    world.store.put("op", "version/guide", &named);
+    let found = results(&world, 0, "b1", 2);
+    check_whole(&found, 8);
+    assert!(
+        found
+            .iter()
+            .all(|result| result["versions"] == serde_json::json!([2]))
+    );
+}
