Carry the calls of a gateway that the store turns away by a peer

Ruled out: quicker suspicion (a slow store looks alike, and a wrong one costs an owner's work); giving back on a failed write (it can't be written).

Change: gateways carry each other's store calls over tonic, once, never passed on; hibiscusroad::reach decides the way. Peers are known from the rows of 'entries'.

The template's test asks for the new value, too.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -25,7 +25,7 @@
 mod submit;
 mod sweep;
 
-use super::{attempt::Line, known::Known, store::Store, sync::Members};
+use super::{attempt::Line, known::Known, peers::Directory, store::Store, sync::Members};
 use crate::settings::Gateway as GatewaySettings;
 use hibiscusroad::{
     rollout::{
@@ -61,8 +61,8 @@
 pub(super) struct Batches {
     /// This life of this process.
     life: String,
-    /// The name of this process.
-    name: String,
+    /// This process among its peers.
+    directory: Directory,
     row_bytes: usize,
     /// How long a batch stays readable after its submission.
     keep: Duration,
@@ -140,7 +140,10 @@
     ) -> Self {
         Self {
             life: holder.to_owned(),
-            name: name.to_owned(),
+            directory: Directory {
+                name: name.to_owned(),
+                address: own.peers,
+            },
             row_bytes: own.row_bytes,
             keep: Duration::from_secs(own.keep_s),
             store,
@@ -184,6 +187,11 @@
         needs.collect()
     }
 
+    /// Returns this process as its peers know it.
+    pub(super) const fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
     /// Returns how many batches run here.
     pub(super) fn running(&self) -> usize {
         self.mine.borrow().len()
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -44,6 +44,7 @@
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
         let value = serde_json::to_vec(&Presence {
             life: self.life.clone(),
+            peer: self.directory.address,
         });
         let value = value.unwrap_or_default();
         // The first row tells of this life, and ends the time of the former.
@@ -53,7 +54,7 @@
             if self.leaving.get() {
                 return;
             }
-            let change = Change::new().put(row::entry(&self.name), value.clone());
+            let change = Change::new().put(row::entry(&self.directory.name), value.clone());
             let done = self.store.transact(&change).await;
             if !matches!(done, Commit::Done { .. }) {
                 sleep(backoff.next_wait(&mut rand::rng())).await;
@@ -113,6 +114,7 @@
         let page = self.store.read_whole(&Range::part(row::ENTRIES, "")).await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
+        self.store.set_peers(self.directory.peers(&page.rows));
         let signs = page.rows.iter().filter_map(sign).collect();
         seen.seen(now, now.saturating_duration_since(start), signs);
         Ok(())
@@ -269,7 +271,7 @@
             // What was generated since the last time goes to the next owner.
             self.keep_once(&owned).await;
         }
-        let change = Change::new().remove(row::entry(&self.name));
+        let change = Change::new().remove(row::entry(&self.directory.name));
         let done = self.store.transact(&change).await;
         log::info!(target: BATCHES, done = matches!(done, Commit::Done { .. });
             "All batches are given back.");
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -6,6 +6,7 @@
 //! longer wanted is cancelled at its endpoint. What comes on an idle connection
 //! belongs to nobody: hyper closes it then.
 
+use hibiscusroad_platform::request::Request as Call;
 use http_body_util::{Either, Full};
 use hyper::{
     Request, Response,
@@ -87,6 +88,25 @@
     Either::Left(Full::new(body))
 }
 
+/// Makes an HTTP request of a call that the platform's crate described.
+///
+/// # Errors
+///
+/// Returns an error if the call holds what HTTP can't carry.
+pub(super) fn encode(
+    call: &Call,
+    address: SocketAddr,
+) -> Result<Request<Sent>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.target.as_str())
+        .header("host", address.to_string());
+    for (name, value) in &call.headers {
+        request = request.header(name.as_ref(), value);
+    }
+    request.body(whole(call.body.clone().into()))
+}
+
 /// Why no answer came.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum Fault {
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -106,6 +106,12 @@
         "",
         "log lines left out for want of room",
     ),
+    (
+        "gateway_detours_total",
+        "counter",
+        "outcome",
+        "calls to the store that a peer was asked to carry: answered, refused, lost",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -123,6 +129,7 @@
     pub(super) loads: IntCounterVec,
     pub(super) load_seconds: Histogram,
     pub(super) store_calls: IntCounterVec,
+    pub(super) detours: IntCounterVec,
     connections: IntGauge,
     config: IntGauge,
     dropped: IntGauge,
@@ -172,6 +179,7 @@
             connections: gauge(11)?,
             config: gauge(12)?,
             dropped: gauge(13)?,
+            detours: counters(14)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! * [`calls`]: the router, and the requests that wait for it.
 //! * [`batches`]: batches of trainers. [`weights`]: the duty of loading weights.
 //! * [`store`], [`sync`], [`known`]: the store, and what is known from it.
+//! * [`peers`]: calls to the store that gateways carry out for each other.
 //! * [`http`]: connections to endpoints and to the store.
 //! * [`stopping`], [`ready`], [`boot`]: planned stops, readiness, time.
 //! * [`meters`]: counters and latencies.
@@ -35,6 +36,7 @@
 mod http;
 mod known;
 pub mod meters;
+mod peers;
 mod ready;
 mod request;
 mod stopping;
@@ -112,6 +114,10 @@
         Some(address) => Some(TcpListener::bind(address).await?),
         None => None,
     };
+    let peers = match own.peers {
+        Some(address) => Some(TcpListener::bind(address).await?),
+        None => None,
+    };
     let gateway = assemble(settings, own, meters);
     spawn_local(logs::flush());
     spawn_local(reload(
@@ -125,6 +131,11 @@
         let gateway = Rc::clone(&gateway);
         move || request::readiness(&gateway)
     }));
+    if let Some(peers) = peers {
+        spawn_local(peers::serve(peers, Rc::clone(&gateway.store)));
+        let store = Rc::clone(&gateway.store);
+        spawn_local(peers::meet(store, gateway.batches.directory().clone()));
+    }
     if let Some(metrics) = metrics {
         let gateway = Rc::clone(&gateway);
         spawn_local(ready::serve(metrics, move || gateway.exposition()));
@@ -229,6 +240,8 @@
         spawn_local(sync::follow(Rc::clone(store), sink));
     }
     let (calls, lapsing) = (Rc::clone(&line.calls), Rc::clone(members));
+    let probing = Rc::clone(store);
+    spawn_local(async move { probing.probe().await });
     spawn_local(async move { calls.run().await });
     spawn_local(async move { lapsing.run().await });
     spawn_local(Rc::clone(batches).renew());
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -1,28 +1,35 @@
 //! The client of the store: one request a call, with time limits.
 //!
 //! It tells apart what callers must tell apart: a call that was surely not
-//! carried out, and one that may have been. It never repeats a call by itself,
-//! since only the caller knows whether that is safe.
+//! carried out, and one that may have been. It never repeats a call that may
+//! have been carried out, since only the caller knows whether that is safe. One
+//! that surely wasn't, because the store turned this process away, goes to a
+//! peer at once ([`hibiscusroad::reach`]).
 
 use super::{
-    http::{Channels, Fault, whole},
+    http::{Channels, Fault, encode},
     meters::Meters,
+    peers::{Peers, Uncarried},
 };
 use crate::logs::STORE;
 use hibiscusroad::{
     patience::Patience,
+    reach::{Carried, Reach, Way},
     table::{Change, Changes, Commit, Page, Range},
 };
 use hibiscusroad_platform::{Error as Odd, request::Request, table as wire};
 use http_body_util::BodyExt;
-use hyper::{Request as HttpRequest, body::Bytes};
+use hyper::body::Bytes;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::time::timeout;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 /// An answer takes 4 ms as a rule and up to eighty times that in a slow store. A
 /// read whose connection went silent is given up in time for another try before
@@ -33,6 +40,10 @@
 const WRITE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1_800));
 /// Objects take 25 ms as a rule, and are larger.
 const OBJECT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
+/// The table that a probe reads a row of; it has few.
+const PROBED: &str = "duties";
+/// Most peers that one call is offered to: a second for a first that is gone.
+const PEERS: usize = 2;
 /// What an answer to a wait may take beyond it.
 const FEED_SLACK: Duration = Duration::from_millis(700);
 
@@ -53,6 +64,10 @@
 /// The store, as this process reaches it.
 pub(super) struct Store {
     channels: Channels,
+    peers: Peers,
+    reach: RefCell<Reach>,
+    /// The straight way began to fail.
+    turned: Notify,
     address: Cell<SocketAddr>,
     /// The store's clock and when it was told.
     told: Cell<Option<(Duration, Instant)>>,
@@ -69,6 +84,9 @@
     pub(super) fn new(address: SocketAddr, meters: Rc<Meters>) -> Self {
         Self {
             channels: Channels::new(),
+            peers: Peers::new(),
+            reach: RefCell::new(Reach::new()),
+            turned: Notify::new(),
             address: Cell::new(address),
             told: Cell::new(None),
             away: Cell::new(None),
@@ -85,6 +103,14 @@
         self.address.set(address);
     }
 
+    /// Sets who may carry calls for this process.
+    pub(super) fn set_peers(&self, peers: Vec<SocketAddr>) {
+        let count = peers.len();
+        if self.reach.borrow_mut().set_peers(peers) {
+            log::info!(target: STORE, peers = count; "Peers are known.");
+        }
+    }
+
     /// Calls `act` each time the store answers again after it was away.
     pub(super) fn on_return(&self, act: impl Fn() + 'static) {
         self.watchers.borrow_mut().push(Box::new(act));
@@ -136,7 +162,14 @@
         wait: Duration,
     ) -> Result<Option<Changes>, Failure> {
         let request = wire::feed(table, after, wait);
-        let (status, body) = self.call(request, wait + FEED_SLACK).await?;
+        // A wait on a way that turned out to be dead would go on for seconds,
+        // and news be missed that a peer could bring.
+        let (status, body) = tokio::select! {
+            answer = self.call(request, wait + FEED_SLACK) => answer?,
+            () = self.turned.notified() => {
+                return Err(Failure::Lost("the straight way fails".to_owned()));
+            }
+        };
         let changes = wire::changes(status, &body, table)?;
         if let Some(changes) = &changes {
             self.tell(changes.now);
@@ -215,36 +248,136 @@
     }
 
     async fn call(&self, request: Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
-        let answer = timeout(limit, self.exchange(request)).await;
-        let answer = answer.unwrap_or_else(|_elapsed| Err(Failure::Lost("time is over".into())));
+        let answer = self.send(&request, limit).await;
         let outcome = match &answer {
-            Ok((429 | 503, _)) | Err(Failure::Refused(_)) => "refused",
+            Ok(answer) if is_refusal(answer) => "refused",
+            Err(Failure::Refused(_)) => "refused",
             Ok(_) => "answered",
             Err(_) => "lost",
         };
         self.meters.store_calls.with_label_values(&[outcome]).inc();
         match &answer {
-            Ok((status, _)) if !matches!(status, 429 | 503) => self.is_back(),
-            Ok((status, _)) => self.is_away(&format!("status {status}")),
+            Ok(answer) if is_refusal(answer) => self.is_away(&format!("status {}", answer.0)),
+            Ok(_) => self.is_back(),
             Err(failure) => self.is_away(&failure.to_string()),
         }
         answer
     }
 
-    async fn exchange(&self, request: Request) -> Result<(u16, Bytes), Failure> {
-        let mut http = HttpRequest::builder()
-            .method(request.method)
-            .uri(request.target)
-            .header("host", self.address.get().to_string());
-        for (name, value) in request.headers {
-            http = http.header(name, value);
+    /// Sends a call on its way, and on another if it was surely not carried out.
+    async fn send(&self, request: &Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
+        let mut refusal = None;
+        if !self.reach.borrow().is_away() {
+            let answer = self.straight(request, limit).await;
+            if !is_turned_away(&answer) {
+                return answer;
+            }
+            refusal = Some(answer);
+        }
+        for _ in 0..PEERS {
+            let way = self.reach.borrow().way(Instant::now(), rand::random());
+            let Way::Peer(peer) = way else {
+                break;
+            };
+            let answer = self.by_peer(peer, request, limit).await;
+            if !is_turned_away(&answer) {
+                return answer;
+            }
+        }
+        match refusal {
+            Some(answer) => answer,
+            None => self.straight(request, limit).await,
+        }
+    }
+
+    /// Sends a call to the store itself.
+    async fn straight(&self, request: &Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
+        let answer = timeout(limit, self.exchange(request)).await;
+        let answer = answer.unwrap_or_else(|_elapsed| Err(Failure::Lost("time is over".into())));
+        let answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
+        let changed = self.reach.borrow_mut().straight(Instant::now(), answered);
+        if changed && answered {
+            log::info!(target: STORE, address = self.address.get().to_string().as_str();
+                "The store is reached straight again.");
+        }
+        if changed && !answered {
+            log::info!(target: STORE, address = self.address.get().to_string().as_str();
+                "The store is not reached straight; peers are asked.");
+            self.turned.notify_waiters();
+        }
+        answer
+    }
+
+    /// Has a peer carry a call.
+    async fn by_peer(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), Failure> {
+        let answer = self.peers.carry(peer, request, limit).await;
+        if let Err(error) = &answer {
+            log::info!(target: STORE, peer = peer.to_string().as_str(),
+                error = error.to_string().as_str(); "A peer did not carry a call.");
+        }
+        let (outcome, carried) = match &answer {
+            Ok(answer) if is_refusal(answer) => ("refused", Carried::Away),
+            Ok(_) => ("answered", Carried::Answered),
+            Err(Uncarried::Away(_)) => ("refused", Carried::Away),
+            Err(Uncarried::Unreached(_)) => ("refused", Carried::Silent),
+            Err(Uncarried::Lost(_)) => ("lost", Carried::Silent),
+        };
+        let now = Instant::now();
+        self.reach.borrow_mut().carried(now, peer, carried);
+        self.meters.detours.with_label_values(&[outcome]).inc();
+        answer.map_err(Failure::from)
+    }
+
+    /// Carries a call of a peer, unless the store turns this process away, too.
+    pub(super) async fn carry_for_peer(
+        &self,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), Failure> {
+        if self.reach.borrow().is_away() {
+            return Err(Failure::Refused("turned away, too".to_owned()));
         }
-        let http = http
-            .body(whole(request.body.into()))
-            .map_err(|error| Failure::Refused(error.to_string()))?;
+        self.straight(request, limit).await
+    }
+
+    /// Looks for the straight way while it fails.
+    pub(super) async fn probe(&self) {
+        loop {
+            let now = Instant::now();
+            let (away, pause) = {
+                let reach = self.reach.borrow();
+                (reach.is_away(), reach.probe_pause(now))
+            };
+            if !away {
+                self.turned.notified().await;
+                continue;
+            }
+            // Processes that were turned away together don't come together.
+            sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
+            let range = Range {
+                limit: Some(1),
+                ..Range::part(PROBED, "")
+            };
+            let limit = self.reads.get().limit();
+            let answer = self.straight(&wire::read(&range), limit).await;
+            if let Err(failure) = answer {
+                log::debug!(target: STORE, error = failure.to_string().as_str();
+                    "The straight way still fails.");
+            }
+        }
+    }
+
+    async fn exchange(&self, request: &Request) -> Result<(u16, Bytes), Failure> {
+        let address = self.address.get();
+        let http = encode(request, address).map_err(|error| Failure::Refused(error.to_string()))?;
         let (response, channel) =
             self.channels
-                .send(self.address.get(), http)
+                .send(address, http)
                 .await
                 .map_err(|fault| match fault {
                     Fault::Unreached(why) => Failure::Refused(why),
@@ -278,6 +411,20 @@
     }
 }
 
+/// Says whether the store refused a call: it was not carried out.
+const fn is_refusal(answer: &(u16, Bytes)) -> bool {
+    matches!(answer.0, 429 | 503)
+}
+
+/// Says whether a call was surely not carried out, because the store, or a peer
+/// in its place, turned this process away.
+const fn is_turned_away(answer: &Result<(u16, Bytes), Failure>) -> bool {
+    match answer {
+        Ok(answer) => is_refusal(answer),
+        Err(failure) => matches!(failure, Failure::Refused(_)),
+    }
+}
+
 /// Returns whole milliseconds, for logs.
 pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -8,10 +8,9 @@
 //! because others came after it.
 
 use super::{
-    attempt::set,
     batches::Batches,
     boot::BootClock,
-    http::{Channels, whole},
+    http::{Channels, encode},
     known::Known,
     meters::Meters,
     store::{Store, millis},
@@ -32,7 +31,7 @@
     request::Request as Wire,
 };
 use http_body_util::BodyExt;
-use hyper::{Request, body::Bytes};
+use hyper::body::Bytes;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -452,13 +451,7 @@
     }
 
     async fn exchange(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), String> {
-        let mut request = Request::new(whole(wire.body.into()));
-        *request.method_mut() = wire.method.parse().map_err(|_odd| "odd method")?;
-        *request.uri_mut() = wire.target.parse().map_err(|_odd| "odd target")?;
-        set(request.headers_mut(), "host", &endpoint.address.to_string());
-        for (name, value) in &wire.headers {
-            set(request.headers_mut(), name, value);
-        }
+        let request = encode(&wire, endpoint.address).map_err(|error| error.to_string())?;
         let sent = self.channels.send(endpoint.address, request).await;
         let (response, channel) = sent.map_err(|fault| fault.to_string())?;
         let status = response.status().as_u16();
--- a/hibiscusroad-daemon/src/settings/check.rs
+++ b/hibiscusroad-daemon/src/settings/check.rs
@@ -17,6 +17,9 @@
     ("gateway", "callers", "ready"),
     ("gateway", "callers", "metrics"),
     ("gateway", "ready", "metrics"),
+    ("gateway", "callers", "peers"),
+    ("gateway", "ready", "peers"),
+    ("gateway", "metrics", "peers"),
 ];
 
 /// Tables of which a file has exactly one.
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -221,6 +221,8 @@
     pub store: SocketAddr,
     /// Where metrics are served; they aren't, without it.
     pub metrics: Option<SocketAddr>,
+    /// Where calls of peers to the store are carried; none are, without it.
+    pub peers: Option<SocketAddr>,
     /// Milliseconds that a lease lasts.
     #[serde(default = "default_lease")]
     pub lease_ms: u64,
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -144,6 +144,7 @@
             needed("ready", Rule::Address),
             needed("store", Rule::Address),
             optional("metrics", Rule::Address),
+            optional("peers", Rule::Address),
             integer("lease_ms", 100, MILLIS_AN_HOUR),
             integer("row_bytes", 1024, 16 << 20),
             integer("keep_s", 1, SECONDS_AN_HOUR),
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -100,6 +100,7 @@
     ("listen.front", "10.1.0.10:8161"),
     ("listen.ready", "10.1.0.10:8167"),
     ("internalPorts.0", "7720"),
+    ("internalPorts.1", "7735"),
     ("provider.address", "10.200.1.7:8169"),
     ("provider.rowBytes", "65536"),
     ("bounds.leaseMs", "3000"),
@@ -119,6 +120,7 @@
         (3000, 120, true)
     );
     assert_eq!(gateway.metrics, "10.1.0.10:7720".parse().ok());
+    assert_eq!(gateway.peers, "10.1.0.10:7735".parse().ok());
 }
 
 // A value that the platform doesn't have is filled in as nothing. All such
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -142,11 +142,12 @@
 impl Gateway {
     /// Starts a gateway with lines added to its settings.
     pub fn start(dir: &std::path::Path, name: &str, store: SocketAddr, more: &str) -> Self {
-        let [callers, ready, metrics] = [(); 3].map(|()| ports::choose().unwrap());
+        let [callers, ready, metrics, peers] = [(); 4].map(|()| ports::choose().unwrap());
+        let more = format!("peers = \"{peers}\"\n{more}");
         let settings = dir.join(format!("{name}.toml"));
         fs::write(
             &settings,
-            settings_text(name, callers, ready, metrics, store, more),
+            settings_text(name, callers, ready, metrics, store, &more),
         )
         .unwrap();
         let output = dir.join(format!("{name}.log"));
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -106,12 +106,12 @@
     fn add(&mut self, n: usize, daemon: &std::path::Path) -> Result<(), Error> {
         let name = format!("gateway-{n}");
         let relay = Relay::start(FREE, self.store.addr())?;
-        let [callers, ready] = [ports::choose()?, ports::choose()?];
+        let [callers, ready, peers] = [ports::choose()?, ports::choose()?, ports::choose()?];
         let file = self.folder.join(format!("{name}.toml"));
         let text = format!(
             "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
              [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nstore = \"{}\"\n\
-             lease_ms = 1500\nfences = true\n\n[stop]\ndeadline_s = 4\n",
+             peers = \"{peers}\"\nlease_ms = 1500\nfences = true\n\n[stop]\ndeadline_s = 4\n",
             relay.addr()
         );
         fs::write(&file, text)?;
--- a/hibiscusroad-wire/examples/generate.rs
+++ b/hibiscusroad-wire/examples/generate.rs
@@ -9,7 +9,7 @@
     let out = env::args_os()
         .nth(1)
         .map_or_else(|| root.join("src/generated"), PathBuf::from);
-    let files = protox::compile(["link.proto"], [root.join("proto")])?;
+    let files = protox::compile(["link.proto", "peer.proto"], [root.join("proto")])?;
     tonic_prost_build::configure()
         .out_dir(out)
         .compile_fds(files)?;
--- a/hibiscusroad-wire/src/lib.rs
+++ b/hibiscusroad-wire/src/lib.rs
@@ -1,8 +1,9 @@
 //! Frames between the processes of hibiscusroad.
 //!
-//! The frames are described in `proto/link.proto`; the Rust code for them is
-//! generated and committed, so that building needs no generator. After a
-//! change of the description, `cargo run -p hibiscusroad-wire --example
+//! Frames between an entry and a side are described in `proto/link.proto`, the
+//! calls of one gateway to another ([`peer`]) in `proto/peer.proto`. The Rust code
+//! for them is generated and committed, so that building needs no generator.
+//! After a change of a description, `cargo run -p hibiscusroad-wire --example
 //! generate` writes it anew, and a test compares the two.
 //!
 //! # Example
@@ -30,6 +31,21 @@
 
 pub use generated::*;
 
+/// Calls of one gateway to another.
+#[rustfmt::skip]
+#[allow(
+    clippy::all,
+    clippy::allow_attributes_without_reason,
+    clippy::clone_on_ref_ptr,
+    clippy::pedantic,
+    missing_docs,
+    missing_debug_implementations,
+    reason = "generated code"
+)]
+pub mod peer {
+    include!("generated/hibiscusroad.peer.v1.rs");
+}
+
 /// The version of the frames that this build speaks.
 ///
 /// Hello and Welcome carry it. A process that meets another version closes the
--- a/hibiscusroad-wire/tests/generated.rs
+++ b/hibiscusroad-wire/tests/generated.rs
@@ -6,16 +6,17 @@
 fn committed_code_matches_description() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let out = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let files = protox::compile(["link.proto"], [root.join("proto")]).unwrap();
+    let files = protox::compile(["link.proto", "peer.proto"], [root.join("proto")]).unwrap();
     tonic_prost_build::configure()
         .out_dir(out)
         .compile_fds(files)
         .unwrap();
-    let name = "hibiscusroad.link.v1.rs";
-    let fresh = fs::read_to_string(out.join(name)).unwrap();
-    let committed = fs::read_to_string(root.join("src/generated").join(name)).unwrap();
-    assert_eq!(
-        fresh, committed,
-        "run: cargo run -p hibiscusroad-wire --example generate"
-    );
+    for name in ["hibiscusroad.link.v1.rs", "hibiscusroad.peer.v1.rs"] {
+        let fresh = fs::read_to_string(out.join(name)).unwrap();
+        let committed = fs::read_to_string(root.join("src/generated").join(name)).unwrap();
+        assert_eq!(
+            fresh, committed,
+            "run: cargo run -p hibiscusroad-wire --example generate"
+        );
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 //! * [`gate`]: what a side admits, seals, buffers and replays.
 //! * [`lease`]: duties with one holder, and their fencing numbers.
 //! * [`patience`]: how long to wait for a service whose pace changes.
+//! * [`reach`]: which way a call to the store goes.
 //! * [`rollout`]: batches for trainers, and the weights they run on.
 //! * [`roster`]: which endpoints there are, as they register themselves.
 //! * [`route`]: admission, queues, placement, limits, retries.
@@ -49,6 +50,7 @@
 pub mod id;
 pub mod lease;
 pub mod patience;
+pub mod reach;
 pub mod rollout;
 pub mod roster;
 pub mod route;
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -18,7 +18,7 @@
 //! fences off a former owner, and its `ended` flag ends the listing.
 
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{rollout::batch::Piece, table::RowId};
@@ -96,6 +96,9 @@
 pub struct Presence {
     /// The life of the process.
     pub life: String,
+    /// Where it carries calls of others to the store, if it does.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
 }
 
 /// Returns the part of the store that holds a batch.
