Draft the stragglers of a step under newer weights

Cause: a trainer goes on without one group in ten and asks for it again two versions later, where it waits for it. The group holds the longest items (195 events of 37 ms, 7.3 s of a step's 7.5 s), and what there was of their texts was too old, so each began anew and that step took 8.2 to 8.8 s; a step came each 4.5 s where one is planned each 4 s.

Change: items that the trainer may go on without are run a second time under the newest weights once few are left, on engines at least half empty, at the lowest priority; the batch that carries a group over goes on behind the longest text that its floor allows, the earlier batch's own text included.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -12,6 +12,7 @@
         batch::Break,
         engines::{EngineKey, Want},
     },
+    roster::Endpoint,
 };
 use std::{
     rc::Rc,
@@ -29,6 +30,17 @@
     pub(super) key: EngineKey,
 }
 
+impl Seat {
+    /// Takes a place at an engine.
+    pub(super) fn take(batches: &Rc<Batches>, key: EngineKey) -> Self {
+        batches.engines.borrow_mut().start(key);
+        Self {
+            batches: Rc::clone(batches),
+            key,
+        }
+    }
+}
+
 impl Drop for Seat {
     fn drop(&mut self) {
         self.batches.engines.borrow_mut().end(self.key);
@@ -46,6 +58,9 @@
             for owned in &mine {
                 self.start_all(now, owned);
             }
+            for owned in &mine {
+                self.draft_stragglers(now, owned);
+            }
             let waits = mine.iter().any(|owned| owned.batch.borrow().waiting() > 0);
             if waits {
                 tokio::select! {
@@ -138,6 +153,39 @@
         )
     }
 
+    /// Returns the entry of an engine.
+    pub(super) fn endpoint(&self, key: EngineKey) -> Option<Endpoint> {
+        let id = self.engines.borrow().id(key).map(str::to_owned);
+        self.members.get(&id?)
+    }
+
+    /// Chooses an engine for a draft: one with weights from `floor` on that is at
+    /// least half empty.
+    pub(super) fn choose_idle(
+        &self,
+        now: Instant,
+        owned: &Owned,
+        route: &Route,
+        n: usize,
+        floor: u64,
+    ) -> Option<EngineKey> {
+        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
+        let engines = self.engines.borrow();
+        let found = engines.choose(
+            now,
+            &Want {
+                service: route.service(draw)?,
+                model: owned.submission.model.as_deref(),
+                floor,
+                exact: None,
+                group: &owned.submission.items[n].group,
+                near: None,
+                not: None,
+            },
+        );
+        found.filter(|key| engines.is_idle(now, *key))
+    }
+
     fn start(
         self: &Rc<Self>,
         now: Instant,
@@ -146,17 +194,11 @@
         n: usize,
         key: EngineKey,
     ) {
-        let id = self.engines.borrow().id(key).map(str::to_owned);
-        let endpoint = id.and_then(|id| self.members.get(&id));
-        let Some(endpoint) = endpoint else {
+        let Some(endpoint) = self.endpoint(key) else {
             self.engines.borrow_mut().failed(now, key);
             return;
         };
-        self.engines.borrow_mut().start(key);
-        let seat = Seat {
-            batches: Rc::clone(self),
-            key,
-        };
+        let seat = Seat::take(self, key);
         let group = owned.submission.items[n].group.clone();
         owned.near.borrow_mut().insert(group, key);
         owned.avoid.borrow_mut().remove(&n);
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -43,6 +43,8 @@
 /// The same between two events. Events are some tens of milliseconds apart; a
 /// load of weights holds them up for a second, a slow one for two.
 const GAP: Duration = Duration::from_millis(2_500);
+/// The rank of what nobody waits for; engines know ten, and 0 is the highest.
+const LOWEST: u8 = 9;
 /// How long an item may run if its batch has no end.
 const LONGEST: Duration = Duration::from_mins(1);
 
@@ -69,6 +71,8 @@
     service: &'a str,
     n: usize,
     key: EngineKey,
+    /// Its events go to the item's draft, and it is never cut for a better engine.
+    draft: bool,
     /// The weight version that makes the next event.
     version: Option<u64>,
     /// Seconds from one event to the next, averaged.
@@ -94,20 +98,10 @@
     ) {
         let item = &owned.submission.items[n];
         let start = Instant::now();
-        let mut run = Run {
-            batches: self,
-            owned,
-            service: &endpoint.service,
-            n,
-            key: seat.key,
-            version: None,
-            pace: None,
-            events: 0,
-            heard: start,
-            last: start,
-        };
+        let mut run = Run::new(self, owned, &endpoint.service, n, seat.key);
         let deadline = owned.expires.unwrap_or(start + LONGEST);
-        let ended = match item_head(item, owned, route, deadline, before, exact) {
+        let priority = route.priority.min(LOWEST);
+        let ended = match item_head(item, owned, priority, deadline, before, exact) {
             Ok(head) => run.generate(&head, &endpoint, &item.body).await,
             Err(error) => {
                 log::error!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
@@ -146,6 +140,24 @@
     }
 }
 
+impl Batches {
+    /// Runs an item a second time, for a later batch.
+    pub(super) async fn draft(&self, owned: &Owned, n: usize, seat: Seat, endpoint: Endpoint) {
+        let item = &owned.submission.items[n];
+        let start = Instant::now();
+        let mut run = Run::new(self, owned, &endpoint.service, n, seat.key);
+        run.draft = true;
+        let deadline = owned.expires.unwrap_or(start + LONGEST);
+        let ended = match item_head(item, owned, LOWEST, deadline, None, None) {
+            Ok(head) => run.generate(&head, &endpoint, &item.body).await,
+            Err(_unsendable) => Err(Break::Never),
+        };
+        log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
+            endpoint = endpoint.id.as_str(), events = run.events, ended:? = ended,
+            took_ms = millis(start.elapsed()); "A draft of an item has ended.");
+    }
+}
+
 /// Returns seconds as whole microseconds, for logs.
 fn micros(seconds: Option<f64>) -> u64 {
     seconds.map_or(0, |s| {
@@ -156,7 +168,7 @@
 fn item_head(
     item: &Item,
     owned: &Owned,
-    route: &Route,
+    priority: u8,
     deadline: Instant,
     before: Option<u64>,
     exact: Option<u64>,
@@ -177,15 +189,55 @@
             &exact.to_string(),
         );
     }
-    set(
-        &mut head.headers,
-        header::PRIORITY,
-        &route.priority.min(9).to_string(),
-    );
+    set(&mut head.headers, header::PRIORITY, &priority.to_string());
     Ok(head)
 }
 
-impl Run<'_> {
+impl<'a> Run<'a> {
+    fn new(
+        batches: &'a Batches,
+        owned: &'a Owned,
+        service: &'a str,
+        n: usize,
+        key: EngineKey,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            batches,
+            owned,
+            service,
+            n,
+            key,
+            draft: false,
+            version: None,
+            pace: None,
+            events: 0,
+            heard: now,
+            last: now,
+        }
+    }
+
+    /// Returns the last event of the text that grows.
+    fn grown(&self) -> Option<u64> {
+        if self.draft {
+            let drafts = self.owned.drafts.borrow();
+            return drafts.get(&self.n).and_then(|draft| draft.text.last());
+        }
+        self.owned.batch.borrow().last(self.n)
+    }
+
+    /// Adds an event to the text that grows; `false` if it doesn't follow.
+    fn grow(&self, event: &Event) -> bool {
+        if self.draft {
+            let mut drafts = self.owned.drafts.borrow_mut();
+            let draft = drafts.get_mut(&self.n);
+            return draft
+                .is_some_and(|draft| draft.text.extend(event.number, &event.data, self.version));
+        }
+        let mut batch = self.owned.batch.borrow_mut();
+        batch.extend(self.n, event.number, &event.data, self.version)
+    }
+
     async fn generate(
         &mut self,
         head: &Head,
@@ -263,8 +315,7 @@
                 }
             }
         }
-        let begun = self.owned.batch.borrow().last(self.n).is_some();
-        if events.is_between() && begun {
+        if events.is_between() && self.grown().is_some() {
             Ok(())
         } else {
             Err(Break::Lost)
@@ -300,6 +351,9 @@
 
     /// Finds another engine that has room for this item.
     fn elsewhere(&self, now: Instant) -> Option<EngineKey> {
+        if self.draft {
+            return None;
+        }
         let route = self.batches.route(self.owned)?;
         self.batches
             .choose(now, self.owned, &route, self.n, Some(self.key))
@@ -314,11 +368,9 @@
                 engines.weights(self.key, model, version);
             }
         }
-        let mut batch = self.owned.batch.borrow_mut();
-        if !batch.extend(self.n, event.number, &event.data, self.version) {
+        if !self.grow(event) {
             return Err(Break::Lost);
         }
-        drop(batch);
         self.count()
     }
 
@@ -342,7 +394,7 @@
         let Some(other) = self.elsewhere(now) else {
             return Ok(());
         };
-        let events = self.owned.batch.borrow().last(self.n).unwrap_or(0);
+        let events = self.grown().unwrap_or(0);
         let engines = self.batches.engines.borrow();
         if engines.is_better(self.service, pace, events, other) {
             return Err(Break::Moved);
--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -46,11 +46,17 @@
         if !self.set(id, head.clone(), row.version) {
             return;
         }
+        self.arrived.notify_waiters();
         let mine = self.mine.borrow().get(id).cloned();
         if head.ended || head.owner != self.life {
             if let Some(owned) = mine {
                 self.mine.borrow_mut().remove(id);
                 owned.stop();
+                if head.ended && head.owner == self.life {
+                    spawn_local(Rc::clone(self).linger(owned, row.version));
+                } else {
+                    owned.drop_drafts();
+                }
                 log::info!(target: BATCHES, batch = id, ended = head.ended,
                     owner = head.owner.as_str(), row = row.version;
                     "A batch is no longer run here.");
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -7,6 +7,7 @@
 //! * [`generate`]: one run of one item.
 //! * [`score`]: the scorer's call.
 //! * [`list`]: writes results, in order. [`pieces`]: keeps unfinished texts.
+//! * [`draft`]: texts for the batch that carries a group over.
 //! * [`read`]: answers about batches, at any process.
 //! * [`sweep`]: removes what nobody may ask for any more.
 //!
@@ -15,6 +16,7 @@
 //! memory only saves the way there.
 
 mod dispatch;
+mod draft;
 mod generate;
 mod heads;
 mod list;
@@ -45,6 +47,8 @@
 };
 use tokio::{sync::Notify, task::JoinHandle};
 
+use self::draft::Draft;
+
 pub(super) use self::heads::sink;
 
 /// A batch as the store holds it.
@@ -79,6 +83,8 @@
     work: Notify,
     /// Owners of batches changed.
     owners: Notify,
+    /// A batch was accepted, here or elsewhere.
+    arrived: Notify,
     /// This process has got a batch.
     owning: Notify,
     /// No batch is accepted or taken over any more.
@@ -107,6 +113,10 @@
     near: RefCell<HashMap<String, EngineKey>>,
     /// Engines that items were just moved away from.
     avoid: RefCell<HashMap<usize, EngineKey>>,
+    /// Second texts of items, for a later batch.
+    drafts: RefCell<HashMap<usize, Draft>>,
+    /// By how many versions its floor was behind the newest when it was accepted.
+    lag: u64,
     /// Rows in the store that hold parts of texts.
     pieces: RefCell<Vec<RowId>>,
     /// A result is ready to be listed.
@@ -156,6 +166,7 @@
             bodies: RefCell::default(),
             work: Notify::new(),
             owners: Notify::new(),
+            arrived: Notify::new(),
             owning: Notify::new(),
             leaving: Cell::new(false),
         }
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -8,9 +8,10 @@
 use hibiscusroad::{
     rollout::{
         Submission,
-        batch::{Batch, Piece},
+        batch::Batch,
         presence::{Loss, Presences, RENEWAL, Sign},
         row::{self, Head, Presence},
+        text::{Piece, Text},
     },
     table::{Change, Commit, Range, Row, RowId},
 };
@@ -35,8 +36,28 @@
 const WATCHERS: usize = 32;
 const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
-/// A submission, its results and the parts of its texts.
-type Loaded = (Submission, Vec<Vec<u8>>, Vec<(RowId, String, Piece)>);
+/// What a batch is run from.
+pub(super) struct Loaded {
+    pub(super) submission: Submission,
+    /// Results that are listed, as they are kept.
+    pub(super) results: Vec<Vec<u8>>,
+    /// Parts of its texts: their rows, items and contents.
+    pub(super) pieces: Vec<(RowId, String, Piece)>,
+    /// Texts of earlier batches, by items.
+    pub(super) carried: Vec<(String, Text)>,
+}
+
+impl Loaded {
+    /// Describes a batch of which nothing has run.
+    pub(super) const fn fresh(submission: Submission) -> Self {
+        Self {
+            submission,
+            results: Vec::new(),
+            pieces: Vec::new(),
+            carried: Vec::new(),
+        }
+    }
+}
 
 impl Batches {
     /// Renews this process's row while it has batches.
@@ -164,9 +185,9 @@
                 continue;
             }
             match self.load(&id).await {
-                Ok((submission, results, pieces)) => {
+                Ok(loaded) => {
                     if !self.mine.borrow().contains_key(&id) {
-                        self.run(&id, head, version, submission, &results, pieces);
+                        self.run(&id, head, version, loaded);
                     }
                     return;
                 }
@@ -190,19 +211,21 @@
             .map_err(|failure| failure.to_string())?;
         let pieces = self.pieces(id).await;
         let pieces = pieces.map_err(|failure| failure.to_string())?;
-        Ok((submission, results, pieces))
+        Ok(Loaded {
+            results,
+            pieces,
+            ..Loaded::fresh(submission)
+        })
     }
 
     /// Runs a batch from what is listed of it.
-    pub(super) fn run(
-        self: &Rc<Self>,
-        id: &str,
-        head: Head,
-        version: u64,
-        submission: Submission,
-        results: &[Vec<u8>],
-        pieces: Vec<(RowId, String, Piece)>,
-    ) {
+    pub(super) fn run(self: &Rc<Self>, id: &str, head: Head, version: u64, loaded: Loaded) {
+        let Loaded {
+            submission,
+            results,
+            pieces,
+            carried,
+        } = loaded;
         if self.leaving.get() {
             log::info!(target: BATCHES, batch = id; "A batch is left to the next owner.");
             return;
@@ -213,7 +236,7 @@
         let attempts = route.as_ref().map_or(1, |route| route.attempts);
         let single = route.as_ref().is_some_and(|route| route.single);
         let mut batch = Batch::new(now, &submission, attempts, single, head.carried);
-        for result in results {
+        for result in &results {
             match batch::result_item(result) {
                 Ok(item) => batch.restore(&item),
                 Err(error) => log::error!(target: BATCHES, batch = id,
@@ -225,6 +248,13 @@
             batch.resume(&item, piece);
             kept.push(row);
         }
+        for (item, text) in carried {
+            let (last, versions) = (text.last(), text.versions().to_vec());
+            if batch.carry(&item, text) {
+                log::info!(target: BATCHES, batch = id, item = item.as_str(), last:? = last,
+                    versions:? = versions; "A text is carried over.");
+            }
+        }
         let age = head.age(self.store.now().unwrap_or_default());
         let accepted = now.checked_sub(age).unwrap_or(now);
         let owned = Rc::new(Owned {
@@ -237,7 +267,9 @@
             expires: route.and_then(|r| r.ttl).map(|ttl| accepted + ttl),
             version: Cell::new(version),
             batch: RefCell::new(batch),
-            listed: RefCell::new(results.to_vec()),
+            listed: RefCell::new(results),
+            drafts: RefCell::default(),
+            lag: head.lag,
             writing: Cell::new(None),
             near: RefCell::default(),
             avoid: RefCell::default(),
@@ -247,7 +279,7 @@
             tasks: RefCell::default(),
             over: Cell::new(false),
         });
-        log::info!(target: BATCHES, batch = id, listed = results.len(),
+        log::info!(target: BATCHES, batch = id, listed = owned.listed.borrow().len(),
             age_ms = millis(age); "A batch is run here.");
         let lister = spawn_local(Rc::clone(self).list(Rc::clone(&owned)));
         let keeper = spawn_local(Rc::clone(self).keep_pieces(Rc::clone(&owned)));
@@ -268,6 +300,7 @@
         for owned in mine {
             self.count("given-back");
             owned.stop();
+            owned.drop_drafts();
             // What was generated since the last time goes to the next owner.
             self.keep_once(&owned).await;
         }
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -12,8 +12,8 @@
 use crate::{gateway::store::Failure, logs::BATCHES};
 use hibiscusroad::{
     rollout::{
-        batch::Piece,
         row::{self, PIECES},
+        text::Piece,
     },
     table::{Change, Commit, Range, RowId},
 };
@@ -32,6 +32,7 @@
         while !owned.batch.borrow().complete() {
             sleep(KEEP).await;
             self.keep_once(&owned).await;
+            self.keep_drafts(&owned).await;
         }
     }
 
@@ -84,10 +85,15 @@
         };
         let mut found = Vec::new();
         for row in self.store.read_whole(&range).await?.rows {
-            let item = row::piece_item(id, &row.id.key).map(str::to_owned);
+            let name = row::piece_item(id, &row.id.key);
             let piece = serde_json::from_slice(&row.value).ok();
-            match item.zip(piece) {
-                Some((item, piece)) => found.push((row.id, item, piece)),
+            match name.zip(piece) {
+                // A draft is for a later batch.
+                Some(((_, true), _)) => {}
+                Some(((item, false), piece)) => {
+                    let item = item.to_owned();
+                    found.push((row.id, item, piece));
+                }
                 None => log::error!(target: BATCHES, row = row.id.key.as_str();
                     "A kept part of a text is broken; it is ignored."),
             }
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -7,7 +7,7 @@
 //! seconds later: the caller gets an answer that promises nothing and submits
 //! again, and finds the head or writes it then.
 
-use super::Batches;
+use super::{Batches, owner::Loaded};
 use crate::{
     gateway::{
         answer::{Out, problem, whole},
@@ -32,7 +32,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::time::sleep;
+use tokio::{task::spawn_local, time::sleep};
 
 /// A submission is worth an answer within its route's target; beyond this its
 /// trainer does better to ask another process.
@@ -113,7 +113,7 @@
                         floor = submission.floor, row = version; "A batch is accepted.");
                     self.count("accepted");
                     self.set(id, head.clone(), version);
-                    self.run(id, head, version, submission, &[], Vec::new());
+                    spawn_local(Rc::clone(self).begin(id.to_owned(), head, version, submission));
                     return accepted();
                 }
                 Commit::Conflict(rows) => {
@@ -139,6 +139,19 @@
         }
     }
 
+    /// Runs a new batch, with what earlier ones have of its texts.
+    async fn begin(self: Rc<Self>, id: String, head: Head, version: u64, submission: Submission) {
+        let mut loaded = Loaded::fresh(submission);
+        if head.carried > 0 {
+            loaded.carried = self.carried_texts(&id, &head, &loaded.submission).await;
+        }
+        // It may have come by the feed, or have been ended, meanwhile.
+        let current = self.head(&id).is_some_and(|row| row.version == version);
+        if current && !self.mine.borrow().contains_key(&id) {
+            self.run(&id, head, version, loaded);
+        }
+    }
+
     fn new_head(&self, path: &str, route: &Route, submission: &Submission) -> Head {
         let tokens = |item: &hibiscusroad::rollout::Item| u64::from(item.tokens);
         let model = submission.model.clone();
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -527,3 +527,50 @@
             .all(|result| result["versions"] == serde_json::json!([2]))
     );
 }
+
+// A trainer goes on without a group whose last item is long, and asks for the group
+// again two versions later. What there is of the item's text is too old by then.
+// Begun anew, the item takes the whole of that step; so it is drafted under newer
+// weights while the first step still runs, and the later one goes on from there.
+#[test]
+fn group_that_comes_again_goes_on_with_its_draft() {
+    let (world, _desk, engine) = World::ready("draft", 1);
+    let name = |version: u64| {
+        let named = serde_json::json!({ "model": "guide", "version": version });
+        world.store.put("op", "version/guide", &named);
+        until("the engine has loaded", || {
+            (engine.version("guide") == version).then_some(())
+        });
+    };
+    let long = "item-1-1-1";
+    let runs = || {
+        let ran = engine.ran();
+        let of = ran.into_iter().filter(|ran| ran.id == long);
+        of.map(|ran| ran.after).collect::<Vec<_>>()
+    };
+    name(2);
+    engine.work(Duration::from_millis(30));
+    engine.events_of(long, 120);
+    let mut step = submission(1, 1, 2, 2);
+    step["targetGroups"] = 1.into();
+    assert_eq!(submit(&world, 0, "b1", &step).status, 202);
+    until("the long item runs", || (runs().len() == 1).then_some(()));
+    results(&world, 0, "b1", 3);
+    name(3);
+    until("a draft runs", || (runs().len() == 2).then_some(()));
+    std::thread::sleep(Duration::from_secs(1));
+    let gateway = &world.gateways[0];
+    assert_eq!(gateway.call("DELETE", "/lots/b1", "end", b"").status, 200);
+    name(4);
+    step["minVersion"] = 3.into();
+    step["step"] = 3.into();
+    assert_eq!(submit(&world, 0, "b2", &step).status, 202);
+    let found = results(&world, 0, "b2", 4);
+    let whole = found.iter().find(|result| result["id"] == long).unwrap();
+    assert_eq!(whole["text"], text(long, 120));
+    let versions = whole["versions"].as_array().unwrap();
+    assert!(versions.iter().all(|version| version.as_u64() >= Some(3)));
+    let runs = runs();
+    assert_eq!(runs[..2], [None, None]);
+    assert!(runs.len() == 3 && runs[2] > Some(9), "{runs:?}");
+}
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -54,6 +54,8 @@
     /// How long a plain request is worked on, and between two events.
     work: Duration,
     events: u64,
+    /// Texts of another length, by items.
+    lengths: BTreeMap<String, u64>,
     weights: BTreeMap<String, u64>,
     orders: u64,
     fence: u64,
@@ -99,6 +101,7 @@
                 manner: Manner::Sound,
                 work: Duration::from_millis(5),
                 events: 8,
+                lengths: BTreeMap::new(),
                 weights: models.iter().map(|m| ((*m).to_owned(), 1)).collect(),
                 orders: 0,
                 fence: 0,
@@ -146,6 +149,11 @@
         self.shared.lock().events = events;
     }
 
+    /// Sets how many events the text of one item has.
+    pub fn events_of(&self, item: &str, events: u64) {
+        self.shared.lock().lengths.insert(item.to_owned(), events);
+    }
+
     /// Returns what it ran.
     #[must_use]
     pub fn ran(&self) -> Vec<Ran> {
@@ -332,7 +340,8 @@
 ) {
     let (work, events) = {
         let inner = shared.lock();
-        (inner.work, inner.events)
+        let events = inner.lengths.get(id).copied();
+        (inner.work, events.unwrap_or(inner.events))
     };
     let mut version = shared.lock().weights.get(model).copied().unwrap_or(0);
     let named = version.to_string();
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -11,8 +11,10 @@
 //! Positions are handed out only here and only after the write before is known
 //! to be done, so a position never holds two results.
 
-use crate::rollout::{ItemResult, Outcome, Submission};
-use serde::{Deserialize, Serialize};
+use crate::rollout::{
+    Item, ItemResult, Outcome, Submission,
+    text::{Piece, Text},
+};
 use std::{
     cmp::Reverse,
     collections::HashMap,
@@ -29,35 +31,6 @@
 /// times as long as usual, and hints are off by a factor of 1.6 either way.
 const LONG: f64 = 2.5;
 
-/// What of an item's text is there.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-struct Partial {
-    /// The number of the last event in `text`; `None` before the first.
-    last: Option<u64>,
-    /// The data of all events so far, joined by line feeds.
-    text: String,
-    /// The weight versions that made them.
-    versions: Vec<u64>,
-    /// The last event that is kept in the store, and the length of its text.
-    kept: Option<u64>,
-    kept_bytes: usize,
-}
-
-/// A part of an item's text, as it is kept for a next owner.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Piece {
-    /// How often the text began anew before.
-    pub round: u32,
-    /// The last event before it; `None` at the beginning.
-    pub after: Option<u64>,
-    /// Its last event.
-    pub last: u64,
-    /// The weight versions of the text up to here.
-    pub versions: Vec<u64>,
-    /// The data of its events, joined by line feeds.
-    pub text: String,
-}
-
 /// How a generation broke off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Break {
@@ -73,6 +46,11 @@
     Never,
 }
 
+/// Items count as stragglers when at most one in so many is left: the trainer
+/// goes on without one group in ten as a rule, and a group has several items of
+/// which one or two are long.
+const FEW: usize = 4;
+
 #[derive(Debug)]
 enum Phase {
     Waiting { after: Instant },
@@ -85,7 +63,7 @@
 #[derive(Debug)]
 struct Row {
     phase: Phase,
-    partial: Partial,
+    text: Text,
     /// How often the text began anew.
     round: u32,
     /// Runs that the engine failed by itself.
@@ -94,6 +72,8 @@
     rejected: u32,
     /// Breaks in a row, for the pause.
     breaks: u32,
+    /// Its trainer may go on without its group, and ask for it again.
+    spare: bool,
 }
 
 /// One batch in the hands of its owner.
@@ -124,19 +104,22 @@
         carried: usize,
     ) -> Self {
         let items = &submission.items;
-        let row = || Row {
+        let groups = groups(submission);
+        let target = submission.target.unwrap_or(groups.len());
+        let row = |item: &Item| Row {
             phase: Phase::Waiting { after: now },
-            partial: Partial::default(),
+            text: Text::default(),
             round: 0,
             failures: 0,
             rejected: 0,
             breaks: 0,
+            spare: target < groups.len() && groups[item.group.as_str()].place >= carried,
         };
         let index = items.iter().enumerate().map(|(n, i)| (i.id.clone(), n));
         Self {
-            rows: items.iter().map(|_| row()).collect(),
+            rows: items.iter().map(row).collect(),
             index: index.collect(),
-            order: start_order(submission, carried),
+            order: start_order(submission, &groups, carried),
             listed: 0,
             attempts: attempts.max(1),
             floor: submission.floor,
@@ -152,6 +135,12 @@
         }
     }
 
+    /// Says whether an item's result is listed.
+    #[must_use]
+    pub fn is_listed(&self, n: usize) -> bool {
+        matches!(self.rows[n].phase, Phase::Listed)
+    }
+
     /// Returns how many results are listed.
     #[must_use]
     pub const fn listed(&self) -> usize {
@@ -198,85 +187,87 @@
         let row = &mut self.rows[n];
         if piece.round > row.round {
             row.round = piece.round;
-            row.partial = Partial::default();
+            row.text = Text::default();
         }
-        if piece.round < row.round || piece.after != row.partial.last {
+        if piece.round < row.round || !row.text.add(piece) {
             return;
         }
-        let partial = &mut row.partial;
-        if partial.last.is_some() {
-            partial.text.push('\n');
-        }
-        partial.text.push_str(&piece.text);
-        partial.last = Some(piece.last);
-        partial.versions = piece.versions;
-        partial.kept = partial.last;
-        partial.kept_bytes = partial.text.len();
         if !self.fits(n) {
             self.restart(n);
         }
     }
 
+    /// Begins an item with a text of an earlier batch, if its versions do and it is
+    /// the longest there is; returns whether it was taken.
+    pub fn carry(&mut self, item: &str, mut text: Text) -> bool {
+        let Some(n) = self.index.get(item).copied() else {
+            return false;
+        };
+        let row = &mut self.rows[n];
+        let waits = matches!(row.phase, Phase::Waiting { .. });
+        let longer = text.last() > row.text.last();
+        if !waits || !longer || !text.fits(self.floor, self.single) {
+            return false;
+        }
+        text.unkeep();
+        row.text = text;
+        true
+    }
+
+    /// Returns the items that are still under way when nearly all others are done,
+    /// that the trainer may go on without, and whose texts a batch with this floor
+    /// could not use; the longest first.
+    #[must_use]
+    pub fn stragglers(&self, floor: u64) -> Vec<usize> {
+        let open = |row: &Row| matches!(row.phase, Phase::Running | Phase::Waiting { .. });
+        let count = self.rows.iter().filter(|row| open(row)).count();
+        if self.waiting() > 0 || count * FEW > self.rows.len() {
+            return Vec::new();
+        }
+        let rows = self.rows.iter().enumerate().filter(|(_, row)| open(row));
+        let mut found: Vec<usize> = rows
+            .filter(|(_, row)| row.spare && !row.text.fits(floor, self.single))
+            .map(|(n, _)| n)
+            .collect();
+        found.sort_by_key(|n| Reverse(self.rows[*n].text.last()));
+        found
+    }
+
     /// Notes that an item was sent to an engine, and returns the last event of
     /// its text.
     pub fn start(&mut self, n: usize) -> Option<u64> {
         let row = &mut self.rows[n];
         row.phase = Phase::Running;
-        row.partial.last
+        row.text.last()
     }
 
     /// Adds an event that a version made; `false` if it doesn't follow the last.
     pub fn extend(&mut self, n: usize, number: u64, data: &str, version: Option<u64>) -> bool {
-        let partial = &mut self.rows[n].partial;
-        if partial.last.is_some_and(|last| number != last + 1) {
-            return false;
-        }
-        if partial.last.is_some() {
-            partial.text.push('\n');
-        }
-        partial.text.push_str(data);
-        partial.last = Some(number);
-        if let Some(version) = version
-            && !partial.versions.contains(&version)
-        {
-            partial.versions.push(version);
-        }
-        true
+        self.rows[n].text.extend(number, data, version)
     }
 
     /// Returns the last event of an item's text.
     #[must_use]
     pub fn last(&self, n: usize) -> Option<u64> {
-        self.rows[n].partial.last
+        self.rows[n].text.last()
     }
 
     /// Returns what of running items' texts isn't kept yet, the longest first,
     /// at most `most` parts.
     #[must_use]
     pub fn unkept(&self, most: usize) -> Vec<(usize, Piece)> {
-        let mut found: Vec<(usize, Piece)> = Vec::new();
-        for (n, row) in self.rows.iter().enumerate() {
-            let partial = &row.partial;
-            let (Some(last), Phase::Running | Phase::Waiting { .. } | Phase::Scoring) =
-                (partial.last, &row.phase)
-            else {
-                continue;
-            };
-            if partial.kept == partial.last {
-                continue;
-            }
-            // The line feed behind what is kept is put back when it is read.
-            let begin = partial.kept_bytes + usize::from(partial.kept.is_some());
-            let piece = Piece {
-                round: row.round,
-                after: partial.kept,
-                last,
-                versions: partial.versions.clone(),
-                text: partial.text[begin..].to_owned(),
-            };
-            found.push((n, piece));
-        }
-        found.sort_by_key(|(n, _)| Reverse(self.rows[*n].partial.last));
+        let open = |row: &Row| {
+            let phase = &row.phase;
+            matches!(
+                phase,
+                Phase::Running | Phase::Waiting { .. } | Phase::Scoring
+            )
+        };
+        let rows = self.rows.iter().enumerate().filter(|(_, row)| open(row));
+        let mut found: Vec<(usize, Piece)> = rows
+            .filter_map(|(n, row)| Some((n, row.text.unkept(row.round)?)))
+            .collect();
+        found.sort_by_key(|(n, _)| Reverse(self.rows[*n].text.last()));
         found.truncate(most);
         found
     }
@@ -284,24 +275,22 @@
     /// Notes that a part of a text is kept.
     pub fn keep(&mut self, n: usize, piece: &Piece) {
         let row = &mut self.rows[n];
-        let partial = &mut row.partial;
-        if row.round == piece.round && partial.kept == piece.after {
-            partial.kept_bytes += usize::from(partial.kept.is_some()) + piece.text.len();
-            partial.kept = Some(piece.last);
+        if row.round == piece.round {
+            row.text.keep(piece);
         }
     }
 
     /// Drops what there is of an item's text, because no engine can go on.
     pub fn restart(&mut self, n: usize) {
         let row = &mut self.rows[n];
-        row.partial = Partial::default();
+        row.text = Text::default();
         row.round += 1;
     }
 
     /// Returns the version that has to go on with an item, if only one may.
     #[must_use]
     pub fn pinned(&self, n: usize) -> Option<u64> {
-        let last = self.rows[n].partial.versions.last().copied();
+        let last = self.rows[n].text.versions().last().copied();
         last.filter(|_| self.single)
     }
 
@@ -311,7 +300,7 @@
             self.restart(n);
         }
         let row = &mut self.rows[n];
-        let grown = row.partial.last > before;
+        let grown = row.text.last() > before;
         row.breaks = if grown { 1 } else { row.breaks + 1 };
         match cause {
             Break::Never => {
@@ -348,10 +337,10 @@
     /// Notes the scorer's signature, or that none is needed.
     pub fn scored(&mut self, n: usize, score: Option<String>) {
         let row = &mut self.rows[n];
-        let partial = std::mem::take(&mut row.partial);
+        let (text, versions) = std::mem::take(&mut row.text).into_parts();
         row.phase = Phase::Ready(Outcome::Completed {
-            text: partial.text,
-            versions: partial.versions,
+            text,
+            versions,
             score,
         });
     }
@@ -399,10 +388,7 @@
     }
 
     fn fits(&self, n: usize) -> bool {
-        let versions = &self.rows[n].partial.versions;
-        let old = versions.iter().any(|version| *version < self.floor);
-        let mixed = self.single && versions.len() > 1;
-        !old && !mixed
+        self.rows[n].text.fits(self.floor, self.single)
     }
 }
 
@@ -416,19 +402,15 @@
 /// a step's acceptance to the start of its last item. Started by length alone,
 /// on the other hand, all groups end together, and where the step is late nearly
 /// none of them is in time.
-fn start_order(submission: &Submission, carried: usize) -> Vec<usize> {
+fn start_order(
+    submission: &Submission,
+    groups: &HashMap<&str, Group>,
+    carried: usize,
+) -> Vec<usize> {
     let items = &submission.items;
     let hint = |n: usize| items[n].hint.unwrap_or(0);
     let total: u64 = (0..items.len()).map(|n| u64::from(hint(n))).sum();
     let long = LONG * total as f64 / items.len().max(1) as f64;
-    let mut groups: HashMap<&str, Group> = HashMap::new();
-    for (n, item) in items.iter().enumerate() {
-        let place = groups.len();
-        let group = groups
-            .entry(&item.group)
-            .or_insert(Group { place, longest: 0 });
-        group.longest = group.longest.max(hint(n));
-    }
     let mut order: Vec<usize> = (0..items.len()).collect();
     order.sort_by_key(|n| {
         let group = &groups[items[*n].group.as_str()];
@@ -446,6 +428,19 @@
     order
 }
 
+/// Finds the groups of a submission, by their names.
+fn groups(submission: &Submission) -> HashMap<&str, Group> {
+    let mut groups: HashMap<&str, Group> = HashMap::new();
+    for item in &submission.items {
+        let place = groups.len();
+        let group = groups
+            .entry(&item.group)
+            .or_insert(Group { place, longest: 0 });
+        group.longest = group.longest.max(item.hint.unwrap_or(0));
+    }
+    groups
+}
+
 struct Group {
     /// Its place in the order of the submission.
     place: usize,
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -238,6 +238,13 @@
         best.map(|(key, _)| key)
     }
 
+    /// Says whether an engine is at least half empty.
+    #[must_use]
+    pub fn is_idle(&self, now: Instant, key: EngineKey) -> bool {
+        let row = self.rows.get(key);
+        row.is_some_and(|row| row.room(now) * 2 >= row.slots)
+    }
+
     /// Says whether an engine with room is clearly faster than one of `pace`:
     /// far faster for any run, somewhat faster for one with many events.
     #[must_use]
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -8,6 +8,7 @@
 //! * [`engines`]: which engine an item goes to.
 //! * [`wave`]: which engine loads which weights next.
 //! * [`presence`]: whether the owner of a batch still lives.
+//! * [`text`]: an item's text as it grows, and the parts of it that are kept.
 //! * [`row`]: what the store keeps of a batch, and under which conditions.
 //!
 //! # Design
@@ -24,6 +25,7 @@
 pub mod presence;
 pub mod row;
 mod spec;
+pub mod text;
 pub mod wave;
 
 pub use self::spec::{Item, ItemResult, Order, OrderAnswer, Outcome, Scorer, Submission};
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -5,9 +5,10 @@
 //! | `batches` | bucket | batch | [`Head`] | absent at acceptance; else its version |
 //! | `results` | bucket | batch/position | one result | absent, and the head's version |
 //! | `pieces` | bucket | batch/item/round/event | a part of a text, [`Piece`] | the head's version |
+//! | `pieces` | bucket | batch/item/draft/round/event | a part of a draft | the head's version |
 //! | `entries` | | process | [`Presence`] | none: only the process writes it |
 //!
-//! [`Piece`]: crate::rollout::batch::Piece
+//! [`Piece`]: crate::rollout::text::Piece
 //!
 //! The submission itself is an object named after the batch. The bucket is a
 //! hash of the batch: a part of the store takes a few hundred transactions a
@@ -21,7 +22,7 @@
 use std::{net::SocketAddr, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{rollout::batch::Piece, table::RowId};
+use crate::{rollout::text::Piece, table::RowId};
 
 /// Heads of batches.
 pub const BATCHES: &str = "batches";
@@ -36,6 +37,9 @@
 /// second each are above what the whole store takes.
 const BUCKETS: u64 = 16;
 
+/// What stands behind the item in the keys of its draft.
+const DRAFT: &str = "/draft";
+
 /// What every entry knows of a batch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Head {
@@ -148,11 +152,21 @@
     RowId::new(PIECES, &bucket(batch), &key)
 }
 
-/// Returns the item that the key of a part of a text names.
+/// Names the row of a part of a draft, which is a second text of an item.
+#[must_use]
+pub fn draft(batch: &str, item: &str, part: &Piece) -> RowId {
+    let item = format!("{item}{DRAFT}");
+    piece(batch, &item, part)
+}
+
+/// Returns the item that the key of a part of a text names, and whether it is of
+/// a draft.
 #[must_use]
-pub fn piece_item<'a>(batch: &str, key: &'a str) -> Option<&'a str> {
+pub fn piece_item<'a>(batch: &str, key: &'a str) -> Option<(&'a str, bool)> {
     let rest = key.strip_prefix(batch)?.strip_prefix('/')?;
-    rest.rsplitn(3, '/').nth(2)
+    let item = rest.rsplitn(3, '/').nth(2)?;
+    let draft = item.strip_suffix(DRAFT);
+    Some((draft.unwrap_or(item), draft.is_some()))
 }
 
 /// Names the row of a process.
--- a/tests/rollout_batch.rs
+++ b/tests/rollout_batch.rs
@@ -3,6 +3,7 @@
 use hibiscusroad::rollout::{
     Item, Outcome, Submission,
     batch::{Batch, Break},
+    text::Text,
 };
 use proptest::prelude::*;
 use std::{
@@ -230,3 +231,88 @@
     batch.give_up();
     assert!(batch.ready(&step, 9).is_empty());
 }
+
+fn text(events: u64, version: u64) -> Text {
+    let mut text = Text::default();
+    for number in 1..=events {
+        assert!(text.extend(number, "e", Some(version)));
+    }
+    text
+}
+
+// A group comes again in a later step, whose floor is 3. Of the texts that there
+// are, the longest that the floor allows is gone on with, and kept anew: its rows
+// belong to the batch before and are swept with it.
+#[test]
+fn carried_text_is_gone_on_with_if_its_versions_do() {
+    let now = Instant::now();
+    let mut batch = Batch::new(now, &submission(&[1]), 3, false, 1);
+    assert!(!batch.carry("0-0", text(9, 2)), "older than the floor");
+    assert!(!batch.carry("1-0", text(9, 3)), "of no item here");
+    assert!(batch.carry("0-0", text(5, 3)));
+    assert!(
+        !batch.carry("0-0", text(4, 4)),
+        "shorter than what is there"
+    );
+    assert_eq!(batch.start(0), Some(5));
+    assert!(!batch.carry("0-0", text(8, 4)), "a run goes on already");
+    let pieces = batch.unkept(9);
+    assert_eq!((pieces[0].1.after, pieces[0].1.last), (None, 5));
+}
+
+#[test]
+fn texts_of_several_versions_are_not_carried_where_one_is_asked_for() {
+    let now = Instant::now();
+    let mut batch = Batch::new(now, &submission(&[1]), 3, true, 1);
+    let mut mixed = text(3, 3);
+    assert!(mixed.extend(4, "e", Some(4)));
+    assert!(!batch.carry("0-0", mixed));
+    assert!(batch.carry("0-0", text(2, 4)));
+    assert_eq!(batch.pinned(0), Some(4));
+}
+
+// Drafts take engines from nobody: only when nearly all of a step is done, and only
+// of items whose texts a later step could not use anyway.
+#[test]
+fn stragglers_are_the_few_last_items_with_texts_too_old() {
+    let now = Instant::now();
+    let mut step = submission(&[1, 1, 1, 1]);
+    step.target = Some(3);
+    let mut batch = Batch::new(now, &step, 3, false, 0);
+    let order = starts(&mut batch, now);
+    for n in &order {
+        for number in 1..=(*n as u64 + 1) {
+            assert!(batch.extend(*n, number, "e", Some(3)));
+        }
+    }
+    assert!(batch.stragglers(4).is_empty(), "all are under way");
+    for n in 0..6 {
+        batch.generated(now, n);
+    }
+    assert_eq!(batch.stragglers(4), [7, 6], "the longest first");
+    assert!(batch.stragglers(3).is_empty(), "their texts will do");
+    batch.broke(now, 7, None, Break::Lost);
+    assert!(
+        batch.stragglers(4).is_empty(),
+        "one waits for an engine itself"
+    );
+}
+
+// A trainer that waits for all groups, or for a group that it asks for again, never
+// asks for its items a second time: a draft would be work for nothing.
+#[test]
+fn items_that_the_trainer_waits_for_are_no_stragglers() {
+    let now = Instant::now();
+    for (target, carried) in [(4, 0), (3, 4)] {
+        let mut step = submission(&[1, 1, 1, 1]);
+        step.target = Some(target);
+        let mut batch = Batch::new(now, &step, 3, false, carried);
+        for n in starts(&mut batch, now) {
+            assert!(batch.extend(n, 1, "e", Some(3)));
+        }
+        for n in 0..6 {
+            batch.generated(now, n);
+        }
+        assert!(batch.stragglers(4).is_empty());
+    }
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use hibiscusroad::{
     catalog::{Catalog, Kind, Limits, Route, Share},
-    rollout::{batch::Piece, row},
+    rollout::{row, text::Piece},
     roster::{Endpoint, GRACE, News, Roster},
 };
 use std::time::{Duration, Instant};
@@ -144,7 +144,7 @@
     assert!(keys.is_sorted(), "{keys:?}");
     assert!(
         keys.iter()
-            .all(|key| row::piece_item("b", key) == Some("item/1"))
+            .all(|key| row::piece_item("b", key) == Some(("item/1", false)))
     );
     assert!(row::buckets().any(|bucket| bucket == row::bucket("b")));
 }
