Go on with a broken stream at another endpoint, within one answer

Cause: a gateway passed streams on byte by byte, so one that broke off ended its caller's answer, also where the route lets another endpoint go on behind the last event.

Test: broken_stream_goes_on_where_it_may; it found that an answer which is no series of events was garbled by a first form of this.

--- a/hibiscusroad-daemon/src/gateway/answer.rs
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -1,6 +1,6 @@
 //! Answers that this process gives its callers.
 
-use super::{attempt::Guard, store::millis};
+use super::{attempt::Guard, resume::Resumed, store::millis};
 use hibiscusroad::ErrorKind;
 use http_body_util::Full;
 use hyper::{
@@ -22,6 +22,8 @@
     Whole(Full<Bytes>),
     /// It is passed on as it comes.
     Flow(Flow),
+    /// Its events may come from several endpoints.
+    Resumed(Resumed),
 }
 
 /// An endpoint's answer on its way.
@@ -52,13 +54,17 @@
                 Poll::Pending => Poll::Pending,
             },
             Self::Flow(flow) => flow.poll(cx),
+            Self::Resumed(stream) => {
+                let next = stream.as_mut().poll_next(cx);
+                next.map(|next| next.map(|data| data.map(Frame::data)))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body) => body.is_end_stream(),
-            Self::Flow(_) => false,
+            Self::Flow(_) | Self::Resumed(_) => false,
         }
     }
 
@@ -66,6 +72,7 @@
         match self {
             Self::Whole(body) => body.size_hint(),
             Self::Flow(flow) => flow.size_hint(),
+            Self::Resumed(_) => SizeHint::default(),
         }
     }
 }
@@ -90,7 +97,7 @@
                 }
             },
             Poll::Ready(Some(Err(error))) => {
-                self.guard.broke(&error);
+                self.guard.broke(&error.to_string());
                 Poll::Ready(Some(Err(Broken)))
             }
         }
--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -115,8 +115,8 @@
     }
 
     /// Notes that the answer broke off.
-    pub(super) fn broke(&mut self, error: &hyper::Error) {
-        log::warn!(target: CALLS, id = self.id.as_str(), error = error.to_string().as_str();
+    pub(super) fn broke(&mut self, error: &str) {
+        log::warn!(target: CALLS, id = self.id.as_str(), error = error;
             "An answer broke off midway.");
         let outcome = Outcome::Failed(ErrorKind::AnswerShort);
         self.ticket.finish(self.endpoint, outcome);
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -7,9 +7,10 @@
 
 use super::{
     answer::{Flow, Out, problem, whole},
-    attempt::{Answer, Done, Guard, Head, Line, Received, run},
+    attempt::{Answer, Done, Guard, Head, Line, Received, run, text},
     calls::Ticket,
     http::{Rest, Sent, whole as whole_body},
+    resume::{Again, resumed},
 };
 use crate::logs::CALLS;
 use hibiscusroad::{
@@ -18,7 +19,7 @@
     route::{EndpointKey, Outcome, Step},
 };
 use http_body_util::Either;
-use hyper::{Response, body::Bytes};
+use hyper::{Response, body::Bytes, header::CONTENT_TYPE};
 use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
 /// A request's body, as far as it can be sent again.
@@ -62,8 +63,9 @@
 /// Runs a request and returns its answer for the caller.
 pub(super) async fn forward(line: &Line, request: Forward) -> Response<Out> {
     let head = Rc::clone(&request.head);
+    let again = Again::of(&request);
     match ended(line, request).await {
-        Ended::Answer(answer, more) => respond(line, &head, *answer, more),
+        Ended::Answer(answer, more) => respond(line, &head, *answer, more, again),
         Ended::Refused(kind, after) => {
             log::info!(target: CALLS, id = head.id.as_str(), kind = kind.answer().problem,
                 after_ms = super::store::millis(after); "A request is refused.");
@@ -75,8 +77,8 @@
 /// Runs a request until it is answered or refused.
 pub(super) async fn ended(line: &Line, mut request: Forward) -> Ended {
     let repeat = match request.kind {
-        Kind::Idempotent => Repeat::Free,
-        Kind::Once | Kind::Stream { .. } | Kind::Rollout => Repeat::Once,
+        Kind::Idempotent | Kind::Stream { resumable: true } => Repeat::Free,
+        Kind::Once | Kind::Stream { resumable: false } | Kind::Rollout => Repeat::Once,
     };
     let flow = matches!(request.kind, Kind::Stream { .. });
     let tries = u8::try_from(request.attempts).unwrap_or(u8::MAX);
@@ -148,12 +150,19 @@
     head: &Head,
     answer: Answer,
     more: Option<(Ticket, EndpointKey)>,
+    again: Option<Again>,
 ) -> Response<Out> {
     let mut response = match (answer.body, more) {
         (Received::Whole(body), _) => whole(answer.status, "", body),
         (Received::Flow(first, rest, channel), Some((ticket, endpoint))) => {
             let guard = Guard::new(line, ticket, endpoint, channel, head, &answer.headers);
-            let mut response = Response::new(Out::Flow(Flow { first, rest, guard }));
+            let events = text(&answer.headers, CONTENT_TYPE.as_str())
+                .is_some_and(|kind| kind.starts_with("text/event-stream"));
+            let body = match again.filter(|_| events && first.is_empty()) {
+                Some(again) => Out::Resumed(resumed(line, again, rest, guard)),
+                None => Out::Flow(Flow { first, rest, guard }),
+            };
+            let mut response = Response::new(body);
             *response.status_mut() = answer.status;
             response
         }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //!
 //! * [`front`], [`request`], [`forward`], [`attempt`], [`answer`]: a request's
 //!   way, from its caller to an endpoint and back.
+//! * [`resume`]: streams that go on at another endpoint.
 //! * [`calls`]: the router, and the requests that wait for it.
 //! * [`batches`]: batches of trainers. [`weights`]: the duty of loading weights.
 //! * [`store`], [`sync`], [`known`]: the store, and what is known from it.
@@ -39,6 +40,7 @@
 mod peers;
 mod ready;
 mod request;
+mod resume;
 mod stopping;
 mod store;
 mod sync;
--- a/hibiscusroad-daemon/tests/gateway_calls.rs
+++ b/hibiscusroad-daemon/tests/gateway_calls.rs
@@ -219,3 +219,66 @@
     assert_eq!(answer.status, 200);
     assert_eq!(answer.body.len(), "i-desk answers ".len() + body.len());
 }
+
+/// Reads a stream of events of the request `id`, and calls `act` once, when event 3
+/// has come. Returns all that came.
+fn read_stream(world: &World, path: &str, id: &str, mut act: impl FnMut()) -> String {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: guide\r\n\
+         X-Deadline-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    );
+    let mut stream = raw(world.gateways[0].callers, head.as_bytes());
+    let (mut text, mut acted) = (String::new(), false);
+    let mut buffer = [0; 1024];
+    while let Ok(n) = std::io::Read::read(&mut stream, &mut buffer) {
+        if n == 0 {
+            break;
+        }
+        text.push_str(&String::from_utf8_lossy(&buffer[..n]));
+        if !acted && text.contains(&format!("{id}-3")) {
+            acted = true;
+            act();
+        }
+    }
+    text
+}
+
+// An engine breaks off two streams after their third event. Where the route allows
+// it, the caller gets the events from the fourth on from another run, each once and
+// in one answer; where it doesn't, the answer must not look complete.
+#[test]
+fn broken_stream_goes_on_where_it_may() {
+    let (world, _desk, engine) = World::ready("resume", 1);
+    let route = |name: &str, resumable: bool| {
+        serde_json::json!({ "name": name, "hostname": HOST, "prefix": format!("/{name}/"),
+            "type": "streaming", "timeoutMs": 9000, "service": "guide-lm", "maxAttempts": 3,
+            "resumable": resumable })
+    };
+    world.configure(2, &[route("again", true), route("single", false)]);
+    engine.work(Duration::from_millis(120));
+    for path in ["/again/y", "/single/y"] {
+        until("the route is known", || {
+            let answer = world.gateways[0].call("GET", path, "warm", b"");
+            (answer.status != 404).then_some(())
+        });
+    }
+    let whole = read_stream(&world, "/again/x", "s-1", || engine.relay().cut_all());
+    let places: Vec<usize> = (1..=8)
+        .map(|n| {
+            let event = format!("data: s-1-{n}\n");
+            assert_eq!(whole.matches(&event).count(), 1, "event {n}: {whole}");
+            whole.find(&event).unwrap()
+        })
+        .collect();
+    assert!(places.is_sorted(), "{whole}");
+    assert!(whole.ends_with("0\r\n\r\n"), "the end is missing: {whole}");
+    let ran = engine.ran().into_iter().filter(|ran| ran.id == "s-1");
+    let after: Vec<Option<u64>> = ran.map(|ran| ran.after).collect();
+    assert!(after.len() == 2 && after[1] >= Some(3), "{after:?}");
+    let torn = read_stream(&world, "/single/x", "s-2", || engine.relay().cut_all());
+    assert!(
+        !torn.contains("s-2-8") && !torn.ends_with("0\r\n\r\n"),
+        "{torn}"
+    );
+    assert_eq!(engine.ran().iter().filter(|ran| ran.id == "s-2").count(), 1);
+}
