Keep the drafts of two owners of a batch apart

Cause: parts of a draft were named by batch, item and event. An owner that took a batch over drafted its stragglers anew, overwrote the first owner's first part, and where one of its parts ended at the event that a part of the first owner's went on at, the two were joined to a text of two runs.

Ruled out: parts of an item's own text, whose next owner goes on behind what is kept and knows of all of it.

Change: rows of a draft bear the version of the head from which on its owner has the batch. Tests: drafts_of_two_owners_are_not_joined, an_heirs_draft_is_kept_apart.

--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -24,12 +24,12 @@
     rollout::{
         Submission,
         row::{self, Head, PIECES},
-        text::{Piece, Text},
+        text::{self, Piece, Text},
     },
     table::{Change, Commit, Range},
 };
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashSet,
     pin::pin,
     rc::Rc,
     time::{Duration, Instant},
@@ -158,7 +158,12 @@
         }
         let mut change = Change::new().expect(row::head(&owned.id), owned.version.get());
         for (n, piece) in &pieces {
-            let id = row::draft(&owned.id, &owned.submission.items[*n].id, piece);
+            let id = row::draft(
+                &owned.id,
+                &owned.submission.items[*n].id,
+                owned.tenure,
+                piece,
+            );
             let value = serde_json::to_vec(piece).unwrap_or_default();
             change = change.put(id, value);
         }
@@ -256,7 +261,7 @@
         last.map(|(known, _)| known.clone())
     }
 
-    /// Reads the texts of an item that a batch has: its own and its draft.
+    /// Reads the texts of an item that a batch has: its own and its drafts.
     async fn texts(&self, batch: String, item: &str) -> Result<Vec<(String, Text)>, Failure> {
         let part = row::bucket(&batch);
         let from = format!("{batch}/{item}/");
@@ -267,24 +272,18 @@
             end: Some(&end),
             ..Range::part(PIECES, &part)
         };
-        let mut texts: HashMap<bool, (u32, Text)> = HashMap::new();
-        for row in self.store.read_whole(&range).await?.rows {
+        let rows = self.store.read_whole(&range).await?.rows;
+        let parts = rows.iter().filter_map(|row| {
             let name = row::piece_item(&batch, &row.id.key);
             let piece = serde_json::from_slice::<Piece>(&row.value).ok();
-            let Some(((_, draft), piece)) = name.zip(piece) else {
+            let part = name.zip(piece).map(|((_, tenure), piece)| (tenure, piece));
+            if part.is_none() {
                 log::error!(target: BATCHES, row = row.id.key.as_str();
                     "A kept part of a text is broken; it is ignored.");
-                continue;
-            };
-            let (round, text) = texts.entry(draft).or_default();
-            if piece.round > *round {
-                *round = piece.round;
-                *text = Text::default();
             }
-            // One that doesn't follow belongs to another run.
-            let _follows = text.add(piece);
-        }
-        let texts = texts.into_values().map(|(_, text)| text);
+            part
+        });
+        let texts = text::assemble(parts).into_iter();
         Ok(texts.map(|text| (item.to_owned(), text)).collect())
     }
 }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -115,6 +115,8 @@
     near: RefCell<HashMap<String, EngineKey>>,
     /// Engines that items were just moved away from.
     avoid: RefCell<HashMap<usize, EngineKey>>,
+    /// The version of the head's row since which this process has it.
+    tenure: u64,
     /// Second texts of items, for a later batch.
     drafts: RefCell<HashMap<usize, Draft>>,
     /// By how many versions its floor was behind the newest when it was accepted.
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -268,6 +268,7 @@
             version: Cell::new(version),
             batch: RefCell::new(batch),
             listed: RefCell::new(results),
+            tenure: version,
             drafts: RefCell::default(),
             lag: head.lag,
             writing: Cell::new(None),
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -89,8 +89,8 @@
             let piece = serde_json::from_slice(&row.value).ok();
             match name.zip(piece) {
                 // A draft is for a later batch.
-                Some(((_, true), _)) => {}
-                Some(((item, false), piece)) => {
+                Some(((_, tenure), _)) if !tenure.is_empty() => {}
+                Some(((item, _), piece)) => {
                     let item = item.to_owned();
                     found.push((row.id, item, piece));
                 }
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -602,3 +602,42 @@
     results(&world, 1, "b2", 4);
     assert_eq!(slow.ran().len(), before);
 }
+
+// The owner of a batch is killed while an item's draft grows. The next owner drafts it
+// anew, and keeps that apart: parts of the two would join to a text of two runs.
+#[test]
+fn an_heirs_draft_is_kept_apart() {
+    let (mut world, _desk, engine) = World::ready("heir-draft", 2);
+    let name = |world: &World, version: u64| {
+        let named = serde_json::json!({ "model": "guide", "version": version });
+        world.store.put("op", "version/guide", &named);
+        until("the engine has loaded", || {
+            (engine.version("guide") == version).then_some(())
+        });
+    };
+    let long = "item-1-1-1";
+    name(&world, 2);
+    engine.work(Duration::from_millis(40));
+    engine.events_of(long, 250);
+    let mut step = submission(1, 1, 2, 2);
+    step["targetGroups"] = 1.into();
+    assert_eq!(submit(&world, 0, "b1", &step).status, 202);
+    results(&world, 0, "b1", 3);
+    name(&world, 3);
+    // The keys of a batch's drafts, without round and event.
+    let drafts = |world: &World| -> BTreeSet<String> {
+        let rows = world.store.rows("pieces").into_iter();
+        let keys = rows
+            .map(|(_, key, _)| key)
+            .filter(|key| key.contains("draft"));
+        keys.map(|key| key.rsplitn(3, '/').nth(2).unwrap_or_default().to_owned())
+            .collect()
+    };
+    until("a draft is kept", || {
+        (drafts(&world).len() == 1).then_some(())
+    });
+    world.gateways[0].kill();
+    until("another draft is kept apart", || {
+        (drafts(&world).len() == 2).then_some(())
+    });
+}
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -5,7 +5,7 @@
 //! | `batches` | bucket | batch | [`Head`] | absent at acceptance; else its version |
 //! | `results` | bucket | batch/position | one result | absent, and the head's version |
 //! | `pieces` | bucket | batch/item/round/event | a part of a text, [`Piece`] | the head's version |
-//! | `pieces` | bucket | batch/item/draft/round/event | a part of a draft | the head's version |
+//! | `pieces` | bucket | batch/item/draft-tenure/round/event | a part of a draft | the head's version |
 //! | `paces` | | service | how fast its engines are, [`Paces`] | its version |
 //! | `entries` | | process | [`Presence`] | none: only the process writes it |
 //!
@@ -43,7 +43,7 @@
 const BUCKETS: u64 = 16;
 
 /// What stands behind the item in the keys of its draft.
-const DRAFT: &str = "/draft";
+const DRAFT: &str = "/draft-";
 
 /// What every entry knows of a batch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -158,20 +158,24 @@
 }
 
 /// Names the row of a part of a draft, which is a second text of an item.
+///
+/// `tenure` is the version of the head from which on its owner has the batch. An
+/// owner that takes a batch over drafts anew, and parts of its draft must not join
+/// with those of the owner before: they are of two runs, of which the second knows
+/// nothing of the first, even where one ends at the event that the other goes on at.
 #[must_use]
-pub fn draft(batch: &str, item: &str, part: &Piece) -> RowId {
-    let item = format!("{item}{DRAFT}");
+pub fn draft(batch: &str, item: &str, tenure: u64, part: &Piece) -> RowId {
+    let item = format!("{item}{DRAFT}{tenure:016x}");
     piece(batch, &item, part)
 }
 
-/// Returns the item that the key of a part of a text names, and whether it is of
-/// a draft.
+/// Returns the item that the key of a part of a text names, and the tenure in which
+/// it was drafted; that is empty for the item's own text.
 #[must_use]
-pub fn piece_item<'a>(batch: &str, key: &'a str) -> Option<(&'a str, bool)> {
+pub fn piece_item<'a>(batch: &str, key: &'a str) -> Option<(&'a str, &'a str)> {
     let rest = key.strip_prefix(batch)?.strip_prefix('/')?;
     let item = rest.rsplitn(3, '/').nth(2)?;
-    let draft = item.strip_suffix(DRAFT);
-    Some((draft.unwrap_or(item), draft.is_some()))
+    Some(item.split_once(DRAFT).unwrap_or((item, "")))
 }
 
 /// Names the row of a process.
--- a/src/rollout/text.rs
+++ b/src/rollout/text.rs
@@ -6,6 +6,7 @@
 //! follow the one before is left out, since it belongs to another run.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// What of an item's text is there.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -36,6 +37,24 @@
     pub text: String,
 }
 
+/// Puts kept parts together to texts, one for each tag; they come in the order of
+/// their rows. A part that doesn't follow the one before belongs to another run.
+#[must_use]
+pub fn assemble<'a>(parts: impl IntoIterator<Item = (&'a str, Piece)>) -> Vec<Text> {
+    let mut texts: BTreeMap<&str, (u32, Text)> = BTreeMap::new();
+    for (tag, piece) in parts {
+        let (round, text) = texts.entry(tag).or_default();
+        if piece.round > *round {
+            *round = piece.round;
+            *text = Text::default();
+        }
+        if piece.round == *round {
+            text.add(piece);
+        }
+    }
+    texts.into_values().map(|(_, text)| text).collect()
+}
+
 impl Text {
     /// Returns the number of the last event.
     #[must_use]
--- a/tests/rollout_batch.rs
+++ b/tests/rollout_batch.rs
@@ -3,7 +3,7 @@
 use hibiscusroad::rollout::{
     Item, Outcome, Submission,
     batch::{Batch, Break},
-    text::Text,
+    text::{Piece, Text, assemble},
 };
 use proptest::prelude::*;
 use std::{
@@ -316,3 +316,35 @@
         assert!(batch.stragglers(4).is_empty());
     }
 }
+
+fn piece(after: Option<u64>, last: u64, data: &str) -> Piece {
+    let first = after.map_or(1, |after| after + 1);
+    let events: Vec<String> = (first..=last).map(|n| format!("{data}{n}")).collect();
+    Piece {
+        round: 0,
+        after,
+        last,
+        versions: vec![3],
+        text: events.join("\n"),
+    }
+}
+
+// An owner drafts an item and is killed; the next owner drafts it anew, and a part of
+// its draft happens to end where one of the first owner's goes on. The trainer would
+// get a text of two runs, of which the second was never asked to go on there.
+#[test]
+fn drafts_of_two_owners_are_not_joined() {
+    let first = [
+        piece(None, 2, "a"),
+        piece(Some(2), 4, "a"),
+        piece(Some(4), 6, "a"),
+    ];
+    let second = [piece(None, 3, "b"), piece(Some(3), 4, "b")];
+    let rows = first.into_iter().map(|piece| ("1", piece));
+    let rows = rows.chain(second.into_iter().map(|piece| ("2", piece)));
+    let texts: Vec<String> = assemble(rows)
+        .into_iter()
+        .map(|t| t.into_parts().0)
+        .collect();
+    assert_eq!(texts, ["a1\na2\na3\na4\na5\na6", "b1\nb2\nb3\nb4"]);
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -144,7 +144,7 @@
     assert!(keys.is_sorted(), "{keys:?}");
     assert!(
         keys.iter()
-            .all(|key| row::piece_item("b", key) == Some(("item/1", false)))
+            .all(|key| row::piece_item("b", key) == Some(("item/1", "")))
     );
     assert!(row::buckets().any(|bucket| bucket == row::bucket("b")));
 }
