Bound the logs of a gateway by whole requests, tell the audit trail, name targets

Cause: logs had a bound in memory for a slow reader, but none in lines a second, and what was left out was left out line by line. The lines of configurations, leases and orders did not tell what was before.

Change: log.lines_s (200) lines of 512 bytes a second; over that whole requests and batches are left out by a hash of their ids, alike in all processes, failures first; the count is told and in the metrics. Configurations, leases and orders are told with what was before and who gave them.

Left over from before: the weighted draw of a service stood four times, and Peer named an endpoint beside gateways that are peers now; it is Target.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 //! caller would otherwise get another caller's answer.
 
 use super::{
-    calls::{Calls, Peer, Ticket},
+    calls::{Calls, Target, Ticket},
     http::{Channel, Channels, Fault, Sent},
     meters::Meters,
 };
@@ -125,7 +125,7 @@
 }
 
 /// Builds the request for an endpoint.
-pub(super) fn request(head: &Head, peer: &Peer, body: Sent) -> Request<Sent> {
+pub(super) fn request(head: &Head, target: &Target, body: Sent) -> Request<Sent> {
     let mut request = Request::new(body);
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = head.target.clone();
@@ -133,7 +133,7 @@
     let left = head.deadline.saturating_duration_since(Instant::now());
     let headers = request.headers_mut();
     set(headers, header::DEADLINE, &left.as_millis().to_string());
-    set(headers, header::EXPECT_ENDPOINT, &peer.id);
+    set(headers, header::EXPECT_ENDPOINT, &target.id);
     request
 }
 
@@ -174,14 +174,14 @@
     line: Line,
     head: Rc<Head>,
     endpoint: EndpointKey,
-    peer: Peer,
+    target: Target,
     body: Sent,
     flow: bool,
 ) -> Done {
-    let sent = request(&head, &peer, body);
-    let (response, channel) = match line.channels.send(peer.address, sent).await {
+    let sent = request(&head, &target, body);
+    let (response, channel) = match line.channels.send(target.address, sent).await {
         Ok(answer) => answer,
-        Err(fault) => return faulted(&head, &peer, &fault),
+        Err(fault) => return faulted(&head, &target, &fault),
     };
     let told = text(response.headers(), header::LOAD).and_then(header::load);
     if let Some((running, queued, slots)) = told {
@@ -195,14 +195,14 @@
     };
     line.meters.attempts.with_label_values(&[outcome]).inc();
     if let Done::NotRun(kind) | Done::Failed(kind, _) = &done {
-        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*peer.id;
+        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id;
             "An attempt failed: {kind}.");
     }
     done
 }
 
-fn faulted(head: &Head, peer: &Peer, fault: &Fault) -> Done {
-    log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*peer.id,
+fn faulted(head: &Head, target: &Target, fault: &Fault) -> Done {
+    log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
         error = fault.to_string().as_str(); "An endpoint did not answer.");
     if fault.unsent() {
         Done::NotRun(ErrorKind::EndpointDown)
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -5,7 +5,7 @@
 //! done.
 
 use super::{Batches, Owned};
-use crate::logs::BATCHES;
+use crate::{gateway::calls::drawn_service, logs::BATCHES};
 use hibiscusroad::{
     catalog::{Kind, Route},
     rollout::{
@@ -132,8 +132,7 @@
         n: usize,
         not: Option<EngineKey>,
     ) -> Option<EngineKey> {
-        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
-        let service = route.service(draw)?;
+        let service = drawn_service(route)?;
         let submission = &owned.submission;
         let model = submission.model.as_deref();
         let engines = self.engines.borrow();
@@ -169,12 +168,11 @@
         n: usize,
         floor: u64,
     ) -> Option<EngineKey> {
-        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
         let engines = self.engines.borrow();
         let found = engines.choose(
             now,
             &Want {
-                service: route.service(draw)?,
+                service: drawn_service(route)?,
                 model: owned.submission.model.as_deref(),
                 floor,
                 exact: None,
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         attempt::{self, Head, set, text},
-        calls::Peer,
+        calls::Target,
         http::whole,
         request::own_head,
         store::millis,
@@ -246,13 +246,13 @@
         endpoint: &Endpoint,
         body: &[u8],
     ) -> Result<(), Break> {
-        let peer = Peer {
+        let target = Target {
             id: endpoint.id.as_str().into(),
             address: endpoint.address,
         };
-        let request = attempt::request(head, &peer, whole(body.to_vec().into()));
+        let request = attempt::request(head, &target, whole(body.to_vec().into()));
         let channels = &self.batches.line.channels;
-        let sent = timeout(HEAD, channels.send(peer.address, request)).await;
+        let sent = timeout(HEAD, channels.send(target.address, request)).await;
         let (response, channel) = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(fault)) => {
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -7,6 +7,7 @@
 use crate::{
     gateway::{
         attempt::{Answer, Received, text},
+        calls::drawn_service,
         forward::{Content, Ended, Forward, ended},
         request::own_head,
     },
@@ -77,8 +78,7 @@
                 return Called::Rejected;
             }
         };
-        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
-        let Some(service) = route.service(draw) else {
+        let Some(service) = drawn_service(route) else {
             return Called::Failed;
         };
         let request = Forward {
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -8,7 +8,7 @@
 use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Incarnation, RequestId,
-    catalog::Catalog,
+    catalog::{Catalog, Route},
     roster::{Endpoint, News},
     route::{
         Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
@@ -31,7 +31,7 @@
 
 /// An endpoint that the router may name.
 #[derive(Clone, Debug)]
-pub(super) struct Peer {
+pub(super) struct Target {
     pub(super) id: Rc<str>,
     pub(super) address: SocketAddr,
 }
@@ -42,7 +42,7 @@
     router: RefCell<Router>,
     waiting: RefCell<HashMap<RequestId, UnboundedSender<Step>>>,
     keys: RefCell<HashMap<String, EndpointKey>>,
-    peers: RefCell<HashMap<EndpointKey, Peer>>,
+    targets: RefCell<HashMap<EndpointKey, Target>>,
     changed: Notify,
     life: Incarnation,
     seq: Cell<u64>,
@@ -57,13 +57,19 @@
     over: bool,
 }
 
+/// Draws one of a route's services, by their weights.
+pub(super) fn drawn_service(route: &Route) -> Option<&str> {
+    let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
+    route.service(draw)
+}
+
 impl Calls {
     pub(super) fn new(place: &str, life: Incarnation) -> Self {
         Self {
             router: RefCell::new(Router::new(place, life.0)),
             waiting: RefCell::default(),
             keys: RefCell::default(),
-            peers: RefCell::default(),
+            targets: RefCell::default(),
             changed: Notify::new(),
             life,
             seq: Cell::new(0),
@@ -102,11 +108,11 @@
             self.keys.borrow_mut().insert(endpoint.id.clone(), key);
             key
         });
-        let peer = Peer {
+        let target = Target {
             id: endpoint.id.as_str().into(),
             address: endpoint.address,
         };
-        self.peers.borrow_mut().insert(key, peer);
+        self.targets.borrow_mut().insert(key, target);
         self.router
             .borrow_mut()
             .set_open(now, key, !endpoint.leaving);
@@ -161,8 +167,8 @@
     }
 
     /// Returns where an endpoint is.
-    pub(super) fn peer(&self, key: EndpointKey) -> Option<Peer> {
-        self.peers.borrow().get(&key).cloned()
+    pub(super) fn target(&self, key: EndpointKey) -> Option<Target> {
+        self.targets.borrow().get(&key).cloned()
     }
 
     /// Runs what the router has to do at a time of its own.
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -95,13 +95,13 @@
         tokio::select! {
             step = ticket.next() => match step {
                 Step::Start { endpoint, .. } => {
-                    let peer = line.calls.peer(endpoint);
-                    let (Some(peer), Some(body)) = (peer, request.content.send()) else {
+                    let target = line.calls.target(endpoint);
+                    let (Some(target), Some(body)) = (target, request.content.send()) else {
                         ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
                         continue;
                     };
                     let head = Rc::clone(&request.head);
-                    let attempt = run(line.clone(), head, endpoint, peer, body, flow);
+                    let attempt = run(line.clone(), head, endpoint, target, body, flow);
                     running.push((endpoint, Box::pin(attempt)));
                 }
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -4,6 +4,7 @@
     Gateway,
     answer::{Out, problem, whole},
     attempt::{Head, set, strip, text},
+    calls::drawn_service,
     forward::{Content, Forward, forward},
     http::Rest,
 };
@@ -83,8 +84,7 @@
             Ok(content) => content,
             Err(kind) => return problem(kind, Duration::ZERO),
         };
-        let draw = f64::from(rand::random::<u32>()) / f64::from(u32::MAX);
-        let Some(service) = route.service(draw) else {
+        let Some(service) = drawn_service(route) else {
             return problem(ErrorKind::NoEndpoint, UNKNOWING);
         };
         let tokens = text(&parts.headers, header::TOKENS).and_then(header::tokens);
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -130,8 +130,9 @@
             Ok(catalog) => {
                 calls.configure(&catalog);
                 let version = catalog.version;
+                let before = known.catalog().map_or(0, |known| known.version);
                 if known.offer(catalog) {
-                    log::info!(target: CONFIG, version = version, row = row.version;
+                    log::info!(target: CONFIG, version = version, from = before, row = row.version;
                         "A configuration is in force.");
                 }
             }
--- a/hibiscusroad-daemon/src/gateway/weights.rs
+++ b/hibiscusroad-daemon/src/gateway/weights.rs
@@ -90,6 +90,8 @@
     pace: RefCell<Pace>,
     /// The lease was another's before: its last order may be so recent.
     quiet: Cell<Option<Instant>>,
+    /// The holder in the lease's row as it was read last.
+    before: RefCell<String>,
     /// When what was learned of loads was kept last.
     kept: Cell<Option<Instant>>,
     changed: Notify,
@@ -127,6 +129,7 @@
             orders: RefCell::default(),
             pace: RefCell::new(Pace::new()),
             quiet: Cell::new(None),
+            before: RefCell::default(),
             kept: Cell::new(None),
             changed: Notify::new(),
             news: Notify::new(),
@@ -193,6 +196,9 @@
         match page {
             Ok(page) => {
                 let row = page.rows.first();
+                if let Some(row) = row {
+                    self.before.replace(lease_row(row).holder);
+                }
                 let found = row.map(|row| (row.version, lease_row(row)));
                 self.lease.borrow_mut().seen(now, found);
             }
@@ -261,8 +267,8 @@
 
     /// Notes that the lease is this process's now.
     fn taken(&self, now: Instant, fence: u64) {
-        log::info!(target: WEIGHTS, holder = self.life.as_str(), fence = fence;
-            "The lease of the weights is held.");
+        log::info!(target: WEIGHTS, holder = self.life.as_str(), fence = fence,
+            from = self.before.borrow().as_str(); "The lease of the weights is held.");
         self.seen.borrow_mut().clear();
         self.loading.borrow_mut().clear();
         self.orders.borrow_mut().clear();
@@ -388,13 +394,16 @@
             fence,
             expected: orders,
         };
+        let mut weights = endpoint.weights.iter();
+        let from = weights.find(|weights| weights.model == load.model);
+        let from = from.map_or(0, |weights| weights.version);
         let answer = self.ask(&endpoint, engine::order(&order)).await;
         let answer = answer.map_or(OrderAnswer::Unknown, |(status, _)| {
             engine::order_answer(status)
         });
         log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
-            version = load.version, fence = fence, orders = orders, answer:? = answer;
-            "An order was given.");
+            version = load.version, from = from, holder = self.life.as_str(), fence = fence,
+            orders = orders, answer:? = answer; "An order was given.");
         match answer {
             OrderAnswer::Accepted => {
                 let done = self.watch(&endpoint, load).await;
--- a/hibiscusroad-daemon/src/logs/mod.rs
+++ b/hibiscusroad-daemon/src/logs/mod.rs
@@ -7,21 +7,28 @@
 //!
 //! Writing to stderr may block when its reader does. That is accepted: a line
 //! is written for an event of a link, an endpoint or the platform, never for
-//! each request.
+//! each request. A gateway writes a line for each decision, to standard output,
+//! within a [`Budget`] and without waiting.
 
+mod budget;
 mod output;
 
+pub use self::budget::{Budget, Rank};
 pub use self::output::{dropped, flush, flush_now};
 
 use crate::settings::Log;
 use fern::{Dispatch, FormatCallback};
 use log::{
-    LevelFilter, Record,
+    Level, LevelFilter, Record,
     kv::{self, VisitSource},
 };
 use serde::Serialize;
 use serde_json::{Map, Value};
-use std::{fmt, io, time::SystemTime};
+use std::{
+    fmt, io,
+    sync::{Mutex, OnceLock, PoisonError},
+    time::{Instant, SystemTime},
+};
 
 /// Start and end of a process.
 pub const PROCESS: &str = "process";
@@ -94,6 +101,8 @@
         format: "json".to_owned(),
         ..log.clone()
     };
+    // Logs start once; a second start fails below.
+    let _first = BUDGET.set(Mutex::new(Budget::new(log.lines_s))).is_ok();
     let writer: Box<dyn io::Write + Send> = Box::new(output::Writer);
     dispatch(&log)?
         .chain(fern::Output::writer(writer, "\n"))
@@ -168,16 +177,51 @@
     fields: Map<String, Value>,
 }
 
+/// The budget of this process, if it has one.
+static BUDGET: OnceLock<Mutex<Budget>> = OnceLock::new();
+
+fn with_budget<T>(act: impl FnOnce(&mut Budget) -> T) -> Option<T> {
+    let budget = BUDGET.get()?;
+    let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+    Some(act(&mut budget))
+}
+
+/// Says whether a line has room. One without is counted, and not formatted.
+fn admit(record: &Record<'_>, fields: &Map<String, Value>) -> bool {
+    let failure =
+        record.level() <= Level::Warn || FAILURES.iter().any(|name| fields.contains_key(*name));
+    let rank = if failure { Rank::Failure } else { Rank::Usual };
+    let request = STORIES.iter().find_map(|name| fields.get(*name)?.as_str());
+    let admitted = with_budget(|budget| budget.admit(Instant::now(), rank, request));
+    let admitted = admitted.unwrap_or(true);
+    if !admitted {
+        output::left_out();
+    }
+    admitted
+}
+
+/// Fields that only lines of failures have.
+const FAILURES: &[&str] = &["error", "kind"];
+/// Fields that a request's story goes by; a batch's is told whole.
+const STORIES: &[&str] = &["batch", "id"];
+
 fn json(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+    let fields = fields(record);
+    if !admit(record, &fields) {
+        return;
+    }
     let line = Line {
         time: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
         level: record.level().as_str(),
         part: record.target(),
         text: message.to_string(),
-        fields: fields(record),
+        fields,
     };
     match serde_json::to_string(&line) {
-        Ok(line) => out.finish(format_args!("{line}")),
+        Ok(line) => {
+            let _bounded = with_budget(|budget| budget.spent(line.len())).is_some();
+            out.finish(format_args!("{line}"));
+        }
         Err(error) => out.finish(format_args!("{{\"text\":\"{error}\"}}")),
     }
 }
--- a/hibiscusroad-daemon/src/logs/output.rs
+++ b/hibiscusroad-daemon/src/logs/output.rs
@@ -29,6 +29,7 @@
 
 static LINES: Mutex<Vec<u8>> = Mutex::new(Vec::new());
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static OVER_BUDGET: AtomicU64 = AtomicU64::new(0);
 static DROPPED_IN_ALL: AtomicU64 = AtomicU64::new(0);
 static ADDED: Notify = Notify::const_new();
 
@@ -59,6 +60,12 @@
     LINES.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Counts a line that the budget has no room for.
+pub(super) fn left_out() {
+    OVER_BUDGET.fetch_add(1, Ordering::Relaxed);
+    DROPPED_IN_ALL.fetch_add(1, Ordering::Relaxed);
+}
+
 /// Returns how many lines were left out so far.
 pub fn dropped() -> u64 {
     DROPPED_IN_ALL.load(Ordering::Relaxed)
@@ -106,5 +113,10 @@
         log::warn!(target: super::PROCESS, lines = dropped;
             "Lines were left out: standard output was not read.");
     }
+    let over = OVER_BUDGET.swap(0, Ordering::Relaxed);
+    if over > 0 {
+        log::warn!(target: super::PROCESS, lines = over;
+            "Lines were left out: more came than the budget of a second holds.");
+    }
     whole
 }
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -172,6 +172,9 @@
     /// `text` or `json`.
     #[serde(default = "default_format")]
     pub format: String,
+    /// Lines that a gateway writes in a second at most.
+    #[serde(default = "default_lines")]
+    pub lines_s: usize,
 }
 
 impl Default for Log {
@@ -179,6 +182,7 @@
         Self {
             level: default_level(),
             format: default_format(),
+            lines_s: default_lines(),
         }
     }
 }
@@ -212,6 +216,11 @@
     "info".to_owned()
 }
 
+/// Half as much again as a process wrote in the busiest second that was measured.
+const fn default_lines() -> usize {
+    200
+}
+
 fn default_format() -> String {
     "text".to_owned()
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -160,6 +160,7 @@
                 Rule::OneOf(&["error", "warn", "info", "debug", "trace"]),
             ),
             optional("format", Rule::OneOf(&["text", "json"])),
+            integer("lines_s", 10, 100_000),
         ],
     },
     Table {
--- a/hibiscusroad-daemon/tests/gateway_process.rs
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -285,3 +285,28 @@
         assert!(told.contains(line), "{line} is not in {told}");
     }
 }
+
+// The audit trail of a gateway: who changed what, from which version to which.
+#[test]
+fn configurations_leases_and_orders_are_told_with_what_was_before() {
+    let (world, _desk, engine) = World::ready("audit", 1);
+    let gateway = &world.gateways[0];
+    world.configure(5, &[]);
+    let named = serde_json::json!({ "model": "guide", "version": 2 });
+    world.store.put("op", "version/guide", &named);
+    until("the engine has loaded", || {
+        (engine.version("guide") == 2).then_some(())
+    });
+    let held = gateway.line("The lease of the weights is held");
+    let order = gateway.line("An order was given");
+    assert_eq!((&held["fence"], &held["from"]), (&1.into(), &"".into()));
+    assert_eq!(order["holder"], held["holder"]);
+    assert_eq!((&order["from"], &order["version"]), (&1.into(), &2.into()));
+    let configured = until("the configuration is told", || {
+        let mut lines = gateway.lines().into_iter();
+        lines.find(|line| line["part"] == "config" && line["version"] == 5)
+    });
+    assert_eq!(configured["from"], 1);
+    let time = configured["time"].as_str();
+    assert!(time.is_some_and(|time| time.ends_with('Z')), "{configured}");
+}
--- a/hibiscusroad-daemon/tests/logs.rs
+++ b/hibiscusroad-daemon/tests/logs.rs
@@ -13,6 +13,7 @@
     let settings = Log {
         level: level.to_owned(),
         format: format.to_owned(),
+        lines_s: 200,
     };
     let (_, logger) = logs::dispatch(&settings).unwrap().chain(tx).into_log();
     for (target, level, text) in records {
@@ -68,6 +69,7 @@
         let log = Log {
             level: level.to_owned(),
             format: format.to_owned(),
+            lines_s: 200,
         };
         logs::dispatch(&log).unwrap_err();
     }
