Tell each answered request with its endpoint, and wait for the right line in a test

broken_rows_leave_what_is_known_in_force failed once (404 for 200): it waited for any line of a configuration in force, found the first one's, and overwrote version 5 with version 3 before the gateway had heard of 5.

Test: an_answered_request_is_told_with_its_endpoint.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -50,6 +50,8 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Received,
+    /// The endpoint that gave it.
+    pub(super) endpoint: Rc<str>,
 }
 
 /// The body of an answer.
@@ -187,7 +189,7 @@
     if let Some((running, queued, slots)) = told {
         line.calls.told(endpoint, running, queued, slots);
     }
-    let done = received(&line, &head, response, channel, flow).await;
+    let done = received(&line, &head, &target, response, channel, flow).await;
     let outcome = match &done {
         Done::Answer(_) => "answered",
         Done::NotRun(_) => "not-run",
@@ -214,6 +216,7 @@
 async fn received(
     line: &Line,
     head: &Head,
+    target: &Target,
     response: Response<Incoming>,
     channel: Channel,
     flow: bool,
@@ -260,6 +263,7 @@
         status,
         headers: parts.headers,
         body: received,
+        endpoint: Rc::clone(&target.id),
     };
     if status.is_server_error() {
         return Done::Failed(ErrorKind::EndpointBroken, Some(answer));
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -11,6 +11,7 @@
     calls::Ticket,
     http::{Rest, Sent, whole as whole_body},
     resume::{Again, resumed},
+    store::millis,
 };
 use crate::logs::CALLS;
 use hibiscusroad::{
@@ -20,7 +21,13 @@
 };
 use http_body_util::Either;
 use hyper::{Response, body::Bytes, header::CONTENT_TYPE};
-use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
+use std::{
+    future::poll_fn,
+    pin::Pin,
+    rc::Rc,
+    task::Poll,
+    time::{Duration, Instant},
+};
 
 /// A request's body, as far as it can be sent again.
 pub(super) enum Content {
@@ -64,11 +71,18 @@
 pub(super) async fn forward(line: &Line, request: Forward) -> Response<Out> {
     let head = Rc::clone(&request.head);
     let again = Again::of(&request);
+    let (start, service) = (Instant::now(), request.service.clone());
     match ended(line, request).await {
-        Ended::Answer(answer, more) => respond(line, &head, *answer, more, again),
+        Ended::Answer(answer, more) => {
+            log::info!(target: CALLS, id = head.id.as_str(), service = service.as_str(),
+                endpoint = &*answer.endpoint, status = answer.status.as_u16(),
+                streams = more.is_some(), took_ms = millis(start.elapsed());
+                "A request is answered.");
+            respond(line, &head, *answer, more, again)
+        }
         Ended::Refused(kind, after) => {
             log::info!(target: CALLS, id = head.id.as_str(), kind = kind.answer().problem,
-                after_ms = super::store::millis(after); "A request is refused.");
+                after_ms = millis(after); "A request is refused.");
             problem(kind, after)
         }
     }
--- a/hibiscusroad-daemon/tests/gateway_process.rs
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -178,7 +178,10 @@
     assert_eq!(gateway.call("POST", "/desk/x", "s-1", b"").status, 200);
     // An older version that comes late changes nothing.
     world.configure(5, &[]);
-    gateway.line("A configuration is in force");
+    until("version 5 is in force", || {
+        let mut lines = gateway.lines().into_iter();
+        lines.find(|line| line["part"] == "config" && line["version"] == 5)
+    });
     world.store.put(
         "op",
         "config",
@@ -310,3 +313,22 @@
     let time = configured["time"].as_str();
     assert!(time.is_some_and(|time| time.ends_with('Z')), "{configured}");
 }
+
+// A request that went well leaves a line as well: on-call engineers see which
+// endpoint answered it, and how long that took.
+#[test]
+fn an_answered_request_is_told_with_its_endpoint() {
+    let (world, _desk, _engine) = World::ready("answered", 1);
+    let gateway = &world.gateways[0];
+    assert_eq!(gateway.call("POST", "/desk/x", "good-1", b"").status, 200);
+    let line = until("the answer is told", || {
+        let mut lines = gateway.lines().into_iter();
+        lines.find(|line| line["text"] == "A request is answered." && line["id"] == "good-1")
+    });
+    assert_eq!(
+        (&line["endpoint"], &line["status"]),
+        (&"i-desk".into(), &200.into())
+    );
+    assert_eq!(line["service"], "hut-desk");
+    assert!(line["took_ms"].as_u64().is_some());
+}
