Take a used-up rate of the store for what it is, not for being turned away

By reading: the store refuses calls of everybody when its rate is used up, each such refusal counted as being turned away, sent the call on to peers and began all waits anew, which used up the rate all the more.

Change: such refusals count only after a second without any answer. Test: a_rate_that_is_used_up_turns_nobody_away.

--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -295,7 +295,13 @@
         let answer = timeout(limit, self.exchange(request)).await;
         let answer = answer.unwrap_or_else(|_elapsed| Err(Failure::Lost("time is over".into())));
         let answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
-        let changed = self.reach.borrow_mut().straight(Instant::now(), answered);
+        let now = Instant::now();
+        let mut reach = self.reach.borrow_mut();
+        let changed = match &answer {
+            Ok((429, _)) => reach.busy(now),
+            _ => reach.straight(now, answered),
+        };
+        drop(reach);
         if changed && answered {
             log::info!(target: STORE, address = self.address.get().to_string().as_str();
                 "The store is reached straight again.");
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -617,6 +617,12 @@
     };
     let long = "item-1-1-1";
     name(&world, 2);
+    // The other gateway may hold the duty: by how much a step lags is told by what the
+    // one that accepts it has heard.
+    until("the version is heard", || {
+        let mut lines = world.gateways[0].lines().into_iter();
+        lines.find(|line| line["text"] == "A weight version was named." && line["version"] == 2)
+    });
     engine.work(Duration::from_millis(40));
     engine.events_of(long, 250);
     let mut step = submission(1, 1, 2, 2);
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -27,6 +27,11 @@
 /// Pause before a peer that didn't answer is asked again: its process is gone,
 /// or the way there.
 const GONE: Duration = Duration::from_secs(5);
+/// A store whose rate is used up refuses single calls of everybody. Only a process
+/// that got no answer at all for so long is taken to be turned away: otherwise each
+/// refusal would bring calls to peers and waits begun anew, which use up the rate
+/// all the more; 140 processes that start together stayed in that for minutes.
+const BUSY: Duration = Duration::from_secs(1);
 /// So many peers in a row that can't help mean that the store is away for all.
 const VAIN: u32 = 3;
 /// For how long no peer is asked then. A store that comes back is noticed by
@@ -72,6 +77,8 @@
     good: Option<SocketAddr>,
     /// Since when the straight way fails.
     away: Option<Instant>,
+    /// Since when the store has refused calls for its rate alone.
+    busy: Option<Instant>,
     /// Peers in a row that could not help.
     vain: u32,
     /// No peer is asked before.
@@ -131,10 +138,18 @@
         good.or_else(drawn).map_or(Way::Straight, Way::Peer)
     }
 
+    /// Notes that the store refused a call because its rate is used up; `true` if
+    /// the straight way counts as failing from now on.
+    pub fn busy(&mut self, now: Instant) -> bool {
+        let since = *self.busy.get_or_insert(now);
+        now.saturating_duration_since(since) > BUSY && self.straight(now, false)
+    }
+
     /// Notes how a call on the straight way went; `true` if that changed it.
     pub fn straight(&mut self, now: Instant, answered: bool) -> bool {
         let was = self.away.is_some();
         if answered {
+            self.busy = None;
             self.away = None;
             self.vain = 0;
             self.quiet = None;
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -91,3 +91,23 @@
     assert_eq!(pause(700), Duration::from_millis(700));
     assert_eq!(pause(60_000), Duration::from_millis(1_500));
 }
+
+// The store's rate is used up, and it refuses a call now and then. Calls that go to
+// peers, and waits that begin anew, would use up the rate all the more. A process that
+// gets no answer at all for longer is turned away after all.
+#[test]
+fn a_rate_that_is_used_up_turns_nobody_away() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut reach = Reach::new();
+    reach.set_peers([peer(1)]);
+    for n in 0..20 {
+        assert!(!reach.busy(at(n * 400)));
+        assert!(!reach.straight(at(n * 400 + 200), true));
+        assert_eq!(reach.way(at(n * 400 + 200), 0), Way::Straight);
+    }
+    assert!(!reach.busy(at(9_000)));
+    assert!(!reach.busy(at(9_900)));
+    assert!(reach.busy(at(10_100)), "no answer for over a second");
+    assert_eq!(reach.way(at(10_100), 0), Way::Peer(peer(1)));
+}
