Take the weights' duty by signs of life, and write orders down first

Change: a holder writes down which engines it is about to order, on the condition of the lease's row, and sends nothing that isn't written down.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -36,6 +36,7 @@
         Submission,
         batch::Batch,
         engines::{EngineKey, Engines},
+        presence::{Loss, Presences},
         row::Head,
     },
     roster::News,
@@ -87,8 +88,14 @@
     owners: Notify,
     /// A batch is known or run here that wasn't before, or has changed.
     arrived: Notify,
-    /// This process has got a batch.
+    /// This process has got a batch, or a duty.
     owning: Notify,
+    /// It holds the duty of the weights, and must be seen to live.
+    duty: Cell<bool>,
+    /// What this process saw of the others.
+    seen: RefCell<Presences>,
+    /// The others were looked at.
+    looked: Notify,
     /// No batch is accepted or taken over any more.
     leaving: Cell<bool>,
 }
@@ -172,6 +179,9 @@
             owners: Notify::new(),
             arrived: Notify::new(),
             owning: Notify::new(),
+            duty: Cell::new(false),
+            seen: RefCell::new(Presences::new()),
+            looked: Notify::new(),
             leaving: Cell::new(false),
         }
     }
@@ -207,6 +217,26 @@
         &self.directory
     }
 
+    /// Notes whether this process holds the duty of the weights.
+    pub(super) fn set_duty(&self, held: bool) {
+        if self.duty.replace(held) != held {
+            self.owning.notify_one();
+        }
+    }
+
+    /// Waits until the other processes were looked at.
+    pub(super) async fn next_look(&self) {
+        self.looked.notified().await;
+    }
+
+    /// Says why another process is taken to be gone, if it is, and how many there
+    /// are. It is known here since `since`.
+    pub(super) fn lost(&self, life: &str, since: Instant) -> Option<(Loss, usize)> {
+        let seen = self.seen.borrow();
+        let why = seen.lost(Instant::now(), life, since)?;
+        Some((why, seen.count()))
+    }
+
     /// Returns how many batches run here.
     pub(super) fn running(&self) -> usize {
         self.mine.borrow().len()
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -9,7 +9,7 @@
     rollout::{
         Submission,
         batch::Batch,
-        presence::{Loss, Presences, RENEWAL, Sign},
+        presence::{Loss, RENEWAL, Sign},
         row::{self, Head, Presence},
         text::{Piece, Text},
     },
@@ -84,7 +84,7 @@
             backoff.reset();
             loop {
                 sleep(RENEWAL).await;
-                if !self.mine.borrow().is_empty() {
+                if self.duty.get() || !self.mine.borrow().is_empty() {
                     break;
                 }
                 self.owning.notified().await;
@@ -94,29 +94,29 @@
 
     /// Takes over batches whose owners are gone.
     pub(in crate::gateway) async fn watch(self: Rc<Self>) {
-        let mut seen = Presences::new();
         loop {
             let foreign = self.foreign();
             if foreign.is_empty() || self.leaving.get() {
                 self.owners.notified().await;
                 continue;
             }
-            match self.look(&mut seen).await {
+            match self.look().await {
                 Ok(()) => {
                     let now = Instant::now();
                     for (id, row) in foreign {
-                        if let Some(why) = seen.lost(now, &row.head.owner, row.since) {
+                        let why = self.seen.borrow().lost(now, &row.head.owner, row.since);
+                        if let Some(why) = why {
                             self.take_over(&id, &row, why).await;
                         }
                     }
                 }
                 Err(error) => {
-                    seen.blind();
+                    self.seen.borrow_mut().blind();
                     log::debug!(target: BATCHES, error = error.as_str();
                         "Owners of batches could not be looked at.");
                 }
             }
-            let share = seen.count().div_ceil(WATCHERS).max(1);
+            let share = self.seen.borrow().count().div_ceil(WATCHERS).max(1);
             sleep(RENEWAL * u32::try_from(share).unwrap_or(1)).await;
         }
     }
@@ -130,14 +130,16 @@
         foreign.map(|(id, row)| (id.clone(), row.clone())).collect()
     }
 
-    async fn look(&self, seen: &mut Presences) -> Result<(), String> {
+    async fn look(&self) -> Result<(), String> {
         let start = Instant::now();
         let page = self.store.read_whole(&Range::part(row::ENTRIES, "")).await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
         self.store.set_peers(self.directory.peers(&page.rows));
         let signs = page.rows.iter().filter_map(sign).collect();
-        seen.seen(now, now.saturating_duration_since(start), signs);
+        let latency = now.saturating_duration_since(start);
+        self.seen.borrow_mut().seen(now, latency, signs);
+        self.looked.notify_waiters();
         Ok(())
     }
 
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -0,0 +1,139 @@
+//! What is loaded next.
+
+use super::{DUTIES, DUTY, TURNS, Weights};
+use crate::logs::WEIGHTS;
+use hibiscusroad::{
+    rollout::{
+        turns::VALID,
+        wave::{Goal, Load, Loader, plan},
+    },
+    roster::Endpoint,
+    table::{Change, Commit, RowId},
+};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{task::spawn_local, time::sleep};
+
+/// A load that isn't seen to end by then is planned anew.
+pub(super) const LONGEST: Duration = Duration::from_secs(8);
+/// Pause before an engine that didn't take an order is asked again.
+pub(super) const AGAIN: Duration = Duration::from_millis(400);
+
+impl Weights {
+    /// Gives the orders that are due, once they are written down.
+    pub(super) async fn order(self: &Rc<Self>) {
+        let now = self.clock.now();
+        if self.quiet.get().is_some_and(|until| now < until) {
+            return;
+        }
+        let goals = self.goals();
+        let engines = self.engines(now, &goals);
+        let at_once = self.pace.borrow().at_once(engines.len());
+        let busy = engines.iter().filter(|engine| engine.busy).count();
+        let loads = plan(&engines, &goals, at_once);
+        let at_once = busy + loads.len();
+        if loads.is_empty() || !self.write_turns(now, &loads).await {
+            return;
+        }
+        for load in loads {
+            let until = now + LONGEST;
+            self.loading
+                .borrow_mut()
+                .insert(load.endpoint.clone(), until);
+            spawn_local(Rc::clone(self).load(load, at_once, now + VALID));
+        }
+    }
+
+    /// Writes down which engines are about to be ordered; `false` if nothing may be
+    /// sent, since the lease isn't known to be this process's any more.
+    async fn write_turns(&self, now: Instant, loads: &[Load]) -> bool {
+        let Some((version, store)) = self.lease.borrow().version(now).zip(self.store.now()) else {
+            return false;
+        };
+        let mut turns = self.turns.borrow().clone();
+        turns.expire(store, self.apart());
+        for load in loads {
+            turns.note(&load.endpoint, &self.life, store);
+        }
+        let value = serde_json::to_vec(&turns).unwrap_or_default();
+        let change = Change::new()
+            .expect(RowId::new(DUTIES, "", DUTY), version)
+            .put(RowId::new(DUTIES, "", TURNS), value);
+        match self.store.transact(&change).await {
+            Commit::Done { .. } => {
+                self.turns.replace(turns);
+                true
+            }
+            Commit::Conflict(_) => {
+                log::info!(target: WEIGHTS, row = version;
+                    "No order is given: the lease is no longer held here.");
+                self.lease.borrow_mut().beaten();
+                false
+            }
+            done @ (Commit::Refused | Commit::Unknown) => {
+                log::info!(target: WEIGHTS, done:? = done;
+                    "No order is given: it could not be written down.");
+                sleep(AGAIN).await;
+                self.changed.notify_one();
+                false
+            }
+        }
+    }
+
+    /// Returns by how much orders of two holders to one engine have to be apart.
+    const fn apart(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
+    fn goals(&self) -> Vec<Goal> {
+        let needs = self.batches.needs();
+        let goals = self.known.named().into_iter().map(|(model, named)| {
+            let need = needs.get(&model);
+            Goal {
+                named,
+                lag: need.map_or(0, |head| head.lag),
+                work: need.map_or(0, |head| head.work) as f64,
+                priority: need.map_or(0, |head| head.priority),
+                model,
+            }
+        });
+        goals.collect()
+    }
+
+    fn engines(&self, now: Instant, goals: &[Goal]) -> Vec<Loader> {
+        let Some(catalog) = self.known.catalog() else {
+            return Vec::new();
+        };
+        let wanted = |models: &[String]| goals.iter().any(|g| models.contains(&g.model));
+        let services = catalog.services().filter(|service| {
+            let engine = service.engine.as_ref();
+            engine.is_some_and(|engine| wanted(&engine.models))
+        });
+        let endpoints = services.flat_map(|service| self.members.of(&service.name));
+        let open = endpoints.filter(|endpoint| !endpoint.leaving);
+        open.map(|endpoint| self.loader(now, endpoint)).collect()
+    }
+
+    fn loader(&self, now: Instant, endpoint: Endpoint) -> Loader {
+        let seen = self.seen.borrow();
+        let weights = endpoint.weights.into_iter().map(|weights| {
+            let key = (endpoint.id.clone(), weights.model.clone());
+            let seen = seen.get(&key).copied().unwrap_or(0);
+            (weights.model, weights.version.max(seen))
+        });
+        let weights = weights.collect();
+        let until = self.loading.borrow().get(&endpoint.id).copied();
+        let turns = self.turns.borrow();
+        let barred = turns.barred(&endpoint.id, &self.life, self.apart());
+        let store = self.store.now().unwrap_or_default();
+        Loader {
+            weights,
+            barred: barred.is_some_and(|until| store < until),
+            busy: until.is_some_and(|until| now < until),
+            load: self.batches.running_at(&endpoint.id),
+            id: endpoint.id,
+        }
+    }
+}
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -3,10 +3,13 @@
 mod gateway_world;
 
 use gateway_world::{Answer, World, submission, until};
-use hibiscusroad_standins::direct::{Endpoint, Faults, Manner};
+use hibiscusroad_standins::direct::{Endpoint, Faults, Manner, Store};
 use rustix::process::Signal;
 use serde_json::Value;
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 fn submit(world: &World, n: usize, id: &str, body: &Value) -> Answer {
     world.gateways[n].call("POST", "/lm/step", id, body.to_string().as_bytes())
@@ -341,6 +344,34 @@
     assert!(holders[0].1 < holders[1].1, "{holders:?}");
 }
 
+// Steps of another trainer's batch wait for weights when the holder of the duty is
+// killed. The others know from its signs of life that it is gone, and one of them
+// has the new version loaded in less time than the lease alone would last; the
+// engine was left in peace for long, so nobody's order can cross.
+#[test]
+fn killed_holder_is_followed_within_its_lease() {
+    let (mut world, [_desk, engine]) = with_settings("follow", 2, "lease_ms = 4000\n");
+    let name = |store: &Store, version: u64| {
+        let named = serde_json::json!({ "model": "guide", "version": version });
+        store.put("op", "version/guide", &named);
+        until("the engine has it", || {
+            (engine.version("guide") == version).then_some(())
+        });
+    };
+    name(&world.store, 2);
+    std::thread::sleep(Duration::from_secs(5));
+    let holder = engine.holders()[0].0.clone();
+    let n = usize::from(!holder.starts_with("gateway-1"));
+    assert_eq!(submit(&world, n, "b1", &submission(3, 3, 1, 2)).status, 202);
+    std::thread::sleep(Duration::from_millis(600));
+    world.gateways[n].kill();
+    let killed = Instant::now();
+    name(&world.store, 3);
+    let took = killed.elapsed();
+    assert!(took < Duration::from_millis(3_500), "{took:?}");
+    assert_eq!(results(&world, 1 - n, "b1", 2).len(), 2);
+}
+
 // The store answers slowly, so that an owner's renewals come late to everybody
 // else. The owner lives: nobody takes its batch, or items would run twice and
 // each change of owner would cost the step seconds.
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -231,10 +231,15 @@
     store: SocketAddr,
     more: &str,
 ) -> String {
+    let lease = if more.contains("lease_ms") {
+        ""
+    } else {
+        "lease_ms = 1500\n"
+    };
     format!(
         "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
          [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\n\
-         store = \"{store}\"\nlease_ms = 1500\nfences = true\n{more}\n[stop]\ndeadline_s = 4\n"
+         store = \"{store}\"\n{lease}fences = true\n{more}\n[stop]\ndeadline_s = 4\n"
     )
 }
 
--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -71,6 +71,8 @@
     state: State,
     read: Option<Instant>,
     sent: Option<Sent>,
+    /// A holder that is taken to be gone before its time is over.
+    suspect: Option<String>,
     giving: bool,
 }
 
@@ -87,10 +89,37 @@
             state: State::Blank,
             read: None,
             sent: None,
+            suspect: None,
             giving: false,
         }
     }
 
+    /// Returns the holder that the row named last, if it is another one.
+    #[must_use]
+    pub fn other(&self) -> Option<&str> {
+        match &self.state {
+            State::Watching { row, .. } if row.holder != self.name => Some(&row.holder),
+            _ => None,
+        }
+    }
+
+    /// Returns the version of the row that this process wrote last, while it holds
+    /// the duty at `now`: the condition for writes that only a holder may do.
+    #[must_use]
+    pub fn version(&self, now: Instant) -> Option<u64> {
+        match &self.state {
+            State::Held { version, .. } if self.fence(now).is_some() => Some(*version),
+            _ => None,
+        }
+    }
+
+    /// Takes a holder to be gone, so that its duty may be taken before its time is
+    /// over. It may live and still believe that it holds the duty: only for duties
+    /// of which each act is written under the condition of the row's version.
+    pub fn suspect(&mut self, holder: &str) {
+        self.suspect = Some(holder.to_owned());
+    }
+
     /// Returns the fencing number while this process holds the duty.
     #[must_use]
     pub fn fence(&self, now: Instant) -> Option<u64> {
@@ -131,7 +160,8 @@
                 // has taken the duty since, and there is nobody to wait for. Without
                 // this nobody would hold it for a span after each outage.
                 let own = row.holder == self.name;
-                let over = own || now >= *since + self.terms.span;
+                let gone = self.suspect.as_deref() == Some(&row.holder);
+                let over = own || gone || now >= *since + self.terms.span;
                 if !self.giving && over && self.fresh(now) {
                     Next::Write {
                         version: *version,
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -9,6 +9,7 @@
 //! * [`wave`]: which engine loads which weights next.
 //! * [`pace`]: how fast engines are, as owners tell each other.
 //! * [`presence`]: whether the owner of a batch still lives.
+//! * [`turns`]: which engines were ordered lately, when the duty changes hands.
 //! * [`text`]: an item's text as it grows, and the parts of it that are kept.
 //! * [`row`]: what the store keeps of a batch, and under which conditions.
 //!
@@ -28,6 +29,7 @@
 pub mod row;
 mod spec;
 pub mod text;
+pub mod turns;
 pub mod wave;
 
 pub use self::spec::{Item, ItemResult, Order, OrderAnswer, Outcome, Scorer, Submission};
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -64,6 +64,8 @@
     rows: HashMap<String, Row>,
     /// How long the store took for the last look.
     latency: Duration,
+    /// When that was answered.
+    looked: Option<Instant>,
 }
 
 impl Presences {
@@ -82,6 +84,7 @@
     /// Takes in a look that the store answered at `now`, after `latency`.
     pub fn seen(&mut self, now: Instant, latency: Duration, signs: Vec<Sign>) {
         self.latency = latency;
+        self.looked = Some(now);
         let there: HashSet<&str> = signs.iter().map(|sign| sign.name.as_str()).collect();
         self.rows.retain(|name, _| there.contains(name.as_str()));
         for sign in signs {
@@ -115,7 +118,9 @@
         if row.life != owner {
             return Some(Loss::LivesAnew);
         }
-        let still = now.saturating_duration_since(row.since.max(since));
+        // Time behind the last look is not seen: nobody may look for a while.
+        let seen = self.looked.unwrap_or(now);
+        let still = seen.saturating_duration_since(row.since.max(since));
         (still > SILENCE + self.latency * LATENCIES).then_some(Loss::Silent)
     }
 }
--- a/src/rollout/wave.rs
+++ b/src/rollout/wave.rs
@@ -48,6 +48,8 @@
     pub weights: HashMap<String, u64>,
     /// Whether an order is in progress there.
     pub busy: bool,
+    /// Whether it is to be left alone for now, though no order is in progress.
+    pub barred: bool,
     /// Requests that run there, as far as known.
     pub load: u32,
 }
@@ -110,7 +112,8 @@
     }
     wanted.sort_by(Wanted::cmp_urgency);
     let mut taken = HashSet::new();
-    let free = wanted.into_iter().filter(|load| !engines[load.engine].busy);
+    let open = |load: &Wanted<'_>| !engines[load.engine].busy && !engines[load.engine].barred;
+    let free = wanted.into_iter().filter(open);
     free.filter(|load| taken.insert(load.engine))
         .take(at_once.saturating_sub(busy))
         .map(|load| Load {
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -150,6 +150,7 @@
         id: format!("e{n}"),
         weights: weights.iter().map(|(m, v)| ((*m).to_owned(), *v)).collect(),
         busy: false,
+        barred: false,
         load: 0,
     });
     engines.collect()
