--- a/hibiscusroad-cli/src/args.rs
+++ b/hibiscusroad-cli/src/args.rs
@@ -31,6 +31,8 @@
        hibiscusroad [OPTIONS] -f FILE
        hibiscusroad [OPTIONS]            (a prompt, if a terminal is there)
        hibiscusroad trace ID [LOG...]    (logs of gateways; - or none: standard input)
+       hibiscusroad trace --steps [LOG...]
+                                         (what the steps of trainers waited for)
 
   --entry IP:PORT    an entry's port for operators; several are tried in turn
   --token-file FILE  a file that holds the token
@@ -68,6 +70,13 @@
         /// The logs; standard input, if there is none.
         logs: Vec<PathBuf>,
     },
+    /// Tell what the steps of trainers waited for.
+    Steps {
+        /// The logs; standard input, if there is none.
+        logs: Vec<PathBuf>,
+        /// How the table is printed.
+        format: Format,
+    },
     /// Run statements.
     Run(Box<Options>),
 }
@@ -175,6 +184,7 @@
     words: Vec<String>,
     file: Option<PathBuf>,
     options: Options,
+    steps: bool,
 }
 
 /// Reads the command line, with `env` to look up environment variables.
@@ -195,6 +205,7 @@
             Long("entry") => flags.entries.push(parser.value()?.string()?),
             Long("token-file") => flags.token_file = Some(parser.value()?.into()),
             Long("format") => flags.format = Some(parser.value()?.string()?),
+            Long("steps") => flags.steps = true,
             Long("dry-run") => flags.options.dry = true,
             Long("force") => flags.options.force = true,
             Long("base") => flags.options.base = Some(parser.value()?.parse()?),
@@ -206,13 +217,20 @@
         }
     }
     if flags.words.first().is_some_and(|word| word == "trace") {
-        return trace(flags.words);
+        return trace(flags);
     }
     resolve(flags, env).map(|options| Job::Run(Box::new(options)))
 }
 
-fn trace(words: Vec<String>) -> Result<Job, Error> {
-    let mut words = words.into_iter().skip(1);
+fn trace(flags: Flags) -> Result<Job, Error> {
+    let mut words = flags.words.into_iter().skip(1);
+    if flags.steps {
+        let format = flags.format.unwrap_or_else(|| "table".to_owned());
+        return Ok(Job::Steps {
+            logs: words.map(PathBuf::from).collect(),
+            format: format.parse()?,
+        });
+    }
     let id = words.next().ok_or(Error::NoId)?;
     let logs = words.map(PathBuf::from).collect();
     Ok(Job::Trace { id, logs })
--- a/hibiscusroad-cli/src/main.rs
+++ b/hibiscusroad-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 use hibiscusroad_cli::{
     args::{self, HELP, Job, Options, Source},
+    format::{self, Format},
     language::{self, Statement},
     session::{Exit, Session},
     trace::Logs,
@@ -21,6 +22,7 @@
         Ok(Job::Help) => print(HELP),
         Ok(Job::Version) => print(&format!("hibiscusroad {}", env!("CARGO_PKG_VERSION"))),
         Ok(Job::Trace { id, logs }) => trace(&id, &logs),
+        Ok(Job::Steps { logs, format }) => steps(&logs, format),
         Ok(Job::Run(options)) => run(*options),
         Err(error) => usage(&error.to_string()),
     };
@@ -46,27 +48,41 @@
 }
 
 fn trace(id: &str, files: &[PathBuf]) -> io::Result<Exit> {
+    let logs = match logs(files) {
+        Ok(logs) => logs,
+        Err(error) => return usage(&error),
+    };
+    let Some(story) = logs.story(id) else {
+        writeln!(io::stderr(), "no line names {id}")?;
+        return Ok(Exit::Refused);
+    };
+    write!(io::stdout(), "{story}")?;
+    Ok(Exit::Done)
+}
+
+fn steps(files: &[PathBuf], format: Format) -> io::Result<Exit> {
+    let logs = match logs(files) {
+        Ok(logs) => logs,
+        Err(error) => return usage(&error),
+    };
+    format::write(&mut io::stdout(), format, &logs.steps())?;
+    Ok(Exit::Done)
+}
+
+/// Reads logs; the error says which file can't be read.
+fn logs(files: &[PathBuf]) -> Result<Logs, String> {
     let input = [PathBuf::from("-")];
     let files = if files.is_empty() { &input } else { files };
     let mut logs = Logs::new();
     for file in files {
-        match read(file) {
-            Ok(text) => {
-                let name = file.file_stem().unwrap_or_default();
-                logs.add(&name.to_string_lossy(), &text);
-            }
-            Err(error) => return usage(&format!("{}: {error}", file.display())),
-        }
+        let text = read(file).map_err(|error| format!("{}: {error}", file.display()))?;
+        let name = file.file_stem().unwrap_or_default();
+        logs.add(&name.to_string_lossy(), &text);
     }
     if logs.odd() > 0 {
-        writeln!(io::stderr(), "{} lines are no log lines", logs.odd())?;
+        eprintln!("{} lines are no log lines", logs.odd());
     }
-    let Some(story) = logs.story(id) else {
-        writeln!(io::stderr(), "no line names {id}")?;
-        return Ok(Exit::Refused);
-    };
-    write!(io::stdout(), "{story}")?;
-    Ok(Exit::Done)
+    Ok(logs)
 }
 
 fn run(options: Options) -> io::Result<Exit> {
--- a/hibiscusroad-cli/src/trace/mod.rs
+++ b/hibiscusroad-cli/src/trace/mod.rs
@@ -7,6 +7,10 @@
 //! write to the store, which all processes hear of within milliseconds. They
 //! show by how much each clock is off, and each process's lines are moved by
 //! that much.
+//!
+//! [`steps`] tells what the steps of trainers waited for.
+
+mod steps;
 
 use serde_json::{Map, Value};
 use std::{
@@ -83,12 +87,13 @@
     /// Adds a log; `name` stands for its process until a line names it.
     pub fn add(&mut self, name: &str, text: &str) {
         let mut process = name.to_owned();
-        for line in text.lines().filter(|line| !line.trim().is_empty()) {
-            let Some((at, fields)) = parse(line) else {
+        for text in text.lines().filter(|line| !line.trim().is_empty()) {
+            let Some((at, fields)) = parse(text) else {
                 self.odd += 1;
                 continue;
             };
-            let line = Line {
+            let named = gathered(text).map(str::to_owned);
+            let mut line = Line {
                 process: process.clone(),
                 at,
                 fields,
@@ -96,10 +101,8 @@
             if let Some((started, _)) = line.text("text").split_once(" starts as ") {
                 started.clone_into(&mut process);
             }
-            self.lines.push(Line {
-                process: process.clone(),
-                ..line
-            });
+            line.process = named.unwrap_or_else(|| process.clone());
+            self.lines.push(line);
         }
     }
 
@@ -177,6 +180,14 @@
     }
 }
 
+/// Returns the process that whoever gathered the logs of several wrote before a
+/// line: the word right before it.
+fn gathered(line: &str) -> Option<&str> {
+    let (before, _) = line.split_once('{')?;
+    let word = before.split_whitespace().next_back()?;
+    (!word.ends_with(':')).then_some(word)
+}
+
 fn parse(line: &str) -> Option<(f64, Map<String, Value>)> {
     // What stands before the brace was put there by whoever gathered the logs.
     let line = &line[line.find('{')?..];
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -4,13 +4,15 @@
 //! its trainer waits for it, and the next step can't be asked for before it is
 //! done.
 
-use super::{Batches, Owned};
+use super::{Batches, Owned, generate::Start};
 use crate::{gateway::calls::drawn_service, logs::BATCHES};
 use hibiscusroad::{
     catalog::{Kind, Route},
     rollout::{
         batch::Break,
         engines::{EngineKey, Want},
+        urgency,
+        waits::Lack,
     },
     roster::Endpoint,
 };
@@ -100,8 +102,11 @@
             let Some(n) = next else { return };
             self.drop_lost(owned, &route, n);
             let Some(key) = self.choose(now, owned, &route, n, None) else {
+                let lack = self.lack(owned, &route, n);
+                owned.batch.borrow_mut().lacks(now, lack);
                 return;
             };
+            owned.batch.borrow_mut().lacks(now, None);
             self.start(now, owned, &route, n, key);
         }
     }
@@ -132,24 +137,32 @@
         n: usize,
         not: Option<EngineKey>,
     ) -> Option<EngineKey> {
-        let service = drawn_service(route)?;
+        let want = Want {
+            not: not.or_else(|| owned.avoid.borrow().get(&n).copied()),
+            ..self.want(owned, route, n)?
+        };
+        self.engines.borrow().choose(now, &want)
+    }
+
+    /// Says what an item lacks that can't start now.
+    fn lack(&self, owned: &Owned, route: &Route, n: usize) -> Option<Lack> {
+        let want = self.want(owned, route, n)?;
+        Some(self.engines.borrow().lack(&want))
+    }
+
+    /// Returns what an item needs of its engine.
+    fn want<'a>(&self, owned: &'a Owned, route: &'a Route, n: usize) -> Option<Want<'a>> {
         let submission = &owned.submission;
-        let model = submission.model.as_deref();
-        let engines = self.engines.borrow();
-        let pinned = owned.batch.borrow().pinned(n);
-        let group = &submission.items[n].group;
-        engines.choose(
-            now,
-            &Want {
-                service,
-                model,
-                floor: submission.floor,
-                exact: pinned,
-                group,
-                near: owned.near.borrow().get(group).copied(),
-                not: not.or_else(|| owned.avoid.borrow().get(&n).copied()),
-            },
-        )
+        let group = submission.items[n].group.as_str();
+        Some(Want {
+            service: drawn_service(route)?,
+            model: submission.model.as_deref(),
+            floor: submission.floor,
+            exact: owned.batch.borrow().pinned(n),
+            group,
+            near: owned.near.borrow().get(group).copied(),
+            not: None,
+        })
     }
 
     /// Returns the entry of an engine.
@@ -169,18 +182,13 @@
         floor: u64,
     ) -> Option<EngineKey> {
         let engines = self.engines.borrow();
-        let found = engines.choose(
-            now,
-            &Want {
-                service: drawn_service(route)?,
-                model: owned.submission.model.as_deref(),
-                floor,
-                exact: None,
-                group: &owned.submission.items[n].group,
-                near: None,
-                not: None,
-            },
-        );
+        let want = Want {
+            floor,
+            exact: None,
+            near: None,
+            ..self.want(owned, route, n)?
+        };
+        let found = engines.choose(now, &want);
         found.filter(|key| engines.is_idle(now, *key))
     }
 
@@ -201,15 +209,21 @@
         owned.near.borrow_mut().insert(group, key);
         owned.avoid.borrow_mut().remove(&n);
         let exact = owned.batch.borrow().pinned(n);
+        let waited = owned.batch.borrow().waited(now, n);
         let before = owned.batch.borrow_mut().start(n);
-        let (batches, route) = (Rc::clone(self), route.clone());
+        let priority = self.rank(now, owned, route, &endpoint.service, n);
+        let start = Start {
+            n,
+            seat,
+            endpoint,
+            priority,
+            exact,
+            waited,
+            before,
+        };
         let run = {
-            let owned = Rc::clone(owned);
-            async move {
-                batches
-                    .item(&owned, &route, n, seat, endpoint, before, exact)
-                    .await;
-            }
+            let (batches, owned) = (Rc::clone(self), Rc::clone(owned));
+            async move { batches.item(&owned, start).await }
         };
         let task = spawn_local(run);
         let mut tasks = owned.tasks.borrow_mut();
@@ -217,6 +231,21 @@
         tasks.push(task);
     }
 
+    /// Returns the rank of an item at its engine.
+    fn rank(&self, now: Instant, owned: &Owned, route: &Route, service: &str, n: usize) -> u8 {
+        let item = &owned.submission.items[n];
+        let hint = item.hint.unwrap_or(0).min(item.tokens);
+        let last = owned.batch.borrow().last(n).unwrap_or(0);
+        let expected = self.engines.borrow().expected(service, hint, last);
+        let left = owned.due.saturating_duration_since(now);
+        urgency::rank(
+            route.priority,
+            route.due.unwrap_or_default(),
+            left,
+            expected,
+        )
+    }
+
     /// Notes that a run broke off, for the item and for the engine.
     pub(super) fn broke(
         &self,
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -17,8 +17,7 @@
     logs::BATCHES,
 };
 use hibiscusroad::{
-    catalog::Route,
-    rollout::{Item, batch::Break, engines::EngineKey},
+    rollout::{Item, batch::Break, engines::EngineKey, waits::Waited},
     roster::Endpoint,
 };
 use hibiscusroad_platform::{
@@ -32,6 +31,7 @@
     header::HeaderName,
 };
 use std::{
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -55,6 +55,11 @@
 /// The least gap that counts as a stall: queues and quotas on the way make gaps
 /// of a tenth of a second.
 const LEAST_STALL: Duration = Duration::from_millis(160);
+/// A run without a first event after so many usual gaps waits in a queue: reading
+/// its prompt takes less than one.
+const QUEUED: f64 = 3.0;
+/// The least wait that counts as queueing.
+const LEAST_QUEUED: Duration = Duration::from_millis(100);
 /// While an engine stalls, others are looked at again so often.
 const STALL_LOOK: Duration = Duration::from_millis(60);
 /// Events after which the pace of a run is looked at, and again each time.
@@ -83,25 +88,38 @@
     last: Instant,
 }
 
+/// An item that is to run.
+pub(super) struct Start {
+    pub(super) n: usize,
+    pub(super) seat: Seat,
+    pub(super) endpoint: Endpoint,
+    /// The rank of its route.
+    pub(super) priority: u8,
+    /// The last event of its text, which it goes on behind.
+    pub(super) before: Option<u64>,
+    /// The only weight version that will do.
+    pub(super) exact: Option<u64>,
+    /// For how long it has waited, and of that for what.
+    pub(super) waited: (Duration, Waited),
+}
+
 impl Batches {
     /// Runs an item at an engine, and then its scorer.
-    #[expect(clippy::too_many_arguments, reason = "one run, started in one place")]
-    pub(super) async fn item(
-        self: &Rc<Self>,
-        owned: &Rc<Owned>,
-        route: &Route,
-        n: usize,
-        seat: Seat,
-        endpoint: Endpoint,
-        before: Option<u64>,
-        exact: Option<u64>,
-    ) {
+    pub(super) async fn item(self: &Rc<Self>, owned: &Rc<Owned>, start: Start) {
+        let Start {
+            n,
+            seat,
+            endpoint,
+            priority,
+            before,
+            exact,
+            waited: (waited, lacked),
+        } = start;
         let item = &owned.submission.items[n];
         let start = Instant::now();
         let mut run = Run::new(self, owned, &endpoint.service, n, seat.key);
         let deadline = owned.expires.unwrap_or(start + LONGEST);
-        let priority = route.priority.min(LOWEST);
-        let ended = match item_head(item, owned, priority, deadline, before, exact) {
+        let ended = match item_head(item, owned, priority.min(LOWEST), deadline, before, exact) {
             Ok(head) => run.generate(&head, &endpoint, &item.body).await,
             Err(error) => {
                 log::error!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
@@ -118,21 +136,24 @@
         if let Err(cause) = ended {
             log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
                 endpoint = endpoint.id.as_str(), cause:? = cause, before:? = before,
-                events = run.events, pace_us = micros(run.pace), took_ms = millis(start.elapsed());
-                "A run of an item broke off.");
+                events = run.events, pace_us = micros(run.pace), took_ms = millis(start.elapsed()),
+                waited_ms = millis(waited), weights_ms = millis(lacked.weights),
+                room_ms = millis(lacked.room); "A run of an item broke off.");
             self.broke(owned, n, seat.key, before, cause);
             return;
         }
         log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
             endpoint = endpoint.id.as_str(), before:? = before, events = run.events,
-            pace_us = micros(run.pace), hint:? = item.hint, took_ms = millis(start.elapsed());
+            pace_us = micros(run.pace), hint:? = item.hint, took_ms = millis(start.elapsed()),
+            waited_ms = millis(waited), weights_ms = millis(lacked.weights),
+            room_ms = millis(lacked.room), group = item.group.as_str();
             "The text of an item is whole.");
         let meters = &self.line.meters;
         meters.runs.with_label_values(&["whole"]).inc();
         meters.run_seconds.observe(start.elapsed().as_secs_f64());
         drop(seat);
         let events = owned.batch.borrow().last(n).unwrap_or(0);
-        self.engines.borrow_mut().whole(events);
+        self.engines.borrow_mut().whole(events, item.hint);
         let whole = owned.batch.borrow_mut().generated(Instant::now(), n);
         if whole {
             self.score(owned, n).await;
@@ -252,17 +273,15 @@
         };
         let request = attempt::request(head, &target, whole(body.to_vec().into()));
         let channels = &self.batches.line.channels;
-        let sent = timeout(HEAD, channels.send(target.address, request)).await;
-        let (response, channel) = match sent {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(fault)) => {
-                log::debug!(target: BATCHES, item = head.id.as_str(),
-                    endpoint = endpoint.id.as_str(), error = fault.to_string().as_str();
-                    "An engine did not answer.");
-                return Err(Break::Lost);
-            }
-            Err(_elapsed) => return Err(Break::Lost),
-        };
+        let sent = self
+            .queue(channels.send(target.address, request), head.id.as_str())
+            .await?;
+        let (response, channel) = sent.map_err(|fault| {
+            log::debug!(target: BATCHES, item = head.id.as_str(),
+                endpoint = endpoint.id.as_str(), error = fault.to_string().as_str();
+                "An engine did not answer.");
+            Break::Lost
+        })?;
         self.accept(head, &response)?;
         let keep = attempt::kept(response.headers());
         self.read(response.into_body()).await?;
@@ -270,6 +289,36 @@
         Ok(())
     }
 
+    /// Waits for the head of an answer, unless the run is better off elsewhere.
+    ///
+    /// Load: several owners fill the same engines and know of each other only what
+    /// answers tell. Harm: an engine that is full puts a run into its queue, where
+    /// one in ten waited for more than 0.6 s and some for 3 s, while others had room.
+    /// A run that waits for longer than a first event takes has met a full engine;
+    /// it leaves as soon as another one has room.
+    async fn queue<T>(&self, sent: impl Future<Output = T>, id: &str) -> Result<T, Break> {
+        let mut sent = pin!(sent);
+        let start = Instant::now();
+        let usual = self.batches.engines.borrow().usual(self.service);
+        let mut wait = Duration::from_secs_f64(usual.unwrap_or(PACE) * QUEUED).max(LEAST_QUEUED);
+        loop {
+            if let Ok(answer) = timeout(wait, &mut sent).await {
+                return Ok(answer);
+            }
+            let now = Instant::now();
+            if now.saturating_duration_since(start) > HEAD {
+                return Err(Break::Lost);
+            }
+            self.batches.engines.borrow_mut().full(now, self.key);
+            if self.elsewhere(now).is_some() {
+                log::debug!(target: BATCHES, item = id,
+                    waited_ms = millis(start.elapsed()); "An item leaves an engine's queue.");
+                return Err(Break::Moved);
+            }
+            wait = STALL_LOOK;
+        }
+    }
+
     /// Understands the head of an engine's answer.
     fn accept(&mut self, head: &Head, response: &Response<Incoming>) -> Result<(), Break> {
         let headers = response.headers();
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -4,7 +4,7 @@
 //! the last write is known. Results that become ready meanwhile go together.
 
 use super::{Batches, Owned};
-use crate::{logs::BATCHES, platform::Backoff};
+use crate::{gateway::store::millis, logs::BATCHES, platform::Backoff};
 use hibiscusroad::{
     rollout::row,
     table::{Change, Commit, Row},
@@ -80,7 +80,8 @@
             change = change.expect(id.clone(), 0).put(id, value.clone());
         }
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
-        owned.writing.set(Some(Instant::now()));
+        let start = Instant::now();
+        owned.writing.set(Some(start));
         loop {
             match self.store.transact(&change).await {
                 Commit::Done { .. } => break,
@@ -93,8 +94,13 @@
             }
             sleep(backoff.next_wait(&mut rand::rng())).await;
         }
-        log::info!(target: BATCHES, batch = owned.id.as_str(), first = first, results = kept.len();
-            "Results are listed.");
+        let items: Vec<&str> = kept
+            .iter()
+            .map(|(n, _)| owned.submission.items[*n].id.as_str())
+            .collect();
+        log::info!(target: BATCHES, batch = owned.id.as_str(), first = first,
+            results = kept.len(), took_ms = millis(start.elapsed()),
+            items = items.join(" ").as_str(); "Results are listed.");
         self.line.meters.results.inc_by(kept.len() as u64);
         owned.batch.borrow_mut().list(kept.iter().map(|(n, _)| *n));
         owned
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -252,6 +252,11 @@
         self.engines.borrow().mine(endpoint)
     }
 
+    /// Says whether an engine is known to be much slower than its peers.
+    pub(super) fn is_slow(&self, endpoint: &str) -> bool {
+        self.engines.borrow().is_slow(Instant::now(), endpoint)
+    }
+
     /// Takes in a version that an engine reported.
     pub(super) fn saw(&self, endpoint: &str, model: &str, version: u64) {
         let mut engines = self.engines.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -10,6 +10,7 @@
         calls::drawn_service,
         forward::{Content, Ended, Forward, ended},
         request::own_head,
+        store::millis,
     },
     logs::BATCHES,
     platform::Backoff,
@@ -41,6 +42,7 @@
             return;
         };
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        let start = Instant::now();
         loop {
             let route = self
                 .known
@@ -49,6 +51,9 @@
             if let Some(route) = route {
                 match self.call(scorer, &route).await {
                     Called::Score(score) => {
+                        log::info!(target: BATCHES, batch = owned.id.as_str(),
+                            item = item.id.as_str(), scorer = scorer.id.as_str(),
+                            took_ms = millis(start.elapsed()); "The text of an item is scored.");
                         owned.batch.borrow_mut().scored(n, Some(score));
                         break;
                     }
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -73,7 +73,7 @@
     }
 
     /// Reads the paces of all services.
-    pub(super) async fn read_paces(&self) -> Result<(), Failure> {
+    pub(in crate::gateway) async fn read_paces(&self) -> Result<(), Failure> {
         let page = self.store.read_whole(&Range::part(PACES, "")).await?;
         for row in &page.rows {
             self.hear_paces(row);
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -117,7 +117,10 @@
             match self.store.transact(&change).await {
                 Commit::Done { version, .. } => {
                     log::info!(target: BATCHES, batch = id, items = submission.items.len(),
-                        floor = submission.floor, row = version; "A batch is accepted.");
+                        model = submission.model.as_deref(), step = submission.step,
+                        floor = submission.floor, groups = head.groups.len(),
+                        target = submission.target, carried = head.carried, row = version;
+                        "A batch is accepted.");
                     self.count("accepted");
                     self.set(id, head.clone(), version);
                     spawn_local(Rc::clone(self).begin(id.to_owned(), head, version, submission));
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -90,6 +90,8 @@
     before: RefCell<String>,
     /// When what was learned of loads was kept last.
     kept: Cell<Option<Instant>>,
+    /// When paces of engines were heard last.
+    heard: Cell<Option<Instant>>,
     changed: Notify,
     /// Engines registered something new.
     news: Notify,
@@ -129,6 +131,7 @@
             rival: RefCell::default(),
             before: RefCell::default(),
             kept: Cell::new(None),
+            heard: Cell::new(None),
             changed: Notify::new(),
             news: Notify::new(),
         }
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -21,6 +21,9 @@
 /// Pause before an engine that didn't take an order is asked again.
 pub(super) const AGAIN: Duration = Duration::from_millis(400);
 
+/// Time between two looks at the paces of engines; owners write them once a second.
+const HEAR: Duration = Duration::from_secs(1);
+
 impl Weights {
     /// Gives the orders that are due, once they are written down.
     pub(super) async fn order(self: &Rc<Self>) {
@@ -28,6 +31,7 @@
         if self.quiet.get().is_some_and(|until| now < until) {
             return;
         }
+        self.hear_paces().await;
         let goals = self.goals();
         let engines = self.engines(now, &goals);
         let at_once = self.pace.borrow().at_once(engines.len());
@@ -87,6 +91,20 @@
         Duration::from_millis(self.lease_ms)
     }
 
+    /// Hears from owners of batches how fast engines are, now and then: this process
+    /// may own none, and then hears of it from nobody.
+    async fn hear_paces(&self) {
+        let heard = self.heard.get();
+        if heard.is_some_and(|at| at.elapsed() < HEAR) {
+            return;
+        }
+        self.heard.set(Some(Instant::now()));
+        if let Err(failure) = self.batches.read_paces().await {
+            log::debug!(target: WEIGHTS, error = failure.to_string().as_str();
+                "Paces of engines are not heard.");
+        }
+    }
+
     fn goals(&self) -> Vec<Goal> {
         let needs = self.batches.needs();
         let goals = self.known.named().into_iter().map(|(model, named)| {
@@ -131,6 +149,7 @@
         Loader {
             weights,
             barred: barred.is_some_and(|until| store < until),
+            slow: self.batches.is_slow(&endpoint.id),
             busy: until.is_some_and(|until| now < until),
             load: self.batches.running_at(&endpoint.id),
             id: endpoint.id,
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -13,7 +13,9 @@
 
 use crate::rollout::{
     Item, ItemResult, Outcome, Submission,
+    order::{groups, start_order},
     text::{Piece, Text},
+    waits::{Lack, Waited, Waits},
 };
 use std::{
     cmp::Reverse,
@@ -27,10 +29,6 @@
 /// Longest pause: an item has seconds, and engines come back within them.
 const PAUSE_MOST: Duration = Duration::from_millis(500);
 
-/// So many times the mean of a batch's hints is long. One item in ten is five
-/// times as long as usual, and hints are off by a factor of 1.6 either way.
-const LONG: f64 = 2.5;
-
 /// How a generation broke off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Break {
@@ -74,6 +72,8 @@
     breaks: u32,
     /// Its trainer may go on without its group, and ask for it again.
     spare: bool,
+    /// Since when it waits, and what the batch had waited for by then.
+    mark: (Instant, Waited),
 }
 
 /// One batch in the hands of its owner.
@@ -83,6 +83,7 @@
     index: HashMap<String, usize>,
     /// Items in the order in which they start.
     order: Vec<usize>,
+    waits: Waits,
     listed: usize,
     attempts: u32,
     floor: u64,
@@ -113,6 +114,7 @@
             failures: 0,
             rejected: 0,
             breaks: 0,
+            mark: (now, Waited::default()),
             spare: target < groups.len() && groups[item.group.as_str()].place >= carried,
         };
         let index = items.iter().enumerate().map(|(n, i)| (i.id.clone(), n));
@@ -120,6 +122,7 @@
             rows: items.iter().map(row).collect(),
             index: index.collect(),
             order: start_order(submission, &groups, carried),
+            waits: Waits::default(),
             listed: 0,
             attempts: attempts.max(1),
             floor: submission.floor,
@@ -233,6 +236,20 @@
         found
     }
 
+    /// Notes what the next item lacks now, if it lacks something.
+    pub fn lacks(&mut self, now: Instant, lack: Option<Lack>) {
+        self.waits.note(now, lack);
+    }
+
+    /// Returns for how long an item has waited since it was last known to wait,
+    /// and of that for what.
+    #[must_use]
+    pub fn waited(&self, now: Instant, n: usize) -> (Duration, Waited) {
+        let (since, before) = self.rows[n].mark;
+        let all = now.saturating_duration_since(since);
+        (all, self.waits.sum(now).since(before))
+    }
+
     /// Notes that an item was sent to an engine, and returns the last event of
     /// its text.
     pub fn start(&mut self, n: usize) -> Option<u64> {
@@ -299,7 +316,9 @@
         if !self.fits(n) {
             self.restart(n);
         }
+        let mark = (now, self.waits.sum(now));
         let row = &mut self.rows[n];
+        row.mark = mark;
         let grown = row.text.last() > before;
         row.breaks = if grown { 1 } else { row.breaks + 1 };
         match cause {
@@ -391,59 +410,3 @@
         self.rows[n].text.fits(self.floor, self.single)
     }
 }
-
-/// Orders items: those of groups that the trainer surely waits for, then all that
-/// are expected to take long, then the others by groups.
-///
-/// Load: a step of 150 items before sixty slots, of which one item in ten takes
-/// five times as long as the others and as long as the step may. Harm: started
-/// with its group, a long item waits for a slot behind the short ones of the
-/// groups before, and the step ends that much later: up to 3 s, as measured from
-/// a step's acceptance to the start of its last item. Started by length alone,
-/// on the other hand, all groups end together, and where the step is late nearly
-/// none of them is in time.
-fn start_order(
-    submission: &Submission,
-    groups: &HashMap<&str, Group>,
-    carried: usize,
-) -> Vec<usize> {
-    let items = &submission.items;
-    let hint = |n: usize| items[n].hint.unwrap_or(0);
-    let total: u64 = (0..items.len()).map(|n| u64::from(hint(n))).sum();
-    let long = LONG * total as f64 / items.len().max(1) as f64;
-    let mut order: Vec<usize> = (0..items.len()).collect();
-    order.sort_by_key(|n| {
-        let group = &groups[items[*n].group.as_str()];
-        let later = group.place >= carried;
-        let first = later && f64::from(hint(*n)) > long;
-        // Of groups that stand first all items keep their order.
-        let length = if later { group.longest } else { 0 };
-        (
-            later,
-            !first,
-            Reverse(if first { hint(*n) } else { length }),
-            group.place,
-        )
-    });
-    order
-}
-
-/// Finds the groups of a submission, by their names.
-fn groups(submission: &Submission) -> HashMap<&str, Group> {
-    let mut groups: HashMap<&str, Group> = HashMap::new();
-    for item in &submission.items {
-        let place = groups.len();
-        let group = groups
-            .entry(&item.group)
-            .or_insert(Group { place, longest: 0 });
-        group.longest = group.longest.max(item.hint.unwrap_or(0));
-    }
-    groups
-}
-
-struct Group {
-    /// Its place in the order of the submission.
-    place: usize,
-    /// The longest of its items, by their hints.
-    longest: u32,
-}
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -21,7 +21,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    rollout::pace::{Paces, Sample},
+    rollout::{
+        pace::{Paces, Sample},
+        waits::Lack,
+    },
     roster::Weights,
 };
 
@@ -146,6 +149,8 @@
     index: HashMap<String, EngineKey>,
     /// Events of a usual text.
     events: Option<f64>,
+    /// Hinted tokens for each event that a text had in the end.
+    stride: Option<f64>,
 }
 
 impl Engines {
@@ -252,6 +257,28 @@
         best.map(|(key, _)| key)
     }
 
+    /// Says what is missing where no engine can be chosen.
+    #[must_use]
+    pub fn lack(&self, want: &Want<'_>) -> Lack {
+        let fit = |row: &Row| row.open && row.service == want.service && has(row, want);
+        if self.rows.values().any(fit) {
+            Lack::Room
+        } else {
+            Lack::Weights
+        }
+    }
+
+    /// Says whether an engine was much slower than its peers lately.
+    #[must_use]
+    pub fn is_slow(&self, now: Instant, id: &str) -> bool {
+        let Some(row) = self.key(id).and_then(|key| self.rows.get(key)) else {
+            return false;
+        };
+        let lately = row.sampled.is_some_and(|at| now <= at + DISTURBED);
+        let known = self.paces(&row.service).zip(row.pace);
+        lately && known.is_some_and(|(usual, pace)| usual.tier(pace) == Tier::Slow)
+    }
+
     /// Says whether an engine is at least half empty.
     #[must_use]
     pub fn is_idle(&self, now: Instant, key: EngineKey) -> bool {
@@ -276,10 +303,27 @@
         }
     }
 
-    /// Notes how many events a whole text has.
-    pub fn whole(&mut self, events: u64) {
+    /// Notes how many events a whole text has, of so many tokens as was hinted.
+    pub fn whole(&mut self, events: u64, hint: Option<u32>) {
         let mean = self.events.unwrap_or(events as f64);
         self.events = Some(mean + (events as f64 - mean) * EVENTS_WEIGHT);
+        if let Some(hint) = hint.filter(|_| events > 0) {
+            let ratio = f64::from(hint) / events as f64;
+            let stride = self.stride.unwrap_or(ratio);
+            self.stride = Some(stride + (ratio - stride) * EVENTS_WEIGHT);
+        }
+    }
+
+    /// Returns how long a text of so many hinted tokens is expected to run on behind
+    /// its last event, at one of the fastest engines; nothing before any was seen.
+    #[must_use]
+    pub fn expected(&self, service: &str, hint: u32, last: u64) -> Duration {
+        let known = self.paces(service).zip(self.stride);
+        let Some((usual, stride)) = known.filter(|(_, stride)| *stride > 0.0) else {
+            return Duration::ZERO;
+        };
+        let events = (f64::from(hint) / stride - last as f64).max(0.0);
+        Duration::from_secs_f64(events * usual.best)
     }
 
     /// Notes that an item was sent.
@@ -320,6 +364,13 @@
         }
     }
 
+    /// Notes that an engine is full: an item of this owner waits in its queue.
+    pub fn full(&mut self, now: Instant, key: EngineKey) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.others = Some((now, row.slots.saturating_sub(row.mine)));
+        }
+    }
+
     /// Notes that an engine couldn't be reached or broke off.
     pub fn failed(&mut self, now: Instant, key: EngineKey) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,6 +10,8 @@
 //! * [`pace`]: how fast engines are, as owners tell each other.
 //! * [`presence`]: whether the owner of a batch still lives.
 //! * [`turns`]: which engines were ordered lately, when the duty changes hands.
+//! * [`urgency`]: which items engines are to admit first.
+//! * [`waits`]: what items wait for before they run.
 //! * [`text`]: an item's text as it grows, and the parts of it that are kept.
 //! * [`row`]: what the store keeps of a batch, and under which conditions.
 //!
@@ -24,12 +26,15 @@
 
 pub mod batch;
 pub mod engines;
+mod order;
 pub mod pace;
 pub mod presence;
 pub mod row;
 mod spec;
 pub mod text;
 pub mod turns;
+pub mod urgency;
+pub mod waits;
 pub mod wave;
 
 pub use self::spec::{Item, ItemResult, Order, OrderAnswer, Outcome, Scorer, Submission};
--- a/src/rollout/wave.rs
+++ b/src/rollout/wave.rs
@@ -12,6 +12,10 @@
 //! engine keeps only one of them fresh, by shares of the work that each model's
 //! steps bring.
 //!
+//! An engine that is several times slower than the others, as some are for seconds,
+//! counts for nothing: a model of three engines with two of them slow would do its
+//! step on one, while the others have engines to spare.
+//!
 //! After an outage all models are stale at once. If the most urgent one got all its
 //! engines first, the steps of the others would stand still meanwhile: up to 9 s, as
 //! measured with three models on 38 engines. So stale engines are loaded in turns,
@@ -50,6 +54,8 @@
     pub busy: bool,
     /// Whether it is to be left alone for now, though no order is in progress.
     pub barred: bool,
+    /// Whether it is much slower than the others.
+    pub slow: bool,
     /// Requests that run there, as far as known.
     pub load: u32,
 }
@@ -150,10 +156,11 @@
 /// Gives each model its engines, those first whose weights are the newest, so
 /// that the same ones stay with it whoever decides.
 fn assign(engines: &[Loader], goals: &[Goal]) -> Vec<Vec<usize>> {
-    let mut quotas = quotas(engines.len(), goals);
+    let sound = engines.iter().filter(|engine| !engine.slow).count();
+    let mut quotas = quotas(sound, goals);
     let mut pairs = Vec::new();
     for (g, goal) in goals.iter().enumerate() {
-        for (n, engine) in engines.iter().enumerate() {
+        for (n, engine) in engines.iter().enumerate().filter(|(_, e)| !e.slow) {
             let version = engine.weights.get(&goal.model).copied().unwrap_or(0);
             let tie = xxh3_64_with_seed(engine.id.as_bytes(), g as u64);
             pairs.push((goal.named.saturating_sub(version), tie, g, n));
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -119,7 +119,7 @@
     );
     let fast = engines.key("e0").unwrap();
     assert!(engines.is_better("lm", 0.13, 1, fast));
-    engines.whole(20);
+    engines.whole(20, None);
     assert!(!engines.is_better("lm", 0.049, 20, fast));
     assert!(engines.is_better("lm", 0.049, 60, fast));
     assert!(!engines.is_better("lm", 0.049, 60, engines.key("e4").unwrap()));
@@ -151,6 +151,7 @@
         weights: weights.iter().map(|(m, v)| ((*m).to_owned(), *v)).collect(),
         busy: false,
         barred: false,
+        slow: false,
         load: 0,
     });
     engines.collect()
