--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -191,7 +191,7 @@
         let mut engines = self.engines.borrow_mut();
         match news {
             News::Seen(e) if !e.weights.is_empty() => {
-                engines.set(&e.id, &e.service, e.slots, !e.leaving, &e.weights);
+                engines.set(e);
             }
             News::Seen(_) => {}
             News::Gone(id) => engines.remove(id),
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -112,6 +112,12 @@
         "outcome",
         "calls to the store that a peer was asked to carry: answered, refused, lost",
     ),
+    (
+        "gateway_broken_entries_total",
+        "counter",
+        "",
+        "changes of endpoints' entries that name no endpoint",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -130,6 +136,7 @@
     pub(super) load_seconds: Histogram,
     pub(super) store_calls: IntCounterVec,
     pub(super) detours: IntCounterVec,
+    pub(super) broken_entries: IntCounter,
     connections: IntGauge,
     config: IntGauge,
     dropped: IntGauge,
@@ -162,8 +169,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
-        let results = IntCounter::new(NAMES[6].0, NAMES[6].3)?;
-        registry.register(Box::new(results.clone()))?;
+        let counter = |n: usize| -> prometheus::Result<IntCounter> {
+            let (name, _, _, help) = NAMES[n];
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
         Ok(Self {
             answers: counters(0)?,
             answer_seconds: seconds(1)?,
@@ -171,7 +182,7 @@
             batches: counters(3)?,
             runs: counters(4)?,
             run_seconds: seconds(5)?,
-            results,
+            results: counter(6)?,
             running: gauge(7)?,
             loads: counters(8)?,
             load_seconds: seconds(9)?,
@@ -180,6 +191,7 @@
             config: gauge(12)?,
             dropped: gauge(13)?,
             detours: counters(14)?,
+            broken_entries: counter(15)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -176,11 +176,11 @@
     };
     Rc::new_cyclic(|gateway: &Weak<Gateway>| {
         let hearer = Weak::clone(gateway);
-        let members = Rc::new(Members::new(move |news| {
+        let members = Rc::new(Members::new(Rc::clone(&counts), move |news| {
             if let Some(gateway) = hearer.upgrade() {
                 gateway.line.calls.roster(news);
                 gateway.batches.roster(news);
-                gateway.weights.wake();
+                gateway.weights.roster(news);
             }
         }));
         let batches = Rc::new(Batches::new(
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -10,6 +10,7 @@
 use super::{
     calls::Calls,
     known::Known,
+    meters::Meters,
     store::{Failure, Store},
 };
 use crate::{
@@ -23,6 +24,7 @@
 use hibiscusroad_platform::{catalog, roster, table};
 use std::{
     cell::RefCell,
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -157,14 +159,19 @@
 /// The roster and those who hear of its changes.
 pub(super) struct Members {
     roster: RefCell<Roster>,
+    /// Entries that could not be understood, and the versions of their rows.
+    broken: RefCell<HashMap<String, u64>>,
+    meters: Rc<Meters>,
     lapsing: Notify,
     hear: Box<dyn Fn(&News)>,
 }
 
 impl Members {
-    pub(super) fn new(hear: impl Fn(&News) + 'static) -> Self {
+    pub(super) fn new(meters: Rc<Meters>, hear: impl Fn(&News) + 'static) -> Self {
         Self {
             roster: RefCell::new(Roster::new()),
+            broken: RefCell::default(),
+            meters,
             lapsing: Notify::new(),
             hear: Box::new(hear),
         }
@@ -220,7 +227,7 @@
         table: table::ENDPOINTS,
         parts: vec![String::new()],
         replace: Box::new(move |rows| {
-            let found = rows.iter().filter_map(endpoint).collect();
+            let found = rows.iter().filter_map(|row| all.understood(row)).collect();
             let news = all.roster.borrow_mut().replace(Instant::now(), found);
             all.tell(news);
             all.lapsing.notify_one();
@@ -231,9 +238,13 @@
             for id in &changes.gone {
                 news.extend(members.roster.borrow_mut().remove(now, &id.key));
             }
-            let seen = changes.rows.iter().filter_map(endpoint);
-            for endpoint in seen {
-                news.extend(members.roster.borrow_mut().set(endpoint));
+            for row in &changes.rows {
+                let mut roster = members.roster.borrow_mut();
+                match members.understood(row) {
+                    Some(endpoint) => news.extend(roster.set(endpoint)),
+                    // It names no endpoint any more, as if it were not there.
+                    None => news.extend(roster.remove(now, &row.id.key)),
+                }
             }
             members.tell(news);
             members.lapsing.notify_one();
@@ -242,13 +253,24 @@
     }
 }
 
-fn endpoint(row: &Row) -> Option<Endpoint> {
-    match roster::endpoint(&row.id.key, &row.value) {
-        Ok(endpoint) => Some(endpoint),
-        Err(error) => {
-            log::error!(target: HOSTS, endpoint = row.id.key.as_str(),
-                error = error.to_string().as_str(); "An endpoint's entry is broken; it is ignored.");
-            None
+impl Members {
+    /// Understands an entry. One that no endpoint has written is told once for each
+    /// time that it changes, and counted.
+    fn understood(&self, row: &Row) -> Option<Endpoint> {
+        let key = row.id.key.as_str();
+        let error = match roster::endpoint(key, &row.value) {
+            Ok(endpoint) => {
+                self.broken.borrow_mut().remove(key);
+                return Some(endpoint);
+            }
+            Err(error) => error.to_string(),
+        };
+        let told = self.broken.borrow_mut().insert(key.to_owned(), row.version);
+        if told != Some(row.version) {
+            self.meters.broken_entries.inc();
+            log::warn!(target: HOSTS, endpoint = key, row = row.version, error = error.as_str();
+                "An entry names no endpoint; it is passed over.");
         }
+        None
     }
 }
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -128,6 +128,9 @@
             let Some(now) = self.members.get(&load.endpoint) else {
                 return false;
             };
+            if now.born != endpoint.born {
+                return false;
+            }
             let runs = now
                 .weights
                 .iter()
@@ -171,6 +174,11 @@
     async fn report(&self, endpoint: &Endpoint) -> Option<Report> {
         let (status, body) = self.ask(endpoint, engine::ask_report(&endpoint.id)).await?;
         match engine::report(status, &body) {
+            Ok(report) if report.born.is_some() && report.born != endpoint.born => {
+                log::info!(target: WEIGHTS, endpoint = endpoint.id.as_str(), born:? = report.born,
+                    known:? = endpoint.born; "A report is of another life of the engine.");
+                None
+            }
             Ok(report) => Some(report),
             Err(error) => {
                 log::warn!(target: WEIGHTS, endpoint = endpoint.id.as_str(),
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -32,6 +32,7 @@
         turns::{Turns, VALID},
         wave::Pace,
     },
+    roster::News,
     table::{Change, Commit, Range, Row, RowId},
 };
 use std::{
@@ -143,6 +144,17 @@
         self.news.notify_waiters();
     }
 
+    /// Takes in a change of the roster: an engine that started again under its id
+    /// has accepted no order, and runs what it says.
+    pub(super) fn roster(&self, news: &News) {
+        if let News::Gone(id) = news {
+            self.seen.borrow_mut().retain(|(engine, _), _| engine != id);
+            self.orders.borrow_mut().remove(id);
+            self.loading.borrow_mut().remove(id);
+        }
+        self.wake();
+    }
+
     /// Gives the lease back, so that another process takes it at once.
     pub(super) async fn leave(&self) {
         self.lease.borrow_mut().give_back();
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -25,7 +25,7 @@
         pace::{Paces, Sample},
         waits::Lack,
     },
-    roster::Weights,
+    roster::Endpoint,
 };
 
 slotmap::new_key_type! {
@@ -67,6 +67,8 @@
 #[derive(Debug)]
 struct Row {
     id: String,
+    /// This life of it, by which owners tell each other of it.
+    life: String,
     service: String,
     slots: u32,
     open: bool,
@@ -161,13 +163,17 @@
     }
 
     /// Adds an engine or takes in what it registered.
-    pub fn set(&mut self, id: &str, service: &str, slots: u32, open: bool, weights: &[Weights]) {
+    pub fn set(&mut self, endpoint: &Endpoint) {
+        let Endpoint {
+            id, born, service, ..
+        } = endpoint;
         let key = self.index.get(id).copied().unwrap_or_else(|| {
             let key = self.rows.insert(Row {
-                id: id.to_owned(),
-                service: service.to_owned(),
-                slots,
-                open,
+                id: id.clone(),
+                life: born.map_or_else(|| id.clone(), |born| format!("{id}@{born}")),
+                service: service.clone(),
+                slots: endpoint.slots,
+                open: !endpoint.leaving,
                 weights: HashMap::new(),
                 mine: 0,
                 others: None,
@@ -177,13 +183,13 @@
                 sampled: None,
                 measured: None,
             });
-            self.index.insert(id.to_owned(), key);
+            self.index.insert(id.clone(), key);
             key
         });
         let row = &mut self.rows[key];
-        row.slots = slots;
-        row.open = open;
-        for weights in weights {
+        row.slots = endpoint.slots;
+        row.open = !endpoint.leaving;
+        for weights in &endpoint.weights {
             note(&mut row.weights, &weights.model, weights.version);
         }
     }
@@ -422,7 +428,7 @@
                 micros: u32::try_from(micros).unwrap_or(u32::MAX),
                 at: u64::try_from(store.saturating_sub(age).as_millis()).unwrap_or(0),
             };
-            paces.note(&row.id, sample);
+            paces.note(&row.life, sample);
         }
         paces
     }
@@ -431,8 +437,8 @@
     /// returns how many engines that were.
     pub fn hear(&mut self, now: Instant, store: Duration, paces: &Paces) -> usize {
         let mut heard = 0;
-        for (id, sample) in paces.iter() {
-            let Some(row) = self.index.get(id).and_then(|key| self.rows.get_mut(*key)) else {
+        for row in self.rows.values_mut() {
+            let Some(sample) = paces.get(&row.life) else {
                 continue;
             };
             let age = store.saturating_sub(Duration::from_millis(sample.at));
--- a/src/rollout/pace.rs
+++ b/src/rollout/pace.rs
@@ -72,4 +72,10 @@
             .iter()
             .map(|(id, sample)| (id.as_str(), *sample))
     }
+
+    /// Returns the sample of an engine.
+    #[must_use]
+    pub fn get(&self, engine: &str) -> Option<Sample> {
+        self.engines.get(engine).copied()
+    }
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -31,8 +31,11 @@
 /// One endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Endpoint {
-    /// Names one life of it; a restarted endpoint has another.
+    /// Names it. One that starts again may have the same.
     pub id: String,
+    /// When this life of it began, in milliseconds since 1970 by its own clock; all
+    /// that is known of an earlier one counts for nothing.
+    pub born: Option<u64>,
     /// The service that it belongs to.
     pub service: String,
     /// Where it is called.
@@ -94,18 +97,29 @@
                 news.extend(self.remove(now, &id));
             }
         }
-        let seen = all.into_iter().filter_map(|endpoint| self.set(endpoint));
+        let seen = all.into_iter().flat_map(|endpoint| self.set(endpoint));
         news.extend(seen);
         news
     }
 
     /// Takes in a new or changed entry.
-    pub fn set(&mut self, endpoint: Endpoint) -> Option<News> {
-        let known = self.rows.get_mut(&endpoint.id);
-        if let Some(row) = known {
+    ///
+    /// An endpoint that started again under its id holds nothing of what it held
+    /// before: to those who hear of it, the one before is gone and another is new.
+    /// An entry of an earlier life, written late, is passed over.
+    pub fn set(&mut self, endpoint: Endpoint) -> Vec<News> {
+        let mut news = Vec::new();
+        if let Some(row) = self.rows.get_mut(&endpoint.id) {
+            let (before, now) = (row.endpoint.born, endpoint.born);
+            if before.zip(now).is_some_and(|(before, now)| now < before) {
+                return news;
+            }
             row.lapsed = None;
             if row.endpoint == endpoint {
-                return None;
+                return news;
+            }
+            if before != now {
+                news.push(News::Gone(endpoint.id.clone()));
             }
         }
         let row = Row {
@@ -113,7 +127,8 @@
             lapsed: None,
         };
         self.rows.insert(endpoint.id.clone(), row);
-        Some(News::Seen(endpoint))
+        news.push(News::Seen(endpoint));
+        news
     }
 
     /// Takes in that an entry is missing.
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -6,7 +6,7 @@
         pace::{Paces, Sample},
         wave::{Goal, Loader, Pace, plan},
     },
-    roster::Weights,
+    roster::{Endpoint, Weights},
 };
 use std::{
     collections::HashMap,
@@ -30,7 +30,7 @@
             model: "guide".to_owned(),
             version: *version,
         };
-        engines.set(&format!("e{n}"), "lm", 2, true, &[weights]);
+        engines.set(&engine(&format!("e{n}"), None, vec![weights]));
     }
     engines
 }
@@ -144,6 +144,21 @@
     assert_eq!(engines.choose(later + Duration::from_secs(9), &WANT), None);
 }
 
+/// An engine with two places.
+fn engine(id: &str, born: Option<u64>, weights: Vec<Weights>) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        born,
+        service: "lm".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        place: "senec".to_owned(),
+        slots: 2,
+        leaving: false,
+        cold: false,
+        weights,
+    }
+}
+
 /// Engines that all have the same weights.
 fn loaders(count: usize, weights: &[(&str, u64)]) -> Vec<Loader> {
     let engines = (0..count).map(|n| Loader {
@@ -367,3 +382,64 @@
     let heard: Pace = serde_json::from_slice(&kept).unwrap();
     assert_eq!(heard, pace);
 }
+
+// An engine was slow and full of this owner's items, and starts again under its id.
+// Nothing of that is believed of its new life, and what other owners measured of the
+// former one isn't either.
+#[test]
+fn engine_that_starts_again_is_unknown() {
+    let now = Instant::now();
+    let store = Duration::from_secs(100);
+    let fresh = || {
+        vec![Weights {
+            model: "guide".to_owned(),
+            version: 3,
+        }]
+    };
+    let mut engines = Engines::new();
+    engines.set(&engine("e0", Some(1), fresh()));
+    let key = engines.key("e0").unwrap();
+    engines.start(key);
+    engines.start(key);
+    engines.paced(now, key, 0.2);
+    let former = engines.paces_of(now, store, "lm");
+    assert_eq!(engines.choose(now, &WANT), None, "it is full");
+    engines.remove("e0");
+    engines.set(&engine("e0", Some(2), fresh()));
+    assert_eq!(engines.hear(now, store, &former), 0);
+    assert_eq!(engines.usual("lm"), None);
+    assert!(engines.choose(now, &WANT).is_some());
+    engines.end(key);
+    assert_eq!(engines.mine("e0"), 0);
+}
+
+// Two of an engine service's nine are several times slower for some seconds, both
+// of them a model's. They are loaded with nothing, and the model gets others: on one
+// engine its step would take three times as long.
+#[test]
+fn slow_engines_count_for_nothing_in_the_plan() {
+    let mut engines = loaders(9, &[("a", 1), ("b", 1), ("c", 1)]);
+    let goals = |named| {
+        [
+            goal("a", named, 1),
+            goal("b", named, 1),
+            goal("c", named, 1),
+        ]
+    };
+    settle(&mut engines, &goals(3));
+    let fresh = |engines: &[Loader], named: u64| {
+        let holds = |e: &&Loader| !e.slow && e.weights["a"] + 1 >= named;
+        engines.iter().filter(holds).count()
+    };
+    let mine: Vec<usize> = (0..9).filter(|n| engines[*n].weights["a"] > 1).collect();
+    for n in &mine[..2.min(mine.len())] {
+        engines[*n].slow = true;
+    }
+    let before: Vec<_> = engines.iter().map(|e| e.weights.clone()).collect();
+    settle(&mut engines, &goals(4));
+    settle(&mut engines, &goals(5));
+    assert!(fresh(&engines, 5) >= 2, "{engines:?}");
+    for (engine, before) in engines.iter().zip(before) {
+        assert!(!engine.slow || engine.weights == before, "{engine:?}");
+    }
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -10,6 +10,7 @@
 fn endpoint(id: &str) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
+        born: None,
         service: "desk".to_owned(),
         address: "127.0.0.1:80".parse().unwrap(),
         place: "senec".to_owned(),
@@ -28,8 +29,8 @@
 fn endpoint_that_leaves_is_gone_at_once() {
     let now = Instant::now();
     let mut roster = Roster::new();
-    assert!(roster.set(endpoint("a")).is_some());
-    assert!(roster.set(endpoint("a")).is_none(), "nothing changed");
+    assert_eq!(roster.set(endpoint("a")).len(), 1);
+    assert!(roster.set(endpoint("a")).is_empty(), "nothing changed");
     assert_eq!(roster.remove(now, "a"), Some(gone("a")));
     assert_eq!(roster.remove(now, "a"), None);
 }
@@ -46,7 +47,7 @@
     assert!(roster.replace(now, Vec::new()).is_empty());
     assert_eq!(roster.iter().count(), 2);
     let later = now + Duration::from_secs(1);
-    assert!(roster.set(endpoint("a")).is_none());
+    assert!(roster.set(endpoint("a")).is_empty());
     assert!(roster.tick(later).is_empty());
     assert_eq!(roster.next_due(), Some(now + GRACE));
     assert_eq!(roster.tick(now + GRACE), [gone("b")]);
@@ -148,3 +149,21 @@
     );
     assert!(row::buckets().any(|bucket| bucket == row::bucket("b")));
 }
+
+// An engine crashes and starts again under its id, before its entry lapses. Those
+// who hear of it are told that one is gone and another is there, so that nothing
+// counted for the first is believed of the second. A late entry of the first life
+// changes nothing.
+#[test]
+fn endpoint_that_starts_again_is_another() {
+    let mut roster = Roster::new();
+    let life = |born: u64| Endpoint {
+        born: Some(born),
+        ..endpoint("a")
+    };
+    assert_eq!(roster.set(life(7)), [News::Seen(life(7))]);
+    let gone = News::Gone("a".to_owned());
+    assert_eq!(roster.set(life(9)), [gone, News::Seen(life(9))]);
+    assert!(roster.set(life(7)).is_empty());
+    assert_eq!(roster.get("a"), Some(&life(9)));
+}
