--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -4,7 +4,10 @@
 //! its trainer waits for it, and the next step can't be asked for before it is
 //! done.
 
-use super::{Batches, Owned, generate::Start};
+use super::{
+    Batches, Owned,
+    seat::{Seat, Start},
+};
 use crate::{gateway::calls::drawn_service, logs::BATCHES};
 use hibiscusroad::{
     catalog::{Kind, Route},
@@ -31,30 +34,6 @@
 /// not tried again then never began, in one run of three where a load ended last.
 const DRAFT_LOOK: Duration = Duration::from_millis(250);
 
-/// An item's place at an engine, given up when it is dropped.
-pub(super) struct Seat {
-    batches: Rc<Batches>,
-    pub(super) key: EngineKey,
-}
-
-impl Seat {
-    /// Takes a place at an engine.
-    pub(super) fn take(batches: &Rc<Batches>, key: EngineKey) -> Self {
-        batches.engines.borrow_mut().start(key);
-        Self {
-            batches: Rc::clone(batches),
-            key,
-        }
-    }
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        self.batches.engines.borrow_mut().end(self.key);
-        self.batches.work.notify_one();
-    }
-}
-
 impl Batches {
     /// Starts items for as long as the process runs.
     pub(in crate::gateway) async fn dispatch(self: Rc<Self>) {
--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -13,7 +13,7 @@
 //! only for a later batch. It takes an engine that is at least half empty, at the
 //! lowest priority, so nothing else waits for it.
 
-use super::{Batches, Owned, dispatch::Seat};
+use super::{Batches, Owned, seat::Seat};
 use crate::{
     gateway::store::{Failure, millis},
     logs::BATCHES,
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -5,7 +5,10 @@
 //! with their answers and events; which version was ordered says nothing about
 //! which one ran.
 
-use super::{Batches, Owned, dispatch::Seat};
+use super::{
+    Batches, Owned,
+    seat::{Seat, Start},
+};
 use crate::{
     gateway::{
         attempt::{self, Head, set, text},
@@ -17,7 +20,7 @@
     logs::BATCHES,
 };
 use hibiscusroad::{
-    rollout::{Item, batch::Break, engines::EngineKey, waits::Waited},
+    rollout::{Item, batch::Break, engines::EngineKey},
     roster::Endpoint,
 };
 use hibiscusroad_platform::{
@@ -88,21 +91,6 @@
     last: Instant,
 }
 
-/// An item that is to run.
-pub(super) struct Start {
-    pub(super) n: usize,
-    pub(super) seat: Seat,
-    pub(super) endpoint: Endpoint,
-    /// The rank of its route.
-    pub(super) priority: u8,
-    /// The last event of its text, which it goes on behind.
-    pub(super) before: Option<u64>,
-    /// The only weight version that will do.
-    pub(super) exact: Option<u64>,
-    /// For how long it has waited, and of that for what.
-    pub(super) waited: (Duration, Waited),
-}
-
 impl Batches {
     /// Runs an item at an engine, and then its scorer.
     pub(super) async fn item(self: &Rc<Self>, owned: &Rc<Owned>, start: Start) {
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -5,6 +5,7 @@
 //! * [`owner`]: who runs a batch, and when another takes it over.
 //! * [`dispatch`]: starts items at engines.
 //! * [`generate`]: one run of one item.
+//! * [`seat`]: a place at an engine, and the item that takes it.
 //! * [`score`]: the scorer's call.
 //! * [`list`]: writes results, in order. [`pieces`]: keeps unfinished texts.
 //! * [`draft`]: texts for the batch that carries a group over.
@@ -25,6 +26,7 @@
 mod pieces;
 mod read;
 mod score;
+mod seat;
 mod share;
 mod submit;
 mod sweep;
