--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -269,7 +269,7 @@
         if told != Some(row.version) {
             self.meters.broken_entries.inc();
             log::warn!(target: HOSTS, endpoint = key, row = row.version, error = error.as_str();
-                "An entry names no endpoint; it is passed over.");
+                "An endpoint's entry is broken; it names none.");
         }
         None
     }
