Read one row of the store in one place

The head of a batch, the lease and the written orders were each read by the same range of one key; Store::read_row does it, and the rows of the duty are named once. The same call reaches the store as before.

--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -70,18 +70,9 @@
         if let Some(row) = self.head(id) {
             return Ok(Some(row));
         }
-        let name = row::head(id);
-        let end = format!("{id}\0");
-        let page = self
-            .store
-            .read(&Range {
-                from: Some(id),
-                end: Some(&end),
-                limit: Some(1),
-                ..Range::part(&name.table, &name.part)
-            })
-            .await?;
-        page.rows.iter().for_each(|row| self.note(row));
+        if let Some(row) = self.store.read_row(&row::head(id)).await? {
+            self.note(&row);
+        }
         Ok(self.head(id))
     }
 
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -15,7 +15,7 @@
 use hibiscusroad::{
     patience::Patience,
     reach::{Carried, Reach, Way},
-    table::{Change, Changes, Commit, Page, Range},
+    table::{Change, Changes, Commit, Page, Range, Row, RowId},
 };
 use hibiscusroad_platform::{Error as Odd, request::Request, table as wire};
 use http_body_util::BodyExt;
@@ -130,6 +130,20 @@
         Ok(page)
     }
 
+    /// Reads one row; `None` if the store says that there is none.
+    pub(super) async fn read_row(&self, id: &RowId) -> Result<Option<Row>, Failure> {
+        // The successor of a key is the key with a zero byte behind it.
+        let end = format!("{}\0", id.key);
+        let range = Range {
+            from: Some(&id.key),
+            end: Some(&end),
+            limit: Some(1),
+            ..Range::part(&id.table, &id.part)
+        };
+        let page = self.read(&range).await?;
+        Ok(page.rows.into_iter().next())
+    }
+
     /// Reads a range whole, page by page.
     ///
     /// The version is that of the first page: what changes while the others are
--- a/hibiscusroad-daemon/src/gateway/weights/learned.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/learned.rs
@@ -1,6 +1,6 @@
 //! What holders of the duty hand on: how long loads take, and whom they ordered.
 
-use super::{DUTIES, DUTY, TURNS, Weights};
+use super::{DUTIES, DUTY, Weights, turns_row};
 use crate::logs::WEIGHTS;
 use hibiscusroad::{
     rollout::turns::Turns,
@@ -48,24 +48,15 @@
     /// Reads which engines the holders before have ordered; `false` if nobody
     /// knows.
     pub(super) async fn read_turns(&self) -> bool {
-        let end = format!("{TURNS}\0");
-        let range = Range {
-            from: Some(TURNS),
-            end: Some(&end),
-            limit: Some(1),
-            ..Range::part(DUTIES, "")
-        };
-        let page = match self.store.read(&range).await {
-            Ok(page) => page,
+        let row = match self.store.read_row(&turns_row()).await {
+            Ok(Some(row)) => row,
+            Ok(None) => return true,
             Err(failure) => {
                 log::warn!(target: WEIGHTS, error = failure.to_string().as_str();
                     "The last orders are not known; all engines are left alone for a while.");
                 return false;
             }
         };
-        let Some(row) = page.rows.first() else {
-            return true;
-        };
         match serde_json::from_slice(&row.value) {
             Ok(turns) => {
                 self.turns.replace(turns);
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -33,7 +33,7 @@
         wave::Pace,
     },
     roster::News,
-    table::{Change, Commit, Range, Row, RowId},
+    table::{Change, Commit, Row, RowId},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -230,24 +230,14 @@
     }
 
     async fn read(&self) {
-        let end = format!("{DUTY}\0");
-        let page = self
-            .store
-            .read(&Range {
-                from: Some(DUTY),
-                end: Some(&end),
-                limit: Some(1),
-                ..Range::part(DUTIES, "")
-            })
-            .await;
+        let found = self.store.read_row(&duty_row()).await;
         let now = self.clock.now();
-        match page {
-            Ok(page) => {
-                let row = page.rows.first();
-                if let Some(row) = row {
-                    self.before.replace(lease_row(row).holder);
+        match found {
+            Ok(row) => {
+                let found = row.map(|row| (row.version, lease_row(&row)));
+                if let Some((_, row)) = &found {
+                    self.before.replace(row.holder.clone());
                 }
-                let found = row.map(|row| (row.version, lease_row(row)));
                 self.lease.borrow_mut().seen(now, found);
             }
             Err(failure) => {
@@ -261,9 +251,10 @@
 
     async fn write(&self, version: u64, row: &LeaseRow) {
         let held = self.fence();
-        let id = RowId::new(DUTIES, "", DUTY);
         let value = serde_json::to_vec(row).unwrap_or_default();
-        let change = Change::new().expect(id.clone(), version).put(id, value);
+        let change = Change::new()
+            .expect(duty_row(), version)
+            .put(duty_row(), value);
         let done = self.store.transact(&change).await;
         let now = self.clock.now();
         match done {
@@ -297,6 +288,16 @@
     }
 }
 
+/// Names the row of the lease.
+fn duty_row() -> RowId {
+    RowId::new(DUTIES, "", DUTY)
+}
+
+/// Names the row of the orders that were written down.
+fn turns_row() -> RowId {
+    RowId::new(DUTIES, "", TURNS)
+}
+
 /// Understands the row of the lease.
 ///
 /// A broken one is taken for another's, which lapses like any other. Its number
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -1,6 +1,6 @@
 //! What is loaded next.
 
-use super::{DUTIES, DUTY, TURNS, Weights};
+use super::{Weights, duty_row, turns_row};
 use crate::logs::WEIGHTS;
 use hibiscusroad::{
     rollout::{
@@ -8,7 +8,7 @@
         wave::{Goal, Load, Loader, plan},
     },
     roster::Endpoint,
-    table::{Change, Commit, RowId},
+    table::{Change, Commit},
 };
 use std::{
     rc::Rc,
@@ -63,8 +63,8 @@
         }
         let value = serde_json::to_vec(&turns).unwrap_or_default();
         let change = Change::new()
-            .expect(RowId::new(DUTIES, "", DUTY), version)
-            .put(RowId::new(DUTIES, "", TURNS), value);
+            .expect(duty_row(), version)
+            .put(turns_row(), value);
         match self.store.transact(&change).await {
             Commit::Done { .. } => {
                 self.turns.replace(turns);
