End a suspicion with the holding that it was of

Cause: Lease::suspect kept the holder's name and never forgot it. Two processes that had each suspected the other once took the duty from each other as soon as they read its row, for as long as both lived: weights ordered twice or not at all. The other half: the time since which a rival is known was kept by its name, too, so one that took the duty again was measured by signs of life from before and suspected at once. Ruled out: turns within a lease (orders are written down first, tests/rollout_turns.rs). Change: Holding (holder and fencing number); suspicions and rivals are of one holding.

--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -27,7 +27,7 @@
 };
 use crate::logs::WEIGHTS;
 use hibiscusroad::{
-    lease::{Lease, Next, Row as LeaseRow, Terms},
+    lease::{Holding, Lease, Next, Row as LeaseRow, Terms},
     rollout::{
         turns::{Turns, VALID},
         wave::Pace,
@@ -85,8 +85,10 @@
     quiet: Cell<Option<Instant>>,
     /// Which engines were ordered lately, and by whom.
     turns: RefCell<Turns>,
-    /// The other holder and since when it is known.
-    rival: RefCell<Option<(String, Instant)>>,
+    /// The other process's holding and since when it is known. A holder that lost the
+    /// duty and took it again is given its time anew: its signs of life were none of
+    /// anybody's business meanwhile, and are as old as that.
+    rival: RefCell<Option<(Holding, Instant)>>,
     /// The holder in the lease's row as it was read last.
     before: RefCell<String>,
     /// When what was learned of loads was kept last.
@@ -197,30 +199,30 @@
 
     /// Looks whether the other holder is gone; `true` if its duty may be taken.
     async fn suspect(&self) -> bool {
-        let Some(holder) = self.lease.borrow().other().map(str::to_owned) else {
+        let Some(holding) = self.lease.borrow().other() else {
             return false;
         };
         let known = self.rival.borrow().clone();
         let since = match known {
-            Some((rival, since)) if rival == holder => since,
+            Some((rival, since)) if rival == holding => since,
             _ => {
                 let now = Instant::now();
-                self.rival.replace(Some((holder.clone(), now)));
+                self.rival.replace(Some((holding.clone(), now)));
                 now
             }
         };
-        let Some((why, count)) = self.batches.lost(&holder, since) else {
+        let Some((why, count)) = self.batches.lost(&holding.holder, since) else {
             return false;
         };
         let draw = xxh3_64(self.life.as_bytes()) % TAKING_MS;
         let share = u64::try_from(count.div_ceil(TAKERS)).unwrap_or(1);
         sleep(Duration::from_millis(draw * share)).await;
         self.read().await;
-        let same = self.lease.borrow().other() == Some(&holder);
+        let same = self.lease.borrow().other().as_ref() == Some(&holding);
         if same {
-            log::info!(target: WEIGHTS, holder = holder.as_str(), why:? = why;
-                "The holder of the weights is taken to be gone.");
-            self.lease.borrow_mut().suspect(&holder);
+            log::info!(target: WEIGHTS, holder = holding.holder.as_str(), fence = holding.fence,
+                why:? = why; "The holder of the weights is taken to be gone.");
+            self.lease.borrow_mut().suspect(holding);
         }
         true
     }
--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -15,6 +15,27 @@
     pub renewals: u64,
 }
 
+/// One span in which a process held a duty without a break: the same process that
+/// takes the duty again holds it under another number.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// The name of the holding process, with its incarnation.
+    pub holder: String,
+    /// Its fencing number.
+    pub fence: u64,
+}
+
+impl Row {
+    /// Returns the holding that the row tells of.
+    #[must_use]
+    pub fn holding(&self) -> Holding {
+        Holding {
+            holder: self.holder.clone(),
+            fence: self.fence,
+        }
+    }
+}
+
 /// What to do next for a duty.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -71,8 +92,13 @@
     state: State,
     read: Option<Instant>,
     sent: Option<Sent>,
-    /// A holder that is taken to be gone before its time is over.
-    suspect: Option<String>,
+    /// A holding whose holder is taken to be gone before its time is over.
+    ///
+    /// Not the holder by its name: one that was suspected wrongly takes the duty again
+    /// some day, and if that were enough to take it from that holder at once, two
+    /// processes that had suspected each other would take it in turns for ever. Their
+    /// engines would be ordered twice or not at all.
+    suspect: Option<Holding>,
     giving: bool,
 }
 
@@ -94,11 +120,11 @@
         }
     }
 
-    /// Returns the holder that the row named last, if it is another one.
+    /// Returns the holding that the row told of last, if it is another process's.
     #[must_use]
-    pub fn other(&self) -> Option<&str> {
+    pub fn other(&self) -> Option<Holding> {
         match &self.state {
-            State::Watching { row, .. } if row.holder != self.name => Some(&row.holder),
+            State::Watching { row, .. } if row.holder != self.name => Some(row.holding()),
             _ => None,
         }
     }
@@ -113,11 +139,12 @@
         }
     }
 
-    /// Takes a holder to be gone, so that its duty may be taken before its time is
-    /// over. It may live and still believe that it holds the duty: only for duties
-    /// of which each act is written under the condition of the row's version.
-    pub fn suspect(&mut self, holder: &str) {
-        self.suspect = Some(holder.to_owned());
+    /// Takes the holder of a holding to be gone, so that its duty may be taken before
+    /// its time is over. It may live and still believe that it holds the duty: only
+    /// for duties of which each act is written under the condition of the row's
+    /// version.
+    pub fn suspect(&mut self, holding: Holding) {
+        self.suspect = Some(holding);
     }
 
     /// Returns the fencing number while this process holds the duty.
@@ -160,7 +187,7 @@
                 // has taken the duty since, and there is nobody to wait for. Without
                 // this nobody would hold it for a span after each outage.
                 let own = row.holder == self.name;
-                let gone = self.suspect.as_deref() == Some(&row.holder);
+                let gone = self.suspect == Some(row.holding());
                 let over = own || gone || now >= *since + self.terms.span;
                 if !self.giving && over && self.fresh(now) {
                     Next::Write {
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -38,6 +38,6 @@
 mod terms;
 
 pub use self::{
-    holder::{Lease, Next, Row},
+    holder::{Holding, Lease, Next, Row},
     terms::Terms,
 };
--- a/tests/lease_race.rs
+++ b/tests/lease_race.rs
@@ -329,3 +329,91 @@
     other.seen(at(9_010), Some((7, row)));
     assert!(matches!(other.next(at(9_010)), Next::Sleep(_)));
 }
+
+/// The table as two processes see it that are both alive: each believes once that
+/// the other is gone, and its writes are answered late or not at all.
+struct Duel {
+    now: Instant,
+    table: Table,
+    leases: [Lease; 2],
+}
+
+impl Duel {
+    fn new() -> Self {
+        let lease = |name| Lease::new(name, Terms::new());
+        Self {
+            now: Instant::now(),
+            table: Table::default(),
+            leases: [lease("a/1"), lease("b/1")],
+        }
+    }
+
+    /// Has one process do what it wants to do now; without `answered` it never hears
+    /// what became of its write.
+    fn act(&mut self, n: usize, answered: bool) {
+        let lease = &mut self.leases[n];
+        match lease.next(self.now) {
+            Next::Sleep(_) => {}
+            Next::Read => lease.seen(self.now, self.table.row.clone()),
+            Next::Write { version, row } => match self.table.write(version, row) {
+                _ if !answered => lease.lost(self.now),
+                Some(version) => lease.written(version),
+                None => lease.beaten(),
+            },
+        }
+    }
+
+    /// Plays a time with both awake; returns how often the duty changed hands.
+    fn play(&mut self, time: Duration) -> u64 {
+        let before = self.fence();
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.act(0, true);
+            self.act(1, true);
+        }
+        self.fence() - before
+    }
+
+    fn fence(&self) -> u64 {
+        self.table.row.as_ref().map_or(0, |(_, row)| row.fence)
+    }
+}
+
+// a holds the duty, and b takes it to be gone, wrongly; then a sees b's row, and its
+// signs of life lag, so a takes b to be gone, too. Both live on. Trainers would see
+// weights ordered twice or not at all if each took the duty from the other whenever
+// it saw its row. A suspicion is of one holding: the duty changes hands once for each.
+#[test]
+fn a_suspicion_ends_with_the_holding_that_it_was_of() {
+    let mut duel = Duel::new();
+    duel.play(Duration::from_secs(4));
+    let holder = |duel: &Duel| usize::from(duel.leases[1].fence(duel.now).is_some());
+    for suspicions in 1..=2 {
+        let (old, new) = (holder(&duel), 1 - holder(&duel));
+        let held = duel.leases[new].other().unwrap();
+        assert_eq!(held.holder, ["a/1", "b/1"][old]);
+        duel.leases[new].suspect(held);
+        let changes = duel.play(Duration::from_secs(10));
+        assert_eq!(changes, 1, "after {suspicions} suspicions");
+        assert_eq!(holder(&duel), new);
+    }
+    assert_eq!(duel.play(Duration::from_mins(1)), 0);
+}
+
+// The same, but the answer of the write that takes the duty is lost: it is read again
+// and found to be its own. That is no new suspicion, and no new change.
+#[test]
+fn a_duel_with_lost_answers_comes_to_rest() {
+    let mut duel = Duel::new();
+    duel.play(Duration::from_secs(4));
+    for n in [1, 0, 1] {
+        let before = duel.fence();
+        let held = duel.leases[n].other().unwrap();
+        duel.leases[n].suspect(held);
+        duel.act(n, false);
+        duel.play(Duration::from_secs(10));
+        assert_eq!(duel.fence(), before + 1);
+    }
+    assert_eq!(duel.play(Duration::from_mins(1)), 0);
+}
--- a/tests/rollout_turns.rs
+++ b/tests/rollout_turns.rs
@@ -1,7 +1,7 @@
 //! Holders of the weights' duty that follow each other, and who is left alone.
 
 use hibiscusroad::{
-    lease::{Lease, Next, Row, Terms},
+    lease::{Holding, Lease, Next, Row, Terms},
     rollout::turns::{Turns, VALID},
 };
 use proptest::prelude::*;
@@ -38,10 +38,19 @@
     let mut lease = Lease::new("gateway-2/bb", Terms::new());
     lease.seen(now, Some((17, row)));
     assert!(matches!(lease.next(now), Next::Sleep(_)));
-    assert_eq!(lease.other(), Some("gateway-1/aa"));
-    lease.suspect("gateway-3/cc");
+    let held = lease.other().unwrap();
+    assert_eq!((held.holder.as_str(), held.fence), ("gateway-1/aa", 4));
+    lease.suspect(Holding {
+        holder: "gateway-3/cc".to_owned(),
+        fence: 4,
+    });
+    assert!(matches!(lease.next(now), Next::Sleep(_)));
+    lease.suspect(Holding {
+        fence: 3,
+        ..held.clone()
+    });
     assert!(matches!(lease.next(now), Next::Sleep(_)));
-    lease.suspect("gateway-1/aa");
+    lease.suspect(held);
     let Next::Write { version, row } = lease.next(now) else {
         panic!("the duty is not taken");
     };
