Let a few processes watch each owner closely

Hypothesis: with 88 gateways each looks at owners every 0.75 s (every 3 s with 360), so a lost owner is found late; six that are drawn by a hash of batch and process can look as often as owners renew, and the others all the less. Change: Presences::pause decides the time to the next look; owner.rs only waits. The holder of the weights is watched like a batch. Tests, seen to fail with the pause as before: few_processes_watch_an_owner_closely_.., a_lost_third_leaves_watchers_to_nearly_all_batches.

--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -31,9 +31,8 @@
 /// Processes that see the same silence are spread over this time, so that one
 /// of them writes and the others hear of it.
 const SPREAD: u64 = 150;
-/// Rows of this many processes are looked at as often as renewed; beyond, less
-/// often in proportion, so that looking takes the same share of the store.
-const WATCHERS: usize = 32;
+/// What the holder of the weights' duty is watched as, beside the batches.
+const WEIGHTS_DUTY: &str = "weights";
 const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
 /// What a batch is run from.
@@ -115,8 +114,27 @@
                         "Owners of batches could not be looked at.");
                 }
             }
-            let share = self.seen.borrow().count().div_ceil(WATCHERS).max(1);
-            sleep(RENEWAL * u32::try_from(share).unwrap_or(1)).await;
+            self.pause_between_looks().await;
+        }
+    }
+
+    /// Waits until the others are to be looked at again. A batch that comes meanwhile
+    /// may be one that this process watches closely.
+    async fn pause_between_looks(&self) {
+        let looked = Instant::now();
+        loop {
+            let foreign = self.foreign();
+            let ids = foreign.iter().map(|(id, _)| id.as_str());
+            let watched = ids.chain([WEIGHTS_DUTY]);
+            let pause = self.seen.borrow().pause(&self.directory.name, watched);
+            let next = looked + pause;
+            if Instant::now() >= next {
+                return;
+            }
+            tokio::select! {
+                () = sleep_until(next.into()) => return,
+                () = self.owners.notified() => {}
+            }
         }
     }
 
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -26,6 +26,11 @@
 /// owner's renewal by two (its write takes longer than a read) and the look by
 /// one or two.
 const LATENCIES: u32 = 4;
+/// So many processes look at the owner of a batch as often as it renews, drawn by a
+/// hash of both. They see a loss within [`RENEWAL`] of the silence, however many
+/// processes there are. With a third of all hosts gone at once, one batch in 700 has
+/// lost all of them, and waits for one of the others.
+const WATCHERS: u32 = 6;
 /// An owner that has no row at all is given so long for its first.
 const FIRST: Duration = Duration::from_millis(1_200);
 
@@ -108,6 +113,34 @@
         self.looked = None;
     }
 
+    /// Returns the pause of the process `name` until its next look, while it knows of
+    /// these open batches of others.
+    ///
+    /// Load: 88 processes, and 360 to come, of which two or three own something. Harm:
+    /// a look reads the rows of all; if everybody looks as often as owners renew, looks
+    /// use up the store, and if all look the less often the more they are, a lost owner
+    /// is found seconds late (0.75 s between two looks of one process at 88, 3 s at 360,
+    /// of the 7.5 s that a step has). So a few look often for each batch, and the
+    /// others together no more often than those.
+    #[must_use]
+    pub fn pause<'a>(&self, name: &str, batches: impl IntoIterator<Item = &'a str>) -> Duration {
+        let mut batches = batches.into_iter();
+        if batches.any(|batch| self.watches(name, batch)) {
+            return RENEWAL;
+        }
+        let count = u32::try_from(self.rows.len()).unwrap_or(u32::MAX);
+        RENEWAL * count.div_ceil(WATCHERS).max(1)
+    }
+
+    /// Says whether a process is among those that are drawn first for a batch.
+    fn watches(&self, name: &str, batch: &str) -> bool {
+        let seed = xxh3_64(batch.as_bytes());
+        let draw = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
+        let own = draw(name);
+        let before = self.rows.keys().filter(|other| draw(other) > own);
+        before.take(WATCHERS as usize).count() < WATCHERS as usize
+    }
+
     /// Chooses who a batch is handed on to by the process `name` when that one stops:
     /// one that was seen to live lately, by a hash, so that batches are spread.
     #[must_use]
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -1,7 +1,10 @@
 //! Whether an owner lives, seen through a store that is slow or away.
 
 use hibiscusroad::rollout::presence::{Loss, Presences, RENEWAL, SILENCE, Sign};
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 const OWNER: &str = "gateway-1/aa";
 
@@ -143,3 +146,59 @@
         .collect();
     assert_eq!(heirs, ["gateway-2/aa", "gateway-3/aa"].into());
 }
+
+/// What a process knows that has looked at the rows of so many.
+fn crowd(count: usize) -> (Presences, Vec<String>) {
+    let names: Vec<String> = (0..count).map(|n| format!("gateway-{n}")).collect();
+    let sign = |name: &String| Sign {
+        name: name.clone(),
+        life: format!("{name}/aa"),
+        version: 1,
+    };
+    let mut seen = Presences::new();
+    seen.seen(
+        Instant::now(),
+        Duration::from_millis(4),
+        names.iter().map(sign).collect(),
+    );
+    (seen, names)
+}
+
+// An owner is lost, and its trainer has 7.5 s for the whole step. Some process has to
+// look within a renewal, whether 8 or 360 of them share the store, and all together
+// must not use up its reads: 360 that look four times a second are 1,440 of them.
+#[test]
+fn few_processes_watch_an_owner_closely_however_many_there_are() {
+    for count in [8, 34, 88, 360] {
+        let (seen, names) = crowd(count);
+        let batches = ["b-1", "b-2"];
+        let pauses = names.iter().map(|name| seen.pause(name, batches));
+        let rate: f64 = pauses.clone().map(|pause| 1.0 / pause.as_secs_f64()).sum();
+        assert!(rate <= 100.0, "{rate} looks a second of {count}");
+        for batch in batches {
+            let close = names
+                .iter()
+                .filter(|name| seen.pause(name, [batch]) <= RENEWAL);
+            assert!(close.count() >= 6, "{count}");
+        }
+    }
+}
+
+// A third of 360 hosts lose power at once, with the owners of batches among them. Who
+// watches a batch closely is drawn for each anew, so nearly all of a thousand batches
+// have somebody left who sees the loss at once, and the others are seen in the end.
+#[test]
+fn a_lost_third_leaves_watchers_to_nearly_all_batches() {
+    let (seen, names) = crowd(360);
+    let living: HashSet<&String> = names.iter().skip(120).collect();
+    let batches: Vec<String> = (0..1000).map(|n| format!("b-{n}")).collect();
+    let unwatched = batches.iter().filter(|batch| {
+        let mut near = living
+            .iter()
+            .filter(|name| seen.pause(name, [batch.as_str()]) <= RENEWAL);
+        near.next().is_none()
+    });
+    assert!(unwatched.count() <= 5);
+    let slowest = names.iter().map(|name| seen.pause(name, ["b-1"])).max();
+    assert!(slowest.unwrap() <= Duration::from_secs(20));
+}
