Let one living process run the steps of all trainers

Cause: a step is run by whichever gateway its submission comes to. Change: choice::choose gives a batch to the largest process that runs batches already, is seen to live by its row (which tells when it was renewed, and its memory) and has room for it; a stopping owner names a successor even where nobody else owns anything; what a new owner loads is read at once, not one after another.

--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -61,8 +61,13 @@
                     "A batch is no longer run here.");
             }
         } else if mine.is_none() && !self.leaving.get() {
-            // A write of this process that came late: it has the batch.
+            // Another process gave the batch to this one, or a write of its own came
+            // late.
             spawn_local(Rc::clone(self).adopt(id.to_owned(), head, row.version));
+        } else if mine.is_none() {
+            // It was given to this process while that one stops.
+            let (batches, id) = (Rc::clone(self), id.to_owned());
+            spawn_local(async move { batches.hand_on(&id).await });
         }
         self.owners.notify_one();
     }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -73,6 +73,8 @@
     /// This process among its peers.
     directory: Directory,
     row_bytes: usize,
+    /// Megabytes that this process may use.
+    memory: u32,
     /// How long a batch stays readable after its submission.
     keep: Duration,
     store: Rc<Store>,
@@ -94,6 +96,8 @@
     owning: Notify,
     /// It holds the duty of the weights, and must be seen to live.
     duty: Cell<bool>,
+    /// When it had a batch or a duty last.
+    owned: Cell<Option<Instant>>,
     /// What this process saw of the others.
     seen: RefCell<Presences>,
     /// The others were looked at.
@@ -168,6 +172,7 @@
                 address: own.peers,
             },
             row_bytes: own.row_bytes,
+            memory: own.memory_mb,
             keep: Duration::from_secs(own.keep_s),
             store,
             line,
@@ -182,6 +187,7 @@
             arrived: Notify::new(),
             owning: Notify::new(),
             duty: Cell::new(false),
+            owned: Cell::new(None),
             seen: RefCell::new(Presences::new()),
             looked: Notify::new(),
             leaving: Cell::new(false),
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -5,6 +5,7 @@
 
 use super::{Batches, HeadRow, Owned};
 use crate::{gateway::store::millis, logs::BATCHES, platform::Backoff};
+use futures_util::future::join3;
 use hibiscusroad::{
     rollout::{
         Submission,
@@ -31,6 +32,9 @@
 /// Processes that see the same silence are spread over this time, so that one
 /// of them writes and the others hear of it.
 const SPREAD: u64 = 150;
+/// For so long a process that has no batch any more is seen to live: the steps of a
+/// trainer are some seconds apart, and the next one goes to the owner of the last.
+const EXPECTED: Duration = Duration::from_secs(10);
 /// What the holder of the weights' duty is watched as, beside the batches.
 const WEIGHTS_DUTY: &str = "weights";
 const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
@@ -47,6 +51,11 @@
 }
 
 impl Loaded {
+    /// Says whether nothing of it is known to have run.
+    pub(super) fn is_fresh_one(&self) -> bool {
+        self.results.is_empty() && self.pieces.is_empty()
+    }
+
     /// Describes a batch of which nothing has run.
     pub(super) const fn fresh(submission: Submission) -> Self {
         Self {
@@ -62,11 +71,6 @@
     /// Renews this process's row while it has batches.
     pub(in crate::gateway) async fn renew(self: Rc<Self>) {
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
-        let value = serde_json::to_vec(&Presence {
-            life: self.life.clone(),
-            peer: self.directory.address,
-        });
-        let value = value.unwrap_or_default();
         // The first row tells of this life, and ends the time of the former.
         loop {
             // A process that has given its batches back must not seem to run
@@ -74,7 +78,8 @@
             if self.leaving.get() {
                 return;
             }
-            let change = Change::new().put(row::entry(&self.directory.name), value.clone());
+            let value = serde_json::to_vec(&self.presence()).unwrap_or_default();
+            let change = Change::new().put(row::entry(&self.directory.name), value);
             let done = self.store.transact(&change).await;
             if !matches!(done, Commit::Done { .. }) {
                 sleep(backoff.next_wait(&mut rand::rng())).await;
@@ -83,7 +88,7 @@
             backoff.reset();
             loop {
                 sleep(RENEWAL).await;
-                if self.duty.get() || !self.mine.borrow().is_empty() {
+                if self.is_seen_to_live() {
                     break;
                 }
                 self.owning.notified().await;
@@ -91,6 +96,25 @@
         }
     }
 
+    fn presence(&self) -> Presence {
+        Presence {
+            life: self.life.clone(),
+            peer: self.directory.address,
+            renewed: millis(self.store.now().unwrap_or_default()),
+            memory: self.memory,
+        }
+    }
+
+    /// Says whether others have to see that this process lives: it owns something, or
+    /// the next step of a trainer may come to it.
+    fn is_seen_to_live(&self) -> bool {
+        let owns = self.duty.get() || !self.mine.borrow().is_empty();
+        if owns {
+            self.owned.set(Some(Instant::now()));
+        }
+        owns || self.owned.get().is_some_and(|at| at.elapsed() < EXPECTED)
+    }
+
     /// Takes over batches whose owners are gone.
     pub(in crate::gateway) async fn watch(self: Rc<Self>) {
         loop {
@@ -205,9 +229,7 @@
             }
             match self.load(&id).await {
                 Ok(loaded) => {
-                    if !self.mine.borrow().contains_key(&id) {
-                        self.run(&id, head, version, loaded);
-                    }
+                    self.begin(id, head, version, loaded).await;
                     return;
                 }
                 Err(error) => {
@@ -220,19 +242,19 @@
     }
 
     async fn load(&self, id: &str) -> Result<Loaded, String> {
-        let object = self.store.get_object(&row::object(id)).await;
+        let name = row::object(id);
+        let (object, results, pieces) = join3(
+            self.store.get_object(&name),
+            self.kept(id, 0),
+            self.pieces(id),
+        )
+        .await;
         let object = object.map_err(|failure| failure.to_string())?;
         let object = object.ok_or("its submission is not there")?;
         let submission = batch::submission(&object).map_err(|error| error.to_string())?;
-        let results = self
-            .kept(id, 0)
-            .await
-            .map_err(|failure| failure.to_string())?;
-        let pieces = self.pieces(id).await;
-        let pieces = pieces.map_err(|failure| failure.to_string())?;
         Ok(Loaded {
-            results,
-            pieces,
+            results: results.map_err(|failure| failure.to_string())?,
+            pieces: pieces.map_err(|failure| failure.to_string())?,
             ..Loaded::fresh(submission)
         })
     }
@@ -317,6 +339,11 @@
     /// Gives all batches back, so that others take them over at once.
     pub(in crate::gateway) async fn leave(&self) {
         self.leaving.set(true);
+        // Who takes what is left here is chosen by who is seen to live now.
+        if let Err(error) = self.look().await {
+            log::debug!(target: BATCHES, error = error.as_str();
+                "Owners of batches could not be looked at.");
+        }
         let mine: Vec<Rc<Owned>> = self.mine.borrow_mut().drain().map(|(_, o)| o).collect();
         for owned in mine {
             self.count("given-back");
@@ -324,7 +351,7 @@
             owned.drop_drafts();
             // What was generated since the last time goes to the next owner.
             self.keep_once(&owned).await;
-            self.hand_on(&owned).await;
+            self.hand_on(&owned.id).await;
         }
         let change = Change::new().remove(row::entry(&self.directory.name));
         let done = self.store.transact(&change).await;
@@ -346,8 +373,8 @@
     /// stands still for 0.1 to 0.5 s each time. One that is named here hears of it
     /// with the next change of the table, within milliseconds; should it be stopping
     /// too or be gone, the batch is taken over like any other.
-    async fn hand_on(&self, owned: &Owned) {
-        let Some((heir, row)) = self.heir(&owned.id).zip(self.head(&owned.id)) else {
+    pub(super) async fn hand_on(&self, batch: &str) {
+        let Some((heir, row)) = self.heir(batch).zip(self.head(batch)) else {
             return;
         };
         if row.head.owner != self.life || row.head.ended {
@@ -357,27 +384,33 @@
             owner: heir.clone(),
             ..row.head
         };
-        let id = row::head(&owned.id);
+        let id = row::head(batch);
         let change = Change::new()
             .expect(id.clone(), row.version)
             .put(id, head.encode());
         let done = self.store.transact(&change).await;
-        log::info!(target: BATCHES, batch = owned.id.as_str(), to = heir.as_str(),
+        log::info!(target: BATCHES, batch = batch, to = heir.as_str(),
             done = matches!(done, Commit::Done { .. }); "A batch is handed on.");
     }
 }
 
 /// Understands the row of a process.
-fn sign(row: &Row) -> Option<Sign> {
-    let Ok(presence) = serde_json::from_slice::<Presence>(&row.value) else {
+pub(super) fn presence(row: &Row) -> Option<Presence> {
+    let presence = serde_json::from_slice(&row.value).ok();
+    if presence.is_none() {
         log::error!(target: BATCHES, entry = row.id.key.as_str();
             "The row of a process is broken; it is ignored.");
-        return None;
-    };
+    }
+    presence
+}
+
+fn sign(row: &Row) -> Option<Sign> {
+    let Presence { life, memory, .. } = presence(row)?;
     Some(Sign {
         name: row.id.key.clone(),
-        life: presence.life,
+        life,
         version: row.version,
+        memory,
     })
 }
 
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -7,7 +7,7 @@
 //! seconds later: the caller gets an answer that promises nothing and submits
 //! again, and finds the head or writes it then.
 
-use super::{Batches, owner::Loaded};
+use super::{Batches, HeadRow, owner::Loaded};
 use crate::{
     gateway::{
         answer::{Out, problem, whole},
@@ -22,14 +22,15 @@
     catalog::Route,
     rollout::{
         Submission,
+        choice::{self, Candidate},
         row::{self, Head},
     },
-    table::{Change, Commit, Row},
+    table::{Change, Commit, Range, Row},
 };
 use hibiscusroad_platform::batch;
 use hyper::{Response, StatusCode, body::Bytes};
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -74,12 +75,62 @@
             }
         };
         let end = Instant::now() + PATIENCE;
-        if let Err(failure) = self.keep(id, &body, end).await {
+        let (kept, owner) = join(
+            self.keep(id, &body, end),
+            self.choose_owner(submission.items.len()),
+        )
+        .await;
+        if let Err(failure) = kept {
             log::warn!(target: BATCHES, batch = id, error = failure.as_str();
                 "A submission could not be kept; it is refused.");
             return problem(ErrorKind::StoreDown, RETURN);
         }
-        self.enter(id, path, route, submission, end).await
+        let head = self.new_head(path, route, &submission, owner);
+        self.enter(id, head, submission, end).await
+    }
+
+    /// Chooses who runs a new batch of so many items.
+    async fn choose_owner(&self, items: usize) -> String {
+        let owners = self.recent_owners();
+        if owners.is_empty() {
+            return self.life.clone();
+        }
+        let range = Range::part(row::ENTRIES, "");
+        let read = timeout(PREPARE, self.store.read_whole(&range)).await;
+        let Ok(Ok(page)) = read else {
+            log::info!(target: BATCHES, "A batch is run where it comes: nobody is seen to live.");
+            return self.life.clone();
+        };
+        let candidates: Vec<Candidate> = page
+            .rows
+            .iter()
+            .filter_map(|row| {
+                let presence = super::owner::presence(row)?;
+                let (items, last) = *owners.get(&presence.life)?;
+                Some(Candidate {
+                    presence,
+                    items,
+                    last,
+                })
+            })
+            .collect();
+        let now = self.store.now().unwrap_or_default();
+        let chosen = choice::choose(&candidates, items, self.memory, now);
+        chosen
+            .map_or(&self.life, |found| &found.presence.life)
+            .clone()
+    }
+
+    /// Returns the lives that own batches, the items of those that are open, and when
+    /// each got its last one.
+    fn recent_owners(&self) -> HashMap<String, (usize, Duration)> {
+        let mut owners: HashMap<String, (usize, Duration)> = HashMap::new();
+        for HeadRow { head, .. } in self.heads.borrow().values() {
+            let (items, last) = owners.entry(head.owner.clone()).or_default();
+            *items += if head.ended { 0 } else { head.total };
+            *last = (*last).max(Duration::from_millis(head.accepted));
+        }
+        owners
     }
 
     /// Keeps the submission's object.
@@ -101,15 +152,13 @@
     async fn enter(
         self: &Rc<Self>,
         id: &str,
-        path: &str,
-        route: &Route,
+        head: Head,
         submission: Submission,
         end: Instant,
     ) -> Response<Out> {
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
         // Whether a write may be done although no answer said so.
         let mut open = false;
-        let head = self.new_head(path, route, &submission);
         loop {
             let change = Change::new()
                 .expect(row::head(id), 0)
@@ -119,11 +168,16 @@
                     log::info!(target: BATCHES, batch = id, items = submission.items.len(),
                         model = submission.model.as_deref(), step = submission.step,
                         floor = submission.floor, groups = head.groups.len(),
-                        target = submission.target, carried = head.carried, row = version;
+                        target = submission.target, carried = head.carried, row = version,
+                        owner = head.owner.as_str();
                         "A batch is accepted.");
                     self.count("accepted");
                     self.set(id, head.clone(), version);
-                    spawn_local(Rc::clone(self).begin(id.to_owned(), head, version, submission));
+                    self.owners.notify_one();
+                    if head.owner == self.life {
+                        let loaded = Loaded::fresh(submission);
+                        spawn_local(Rc::clone(self).begin(id.to_owned(), head, version, loaded));
+                    }
                     return accepted();
                 }
                 Commit::Conflict(rows) => {
@@ -149,31 +203,43 @@
         }
     }
 
-    /// Runs a new batch, with what earlier ones have of its texts.
-    async fn begin(self: Rc<Self>, id: String, head: Head, version: u64, submission: Submission) {
-        let mut loaded = Loaded::fresh(submission);
+    /// Runs a batch; a new one with what earlier ones have of its texts.
+    pub(super) async fn begin(
+        self: Rc<Self>,
+        id: String,
+        head: Head,
+        version: u64,
+        mut loaded: Loaded,
+    ) {
+        if loaded.is_fresh_one() {
+            self.prepare(&id, &head, &mut loaded).await;
+        }
+        // It may have come by the feed, or have been ended, meanwhile.
+        let current = self.head(&id).is_some_and(|row| row.version == version);
+        if current && !self.mine.borrow().contains_key(&id) {
+            self.run(&id, head, version, loaded);
+        }
+    }
+
+    /// Reads what a new batch begins with.
+    async fn prepare(&self, id: &str, head: &Head, loaded: &mut Loaded) {
         let (paces, carried) = join(
             timeout(PREPARE, self.read_paces()),
-            timeout(PREPARE, self.carried_texts(&id, &head, &loaded.submission)),
+            timeout(PREPARE, self.carried_texts(id, head, &loaded.submission)),
         )
         .await;
         if !matches!(paces, Ok(Ok(()))) {
-            log::info!(target: BATCHES, batch = id.as_str();
+            log::info!(target: BATCHES, batch = id;
                 "A batch begins without what others know of engines.");
         }
         match carried {
             Ok(texts) => loaded.carried = texts,
-            Err(_elapsed) => log::info!(target: BATCHES, batch = id.as_str();
+            Err(_elapsed) => log::info!(target: BATCHES, batch = id;
                 "Texts are not carried over: the store is slow."),
         }
-        // It may have come by the feed, or have been ended, meanwhile.
-        let current = self.head(&id).is_some_and(|row| row.version == version);
-        if current && !self.mine.borrow().contains_key(&id) {
-            self.run(&id, head, version, loaded);
-        }
     }
 
-    fn new_head(&self, path: &str, route: &Route, submission: &Submission) -> Head {
+    fn new_head(&self, path: &str, route: &Route, submission: &Submission, owner: String) -> Head {
         let tokens = |item: &hibiscusroad::rollout::Item| u64::from(item.tokens);
         let model = submission.model.clone();
         let named = model
@@ -186,7 +252,7 @@
             path: path.to_owned(),
             accepted,
             until: accepted + millis(route.ttl.or(route.due).unwrap_or(LIFE)),
-            owner: self.life.clone(),
+            owner,
             total: submission.items.len(),
             ended: false,
             lag: named.unwrap_or(1).saturating_sub(submission.floor),
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -235,6 +235,13 @@
     /// Whether endpoints refuse an order with an old fencing number.
     #[serde(default)]
     pub fences: bool,
+    /// Megabytes that this process may use.
+    #[serde(default = "default_memory")]
+    pub memory_mb: u32,
+}
+
+fn default_memory() -> u32 {
+    256
 }
 
 fn default_lease() -> u64 {
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -149,6 +149,7 @@
             integer("row_bytes", 1024, 16 << 20),
             integer("keep_s", 1, SECONDS_AN_HOUR),
             optional("fences", Rule::Flag),
+            integer("memory_mb", 1, 1 << 20),
         ],
     },
     Table {
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -107,6 +107,7 @@
     ("bounds.statusS", "120"),
     ("bounds.graceS", "8"),
     ("bounds.enforceFencing", "true"),
+    ("limits.memoryMb", "512"),
 ];
 
 #[test]
@@ -121,6 +122,7 @@
     );
     assert_eq!(gateway.metrics, "10.1.0.10:7720".parse().ok());
     assert_eq!(gateway.peers, "10.1.0.10:7735".parse().ok());
+    assert_eq!(gateway.memory_mb, 512);
 }
 
 // A value that the platform doesn't have is filled in as nothing. All such
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -25,6 +25,7 @@
 //! needs no agreement, only a row that the owner renews.
 
 pub mod batch;
+pub mod choice;
 pub mod engines;
 mod order;
 pub mod pace;
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -54,12 +54,15 @@
     pub life: String,
     /// The version of the row.
     pub version: u64,
+    /// Megabytes that the process may use.
+    pub memory: u32,
 }
 
 #[derive(Debug)]
 struct Row {
     life: String,
     version: u64,
+    memory: u32,
     /// When it was first seen with this version.
     since: Instant,
 }
@@ -99,6 +102,7 @@
                 let row = Row {
                     life: sign.life,
                     version: sign.version,
+                    memory: sign.memory,
                     since: now,
                 };
                 self.rows.insert(sign.name, row);
@@ -142,16 +146,21 @@
     }
 
     /// Chooses who a batch is handed on to by the process `name` when that one stops:
-    /// one that was seen to live lately, by a hash, so that batches are spread.
+    /// one that was seen to live lately, of those the largest, and of these by a hash,
+    /// so that batches are spread.
+    ///
+    /// Where one process owns all batches the others have nothing to renew a row for.
+    /// Then it is any of them: nearly all live, and a batch that went to one that
+    /// doesn't is missed and taken over, as if it had been handed to nobody.
     #[must_use]
     pub fn heir(&self, name: &str, batch: &str) -> Option<&str> {
         let looked = self.looked?;
         let lives = |row: &Row| looked.saturating_duration_since(row.since) < SILENCE;
         let others = self.rows.iter().filter(|(other, _)| other.as_str() != name);
-        let living = others.filter(|(_, row)| lives(row));
-        let drawn = living.max_by_key(|(other, _)| {
-            let seed = xxh3_64(batch.as_bytes());
-            xxh3_64_with_seed(other.as_bytes(), seed)
+        let seed = xxh3_64(batch.as_bytes());
+        let drawn = others.max_by_key(|(other, row)| {
+            let draw = xxh3_64_with_seed(other.as_bytes(), seed);
+            (lives(row), row.memory, draw)
         });
         drawn.map(|(_, row)| row.life.as_str())
     }
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -108,6 +108,12 @@
     /// Where it carries calls of others to the store, if it does.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// The store's steady clock when it was written, in milliseconds.
+    #[serde(default)]
+    pub renewed: u64,
+    /// Megabytes that the process may use.
+    #[serde(default)]
+    pub memory: u32,
 }
 
 /// Returns the part of the store that holds a batch.
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -13,6 +13,7 @@
         name: "gateway-1".to_owned(),
         life: life.to_owned(),
         version,
+        memory: 512,
     }
 }
 
@@ -135,6 +136,7 @@
         name: format!("gateway-{n}"),
         life: format!("gateway-{n}/aa"),
         version,
+        memory: 512,
     };
     assert_eq!(seen.heir("gateway-1", "b1"), None);
     seen.seen(start, brief, (1..=4).map(|n| row(n, n)).collect());
@@ -147,6 +149,29 @@
     assert_eq!(heirs, ["gateway-2/aa", "gateway-3/aa"].into());
 }
 
+// One process owns all batches and is told to stop. Nobody else was seen to renew a
+// row, since nobody had to. The batches go to others all the same, the largest of them,
+// rather than lie there until they are missed.
+#[test]
+fn batches_are_handed_on_where_nobody_else_owns_any() {
+    let start = Instant::now();
+    let mut seen = Presences::new();
+    let row = |n: u64, memory: u32| Sign {
+        name: format!("gateway-{n}"),
+        life: format!("gateway-{n}/aa"),
+        version: n,
+        memory,
+    };
+    let rows = || vec![row(1, 512), row(2, 160), row(3, 512), row(4, 512)];
+    let brief = Duration::from_millis(5);
+    seen.seen(start, brief, rows());
+    seen.seen(start + SILENCE * 3, brief, rows());
+    let heirs: std::collections::BTreeSet<_> = (0..40)
+        .filter_map(|n| seen.heir("gateway-1", &format!("b{n}")))
+        .collect();
+    assert_eq!(heirs, ["gateway-3/aa", "gateway-4/aa"].into());
+}
+
 /// What a process knows that has looked at the rows of so many.
 fn crowd(count: usize) -> (Presences, Vec<String>) {
     let names: Vec<String> = (0..count).map(|n| format!("gateway-{n}")).collect();
@@ -154,6 +179,7 @@
         name: name.clone(),
         life: format!("{name}/aa"),
         version: 1,
+        memory: 512,
     };
     let mut seen = Presences::new();
     seen.seen(
