Show that a taker lives while it loads, and hand all batches to one heir

Change: adopting counts as owning; takers wait in an order that is the same for all batches, large hosts first; a stopping owner hands all its batches to one.

--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -27,11 +27,7 @@
     task::spawn_local,
     time::{sleep, sleep_until},
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Processes that see the same silence are spread over this time, so that one
-/// of them writes and the others hear of it.
-const SPREAD: u64 = 150;
 /// For so long a process that has no batch any more is seen to live: the steps of a
 /// trainer are some seconds apart, and the next one goes to the owner of the last.
 const EXPECTED: Duration = Duration::from_secs(10);
@@ -96,6 +92,12 @@
         }
     }
 
+    /// Notes that this process owns something, and has to be seen to live from now on.
+    fn expect(&self) {
+        self.owned.set(Some(Instant::now()));
+        self.owning.notify_one();
+    }
+
     fn presence(&self) -> Presence {
         Presence {
             life: self.life.clone(),
@@ -185,8 +187,8 @@
     }
 
     async fn take_over(self: &Rc<Self>, id: &str, row: &HeadRow, why: Loss) {
-        let draw = xxh3_64_with_seed(self.life.as_bytes(), row.version);
-        sleep(Duration::from_millis(draw % SPREAD)).await;
+        let turn = self.seen.borrow().turn(&self.directory.name, self.memory);
+        sleep(turn).await;
         let now = self.head(id);
         if self.leaving.get() || now.is_none_or(|now| now.version != row.version) {
             return;
@@ -214,6 +216,9 @@
     /// Begins to run a batch that the store says is this process's.
     pub(super) async fn adopt(self: Rc<Self>, id: String, head: Head, version: u64) {
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
+        // What it loads can take longer than the silence after which an owner is taken
+        // to be gone: all hosts that start together read theirs at once.
+        self.expect();
         loop {
             if self.mine.borrow().contains_key(&id) || self.leaving.get() {
                 return;
@@ -361,9 +366,9 @@
 }
 
 impl Batches {
-    fn heir(&self, batch: &str) -> Option<String> {
+    fn heir(&self) -> Option<String> {
         let seen = self.seen.borrow();
-        seen.heir(&self.directory.name, batch).map(str::to_owned)
+        seen.heir(&self.directory.name).map(str::to_owned)
     }
 
     /// Makes another process the owner of a batch.
@@ -374,7 +379,7 @@
     /// with the next change of the table, within milliseconds; should it be stopping
     /// too or be gone, the batch is taken over like any other.
     pub(super) async fn hand_on(&self, batch: &str) {
-        let Some((heir, row)) = self.heir(batch).zip(self.head(batch)) else {
+        let Some((heir, row)) = self.heir().zip(self.head(batch)) else {
             return;
         };
         if row.head.owner != self.life || row.head.ended {
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -154,6 +154,32 @@
     assert!(resumed >= 4, "texts began anew: {:?}", engine.ran());
 }
 
+// An owner is killed, and the process that takes its batch over has to wait a second
+// and more for the submission, as when all hosts start together and read theirs at once.
+// It lives and is seen to live meanwhile: were its batch taken by the next process, that
+// one would wait as long, and so on, while the step stands still.
+#[test]
+fn a_taker_that_still_loads_is_seen_to_live() {
+    let (mut world, _desk, engine) = World::ready("loads", 4);
+    engine.work(Duration::from_millis(100));
+    engine.events(20);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    until("texts are kept", || {
+        (world.store.rows("pieces").len() >= 2).then_some(())
+    });
+    world.store.fail(Faults {
+        objects: Duration::from_millis(1_300),
+        ..Faults::default()
+    });
+    world.gateways[0].kill();
+    check_whole(&results(&world, 1, "b1", 2), 20);
+    let lines = world.gateways[1..]
+        .iter()
+        .flat_map(gateway_world::Gateway::lines);
+    let taken = lines.filter(|line| line["text"] == "A batch is taken over.");
+    assert_eq!(taken.count(), 1);
+}
+
 // A planned stop loses nothing of what was generated: the process keeps all
 // texts as they are and gives its batches back, and the next owner goes on.
 #[test]
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -31,6 +31,11 @@
 /// processes there are. With a third of all hosts gone at once, one batch in 700 has
 /// lost all of them, and waits for one of the others.
 const WATCHERS: u32 = 6;
+/// Processes that take over from the same owner are spread over so many milliseconds:
+/// the write of the first of them and its news to the others take some 10.
+const SPREAD: u64 = 150;
+/// Processes with less than half of the memory of the largest wait so much longer.
+const SLOWER: Duration = Duration::from_millis(SPREAD);
 /// An owner that has no row at all is given so long for its first.
 const FIRST: Duration = Duration::from_millis(1_200);
 
@@ -145,19 +150,19 @@
         before.take(WATCHERS as usize).count() < WATCHERS as usize
     }
 
-    /// Chooses who a batch is handed on to by the process `name` when that one stops:
-    /// one that was seen to live lately, of those the largest, and of these by a hash,
-    /// so that batches are spread.
+    /// Chooses who the batches of the process `name` are handed on to when that one
+    /// stops: one that was seen to live lately, of those the largest, and of these by a
+    /// hash. All go to the same one, which then sees all that runs at the engines.
     ///
     /// Where one process owns all batches the others have nothing to renew a row for.
     /// Then it is any of them: nearly all live, and a batch that went to one that
     /// doesn't is missed and taken over, as if it had been handed to nobody.
     #[must_use]
-    pub fn heir(&self, name: &str, batch: &str) -> Option<&str> {
+    pub fn heir(&self, name: &str) -> Option<&str> {
         let looked = self.looked?;
         let lives = |row: &Row| looked.saturating_duration_since(row.since) < SILENCE;
         let others = self.rows.iter().filter(|(other, _)| other.as_str() != name);
-        let seed = xxh3_64(batch.as_bytes());
+        let seed = xxh3_64(name.as_bytes());
         let drawn = others.max_by_key(|(other, row)| {
             let draw = xxh3_64_with_seed(other.as_bytes(), seed);
             (lives(row), row.memory, draw)
@@ -165,6 +170,21 @@
         drawn.map(|(_, row)| row.life.as_str())
     }
 
+    /// Returns how long the process `name` with `memory` MB waits before it takes over
+    /// what an owner that is gone has left.
+    ///
+    /// Processes that see the same loss are spread, so that one writes and the others
+    /// hear of it. The order is the same for all batches, so they come to one process
+    /// again, and a large one: where power was lost and everybody saw it, four batches
+    /// went to four processes, one of which loaded its part over a slow link for 0.6 s.
+    #[must_use]
+    pub fn turn(&self, name: &str, memory: u32) -> Duration {
+        let largest = self.rows.values().map(|row| row.memory).max();
+        let large = memory.saturating_mul(2) >= largest.unwrap_or(0);
+        let draw = Duration::from_millis(xxh3_64(name.as_bytes()) % SPREAD);
+        if large { draw } else { draw + SLOWER }
+    }
+
     /// Says why an owner is taken to be gone, if it is. It is named by the name
     /// of its process and a life behind a slash, and known since `since`.
     ///
