Suspect owners after half a second, by six that watch each owner

Hypothesis: an owner's loss costs its steps 1.3 to 4 s, of which 0.8 s are the silence and up to 0.25 s the next look; with one owner for all trainers, renewals and close looks are few, so both can be more frequent. Change: renewals and close looks each 0.15 s (0.25), silence 0.5 s (0.8), watchers drawn by owner and not by batch; the others look half as often as before.

--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -150,9 +150,9 @@
         let looked = Instant::now();
         loop {
             let foreign = self.foreign();
-            let ids = foreign.iter().map(|(id, _)| id.as_str());
-            let watched = ids.chain([WEIGHTS_DUTY]);
-            let pause = self.seen.borrow().pause(&self.directory.name, watched);
+            let owners = foreign.iter().map(|(_, row)| row.head.owner.as_str());
+            let owners = owners.chain([WEIGHTS_DUTY]);
+            let pause = self.seen.borrow().pause(&self.directory.name, owners);
             let next = looked + pause;
             if Instant::now() >= next {
                 return;
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -18,18 +18,18 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Time between two renewals, and between two looks: three fit in the silence.
-pub const RENEWAL: Duration = Duration::from_millis(250);
+pub const RENEWAL: Duration = Duration::from_millis(150);
 /// A row that did not change for so long has no living owner: three renewals
 /// were missed, and a pause of this length has cost the owner its items anyway.
-pub const SILENCE: Duration = Duration::from_millis(800);
+pub const SILENCE: Duration = Duration::from_millis(500);
 /// So many of the store's own latencies are added: a slow store delays the
 /// owner's renewal by two (its write takes longer than a read) and the look by
 /// one or two.
 const LATENCIES: u32 = 4;
-/// So many processes look at the owner of a batch as often as it renews, drawn by a
-/// hash of both. They see a loss within [`RENEWAL`] of the silence, however many
-/// processes there are. With a third of all hosts gone at once, one batch in 700 has
-/// lost all of them, and waits for one of the others.
+/// So many processes look at an owner as often as it renews, drawn by a hash of both.
+/// They see a loss within [`RENEWAL`] of the silence, however many processes there are.
+/// With a third of all hosts gone at once, one owner in 700 has lost all of them, and
+/// waits for one of the others.
 const WATCHERS: u32 = 6;
 /// Processes that take over from the same owner are spread over so many milliseconds:
 /// the write of the first of them and its news to the others take some 10.
@@ -122,28 +122,28 @@
         self.looked = None;
     }
 
-    /// Returns the pause of the process `name` until its next look, while it knows of
-    /// these open batches of others.
+    /// Returns the pause of the process `name` until its next look, while it knows that
+    /// these others own something.
     ///
     /// Load: 88 processes, and 360 to come, of which two or three own something. Harm:
     /// a look reads the rows of all; if everybody looks as often as owners renew, looks
     /// use up the store, and if all look the less often the more they are, a lost owner
     /// is found seconds late (0.75 s between two looks of one process at 88, 3 s at 360,
-    /// of the 7.5 s that a step has). So a few look often for each batch, and the
-    /// others together no more often than those.
+    /// of the 7.5 s that a step has). So a few look often for each owner, and the
+    /// others together half as often as those.
     #[must_use]
-    pub fn pause<'a>(&self, name: &str, batches: impl IntoIterator<Item = &'a str>) -> Duration {
-        let mut batches = batches.into_iter();
-        if batches.any(|batch| self.watches(name, batch)) {
+    pub fn pause<'a>(&self, name: &str, owners: impl IntoIterator<Item = &'a str>) -> Duration {
+        let mut owners = owners.into_iter();
+        if owners.any(|owner| self.watches(name, owner)) {
             return RENEWAL;
         }
         let count = u32::try_from(self.rows.len()).unwrap_or(u32::MAX);
-        RENEWAL * count.div_ceil(WATCHERS).max(1)
+        RENEWAL * 2 * count.div_ceil(WATCHERS).max(1)
     }
 
-    /// Says whether a process is among those that are drawn first for a batch.
-    fn watches(&self, name: &str, batch: &str) -> bool {
-        let seed = xxh3_64(batch.as_bytes());
+    /// Says whether a process is among those that are drawn first for an owner.
+    fn watches(&self, name: &str, owner: &str) -> bool {
+        let seed = xxh3_64(owner.as_bytes());
         let draw = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
         let own = draw(name);
         let before = self.rows.keys().filter(|other| draw(other) > own);
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -223,34 +223,37 @@
 fn few_processes_watch_an_owner_closely_however_many_there_are() {
     for count in [8, 34, 88, 360] {
         let (seen, names) = crowd(count);
-        let batches = ["b-1", "b-2"];
-        let pauses = names.iter().map(|name| seen.pause(name, batches));
+        let owners = ["gateway-1/aa", "gateway-2/aa"];
+        let pauses = names.iter().map(|name| seen.pause(name, owners));
         let rate: f64 = pauses.clone().map(|pause| 1.0 / pause.as_secs_f64()).sum();
         assert!(rate <= 100.0, "{rate} looks a second of {count}");
-        for batch in batches {
+        for owner in owners {
             let close = names
                 .iter()
-                .filter(|name| seen.pause(name, [batch]) <= RENEWAL);
+                .filter(|name| seen.pause(name, [owner]) <= RENEWAL);
             assert!(close.count() >= 6, "{count}");
         }
     }
 }
 
-// A third of 360 hosts lose power at once, with the owners of batches among them. Who
-// watches a batch closely is drawn for each anew, so nearly all of a thousand batches
-// have somebody left who sees the loss at once, and the others are seen in the end.
+// A third of 360 hosts lose power at once, with owners among them. Who watches an owner
+// closely is drawn for each anew, so nearly all of a thousand owners have somebody left
+// who sees the loss at once, and the others are seen in the end.
 #[test]
-fn a_lost_third_leaves_watchers_to_nearly_all_batches() {
+fn a_lost_third_leaves_watchers_to_nearly_all_owners() {
     let (seen, names) = crowd(360);
     let living: HashSet<&String> = names.iter().skip(120).collect();
-    let batches: Vec<String> = (0..1000).map(|n| format!("b-{n}")).collect();
-    let unwatched = batches.iter().filter(|batch| {
+    let owners: Vec<String> = (0..1000).map(|n| format!("owner-{n}/aa")).collect();
+    let unwatched = owners.iter().filter(|owner| {
         let mut near = living
             .iter()
-            .filter(|name| seen.pause(name, [batch.as_str()]) <= RENEWAL);
+            .filter(|name| seen.pause(name, [owner.as_str()]) <= RENEWAL);
         near.next().is_none()
     });
     assert!(unwatched.count() <= 5);
-    let slowest = names.iter().map(|name| seen.pause(name, ["b-1"])).max();
+    let slowest = names
+        .iter()
+        .map(|name| seen.pause(name, ["owner-1/aa"]))
+        .max();
     assert!(slowest.unwrap() <= Duration::from_secs(20));
 }
