Give a batch to its owner together with its submission

Hypothesis: a batch that goes to another owner begins 0.06 to 0.1 s after its 202, since that one hears of it from the store and reads the submission again; while a store drops its history it hears nothing for a second. Change: a call Give between peers (peer.proto) carries head and submission; what isn't told so comes from the store as before.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -1,6 +1,7 @@
 //! Batches of trainers: accepted once, run by one owner, readable everywhere.
 //!
 //! * [`submit`]: acceptance, by one conditional write.
+//! * [`give`]: batches that go to another process than the one that accepted them.
 //! * [`heads`]: what every process knows of all batches, from the store.
 //! * [`owner`]: who runs a batch, and when another takes it over.
 //! * [`dispatch`]: starts items at engines.
@@ -20,6 +21,7 @@
 mod dispatch;
 mod draft;
 mod generate;
+mod give;
 mod heads;
 mod list;
 mod owner;
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -7,7 +7,7 @@
 //! seconds later: the caller gets an answer that promises nothing and submits
 //! again, and finds the head or writes it then.
 
-use super::{Batches, HeadRow, owner::Loaded};
+use super::{Batches, HeadRow, give::Owner, owner::Loaded};
 use crate::{
     gateway::{
         answer::{Out, problem, whole},
@@ -31,6 +31,7 @@
 use hyper::{Response, StatusCode, body::Bytes};
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -53,6 +54,16 @@
 /// Pauses between tries.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
 
+/// A batch that is about to be accepted.
+struct New {
+    head: Head,
+    /// Where its owner takes it, if that is another process.
+    peer: Option<SocketAddr>,
+    submission: Submission,
+    /// The submission as it came.
+    body: Bytes,
+}
+
 impl Batches {
     /// Accepts a batch, once, or refuses it.
     pub(in crate::gateway) async fn submit(
@@ -85,21 +96,31 @@
                 "A submission could not be kept; it is refused.");
             return problem(ErrorKind::StoreDown, RETURN);
         }
-        let head = self.new_head(path, route, &submission, owner);
-        self.enter(id, head, submission, end).await
+        let head = self.new_head(path, route, &submission, owner.life);
+        let new = New {
+            head,
+            peer: owner.peer,
+            submission,
+            body,
+        };
+        self.enter(id, new, end).await
     }
 
     /// Chooses who runs a new batch of so many items.
-    async fn choose_owner(&self, items: usize) -> String {
+    async fn choose_owner(&self, items: usize) -> Owner {
+        let own = Owner {
+            life: self.life.clone(),
+            peer: None,
+        };
         let owners = self.recent_owners();
         if owners.is_empty() {
-            return self.life.clone();
+            return own;
         }
         let range = Range::part(row::ENTRIES, "");
         let read = timeout(PREPARE, self.store.read_whole(&range)).await;
         let Ok(Ok(page)) = read else {
             log::info!(target: BATCHES, "A batch is run where it comes: nobody is seen to live.");
-            return self.life.clone();
+            return own;
         };
         let candidates: Vec<Candidate> = page
             .rows
@@ -116,9 +137,11 @@
             .collect();
         let now = self.store.now().unwrap_or_default();
         let chosen = choice::choose(&candidates, items, self.memory, now);
-        chosen
-            .map_or(&self.life, |found| &found.presence.life)
-            .clone()
+        let other = chosen.filter(|found| found.presence.life != self.life);
+        other.map_or(own, |found| Owner {
+            life: found.presence.life.clone(),
+            peer: found.presence.peer,
+        })
     }
 
     /// Returns the lives that own batches, the items of those that are open, and when
@@ -149,35 +172,17 @@
     }
 
     /// Writes the head.
-    async fn enter(
-        self: &Rc<Self>,
-        id: &str,
-        head: Head,
-        submission: Submission,
-        end: Instant,
-    ) -> Response<Out> {
+    async fn enter(self: &Rc<Self>, id: &str, new: New, end: Instant) -> Response<Out> {
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
         // Whether a write may be done although no answer said so.
         let mut open = false;
         loop {
             let change = Change::new()
                 .expect(row::head(id), 0)
-                .put(row::head(id), head.encode());
+                .put(row::head(id), new.head.encode());
             match self.store.transact(&change).await {
                 Commit::Done { version, .. } => {
-                    log::info!(target: BATCHES, batch = id, items = submission.items.len(),
-                        model = submission.model.as_deref(), step = submission.step,
-                        floor = submission.floor, groups = head.groups.len(),
-                        target = submission.target, carried = head.carried, row = version,
-                        owner = head.owner.as_str();
-                        "A batch is accepted.");
-                    self.count("accepted");
-                    self.set(id, head.clone(), version);
-                    self.owners.notify_one();
-                    if head.owner == self.life {
-                        let loaded = Loaded::fresh(submission);
-                        spawn_local(Rc::clone(self).begin(id.to_owned(), head, version, loaded));
-                    }
+                    self.entered(id, version, new);
                     return accepted();
                 }
                 Commit::Conflict(rows) => {
@@ -203,6 +208,31 @@
         }
     }
 
+    /// Runs a batch that was accepted, or gives it to its owner.
+    fn entered(self: &Rc<Self>, id: &str, version: u64, new: New) {
+        let New {
+            head,
+            peer,
+            submission,
+            body,
+        } = new;
+        log::info!(target: BATCHES, batch = id, items = submission.items.len(),
+            model = submission.model.as_deref(), step = submission.step,
+            floor = submission.floor, groups = head.groups.len(),
+            target = submission.target, carried = head.carried, row = version,
+            owner = head.owner.as_str(); "A batch is accepted.");
+        self.count("accepted");
+        self.set(id, head.clone(), version);
+        self.owners.notify_one();
+        let id = id.to_owned();
+        if head.owner == self.life {
+            let loaded = Loaded::fresh(submission);
+            spawn_local(Rc::clone(self).begin(id, head, version, loaded));
+        } else if let Some(peer) = peer {
+            spawn_local(Rc::clone(self).give(peer, id, version, head, body));
+        }
+    }
+
     /// Runs a batch; a new one with what earlier ones have of its texts.
     pub(super) async fn begin(
         self: Rc<Self>,
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -134,7 +134,9 @@
         move || request::readiness(&gateway)
     }));
     if let Some(peers) = peers {
-        spawn_local(peers::serve(peers, Rc::clone(&gateway.store)));
+        let batches = Rc::clone(&gateway.batches);
+        let take = move |batch| batches.take(batch);
+        spawn_local(peers::serve(peers, Rc::clone(&gateway.store), take));
         let store = Rc::clone(&gateway.store);
         spawn_local(peers::meet(store, gateway.batches.directory().clone()));
     }
--- a/hibiscusroad-daemon/src/gateway/peers/client.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/client.rs
@@ -1,10 +1,10 @@
-//! Asks a peer to carry a call to the store.
+//! Asks a peer to carry a call to the store, or to run a batch.
 
 use super::LARGEST;
 use crate::gateway::store::Failure;
 use hibiscusroad_platform::request::Request;
 use hibiscusroad_wire::peer::{
-    StoreAnswer, StoreCall, StoreHeader, peer_client::PeerClient, store_answer::Outcome,
+    Batch, StoreAnswer, StoreCall, StoreHeader, peer_client::PeerClient, store_answer::Outcome,
 };
 use hyper::body::Bytes;
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
@@ -19,6 +19,8 @@
 const CONNECT: Duration = Duration::from_millis(250);
 /// What the way to a peer and back may take beyond the store's own time.
 const SLACK: Duration = Duration::from_millis(150);
+/// A peer that hasn't taken a batch by then reads it from the store sooner.
+const GIVE: Duration = Duration::from_millis(400);
 
 /// Why a peer didn't bring an answer.
 #[derive(Debug, thiserror::Error)]
@@ -79,6 +81,28 @@
         decode(answer)
     }
 
+    /// Tells a peer of a batch that the store says is its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the peer has perhaps not heard of it. It hears of it from the
+    /// store all the same, only later.
+    pub(in crate::gateway) async fn give(
+        &self,
+        peer: SocketAddr,
+        batch: Batch,
+    ) -> Result<(), Uncarried> {
+        let mut client = self.client(peer).await?;
+        let given = timeout(GIVE, client.give(batch)).await;
+        let error = match given {
+            Ok(Ok(_)) => return Ok(()),
+            Ok(Err(status)) => status.to_string(),
+            Err(_elapsed) => "time is over".to_owned(),
+        };
+        self.forget(peer);
+        Err(Uncarried::Lost(error))
+    }
+
     async fn client(&self, peer: SocketAddr) -> Result<PeerClient<Channel>, Uncarried> {
         if let Some(client) = self.open.borrow().get(&peer) {
             return Ok(client.clone());
--- a/hibiscusroad-daemon/src/gateway/peers/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/mod.rs
@@ -1,11 +1,11 @@
-//! Calls to the store that gateways carry out for each other.
+//! What gateways do for each other: they carry calls to the store, and tell of batches.
 //!
 //! A gateway that the store turns away, while it serves others, would have to
 //! give up what it owns. Its peers carry its calls instead;
 //! [`hibiscusroad::reach`] decides which way a call goes.
 //!
-//! * [`client`]: asks a peer to carry a call.
-//! * [`server`]: carries calls of peers.
+//! * [`client`]: asks a peer to carry a call, or gives it a batch.
+//! * [`server`]: carries calls of peers, and takes batches.
 //! * [`directory`]: who the peers are, from their rows in the store.
 //!
 //! A call is carried out once or not at all, and its outcome is told as the
--- a/hibiscusroad-daemon/src/gateway/peers/server.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/server.rs
@@ -1,4 +1,4 @@
-//! Carries calls of peers to the store.
+//! Carries calls of peers to the store, and takes the batches that they give.
 //!
 //! tonic's handlers may run on any thread, and what reaches the store belongs to
 //! one: each call is handed over through a bounded queue, and a full one is a
@@ -11,7 +11,7 @@
 };
 use hibiscusroad_platform::request::Request as Call;
 use hibiscusroad_wire::peer::{
-    Answered, StoreAnswer, StoreCall,
+    Answered, Batch, Given, StoreAnswer, StoreCall,
     peer_server::{Peer, PeerServer},
     store_answer::Outcome,
 };
@@ -32,7 +32,13 @@
 /// longest time limit of an object.
 const LONGEST: Duration = Duration::from_secs(5);
 
-type Job = (Call, Duration, oneshot::Sender<Outcome>);
+/// What a peer asks for.
+enum Job {
+    /// To carry out a call within a time.
+    Carry(Call, Duration, oneshot::Sender<Outcome>),
+    /// To run a batch.
+    Take(Batch),
+}
 
 #[derive(Debug)]
 struct Carrier {
@@ -45,7 +51,7 @@
         let (call, limit) = decode(request.into_inner())?;
         let (reply, outcome) = oneshot::channel();
         self.jobs
-            .try_send((call, limit, reply))
+            .try_send(Job::Carry(call, limit, reply))
             .map_err(|_full| Status::resource_exhausted("too many calls are carried"))?;
         let outcome = outcome
             .await
@@ -54,13 +60,24 @@
             outcome: Some(outcome),
         }))
     }
+
+    async fn give(&self, request: Request<Batch>) -> Result<Response<Given>, Status> {
+        self.jobs
+            .try_send(Job::Take(request.into_inner()))
+            .map_err(|_full| Status::resource_exhausted("too many calls are carried"))?;
+        Ok(Response::new(Given {}))
+    }
 }
 
-/// Carries calls until the process ends.
-pub(in crate::gateway) async fn serve(listener: TcpListener, store: Rc<Store>) {
+/// Carries calls until the process ends, and hands batches that are given to `take`.
+pub(in crate::gateway) async fn serve(
+    listener: TcpListener,
+    store: Rc<Store>,
+    take: impl Fn(Batch) + 'static,
+) {
     let (jobs, queue) = mpsc::channel(QUEUE);
     let service = PeerServer::new(Carrier { jobs }).max_decoding_message_size(LARGEST);
-    spawn_local(work(queue, store));
+    spawn_local(work(queue, store, take));
     let served = Server::builder()
         .add_service(service)
         .serve_with_incoming(TcpListenerStream::new(listener))
@@ -71,24 +88,30 @@
     }
 }
 
-async fn work(mut queue: mpsc::Receiver<Job>, store: Rc<Store>) {
-    while let Some((call, limit, reply)) = queue.recv().await {
-        let store = Rc::clone(&store);
-        spawn_local(async move {
-            let outcome = match store.carry_for_peer(&call, limit).await {
-                Ok((status, body)) => Outcome::Answered(Answered {
-                    status: u32::from(status),
-                    body: body.to_vec(),
-                }),
-                Err(Failure::Refused(why)) => Outcome::Refused(why),
-                Err(failure) => Outcome::Lost(failure.to_string()),
-            };
-            // A peer that no longer waits has found the outcome unknown.
-            drop(reply.send(outcome));
-        });
+async fn work(mut queue: mpsc::Receiver<Job>, store: Rc<Store>, take: impl Fn(Batch)) {
+    while let Some(job) = queue.recv().await {
+        match job {
+            Job::Carry(call, limit, reply) => {
+                spawn_local(carry(Rc::clone(&store), call, limit, reply));
+            }
+            Job::Take(batch) => take(batch),
+        }
     }
 }
 
+async fn carry(store: Rc<Store>, call: Call, limit: Duration, reply: oneshot::Sender<Outcome>) {
+    let outcome = match store.carry_for_peer(&call, limit).await {
+        Ok((status, body)) => Outcome::Answered(Answered {
+            status: u32::from(status),
+            body: body.to_vec(),
+        }),
+        Err(Failure::Refused(why)) => Outcome::Refused(why),
+        Err(failure) => Outcome::Lost(failure.to_string()),
+    };
+    // A peer that no longer waits has found the outcome unknown.
+    drop(reply.send(outcome));
+}
+
 fn decode(call: StoreCall) -> Result<(Call, Duration), Status> {
     let method = ["GET", "POST", "PUT", "DELETE"]
         .into_iter()
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -103,6 +103,11 @@
         self.address.set(address);
     }
 
+    /// Returns the connections to peers.
+    pub(super) const fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
     /// Sets who may carry calls for this process.
     pub(super) fn set_peers(&self, peers: Vec<SocketAddr>) {
         let count = peers.len();
--- a/hibiscusroad-daemon/tests/gateway_peers.rs
+++ b/hibiscusroad-daemon/tests/gateway_peers.rs
@@ -28,6 +28,36 @@
     (world, way, [desk, engine])
 }
 
+// The next step of a trainer comes to another process than the one that runs its steps.
+// That one is told of it together with the submission, so the items start at once,
+// though the store takes 1.3 s to read a submission and tells of no change at all.
+#[test]
+fn a_batch_is_given_to_its_owner() {
+    let (world, way, [_desk, engine]) = world("given");
+    engine.work(Duration::from_millis(20));
+    let submit = |n: usize, id: &str, step: u64| {
+        let body = submission(step, 1, 1, 3).to_string();
+        let answer = world.gateways[n].call("POST", "/lm/step", id, body.as_bytes());
+        assert_eq!(answer.status, 202);
+    };
+    submit(0, "b1", 1);
+    until("all results are read", || {
+        (listed(&world, 1, "b1") == Some(3)).then_some(())
+    });
+    world.store.fail(Faults {
+        objects: Duration::from_millis(1_300),
+        ..Faults::default()
+    });
+    // What the store sends back is held up; what is sent to it arrives.
+    way.silence(Direction::Back);
+    let start = Instant::now();
+    submit(1, "b2", 2);
+    until("items run", || (engine.ran().len() == 6).then_some(()));
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(600), "{took:?}");
+    assert!(!has_line(&world.gateways[1], "A batch is taken over."));
+}
+
 fn listed(world: &World, n: usize, id: &str) -> Option<usize> {
     let answer = world.gateways[n].call("GET", &format!("/lots/{id}?after=0"), "reader", b"");
     (answer.status == 200).then(|| answer.json()["results"].as_array().map_or(0, Vec::len))
