Take four circles of files apart

Files imported each other in eight circles; four are left (route, and three of entry). millis has a home in the core's clock, of which turns.rs had a copy; the exposition of metrics, the answer of a request that was run, and what a side is made of stand in modules of their own; the key of a worker stands with the requests that workers carry out. No behaviour changes.

--- a/hibiscusroad-cli/src/session.rs
+++ b/hibiscusroad-cli/src/session.rs
@@ -7,7 +7,6 @@
     format::{self, Format},
     language::{About, Show, Statement},
     rows::{self, Row, Table},
-    stop,
 };
 use hibiscusroad::config::{Change, Command, Edit};
 use serde_json::json;
@@ -100,7 +99,7 @@
             Statement::Watch { every, show } => self.watch(*every, show),
             Statement::Explain { about, name } => self.explain(*about, name),
             Statement::Change(change) => self.guarded(change),
-            Statement::Stop { service, within } => stop::run(self, service, *within),
+            Statement::Stop { service, within } => self.stop(service, *within),
             Statement::Promote { .. } => {
                 writeln!(self.err, "refused: entries don't take promote yet")?;
                 Ok(Exit::Refused)
--- a/hibiscusroad-cli/src/stop.rs
+++ b/hibiscusroad-cli/src/stop.rs
@@ -32,43 +32,46 @@
 /// Keys of drained endpoints in `show config`, up to the name.
 const DRAINS: &str = "drains.endpoints.";
 
-pub(crate) fn run(session: &mut Session<'_>, service: &str, within: Duration) -> io::Result<Exit> {
-    if !session.is_forced() {
-        return session.want_force(service);
-    }
-    let start = Instant::now();
-    let rows = match endpoints(session, service)? {
-        Ok(rows) => rows,
-        Err(exit) => return Ok(exit),
-    };
-    let config = match session.ask("show/config")? {
-        Ok(config) => config,
-        Err(exit) => return Ok(exit),
-    };
-    if rows.is_empty() {
-        writeln!(
-            session.err,
-            "refused: no endpoint of {service}; see show endpoints"
-        )?;
-        return Ok(Exit::Refused);
-    }
-    let keys = config.iter().filter_map(|row| text(row, KEY));
-    let drained: BTreeSet<&str> = keys.filter_map(|key| key.strip_prefix(DRAINS)).collect();
-    let names = rows.iter().filter_map(|row| text(row, ENDPOINT));
-    for name in names.filter(|name| !drained.contains(name)) {
-        let change = Change::Drain {
-            target: Target::Endpoint,
-            name: name.to_owned(),
+impl Session<'_> {
+    /// Drains the endpoints of a service and waits until none runs anything.
+    pub(crate) fn stop(&mut self, service: &str, within: Duration) -> io::Result<Exit> {
+        if !self.is_forced() {
+            return self.want_force(service);
+        }
+        let start = Instant::now();
+        let rows = match endpoints(self, service)? {
+            Ok(rows) => rows,
+            Err(exit) => return Ok(exit),
         };
-        let exit = session.change(&change)?;
-        if exit != Exit::Done {
-            return Ok(exit);
+        let config = match self.ask("show/config")? {
+            Ok(config) => config,
+            Err(exit) => return Ok(exit),
+        };
+        if rows.is_empty() {
+            writeln!(
+                self.err,
+                "refused: no endpoint of {service}; see show endpoints"
+            )?;
+            return Ok(Exit::Refused);
         }
+        let keys = config.iter().filter_map(|row| text(row, KEY));
+        let drained: BTreeSet<&str> = keys.filter_map(|key| key.strip_prefix(DRAINS)).collect();
+        let names = rows.iter().filter_map(|row| text(row, ENDPOINT));
+        for name in names.filter(|name| !drained.contains(name)) {
+            let change = Change::Drain {
+                target: Target::Endpoint,
+                name: name.to_owned(),
+            };
+            let exit = self.change(&change)?;
+            if exit != Exit::Done {
+                return Ok(exit);
+            }
+        }
+        if self.is_dry() {
+            return Ok(Exit::Done);
+        }
+        wait(self, service, start, within)
     }
-    if session.is_dry() {
-        return Ok(Exit::Done);
-    }
-    wait(session, service, start, within)
 }
 
 fn wait(
--- a/hibiscusroad-daemon/src/gateway/answer.rs
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -1,7 +1,8 @@
 //! Answers that this process gives its callers.
 
-use super::{attempt::Guard, resume::Resumed, store::millis};
-use hibiscusroad::ErrorKind;
+use super::attempt::Guard;
+use futures_util::stream::Stream;
+use hibiscusroad::{ErrorKind, clock::millis};
 use http_body_util::Full;
 use hyper::{
     Response, StatusCode,
@@ -26,6 +27,9 @@
     Resumed(Resumed),
 }
 
+/// The body of an answer that may come from several endpoints.
+pub(super) type Resumed = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>>>>;
+
 /// An endpoint's answer on its way.
 pub(super) struct Flow {
     pub(super) first: VecDeque<Bytes>,
--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -14,13 +14,11 @@
 //! lowest priority, so nothing else waits for it.
 
 use super::{Batches, Owned, seat::Seat};
-use crate::{
-    gateway::store::{Failure, millis},
-    logs::BATCHES,
-};
+use crate::{gateway::store::Failure, logs::BATCHES};
 use futures_util::future::join_all;
 use hibiscusroad::{
     catalog::Route,
+    clock::millis,
     rollout::{
         Submission,
         row::{self, Head, PIECES},
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -15,11 +15,11 @@
         calls::Target,
         http::whole,
         request::own_head,
-        store::millis,
     },
     logs::BATCHES,
 };
 use hibiscusroad::{
+    clock::millis,
     rollout::{Item, batch::Break, engines::EngineKey},
     roster::Endpoint,
 };
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -4,8 +4,9 @@
 //! the last write is known. Results that become ready meanwhile go together.
 
 use super::{Batches, Owned};
-use crate::{gateway::store::millis, logs::BATCHES, platform::Backoff};
+use crate::{logs::BATCHES, platform::Backoff};
 use hibiscusroad::{
+    clock::millis,
     rollout::row,
     table::{Change, Commit, Row},
 };
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -4,9 +4,10 @@
 //! rows while there are batches of others; [`hibiscusroad::rollout::presence`] decides who is gone.
 
 use super::{Batches, HeadRow, Owned};
-use crate::{gateway::store::millis, logs::BATCHES, platform::Backoff};
+use crate::{logs::BATCHES, platform::Backoff};
 use futures_util::future::join3;
 use hibiscusroad::{
+    clock::millis,
     rollout::{
         Submission,
         batch::Batch,
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -10,7 +10,6 @@
         calls::drawn_service,
         forward::{Content, Ended, Forward, ended},
         request::own_head,
-        store::millis,
     },
     logs::BATCHES,
     platform::Backoff,
@@ -18,6 +17,7 @@
 use hibiscusroad::{
     Class,
     catalog::{Kind, Route},
+    clock::millis,
     rollout::Scorer,
 };
 use hibiscusroad_platform::header;
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -4,11 +4,9 @@
 //! row's version is a condition all the same: a conflict brings what others wrote.
 
 use super::Batches;
-use crate::{
-    gateway::store::{Failure, millis},
-    logs::BATCHES,
-};
+use crate::{gateway::store::Failure, logs::BATCHES};
 use hibiscusroad::{
+    clock::millis,
     rollout::{
         pace::Paces,
         row::{self, PACES},
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -9,10 +9,7 @@
 
 use super::{Batches, HeadRow, give::Owner, owner::Loaded};
 use crate::{
-    gateway::{
-        answer::{Out, problem, whole},
-        store::millis,
-    },
+    gateway::answer::{Out, problem, whole},
     logs::BATCHES,
     platform::Backoff,
 };
@@ -20,6 +17,7 @@
 use hibiscusroad::{
     ErrorKind,
     catalog::Route,
+    clock::millis,
     rollout::{
         Submission,
         choice::{self, Candidate},
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -4,11 +4,11 @@
 //! the other, through a queue of its own. Dropped, it takes its call back, so
 //! that a caller that leaves frees what it held at once.
 
-use super::store::millis;
 use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Incarnation, RequestId,
     catalog::{Catalog, Route},
+    clock::millis,
     roster::{Endpoint, News},
     route::{
         Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -6,28 +6,18 @@
 //! that is how the work of a caller that has left is cancelled.
 
 use super::{
-    answer::{Flow, Out, problem, whole},
-    attempt::{Answer, Done, Guard, Head, Line, Received, run, text},
+    attempt::{Answer, Done, Head, Line, Received, run},
     calls::Ticket,
     http::{Rest, Sent, whole as whole_body},
-    resume::{Again, resumed},
-    store::millis,
 };
-use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Repeat,
     catalog::Kind,
     route::{EndpointKey, Outcome, Step},
 };
 use http_body_util::Either;
-use hyper::{Response, body::Bytes, header::CONTENT_TYPE};
-use std::{
-    future::poll_fn,
-    pin::Pin,
-    rc::Rc,
-    task::Poll,
-    time::{Duration, Instant},
-};
+use hyper::body::Bytes;
+use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
 /// A request's body, as far as it can be sent again.
 pub(super) enum Content {
@@ -67,27 +57,6 @@
 
 type Running = (EndpointKey, Pin<Box<dyn Future<Output = Done>>>);
 
-/// Runs a request and returns its answer for the caller.
-pub(super) async fn forward(line: &Line, request: Forward) -> Response<Out> {
-    let head = Rc::clone(&request.head);
-    let again = Again::of(&request);
-    let (start, service) = (Instant::now(), request.service.clone());
-    match ended(line, request).await {
-        Ended::Answer(answer, more) => {
-            log::info!(target: CALLS, id = head.id.as_str(), service = service.as_str(),
-                endpoint = &*answer.endpoint, status = answer.status.as_u16(),
-                streams = more.is_some(), took_ms = millis(start.elapsed());
-                "A request is answered.");
-            respond(line, &head, *answer, more, again)
-        }
-        Ended::Refused(kind, after) => {
-            log::info!(target: CALLS, id = head.id.as_str(), kind = kind.answer().problem,
-                after_ms = millis(after); "A request is refused.");
-            problem(kind, after)
-        }
-    }
-}
-
 /// Runs a request until it is answered or refused.
 pub(super) async fn ended(line: &Line, mut request: Forward) -> Ended {
     let repeat = match request.kind {
@@ -158,30 +127,3 @@
     })
     .await
 }
-
-fn respond(
-    line: &Line,
-    head: &Head,
-    answer: Answer,
-    more: Option<(Ticket, EndpointKey)>,
-    again: Option<Again>,
-) -> Response<Out> {
-    let mut response = match (answer.body, more) {
-        (Received::Whole(body), _) => whole(answer.status, "", body),
-        (Received::Flow(first, rest, channel), Some((ticket, endpoint))) => {
-            let guard = Guard::new(line, ticket, endpoint, channel, head, &answer.headers);
-            let events = text(&answer.headers, CONTENT_TYPE.as_str())
-                .is_some_and(|kind| kind.starts_with("text/event-stream"));
-            let body = match again.filter(|_| events && first.is_empty()) {
-                Some(again) => Out::Resumed(resumed(line, again, rest, guard)),
-                None => Out::Flow(Flow { first, rest, guard }),
-            };
-            let mut response = Response::new(body);
-            *response.status_mut() = answer.status;
-            response
-        }
-        (Received::Flow(..), None) => return problem(ErrorKind::Internal, Duration::ZERO),
-    };
-    *response.headers_mut() = answer.headers;
-    response
-}
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -4,11 +4,7 @@
 //! engineers fetch them from an address of the settings, which is why a registry
 //! with an exposition takes cadence's place.
 
-use super::{
-    Gateway,
-    answer::{Out, whole},
-};
-use hyper::{Response, StatusCode};
+use hyper::StatusCode;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -137,9 +133,9 @@
     pub(super) store_calls: IntCounterVec,
     pub(super) detours: IntCounterVec,
     pub(super) broken_entries: IntCounter,
-    connections: IntGauge,
-    config: IntGauge,
-    dropped: IntGauge,
+    pub(super) connections: IntGauge,
+    pub(super) config: IntGauge,
+    pub(super) dropped: IntGauge,
 }
 
 impl Meters {
@@ -196,6 +192,17 @@
         })
     }
 
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric can't be encoded.
+    pub(super) fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
     /// Notes how a caller's request ended, and after which time.
     pub(super) fn answered(&self, status: StatusCode, problem: Option<&str>, took: Duration) {
         let class = match status.as_u16() {
@@ -210,25 +217,3 @@
         self.answer_seconds.observe(took.as_secs_f64());
     }
 }
-
-impl Gateway {
-    /// Answers with all metrics as text.
-    pub(super) fn exposition(&self) -> Response<Out> {
-        let meters = &self.meters;
-        let count = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
-        meters.connections.set(count(self.line.channels.opened()));
-        meters.dropped.set(count(crate::logs::dropped()));
-        let version = self.known.catalog().map_or(0, |catalog| catalog.version);
-        meters.config.set(count(version));
-        meters.running.set(count(self.batches.running() as u64));
-        let mut text = Vec::new();
-        match TextEncoder::new().encode(&meters.registry.gather(), &mut text) {
-            Ok(()) => whole(StatusCode::OK, "text/plain; version=0.0.4", text),
-            Err(error) => {
-                log::error!(target: crate::logs::PROCESS, error = error.to_string().as_str();
-                    "Metrics can't be told.");
-                whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "")
-            }
-        }
-    }
-}
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -16,8 +16,8 @@
 //!
 //! # Layout
 //!
-//! * [`front`], [`request`], [`forward`], [`attempt`], [`answer`]: a request's
-//!   way, from its caller to an endpoint and back.
+//! * [`front`], [`request`], [`forward`], [`attempt`], [`respond`], [`answer`]: a
+//!   request's way, from its caller to an endpoint and back.
 //! * [`resume`]: streams that go on at another endpoint.
 //! * [`calls`]: the router, and the requests that wait for it.
 //! * [`batches`]: batches of trainers. [`weights`]: the duty of loading weights.
@@ -25,13 +25,14 @@
 //! * [`peers`]: calls to the store that gateways carry out for each other.
 //! * [`http`]: connections to endpoints and to the store.
 //! * [`stopping`], [`ready`], [`boot`]: planned stops, readiness, time.
-//! * [`meters`]: counters and latencies.
+//! * [`meters`], [`exposition`]: counters and latencies, and who fetches them.
 
 mod answer;
 mod attempt;
 mod batches;
 mod boot;
 mod calls;
+mod exposition;
 mod forward;
 mod front;
 mod http;
@@ -40,6 +41,7 @@
 mod peers;
 mod ready;
 mod request;
+mod respond;
 mod resume;
 mod stopping;
 mod store;
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -5,8 +5,9 @@
     answer::{Out, problem, whole},
     attempt::{Head, set, strip, text},
     calls::drawn_service,
-    forward::{Content, Forward, forward},
+    forward::{Content, Forward},
     http::Rest,
+    respond::answered,
 };
 use crate::logs::CALLS;
 use hibiscusroad::{
@@ -97,7 +98,7 @@
             content,
             head: Rc::new(head(parts, id, deadline)),
         };
-        forward(&self.line, request).await
+        answered(&self.line, request).await
     }
 
     /// Answers a request that no route takes.
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -11,21 +11,17 @@
 //! come, not its first. Dropped, the stream drops what runs for it.
 
 use super::{
-    answer::Broken,
+    answer::{Broken, Resumed},
     attempt::{Answer, Guard, Head, Line, Received, set},
     forward::{Content, Ended, Forward, ended},
-    store::millis,
 };
 use crate::logs::CALLS;
-use futures_util::stream::{Stream, unfold};
-use hibiscusroad::{Class, catalog::Kind};
+use futures_util::stream::unfold;
+use hibiscusroad::{Class, catalog::Kind, clock::millis};
 use hibiscusroad_platform::{event::Events, header};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
-use std::{collections::VecDeque, pin::Pin, rc::Rc, time::Instant};
-
-/// The body of an answer that may come from several endpoints.
-pub(super) type Resumed = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>>>>;
+use std::{collections::VecDeque, rc::Rc, time::Instant};
 
 /// What it takes to run a request again.
 #[derive(Clone)]
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -13,6 +13,7 @@
 };
 use crate::logs::STORE;
 use hibiscusroad::{
+    clock::millis,
     patience::Patience,
     reach::{Carried, Reach, Way},
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
@@ -449,8 +450,3 @@
         Err(failure) => matches!(failure, Failure::Refused(_)),
     }
 }
-
-/// Returns whole milliseconds, for logs.
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -4,11 +4,9 @@
     LOOK, Weights,
     order::{AGAIN, LONGEST},
 };
-use crate::{
-    gateway::{http::encode, store::millis},
-    logs::WEIGHTS,
-};
+use crate::{gateway::http::encode, logs::WEIGHTS};
 use hibiscusroad::{
+    clock::millis,
     rollout::{Order, OrderAnswer, wave::Load},
     roster::Endpoint,
 };
--- a/hibiscusroad-daemon/src/side/event.rs
+++ b/hibiscusroad-daemon/src/side/event.rs
@@ -1,9 +1,6 @@
 //! The events that other threads hand to the actor.
 
-use crate::side::{
-    pool::WorkerKey,
-    request::{EndpointLoad, Hello, Inbound},
-};
+use crate::side::request::{EndpointLoad, Hello, Inbound, WorkerKey};
 use hibiscusroad::{
     ErrorKind, RequestId,
     gate::{Head, LinkKey, Run},
--- a/hibiscusroad-daemon/src/side/mod.rs
+++ b/hibiscusroad-daemon/src/side/mod.rs
@@ -36,14 +36,12 @@
 mod report;
 mod request;
 mod role;
+mod setup;
 mod sse;
 mod throttle;
 mod wire;
 
-use self::{
-    event::Event,
-    role::{Role, Setup},
-};
+use self::{event::Event, role::Role, setup::Setup};
 use crate::{
     logs::SIDE as LOG,
     metrics::Metrics,
--- a/hibiscusroad-daemon/src/side/orders.rs
+++ b/hibiscusroad-daemon/src/side/orders.rs
@@ -2,7 +2,11 @@
 
 use crate::{
     logs::SIDE as LOG,
-    side::{event::Event, pool::WorkerKey, request::Order, role::Role},
+    side::{
+        event::Event,
+        request::{Order, WorkerKey},
+        role::Role,
+    },
 };
 use hibiscusroad::{
     ErrorKind,
--- a/hibiscusroad-daemon/src/side/pool.rs
+++ b/hibiscusroad-daemon/src/side/pool.rs
@@ -10,7 +10,7 @@
         LOG,
         call::{self, Line},
         event::Event,
-        request::{Http, Order, Request},
+        request::{Http, Order, Request, WorkerKey},
         throttle::Throttle,
     },
 };
@@ -27,11 +27,6 @@
 };
 use ureq::Agent;
 
-slotmap::new_key_type! {
-    /// Names a worker.
-    pub struct WorkerKey;
-}
-
 /// How long a worker without a call is kept, with its connection.
 const IDLE: Duration = Duration::from_secs(10);
 
--- a/hibiscusroad-daemon/src/side/report.rs
+++ b/hibiscusroad-daemon/src/side/report.rs
@@ -1,6 +1,6 @@
 //! What a side tells of itself, and the configuration that it has.
 
-use crate::side::{request::EndpointLoad, role::Setup, wire};
+use crate::side::{request::EndpointLoad, setup::Setup, wire};
 use hibiscusroad::{
     config::{Document, Register},
     gate::Gate,
--- a/hibiscusroad-daemon/src/side/request.rs
+++ b/hibiscusroad-daemon/src/side/request.rs
@@ -6,6 +6,11 @@
 };
 use std::time::Instant;
 
+slotmap::new_key_type! {
+    /// Names a worker that carries requests out.
+    pub struct WorkerKey;
+}
+
 /// A request for the endpoint.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/hibiscusroad-daemon/src/side/role.rs
+++ b/hibiscusroad-daemon/src/side/role.rs
@@ -1,21 +1,20 @@
 //! The actor that owns the tables of a side.
 
 use crate::{
-    metrics::{self, Metrics},
-    settings::{Settings, Side},
+    metrics,
     side::{
-        LOG, ReadLease,
+        LOG,
         event::{Event, Outbound},
-        pool::{Pool, WorkerKey},
+        pool::Pool,
         report::Report,
-        request::{Hello, Inbound, Request},
+        request::{Hello, Inbound, Request, WorkerKey},
+        setup::Setup,
         throttle::Throttle,
         wire,
     },
 };
-use flume::Sender;
 use hibiscusroad::{
-    ErrorKind, Incarnation, RequestId,
+    ErrorKind, RequestId,
     gate::{Admission, Gate, GateSpec, LinkKey, Run, Step},
 };
 use hibiscusroad_wire::{ToEntry, to_entry::Frame};
@@ -34,23 +33,6 @@
 /// When an entry may try a refused attempt again here, at the earliest.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// What a side is made of.
-#[derive(Clone)]
-pub struct Setup {
-    /// The settings of the process.
-    pub settings: Settings,
-    /// The settings of the role.
-    pub side: Side,
-    /// This life of the process.
-    pub incarnation: Incarnation,
-    /// Where threads hand events over.
-    pub events: Sender<Event>,
-    /// Reads a duty's lease row.
-    pub lease: ReadLease,
-    /// Where metrics go.
-    pub metrics: Metrics,
-}
-
 /// How long a stopping side waits for its entries' word that they send no more:
 /// longer than an entry may be silent before its link is closed.
 const ECHO: Duration = Duration::from_secs(3);
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -15,6 +15,12 @@
     time::{Duration, Instant},
 };
 
+/// Returns whole milliseconds, as rows of the store and log lines hold times.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A source of the present instant.
 pub trait Clock: Send + Sync {
     /// Returns the present instant, which never goes back.
--- a/src/rollout/turns.rs
+++ b/src/rollout/turns.rs
@@ -15,6 +15,7 @@
 //! take the lease from a holder that is only suspected to be gone: its next
 //! order fails at the store.
 
+use crate::clock::millis;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -70,7 +71,3 @@
         self.engines.retain(|_, turn| end(turn) > now);
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
