--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -23,6 +23,7 @@
 use crate::{
     rollout::{
         pace::{Paces, Sample},
+        tier::{Tier, Usual},
         waits::Lack,
     },
     roster::Endpoint,
@@ -45,14 +46,6 @@
 /// Pause after an engine made no events: a third of a load of weights, after
 /// which it is tried by one item that moves on at once if it has to.
 const STALLED: Duration = Duration::from_millis(300);
-/// Slower than its median peer by this factor is slow. Engines of one service
-/// differ by up to a third when sound; a disturbed one by three and more.
-const SLOW: f64 = 1.7;
-/// Slower than the fastest peers by this factor is worth a move for a run that
-/// has become long: what is left of it ends that much sooner.
-const MILD: f64 = 1.12;
-/// The fastest peers are one in so many engines.
-const FASTEST: usize = 4;
 /// A run is long when it has made so many times the events of a usual one: half
 /// of the runs that get there make as many again.
 const LONG: f64 = 1.5;
@@ -85,35 +78,6 @@
     measured: Option<Instant>,
 }
 
-/// How fast the engines of a service are, in seconds an event.
-#[derive(Clone, Copy, Debug)]
-struct Usual {
-    /// The median.
-    median: f64,
-    /// Of the fastest ones.
-    best: f64,
-}
-
-/// How an engine compares with its peers, best last.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Tier {
-    Slow,
-    Mild,
-    Fast,
-}
-
-impl Usual {
-    fn tier(self, pace: f64) -> Tier {
-        if pace > self.median * SLOW {
-            Tier::Slow
-        } else if pace > self.best * MILD {
-            Tier::Mild
-        } else {
-            Tier::Fast
-        }
-    }
-}
-
 impl Row {
     fn others(&self, now: Instant) -> u32 {
         let told = self.others.filter(|(at, _)| now < *at + BELIEVED);
@@ -462,13 +426,7 @@
 
     fn paces(&self, service: &str) -> Option<Usual> {
         let rows = self.rows.values().filter(|row| row.service == service);
-        let mut paces: Vec<f64> = rows.filter_map(|row| row.pace).collect();
-        paces.sort_by(f64::total_cmp);
-        let rank = paces.len() / FASTEST;
-        Some(Usual {
-            median: *paces.get(paces.len() / 2)?,
-            best: *paces.get(rank)?,
-        })
+        Usual::of(rows.filter_map(|row| row.pace))
     }
 }
 
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -4,6 +4,7 @@
 //! It waits for a number of whole groups, trains, and names the next weight
 //! version. What decides here does no input or output:
 //!
+//! * [`choice`]: which process runs a new batch.
 //! * [`batch`]: which item of a batch starts next and what is listed when.
 //! * [`engines`]: which engine an item goes to.
 //! * [`wave`]: which engine loads which weights next.
@@ -17,8 +18,9 @@
 //!
 //! # Design
 //!
-//! One entry runs a batch, the one that accepted it. The store holds who that
-//! is, and each result is written under the condition that it still is; so
+//! One process runs a batch: as a rule the one that runs all of them, else the one
+//! that accepted it. The store holds who that is, and each result is written under
+//! the condition that it still is; so
 //! there may be two that believe it at the worst, of which one can list
 //! nothing. Items may run more than once, which makes a takeover on a mere
 //! suspicion safe: it costs work, never a wrong result. That is why liveness
@@ -33,6 +35,7 @@
 pub mod row;
 mod spec;
 pub mod text;
+mod tier;
 pub mod turns;
 pub mod urgency;
 pub mod waits;
