--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -14,7 +14,7 @@
 //! lowest priority, so nothing else waits for it.
 
 use super::{Batches, Owned, seat::Seat};
-use crate::{gateway::store::Failure, logs::BATCHES};
+use crate::{gateway::failure::Failure, logs::BATCHES};
 use futures_util::future::join_all;
 use hibiscusroad::{
     catalog::Route,
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -9,7 +9,7 @@
 //! head is as this owner left it.
 
 use super::{Batches, Owned};
-use crate::{gateway::store::Failure, logs::BATCHES};
+use crate::{gateway::failure::Failure, logs::BATCHES};
 use hibiscusroad::{
     rollout::{
         row::{self, PIECES},
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         answer::{Out, problem, whole},
-        store::Failure,
+        failure::Failure,
     },
     logs::BATCHES,
 };
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -4,7 +4,7 @@
 //! row's version is a condition all the same: a conflict brings what others wrote.
 
 use super::Batches;
-use crate::{gateway::store::Failure, logs::BATCHES};
+use crate::{gateway::failure::Failure, logs::BATCHES};
 use hibiscusroad::{
     clock::millis,
     rollout::{
--- a/hibiscusroad-daemon/src/gateway/batches/sweep.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/sweep.rs
@@ -8,7 +8,7 @@
 //! for the next.
 
 use super::{Batches, HeadRow};
-use crate::{gateway::store::Failure, logs::BATCHES};
+use crate::{gateway::failure::Failure, logs::BATCHES};
 use hibiscusroad::{
     rollout::row::{self, PIECES, RESULTS},
     table::{Change, Commit, Range, RowId},
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 //! * [`resume`]: streams that go on at another endpoint.
 //! * [`calls`]: the router, and the requests that wait for it.
 //! * [`batches`]: batches of trainers. [`weights`]: the duty of loading weights.
-//! * [`store`], [`sync`], [`known`]: the store, and what is known from it.
+//! * [`store`], [`failure`], [`sync`], [`known`]: the store, and what is known from it.
 //! * [`peers`]: calls to the store that gateways carry out for each other.
 //! * [`http`]: connections to endpoints and to the store.
 //! * [`stopping`], [`ready`], [`boot`]: planned stops, readiness, time.
@@ -33,6 +33,7 @@
 mod boot;
 mod calls;
 mod exposition;
+mod failure;
 mod forward;
 mod front;
 mod http;
--- a/hibiscusroad-daemon/src/gateway/peers/client.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/client.rs
@@ -1,7 +1,7 @@
 //! Asks a peer to carry a call to the store, or to run a batch.
 
 use super::LARGEST;
-use crate::gateway::store::Failure;
+use crate::gateway::failure::Failure;
 use hibiscusroad_platform::request::Request;
 use hibiscusroad_wire::peer::{
     Batch, StoreAnswer, StoreCall, StoreHeader, peer_client::PeerClient, store_answer::Outcome,
--- a/hibiscusroad-daemon/src/gateway/peers/server.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/server.rs
@@ -6,7 +6,7 @@
 
 use super::LARGEST;
 use crate::{
-    gateway::store::{Failure, Store},
+    gateway::{failure::Failure, store::Store},
     logs::STORE,
 };
 use hibiscusroad_platform::request::Request as Call;
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -7,6 +7,7 @@
 //! peer at once ([`hibiscusroad::reach`]).
 
 use super::{
+    failure::Failure,
     http::{Channels, Fault, encode},
     meters::Meters,
     peers::{Peers, Uncarried},
@@ -18,7 +19,7 @@
     reach::{Carried, Reach, Way},
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
 };
-use hibiscusroad_platform::{Error as Odd, request::Request, table as wire};
+use hibiscusroad_platform::{request::Request, table as wire};
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use std::{
@@ -48,20 +49,6 @@
 /// What an answer to a wait may take beyond it.
 const FEED_SLACK: Duration = Duration::from_millis(700);
 
-/// Why a call gave no usable answer.
-#[derive(Debug, thiserror::Error)]
-pub(super) enum Failure {
-    /// It was surely not carried out.
-    #[error("refused: {0}")]
-    Refused(String),
-    /// No answer came; it may have been carried out.
-    #[error("no answer: {0}")]
-    Lost(String),
-    /// The answer isn't what the call asks for.
-    #[error("odd answer: {0}")]
-    Odd(#[from] Odd),
-}
-
 /// The store, as this process reaches it.
 pub(super) struct Store {
     channels: Channels,
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -7,12 +7,7 @@
 //! missed. A history that is gone, or a table that was read while the store was
 //! away, is read whole again.
 
-use super::{
-    calls::Calls,
-    known::Known,
-    meters::Meters,
-    store::{Failure, Store},
-};
+use super::{calls::Calls, failure::Failure, known::Known, meters::Meters, store::Store};
 use crate::{
     logs::{CONFIG, HOSTS, STORE},
     platform::Backoff,
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test uses its part")]
 
+pub mod batches;
+
 use hibiscusroad_standins::{
     direct::{Endpoint, Store},
     ports,
