--- a/hibiscusroad-daemon/src/gateway/batches/give.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/give.rs
@@ -77,7 +77,7 @@
             });
             return;
         }
-        self.expect();
+        self.show_life();
         let loaded = Loaded::fresh(submission);
         spawn_local(Rc::clone(self).begin(given.id, head, given.version, loaded));
     }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -99,7 +99,7 @@
     /// It holds the duty of the weights, and must be seen to live.
     duty: Cell<bool>,
     /// When it had a batch or a duty last.
-    owned: Cell<Option<Instant>>,
+    owned_at: Cell<Option<Instant>>,
     /// What this process saw of the others.
     seen: RefCell<Presences>,
     /// The others were looked at.
@@ -189,7 +189,7 @@
             arrived: Notify::new(),
             owning: Notify::new(),
             duty: Cell::new(false),
-            owned: Cell::new(None),
+            owned_at: Cell::new(None),
             seen: RefCell::new(Presences::new()),
             looked: Notify::new(),
             leaving: Cell::new(false),
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -51,7 +51,7 @@
 
 impl Loaded {
     /// Says whether nothing of it is known to have run.
-    pub(super) fn is_fresh_one(&self) -> bool {
+    pub(super) fn is_new(&self) -> bool {
         self.results.is_empty() && self.pieces.is_empty()
     }
 
@@ -96,8 +96,8 @@
     }
 
     /// Notes that this process owns something, and has to be seen to live from now on.
-    pub(super) fn expect(&self) {
-        self.owned.set(Some(Instant::now()));
+    pub(super) fn show_life(&self) {
+        self.owned_at.set(Some(Instant::now()));
         self.owning.notify_one();
     }
 
@@ -115,9 +115,12 @@
     fn is_seen_to_live(&self) -> bool {
         let owns = self.duty.get() || !self.mine.borrow().is_empty();
         if owns {
-            self.owned.set(Some(Instant::now()));
+            self.owned_at.set(Some(Instant::now()));
         }
-        owns || self.owned.get().is_some_and(|at| at.elapsed() < EXPECTED)
+        owns || self
+            .owned_at
+            .get()
+            .is_some_and(|at| at.elapsed() < EXPECTED)
     }
 
     /// Takes over batches whose owners are gone.
@@ -190,8 +193,11 @@
     }
 
     async fn take_over(self: &Rc<Self>, id: &str, row: &HeadRow, why: Loss) {
-        let turn = self.seen.borrow().turn(&self.directory.name, self.memory);
-        sleep(turn).await;
+        let delay = {
+            let seen = self.seen.borrow();
+            seen.takeover_delay(&self.directory.name, self.memory)
+        };
+        sleep(delay).await;
         let now = self.head(id);
         if self.leaving.get() || now.is_none_or(|now| now.version != row.version) {
             return;
@@ -221,7 +227,7 @@
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
         // What it loads can take longer than the silence after which an owner is taken
         // to be gone: all hosts that start together read theirs at once.
-        self.expect();
+        self.show_life();
         loop {
             if self.mine.borrow().contains_key(&id) || self.leaving.get() {
                 return;
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -52,8 +52,17 @@
 /// Pauses between tries.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
 
+/// What one process has of the batches that are known.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    /// Items of its open batches.
+    items: usize,
+    /// The store's clock when its last batch was accepted.
+    last: Duration,
+}
+
 /// A batch that is about to be accepted.
-struct New {
+struct Pending {
     head: Head,
     /// Where its owner takes it, if that is another process.
     peer: Option<SocketAddr>,
@@ -95,7 +104,7 @@
             return problem(ErrorKind::StoreDown, RETURN);
         }
         let head = self.new_head(path, route, &submission, owner.life);
-        let new = New {
+        let new = Pending {
             head,
             peer: owner.peer,
             submission,
@@ -125,11 +134,11 @@
             .iter()
             .filter_map(|row| {
                 let presence = super::owner::presence(row)?;
-                let (items, last) = *owners.get(&presence.life)?;
+                let held = owners.get(&presence.life)?;
                 Some(Candidate {
                     presence,
-                    items,
-                    last,
+                    items: held.items,
+                    last: held.last,
                 })
             })
             .collect();
@@ -142,14 +151,13 @@
         })
     }
 
-    /// Returns the lives that own batches, the items of those that are open, and when
-    /// each got its last one.
-    fn recent_owners(&self) -> HashMap<String, (usize, Duration)> {
-        let mut owners: HashMap<String, (usize, Duration)> = HashMap::new();
+    /// Returns what each process has of the batches that are known, by its life.
+    fn recent_owners(&self) -> HashMap<String, Held> {
+        let mut owners: HashMap<String, Held> = HashMap::new();
         for HeadRow { head, .. } in self.heads.borrow().values() {
-            let (items, last) = owners.entry(head.owner.clone()).or_default();
-            *items += if head.ended { 0 } else { head.total };
-            *last = (*last).max(Duration::from_millis(head.accepted));
+            let held = owners.entry(head.owner.clone()).or_default();
+            held.items += if head.ended { 0 } else { head.total };
+            held.last = held.last.max(Duration::from_millis(head.accepted));
         }
         owners
     }
@@ -170,7 +178,7 @@
     }
 
     /// Writes the head.
-    async fn enter(self: &Rc<Self>, id: &str, new: New, end: Instant) -> Response<Out> {
+    async fn enter(self: &Rc<Self>, id: &str, new: Pending, end: Instant) -> Response<Out> {
         let mut backoff = Backoff::new(PAUSE.0, PAUSE.1);
         // Whether a write may be done although no answer said so.
         let mut open = false;
@@ -207,8 +215,8 @@
     }
 
     /// Runs a batch that was accepted, or gives it to its owner.
-    fn entered(self: &Rc<Self>, id: &str, version: u64, new: New) {
-        let New {
+    fn entered(self: &Rc<Self>, id: &str, version: u64, new: Pending) {
+        let Pending {
             head,
             peer,
             submission,
@@ -239,7 +247,7 @@
         version: u64,
         mut loaded: Loaded,
     ) {
-        if loaded.is_fresh_one() {
+        if loaded.is_new() {
             self.prepare(&id, &head, &mut loaded).await;
         }
         // It may have come by the feed, or have been ended, meanwhile.
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -86,8 +86,8 @@
     /// Which engines were ordered lately, and by whom.
     turns: RefCell<Turns>,
     /// The other process's holding and since when it is known. A holder that lost the
-    /// duty and took it again is given its time anew: its signs of life were none of
-    /// anybody's business meanwhile, and are as old as that.
+    /// duty and took it again is given its time anew: it renewed no row meanwhile, and
+    /// would be suspected at once for a silence that meant nothing.
     rival: RefCell<Option<(Holding, Instant)>>,
     /// The holder in the lease's row as it was read last.
     before: RefCell<String>,
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -178,7 +178,7 @@
     /// again, and a large one: where power was lost and everybody saw it, four batches
     /// went to four processes, one of which loaded its part over a slow link for 0.6 s.
     #[must_use]
-    pub fn turn(&self, name: &str, memory: u32) -> Duration {
+    pub fn takeover_delay(&self, name: &str, memory: u32) -> Duration {
         let largest = self.rows.values().map(|row| row.memory).max();
         let large = memory.saturating_mul(2) >= largest.unwrap_or(0);
         let draw = Duration::from_millis(xxh3_64(name.as_bytes()) % SPREAD);
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -186,13 +186,13 @@
         version: 1,
         memory: if n < 4 { 160 } else { 512 },
     };
-    assert!(seen.turn("gateway-1", 160) < Duration::from_millis(150));
+    assert!(seen.takeover_delay("gateway-1", 160) < Duration::from_millis(150));
     seen.seen(
         Instant::now(),
         Duration::from_millis(5),
         (0..8).map(sign).collect(),
     );
-    let turn = |n: u32| seen.turn(&format!("gateway-{n}"), sign(n).memory);
+    let turn = |n: u32| seen.takeover_delay(&format!("gateway-{n}"), sign(n).memory);
     let slowest = (4..8).map(turn).max().unwrap();
     assert!((0..4).all(|n| turn(n) >= slowest));
     assert!((0..8).all(|n| turn(n) <= Duration::from_millis(300)));
