Remove the rule that kept items of a group near each other

Ruled out: reading the shared part of a prompt again as a cost (1,000 tokens take a millisecond, and no price is seen). Change: Want::near and Owned::near go, with 23 lines; nothing tested them.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -152,7 +152,6 @@
         let want = Want {
             floor,
             exact: None,
-            near: None,
             ..want(owned, route, n)?
         };
         let found = engines.choose(now, &want);
@@ -172,8 +171,6 @@
             return;
         };
         let seat = Seat::take(self, key);
-        let group = owned.submission.items[n].group.clone();
-        owned.near.borrow_mut().insert(group, key);
         owned.avoid.borrow_mut().remove(&n);
         let exact = owned.batch.borrow().pinned(n);
         let waited = owned.batch.borrow().waited(now, n);
@@ -237,10 +234,6 @@
             Break::Lost => engines.failed(now, key),
             Break::Moved | Break::Failed | Break::Never => {}
         }
-        owned
-            .near
-            .borrow_mut()
-            .remove(&owned.submission.items[n].group);
         owned.batch.borrow_mut().broke(now, n, before, cause);
         if cause == Break::Moved {
             owned.avoid.borrow_mut().insert(n, key);
@@ -259,7 +252,6 @@
         floor: submission.floor,
         exact: owned.batch.borrow().pinned(n),
         group,
-        near: owned.near.borrow().get(group).copied(),
         not: None,
     })
 }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -126,8 +126,6 @@
     listed: RefCell<Vec<Vec<u8>>>,
     /// Since when a write of results has no outcome.
     writing: Cell<Option<Instant>>,
-    /// Where items of each group went last.
-    near: RefCell<HashMap<String, EngineKey>>,
     /// Engines that items were just moved away from.
     avoid: RefCell<HashMap<usize, EngineKey>>,
     /// The version of the head's row since which this process has it.
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -327,7 +327,6 @@
             drafts: RefCell::default(),
             lag: head.lag,
             writing: Cell::new(None),
-            near: RefCell::default(),
             avoid: RefCell::default(),
             pieces: RefCell::new(kept),
             ready: Notify::new(),
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -8,8 +8,7 @@
 //!
 //! So an engine's room is its slots less own items and what it last told of
 //! others, which fades with age; engines that refused are left alone for a
-//! while; ties are broken by a hash of group and engine; items of a group
-//! follow each other, since the shared part of their prompt is then read once.
+//! while; ties are broken by a hash of group and engine.
 //! An engine much slower than its peers gets an item only while it has none,
 //! which is enough to see when it recovers.
 
@@ -102,8 +101,6 @@
     pub exact: Option<u64>,
     /// Its group.
     pub group: &'a str,
-    /// Where items of its group went last.
-    pub near: Option<EngineKey>,
     /// An engine that won't do.
     pub not: Option<EngineKey>,
 }
@@ -210,13 +207,6 @@
                 && (tier(row) != Tier::Slow || row.mine == 0)
                 && has(row, want)
         };
-        let near = want.near.filter(|key| {
-            let row = self.rows.get(*key);
-            row.is_some_and(|row| tier(row) == Tier::Fast && fits(*key, row))
-        });
-        if near.is_some() {
-            return near;
-        }
         let found = self.rows.iter().filter(|(key, row)| fits(*key, row));
         let best = found.max_by_key(|(_, row)| {
             // A hash keeps owners apart that see the same room.
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -19,7 +19,6 @@
     floor: 3,
     exact: None,
     group: "g",
-    near: None,
     not: None,
 };
 
