Have the long text begin before its weights change, in the test of drafts apart

Traced, with a line for what the owner knows: its stand-in had left one of four connections waiting until the others ended, so the long text began under the new version, and such a text needs no draft. The check is as it was; the test now waits until a part of the text is kept before it names the next version.

--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -327,6 +327,14 @@
     step["targetGroups"] = 1.into();
     assert_eq!(submit(&world, 0, "b1", &step).status, 202);
     results(&world, 0, "b1", 3);
+    // The stand-in may leave one of four connections waiting until another ends. An item
+    // that begins under the new weights needs no draft, so it has to begin before.
+    until("the long text has begun", || {
+        let rows = world.store.rows("pieces");
+        rows.iter()
+            .any(|(_, key, _)| key.contains(long))
+            .then_some(())
+    });
     name(&world, 3);
     // The keys of a batch's drafts, without round and event.
     let drafts = |world: &World| -> BTreeSet<String> {
