Check callers' keys, and name their accounts to endpoints

Cause: where the configuration has accounts, gateways passed keys on to endpoints, named no account, refused nobody and ran what a revoked key asked for.

Change: accounts are a part of one version of the configuration (src/account.rs). Keys are kept as digests only; a key that two accounts hold proves neither. What needs a key and shows none that is in force gets 401 with its cause, or 503 while the configuration may be old. A batch belongs to its account: other keys of it read and end it anywhere, for other accounts it doesn't exist, and texts are carried over within an account only. Its account goes along in the batch's head, so a taker names it as well. An account's rank goes before the route's. key_trust_ms limits how long keys are taken without a word of the store, where operators ask for that.

Ruled out: asking the store before each refusal (a caller with wrong keys could use up its rate); keeping keys' texts with a redacting type (nothing needs the text).

--- a/hibiscusroad-daemon/src/gateway/answer.rs
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -7,7 +7,7 @@
 use hyper::{
     Response, StatusCode,
     body::{Body, Bytes, Frame, Incoming, SizeHint},
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
 };
 use serde::Serialize;
 use std::{
@@ -153,6 +153,10 @@
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = whole(status, "application/problem+json", body.unwrap_or_default());
     response.extensions_mut().insert(kind);
+    if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static("Bearer");
+        response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    }
     if matches!(answer.status, 429 | 503) {
         let secs = millis(after.max(LEAST_WAIT)) as f64 / 1000.0;
         if let Ok(value) = HeaderValue::from_str(&format!("{secs:.3}")) {
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -203,7 +203,7 @@
         let expected = self.engines.borrow().expected(service, hint, last);
         let left = owned.due.saturating_duration_since(now);
         urgency::rank(
-            route.priority,
+            owned.priority,
             route.due.unwrap_or_default(),
             left,
             expected,
--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -209,7 +209,7 @@
         let groups: Vec<u32> = items.map(|item| row::group_hash(&item.group)).collect();
         let later = heads
             .values()
-            .filter(|row| row.head.model == own.model && row.head.accepted > own.accepted);
+            .filter(|row| row.head.is_kin(own) && row.head.accepted > own.accepted);
         later
             .flat_map(|row| &row.head.groups)
             .any(|group| groups.contains(group))
@@ -251,7 +251,7 @@
         let heads = self.heads.borrow();
         let with = heads.iter().filter(|(known, row)| {
             known.as_str() != id
-                && row.head.model == head.model
+                && row.head.is_kin(head)
                 && row.head.accepted <= head.accepted
                 && row.head.groups.contains(&group)
         });
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -14,7 +14,7 @@
         attempt::{self, Head, set, text},
         calls::Target,
         http::whole,
-        request::own_head,
+        request::{name_account, own_head},
     },
     logs::BATCHES,
 };
@@ -190,6 +190,9 @@
         let value = hyper::header::HeaderValue::try_from(value.as_str())?;
         head.headers.insert(name, value);
     }
+    if let Some(account) = &owned.account {
+        name_account(&mut head.headers, Some(account));
+    }
     if let Some(last) = before {
         set(&mut head.headers, header::LAST_EVENT, &last.to_string());
     }
--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -96,6 +96,12 @@
         self.heads.borrow().get(id).cloned()
     }
 
+    /// Says whether a batch is known to belong to no account.
+    pub(in crate::gateway) fn is_public(&self, id: &str) -> bool {
+        let heads = self.heads.borrow();
+        heads.get(id).is_some_and(|row| row.head.account.is_none())
+    }
+
     fn forget(&self, gone: impl Fn(&str) -> bool) {
         self.heads.borrow_mut().retain(|id, _| !gone(id));
     }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -114,6 +114,8 @@
     submission: Submission,
     path: String,
     host: String,
+    /// The account that it is for.
+    account: Option<String>,
     /// The version of its head's row.
     version: Cell<u64>,
     due: Instant,
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -316,6 +316,7 @@
             id: id.to_owned(),
             path: head.path,
             host: head.host,
+            account: head.account,
             submission,
             priority: head.priority,
             due: accepted + route.as_ref().and_then(|r| r.due).unwrap_or_default(),
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -48,17 +48,14 @@
 const ENDS: usize = 5;
 
 impl Batches {
-    /// Answers a call about a batch.
+    /// Answers a call about a batch, by a caller of an account.
     pub(in crate::gateway) async fn answer(
         self: &Rc<Self>,
         call: Call,
+        account: Option<&str>,
         wait: Duration,
     ) -> Response<Out> {
-        let answer = match &call {
-            Call::Read { batch, after } => self.results(batch, *after, wait.min(WAIT)).await,
-            Call::Body { batch, item } => self.body(batch, item).await,
-            Call::End { batch } => self.end(batch).await,
-        };
+        let answer = self.answer_account(&call, account, wait).await;
         answer.unwrap_or_else(|failure| {
             log::info!(target: BATCHES, call:? = call, error = failure.to_string().as_str();
                 "A call about a batch can't be answered.");
@@ -66,6 +63,23 @@
         })
     }
 
+    async fn answer_account(
+        self: &Rc<Self>,
+        call: &Call,
+        account: Option<&str>,
+        wait: Duration,
+    ) -> Result<Response<Out>, Failure> {
+        let found = self.find(call.batch()).await?;
+        if !found.is_some_and(|row| row.head.is_of(account)) {
+            return Ok(problem(ErrorKind::UnknownBatch, Duration::ZERO));
+        }
+        match call {
+            Call::Read { batch, after } => self.results(batch, *after, wait.min(WAIT)).await,
+            Call::Body { batch, item } => self.body(batch, item).await,
+            Call::End { batch } => self.end(batch).await,
+        }
+    }
+
     /// Finds the head of a batch, in the store if it isn't known here.
     async fn find(self: &Rc<Self>, id: &str) -> Result<Option<HeadRow>, Failure> {
         if let Some(row) = self.head(id) {
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -16,6 +16,7 @@
 use futures_util::future::join;
 use hibiscusroad::{
     ErrorKind,
+    account::Account,
     catalog::Route,
     clock::millis,
     rollout::{
@@ -78,10 +79,11 @@
         id: &str,
         path: &str,
         route: &Route,
+        account: Option<&Account>,
         body: Bytes,
     ) -> Response<Out> {
-        if self.head(id).is_some() {
-            return accepted();
+        if let Some(row) = self.head(id) {
+            return repeated(&row.head, account.map(|account| account.name.as_str()));
         }
         let submission = match batch::submission(&body) {
             Ok(submission) if unique(&submission) => submission,
@@ -103,7 +105,7 @@
                 "A submission could not be kept; it is refused.");
             return problem(ErrorKind::StoreDown, RETURN);
         }
-        let head = self.new_head(path, route, &submission, owner.life);
+        let head = self.new_head(path, route, account, &submission, owner.life);
         let new = Pending {
             head,
             peer: owner.peer,
@@ -195,7 +197,7 @@
                     for row in &rows {
                         self.note(row);
                     }
-                    return found(id, &rows);
+                    return found(id, &rows, new.head.account.as_deref());
                 }
                 Commit::Refused => {}
                 Commit::Unknown => open = true,
@@ -275,13 +277,21 @@
         }
     }
 
-    fn new_head(&self, path: &str, route: &Route, submission: &Submission, owner: String) -> Head {
+    fn new_head(
+        &self,
+        path: &str,
+        route: &Route,
+        account: Option<&Account>,
+        submission: &Submission,
+        owner: String,
+    ) -> Head {
         let tokens = |item: &hibiscusroad::rollout::Item| u64::from(item.tokens);
         let model = submission.model.clone();
         let named = model
             .as_ref()
             .and_then(|model| self.known.named().get(model).copied());
         let groups = groups(submission);
+        let name = account.map(|account| account.name.clone());
         let accepted = millis(self.store.now().unwrap_or_default());
         Head {
             host: route.host.clone(),
@@ -293,19 +303,20 @@
             ended: false,
             lag: named.unwrap_or(1).saturating_sub(submission.floor),
             work: submission.items.iter().map(tokens).sum(),
-            carried: self.carried(model.as_deref(), &groups),
-            priority: route.priority,
+            carried: self.carried(name.as_deref(), model.as_deref(), &groups),
+            priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
+            account: name,
             groups,
             model,
         }
     }
 
     /// Counts the groups at the beginning that are known from earlier batches.
-    fn carried(&self, model: Option<&str>, groups: &[u32]) -> usize {
+    fn carried(&self, account: Option<&str>, model: Option<&str>, groups: &[u32]) -> usize {
         let heads = self.heads.borrow();
-        let same = heads
-            .values()
-            .filter(|row| row.head.model.as_deref() == model);
+        let same = heads.values().filter(|row| {
+            row.head.account.as_deref() == account && row.head.model.as_deref() == model
+        });
         let known: HashSet<u32> = same
             .flat_map(|row| row.head.groups.iter().copied())
             .collect();
@@ -317,9 +328,12 @@
 }
 
 /// Answers when the head exists already: it was accepted before.
-fn found(id: &str, rows: &[Row]) -> Response<Out> {
-    if rows.iter().any(|row| row.id.key == id) {
-        return accepted();
+fn found(id: &str, rows: &[Row], account: Option<&str>) -> Response<Out> {
+    if let Some(row) = rows.iter().find(|row| row.id.key == id) {
+        return match Head::decode(&row.value) {
+            Some(head) => repeated(&head, account),
+            None => problem(ErrorKind::OutcomeUnknown, RETURN),
+        };
     }
     log::error!(target: BATCHES, batch = id; "The store refuses a head without naming its row.");
     problem(ErrorKind::OutcomeUnknown, RETURN)
@@ -345,6 +359,16 @@
     ids.windows(2).all(|pair| pair[0] != pair[1])
 }
 
+/// Answers a submission of a batch that is known: to its own account it was accepted,
+/// to any other its id says nothing, as in all calls about batches.
+fn repeated(head: &Head, account: Option<&str>) -> Response<Out> {
+    if head.is_of(account) {
+        accepted()
+    } else {
+        problem(ErrorKind::UnknownBatch, Duration::ZERO)
+    }
+}
+
 fn accepted() -> Response<Out> {
     whole(StatusCode::ACCEPTED, "", Bytes::new())
 }
--- a/hibiscusroad-daemon/src/gateway/known.rs
+++ b/hibiscusroad-daemon/src/gateway/known.rs
@@ -22,12 +22,17 @@
 pub(super) struct Known {
     catalog: RefCell<Option<Rc<Catalog>>>,
     confirmed: Cell<Option<Instant>>,
+    /// How long keys are taken without a word of the store, if there is a limit.
+    trust: Option<Duration>,
     named: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Known {
-    pub(super) fn new() -> Self {
-        Self::default()
+    pub(super) fn new(trust: Option<Duration>) -> Self {
+        Self {
+            trust,
+            ..Self::default()
+        }
     }
 
     /// Returns the configuration in force.
@@ -58,6 +63,19 @@
         confirmed.is_some_and(|at| now.saturating_duration_since(at) < CONFIRMED)
     }
 
+    /// Says whether the configuration was confirmed so long ago that no key may be
+    /// taken on its word: it may have been taken away since.
+    ///
+    /// Where the operator sets no limit a process that the store has left goes on
+    /// serving callers by what it knows last.
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
+        let Some(trust) = self.trust else {
+            return false;
+        };
+        let confirmed = self.confirmed.get();
+        confirmed.is_none_or(|at| now.saturating_duration_since(at) >= trust)
+    }
+
     /// Takes a model's named version; `true` if it is newer.
     pub(super) fn name(&self, model: &str, version: u64) -> bool {
         let mut named = self.named.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -12,6 +12,7 @@
 use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind,
+    account::Account,
     catalog::{Catalog, Kind, Limits, Route},
 };
 use hibiscusroad_platform::{batch, header};
@@ -19,7 +20,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Body, Bytes, Incoming},
-    header::{HOST, HeaderValue},
+    header::{AUTHORIZATION, HOST, HeaderValue},
     http::request::Parts,
 };
 use std::{
@@ -65,17 +66,32 @@
         if let Some(call) = batch::call(method, parts.uri.path(), parts.uri.query()) {
             let wait = text(&parts.headers, header::WAIT).and_then(|ms| ms.trim().parse().ok());
             let wait = Duration::from_millis(wait.unwrap_or(0));
-            return self.batches.answer(call, wait).await;
+            let caller = match self.authenticated(
+                now,
+                &catalog,
+                &parts,
+                self.batches.is_public(call.batch()),
+            ) {
+                Ok(account) => account.map(|account| account.name.as_str()),
+                Err(kind) => return problem(kind, UNKNOWING),
+            };
+            return self.batches.answer(call, caller, wait).await;
         }
         let route = host(&parts).and_then(|host| catalog.find(host, parts.uri.path()));
         let Some(route) = route else {
-            return self.unknown(now, &catalog, &parts);
+            let kind = self.denied(now, &catalog, &parts, ErrorKind::UnknownPath);
+            return problem(kind, UNKNOWING);
         };
         let Some(id) = text(&parts.headers, header::REQUEST).map(str::to_owned) else {
             return problem(ErrorKind::BadRequest, Duration::ZERO);
         };
+        let account = match self.authenticated(now, &catalog, &parts, route.public) {
+            Ok(account) => account,
+            Err(kind) => return problem(kind, UNKNOWING),
+        };
         if route.kind == Kind::Rollout {
-            return self.submit(&parts, body, route, &id, catalog.limits).await;
+            let limits = catalog.limits;
+            return self.submit(&parts, body, route, &id, account, limits).await;
         }
         let deadline = match deadline(now, &parts.headers, route) {
             Ok(deadline) => deadline,
@@ -96,23 +112,46 @@
             attempts: route.attempts,
             tokens: tokens.unwrap_or(0),
             content,
-            head: Rc::new(head(parts, id, deadline)),
+            head: Rc::new(head(parts, id, deadline, &catalog, account)),
         };
         answered(&self.line, request).await
     }
 
-    /// Answers a request that no route takes.
+    /// Finds the account that a caller proves.
+    ///
+    /// # Errors
     ///
-    /// Only a configuration that is surely current proves that there is none: a
-    /// process that was cut off would otherwise deny a route that was just
-    /// added.
-    fn unknown(&self, now: Instant, catalog: &Catalog, parts: &Parts) -> Response<Out> {
-        if self.known.is_current(now) {
-            return problem(ErrorKind::UnknownPath, Duration::ZERO);
+    /// Returns the kind of the refusal of a caller that proves none where one is needed.
+    fn authenticated<'a>(
+        &self,
+        now: Instant,
+        catalog: &'a Catalog,
+        parts: &Parts,
+        public: bool,
+    ) -> Result<Option<&'a Account>, ErrorKind> {
+        let values = parts.headers.get_all(header::KEY).iter();
+        let shown = header::credential(values.map(HeaderValue::as_bytes));
+        let found = catalog.admit(public, shown);
+        if matches!(found, Ok(Some(_))) && self.known.is_expired(now) {
+            log::info!(target: CALLS, path = parts.uri.path(), version = catalog.version;
+                "A key may have been taken away since the configuration was confirmed.");
+            return Err(ErrorKind::NoConfig);
         }
-        log::info!(target: CALLS, path = parts.uri.path(), version = catalog.version;
-            "No route is known, but the configuration may be old.");
-        problem(ErrorKind::NoConfig, UNKNOWING)
+        found.map_err(|kind| self.denied(now, catalog, parts, kind))
+    }
+
+    /// Returns the kind of the refusal of what the configuration doesn't allow.
+    ///
+    /// Only one that is surely current proves that: a process that was cut off would
+    /// otherwise deny a route or a key that was just added, and no client asks again
+    /// after such an answer.
+    fn denied(&self, now: Instant, catalog: &Catalog, parts: &Parts, kind: ErrorKind) -> ErrorKind {
+        let current = self.known.is_current(now);
+        let id = text(&parts.headers, header::REQUEST);
+        log::info!(target: CALLS, id = id, path = parts.uri.path(), kind = kind.answer().problem,
+            version = catalog.version, current = current;
+            "A request is not allowed by the configuration that is known.");
+        if current { kind } else { ErrorKind::NoConfig }
     }
 
     async fn submit(
@@ -121,6 +160,7 @@
         body: Incoming,
         route: &Route,
         id: &str,
+        account: Option<&Account>,
         limits: Limits,
     ) -> Response<Out> {
         if parts.method != hyper::Method::POST {
@@ -138,7 +178,8 @@
         if self.stop.is_stopping() {
             return problem(ErrorKind::Stopping, UNKNOWING);
         }
-        self.batches.submit(id, parts.uri.path(), route, body).await
+        let path = parts.uri.path();
+        self.batches.submit(id, path, route, account, body).await
     }
 }
 
@@ -167,8 +208,18 @@
     }
 }
 
-fn head(mut parts: Parts, id: String, deadline: Instant) -> Head {
+fn head(
+    mut parts: Parts,
+    id: String,
+    deadline: Instant,
+    catalog: &Catalog,
+    account: Option<&Account>,
+) -> Head {
     strip(&mut parts.headers);
+    if catalog.has_accounts() {
+        let name = account.map(|account| account.name.as_str());
+        name_account(&mut parts.headers, name);
+    }
     Head {
         method: parts.method,
         target: parts.uri,
@@ -178,6 +229,16 @@
     }
 }
 
+/// Names the account that a request is for, whatever its caller said of that, and takes
+/// out the key: an endpoint that had it could act for the account.
+pub(super) fn name_account(headers: &mut HeaderMap, account: Option<&str>) {
+    headers.remove(AUTHORIZATION);
+    headers.remove(header::ACCOUNT);
+    if let Some(account) = account {
+        set(headers, header::ACCOUNT, account);
+    }
+}
+
 /// Builds the head of a request that this process makes itself.
 pub(super) fn own_head(
     host: &str,
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -126,11 +126,15 @@
         match catalog::catalog(&row.value) {
             Ok(catalog) => {
                 calls.configure(&catalog);
-                let version = catalog.version;
+                let (version, shared) = (catalog.version, catalog.shared_keys());
                 let before = known.catalog().map_or(0, |known| known.version);
                 if known.offer(catalog) {
                     log::info!(target: CONFIG, version = version, from = before, row = row.version;
                         "A configuration is in force.");
+                    if shared > 0 {
+                        log::warn!(target: CONFIG, version = version, keys = shared;
+                            "Keys that several accounts hold prove none of them.");
+                    }
                 }
             }
             Err(error) => log::error!(target: CONFIG, row = row.version,
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -235,6 +235,9 @@
     /// Whether endpoints refuse an order with an old fencing number.
     #[serde(default)]
     pub fences: bool,
+    /// Milliseconds for which keys are taken without a word of the store; for ever,
+    /// without it.
+    pub key_trust_ms: Option<u64>,
     /// Megabytes that this process may use.
     #[serde(default = "default_memory")]
     pub memory_mb: u32,
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -81,11 +81,24 @@
     assert_eq!(endpoints(&all), expected(services, &places));
 }
 
+/// Keeps the sections whose value is there, and drops the others.
+fn sections(mut text: String, values: &[(&str, &str)]) -> String {
+    while let Some(start) = text.find("{{#") {
+        let (name, rest) = text[start + 3..].split_once("}}").unwrap();
+        let (body, after) = rest.split_once(&format!("{{{{/{name}}}}}")).unwrap();
+        let value = values.iter().find(|(known, _)| *known == name);
+        let kept = value.is_some_and(|(_, value)| !value.is_empty() && *value != "false");
+        let body = if kept { body } else { "" };
+        text = format!("{}{body}{after}", &text[..start]);
+    }
+    text
+}
+
 /// Fills the template of a gateway's settings as the platform does, with these
 /// values for its placeholders.
 fn filled(values: &[(&str, &str)]) -> String {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/gateway.toml");
-    let mut text = fs::read_to_string(file).unwrap();
+    let mut text = sections(fs::read_to_string(file).unwrap(), values);
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
@@ -123,6 +136,21 @@
     assert_eq!(gateway.metrics, "10.1.0.10:7720".parse().ok());
     assert_eq!(gateway.peers, "10.1.0.10:7735".parse().ok());
     assert_eq!(gateway.memory_mb, 512);
+    assert_eq!(gateway.key_trust_ms, None);
+}
+
+// Where keys have to stop working everywhere, also at gateways that nobody reaches, the
+// operator's limit is in the settings.
+#[test]
+fn template_limits_the_trust_in_keys_where_operators_ask_for_it() {
+    let more = [
+        ("bounds.revokeEverywhere", "true"),
+        ("bounds.revokeMs", "5000"),
+    ];
+    let text = filled(&[VALUES, &more].concat());
+    assert!(!text.contains("{{"), "{text}");
+    let gateway = Settings::parse(&text).unwrap().gateway.unwrap();
+    assert_eq!(gateway.key_trust_ms, Some(5000));
 }
 
 // A value that the platform doesn't have is filled in as nothing. All such
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -44,6 +44,10 @@
     pub path: String,
     /// The last event that the caller had.
     pub after: Option<u64>,
+    /// The account that it is for, as the caller named it.
+    pub account: Option<String>,
+    /// Whether it bore a key, which is nobody's business here.
+    pub keyed: bool,
     /// Whether it was worked on to its end.
     pub whole: bool,
 }
@@ -270,6 +274,8 @@
         id: id.clone(),
         path: exchange.path().to_owned(),
         after,
+        account: exchange.header("X-Tenant").map(str::to_owned),
+        keyed: exchange.header("Authorization").is_some(),
         whole: false,
     };
     let index = {
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -5,6 +5,10 @@
 //! and longest prefix: a map from host to its routes, longest prefix first. A
 //! host has tens of routes at most, for which a scan is faster than a tree.
 
+use crate::{
+    ErrorKind,
+    account::{Account, Accounts, Credential},
+};
 use std::{collections::HashMap, time::Duration};
 
 /// What may be done with requests of a route.
@@ -59,6 +63,8 @@
     pub ttl: Option<Duration>,
     /// Whether all of a result's text has to come from one weight version.
     pub single: bool,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -136,6 +142,8 @@
     pub limits: Limits,
     routes: HashMap<String, Vec<Route>>,
     services: HashMap<String, Service>,
+    /// `None` where callers show no keys at all.
+    accounts: Option<Accounts>,
 }
 
 impl Catalog {
@@ -155,6 +163,54 @@
             limits,
             routes: by_host,
             services: services.collect(),
+            accounts: None,
+        }
+    }
+
+    /// Sets the accounts, without which callers show no keys.
+    #[must_use]
+    pub fn accounts(mut self, accounts: Accounts) -> Self {
+        self.accounts = Some(accounts);
+        self
+    }
+
+    /// Returns how many keys prove nobody because several accounts hold them.
+    #[must_use]
+    pub fn shared_keys(&self) -> usize {
+        self.accounts.as_ref().map_or(0, Accounts::shared)
+    }
+
+    /// Says whether callers show keys.
+    #[must_use]
+    pub const fn has_accounts(&self) -> bool {
+        self.accounts.is_some()
+    }
+
+    /// Finds the account of a caller; `None` where callers show no keys.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of the refusal if the caller proves no account.
+    fn authenticate(&self, shown: Credential) -> Result<Option<&Account>, ErrorKind> {
+        let Some(accounts) = &self.accounts else {
+            return Ok(None);
+        };
+        accounts.authenticate(shown).map(Some)
+    }
+
+    /// Finds for which account a caller asks for something, if for any.
+    ///
+    /// For what is public no key is asked. One that is shown all the same still says
+    /// for whom the request is.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of the refusal if it is not public and the caller proves no
+    /// account.
+    pub fn admit(&self, public: bool, shown: Credential) -> Result<Option<&Account>, ErrorKind> {
+        match self.authenticate(shown) {
+            Err(_) if public => Ok(None),
+            found => found,
         }
     }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -80,6 +80,12 @@
     BadBody = 400, "bad-body", "The body could not be read whole", true, Never;
     /// The token is missing or wrong.
     Unauthorized = 401, "unauthorized", "The token is missing or wrong", true, Never;
+    /// The route is for accounts only, and the caller showed no key.
+    KeyMissing = 401, "key-missing", "A key of an account is needed", true, Never;
+    /// What the caller showed is no single key.
+    KeyMalformed = 401, "key-malformed", "The key can't be read", true, Never;
+    /// No account holds the key, or several do.
+    KeyUnknown = 401, "key-unknown", "The key is not in force", true, Never;
     /// No service has this name.
     UnknownService = 404, "unknown-service", "No such service", true, Never;
     /// The path leads to nothing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //!
 //! One module a concept, each opened by its design and trade-offs:
 //!
+//! * [`account`]: client accounts and their keys.
 //! * [`catalog`]: routes, services and limits that are in force.
 //! * [`claim`]: how a request that may not run twice runs at most once.
 //! * [`clock`]: the interface through which time enters.
@@ -40,6 +41,7 @@
 //! * [`table`]: the narrow interface to what must last.
 //! * [`train`]: a trainer's steps, samples and pace.
 
+pub mod account;
 pub mod catalog;
 pub mod claim;
 pub mod class;
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -62,6 +62,9 @@
     pub total: usize,
     /// Whether its trainer has ended it.
     pub ended: bool,
+    /// The account that it is for; none where callers show no keys.
+    #[serde(default)]
+    pub account: Option<String>,
     /// The model that generates.
     pub model: Option<String>,
     /// By how many versions its floor was behind the newest named one.
@@ -93,6 +96,21 @@
         serde_json::from_slice(value).ok()
     }
 
+    /// Says whether a caller of an account may know of it. A batch of no account is of
+    /// a public route, or of a deployment whose callers show no keys.
+    #[must_use]
+    pub fn is_of(&self, account: Option<&str>) -> bool {
+        self.account.is_none() || self.account.as_deref() == account
+    }
+
+    /// Says whether groups and texts of another batch may come again in this one: both
+    /// are for one account and one model. Ids of items and groups are callers' own, and
+    /// one that guesses another's must not get its texts.
+    #[must_use]
+    pub fn is_kin(&self, other: &Self) -> bool {
+        self.account == other.account && self.model == other.model
+    }
+
     /// Returns how long ago it was accepted by the store's clock.
     #[must_use]
     pub fn age(&self, store: Duration) -> Duration {
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -78,6 +78,7 @@
         due: None,
         ttl: None,
         single: false,
+        public: false,
     };
     let routes = vec![
         route("short", "a", "/x/"),
@@ -112,6 +113,7 @@
         due: None,
         ttl: None,
         single: false,
+        public: false,
     };
     let count = |name: &str| {
         let draws = (0..1000).map(|n| f64::from(n) / 1000.0);
