Report what accounts used, under a lease that two duties share

Change: each process counts requests as it sends them, leaves out what an endpoint says it did not run, and keeps its counts in the store a few times a second, as rows that are written once. The holder of the duties adds up a window, keeps the report under the condition of its lease and sends what is kept, to the letter, until it is taken (src/usage, gateway/usage). Calls of two holders are kept apart as orders to engines are. The lease moves out of the weights into a module of its own (gateway/duty.rs); who holds it orders weights and reports. Hosts whose clock was set count by the time of day that most others tell. The store's clock is taken from the quickest answer.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
     calls::{Calls, Target, Ticket},
     http::{Channel, Channels, Fault, Sent},
     meters::Meters,
+    usage::Usage,
 };
 use crate::{headers::is_hop_by_hop, logs::CALLS};
 use hibiscusroad::{
@@ -43,6 +44,8 @@
     /// The caller's id of this request.
     pub(super) id: String,
     pub(super) deadline: Instant,
+    /// The account that it counts for.
+    pub(super) account: Option<Rc<str>>,
 }
 
 /// An answer of an endpoint.
@@ -77,6 +80,7 @@
     pub(super) calls: Rc<Calls>,
     pub(super) channels: Rc<Channels>,
     pub(super) meters: Rc<Meters>,
+    pub(super) usage: Rc<Usage>,
 }
 
 /// Ends an attempt whose answer is passed on as it comes.
@@ -180,10 +184,20 @@
     body: Sent,
     flow: bool,
 ) -> Done {
+    let mut begun = line.usage.watch(head.account.as_ref());
     let sent = request(&head, &target, body);
-    let (response, channel) = match line.channels.send(target.address, sent).await {
+    let answer = line
+        .channels
+        .send_noting(target.address, sent, || begun.sent())
+        .await;
+    let (response, channel) = match answer {
         Ok(answer) => answer,
-        Err(fault) => return faulted(&head, &target, &fault),
+        Err(fault) => {
+            if fault.unsent() {
+                begun.not_run();
+            }
+            return faulted(&head, &target, &fault);
+        }
     };
     let told = text(response.headers(), header::LOAD).and_then(header::load);
     if let Some((running, queued, slots)) = told {
@@ -192,7 +206,10 @@
     let done = received(&line, &head, &target, response, channel, flow).await;
     let outcome = match &done {
         Done::Answer(_) => "answered",
-        Done::NotRun(_) => "not-run",
+        Done::NotRun(_) => {
+            begun.not_run();
+            "not-run"
+        }
         Done::Failed(..) => "failed",
     };
     line.meters.attempts.with_label_values(&[outcome]).inc();
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -159,7 +159,7 @@
 
 impl Batches {
     pub(super) fn new(
-        name: &str,
+        directory: Directory,
         holder: &str,
         own: &GatewaySettings,
         store: Rc<Store>,
@@ -169,10 +169,7 @@
     ) -> Self {
         Self {
             life: holder.to_owned(),
-            directory: Directory {
-                name: name.to_owned(),
-                address: own.peers,
-            },
+            directory,
             row_bytes: own.row_bytes,
             memory: own.memory_mb,
             keep: Duration::from_secs(own.keep_s),
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -4,7 +4,7 @@
 //! rows while there are batches of others; [`hibiscusroad::rollout::presence`] decides who is gone.
 
 use super::{Batches, HeadRow, Owned};
-use crate::{logs::BATCHES, platform::Backoff};
+use crate::{gateway::peers::presence, logs::BATCHES, platform::Backoff};
 use futures_util::future::join3;
 use hibiscusroad::{
     clock::millis,
@@ -32,6 +32,9 @@
 /// For so long a process that has no batch any more is seen to live: the steps of a
 /// trainer are some seconds apart, and the next one goes to the owner of the last.
 const EXPECTED: Duration = Duration::from_secs(10);
+/// How often a process that owns nothing tells its time of day all the same. 360 of them
+/// write six times a second together.
+const TOLD: Duration = Duration::from_mins(1);
 /// What a stopping process spends on a look at the others: it has a second or so in all.
 const LAST_LOOK: Duration = Duration::from_millis(200);
 /// What the holder of the weights' duty is watched as, beside the batches.
@@ -77,7 +80,8 @@
             if self.leaving.get() {
                 return;
             }
-            let value = serde_json::to_vec(&self.presence()).unwrap_or_default();
+            let presence = self.presence();
+            let value = serde_json::to_vec(&presence).unwrap_or_default();
             let change = Change::new().put(row::entry(&self.directory.name), value);
             let done = self.store.transact(&change).await;
             if !matches!(done, Commit::Done { .. }) {
@@ -87,10 +91,13 @@
             backoff.reset();
             loop {
                 sleep(RENEWAL).await;
-                if self.is_seen_to_live() {
+                // The first answer of the store tells its clock.
+                if self.is_seen_to_live() || presence.offset.is_none() {
+                    break;
+                }
+                if timeout(TOLD, self.owning.notified()).await.is_err() {
                     break;
                 }
-                self.owning.notified().await;
             }
         }
     }
@@ -107,6 +114,7 @@
             peer: self.directory.address,
             renewed: millis(self.store.now().unwrap_or_default()),
             memory: self.memory,
+            offset: self.directory.times.offset(),
         }
     }
 
@@ -184,7 +192,7 @@
         let page = self.store.read_whole(&Range::part(row::ENTRIES, "")).await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
-        self.store.set_peers(self.directory.peers(&page.rows));
+        self.directory.hear(&self.store, &page.rows);
         let signs = page.rows.iter().filter_map(sign).collect();
         let latency = now.saturating_duration_since(start);
         self.seen.borrow_mut().seen(now, latency, signs);
@@ -407,16 +415,6 @@
     }
 }
 
-/// Understands the row of a process.
-pub(super) fn presence(row: &Row) -> Option<Presence> {
-    let presence = serde_json::from_slice(&row.value).ok();
-    if presence.is_none() {
-        log::error!(target: BATCHES, entry = row.id.key.as_str();
-            "The row of a process is broken; it is ignored.");
-    }
-    presence
-}
-
 fn sign(row: &Row) -> Option<Sign> {
     let Presence { life, memory, .. } = presence(row)?;
     Some(Sign {
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -9,7 +9,10 @@
 
 use super::{Batches, HeadRow, give::Owner, owner::Loaded};
 use crate::{
-    gateway::answer::{Out, problem, whole},
+    gateway::{
+        answer::{Out, problem, whole},
+        peers::presence,
+    },
     logs::BATCHES,
     platform::Backoff,
 };
@@ -135,7 +138,7 @@
             .rows
             .iter()
             .filter_map(|row| {
-                let presence = super::owner::presence(row)?;
+                let presence = presence(row)?;
                 let held = owners.get(&presence.life)?;
                 Some(Candidate {
                     presence,
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -168,15 +168,27 @@
 
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Sent>,
+    ) -> Result<(Response<Incoming>, Channel), Fault> {
+        self.send_noting(address, request, || {}).await
+    }
+
+    /// Sends a request and waits for the head of its answer; calls `sent` when it goes
+    /// out on an open connection, again if that one had just been closed.
+    pub(super) async fn send_noting(
         &self,
         address: SocketAddr,
         mut request: Request<Sent>,
+        mut sent: impl FnMut(),
     ) -> Result<(Response<Incoming>, Channel), Fault> {
         loop {
             let (mut channel, kept) = match self.take(address) {
                 Some(channel) => (channel, true),
                 None => (self.open(address).await?, false),
             };
+            sent();
             match channel.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, channel)),
                 Err(mut error) => match error.take_message() {
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -114,6 +114,12 @@
         "",
         "changes of endpoints' entries that name no endpoint",
     ),
+    (
+        "gateway_usage_reports_total",
+        "counter",
+        "outcome",
+        "tries to report usage: accepted, failed, fenced, given-up",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -133,6 +139,7 @@
     pub(super) store_calls: IntCounterVec,
     pub(super) detours: IntCounterVec,
     pub(super) broken_entries: IntCounter,
+    pub(super) reports: IntCounterVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -188,6 +195,7 @@
             dropped: gauge(13)?,
             detours: counters(14)?,
             broken_entries: counter(15)?,
+            reports: counters(16)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -20,11 +20,13 @@
 //!   request's way, from its caller to an endpoint and back.
 //! * [`resume`]: streams that go on at another endpoint.
 //! * [`calls`]: the router, and the requests that wait for it.
-//! * [`batches`]: batches of trainers. [`weights`]: the duty of loading weights.
+//! * [`batches`]: batches of trainers. [`weights`]: what engines load.
+//! * [`usage`]: what accounts use, and its reports.
+//! * [`duty`]: who acts for all gateways.
 //! * [`store`], [`failure`], [`sync`], [`known`]: the store, and what is known from it.
 //! * [`peers`]: calls to the store that gateways carry out for each other.
 //! * [`http`]: connections to endpoints and to the store.
-//! * [`stopping`], [`ready`], [`boot`]: planned stops, readiness, time.
+//! * [`stopping`], [`ready`], [`boot`], [`times`]: planned stops, readiness, clocks.
 //! * [`meters`], [`exposition`]: counters and latencies, and who fetches them.
 
 mod answer;
@@ -32,6 +34,7 @@
 mod batches;
 mod boot;
 mod calls;
+mod duty;
 mod exposition;
 mod failure;
 mod forward;
@@ -47,25 +50,31 @@
 mod stopping;
 mod store;
 mod sync;
+mod times;
+mod usage;
 mod weights;
 
 use self::{
     attempt::Line,
     batches::Batches,
     calls::Calls,
+    duty::Duty,
     http::Channels,
     known::Known,
     meters::Meters,
+    peers::Directory,
     stopping::Stop,
     store::Store,
     sync::Members,
+    times::Times,
+    usage::{Reporter, Usage},
     weights::{Parts, Weights},
 };
 use crate::{
     logs::{self, PROCESS},
     settings::{Gateway as GatewaySettings, Settings},
 };
-use hibiscusroad::Incarnation;
+use hibiscusroad::{Incarnation, usage::Windows};
 use std::{
     io,
     path::Path,
@@ -92,6 +101,9 @@
     store: Rc<Store>,
     batches: Rc<Batches>,
     weights: Rc<Weights>,
+    duty: Rc<Duty>,
+    usage: Rc<Usage>,
+    reporter: Option<Rc<Reporter>>,
     members: Rc<Members>,
     meters: Rc<Meters>,
     stop: Stop,
@@ -155,7 +167,7 @@
     gateway.stop.begin();
     let leaving = async {
         gateway.batches.leave().await;
-        gateway.weights.leave().await;
+        gateway.duty.leave().await;
     };
     if timeout(LEAVING, leaving).await.is_err() {
         log::warn!(target: PROCESS, "Duties could not be given back; they lapse.");
@@ -163,6 +175,7 @@
     let grace = Duration::from_secs(settings.stop.deadline_s);
     gateway.stop.carry_out(grace).await;
     accepting.abort();
+    gateway.usage.leave().await;
     logs::flush_now();
     Ok(())
 }
@@ -174,10 +187,22 @@
     let store = Rc::new(Store::new(own.store, Rc::clone(&counts)));
     let calls = Rc::new(Calls::new(&settings.place, incarnation));
     let channels = Rc::new(Channels::new());
+    let windows = own.usage.as_ref().map(|usage| {
+        let length = Duration::from_secs(usage.window_s);
+        Windows::new(length)
+    });
+    let times = Times::new(Rc::clone(&store));
+    let usage = Rc::new(Usage::new(
+        &holder,
+        windows,
+        Rc::clone(&store),
+        times.clone(),
+    ));
     let line = Line {
         calls: Rc::clone(&calls),
         channels: Rc::clone(&channels),
         meters: Rc::clone(&counts),
+        usage: Rc::clone(&usage),
     };
     Rc::new_cyclic(|gateway: &Weak<Gateway>| {
         let hearer = Weak::clone(gateway);
@@ -188,8 +213,13 @@
                 gateway.weights.roster(news);
             }
         }));
+        let directory = Directory {
+            name: settings.name.clone(),
+            address: own.peers,
+            times: times.clone(),
+        };
         let batches = Rc::new(Batches::new(
-            &settings.name,
+            directory,
             &holder,
             own,
             Rc::clone(&store),
@@ -197,7 +227,26 @@
             Rc::clone(&members),
             Rc::clone(&known),
         ));
+        let duty = Duty::new(
+            &holder,
+            own.lease_ms,
+            Rc::clone(&store),
+            Rc::clone(&batches),
+        );
+        let duty = Rc::new(duty);
+        let reporter = own.usage.as_ref().map(|usage| {
+            Rc::new(Reporter::new(
+                &settings.name,
+                usage,
+                Rc::clone(&duty),
+                Rc::clone(&store),
+                times.clone(),
+                Rc::clone(&known),
+                Rc::clone(&counts),
+            ))
+        });
         let parts = Parts {
+            duty: Rc::clone(&duty),
             store: Rc::clone(&store),
             known: Rc::clone(&known),
             members: Rc::clone(&members),
@@ -205,13 +254,16 @@
             channels,
             meters: Rc::clone(&counts),
         };
-        let weights = Rc::new(Weights::new(&holder, own.lease_ms, own.fences, parts));
+        let weights = Rc::new(Weights::new(own.fences, parts));
         Gateway {
             known,
             line,
             store,
             batches,
             weights,
+            duty,
+            usage,
+            reporter,
             members,
             meters: counts,
             stop: Stop::new(),
@@ -227,6 +279,9 @@
         store,
         batches,
         weights,
+        duty,
+        usage,
+        reporter,
         members,
         ..
     } = &**gateway;
@@ -257,6 +312,20 @@
     spawn_local(Rc::clone(batches).sweep());
     spawn_local(Rc::clone(batches).share_paces());
     spawn_local(Rc::clone(weights).run());
+    spawn_local(Rc::clone(usage).keep());
+    if let Some(reporter) = reporter {
+        let back = Rc::clone(reporter);
+        store.on_return(move || back.store_back());
+        spawn_local(Rc::clone(reporter).run());
+    }
+    let (weights, reporter) = (Rc::clone(weights), reporter.clone());
+    let needed = move || {
+        weights.is_needed()
+            || reporter
+                .as_ref()
+                .is_some_and(|reporter| reporter.is_needed())
+    };
+    spawn_local(Rc::clone(duty).run(needed));
 }
 
 /// Reads the settings again when a signal says that they changed, or they did.
--- a/hibiscusroad-daemon/src/gateway/peers/directory.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/directory.rs
@@ -4,7 +4,10 @@
 //! then, and each look at the owners of batches tells them, too. Rows of gateways
 //! that are gone stay for a while: asking them costs one short try.
 
-use crate::{gateway::store::Store, logs::STORE};
+use crate::{
+    gateway::{store::Store, times::Times},
+    logs::STORE,
+};
 use hibiscusroad::{
     rollout::row::{ENTRIES, Presence},
     table::{Range, Row},
@@ -19,24 +22,37 @@
 const AGAIN: Duration = Duration::from_secs(30);
 
 /// What is needed to know peers from this process.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(in crate::gateway) struct Directory {
     /// The name of this process.
     pub(in crate::gateway) name: String,
     /// Where it carries calls, if it does.
     pub(in crate::gateway) address: Option<SocketAddr>,
+    /// What the others tell of their time of day.
+    pub(in crate::gateway) times: Times,
 }
 
 impl Directory {
-    /// Finds the peers among the rows of all gateways.
-    pub(in crate::gateway) fn peers(&self, rows: &[Row]) -> Vec<SocketAddr> {
+    /// Takes in the rows of all gateways.
+    pub(in crate::gateway) fn hear(&self, store: &Store, rows: &[Row]) {
         let others = rows.iter().filter(|row| row.id.key != self.name);
-        let known = others.filter_map(|row| serde_json::from_slice::<Presence>(&row.value).ok());
-        let addresses = known.filter_map(|presence| presence.peer);
-        addresses
-            .filter(|address| Some(*address) != self.address)
-            .collect()
+        let known: Vec<Presence> = others.filter_map(presence).collect();
+        let addresses = known.iter().filter_map(|presence| presence.peer);
+        let peers = addresses.filter(|address| Some(*address) != self.address);
+        store.set_peers(peers.collect());
+        let offsets = known.iter().filter_map(|presence| presence.offset);
+        self.times.hear(offsets.collect());
+    }
+}
+
+/// Understands the row of a process.
+pub(in crate::gateway) fn presence(row: &Row) -> Option<Presence> {
+    let presence = serde_json::from_slice(&row.value).ok();
+    if presence.is_none() {
+        log::error!(target: STORE, entry = row.id.key.as_str();
+            "The row of a process is broken; it is ignored.");
     }
+    presence
 }
 
 /// Reads the rows of all gateways now and then.
@@ -47,7 +63,7 @@
         sleep(pause).await;
         match store.read_whole(&Range::part(ENTRIES, "")).await {
             Ok(page) => {
-                store.set_peers(directory.peers(&page.rows));
+                directory.hear(&store, &page.rows);
                 pause = AGAIN + spread;
             }
             Err(failure) => {
--- a/hibiscusroad-daemon/src/gateway/peers/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/mod.rs
@@ -19,7 +19,7 @@
 
 pub(super) use self::{
     client::{Peers, Uncarried},
-    directory::{Directory, meet},
+    directory::{Directory, meet, presence},
     server::serve,
 };
 
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -226,6 +226,7 @@
         headers: parts.headers,
         id,
         deadline,
+        account: account.map(|account| account.name.as_str().into()),
     }
 }
 
@@ -255,6 +256,7 @@
         headers,
         id: id.to_owned(),
         deadline,
+        account: None,
     })
 }
 
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -46,6 +46,9 @@
 const PROBED: &str = "duties";
 /// Most peers that one call is offered to: a second for a first that is gone.
 const PEERS: usize = 2;
+/// How long the best answer of the store's clock is used: a host's clock that is wrong
+/// by one part in ten thousand is wrong by 3 ms then.
+const BEST: Duration = Duration::from_secs(30);
 /// What an answer to a wait may take beyond it.
 const FEED_SLACK: Duration = Duration::from_millis(700);
 
@@ -54,6 +57,8 @@
     channels: Channels,
     peers: Peers,
     reach: RefCell<Reach>,
+    /// How many peers are known.
+    peer_count: Cell<usize>,
     /// The straight way began to fail.
     turned: Notify,
     address: Cell<SocketAddr>,
@@ -74,6 +79,7 @@
             channels: Channels::new(),
             peers: Peers::new(),
             reach: RefCell::new(Reach::new()),
+            peer_count: Cell::new(0),
             turned: Notify::new(),
             address: Cell::new(address),
             told: Cell::new(None),
@@ -99,11 +105,17 @@
     /// Sets who may carry calls for this process.
     pub(super) fn set_peers(&self, peers: Vec<SocketAddr>) {
         let count = peers.len();
+        self.peer_count.set(count);
         if self.reach.borrow_mut().set_peers(peers) {
             log::info!(target: STORE, peers = count; "Peers are known.");
         }
     }
 
+    /// Returns how many peers are known.
+    pub(super) const fn peer_count(&self) -> usize {
+        self.peer_count.get()
+    }
+
     /// Calls `act` each time the store answers again after it was away.
     pub(super) fn on_return(&self, act: impl Fn() + 'static) {
         self.watchers.borrow_mut().push(Box::new(act));
@@ -403,8 +415,20 @@
         Ok((status, body.to_bytes()))
     }
 
+    /// Takes in the store's clock as an answer tells it.
+    ///
+    /// It is late by the answer's way, so the answer that was quickest tells it best:
+    /// one that makes it later than it was known to be is a better one. Each is used for
+    /// a while only, since this host's clock may run a little faster.
     fn tell(&self, now: Duration) {
-        self.told.set(Some((now, Instant::now())));
+        let at = Instant::now();
+        let better = self.told.get().is_none_or(|(told, since)| {
+            let age = at.saturating_duration_since(since);
+            age > BEST || now >= told + age
+        });
+        if better {
+            self.told.set(Some((now, at)));
+        }
     }
 
     fn is_back(&self) {
--- a/hibiscusroad-daemon/src/gateway/weights/learned.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/learned.rs
@@ -1,6 +1,6 @@
 //! What holders of the duty hand on: how long loads take, and whom they ordered.
 
-use super::{DUTIES, DUTY, Weights, turns_row};
+use super::{DUTIES, Weights, turns_row};
 use crate::logs::WEIGHTS;
 use hibiscusroad::{
     rollout::turns::Turns,
@@ -10,6 +10,8 @@
 
 /// The part of that table that holds what holders learned.
 const PACE_PART: &str = "learned";
+/// The key of what they learned of loads.
+const PACE: &str = "weights";
 /// Time between two writes of it: a holder has learned most within some seconds.
 const KEEP: Duration = Duration::from_secs(2);
 
@@ -23,7 +25,7 @@
         }
         self.kept.set(Some(Instant::now()));
         let value = serde_json::to_vec(&*self.pace.borrow()).unwrap_or_default();
-        let change = Change::new().put(RowId::new(DUTIES, PACE_PART, DUTY), value);
+        let change = Change::new().put(RowId::new(DUTIES, PACE_PART, PACE), value);
         let done = self.store.transact(&change).await;
         if !matches!(done, Commit::Done { .. }) {
             log::debug!(target: WEIGHTS, done:? = done; "What was learned of loads is not kept.");
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -47,7 +47,7 @@
             self.keep_pace().await;
             self.loading.borrow_mut().remove(&load.endpoint);
         } else {
-            let until = self.clock.now() + AGAIN;
+            let until = self.duty.now() + AGAIN;
             self.loading.borrow_mut().insert(load.endpoint, until);
             sleep(AGAIN).await;
         }
@@ -68,8 +68,8 @@
             },
         };
         // Looked at last: nothing is waited for between this and the order.
-        let in_time = self.clock.now() < until;
-        let Some(fence) = self.fence().filter(|_| in_time) else {
+        let in_time = self.duty.now() < until;
+        let Some(fence) = self.duty.fence().filter(|_| in_time) else {
             self.orders
                 .borrow_mut()
                 .insert(load.endpoint.clone(), orders);
@@ -79,7 +79,7 @@
             endpoint: load.endpoint.clone(),
             model: load.model.clone(),
             version: load.version,
-            holder: self.life.clone(),
+            holder: self.duty.life().to_owned(),
             fence,
             expected: orders,
         };
@@ -91,7 +91,7 @@
             engine::order_answer(status)
         });
         log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
-            version = load.version, from = from, holder = self.life.as_str(), fence = fence,
+            version = load.version, from = from, holder = self.duty.life(), fence = fence,
             orders = orders, answer:? = answer; "An order was given.");
         match answer {
             OrderAnswer::Accepted => {
@@ -107,7 +107,7 @@
                 true
             }
             OrderAnswer::Fenced => {
-                self.lease.borrow_mut().beaten();
+                self.duty.beaten();
                 false
             }
             OrderAnswer::Busy | OrderAnswer::Gone | OrderAnswer::Refused | OrderAnswer::Unknown => {
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -1,6 +1,6 @@
 //! What is loaded next.
 
-use super::{Weights, duty_row, turns_row};
+use super::{Weights, turns_row};
 use crate::logs::WEIGHTS;
 use hibiscusroad::{
     rollout::{
@@ -27,7 +27,7 @@
 impl Weights {
     /// Gives the orders that are due, once they are written down.
     pub(super) async fn order(self: &Rc<Self>) {
-        let now = self.clock.now();
+        let now = self.duty.now();
         if self.quiet.get().is_some_and(|until| now < until) {
             return;
         }
@@ -38,7 +38,7 @@
         let busy = engines.iter().filter(|engine| engine.busy).count();
         let loads = plan(&engines, &goals, at_once);
         let at_once = busy + loads.len();
-        if loads.is_empty() || !self.write_turns(now, &loads).await {
+        if loads.is_empty() || !self.write_turns(&loads).await {
             return;
         }
         for load in loads {
@@ -52,31 +52,24 @@
 
     /// Writes down which engines are about to be ordered; `false` if nothing may be
     /// sent, since the lease isn't known to be this process's any more.
-    async fn write_turns(&self, now: Instant, loads: &[Load]) -> bool {
-        let Some((version, store)) = self.lease.borrow().version(now).zip(self.store.now()) else {
+    async fn write_turns(&self, loads: &[Load]) -> bool {
+        let Some(store) = self.store.now() else {
             return false;
         };
         let mut turns = self.turns.borrow().clone();
-        turns.expire(store, self.apart());
+        turns.expire(store, self.duty.apart());
         for load in loads {
-            turns.note(&load.endpoint, &self.life, store);
+            turns.note(&load.endpoint, self.duty.life(), store);
         }
         let value = serde_json::to_vec(&turns).unwrap_or_default();
-        let change = Change::new()
-            .expect(duty_row(), version)
-            .put(turns_row(), value);
-        match self.store.transact(&change).await {
-            Commit::Done { .. } => {
+        let change = Change::new().put(turns_row(), value);
+        match self.duty.transact(change).await {
+            Some(Commit::Done { .. }) => {
                 self.turns.replace(turns);
                 true
             }
-            Commit::Conflict(_) => {
-                log::info!(target: WEIGHTS, row = version;
-                    "No order is given: the lease is no longer held here.");
-                self.lease.borrow_mut().beaten();
-                false
-            }
-            done @ (Commit::Refused | Commit::Unknown) => {
+            None => false,
+            Some(done) => {
                 log::info!(target: WEIGHTS, done:? = done;
                     "No order is given: it could not be written down.");
                 sleep(AGAIN).await;
@@ -86,11 +79,6 @@
         }
     }
 
-    /// Returns by how much orders of two holders to one engine have to be apart.
-    const fn apart(&self) -> Duration {
-        Duration::from_millis(self.lease_ms)
-    }
-
     /// Hears from owners of batches how fast engines are, now and then: this process
     /// may own none, and then hears of it from nobody.
     async fn hear_paces(&self) {
@@ -144,7 +132,7 @@
         let weights = weights.collect();
         let until = self.loading.borrow().get(&endpoint.id).copied();
         let turns = self.turns.borrow();
-        let barred = turns.barred(&endpoint.id, &self.life, self.apart());
+        let barred = turns.barred(&endpoint.id, self.duty.life(), self.duty.apart());
         let store = self.store.now().unwrap_or_default();
         Loader {
             weights,
--- a/hibiscusroad-daemon/src/logs/mod.rs
+++ b/hibiscusroad-daemon/src/logs/mod.rs
@@ -50,6 +50,10 @@
 pub const OPERATORS: &str = "operators";
 /// The platform's store, as a gateway reaches it.
 pub const STORE: &str = "store";
+/// Who acts for all gateways.
+pub const DUTY: &str = "duty";
+/// What client accounts used.
+pub const USAGE: &str = "usage";
 /// Weights of model engines and who orders them.
 pub const WEIGHTS: &str = "weights";
 /// The role side: its links, its gate and its endpoint.
@@ -57,7 +61,8 @@
 
 /// All prefixes of the project's own parts.
 pub const PARTS: &[&str] = &[
-    PROCESS, BATCHES, CALLERS, CALLS, CLAIMS, CONFIG, HOSTS, LINK, OPERATORS, SIDE, STORE, WEIGHTS,
+    PROCESS, BATCHES, CALLERS, CALLS, CLAIMS, CONFIG, DUTY, HOSTS, LINK, OPERATORS, SIDE, STORE,
+    USAGE, WEIGHTS,
 ];
 
 /// Libraries whose records below a warning are of no use to operators.
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -39,7 +39,7 @@
 
 pub use self::{
     check::Problem,
-    roles::{Entry, Gateway, Side, Tokens},
+    roles::{Entry, Gateway, Side, Tokens, Usage},
 };
 pub use hibiscusroad::config::Kind;
 
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -238,11 +238,25 @@
     /// Milliseconds for which keys are taken without a word of the store; for ever,
     /// without it.
     pub key_trust_ms: Option<u64>,
+    /// Reports of what accounts used; there are none, without it.
+    pub usage: Option<Usage>,
     /// Megabytes that this process may use.
     #[serde(default = "default_memory")]
     pub memory_mb: u32,
 }
 
+/// Settings of the reports of usage.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Usage {
+    /// Who takes the reports.
+    pub address: SocketAddr,
+    /// Seconds of a window, of which each is reported by itself.
+    pub window_s: u64,
+    /// Seconds after a window's end within which its report is due.
+    pub late_s: u64,
+}
+
 fn default_memory() -> u32 {
     256
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -13,6 +13,10 @@
 const SHORTEST_TOKEN: usize = 16;
 const MILLIS_AN_HOUR: u64 = 3_600_000;
 const SECONDS_AN_HOUR: u64 = 3_600;
+const SECONDS: Rule = Rule::Integer {
+    low: 1,
+    high: SECONDS_AN_HOUR,
+};
 
 /// What a key may hold.
 #[derive(Clone, Copy, Debug)]
@@ -153,6 +157,15 @@
             integer("key_trust_ms", 100, MILLIS_AN_HOUR),
         ],
     },
+    Table {
+        path: "gateway.usage",
+        needed: false,
+        fields: &[
+            needed("address", Rule::Address),
+            needed("window_s", SECONDS),
+            needed("late_s", SECONDS),
+        ],
+    },
     Table {
         path: "log",
         needed: false,
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -137,6 +137,7 @@
     assert_eq!(gateway.peers, "10.1.0.10:7735".parse().ok());
     assert_eq!(gateway.memory_mb, 512);
     assert_eq!(gateway.key_trust_ms, None);
+    assert_eq!(gateway.usage, None);
 }
 
 // Where keys have to stop working everywhere, also at gateways that nobody reaches, the
@@ -153,6 +154,21 @@
     assert_eq!(gateway.key_trust_ms, Some(5000));
 }
 
+#[test]
+fn template_reports_usage_where_operators_ask_for_it() {
+    let more = [
+        ("bounds.reportWindowS", "5"),
+        ("bounds.usageLateS", "10"),
+        ("cloud.address", "10.200.0.168:8265"),
+    ];
+    let text = filled(&[VALUES, &more].concat());
+    assert!(!text.contains("{{"), "{text}");
+    let gateway = Settings::parse(&text).unwrap().gateway.unwrap();
+    let usage = gateway.usage.unwrap();
+    assert_eq!((usage.window_s, usage.late_s), (5, 10));
+    assert_eq!(usage.address, "10.200.0.168:8265".parse().unwrap());
+}
+
 // A value that the platform doesn't have is filled in as nothing. All such
 // faults are told at once, with their lines.
 #[test]
--- a/hibiscusroad-daemon/tests/gateway_process.rs
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -300,7 +300,7 @@
     until("the engine has loaded", || {
         (engine.version("guide") == 2).then_some(())
     });
-    let held = gateway.line("The lease of the weights is held");
+    let held = gateway.line("The lease of the duties is held");
     let order = gateway.line("An order was given");
     assert_eq!((&held["fence"], &held["from"]), (&1.into(), &"".into()));
     assert_eq!(order["holder"], held["holder"]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 //! * [`subset`]: which sides an entry keeps links to.
 //! * [`table`]: the narrow interface to what must last.
 //! * [`train`]: a trainer's steps, samples and pace.
+//! * [`usage`]: what client accounts used, and its reports.
 
 pub mod account;
 pub mod catalog;
@@ -59,6 +60,7 @@
 pub mod subset;
 pub mod table;
 pub mod train;
+pub mod usage;
 
 pub use crate::{
     class::{Class, Repeat},
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -24,7 +24,7 @@
 use std::{net::SocketAddr, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{rollout::text::Piece, table::RowId};
+use crate::{rollout::text::Piece, table::RowId, usage::Offset};
 
 /// Heads of batches.
 pub const BATCHES: &str = "batches";
@@ -132,6 +132,9 @@
     /// Megabytes that the process may use.
     #[serde(default)]
     pub memory: u32,
+    /// How far its host's time of day is from the store's clock.
+    #[serde(default)]
+    pub offset: Option<Offset>,
 }
 
 /// Returns the part of the store that holds a batch.
--- a/tests/rollout_choice.rs
+++ b/tests/rollout_choice.rs
@@ -12,6 +12,7 @@
 fn candidate(name: &str, age_ms: u64, memory: u32) -> Candidate {
     Candidate {
         presence: Presence {
+            offset: None,
             life: format!("{name}/aa"),
             peer: None,
             renewed: 10_000 - age_ms,
