Tell why a report could not be kept, and wait for a lost answer in its test

The test goes on losing answers until a report was taken, so it asks for the same repeat whenever the report comes.

--- a/hibiscusroad-daemon/src/gateway/usage/report.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/report.rs
@@ -197,6 +197,7 @@
         let (counts, broken) = usage::merge(values);
         let requests: u64 = counts.values().sum();
         let Some(store) = self.store.now() else {
+            log::info!(target: USAGE, window = window.0; "The store's clock is not known yet.");
             return false;
         };
         let kept = Kept::new(duty::usage(window.0, &counts), self.duty.life(), store);
@@ -217,7 +218,11 @@
                 self.reports.replace(None);
                 false
             }
-            Some(Commit::Refused | Commit::Unknown) | None => false,
+            done @ (Some(Commit::Refused | Commit::Unknown) | None) => {
+                log::info!(target: USAGE, window = window.0, done:? = done;
+                    "The report of a window could not be kept yet.");
+                false
+            }
         }
     }
 
--- a/hibiscusroad-daemon/tests/gateway_usage.rs
+++ b/hibiscusroad-daemon/tests/gateway_usage.rs
@@ -159,6 +159,12 @@
             billed.call(m % 2, "charity", &format!("l{n}-{m}"));
             thread::sleep(Duration::from_millis(60));
         }
+        if reply == Reply::Lost {
+            let before = billed.billing.taken().len();
+            until("an answer is lost", || {
+                (billed.billing.taken().len() > before).then_some(())
+            });
+        }
     }
     billed.settle();
     let taken = billed.billing.taken();
