--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -187,7 +187,7 @@
 fn assemble(settings: &Settings, own: &GatewaySettings, counts: Rc<Meters>) -> Rc<Gateway> {
     let incarnation = Incarnation::draw();
     let holder = format!("{}/{incarnation}", settings.name);
-    let known = Rc::new(Known::new(own.key_trust_ms.map(Duration::from_millis)));
+    let known = Rc::new(Known::new(own.trust_ms.map(Duration::from_millis)));
     let store = Rc::new(Store::new(own.store, Rc::clone(&counts)));
     let calls = Rc::new(Calls::new(&settings.place, incarnation));
     let channels = Rc::new(Channels::new());
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -17,6 +17,7 @@
     clock::millis,
     patience::Patience,
     reach::{Carried, Reach, Way},
+    steady::Steady,
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
 };
 use hibiscusroad_platform::{request::Request, table as wire};
@@ -46,9 +47,6 @@
 const PROBED: &str = "duties";
 /// Most peers that one call is offered to: a second for a first that is gone.
 const PEERS: usize = 2;
-/// How long the best answer of the store's clock is used: a host's clock that is wrong
-/// by one part in ten thousand is wrong by 3 ms then.
-const BEST: Duration = Duration::from_secs(30);
 /// What an answer to a wait may take beyond it.
 const FEED_SLACK: Duration = Duration::from_millis(700);
 
@@ -62,8 +60,8 @@
     /// The straight way began to fail.
     turned: Notify,
     address: Cell<SocketAddr>,
-    /// The store's clock and when it was told.
-    told: Cell<Option<(Duration, Instant)>>,
+    /// The store's clock.
+    clock: Cell<Steady>,
     /// Since when no call was answered.
     away: Cell<Option<Instant>>,
     reads: Cell<Patience>,
@@ -82,7 +80,7 @@
             peer_count: Cell::new(0),
             turned: Notify::new(),
             address: Cell::new(address),
-            told: Cell::new(None),
+            clock: Cell::new(Steady::new()),
             away: Cell::new(None),
             reads: Cell::new(Patience::new(READ.0, READ.1)),
             writes: Cell::new(Patience::new(WRITE.0, WRITE.1)),
@@ -123,8 +121,7 @@
 
     /// Returns the store's steady clock, if it has told it.
     pub(super) fn now(&self) -> Option<Duration> {
-        let (told, at) = self.told.get()?;
-        Some(told + at.elapsed())
+        self.clock.get().at(Instant::now())
     }
 
     /// Reads a range of rows.
@@ -416,19 +413,10 @@
     }
 
     /// Takes in the store's clock as an answer tells it.
-    ///
-    /// It is late by the answer's way, so the answer that was quickest tells it best:
-    /// one that makes it later than it was known to be is a better one. Each is used for
-    /// a while only, since this host's clock may run a little faster.
     fn tell(&self, now: Duration) {
-        let at = Instant::now();
-        let better = self.told.get().is_none_or(|(told, since)| {
-            let age = at.saturating_duration_since(since);
-            age > BEST || now >= told + age
-        });
-        if better {
-            self.told.set(Some((now, at)));
-        }
+        let mut clock = self.clock.get();
+        clock.tell(Instant::now(), now);
+        self.clock.set(clock);
     }
 
     fn is_back(&self) {
--- a/hibiscusroad-daemon/src/gateway/usage/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/mod.rs
@@ -13,6 +13,7 @@
 use super::{store::Store, times::Times};
 use crate::{logs::USAGE, platform::Backoff};
 use hibiscusroad::{
+    clock::millis,
     table::{Change, Commit},
     usage::{Tally, Windows, pause},
 };
@@ -99,7 +100,7 @@
         let start = Instant::now();
         let last = async { while !self.tally.borrow().is_empty() && self.write().await {} };
         if timeout(LAST, last).await.is_err() || !self.tally.borrow().is_empty() {
-            log::warn!(target: USAGE, took_ms = hibiscusroad::clock::millis(start.elapsed());
+            log::warn!(target: USAGE, took_ms = millis(start.elapsed());
                 "Counts are lost: the store does not take them before the process ends.");
         }
     }
--- a/hibiscusroad-daemon/src/gateway/usage/report.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/report.rs
@@ -228,21 +228,13 @@
 
     /// Sends a report, as soon as no call of another holder can cross with it.
     async fn send(&self, window: Window, fence: u64) -> bool {
-        let Some((barred, kept)) = self
-            .with(|reports| {
-                (
-                    reports.barred(self.duty.life()),
-                    reports.get(window).cloned(),
-                )
-            })
-            .zip(self.store.now())
-            .and_then(|((barred, kept), now)| {
-                Some((barred.map(|until| until.saturating_sub(now)), kept?))
-            })
-        else {
+        let kept = self.with(|reports| reports.get(window).cloned()).flatten();
+        let Some((kept, now)) = kept.zip(self.store.now()) else {
             return false;
         };
-        if let Some(pause) = barred.filter(|pause| !pause.is_zero()) {
+        let barred = self.with(|reports| reports.barred(self.duty.life()));
+        let pause = barred.flatten().map(|until| until.saturating_sub(now));
+        if let Some(pause) = pause.filter(|pause| !pause.is_zero()) {
             log::info!(target: USAGE, window = window.0, pause_ms = millis(pause);
                 "A report waits until calls of the holder before can't come any more.");
             sleep(pause.min(LOOK)).await;
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -237,7 +237,7 @@
     pub fences: bool,
     /// Milliseconds for which keys are taken without a word of the store; for ever,
     /// without it.
-    pub key_trust_ms: Option<u64>,
+    pub trust_ms: Option<u64>,
     /// Reports of what accounts used; there are none, without it.
     pub usage: Option<Usage>,
     /// Megabytes that this process may use.
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -154,7 +154,7 @@
             integer("keep_s", 1, SECONDS_AN_HOUR),
             optional("fences", Rule::Flag),
             integer("memory_mb", 1, 1 << 20),
-            integer("key_trust_ms", 100, MILLIS_AN_HOUR),
+            integer("trust_ms", 100, MILLIS_AN_HOUR),
         ],
     },
     Table {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 //! * [`rollout`]: batches for trainers, and the weights they run on.
 //! * [`roster`]: which endpoints there are, as they register themselves.
 //! * [`route`]: admission, queues, placement, limits, retries.
+//! * [`steady`]: the clock of another host, as its answers tell it.
 //! * [`subset`]: which sides an entry keeps links to.
 //! * [`table`]: the narrow interface to what must last.
 //! * [`train`]: a trainer's steps, samples and pace.
@@ -57,6 +58,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod route;
+pub mod steady;
 pub mod subset;
 pub mod table;
 pub mod train;
