Tell the fingerprint of a request whose attempt broke

On call, nobody could tell from the logs whether two broken attempts were of one request: each repeat has an id of its own, and neither path nor content was logged. A fingerprint of method, host, path, account and body now stands in the lines of broken attempts and runs. It is computed only where an attempt broke.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
     calls::{Calls, Target, Ticket},
     http::{Channel, Channels, Fault, Sent},
     meters::Meters,
+    subject::Subject,
     usage::Usage,
 };
 use crate::{headers::is_hop_by_hop, logs::CALLS};
@@ -175,15 +176,28 @@
     }
 }
 
-/// Runs one attempt; with `flow` the answer is passed on from its head.
+/// A request as one attempt sends it.
+pub(super) struct Sending {
+    pub(super) head: Rc<Head>,
+    pub(super) subject: Rc<Subject>,
+    pub(super) body: Sent,
+    /// The answer is passed on from its head.
+    pub(super) flow: bool,
+}
+
+/// Runs one attempt.
 pub(super) async fn run(
     line: Line,
-    head: Rc<Head>,
+    sending: Sending,
     endpoint: EndpointKey,
     target: Target,
-    body: Sent,
-    flow: bool,
 ) -> Done {
+    let Sending {
+        head,
+        subject,
+        body,
+        flow,
+    } = sending;
     let mut begun = line.usage.watch(head.account.as_ref());
     let sent = request(&head, &target, body);
     let answer = line
@@ -196,7 +210,7 @@
             if fault.unsent() {
                 begun.not_run();
             }
-            return faulted(&head, &target, &fault);
+            return faulted(&head, &subject, &target, &fault);
         }
     };
     let told = text(response.headers(), header::LOAD).and_then(header::load);
@@ -214,15 +228,16 @@
     };
     line.meters.attempts.with_label_values(&[outcome]).inc();
     if let Done::NotRun(kind) | Done::Failed(kind, _) = &done {
-        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id;
+        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
+            path = subject.path(), fingerprint:% = subject.fingerprint();
             "An attempt failed: {kind}.");
     }
     done
 }
 
-fn faulted(head: &Head, target: &Target, fault: &Fault) -> Done {
+fn faulted(head: &Head, subject: &Subject, target: &Target, fault: &Fault) -> Done {
     log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
-        error = fault.to_string().as_str(); "An endpoint did not answer.");
+        path = subject.path(), fingerprint:% = subject.fingerprint(), error = fault.to_string().as_str(); "An endpoint did not answer.");
     if fault.unsent() {
         Done::NotRun(ErrorKind::EndpointDown)
     } else {
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -15,6 +15,7 @@
         calls::Target,
         http::whole,
         request::{name_account, own_head},
+        subject::Subject,
     },
     logs::BATCHES,
 };
@@ -107,8 +108,13 @@
         let start = Instant::now();
         let mut run = Run::new(self, owned, &endpoint.service, n, seat.key);
         let deadline = owned.expires.unwrap_or(start + LONGEST);
-        let ended = match item_head(item, owned, priority.min(LOWEST), deadline, before, exact) {
-            Ok(head) => run.generate(&head, &endpoint, &item.body).await,
+        let request = request(item, owned, priority.min(LOWEST), deadline, before, exact);
+        let subject = request
+            .as_ref()
+            .ok()
+            .map(|request| Rc::clone(&request.subject));
+        let ended = match request {
+            Ok(request) => run.generate(&request, &endpoint).await,
             Err(error) => {
                 log::error!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
                     error = error.to_string().as_str(); "An item can't be sent.");
@@ -124,6 +130,7 @@
         if let Err(cause) = ended {
             log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
                 endpoint = endpoint.id.as_str(), cause:? = cause, before:? = before,
+                fingerprint = subject.map(|it| it.fingerprint().to_string()),
                 events = run.events, pace_us = micros(run.pace), took_ms = millis(start.elapsed()),
                 waited_ms = millis(waited), weights_ms = millis(lacked.weights),
                 room_ms = millis(lacked.room); "A run of an item broke off.");
@@ -159,8 +166,8 @@
         let mut run = Run::new(self, owned, &endpoint.service, n, seat.key);
         run.draft = true;
         let deadline = owned.expires.unwrap_or(start + LONGEST);
-        let ended = match item_head(item, owned, LOWEST, deadline, None, None) {
-            Ok(head) => run.generate(&head, &endpoint, &item.body).await,
+        let ended = match request(item, owned, LOWEST, deadline, None, None) {
+            Ok(request) => run.generate(&request, &endpoint).await,
             Err(_unsendable) => Err(Break::Never),
         };
         log::info!(target: BATCHES, batch = owned.id.as_str(), item = item.id.as_str(),
@@ -176,14 +183,21 @@
     })
 }
 
-fn item_head(
+/// An item's request to an engine.
+struct Request {
+    head: Head,
+    subject: Rc<Subject>,
+    body: Bytes,
+}
+
+fn request(
     item: &Item,
     owned: &Owned,
     priority: u8,
     deadline: Instant,
     before: Option<u64>,
     exact: Option<u64>,
-) -> Result<Head, hyper::http::Error> {
+) -> Result<Request, hyper::http::Error> {
     let mut head = own_head(&owned.host, &item.path, &item.id, deadline)?;
     for (name, value) in &item.headers {
         let name = HeaderName::try_from(name.as_str())?;
@@ -204,7 +218,13 @@
         );
     }
     set(&mut head.headers, header::PRIORITY, &priority.to_string());
-    Ok(head)
+    let body = Bytes::from(item.body.clone());
+    let subject = Subject::new(&head, owned.account.as_deref(), body.clone());
+    Ok(Request {
+        head,
+        subject,
+        body,
+    })
 }
 
 impl<'a> Run<'a> {
@@ -252,24 +272,21 @@
         batch.extend(self.n, event.number, &event.data, self.version)
     }
 
-    async fn generate(
-        &mut self,
-        head: &Head,
-        endpoint: &Endpoint,
-        body: &[u8],
-    ) -> Result<(), Break> {
+    async fn generate(&mut self, request: &Request, endpoint: &Endpoint) -> Result<(), Break> {
+        let head = &request.head;
         let target = Target {
             id: endpoint.id.as_str().into(),
             address: endpoint.address,
         };
-        let request = attempt::request(head, &target, whole(body.to_vec().into()));
+        let sent = attempt::request(head, &target, whole(request.body.clone()));
         let channels = &self.batches.line.channels;
         let sent = self
-            .queue(channels.send(target.address, request), head.id.as_str())
+            .queue(channels.send(target.address, sent), head.id.as_str())
             .await?;
         let (response, channel) = sent.map_err(|fault| {
             log::debug!(target: BATCHES, item = head.id.as_str(),
-                endpoint = endpoint.id.as_str(), error = fault.to_string().as_str();
+                endpoint = endpoint.id.as_str(),
+                fingerprint:% = request.subject.fingerprint(), error = fault.to_string().as_str();
                 "An engine did not answer.");
             Break::Lost
         })?;
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -10,6 +10,7 @@
         calls::drawn_service,
         forward::{Content, Ended, Forward, ended},
         request::own_head,
+        subject::Subject,
     },
     logs::BATCHES,
     platform::Backoff,
@@ -86,9 +87,11 @@
         let Some(service) = drawn_service(route) else {
             return Called::Failed;
         };
+        let content = Content::Whole(scorer.body.clone().into());
         let request = Forward {
+            subject: Subject::new(&head, None, content.known()),
             head: Rc::new(head),
-            content: Content::Whole(scorer.body.clone().into()),
+            content,
             service: service.to_owned(),
             class: Class::Partner,
             kind: Kind::Idempotent,
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -6,9 +6,10 @@
 //! that is how the work of a caller that has left is cancelled.
 
 use super::{
-    attempt::{Answer, Done, Head, Line, Received, run},
+    attempt::{Answer, Done, Head, Line, Received, Sending, run},
     calls::Ticket,
     http::{Rest, Sent, whole as whole_body},
+    subject::Subject,
 };
 use hibiscusroad::{
     Class, ErrorKind, Repeat,
@@ -28,6 +29,17 @@
 }
 
 impl Content {
+    /// Returns as much of it as is there before it is sent.
+    pub(super) fn known(&self) -> Bytes {
+        match self {
+            Self::Whole(body) => body.clone(),
+            Self::Once(rest) => rest
+                .as_ref()
+                .and_then(|rest| rest.first.clone())
+                .unwrap_or_default(),
+        }
+    }
+
     fn send(&mut self) -> Option<Sent> {
         match self {
             Self::Whole(body) => Some(whole_body(body.clone())),
@@ -39,6 +51,7 @@
 /// A request that is to be run.
 pub(super) struct Forward {
     pub(super) head: Rc<Head>,
+    pub(super) subject: Rc<Subject>,
     pub(super) content: Content,
     pub(super) service: String,
     pub(super) class: Class,
@@ -83,8 +96,13 @@
                         ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
                         continue;
                     };
-                    let head = Rc::clone(&request.head);
-                    let attempt = run(line.clone(), head, endpoint, target, body, flow);
+                    let sending = Sending {
+                        head: Rc::clone(&request.head),
+                        subject: Rc::clone(&request.subject),
+                        body,
+                        flow,
+                    };
+                    let attempt = run(line.clone(), sending, endpoint, target);
                     running.push((endpoint, Box::pin(attempt)));
                 }
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //!
 //! * [`front`], [`request`], [`forward`], [`attempt`], [`respond`], [`answer`]: a
 //!   request's way, from its caller to an endpoint and back.
+//! * [`subject`]: what is the same in all repeats of a request.
 //! * [`resume`]: streams that go on at another endpoint.
 //! * [`calls`]: the router, and the requests that wait for it.
 //! * [`batches`]: batches of trainers. [`weights`]: what engines load.
@@ -51,6 +52,7 @@
 mod resume;
 mod stopping;
 mod store;
+mod subject;
 mod sync;
 mod times;
 mod usage;
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -8,6 +8,7 @@
     forward::{Content, Forward},
     http::Rest,
     respond::answered,
+    subject::Subject,
 };
 use crate::logs::CALLS;
 use hibiscusroad::{
@@ -108,14 +109,16 @@
             return problem(ErrorKind::NoEndpoint, UNKNOWING);
         };
         let tokens = text(&parts.headers, header::TOKENS).and_then(header::tokens);
+        let head = head(parts, id, deadline, &catalog, account);
         let request = Forward {
             service: service.to_owned(),
             class: class(route),
             kind: route.kind,
             attempts: route.attempts,
             tokens: tokens.unwrap_or(0),
+            subject: Subject::new(&head, head.account.as_deref(), content.known()),
             content,
-            head: Rc::new(head(parts, id, deadline, &catalog, account)),
+            head: Rc::new(head),
         };
         answered(&self.line, request).await
     }
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -14,6 +14,7 @@
     answer::{Broken, Resumed},
     attempt::{Answer, Guard, Head, Line, Received, set},
     forward::{Content, Ended, Forward, ended},
+    subject::Subject,
 };
 use crate::logs::CALLS;
 use futures_util::stream::unfold;
@@ -27,6 +28,7 @@
 #[derive(Clone)]
 pub(super) struct Again {
     head: Rc<Head>,
+    subject: Rc<Subject>,
     body: Bytes,
     service: String,
     class: Class,
@@ -46,6 +48,7 @@
         };
         Some(Self {
             head: Rc::clone(&request.head),
+            subject: Rc::clone(&request.subject),
             body: body.clone(),
             service: request.service.clone(),
             class: request.class,
@@ -64,6 +67,7 @@
         }
         Some(Forward {
             head: Rc::new(head),
+            subject: Rc::clone(&self.subject),
             content: Content::Whole(self.body.clone()),
             service: self.service.clone(),
             class: self.class,
--- /dev/null
+++ b/hibiscusroad-daemon/src/gateway/subject.rs
@@ -0,0 +1,50 @@
+//! A request as all its repeats have it.
+
+use super::attempt::{Head, text};
+use hibiscusroad::quarantine::{Fingerprint, Identity};
+use hyper::body::Bytes;
+use std::{cell::OnceCell, rc::Rc};
+
+/// What of a request is the same in each of its repeats.
+#[derive(Debug)]
+pub(super) struct Subject {
+    method: String,
+    host: String,
+    path: String,
+    account: Option<String>,
+    /// All of its content, or as much as is kept to send it.
+    body: Bytes,
+    fingerprint: OnceCell<Fingerprint>,
+}
+
+impl Subject {
+    pub(super) fn new(head: &Head, account: Option<&str>, body: Bytes) -> Rc<Self> {
+        let path = head.target.path_and_query();
+        Rc::new(Self {
+            method: head.method.as_str().to_owned(),
+            host: text(&head.headers, "host").unwrap_or_default().to_owned(),
+            path: path.map_or("", |path| path.as_str()).to_owned(),
+            account: account.map(str::to_owned),
+            body,
+            fingerprint: OnceCell::new(),
+        })
+    }
+
+    /// Returns the request's path.
+    pub(super) fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Returns the request's fingerprint; most requests never need one.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            Fingerprint::of(&Identity {
+                method: &self.method,
+                host: &self.host,
+                path: &self.path,
+                account: self.account.as_deref(),
+                body: &self.body,
+            })
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 //! * [`gate`]: what a side admits, seals, buffers and replays.
 //! * [`lease`]: duties with one holder, and their fencing numbers.
 //! * [`patience`]: how long to wait for a service whose pace changes.
+//! * [`quarantine`]: requests that crash the endpoints that run them.
 //! * [`reach`]: which way a call to the store goes.
 //! * [`rollout`]: batches for trainers, and the weights they run on.
 //! * [`roster`]: which endpoints there are, as they register themselves.
@@ -54,6 +55,7 @@
 pub mod id;
 pub mod lease;
 pub mod patience;
+pub mod quarantine;
 pub mod reach;
 pub mod rollout;
 pub mod roster;
