--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -16,6 +16,9 @@
     time::Duration,
 };
 
+/// For so long the beginning of a torn answer is on its way before the endpoint ends.
+const TORN: Duration = Duration::from_millis(20);
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Manner {
@@ -35,6 +38,33 @@
     Silent,
 }
 
+/// How an endpoint ends under a request that it can't run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashManner {
+    /// Its process ends: connections close, new ones are refused.
+    Closed,
+    /// The same, in the middle of the answer.
+    Torn,
+    /// Its host loses power: connections stay open and nothing comes.
+    Dark,
+}
+
+/// Which requests an endpoint ends under, and how.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Crash {
+    /// What the bodies of these requests contain.
+    pub marker: Vec<u8>,
+    /// How it ends.
+    pub manner: CrashManner,
+}
+
+impl Crash {
+    fn is_due(&self, body: &[u8]) -> bool {
+        let length = self.marker.len().max(1);
+        body.windows(length).any(|part| part == self.marker)
+    }
+}
+
 /// A request that an endpoint began to work on.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ran {
@@ -65,6 +95,9 @@
     fence: u64,
     ran: Vec<Ran>,
     holders: Vec<(String, u64)>,
+    crash: Option<Crash>,
+    /// It has ended.
+    down: bool,
 }
 
 #[derive(Debug)]
@@ -98,6 +131,21 @@
     ///
     /// Returns the system's error if it can't listen.
     pub fn start(store: &Arc<Store>, service: &str, id: &str, models: &[&str]) -> io::Result<Self> {
+        Self::start_at(FREE, store, service, id, models)
+    }
+
+    /// Starts an endpoint at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if it can't listen there.
+    pub fn start_at(
+        listen: SocketAddr,
+        store: &Arc<Store>,
+        service: &str,
+        id: &str,
+        models: &[&str],
+    ) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -111,11 +159,13 @@
                 fence: 0,
                 ran: Vec::new(),
                 holders: Vec::new(),
+                crash: None,
+                down: false,
             }),
             store: Arc::clone(store),
         });
         let serving = Arc::clone(&shared);
-        let server = Server::start(FREE, move |exchange| serve(&serving, exchange))?;
+        let server = Server::start(listen, move |exchange| serve(&serving, exchange))?;
         let endpoint = Self { server, shared };
         endpoint.register("ready");
         Ok(endpoint)
@@ -143,6 +193,28 @@
         self.shared.lock().manner = manner;
     }
 
+    /// Has it end under some requests.
+    pub fn crash_on(&self, crash: Crash) {
+        self.shared.lock().crash = Some(crash);
+    }
+
+    /// Says whether it has ended under a request.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.shared.lock().down
+    }
+
+    /// Returns its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Stops listening and closes all connections.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+
     /// Sets how long a request is worked on, or an event is made.
     pub fn work(&self, work: Duration) {
         self.shared.lock().work = work;
@@ -285,6 +357,14 @@
     };
     let model = exchange.header("X-Model").map(str::to_owned);
     let open = exchange.watch();
+    let crash = shared.lock().crash.clone();
+    if let Some(crash) = crash.filter(|crash| crash.is_due(&body)) {
+        wait(work, &open);
+        if open() {
+            end(shared, exchange, &id, crash.manner);
+        }
+        return;
+    }
     if let Some(model) = model.filter(|_| manner == Manner::Sound) {
         return generate(shared, exchange, &id, &model, after, index);
     }
@@ -335,6 +415,34 @@
     }
 }
 
+/// Ends the endpoint while it runs a request.
+fn end(shared: &Arc<Shared>, exchange: Exchange, id: &str, manner: CrashManner) {
+    shared.lock().down = true;
+    let relay = exchange.relay().clone();
+    match manner {
+        CrashManner::Closed => {
+            relay.stop();
+            exchange.cut();
+        }
+        CrashManner::Torn => {
+            let stamp = format!("stamp-{id}");
+            let headers = [("X-Request-Id", id), ("X-Server-Stamp", &stamp)];
+            if let Ok(mut events) = exchange.stream_with(&headers) {
+                let _gone = events.send("a part").is_err();
+                thread::sleep(TORN);
+            }
+            relay.stop();
+        }
+        CrashManner::Dark => {
+            relay.go_dark();
+            while !relay.is_stopped() {
+                thread::sleep(Duration::from_millis(20));
+            }
+            exchange.cut();
+        }
+    }
+}
+
 /// Streams a text whose events tell the item and their number.
 fn generate(
     shared: &Arc<Shared>,
--- a/hibiscusroad-standins/src/direct/mod.rs
+++ b/hibiscusroad-standins/src/direct/mod.rs
@@ -7,10 +7,12 @@
 
 mod billing;
 mod endpoint;
+mod replicas;
 mod store;
 
 pub use self::{
     billing::{Billing, Reply, Report},
-    endpoint::{Endpoint, Manner, Ran},
+    endpoint::{Crash, CrashManner, Endpoint, Manner, Ran},
+    replicas::{Replicas, Restart},
     store::{Faults, Store},
 };
--- a/hibiscusroad-standins/src/http.rs
+++ b/hibiscusroad-standins/src/http.rs
@@ -205,6 +205,12 @@
         move || relay.is_open(peer)
     }
 
+    /// Returns the relay that the server's callers come through.
+    #[must_use]
+    pub const fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
     /// Closes every other connection of the server.
     pub fn cut_others(&self) {
         self.relay.cut_others(self.peer);
--- a/hibiscusroad-standins/src/relay.rs
+++ b/hibiscusroad-standins/src/relay.rs
@@ -51,6 +51,7 @@
     target: SocketAddr,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
     delay: AtomicU64,
+    dark: AtomicBool,
     stopping: AtomicBool,
 }
 
@@ -79,6 +80,7 @@
             target,
             lines: Mutex::new(HashMap::new()),
             delay: AtomicU64::new(0),
+            dark: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         });
         let inner = Arc::clone(&shared);
@@ -132,6 +134,17 @@
         }
     }
 
+    /// Lets nothing through any more, on present and new connections.
+    pub fn go_dark(&self) {
+        self.shared.dark.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether it has stopped.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.shared.stopping.load(Ordering::Acquire)
+    }
+
     /// Delays all bytes by `delay`, in both directions.
     pub fn set_delay(&self, delay: Duration) {
         let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
@@ -197,7 +210,7 @@
             .name("relay".to_owned())
             .spawn(move || {
                 // An end of either direction, clean or not, ends the connection.
-                let _ = copy(&line, direction, &shared.delay);
+                let _ = copy(&line, direction, &shared);
                 line.cut();
                 shared.lines().remove(&peer);
             })?;
@@ -205,7 +218,7 @@
     Ok(())
 }
 
-fn copy(line: &Line, direction: Direction, delay: &AtomicU64) -> io::Result<()> {
+fn copy(line: &Line, direction: Direction, shared: &Shared) -> io::Result<()> {
     let (mut from, mut to) = match direction {
         Direction::Forth => (&line.caller, &line.target),
         Direction::Back => (&line.target, &line.caller),
@@ -216,11 +229,12 @@
         if count == 0 {
             return Ok(());
         }
-        match delay.load(Ordering::Relaxed) {
+        match shared.delay.load(Ordering::Relaxed) {
             0 => {}
             micros => thread::sleep(Duration::from_micros(micros)),
         }
-        if !line.silent[direction as usize].load(Ordering::Relaxed) {
+        let silent = line.silent[direction as usize].load(Ordering::Relaxed);
+        if !silent && !shared.dark.load(Ordering::Relaxed) {
             to.write_all(&buffer[..count])?;
         }
     }
