Don't hedge a call that may have broken an endpoint

A hedge answers slowness, and a broken attempt is no slowness.

A call of which an attempt broke is not hedged any more, nor is one of which the caller says that it runs alone. Calls still move away from endpoints that fall silent.

Test: call_that_may_have_broken_an_endpoint_is_not_hedged; without the change a hedge starts in both of its cases.

--- a/src/route/place.rs
+++ b/src/route/place.rs
@@ -237,6 +237,9 @@
 
     /// Starts another attempt elsewhere if the first takes unusually long.
     ///
+    /// A call that broke an attempt is not hedged: it may be what broke the endpoint,
+    /// and two attempts would break two.
+    ///
     /// Load: one endpoint that has become slow, before it is found out. Harm:
     /// its callers wait ten times as long. Only what runs at an endpoint that
     /// has given no sign of life since is hedged: where others are answered
@@ -249,6 +252,13 @@
         let (Some(first), None) = (row.attempts[0], row.attempts[1]) else {
             return;
         };
+        let broke = matches!(
+            row.ran,
+            Some(ErrorKind::EndpointBroken | ErrorKind::AnswerShort)
+        );
+        if call.alone || broke {
+            return;
+        }
         let service = &self.services[call.service];
         let slack = service.idle() && service.free * 10 > service.lanes;
         if !slack || !row.movable() || row.tries >= call.tries || !self.in_time(now, &call) {
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -110,6 +110,8 @@
     pub prefix: Option<u64>,
     /// Endpoints that it may be sent to at most, hedges included.
     pub tries: u8,
+    /// Whether it runs at one endpoint at a time.
+    pub alone: bool,
 }
 
 impl Call {
@@ -125,9 +127,18 @@
             tokens: 0,
             prefix: None,
             tries: TRIES,
+            alone: false,
         }
     }
 
+    /// Sets whether it runs at one endpoint at a time: one that may have crashed an
+    /// endpoint is not hedged.
+    #[must_use]
+    pub const fn alone(mut self, alone: bool) -> Self {
+        self.alone = alone;
+        self
+    }
+
     /// Sets how many endpoints it may be sent to at most.
     #[must_use]
     pub const fn tries(mut self, tries: u8) -> Self {
--- a/tests/route_place.rs
+++ b/tests/route_place.rs
@@ -248,6 +248,30 @@
     }
 }
 
+// Guards against a call that breaks two endpoints at once.
+#[test]
+fn call_that_may_have_broken_an_endpoint_is_not_hedged() {
+    for alone in [true, false] {
+        let mut world = World::new();
+        for name in ["a", "b", "c"] {
+            world.endpoint(name, "senec", 8);
+        }
+        world.learn(100, None);
+        let call = world.call().alone(alone);
+        let first = world.place(call).expect("an endpoint is free");
+        if !alone {
+            let broken = Outcome::Failed(ErrorKind::EndpointBroken);
+            world.router.finish(world.now, call.id, first, broken);
+            let (_, second) = world.started().expect("it is tried again");
+            assert_ne!(first, second);
+        }
+        world.pass(WORK * 3);
+        let steps = std::iter::from_fn(|| world.router.next_step());
+        let hedges = steps.filter(|step| matches!(step, Step::Start { hedge: true, .. }));
+        assert_eq!(hedges.count(), 0);
+    }
+}
+
 /// An endpoint refuses connections while ten calls are on their way to it. It is
 /// tried again after one pause, not after ten that double each time.
 #[test]
