Quarantine requests that crash the endpoints that run them

What callers saw: a lookup under which its endpoint's process ended was run again at the next endpoint, and by its caller at the next gateway. One request ended 21 and 22 endpoints in two stretches of 10 to 15 s; lookups beside it were refused or late.

Cause: attempts are limited for one client attempt at one gateway. Nothing told two repeats apart from two requests, and nothing of a crash outlived the attempt. The class of fault: a retry limit whose scope is smaller than that of the retries.

What changes: an attempt whose connection the endpoint closed before the whole answer, and one without an answer whose endpoint turns out to have ended, is evidence against the request's fingerprint. Gateways write it to a table that all follow, and hold it against repeats at once, also while the store is away. A crash implicates all that was in flight and is charged to the request that most crashes implicate, so neighbours are not charged; in the incident a reward call was in flight at three crashes of a lookup. After three charges the request is refused at once, with 503, the time that is left, and without being run. Items wait, are not drafted and are not errored. An answer acquits a request, and a crash is void if the endpoint's entry outlasts it.

Why it works: the verdict is computed from evidence that all gateways share, so its scope is that of the repeats. Repeats, hedges, resumed streams, reward calls, items, drafts and batches taken over all ask it before they reach an endpoint.

--- a/hibiscusroad-daemon/src/gateway/answer.rs
+++ b/hibiscusroad-daemon/src/gateway/answer.rs
@@ -22,7 +22,7 @@
     /// All of it is there.
     Whole(Full<Bytes>),
     /// It is passed on as it comes.
-    Flow(Flow),
+    Flow(Box<Flow>),
     /// Its events may come from several endpoints.
     Resumed(Resumed),
 }
@@ -101,6 +101,7 @@
                 }
             },
             Poll::Ready(Some(Err(error))) => {
+                self.guard.failed(&error);
                 self.guard.broke(&error.to_string());
                 Poll::Ready(Some(Err(Broken)))
             }
--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::{
     calls::{Calls, Target, Ticket},
+    crashes::{Crashes, InFlight},
     http::{Channel, Channels, Fault, Sent},
     meters::Meters,
     subject::Subject,
@@ -61,8 +62,16 @@
 /// The body of an answer.
 pub(super) enum Received {
     Whole(Bytes),
-    /// What was read, and the rest with the connection that it comes on.
-    Flow(VecDeque<Bytes>, Incoming, Box<Channel>),
+    Flow(Box<Flowing>),
+}
+
+/// An answer of which only the beginning was read.
+pub(super) struct Flowing {
+    pub(super) first: VecDeque<Bytes>,
+    pub(super) rest: Incoming,
+    /// The connection that it comes on.
+    pub(super) channel: Channel,
+    pub(super) flight: InFlight,
 }
 
 /// How an attempt ended.
@@ -82,6 +91,7 @@
     pub(super) channels: Rc<Channels>,
     pub(super) meters: Rc<Meters>,
     pub(super) usage: Rc<Usage>,
+    pub(super) crashes: Rc<Crashes>,
 }
 
 /// Ends an attempt whose answer is passed on as it comes.
@@ -89,9 +99,10 @@
     line: Line,
     ticket: Ticket,
     endpoint: EndpointKey,
-    channel: Option<Box<Channel>>,
+    channel: Option<Channel>,
     keep: Option<Duration>,
     id: String,
+    flight: InFlight,
 }
 
 impl Guard {
@@ -99,7 +110,8 @@
         line: &Line,
         ticket: Ticket,
         endpoint: EndpointKey,
-        channel: Box<Channel>,
+        channel: Channel,
+        flight: InFlight,
         head: &Head,
         headers: &HeaderMap,
     ) -> Self {
@@ -110,17 +122,24 @@
             channel: Some(channel),
             keep: kept(headers),
             id: head.id.clone(),
+            flight,
         }
     }
 
     /// Notes that the answer was read to its end.
     pub(super) fn complete(&mut self) {
         self.ticket.finish(self.endpoint, Outcome::Answered);
+        self.flight.answered();
         if let Some(channel) = self.channel.take() {
-            self.line.channels.give_back(*channel, self.keep);
+            self.line.channels.give_back(channel, self.keep);
         }
     }
 
+    /// Notes why the connection broke.
+    pub(super) fn failed(&mut self, error: &hyper::Error) {
+        self.flight.broke(error);
+    }
+
     /// Notes that the answer broke off.
     pub(super) fn broke(&mut self, error: &str) {
         log::warn!(target: CALLS, id = self.id.as_str(), error = error;
@@ -199,10 +218,15 @@
         flow,
     } = sending;
     let mut begun = line.usage.watch(head.account.as_ref());
+    let mut flight = line.crashes.watch(&subject, target.life());
     let sent = request(&head, &target, body);
+    let sending = || {
+        begun.sent();
+        flight.sent();
+    };
     let answer = line
         .channels
-        .send_noting(target.address, sent, || begun.sent())
+        .send_noting(target.address, sent, sending)
         .await;
     let (response, channel) = match answer {
         Ok(answer) => answer,
@@ -210,6 +234,7 @@
             if fault.unsent() {
                 begun.not_run();
             }
+            flight.faulted(&fault);
             return faulted(&head, &subject, &target, &fault);
         }
     };
@@ -217,7 +242,12 @@
     if let Some((running, queued, slots)) = told {
         line.calls.told(endpoint, running, queued, slots);
     }
-    let done = received(&line, &head, &target, response, channel, flow).await;
+    let arrival = Arrival {
+        response,
+        channel,
+        flight,
+    };
+    let done = received(&line, &head, &target, arrival, flow).await;
     let outcome = match &done {
         Done::Answer(_) => "answered",
         Done::NotRun(_) => {
@@ -245,23 +275,30 @@
     }
 }
 
-async fn received(
-    line: &Line,
-    head: &Head,
-    target: &Target,
+/// The head of an answer, and what it came on.
+struct Arrival {
     response: Response<Incoming>,
     channel: Channel,
-    flow: bool,
-) -> Done {
+    flight: InFlight,
+}
+
+async fn received(line: &Line, head: &Head, target: &Target, arrival: Arrival, flow: bool) -> Done {
+    let Arrival {
+        response,
+        channel,
+        mut flight,
+    } = arrival;
     let (mut parts, body) = response.into_parts();
     let echo = text(&parts.headers, header::REQUEST);
     let foreign = echo.is_some_and(|echo| echo != head.id);
     if foreign {
+        flight.dismissed();
         // Late for an earlier request: the connection is out of step.
         return Done::Failed(ErrorKind::EndpointBroken, None);
     }
     let status = parts.status;
     if parts.headers.contains_key(header::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
+        flight.dismissed();
         // Its body says no more, but has to be read to keep the connection.
         drain(line, body, channel, &parts.headers).await;
         return Done::NotRun(match status {
@@ -272,16 +309,28 @@
     let signed = parts.headers.contains_key(header::SIGNATURE);
     let whole = echo.is_some() && signed && !parts.headers.contains_key(CONTENT_ENCODING);
     if status.is_success() && !whole {
+        flight.dismissed();
         return Done::Failed(ErrorKind::EndpointBroken, None);
     }
     let keep = kept(&parts.headers);
     let received = match read(body, flow && status.is_success()).await {
         Ok((first, None)) => {
             line.channels.give_back(channel, keep);
+            if status.is_server_error() {
+                flight.dismissed();
+            } else {
+                flight.answered();
+            }
             Received::Whole(join(first))
         }
-        Ok((first, Some(rest))) => Received::Flow(first, rest, Box::new(channel)),
+        Ok((first, Some(rest))) => Received::Flow(Box::new(Flowing {
+            first,
+            rest,
+            channel,
+            flight,
+        })),
         Err(error) => {
+            flight.broke(&error);
             log::info!(target: CALLS, id = head.id.as_str(), error = error.to_string().as_str();
                 "An answer is not whole.");
             return Done::Failed(ErrorKind::AnswerShort, None);
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::{gateway::calls::drawn_service, logs::BATCHES};
 use hibiscusroad::{
     catalog::{Kind, Route},
+    quarantine::Verdict,
     rollout::{
         batch::Break,
         engines::{EngineKey, Want},
@@ -33,6 +34,8 @@
 /// left alone for as long, and when that is over nothing tells of it. A draft that was
 /// not tried again then never began, in one run of three where a load ended last.
 const DRAFT_LOOK: Duration = Duration::from_millis(250);
+/// An item in quarantine is looked at again so often: its quarantine may end.
+const HOLD: Duration = Duration::from_secs(1);
 
 impl Batches {
     /// Starts items for as long as the process runs.
@@ -49,10 +52,11 @@
                 drafted &= self.draft_stragglers(now, owned);
             }
             let waits = mine.iter().any(|owned| owned.batch.borrow().waiting() > 0);
+            let held = mine.iter().any(|owned| owned.batch.borrow().holds_any());
             let next = if waits { LOOK } else { DRAFT_LOOK };
             tokio::select! {
                 () = self.work.notified() => {}
-                () = sleep_until((now + next).into()), if waits || !drafted => {}
+                () = sleep_until((now + next).into()), if waits || held || !drafted => {}
             }
         }
     }
@@ -82,6 +86,10 @@
         loop {
             let next = owned.batch.borrow().next_start(now);
             let Some(n) = next else { return };
+            if self.is_quarantined(owned, n) {
+                owned.batch.borrow_mut().hold(n, now + HOLD);
+                continue;
+            }
             self.drop_lost(owned, &route, n);
             let Some(key) = self.choose(now, owned, &route, n, None) else {
                 let lack = self.lack(owned, &route, n);
@@ -93,6 +101,19 @@
         }
     }
 
+    /// Says whether an item crashes engines and must not run.
+    ///
+    /// It is not errored: it did not fail by itself, and may run again once its crashes
+    /// count no more.
+    pub(super) fn is_quarantined(&self, owned: &Owned, n: usize) -> bool {
+        let crashes = &self.line.crashes;
+        if !crashes.has_evidence() {
+            return false;
+        }
+        let subject = owned.subject(&owned.submission.items[n]);
+        matches!(crashes.verdict(&subject), Verdict::Quarantined(_))
+    }
+
     /// Drops the text of an item that waits, if no engine can go on with it under
     /// its version.
     ///
--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -128,6 +128,9 @@
         n: usize,
         floor: u64,
     ) -> bool {
+        if self.is_quarantined(owned, n) {
+            return true;
+        }
         let Some(key) = self.choose_idle(now, owned, route, n, floor) else {
             return false;
         };
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -13,6 +13,7 @@
     gateway::{
         attempt::{self, Head, set, text},
         calls::Target,
+        crashes::InFlight,
         http::whole,
         request::{name_account, own_head},
         subject::Subject,
@@ -218,15 +219,20 @@
         );
     }
     set(&mut head.headers, header::PRIORITY, &priority.to_string());
-    let body = Bytes::from(item.body.clone());
-    let subject = Subject::new(&head, owned.account.as_deref(), body.clone());
     Ok(Request {
         head,
-        subject,
-        body,
+        subject: owned.subject(item),
+        body: item.body.clone().into(),
     })
 }
 
+impl Owned {
+    /// Returns what is the same in all runs of an item.
+    pub(super) fn subject(&self, item: &Item) -> Rc<Subject> {
+        Subject::of_item(&self.host, item, self.account.as_deref())
+    }
+}
+
 impl<'a> Run<'a> {
     fn new(
         batches: &'a Batches,
@@ -274,25 +280,28 @@
 
     async fn generate(&mut self, request: &Request, endpoint: &Endpoint) -> Result<(), Break> {
         let head = &request.head;
-        let target = Target {
-            id: endpoint.id.as_str().into(),
-            address: endpoint.address,
-        };
+        let target = Target::of(endpoint);
+        let crashes = &self.batches.line.crashes;
+        let mut flight = crashes.watch(&request.subject, target.life());
         let sent = attempt::request(head, &target, whole(request.body.clone()));
         let channels = &self.batches.line.channels;
-        let sent = self
-            .queue(channels.send(target.address, sent), head.id.as_str())
-            .await?;
+        let sending = channels.send_noting(target.address, sent, || flight.sent());
+        let sent = self.queue(sending, head.id.as_str()).await?;
         let (response, channel) = sent.map_err(|fault| {
+            flight.faulted(&fault);
             log::debug!(target: BATCHES, item = head.id.as_str(),
                 endpoint = endpoint.id.as_str(),
                 fingerprint:% = request.subject.fingerprint(), error = fault.to_string().as_str();
                 "An engine did not answer.");
             Break::Lost
         })?;
-        self.accept(head, &response)?;
+        if let Err(cause) = self.accept(head, &response) {
+            flight.dismissed();
+            return Err(cause);
+        }
         let keep = attempt::kept(response.headers());
-        self.read(response.into_body()).await?;
+        self.read(response.into_body(), &mut flight).await?;
+        flight.answered();
         channels.give_back(channel, keep);
         Ok(())
     }
@@ -355,11 +364,11 @@
         Ok(())
     }
 
-    async fn read(&mut self, mut body: Incoming) -> Result<(), Break> {
+    async fn read(&mut self, mut body: Incoming, flight: &mut InFlight) -> Result<(), Break> {
         let mut events = Events::new();
         self.heard = Instant::now();
         loop {
-            let Some(frame) = self.frame(&mut body).await? else {
+            let Some(frame) = self.frame(&mut body, flight).await? else {
                 break;
             };
             let Ok(data) = frame.into_data() else {
@@ -382,7 +391,11 @@
     }
 
     /// Waits for the next bytes, unless the run is better off elsewhere.
-    async fn frame(&mut self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, Break> {
+    async fn frame(
+        &mut self,
+        body: &mut Incoming,
+        flight: &mut InFlight,
+    ) -> Result<Option<Frame<Bytes>>, Break> {
         let usual = self.batches.engines.borrow().usual(self.service);
         let stall = Duration::from_secs_f64(usual.unwrap_or(PACE) * STALL).max(LEAST_STALL);
         let mut wait = stall;
@@ -393,7 +406,10 @@
                     self.heard = Instant::now();
                     return Ok(Some(frame));
                 }
-                Ok(Some(Err(_))) => return Err(Break::Lost),
+                Ok(Some(Err(error))) => {
+                    flight.broke(&error);
+                    return Err(Break::Lost);
+                }
                 Err(_elapsed) => {}
             }
             let now = Instant::now();
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -9,6 +9,7 @@
     Class, ErrorKind, Incarnation, RequestId,
     catalog::{Catalog, Route},
     clock::millis,
+    quarantine::Life,
     roster::{Endpoint, News},
     route::{
         Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
@@ -34,6 +35,26 @@
 pub(super) struct Target {
     pub(super) id: Rc<str>,
     pub(super) address: SocketAddr,
+    /// When this life of it began, where that is told.
+    pub(super) born: Option<u64>,
+}
+
+impl Target {
+    pub(super) fn of(endpoint: &Endpoint) -> Self {
+        Self {
+            id: endpoint.id.as_str().into(),
+            address: endpoint.address,
+            born: endpoint.born,
+        }
+    }
+
+    /// Names this life of it.
+    pub(super) fn life(&self) -> Life {
+        Life {
+            endpoint: self.id.to_string(),
+            born: self.born,
+        }
+    }
 }
 
 /// The router and those who wait for it.
@@ -134,11 +155,7 @@
         let Some(key) = self.keys.borrow().get(&endpoint.id).copied() else {
             return;
         };
-        let target = Target {
-            id: endpoint.id.as_str().into(),
-            address: endpoint.address,
-        };
-        self.targets.borrow_mut().insert(key, target);
+        self.targets.borrow_mut().insert(key, Target::of(endpoint));
         self.router
             .borrow_mut()
             .set_open(now, key, !endpoint.leaving);
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use hibiscusroad::{
     Class, ErrorKind, Repeat,
     catalog::Kind,
+    quarantine::Verdict,
     route::{EndpointKey, Outcome, Step},
 };
 use http_body_util::Either;
@@ -76,21 +77,33 @@
         Kind::Idempotent | Kind::Stream { resumable: true } => Repeat::Free,
         Kind::Once | Kind::Stream { resumable: false } | Kind::Rollout => Repeat::Once,
     };
+    let alone = match line.crashes.verdict(&request.subject) {
+        Verdict::Clear => false,
+        Verdict::Suspect => true,
+        Verdict::Quarantined(left) => return Ended::Refused(ErrorKind::Quarantined, left),
+    };
     let flow = matches!(request.kind, Kind::Stream { .. });
     let tries = u8::try_from(request.attempts).unwrap_or(u8::MAX);
     let deadline = request.head.deadline;
-    let shape =
-        |call: hibiscusroad::route::Call| call.repeat(repeat).tries(tries).tokens(request.tokens);
+    let shape = |call: hibiscusroad::route::Call| {
+        let call = call.repeat(repeat).tries(tries).tokens(request.tokens);
+        call.alone(alone)
+    };
     let mut ticket = line
         .calls
         .arrive(&request.service, request.class, deadline, shape);
     let mut running: Vec<Running> = Vec::new();
     // What an endpoint told of its own failure, if nothing better comes.
     let mut told = None;
+    // Attempts that run or may have run.
+    let mut begun = 0_u32;
     loop {
         tokio::select! {
             step = ticket.next() => match step {
                 Step::Start { endpoint, .. } => {
+                    if let Verdict::Quarantined(left) = line.crashes.verdict(&request.subject) {
+                        return stopped(told, begun > 0, left);
+                    }
                     let target = line.calls.target(endpoint);
                     let (Some(target), Some(body)) = (target, request.content.send()) else {
                         ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
@@ -104,6 +117,7 @@
                     };
                     let attempt = run(line.clone(), sending, endpoint, target);
                     running.push((endpoint, Box::pin(attempt)));
+                    begun += 1;
                 }
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
                 Step::Refuse { kind, after, .. } => {
@@ -122,7 +136,10 @@
                     ticket.commit(endpoint);
                     return Ended::Answer(Box::new(answer), Some((ticket, endpoint)));
                 }
-                Done::NotRun(kind) => ticket.finish(endpoint, Outcome::NotRun(kind)),
+                Done::NotRun(kind) => {
+                    begun -= 1;
+                    ticket.finish(endpoint, Outcome::NotRun(kind));
+                }
                 Done::Failed(kind, answer) => {
                     told = answer.filter(|a| matches!(a.body, Received::Whole(_))).or(told);
                     ticket.finish(endpoint, Outcome::Failed(kind));
@@ -132,6 +149,15 @@
     }
 }
 
+/// Ends a request that went into quarantine on its way.
+fn stopped(told: Option<Answer>, begun: bool, left: Duration) -> Ended {
+    match told {
+        Some(answer) => Ended::Answer(Box::new(answer), None),
+        None if begun => Ended::Refused(ErrorKind::EndpointBroken, Duration::ZERO),
+        None => Ended::Refused(ErrorKind::Quarantined, left),
+    }
+}
+
 /// Waits for the first attempt that ends; for ever if there is none.
 async fn first(running: &mut Vec<Running>) -> (EndpointKey, Done) {
     poll_fn(|cx| {
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -107,12 +107,33 @@
     request.body(whole(call.body.clone().into()))
 }
 
+/// Why no connection could be had.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Unreached {
+    /// It was not there in time.
+    #[error("no connection in time")]
+    Late,
+    /// The system can't connect.
+    #[error("{0}")]
+    Connect(#[from] io::Error),
+    /// It was closed before anything was sent.
+    #[error("{0}")]
+    Closed(hyper::Error),
+}
+
+impl Unreached {
+    /// Says whether nobody listens at the address, as after the end of a process.
+    pub(super) fn is_refusal(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Why no answer came.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum Fault {
     /// No connection could be had, or it was closed before anything was sent.
     #[error("not reached: {0}")]
-    Unreached(String),
+    Unreached(Unreached),
     /// The request was sent, at least in part.
     #[error("broken: {0}")]
     Broken(#[from] hyper::Error),
@@ -194,7 +215,10 @@
                 Err(mut error) => match error.take_message() {
                     // A kept connection was closed meanwhile: nothing was sent.
                     Some(back) if kept => request = back,
-                    Some(_) => return Err(Fault::Unreached(error.into_error().to_string())),
+                    Some(_) => {
+                        let closed = Unreached::Closed(error.into_error());
+                        return Err(Fault::Unreached(closed));
+                    }
                     None => return Err(Fault::Broken(error.into_error())),
                 },
             }
@@ -231,10 +255,10 @@
 
     async fn open(&self, address: SocketAddr) -> Result<Channel, Fault> {
         self.opened.set(self.opened.get() + 1);
-        let unreached = |error: io::Error| Fault::Unreached(error.to_string());
+        let unreached = |error: io::Error| Fault::Unreached(Unreached::Connect(error));
         let stream = timeout(CONNECT, TcpStream::connect(address))
             .await
-            .map_err(|_elapsed| Fault::Unreached("no connection in time".to_owned()))?
+            .map_err(|_elapsed| Fault::Unreached(Unreached::Late))?
             .map_err(unreached)?;
         stream.set_nodelay(true).map_err(unreached)?;
         SockRef::from(&stream)
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -120,6 +120,13 @@
         "outcome",
         "tries to report usage: accepted, failed, fenced, given-up",
     ),
+    (
+        "gateway_crashes_total",
+        "counter",
+        "outcome",
+        "requests in flight at endpoints that ended: noted, acquitted, void",
+    ),
+    ("gateway_quarantined", "gauge", "", "requests in quarantine"),
 ];
 
 /// All metrics of a gateway.
@@ -140,6 +147,8 @@
     pub(super) detours: IntCounterVec,
     pub(super) broken_entries: IntCounter,
     pub(super) reports: IntCounterVec,
+    pub(super) crashes: IntCounterVec,
+    pub(super) quarantined: IntGauge,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -196,6 +205,8 @@
             detours: counters(14)?,
             broken_entries: counter(15)?,
             reports: counters(16)?,
+            crashes: counters(17)?,
+            quarantined: gauge(18)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 //! * [`front`], [`request`], [`forward`], [`attempt`], [`respond`], [`answer`]: a
 //!   request's way, from its caller to an endpoint and back.
 //! * [`subject`]: what is the same in all repeats of a request.
+//! * [`crashes`]: requests that crash endpoints, and their quarantine.
 //! * [`resume`]: streams that go on at another endpoint.
 //! * [`calls`]: the router, and the requests that wait for it.
 //! * [`batches`]: batches of trainers. [`weights`]: what engines load.
@@ -36,6 +37,7 @@
 mod batches;
 mod boot;
 mod calls;
+mod crashes;
 mod duty;
 mod exposition;
 mod failure;
@@ -62,6 +64,7 @@
     attempt::Line,
     batches::Batches,
     calls::Calls,
+    crashes::Crashes,
     duty::Duty,
     http::Channels,
     known::Known,
@@ -204,7 +207,14 @@
         Rc::clone(&store),
         times.clone(),
     ));
+    let crashes = Rc::new(Crashes::new(
+        own.crash_limit,
+        Duration::from_secs(own.quarantine_s),
+        Rc::clone(&store),
+        Rc::clone(&counts),
+    ));
     let line = Line {
+        crashes,
         calls: Rc::clone(&calls),
         channels: Rc::clone(&channels),
         meters: Rc::clone(&counts),
@@ -215,6 +225,7 @@
         let members = Rc::new(Members::new(Rc::clone(&counts), move |news| {
             if let Some(gateway) = hearer.upgrade() {
                 gateway.line.calls.roster(news);
+                gateway.line.crashes.roster(news);
                 gateway.batches.roster(news);
                 gateway.weights.roster(news);
             }
@@ -305,6 +316,7 @@
         sync::operator(Rc::clone(known), Rc::clone(&line.calls), wake),
         sync::endpoints(Rc::clone(members)),
         batches::sink(Rc::clone(batches)),
+        crashes::sink(Rc::clone(&line.crashes)),
     ];
     for sink in sinks {
         spawn_local(sync::follow(Rc::clone(store), sink));
@@ -321,6 +333,8 @@
     spawn_local(Rc::clone(batches).share_paces());
     spawn_local(Rc::clone(weights).run());
     spawn_local(Rc::clone(usage).keep());
+    spawn_local(Rc::clone(&line.crashes).keep());
+    spawn_local(Rc::clone(&line.crashes).sweep());
     if let Some(reporter) = reporter {
         let back = Rc::clone(reporter);
         store.on_return(move || back.store_back());
--- a/hibiscusroad-daemon/src/gateway/respond.rs
+++ b/hibiscusroad-daemon/src/gateway/respond.rs
@@ -2,7 +2,7 @@
 
 use super::{
     answer::{Flow, Out, problem, whole},
-    attempt::{Answer, Guard, Head, Line, Received, text},
+    attempt::{Answer, Flowing, Guard, Head, Line, Received, text},
     calls::Ticket,
     forward::{Ended, Forward, ended},
     resume::{Again, resumed},
@@ -45,13 +45,20 @@
 ) -> Response<Out> {
     let mut response = match (answer.body, more) {
         (Received::Whole(body), _) => whole(answer.status, "", body),
-        (Received::Flow(first, rest, channel), Some((ticket, endpoint))) => {
-            let guard = Guard::new(line, ticket, endpoint, channel, head, &answer.headers);
+        (Received::Flow(flowing), Some((ticket, endpoint))) => {
+            let Flowing {
+                first,
+                rest,
+                channel,
+                flight,
+            } = *flowing;
+            let headers = &answer.headers;
+            let guard = Guard::new(line, ticket, endpoint, channel, flight, head, headers);
             let events = text(&answer.headers, CONTENT_TYPE.as_str())
                 .is_some_and(|kind| kind.starts_with("text/event-stream"));
             let body = match again.filter(|_| events && first.is_empty()) {
                 Some(again) => Out::Resumed(resumed(line, again, rest, guard)),
-                None => Out::Flow(Flow { first, rest, guard }),
+                None => Out::Flow(Box::new(Flow { first, rest, guard })),
             };
             let mut response = Response::new(body);
             *response.status_mut() = answer.status;
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -12,7 +12,7 @@
 
 use super::{
     answer::{Broken, Resumed},
-    attempt::{Answer, Guard, Head, Line, Received, set},
+    attempt::{Answer, Flowing, Guard, Head, Line, Received, set},
     forward::{Content, Ended, Forward, ended},
     subject::Subject,
 };
@@ -128,7 +128,11 @@
                     self.source = None;
                     return None;
                 }
-                None | Some(Err(_)) => true,
+                None => true,
+                Some(Err(error)) => {
+                    guard.failed(&error);
+                    true
+                }
             };
             if broke && !self.go_on().await {
                 return Some(Err(Broken));
@@ -168,10 +172,18 @@
             match ended(&self.line, request).await {
                 Ended::Answer(answer, Some((ticket, endpoint))) if answer.status.is_success() => {
                     let Answer { headers, body, .. } = *answer;
-                    let Received::Flow(first, rest, channel) = body else {
+                    let Received::Flow(flowing) = body else {
                         break;
                     };
-                    let guard = Guard::new(&self.line, ticket, endpoint, channel, &head, &headers);
+                    let Flowing {
+                        first,
+                        rest,
+                        channel,
+                        flight,
+                    } = *flowing;
+                    let line = &self.line;
+                    let guard =
+                        Guard::new(line, ticket, endpoint, channel, flight, &head, &headers);
                     for part in first {
                         self.events.push(&part);
                     }
--- a/hibiscusroad-daemon/src/gateway/subject.rs
+++ b/hibiscusroad-daemon/src/gateway/subject.rs
@@ -1,9 +1,15 @@
 //! A request as all its repeats have it.
 
 use super::attempt::{Head, text};
-use hibiscusroad::quarantine::{Fingerprint, Identity};
-use hyper::body::Bytes;
-use std::{cell::OnceCell, rc::Rc};
+use hibiscusroad::{
+    quarantine::{Fingerprint, Identity},
+    rollout::Item,
+};
+use hyper::{Method, body::Bytes};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+};
 
 /// What of a request is the same in each of its repeats.
 #[derive(Debug)]
@@ -15,6 +21,7 @@
     /// All of its content, or as much as is kept to send it.
     body: Bytes,
     fingerprint: OnceCell<Fingerprint>,
+    answered: Cell<bool>,
 }
 
 impl Subject {
@@ -27,9 +34,34 @@
             account: account.map(str::to_owned),
             body,
             fingerprint: OnceCell::new(),
+            answered: Cell::new(false),
         })
     }
 
+    /// Returns what is the same in all runs of an item, drafts and runs of other owners
+    /// included.
+    pub(super) fn of_item(host: &str, item: &Item, account: Option<&str>) -> Rc<Self> {
+        Rc::new(Self {
+            method: Method::POST.as_str().to_owned(),
+            host: host.to_owned(),
+            path: item.path.clone(),
+            account: account.map(str::to_owned),
+            body: item.body.clone().into(),
+            fingerprint: OnceCell::new(),
+            answered: Cell::new(false),
+        })
+    }
+
+    /// Notes that an endpoint answered the request.
+    pub(super) fn set_answered(&self) {
+        self.answered.set(true);
+    }
+
+    /// Says whether an endpoint has answered the request.
+    pub(super) fn is_answered(&self) -> bool {
+        self.answered.get()
+    }
+
     /// Returns the request's path.
     pub(super) fn path(&self) -> &str {
         &self.path
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -1,6 +1,9 @@
 //! What the settings of an entry and of a side hold.
 
-use hibiscusroad::config::Kind;
+use hibiscusroad::{
+    config::Kind,
+    quarantine::{KEEP, LIMIT},
+};
 use serde::Deserialize;
 use std::{fmt, net::SocketAddr};
 
@@ -243,6 +246,12 @@
     /// Megabytes that this process may use.
     #[serde(default = "default_memory")]
     pub memory_mb: u32,
+    /// Endpoints that may end under a request before it is in quarantine.
+    #[serde(default = "default_crash_limit")]
+    pub crash_limit: usize,
+    /// Seconds for which the end of an endpoint counts against a request.
+    #[serde(default = "default_quarantine")]
+    pub quarantine_s: u64,
 }
 
 /// Settings of the reports of usage.
@@ -261,6 +270,14 @@
     256
 }
 
+fn default_crash_limit() -> usize {
+    LIMIT
+}
+
+fn default_quarantine() -> u64 {
+    KEEP.as_secs()
+}
+
 fn default_lease() -> u64 {
     3_000
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -13,6 +13,7 @@
 const SHORTEST_TOKEN: usize = 16;
 const MILLIS_AN_HOUR: u64 = 3_600_000;
 const SECONDS_AN_HOUR: u64 = 3_600;
+const SECONDS_A_DAY: u64 = 24 * SECONDS_AN_HOUR;
 const SECONDS: Rule = Rule::Integer {
     low: 1,
     high: SECONDS_AN_HOUR,
@@ -155,6 +156,8 @@
             optional("fences", Rule::Flag),
             integer("memory_mb", 1, 1 << 20),
             integer("trust_ms", 100, MILLIS_AN_HOUR),
+            integer("crash_limit", 1, 100),
+            integer("quarantine_s", 1, SECONDS_A_DAY),
         ],
     },
     Table {
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -430,8 +430,9 @@
             if let Ok(mut events) = exchange.stream_with(&headers) {
                 let _gone = events.send("a part").is_err();
                 thread::sleep(TORN);
+                relay.stop();
+                events.abandon();
             }
-            relay.stop();
         }
         CrashManner::Dark => {
             relay.go_dark();
--- a/hibiscusroad-standins/src/relay.rs
+++ b/hibiscusroad-standins/src/relay.rs
@@ -139,6 +139,12 @@
         self.shared.dark.store(true, Ordering::Relaxed);
     }
 
+    /// Lets bytes through again; connections that lost some are closed.
+    pub fn lighten(&self) {
+        self.shared.dark.store(false, Ordering::Relaxed);
+        self.cut_all();
+    }
+
     /// Says whether it has stopped.
     #[must_use]
     pub fn is_stopped(&self) -> bool {
--- a/src/error.rs
+++ b/src/error.rs
@@ -132,6 +132,8 @@
     HandoverFull = 503, "handover-full", "Too many requests at once", true, After;
     /// No endpoint of the service takes work.
     NoEndpoint = 503, "no-endpoint", "No endpoint takes work", true, After;
+    /// The request crashes the endpoints that run it.
+    Quarantined = 503, "quarantined", "Endpoints end while they run this request", true, After;
     /// The process or endpoint is stopping and takes no new work.
     Stopping = 503, "stopping", "This process is stopping", true, After;
     /// The platform's table can't be asked, and the request needs it.
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -51,7 +51,13 @@
 
 #[derive(Debug)]
 enum Phase {
-    Waiting { after: Instant },
+    Waiting {
+        after: Instant,
+    },
+    /// It must not run before then.
+    Held {
+        until: Instant,
+    },
     Running,
     Scoring,
     Ready(Outcome),
@@ -164,8 +170,11 @@
     /// 0.7 s where two steps came at once, and the step ends that much later.
     #[must_use]
     pub fn next_start(&self, now: Instant) -> Option<usize> {
-        let due =
-            |n: &usize| matches!(self.rows[*n].phase, Phase::Waiting { after } if after <= now);
+        let due = |n: &usize| match self.rows[*n].phase {
+            Phase::Waiting { after } => after <= now,
+            Phase::Held { until } => until <= now,
+            _ => false,
+        };
         let begun = |n: &usize| self.rows[*n].text.last().is_some();
         let waiting = self.order.iter().copied().filter(due);
         waiting
@@ -185,6 +194,21 @@
         pauses.min()
     }
 
+    /// Has an item that waits not start before an instant.
+    pub fn hold(&mut self, n: usize, until: Instant) {
+        let row = &mut self.rows[n];
+        if matches!(row.phase, Phase::Waiting { .. } | Phase::Held { .. }) {
+            row.phase = Phase::Held { until };
+        }
+    }
+
+    /// Says whether an item is held.
+    #[must_use]
+    pub fn holds_any(&self) -> bool {
+        let held = |row: &Row| matches!(row.phase, Phase::Held { .. });
+        self.rows.iter().any(held)
+    }
+
     /// Returns how many items wait for an engine.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -286,10 +310,7 @@
     pub fn unkept(&self, most: usize) -> Vec<(usize, Piece)> {
         let open = |row: &Row| {
             let phase = &row.phase;
-            matches!(
-                phase,
-                Phase::Running | Phase::Waiting { .. } | Phase::Scoring
-            )
+            !matches!(phase, Phase::Ready(_) | Phase::Listed)
         };
         let rows = self.rows.iter().enumerate().filter(|(_, row)| open(row));
         let mut found: Vec<(usize, Piece)> = rows
