Have a request crash endpoints in the soak

A caller repeats a request that ends each plain endpoint that runs it, at any gateway, through all drawn faults; endpoints come back under new ids. Checked: 3 s after the faults at most three more sends, and that no other caller is told of a quarantine.

A check that fails no longer leaves the neighbours of its test running.

--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -227,6 +227,15 @@
     assert_eq!(sends(&replicas, "poison"), before);
 }
 
+/// Ends what runs beside a check, also when the check fails.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Release);
+    }
+}
+
 // Guards against refusing requests that run beside the one that crashes endpoints, or
 // have the same path and another body.
 #[test]
@@ -252,8 +261,9 @@
     let answers: Vec<Answer> = thread::scope(|scope| {
         let asked = &asked;
         let neighbours: Vec<_> = (0..8).map(|n| scope.spawn(move || asked(n))).collect();
+        let end = SetOnDrop(&over);
         check_stopped(&world, &replicas, "/desk/x", "poison");
-        over.store(true, Ordering::Release);
+        drop(end);
         let ended = neighbours.into_iter().map(|it| it.join().unwrap());
         ended.flatten().collect()
     });
--- a/hibiscusroad-measure/src/soak/check.rs
+++ b/hibiscusroad-measure/src/soak/check.rs
@@ -4,7 +4,7 @@
     keys::CALLERS,
     world::{DESKS, ENDPOINTS, LEASE_MS, World},
 };
-use hibiscusroad_standins::direct::{Endpoint, Ran};
+use hibiscusroad_standins::direct::Ran;
 use serde_json::Value;
 use std::{
     collections::{BTreeMap, HashSet},
@@ -166,7 +166,7 @@
 /// Checks for which account endpoints ran a request, and that they saw no key.
 fn account(check: &Check, ran: &Ran) {
     let expected = match ran.id.split_once('-') {
-        Some(("desk" | "once", _)) => Some(CALLERS),
+        Some(("crash" | "desk" | "once", _)) => Some(CALLERS),
         Some(("score", _)) => None,
         Some((model, _)) => Some(model),
         None => return,
@@ -181,16 +181,13 @@
 
 /// Checks what endpoints saw: accounts, once-only requests, and who gave orders.
 pub(super) fn endpoints(check: &Check, world: &World) {
-    for ran in world.endpoints.iter().flat_map(Endpoint::ran) {
-        account(check, &ran);
+    let all = world.ran();
+    for ran in &all {
+        account(check, ran);
     }
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for endpoint in &world.endpoints[..DESKS] {
-        for ran in endpoint.ran() {
-            if ran.id.starts_with("once-") {
-                *runs.entry(ran.id).or_default() += 1;
-            }
-        }
+    for ran in all.into_iter().filter(|ran| ran.id.starts_with("once-")) {
+        *runs.entry(ran.id).or_default() += 1;
     }
     let refused = check.lock().refused.clone();
     for (id, n) in &runs {
--- a/hibiscusroad-measure/src/soak/clients.rs
+++ b/hibiscusroad-measure/src/soak/clients.rs
@@ -3,7 +3,7 @@
 use super::{
     check::Check,
     keys::{self, Keys},
-    world::{HOST, MODELS, World},
+    world::{CRASHING, HOST, MODELS, World},
 };
 use hibiscusroad_standins::direct::Store;
 use rand::{Rng, SeedableRng};
@@ -36,6 +36,12 @@
     body: Vec<u8>,
 }
 
+impl Answer {
+    fn is_quarantined(&self) -> bool {
+        String::from_utf8_lossy(&self.body).contains("\"quarantined\"")
+    }
+}
+
 /// One who sends requests to gateways at random.
 struct Client {
     gateways: Vec<SocketAddr>,
@@ -172,6 +178,11 @@
             }
             return check.count("answered");
         }
+        if answer.is_quarantined() {
+            check.broke(&format!(
+                "{id} was refused for crashes that it has no part in"
+            ));
+        }
         match answer.status {
             429 | 503 | 408 | 421 => check.refused(id),
             404 => check.broke(&format!("{id} was denied a route that there is")),
@@ -188,6 +199,35 @@
     }
 }
 
+/// One whose request crashes each endpoint that runs it, and who repeats it.
+pub(super) struct Crasher {
+    client: Client,
+    keys: Keys,
+}
+
+impl Crasher {
+    pub(super) fn new(world: &World, seed: u64, check: &Check, over: &Arc<AtomicBool>) -> Self {
+        let client = Client::new(world, seed ^ 77 << 32, check, over);
+        let keys = world.keys.clone();
+        Self { client, keys }
+    }
+
+    pub(super) fn run(mut self) {
+        let mut seq = 0;
+        while !self.client.is_over() {
+            seq += 1;
+            let id = format!("crash-{seq}");
+            let key = keys::text(self.keys.shown());
+            let answer = self.client.ask("POST", "/desk/x", &id, &key, CRASHING);
+            if answer.is_some_and(|answer| answer.is_quarantined()) {
+                self.client.check.count("quarantined");
+            }
+            let pause = self.client.rng.random_range(100..400);
+            thread::sleep(Duration::from_millis(pause));
+        }
+    }
+}
+
 /// A trainer: one batch after the other, each read to its end.
 pub(super) struct Trainer {
     client: Client,
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -5,7 +5,8 @@
 //! delayed or silenced in one direction by a relay; a store that is away, slow,
 //! loses answers, carries writes out late or forgets its history; endpoints that
 //! answer badly, leave and come back; keys that are taken away with each change of the
-//! configuration. What callers and trainers may rely on is
+//! configuration. One request crashes the plain endpoint that runs it, and is repeated
+//! all the time. What callers and trainers may rely on is
 //! checked while it runs, from what they and the endpoints see. When the faults
 //! are over every batch has to come to its end.
 //!
@@ -20,6 +21,8 @@
 
 pub use self::check::Found;
 
+use self::world::World;
+
 use crate::{deployment::Error, interrupt::Interrupt};
 use std::{
     sync::{
@@ -35,6 +38,11 @@
 /// Clients in person, and trainers.
 const CALLERS: usize = 6;
 const TRAINERS: usize = 2;
+/// Crashes after which a request must not go on, and sends that are allowed once news
+/// of them has spread.
+const CRASHES: usize = 3;
+const MOST_SENDS: usize = 3;
+const SPREAD: Duration = Duration::from_secs(3);
 
 /// What to play.
 #[derive(Clone, Copy, Debug)]
@@ -64,7 +72,7 @@
 /// Returns an error if something can't be started, or a signal ended it.
 pub fn run(options: &Options, interrupt: &Interrupt) -> Result<Found, Error> {
     let found = check::Check::new();
-    let mut world = world::World::start(options.processes)?;
+    let mut world = World::start(options.processes)?;
     world.wait_ready()?;
     let over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
@@ -76,6 +84,8 @@
         let trainer = clients::Trainer::new(&world, n, options.seed, &found, &over);
         clients.push(thread::spawn(move || trainer.run()));
     }
+    let crasher = clients::Crasher::new(&world, options.seed, &found, &over);
+    clients.push(thread::spawn(move || crasher.run()));
     let start = Instant::now();
     for planned in plan::draw(options) {
         let at = start + planned.at;
@@ -88,6 +98,7 @@
         world.inject(planned.fault)?;
     }
     world.calm()?;
+    crashes(&mut world, &found, interrupt)?;
     over.store(true, Ordering::Release);
     let end = Instant::now() + CALM;
     while clients.iter().any(|client| !client.is_finished()) && Instant::now() < end {
@@ -106,6 +117,31 @@
     Ok(found.close(&mut world))
 }
 
+/// Checks that a request which has crashed three endpoints hardly reaches any once all
+/// gateways have had time to hear of it.
+fn crashes(world: &mut World, found: &check::Check, interrupt: &Interrupt) -> Result<(), Error> {
+    let mut sends = || -> Result<usize, Error> {
+        let end = Instant::now() + SPREAD;
+        while Instant::now() < end {
+            go_on(interrupt)?;
+            world.heal()?;
+            thread::sleep(Duration::from_millis(20));
+        }
+        let ran = world.ran();
+        let sends = ran.iter().filter(|ran| ran.id.starts_with("crash-"));
+        Ok(sends.count())
+    };
+    let before = sends()?;
+    let more = sends()? - before;
+    if world.crashes >= CRASHES && more > MOST_SENDS {
+        let crashes = world.crashes;
+        found.broke(&format!(
+            "{more} sends of a request after {crashes} crashes"
+        ));
+    }
+    Ok(())
+}
+
 fn go_on(interrupt: &Interrupt) -> Result<(), Error> {
     if interrupt.is_asked() {
         return Err(Error::Interrupted);
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -6,7 +6,7 @@
 };
 use crate::deployment::{Bins, Error, process::Process};
 use hibiscusroad_standins::{
-    direct::{Billing, Endpoint, Faults, Manner, Store},
+    direct::{Billing, Crash, CrashManner, Endpoint, Faults, Manner, Ran, Store},
     http::FREE,
     ports,
     relay::{Direction, Relay},
@@ -34,6 +34,9 @@
 /// The lease of the duties, by which their holders have to be apart.
 pub(super) const LEASE_MS: u64 = 1_500;
 const READY: Duration = Duration::from_secs(20);
+/// What crashes a plain endpoint, and for how long it is down then.
+pub(super) const CRASHING: &[u8] = b"crashes its endpoint";
+const DOWN: Duration = Duration::from_millis(1_200);
 /// A process that was told to stop and has not ended by then is ended.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -54,12 +57,16 @@
     Delay(usize),
     Manner(usize),
     Return(usize),
+    Restart(usize),
 }
 
 /// Everything that runs.
 pub(super) struct World {
     pub(super) store: Arc<Store>,
     pub(super) endpoints: Vec<Endpoint>,
+    /// What plain endpoints ran that have crashed, and how many have.
+    past: Vec<Ran>,
+    pub(super) crashes: usize,
     /// Who takes reports of usage.
     pub(super) billing: Billing,
     pub(super) keys: Keys,
@@ -85,19 +92,13 @@
         store.put("op", "config", &config(1, &keys));
         let mut endpoints = Vec::new();
         for n in 0..ENDPOINTS {
-            let (service, models) = if n < DESKS {
-                ("desk", &[][..])
-            } else {
-                ("lm", &MODELS[..])
-            };
-            let endpoint = Endpoint::start(&store, service, &format!("e{n}"), models)?;
-            endpoint.work(Duration::from_millis(25));
-            endpoint.events(20);
-            endpoints.push(endpoint);
+            endpoints.push(endpoint(FREE, &store, n, &format!("e{n}"))?);
         }
         let mut world = Self {
             store,
             endpoints,
+            past: Vec::new(),
+            crashes: 0,
             billing: Billing::start(true)?,
             keys,
             callers: Vec::new(),
@@ -220,6 +221,13 @@
         for (_, undo) in due {
             self.undo(&undo)?;
         }
+        for n in 0..DESKS {
+            let known = |(_, undo): &(Instant, Undo)| matches!(undo, Undo::Restart(m) if *m == n);
+            if self.endpoints[n].is_down() && !self.undo.iter().any(known) {
+                self.crashes += 1;
+                self.undo.push((now + DOWN, Undo::Restart(n)));
+            }
+        }
         for gateway in &mut self.gateways {
             let over = gateway.stopping.is_some_and(|end| end <= now);
             let ended = gateway.process.wait(now).is_ok();
@@ -245,11 +253,31 @@
                 self.gateways[*n].relay.cut_all();
             }
             Undo::Manner(n) => self.endpoints[*n].behave(Manner::Sound),
+            Undo::Return(n) if self.endpoints[*n].is_down() => {}
             Undo::Return(n) => self.endpoints[*n].register("ready"),
+            Undo::Restart(n) => self.restart(*n)?,
         }
         Ok(())
     }
 
+    /// Starts an endpoint that has crashed, under another id.
+    fn restart(&mut self, n: usize) -> Result<(), Error> {
+        let before = &self.endpoints[n];
+        before.stop();
+        let id = format!("e{n}-{}", self.crashes);
+        let next = endpoint(before.addr(), &self.store, n, &id)?;
+        let before = std::mem::replace(&mut self.endpoints[n], next);
+        self.store.remove("servers", before.id());
+        self.past.extend(before.ran());
+        Ok(())
+    }
+
+    /// Returns what all endpoints ran, those that have crashed included.
+    pub(super) fn ran(&self) -> Vec<Ran> {
+        let now = self.endpoints.iter().flat_map(Endpoint::ran);
+        self.past.iter().cloned().chain(now).collect()
+    }
+
     /// Ends all faults.
     pub(super) fn calm(&mut self) -> Result<(), Error> {
         for (_, undo) in std::mem::take(&mut self.undo) {
@@ -292,6 +320,27 @@
     }
 }
 
+fn endpoint(
+    listen: SocketAddr,
+    store: &Arc<Store>,
+    n: usize,
+    id: &str,
+) -> std::io::Result<Endpoint> {
+    let (service, models) = if n < DESKS {
+        ("desk", &[][..])
+    } else {
+        ("lm", &MODELS[..])
+    };
+    let endpoint = Endpoint::start_at(listen, store, service, id, models)?;
+    endpoint.work(Duration::from_millis(25));
+    endpoint.events(20);
+    endpoint.crash_on(Crash {
+        marker: CRASHING.to_vec(),
+        manner: CrashManner::Closed,
+    });
+    Ok(endpoint)
+}
+
 fn config(version: u64, keys: &Keys) -> Value {
     let mut routes = vec![
         json!({ "name": "desk", "hostname": HOST, "prefix": "/desk/", "type": "idempotent",
