Quarantine requests that crash endpoints behind sides, too

Callers of entries met the same fault: attempts are limited for one call, so a request that breaks its endpoint breaks one after the other, each time that it is repeated, also under new idempotency keys. An entry now keeps what its sides tell of broken endpoints and asks the same ledger before a call is admitted and before each start.

Entries don't share evidence, so each may see three crashes of its own; the module says why.

--- a/hibiscusroad-daemon/src/entry/attempt.rs
+++ b/hibiscusroad-daemon/src/entry/attempt.rs
@@ -88,6 +88,10 @@
             // router forgets this attempt along with the call.
             return;
         }
+        if self.refuse_quarantined(now, call) {
+            return;
+        }
+        let row = &self.calls[&call];
         if row.keyed.is_some() {
             return self.claim(now, call, endpoint);
         }
--- a/hibiscusroad-daemon/src/entry/call.rs
+++ b/hibiscusroad-daemon/src/entry/call.rs
@@ -15,6 +15,7 @@
 use flume::{Sender, TrySendError};
 use hibiscusroad::{
     ErrorKind, Repeat, RequestId,
+    quarantine::Verdict,
     route::{Call, Outcome},
 };
 use std::{
@@ -123,7 +124,15 @@
         let Some(service) = self.known(&request.service) else {
             return self.refuse(now, id, ErrorKind::UnknownService, come_back());
         };
-        let mut call = Call::new(id, service, request.class, row.deadline).repeat(row.repeat);
+        if self.refuse_quarantined(now, id) {
+            return;
+        }
+        let row = &self.calls[&id];
+        let request = &row.request;
+        let alone = self.crashes.verdict(now, row) != Verdict::Clear;
+        let mut call = Call::new(id, service, request.class, row.deadline)
+            .repeat(row.repeat)
+            .alone(alone);
         if let Some(prompt) = request.prompt {
             call = call.tokens(prompt.tokens).prefix(prompt.prefix);
         }
@@ -254,6 +263,7 @@
             side.attempts.remove(&id);
         }
         self.trace_ended(now, attempt.call, attempt.side, outcome);
+        self.note_crash(now, &attempt, outcome);
         let broken = self.note_end(&attempt, id, outcome);
         let row = self.calls.get_mut(&attempt.call);
         if row.as_ref().is_some_and(|row| row.is_guest()) {
--- a/hibiscusroad-daemon/src/entry/mod.rs
+++ b/hibiscusroad-daemon/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod links;
 mod numbers;
 pub mod operators;
+mod quarantine;
 mod show;
 pub mod side;
 pub mod survey;
--- /dev/null
+++ b/hibiscusroad-daemon/src/entry/quarantine.rs
@@ -0,0 +1,130 @@
+//! Requests that crash endpoints, as this entry sees them.
+//!
+//! [`hibiscusroad::quarantine`] decides. A side says that its endpoint broke the
+//! connection after the start, and serves the next life of it under the same name; so
+//! breaks at one endpoint that are close together are one crash.
+//!
+//! Entries don't share evidence. Each may see [`LIMIT`] crashes of its own: the table
+//! takes few writes of each entry, and deployments with sides have two or three.
+
+use crate::entry::{attempt::Attempt, call::CallRow, tables::Tables};
+use hibiscusroad::{
+    ErrorKind, RequestId,
+    quarantine::{Crash, Fingerprint, Identity, LIMIT, Ledger, Life, Verdict},
+    route::{EndpointKey, Outcome},
+};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+/// How long a crash counts. Nothing tells here whether the endpoint really ended.
+const KEEP: Duration = Duration::from_mins(10);
+/// Breaks at one endpoint within this are one crash: a process takes longer to start.
+const SAME: Duration = Duration::from_secs(1);
+
+/// Crashes that this entry has seen.
+#[derive(Debug)]
+pub(super) struct Crashes {
+    ledger: Ledger,
+    start: Instant,
+    /// When endpoints last crashed, since `start`.
+    last: HashMap<EndpointKey, Duration>,
+}
+
+impl Crashes {
+    pub(super) fn new(start: Instant) -> Self {
+        Self {
+            ledger: Ledger::new(LIMIT, KEEP),
+            start,
+            last: HashMap::new(),
+        }
+    }
+
+    /// Says what is known of a call.
+    pub(super) fn verdict(&self, now: Instant, row: &CallRow) -> Verdict {
+        if self.ledger.is_empty() {
+            return Verdict::Clear;
+        }
+        self.ledger.verdict(now - self.start, fingerprint(row))
+    }
+
+    fn add(&mut self, now: Instant, row: &CallRow, attempt: &Attempt) {
+        let at = now - self.start;
+        let last = self.last.get(&attempt.endpoint).copied();
+        let crash = last.filter(|last| at.saturating_sub(*last) < SAME);
+        let crash = crash.unwrap_or(at);
+        self.last.insert(attempt.endpoint, crash);
+        let born = u64::try_from(crash.as_millis()).ok();
+        let (request, path) = (fingerprint(row), row.request.path.clone());
+        let endpoint = format!("{:?}", attempt.endpoint);
+        let added = self.ledger.add(Crash {
+            request,
+            life: Life { endpoint, born },
+            at,
+            path,
+        });
+        let held = matches!(self.ledger.verdict(at, request), Verdict::Quarantined(_));
+        if added && held {
+            log::warn!(target: "calls", "Requests for {} {} with fingerprint {request} are in \
+                quarantine: endpoints break while they run them.",
+                row.request.service, row.request.path);
+        }
+    }
+}
+
+fn fingerprint(row: &CallRow) -> Fingerprint {
+    let request = &row.request;
+    Fingerprint::of(&Identity {
+        method: &request.method,
+        host: &request.service,
+        path: &request.path,
+        account: None,
+        body: &request.body,
+    })
+}
+
+impl Tables {
+    /// Takes in how an attempt ended.
+    pub(super) fn note_crash(&mut self, now: Instant, attempt: &Attempt, outcome: Outcome) {
+        let Some(row) = self.calls.get(&attempt.call) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered if !self.crashes.ledger.is_empty() => {
+                self.crashes.ledger.acquit(fingerprint(row));
+            }
+            // An attempt whose side is gone tells nothing of the endpoint.
+            Outcome::Failed(ErrorKind::EndpointBroken | ErrorKind::AnswerShort)
+                if attempt.reachable =>
+            {
+                self.crashes.add(now, row, attempt);
+            }
+            _ => {}
+        }
+    }
+
+    /// Refuses a call that crashes endpoints; `false` if it isn't known to.
+    pub(super) fn refuse_quarantined(&mut self, now: Instant, id: RequestId) -> bool {
+        let verdict = self
+            .calls
+            .get(&id)
+            .map(|row| self.crashes.verdict(now, row));
+        let Some(Verdict::Quarantined(left)) = verdict else {
+            return false;
+        };
+        self.refuse(now, id, ErrorKind::Quarantined, left);
+        true
+    }
+
+    /// Drops crashes that count no more.
+    pub(super) fn expire_crashes(&mut self, now: Instant) {
+        let at = now - self.crashes.start;
+        if !self.crashes.ledger.is_empty() {
+            self.crashes.ledger.expire(at, |_| false);
+        }
+        self.crashes
+            .last
+            .retain(|_, last| at.saturating_sub(*last) < SAME);
+    }
+}
--- a/hibiscusroad-daemon/src/entry/tables.rs
+++ b/hibiscusroad-daemon/src/entry/tables.rs
@@ -11,6 +11,7 @@
         claims::Write,
         event::{Event, Ids, Inbound, LinkEvent},
         link::Dialer,
+        quarantine::Crashes,
         side::{Side, SideKey},
         trace::Trace,
     },
@@ -51,6 +52,7 @@
     pub(super) endpoints: HashMap<EndpointKey, SideKey>,
     pub(super) calls: HashMap<RequestId, CallRow>,
     pub(super) attempts: HashMap<RequestId, Attempt>,
+    pub(super) crashes: Crashes,
     pub(super) ticked: Instant,
     pub(super) metrics: Metrics,
     pub(super) reported: Instant,
@@ -90,6 +92,7 @@
             endpoints: HashMap::new(),
             calls: HashMap::new(),
             attempts: HashMap::new(),
+            crashes: Crashes::new(Instant::now()),
             ticked: Instant::now(),
             metrics,
             reported: Instant::now(),
@@ -137,6 +140,7 @@
             return;
         }
         self.expire(now);
+        self.expire_crashes(now);
         self.acknowledge_all();
         self.tick_sides(now);
         self.router.tick(now);
--- a/hibiscusroad-daemon/tests/entry_support/mod.rs
+++ b/hibiscusroad-daemon/tests/entry_support/mod.rs
@@ -223,8 +223,13 @@
     address
 }
 
-/// Starts an entry before these sides and waits until it serves.
+/// Starts an entry without a table before these sides and waits until it serves.
 pub fn start(sides: &[&Side], more: &str) -> Running {
+    start_with("http://127.0.0.1:1", sides, more)
+}
+
+/// Starts an entry with a table before these sides and waits until it serves.
+pub fn start_with(table: &str, sides: &[&Side], more: &str) -> Running {
     let hosts = host_list(sides);
     let text = format!(
         r#"
@@ -233,7 +238,7 @@
         place = "senec"
         region = "zapad"
         [platform]
-        table = "http://127.0.0.1:1"
+        table = "{table}"
         hosts = "http://{hosts}"
         [stop]
         deadline_s = 5
