Remove evidence whose writer is gone, and judge few requests

A gateway that reads the table whole removes what counts no more. Test: evidence_that_counts_no_more_is_removed; its last step did not end before.

A verdict on a request with fewer crashes than the limit is given at once. When many connections break together each of them was judged against all others.

--- a/hibiscusroad-daemon/src/gateway/crashes/sink.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/sink.rs
@@ -21,10 +21,19 @@
 }
 
 impl Crashes {
-    /// Takes in all rows there are.
+    /// Takes in all rows there are, and removes those that count no more: whoever wrote
+    /// them may be gone.
     fn replace(&self, rows: &[Row]) {
         self.ledger.borrow_mut().clear();
         self.change(rows, &[]);
+        let now = self.now();
+        let over = |row: &&Row| {
+            let crash = Crash::decode(row);
+            crash.map_or(true, |crash| self.ledger.borrow().is_over(now, &crash))
+        };
+        for row in rows.iter().filter(over) {
+            self.write(row.id.clone(), None);
+        }
     }
 
     fn change(&self, rows: &[Row], gone: &[RowId]) {
--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -188,6 +188,39 @@
     assert_eq!(sends(&replicas, "poison"), before);
 }
 
+// Guards against a table that grows without end.
+#[test]
+fn evidence_that_counts_no_more_is_removed() {
+    let mut world = World::start("removed");
+    world.configure(1, &[]);
+    let restart = Restart::default();
+    let replicas = Replicas::start(
+        &world.store,
+        "hut-desk",
+        &[],
+        &NAMES,
+        crash(CrashManner::Closed),
+        restart,
+    )
+    .unwrap();
+    world.gateway_with("quarantine_s = 2\n");
+    world.wait_ready(0);
+    wait_known(&world.gateways[0]);
+    repeat(&world, "/desk/x", "poison", Instant::now() + SPREAD / 6);
+    assert!(replicas.ends() > 0);
+    let none = |world: &World| world.store.rows("crashes").is_empty().then_some(());
+    until("evidence is told", || none(&world).is_none().then_some(()));
+    until("its writer removes it", || none(&world));
+    // Of writers that are gone, and of none.
+    let value = json!({ "endpoint": "e0", "born": null, "at_ms": 1, "path": "/desk/x" });
+    let key = format!("{}/e0", "0".repeat(32));
+    world.store.put("crashes", &key, &value);
+    world.store.put("crashes", "odd", &value);
+    world.gateways[0].kill();
+    world.gateway_with("quarantine_s = 2\n");
+    until("who starts removes it", || none(&world));
+}
+
 // Guards against evidence that stays with a gateway which could not reach the store.
 #[test]
 fn gateway_that_was_cut_off_tells_what_it_saw() {
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -112,12 +112,18 @@
         keys.into_iter().filter_map(|key| self.take(key)).collect()
     }
 
+    /// Says whether a crash is too old to count.
+    #[must_use]
+    pub fn is_over(&self, now: Duration, crash: &Crash) -> bool {
+        now.saturating_sub(crash.at) >= self.keep
+    }
+
     /// Removes crashes that count no more, and returns their rows: those that are too
     /// old, and those of lives that go on, as `lives` says.
     pub fn expire(&mut self, now: Duration, lives: impl Fn(&Life) -> bool) -> Vec<RowId> {
         let over = |crash: &Crash| {
-            let age = now.saturating_sub(crash.at);
-            age >= self.keep || (age >= LAPSED && lives(&crash.life))
+            let lapsed = now.saturating_sub(crash.at) >= LAPSED;
+            self.is_over(now, crash) || (lapsed && lives(&crash.life))
         };
         let found = self.crashes.iter().filter(|(_, crash)| over(crash));
         let keys: Vec<CrashKey> = found.map(|(key, _)| key).collect();
@@ -130,6 +136,10 @@
         let Some(keys) = self.requests.get(&request) else {
             return Verdict::Clear;
         };
+        // Most requests are far from a quarantine, and there may be many.
+        if keys.len() < self.limit {
+            return Verdict::Suspect;
+        }
         let (mut charged, mut alone) = (0, 0);
         for key in keys {
             let rival = self.rival(*key);
