--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -67,11 +67,11 @@
 
 /// An answer of which only the beginning was read.
 pub(super) struct Flowing {
-    pub(super) first: VecDeque<Bytes>,
-    pub(super) rest: Incoming,
+    first: VecDeque<Bytes>,
+    rest: Incoming,
     /// The connection that it comes on.
-    pub(super) channel: Channel,
-    pub(super) flight: InFlight,
+    channel: Channel,
+    flight: InFlight,
 }
 
 /// How an attempt ended.
@@ -105,27 +105,29 @@
     flight: InFlight,
 }
 
-impl Guard {
-    pub(super) fn new(
+impl Flowing {
+    /// Returns what was read, the rest, and who ends the attempt.
+    pub(super) fn split(
+        self,
         line: &Line,
-        ticket: Ticket,
-        endpoint: EndpointKey,
-        channel: Channel,
-        flight: InFlight,
+        (ticket, endpoint): (Ticket, EndpointKey),
         head: &Head,
         headers: &HeaderMap,
-    ) -> Self {
-        Self {
+    ) -> (VecDeque<Bytes>, Incoming, Guard) {
+        let guard = Guard {
             line: line.clone(),
             ticket,
             endpoint,
-            channel: Some(channel),
+            channel: Some(self.channel),
             keep: kept(headers),
             id: head.id.clone(),
-            flight,
-        }
+            flight: self.flight,
+        };
+        (self.first, self.rest, guard)
     }
+}
 
+impl Guard {
     /// Notes that the answer was read to its end.
     pub(super) fn complete(&mut self) {
         self.ticket.finish(self.endpoint, Outcome::Answered);
--- a/hibiscusroad-daemon/src/gateway/respond.rs
+++ b/hibiscusroad-daemon/src/gateway/respond.rs
@@ -2,7 +2,7 @@
 
 use super::{
     answer::{Flow, Out, problem, whole},
-    attempt::{Answer, Flowing, Guard, Head, Line, Received, text},
+    attempt::{Answer, Head, Line, Received, text},
     calls::Ticket,
     forward::{Ended, Forward, ended},
     resume::{Again, resumed},
@@ -45,15 +45,8 @@
 ) -> Response<Out> {
     let mut response = match (answer.body, more) {
         (Received::Whole(body), _) => whole(answer.status, "", body),
-        (Received::Flow(flowing), Some((ticket, endpoint))) => {
-            let Flowing {
-                first,
-                rest,
-                channel,
-                flight,
-            } = *flowing;
-            let headers = &answer.headers;
-            let guard = Guard::new(line, ticket, endpoint, channel, flight, head, headers);
+        (Received::Flow(flowing), Some(place)) => {
+            let (first, rest, guard) = flowing.split(line, place, head, &answer.headers);
             let events = text(&answer.headers, CONTENT_TYPE.as_str())
                 .is_some_and(|kind| kind.starts_with("text/event-stream"));
             let body = match again.filter(|_| events && first.is_empty()) {
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -12,7 +12,7 @@
 
 use super::{
     answer::{Broken, Resumed},
-    attempt::{Answer, Flowing, Guard, Head, Line, Received, set},
+    attempt::{Answer, Guard, Head, Line, Received, set},
     forward::{Content, Ended, Forward, ended},
     subject::Subject,
 };
@@ -170,20 +170,12 @@
             };
             let head = Rc::clone(&request.head);
             match ended(&self.line, request).await {
-                Ended::Answer(answer, Some((ticket, endpoint))) if answer.status.is_success() => {
+                Ended::Answer(answer, Some(place)) if answer.status.is_success() => {
                     let Answer { headers, body, .. } = *answer;
                     let Received::Flow(flowing) = body else {
                         break;
                     };
-                    let Flowing {
-                        first,
-                        rest,
-                        channel,
-                        flight,
-                    } = *flowing;
-                    let line = &self.line;
-                    let guard =
-                        Guard::new(line, ticket, endpoint, channel, flight, &head, &headers);
+                    let (first, rest, guard) = flowing.split(&self.line, place, &head, &headers);
                     for part in first {
                         self.events.push(&part);
                     }
--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -31,25 +31,11 @@
 const MOST_ENDS: usize = CRASHES + MOST_SENDS;
 const NAMES: [&str; 6] = ["r0", "r1", "r2", "r3", "r4", "r5"];
 
-fn crash(manner: CrashManner) -> Crash {
-    Crash {
-        marker: MARKER.to_vec(),
-        manner,
-    }
-}
-
 /// Gateways before replicas of the plain service.
 fn world(test: &str, gateways: usize, manner: CrashManner) -> (World, Replicas) {
     let mut world = World::start(test);
     world.configure(1, &[]);
-    let replicas = Replicas::start(
-        &world.store,
-        "hut-desk",
-        &[],
-        &NAMES,
-        crash(manner),
-        Restart::default(),
-    );
+    let replicas = replicas(&world, "hut-desk", &[], manner);
     for _ in 0..gateways {
         world.gateway();
     }
@@ -57,7 +43,17 @@
         world.wait_ready(n);
         wait_known(&world.gateways[n]);
     }
-    (world, replicas.unwrap())
+    (world, replicas)
+}
+
+/// Starts six replicas of a service that end under some requests.
+fn replicas(world: &World, service: &str, models: &[&str], manner: CrashManner) -> Replicas {
+    let crash = Crash {
+        marker: MARKER.to_vec(),
+        manner,
+    };
+    let restart = Restart::default();
+    Replicas::start(&world.store, service, models, &NAMES, crash, restart).unwrap()
 }
 
 fn wait_known(gateway: &Gateway) {
@@ -193,16 +189,7 @@
 fn evidence_that_counts_no_more_is_removed() {
     let mut world = World::start("removed");
     world.configure(1, &[]);
-    let restart = Restart::default();
-    let replicas = Replicas::start(
-        &world.store,
-        "hut-desk",
-        &[],
-        &NAMES,
-        crash(CrashManner::Closed),
-        restart,
-    )
-    .unwrap();
+    let replicas = replicas(&world, "hut-desk", &[], CrashManner::Closed);
     world.gateway_with("quarantine_s = 2\n");
     world.wait_ready(0);
     wait_known(&world.gateways[0]);
@@ -317,14 +304,7 @@
         "resumable": true });
     world.configure(1, &[stream]);
     let desk = world.endpoint("hut-desk", "i-desk", &[]);
-    let replicas = Replicas::start(
-        &world.store,
-        "guide-lm",
-        &["guide"],
-        &NAMES,
-        crash(CrashManner::Closed),
-        Restart::default(),
-    );
+    let replicas = replicas(&world, "guide-lm", &["guide"], CrashManner::Closed);
     for _ in 0..gateways {
         world.gateway();
     }
@@ -332,7 +312,7 @@
         world.wait_ready(n);
         wait_known(&world.gateways[n]);
     }
-    (world, desk, replicas.unwrap())
+    (world, desk, replicas)
 }
 
 // Guards against a stream that is gone on with at one endpoint after the other.
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -54,7 +54,7 @@
 }
 
 /// The text is no fingerprint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("a fingerprint is {} hexadecimal digits", 2 * LENGTH)]
 pub struct NotFingerprint;
 
