Don't count planned ends, nor void crashes on stale news

Two ways to a wrong verdict, found by reading the change:

Requests that were cut by the end of an endpoint which had told that it leaves were charged with a crash, also by the refused connections after it. Test: end_of_an_endpoint_that_leaves_is_no_crash, which found a row without the change.

A crash was void if its endpoint's entry was still known 20 s later. While the store is away, or turns a gateway away, entries of endpoints that ended stay known there, so the quarantine of a request would have been lifted for all. Crashes are void only if news of entries has come without a gap for as long. Test: contact_is_steady_without_gaps_only.

--- a/hibiscusroad-daemon/src/gateway/crashes/keep.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/keep.rs
@@ -3,10 +3,13 @@
 use super::Crashes;
 use crate::{logs::CALLS, platform::Backoff};
 use hibiscusroad::{
-    quarantine::Life,
+    quarantine::{LAPSED, Life},
     table::{Change, Commit, RowId},
 };
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::time::sleep;
 
 /// Rows of one write at most.
@@ -96,7 +99,11 @@
 
     fn expire(&self) {
         let entries = self.entries.borrow();
+        let steady = self.contact.get().is_steady(Instant::now(), LAPSED);
         let lives = |life: &Life| {
+            if !steady {
+                return false;
+            }
             let entry = entries.get(&life.endpoint);
             entry.is_some_and(|entry| entry.born == life.born)
         };
--- a/hibiscusroad-daemon/src/gateway/crashes/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/mod.rs
@@ -12,12 +12,12 @@
 use super::{meters::Meters, store::Store, subject::Subject};
 use crate::logs::CALLS;
 use hibiscusroad::{
-    quarantine::{Crash, Fingerprint, Ledger, Life, OpenAttempts, Verdict},
+    quarantine::{Contact, Crash, Fingerprint, Ledger, Life, OpenAttempts, Verdict},
     roster::News,
     table::RowId,
 };
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
@@ -40,6 +40,8 @@
     ledger: RefCell<Ledger>,
     open: RefCell<OpenAttempts>,
     entries: RefCell<HashMap<String, Entry>>,
+    /// When the entries were told of.
+    contact: Cell<Contact>,
     /// Rows that are not written yet; `None` for those to be removed.
     unkept: RefCell<BTreeMap<RowId, Option<Vec<u8>>>>,
     /// Rows that this process wrote.
@@ -57,6 +59,7 @@
             ledger: RefCell::new(Ledger::new(limit, keep)),
             open: RefCell::new(OpenAttempts::new()),
             entries: RefCell::default(),
+            contact: Cell::new(Contact::new()),
             unkept: RefCell::default(),
             own: RefCell::default(),
             quarantined: RefCell::default(),
@@ -89,21 +92,41 @@
                     };
                     self.entries.borrow_mut().insert(endpoint.id.clone(), entry);
                 }
-                News::Gone(id) => {
-                    let entry = self.entries.borrow_mut().remove(id);
-                    if let Some(entry) = entry.filter(|entry| !entry.leaving) {
-                        self.ended(&Life {
-                            endpoint: id.clone(),
-                            born: entry.born,
-                        });
-                    }
-                }
+                News::Gone(id) => self.gone(id),
             }
         }
     }
 
+    /// Notes that the store told of the endpoints' entries.
+    pub(super) fn confirm(&self) {
+        let mut contact = self.contact.get();
+        contact.hear(Instant::now());
+        self.contact.set(contact);
+    }
+
+    fn gone(&self, id: &str) {
+        let known = self.entries.borrow().get(id).copied();
+        if let Some(entry) = known {
+            self.ended(&Life {
+                endpoint: id.to_owned(),
+                born: entry.born,
+            });
+        }
+        self.entries.borrow_mut().remove(id);
+    }
+
+    /// Says whether an endpoint told that it leaves: its end is planned then.
+    fn is_leaving(&self, life: &Life) -> bool {
+        let entries = self.entries.borrow();
+        let entry = entries.get(&life.endpoint);
+        entry.is_some_and(|entry| entry.leaving && entry.born == life.born)
+    }
+
     /// Notes that an endpoint has ended: what was in flight there may be the cause.
-    pub(super) fn ended(&self, life: &Life) {
+    fn ended(&self, life: &Life) {
+        if self.is_leaving(life) {
+            return;
+        }
         let open = self.open.borrow_mut().ended(Instant::now(), life);
         for (request, path) in open {
             self.implicate(request, life, &path);
@@ -112,6 +135,9 @@
 
     /// Notes that a request was in flight at an endpoint that ended.
     fn implicate(&self, request: Fingerprint, life: &Life, path: &str) {
+        if self.is_leaving(life) {
+            return;
+        }
         let crash = Crash {
             request,
             life: life.clone(),
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -314,7 +314,10 @@
     };
     let sinks = [
         sync::operator(Rc::clone(known), Rc::clone(&line.calls), wake),
-        sync::endpoints(Rc::clone(members)),
+        sync::endpoints(Rc::clone(members), {
+            let crashes = Rc::clone(&line.crashes);
+            move || crashes.confirm()
+        }),
         batches::sink(Rc::clone(batches)),
         crashes::sink(Rc::clone(&line.crashes)),
     ];
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -225,8 +225,8 @@
     }
 }
 
-/// Builds the sink of the endpoints' own entries.
-pub(super) fn endpoints(members: Rc<Members>) -> Sink {
+/// Builds the sink of the endpoints' own entries; `confirm` is called with each answer.
+pub(super) fn endpoints(members: Rc<Members>, confirm: impl Fn() + 'static) -> Sink {
     let all = Rc::clone(&members);
     Sink {
         table: table::ENDPOINTS,
@@ -254,7 +254,7 @@
             members.tell(&news);
             members.lapsing.notify_one();
         }),
-        confirm: Box::new(|| {}),
+        confirm: Box::new(confirm),
     }
 }
 
--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -76,6 +76,11 @@
     ran.iter().filter(|ran| ran.id.starts_with(prefix)).count()
 }
 
+fn sends_to(endpoint: &Endpoint, id: &str) -> usize {
+    let ran = endpoint.ran();
+    ran.iter().filter(|ran| ran.id == id).count()
+}
+
 /// Repeats a request at one gateway after the other until `end`.
 fn repeat(world: &World, path: &str, prefix: &str, end: Instant) -> Vec<Answer> {
     let mut answers = Vec::new();
@@ -184,6 +189,32 @@
     assert_eq!(sends(&replicas, "poison"), before);
 }
 
+// Guards against charging requests with the planned end of an endpoint.
+#[test]
+fn end_of_an_endpoint_that_leaves_is_no_crash() {
+    let (world, desk, _engine) = World::ready("leaves", 1);
+    desk.work(Duration::from_secs(2));
+    let gateway = &world.gateways[0];
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| gateway.call("POST", "/once/x", "cut", b""));
+        until("it runs", || (sends_to(&desk, "cut") > 0).then_some(()));
+        desk.register("draining");
+        until("the endpoint is known to leave", || {
+            let lines = gateway.lines();
+            let mut told = lines.iter().filter(|line| line["endpoint"] == "i-desk");
+            told.any(|line| line["leaving"] == true).then_some(())
+        });
+        desk.relay().cut_all();
+        assert_eq!(asked.join().unwrap().status, 502);
+    });
+    // Longer than evidence takes to be written.
+    thread::sleep(SPREAD / 6);
+    assert!(world.store.rows("crashes").is_empty());
+    desk.register("ready");
+    let answer = send(gateway, "/desk/x", "later", b"");
+    assert!(answer.is_none_or(|answer| !answer.text().contains("quarantined")));
+}
+
 // Guards against a table that grows without end.
 #[test]
 fn evidence_that_counts_no_more_is_removed() {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -19,12 +19,14 @@
 //!   leave before anybody knows.
 //!
 //! What acquits: an answer to the request, and an endpoint whose entry outlasts the
-//! crash that it is said to have had. Connections break for other reasons, too.
+//! crash that it is said to have had, while news of entries came without a gap
+//! ([`Contact`]). Connections break for other reasons, too.
 //!
 //! The trade-off: until the evidence tells the cause from its neighbours, requests that
 //! ran beside it are run again, as is the cause. Stopping at the first crash would spare
 //! two endpoints and refuse every neighbour.
 
+mod contact;
 mod fingerprint;
 mod ledger;
 mod open;
@@ -33,6 +35,7 @@
 use std::time::Duration;
 
 pub use self::{
+    contact::Contact,
     fingerprint::{Fingerprint, Identity, NotFingerprint},
     ledger::{Ledger, Verdict},
     open::OpenAttempts,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,8 +2,8 @@
 
 use hibiscusroad::{
     quarantine::{
-        AMBIGUOUS, CRASHES, Crash, Fingerprint, Identity, KEEP, LAPSED, LIMIT, Ledger, Life,
-        NotCrash, NotFingerprint, OPEN, OpenAttempts, Verdict,
+        AMBIGUOUS, CRASHES, Contact, Crash, Fingerprint, Identity, KEEP, LAPSED, LIMIT, Ledger,
+        Life, NotCrash, NotFingerprint, OPEN, OpenAttempts, Verdict,
     },
     table::{Row, RowId},
 };
@@ -354,3 +354,19 @@
         assert!(is_quarantined(&ledger, 1), "seed {seed}");
     }
 }
+
+// Guards against taking endpoints for alive whose entries could not be heard of.
+#[test]
+fn contact_is_steady_without_gaps_only() {
+    let start = Instant::now();
+    let at = |second: u64| start + Duration::from_secs(second);
+    let mut contact = Contact::new();
+    assert!(!contact.is_steady(at(0), Duration::ZERO));
+    for second in (0..=LAPSED.as_secs()).step_by(2) {
+        contact.hear(at(second));
+    }
+    assert!(contact.is_steady(at(20), LAPSED));
+    assert!(!contact.is_steady(at(30), LAPSED), "it went silent");
+    contact.hear(at(31));
+    assert!(!contact.is_steady(at(32), LAPSED), "it has just come back");
+}
