Tell the fingerprint where a request in quarantine is refused

A caller names its request's id; nothing led from there to the crashes that the refusal is for. The test of the quarantine looks for the line.

--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -11,6 +11,7 @@
     http::{Rest, Sent, whole as whole_body},
     subject::Subject,
 };
+use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Repeat,
     catalog::Kind,
@@ -80,7 +81,7 @@
     let alone = match line.crashes.verdict(&request.subject) {
         Verdict::Clear => false,
         Verdict::Suspect => true,
-        Verdict::Quarantined(left) => return Ended::Refused(ErrorKind::Quarantined, left),
+        Verdict::Quarantined(left) => return stopped(&request, None, false, left),
     };
     let flow = matches!(request.kind, Kind::Stream { .. });
     let tries = u8::try_from(request.attempts).unwrap_or(u8::MAX);
@@ -102,7 +103,7 @@
             step = ticket.next() => match step {
                 Step::Start { endpoint, .. } => {
                     if let Verdict::Quarantined(left) = line.crashes.verdict(&request.subject) {
-                        return stopped(told, begun > 0, left);
+                        return stopped(&request, told, begun > 0, left);
                     }
                     let target = line.calls.target(endpoint);
                     let (Some(target), Some(body)) = (target, request.content.send()) else {
@@ -149,8 +150,11 @@
     }
 }
 
-/// Ends a request that went into quarantine on its way.
-fn stopped(told: Option<Answer>, begun: bool, left: Duration) -> Ended {
+/// Ends a request that is in quarantine; `begun` if an attempt of it may have run.
+fn stopped(request: &Forward, told: Option<Answer>, begun: bool, left: Duration) -> Ended {
+    log::info!(target: CALLS, id = request.head.id.as_str(), path = request.subject.path(),
+        fingerprint:% = request.subject.fingerprint(), begun = begun;
+        "A request in quarantine is not run.");
     match told {
         Some(answer) => Ended::Answer(Box::new(answer), None),
         None if begun => Ended::Refused(ErrorKind::EndpointBroken, Duration::ZERO),
--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -143,6 +143,9 @@
         let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
         assert!(after > 60.0, "{after}");
     }
+    let line = world.gateways[0].line("A request in quarantine is not run.");
+    let crash = world.gateways[0].line("A request is in quarantine");
+    assert_eq!(line["fingerprint"], crash["fingerprint"]);
     until("all endpoints are up", || replicas.are_up().then_some(()));
     let answer = world.gateways[0].call("POST", "/desk/x", "sound", b"another body");
     assert_eq!(answer.status, 200, "{}", answer.text());
