Tell large bodies apart by their length, and bound the paths of evidence

Two bodies that are too large to be held, of which the first 256 KiB are the same, were one request to the quarantine; their declared lengths now tell most apart. Paths of 16 KiB in fifty rows would have been more than a write may hold, and evidence behind them would have waited for ever; 200 characters are kept.

--- a/hibiscusroad-daemon/src/entry/quarantine.rs
+++ b/hibiscusroad-daemon/src/entry/quarantine.rs
@@ -81,6 +81,7 @@
         path: &request.path,
         account: None,
         body: &request.body,
+        length: Some(request.body.len() as u64),
     })
 }
 
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -89,7 +89,7 @@
         };
         let content = Content::Whole(scorer.body.clone().into());
         let request = Forward {
-            subject: Subject::new(&head, None, content.known()),
+            subject: Subject::new(&head, None, &content),
             head: Rc::new(head),
             content,
             service: service.to_owned(),
--- a/hibiscusroad-daemon/src/gateway/crashes/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/mod.rs
@@ -26,6 +26,9 @@
 
 pub(super) use self::{flight::InFlight, sink::sink};
 
+/// Characters of a path that are kept for operators: many rows go into one write.
+const PATH: usize = 200;
+
 /// An endpoint as its entry told last.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
@@ -142,7 +145,7 @@
             request,
             life: life.clone(),
             at: self.now(),
-            path: path.to_owned(),
+            path: path.chars().take(PATH).collect(),
         };
         let (row, value) = (crash.row(), crash.encode());
         if !self.ledger.borrow_mut().add(crash) {
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -19,7 +19,7 @@
     route::{EndpointKey, Outcome, Step},
 };
 use http_body_util::Either;
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes};
 use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
 /// A request's body, as far as it can be sent again.
@@ -31,14 +31,16 @@
 }
 
 impl Content {
-    /// Returns as much of it as is there before it is sent.
-    pub(super) fn known(&self) -> Bytes {
+    /// Returns as much of it as is there before it is sent, and the length of all of it,
+    /// if that is told.
+    pub(super) fn known(&self) -> (Bytes, Option<u64>) {
         match self {
-            Self::Whole(body) => body.clone(),
-            Self::Once(rest) => rest
-                .as_ref()
-                .and_then(|rest| rest.first.clone())
-                .unwrap_or_default(),
+            Self::Whole(body) => (body.clone(), Some(body.len() as u64)),
+            Self::Once(None) => (Bytes::new(), None),
+            Self::Once(Some(rest)) => {
+                let first = rest.first.clone().unwrap_or_default();
+                (first, rest.size_hint().exact())
+            }
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -116,7 +116,7 @@
             kind: route.kind,
             attempts: route.attempts,
             tokens: tokens.unwrap_or(0),
-            subject: Subject::new(&head, head.account.as_deref(), content.known()),
+            subject: Subject::new(&head, head.account.as_deref(), &content),
             content,
             head: Rc::new(head),
         };
--- a/hibiscusroad-daemon/src/gateway/subject.rs
+++ b/hibiscusroad-daemon/src/gateway/subject.rs
@@ -1,6 +1,9 @@
 //! A request as all its repeats have it.
 
-use super::attempt::{Head, text};
+use super::{
+    attempt::{Head, text},
+    forward::Content,
+};
 use hibiscusroad::{
     quarantine::{Fingerprint, Identity},
     rollout::Item,
@@ -18,14 +21,17 @@
     host: String,
     path: String,
     account: Option<String>,
-    /// All of its content, or as much as is kept to send it.
+    /// All of its content, or as much as is there before it is sent.
     body: Bytes,
+    /// Bytes of all of its content, if that is told.
+    length: Option<u64>,
     fingerprint: OnceCell<Fingerprint>,
     answered: Cell<bool>,
 }
 
 impl Subject {
-    pub(super) fn new(head: &Head, account: Option<&str>, body: Bytes) -> Rc<Self> {
+    pub(super) fn new(head: &Head, account: Option<&str>, content: &Content) -> Rc<Self> {
+        let (body, length) = content.known();
         let path = head.target.path_and_query();
         Rc::new(Self {
             method: head.method.as_str().to_owned(),
@@ -33,6 +39,7 @@
             path: path.map_or("", |path| path.as_str()).to_owned(),
             account: account.map(str::to_owned),
             body,
+            length,
             fingerprint: OnceCell::new(),
             answered: Cell::new(false),
         })
@@ -47,6 +54,7 @@
             path: item.path.clone(),
             account: account.map(str::to_owned),
             body: item.body.clone().into(),
+            length: Some(item.body.len() as u64),
             fingerprint: OnceCell::new(),
             answered: Cell::new(false),
         })
@@ -76,6 +84,7 @@
                 path: &self.path,
                 account: self.account.as_deref(),
                 body: &self.body,
+                length: self.length,
             })
         })
     }
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -17,8 +17,10 @@
     pub path: &'a str,
     /// The account that it counts for.
     pub account: Option<&'a str>,
-    /// Its content.
+    /// Its content, or as much of the beginning as is known.
     pub body: &'a [u8],
+    /// Bytes of its whole content, if that is known.
+    pub length: Option<u64>,
 }
 
 /// A digest of a request's [`Identity`].
@@ -40,6 +42,7 @@
             digest.update(text);
         }
         digest.update([u8::from(identity.account.is_some())]);
+        digest.update(identity.length.unwrap_or(u64::MAX).to_be_bytes());
         digest.update(identity.body);
         let mut kept = [0; LENGTH];
         kept.copy_from_slice(&digest.finalize()[..LENGTH]);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -17,6 +17,7 @@
     path: "/desk/x",
     account: None,
     body: b"two nights",
+    length: Some(10),
 };
 
 #[test]
@@ -48,6 +49,14 @@
             body: b"",
             ..REQUEST
         },
+        Identity {
+            length: Some(11),
+            ..REQUEST
+        },
+        Identity {
+            length: None,
+            ..REQUEST
+        },
     ];
     let mut seen = vec![Fingerprint::of(&REQUEST)];
     for other in &others {
--- a/tests/quarantine_load.rs
+++ b/tests/quarantine_load.rs
@@ -71,6 +71,7 @@
         path: "/desk/x",
         account: None,
         body: &request.to_be_bytes(),
+        length: Some(8),
     })
 }
 
