Name what the quarantine does in plain terms

Crashes are recorded, attributed and forgotten, and requests are cleared; the metric's outcome is called cleared. Names and comments alone change.

--- a/hibiscusroad-daemon/src/entry/quarantine.rs
+++ b/hibiscusroad-daemon/src/entry/quarantine.rs
@@ -93,7 +93,7 @@
         };
         match outcome {
             Outcome::Answered if !self.crashes.ledger.is_empty() => {
-                self.crashes.ledger.acquit(fingerprint(row));
+                self.crashes.ledger.forget(fingerprint(row));
             }
             // An attempt whose side is gone tells nothing of the endpoint.
             Outcome::Failed(ErrorKind::EndpointBroken | ErrorKind::AnswerShort)
--- a/hibiscusroad-daemon/src/gateway/crashes/flight.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/flight.rs
@@ -41,7 +41,7 @@
             .borrow_mut()
             .add(Instant::now(), request, life.clone(), path);
         if ended {
-            self.implicate(request, life, subject.path());
+            self.record(request, life, subject.path());
         }
     }
 }
@@ -56,7 +56,7 @@
     pub(in crate::gateway) fn answered(&mut self) {
         self.sent = false;
         self.subject.set_answered();
-        self.crashes.acquit(&self.subject);
+        self.crashes.clear(&self.subject);
     }
 
     /// Notes that the endpoint lives and did not answer the request.
@@ -69,7 +69,7 @@
         if self.sent && is_closed(error) {
             self.sent = false;
             self.crashes
-                .implicate(self.subject.fingerprint(), &self.life, self.subject.path());
+                .record(self.subject.fingerprint(), &self.life, self.subject.path());
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/crashes/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/mod.rs
@@ -132,12 +132,12 @@
         }
         let open = self.open.borrow_mut().ended(Instant::now(), life);
         for (request, path) in open {
-            self.implicate(request, life, &path);
+            self.record(request, life, &path);
         }
     }
 
     /// Notes that a request was in flight at an endpoint that ended.
-    fn implicate(&self, request: Fingerprint, life: &Life, path: &str) {
+    fn record(&self, request: Fingerprint, life: &Life, path: &str) {
         if self.is_leaving(life) {
             return;
         }
@@ -160,19 +160,19 @@
     }
 
     /// Notes that a request was answered.
-    fn acquit(&self, subject: &Subject) {
+    fn clear(&self, subject: &Subject) {
         if self.ledger.borrow().is_empty() && self.open.borrow().is_empty() {
             return;
         }
         let request = subject.fingerprint();
-        self.open.borrow_mut().acquit(request);
-        let rows = self.ledger.borrow_mut().acquit(request);
+        self.open.borrow_mut().forget(request);
+        let rows = self.ledger.borrow_mut().forget(request);
         if rows.is_empty() {
             return;
         }
         log::info!(target: CALLS, fingerprint:% = request, crashes = rows.len();
             "A request that was in flight at crashes is answered.");
-        self.meters.crashes.with_label_values(&["acquitted"]).inc();
+        self.meters.crashes.with_label_values(&["cleared"]).inc();
         for row in rows {
             self.write(row, None);
         }
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -124,7 +124,7 @@
         "gateway_crashes_total",
         "counter",
         "outcome",
-        "requests in flight at endpoints that ended: noted, acquitted, void",
+        "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
 ];
--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -192,7 +192,7 @@
     assert_eq!(sends(&replicas, "poison"), before);
 }
 
-// Guards against charging requests with the planned end of an endpoint.
+// Guards against counting the planned end of an endpoint against a request.
 #[test]
 fn end_of_an_endpoint_that_leaves_is_no_crash() {
     let (world, desk, _engine) = World::ready("leaves", 1);
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -1,4 +1,4 @@
-//! The evidence, and what it says of a request.
+//! Crashes that were recorded, and what they say of a request.
 
 use super::{AMBIGUOUS, Crash, Fingerprint, LAPSED, Life};
 use crate::table::RowId;
@@ -8,8 +8,8 @@
     time::Duration,
 };
 
-/// Crashes that are held at most. A failing data centre implicates each request that was
-/// in flight there once; repeats of a cause come within seconds.
+/// Crashes that are held at most. A failing data centre adds one for each request that was
+/// in flight there; repeats of a cause come within seconds.
 const MOST: usize = 8_192;
 /// Crashes that are looked at for one to drop.
 const SCAN: usize = 64;
@@ -18,10 +18,10 @@
     struct CrashKey;
 }
 
-/// What the evidence says of a request.
+/// What the recorded crashes say of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
-    /// No crash implicates it.
+    /// It was in flight at no crash.
     Clear,
     /// It may have crashed an endpoint.
     Suspect,
@@ -59,18 +59,18 @@
         }
     }
 
-    /// Says whether there is no evidence at all.
+    /// Says whether no crash is recorded.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty()
     }
 
-    /// Returns the requests that crashes implicate.
+    /// Returns the requests that were in flight at crashes.
     pub fn requests(&self) -> impl Iterator<Item = Fingerprint> {
         self.requests.keys().copied()
     }
 
-    /// Returns the crashes that implicate a request.
+    /// Returns the crashes at which a request was in flight.
     pub fn crashes_of(&self, request: Fingerprint) -> impl Iterator<Item = &Crash> {
         let keys = self.requests.get(&request).into_iter().flatten();
         keys.map(|key| &self.crashes[*key])
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Removes all crashes that implicate a request, and returns their rows.
-    pub fn acquit(&mut self, request: Fingerprint) -> Vec<RowId> {
+    /// Removes all crashes at which a request was in flight, and returns their rows.
+    pub fn forget(&mut self, request: Fingerprint) -> Vec<RowId> {
         let keys = self.requests.get(&request).cloned().unwrap_or_default();
         keys.into_iter().filter_map(|key| self.take(key)).collect()
     }
@@ -130,7 +130,7 @@
         keys.into_iter().filter_map(|key| self.take(key)).collect()
     }
 
-    /// Says what the evidence says of a request.
+    /// Says what the recorded crashes say of a request.
     #[must_use]
     pub fn verdict(&self, now: Duration, request: Fingerprint) -> Verdict {
         let Some(keys) = self.requests.get(&request) else {
@@ -140,13 +140,13 @@
         if keys.len() < self.limit {
             return Verdict::Suspect;
         }
-        let (mut charged, mut alone) = (0, 0);
+        let (mut attributed, mut alone) = (0, 0);
         for key in keys {
             let rival = self.rival(*key);
-            charged += usize::from(keys.len() >= rival);
+            attributed += usize::from(keys.len() >= rival);
             alone += usize::from(keys.len() > rival);
         }
-        let clear_cut = charged >= self.limit && alone > 0;
+        let clear_cut = attributed >= self.limit && alone > 0;
         if !clear_cut && keys.len() < self.limit + AMBIGUOUS {
             return Verdict::Suspect;
         }
@@ -155,8 +155,8 @@
         Verdict::Quarantined(until.saturating_sub(now))
     }
 
-    /// Returns the crashes of the other request that most crashes implicate, of those
-    /// that were in flight at a crash.
+    /// Returns the highest number of crashes of any other request that was in flight at a
+    /// crash.
     fn rival(&self, key: CrashKey) -> usize {
         let crash = &self.crashes[key];
         let there = self.lives.get(&crash.life).into_iter().flatten();
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -11,14 +11,14 @@
 //! * A [`Crash`] is evidence: a request was in flight at an endpoint when that ended.
 //!   Each gateway writes its own to a table that all follow, so that a repeat meets the
 //!   same verdict anywhere, also at a gateway that has just started.
-//! * [`Ledger`] holds the evidence and decides. A crash implicates all that was in
-//!   flight. It is charged to the request that most crashes implicate, so those that
-//!   only ran beside it are not charged. [`LIMIT`] charges are a quarantine.
+//! * [`Ledger`] holds the evidence and decides. Of the requests that were in flight at a
+//!   crash, it is attributed to the one with most crashes, so those that only ran beside
+//!   the cause are not blamed for it. [`LIMIT`] crashes are a quarantine.
 //! * [`OpenAttempts`] holds attempts that ended without an answer and without a sign of
 //!   a crash, for a while: a host without power closes no connections, and a caller may
 //!   leave before anybody knows.
 //!
-//! What acquits: an answer to the request, and an endpoint whose entry outlasts the
+//! What clears a request: an answer to it, and an endpoint whose entry outlasts the
 //! crash that it is said to have had, while news of entries came without a gap
 //! ([`Contact`]). Connections break for other reasons, too.
 //!
--- a/src/quarantine/open.rs
+++ b/src/quarantine/open.rs
@@ -75,7 +75,7 @@
     }
 
     /// Forgets a request that was answered.
-    pub fn acquit(&mut self, request: Fingerprint) {
+    pub fn forget(&mut self, request: Fingerprint) {
         self.open.retain(|open| open.request != request);
     }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -199,7 +199,7 @@
 
 // Guards against refusing a neighbour for good because the cause's evidence came late.
 #[test]
-fn late_evidence_against_the_cause_acquits_its_neighbour() {
+fn late_evidence_against_the_cause_clears_its_neighbour() {
     let mut ledger = ledger();
     for n in 0..LIMIT {
         crash(&mut ledger, 1, n, &[2]);
@@ -213,18 +213,18 @@
 }
 
 #[test]
-fn an_answer_acquits_a_request() {
+fn an_answer_clears_a_request() {
     let mut ledger = ledger();
     for n in 0..LIMIT {
         crash(&mut ledger, 1, n, &[1, 2]);
     }
-    assert_eq!(ledger.acquit(request(2)).len(), LIMIT);
+    assert_eq!(ledger.forget(request(2)).len(), LIMIT);
     assert!(is_quarantined(&ledger, 1));
     assert_eq!(ledger.verdict(KEEP, request(2)), Verdict::Clear);
-    assert_eq!(ledger.acquit(request(2)), []);
+    assert_eq!(ledger.forget(request(2)), []);
 }
 
-// Guards against charging a request with connections that broke at endpoints that live.
+// Guards against counting connections that broke at endpoints that live.
 #[test]
 fn crashes_of_endpoints_that_go_on_are_void() {
     let mut ledger = ledger();
@@ -329,7 +329,7 @@
     assert!(!open.add(start, request(1), life(1), path()));
     assert!(!open.add(start, request(2), life(2), path()));
     assert!(!open.add(start, request(3), life(1), path()));
-    open.acquit(request(3));
+    open.forget(request(3));
     let found = open.ended(start + second, &life(1));
     assert_eq!(found, [(request(1), path())]);
     assert_eq!(open.ended(start + second, &life(1)), []);
@@ -343,7 +343,7 @@
 // Guards against a cause that escapes, and neighbours that are refused, whatever runs
 // beside what.
 #[test]
-fn drawn_crashes_convict_the_cause_and_nobody_with_fewer() {
+fn drawn_crashes_quarantine_the_cause_and_nobody_with_fewer() {
     for seed in 0..500 {
         let mut rng = Pcg64::seed_from_u64(seed);
         let mut ledger = ledger();
--- a/tests/quarantine_load.rs
+++ b/tests/quarantine_load.rs
@@ -148,7 +148,7 @@
                 }
             }
             Phase::Running(_, end) if end <= now && run.request != CAUSE => {
-                self.ledger.acquit(fingerprint(run.request));
+                self.ledger.forget(fingerprint(run.request));
                 self.found.answered += 1;
                 return self.add_neighbour(now);
             }
@@ -192,7 +192,7 @@
     }
 }
 
-fn by_charges(ledger: &Ledger, request: Fingerprint) -> bool {
+fn by_attribution(ledger: &Ledger, request: Fingerprint) -> bool {
     let now = std::time::Duration::ZERO;
     !matches!(ledger.verdict(now, request), Verdict::Quarantined(_))
 }
@@ -221,17 +221,26 @@
 #[test]
 fn the_cause_is_stopped_and_its_neighbours_go_on() {
     for takes in [SHORT, LONG] {
-        let charges = play_all(&takes, by_charges);
+        let attributed = play_all(&takes, by_attribution);
         // What is in flight when the evidence is complete ends as well.
         let most = LIMIT + AMBIGUOUS + 2;
         assert!(
-            charges.ends <= usize::try_from(SEEDS).unwrap() * most,
-            "{charges:?}"
+            attributed.ends <= usize::try_from(SEEDS).unwrap() * most,
+            "{attributed:?}"
+        );
+        assert!(
+            attributed.refused * 1_000 < attributed.answered,
+            "{attributed:?}"
         );
-        assert!(charges.refused * 1_000 < charges.answered, "{charges:?}");
         let count = play_all(&takes, by_count);
-        assert!(charges.refused < count.refused, "{charges:?} {count:?}");
+        assert!(
+            attributed.refused < count.refused,
+            "{attributed:?} {count:?}"
+        );
         let without = play_all(&takes, never);
-        assert!(without.ends > charges.ends * 3, "{charges:?} {without:?}");
+        assert!(
+            without.ends > attributed.ends * 3,
+            "{attributed:?} {without:?}"
+        );
     }
 }
