Keep refusals out of the write timeout

Cause: every process writes its row when it starts, all of them to one part of the store, which carries out some 300 transactions a second and refuses those that would wait for over a second. A refusal takes 4 ms and counted as a quick answer, so that the write timeout shrank to 300 ms, below the queue. From about 300 processes on, each write that the part accepted was given up before its turn and sent again: the part's whole capacity went to writes that nobody waited for, and leases and heartbeats, which are in the same part, waited too.

Change: a refusal is no sample of the latency.

--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -17,7 +17,7 @@
     clock_estimate::ClockEstimate,
     store_path::{RelayOutcome, StorePath, StorePaths},
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
-    timeout::AdaptiveTimeout,
+    timeout::{AdaptiveTimeout, CallEnd},
 };
 use hibiscusroad_platform::{request::Request, table as wire};
 use http_body_util::BodyExt;
@@ -261,12 +261,14 @@
     ) -> Result<(u16, Bytes), Failure> {
         let start = Instant::now();
         let answer = self.call(request, timeout.get().current()).await;
+        let end = match &answer {
+            Ok(answer) if is_refusal(answer) => CallEnd::Refused,
+            Ok(_) => CallEnd::Answered(start.elapsed()),
+            Err(Failure::Lost(_)) => CallEnd::TimedOut,
+            Err(_) => CallEnd::Refused,
+        };
         let mut next = timeout.get();
-        match &answer {
-            Ok(_) => next.record_answer(start.elapsed()),
-            Err(Failure::Lost(_)) => next.record_timeout(),
-            Err(_) => {}
-        }
+        next.record(end);
         timeout.set(next);
         answer
     }
