Let changes of endpoints gather at gateways that own nothing

Cause: every gateway follows the table of endpoints, and a feed is answered at the first change.

Change: a gateway that owns no batch and not the duty waits for 500 ms after changes before it asks for the next ones. The first change after a quiet time is still delivered at once. Ruled out: pausing the feeds of heads and of the configuration, which have few changes and whose readers wait for them; a pause at owners, which start items and loads by these changes.

Test: 120 changes in 3 s cost an idle gateway 120 feeds before, at most 10 now.

By this a gateway makes two calls a second for this table at most, whatever the number of endpoints.

--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -6,7 +6,11 @@
     rollout::row::{self, Head},
     table::Row,
 };
-use std::{collections::HashSet, rc::Rc, time::Instant};
+use std::{
+    collections::HashSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::task::spawn_local;
 
 /// Builds the sink of the batches' heads.
@@ -31,6 +35,7 @@
             }
         }),
         confirm: Box::new(|| {}),
+        pause: Box::new(|| Duration::ZERO),
     }
 }
 
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -124,7 +124,7 @@
 
     /// Returns whether this process must send heartbeats: it owns something, or may be
     /// given the next step of a trainer.
-    fn needs_heartbeat(&self) -> bool {
+    pub(in crate::gateway) fn needs_heartbeat(&self) -> bool {
         let is_owner = self.holds_duty.get() || !self.owned.borrow().is_empty();
         if is_owner {
             self.last_owned_at.set(Some(Instant::now()));
--- a/hibiscusroad-daemon/src/gateway/crashes/sink.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/sink.rs
@@ -6,7 +6,7 @@
     quarantine::{CRASHES, Crash},
     table::{Row, RowId},
 };
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 /// Builds the sink of the table of crashes, which applies its rows to `crashes`.
 pub(in crate::gateway) fn sink(crashes: Rc<Crashes>) -> Sink {
@@ -17,6 +17,7 @@
         replace: Box::new(move |rows| replacing.replace_rows(&rows)),
         change: Box::new(move |changes| crashes.apply_changes(&changes.rows, &changes.removed)),
         confirm: Box::new(|| {}),
+        pause: Box::new(|| Duration::ZERO),
     }
 }
 
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -315,10 +315,17 @@
     };
     let sinks = [
         sync::operator_sink(Rc::clone(known), Rc::clone(&context.calls), wake),
-        sync::endpoints_sink(Rc::clone(members), {
-            let crashes = Rc::clone(&context.crashes);
-            move || crashes.confirm_roster()
-        }),
+        sync::endpoints_sink(
+            Rc::clone(members),
+            {
+                let crashes = Rc::clone(&context.crashes);
+                move || crashes.confirm_roster()
+            },
+            {
+                let batches = Rc::clone(batches);
+                move || batches.needs_heartbeat()
+            },
+        ),
         batches::sink(Rc::clone(batches)),
         crashes::sink(Rc::clone(&context.crashes)),
     ];
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -14,7 +14,7 @@
     platform::Backoff,
 };
 use hibiscusroad::{
-    roster::{Endpoint, EndpointChange, Roster},
+    roster::{Endpoint, EndpointChange, Roster, change_pause},
     table::{Changes, Range, Row},
 };
 use hibiscusroad_platform::{catalog, roster, table};
@@ -47,6 +47,8 @@
     pub(super) change: Box<dyn Fn(Changes)>,
     /// Called after each answer of the store.
     pub(super) confirm: Box<dyn Fn()>,
+    /// Returns how long to wait after changes before the next ones are requested.
+    pub(super) pause: Box<dyn Fn() -> Duration>,
 }
 
 /// Follows a table until the process ends.
@@ -92,10 +94,14 @@
         return Ok(None);
     };
     let version = changes.version.max(after);
-    if !changes.rows.is_empty() || !changes.removed.is_empty() {
+    let has_changes = !changes.rows.is_empty() || !changes.removed.is_empty();
+    if has_changes {
         (sink.change)(changes);
     }
     (sink.confirm)();
+    if has_changes {
+        sleep((sink.pause)()).await;
+    }
     Ok(Some(version))
 }
 
@@ -121,6 +127,7 @@
         replace: Box::new(move |rows| replace(rows)),
         change: Box::new(move |changes| apply(changes.rows)),
         confirm: Box::new(move || known.confirm(Instant::now())),
+        pause: Box::new(|| Duration::ZERO),
     }
 }
 
@@ -231,8 +238,13 @@
     }
 }
 
-/// Builds the sink of the table of endpoints; `confirm` is called after each answer.
-pub(super) fn endpoints_sink(members: Rc<EndpointRoster>, confirm: impl Fn() + 'static) -> Sink {
+/// Builds the sink of the table of endpoints; `confirm` is called after each answer, and
+/// `needs_each_change` tells whether changes must not wait for later ones.
+pub(super) fn endpoints_sink(
+    members: Rc<EndpointRoster>,
+    confirm: impl Fn() + 'static,
+    needs_each_change: impl Fn() -> bool + 'static,
+) -> Sink {
     let all = Rc::clone(&members);
     Sink {
         table: table::ENDPOINTS_TABLE,
@@ -261,6 +273,7 @@
             members.expiry_changed.notify_one();
         }),
         confirm: Box::new(confirm),
+        pause: Box::new(move || change_pause(needs_each_change())),
     }
 }
 
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -47,6 +47,8 @@
     objects: BTreeMap<String, Vec<u8>>,
     faults: Faults,
     calls: Vec<String>,
+    /// How many feeds were requested, by table.
+    feeds: BTreeMap<String, usize>,
 }
 
 #[derive(Debug)]
@@ -169,6 +171,12 @@
     pub fn calls(&self) -> Vec<String> {
         self.shared.lock().calls.clone()
     }
+
+    /// Returns how many feeds of changes of a table were requested so far.
+    #[must_use]
+    pub fn feed_count(&self, table: &str) -> usize {
+        self.shared.lock().feeds.get(table).copied().unwrap_or(0)
+    }
 }
 
 impl Shared {
@@ -239,6 +247,10 @@
         inner
             .calls
             .push(format!("{} {}", exchange.method(), exchange.path()));
+        if exchange.path() == "/rows-feed" {
+            let table = exchange.query("table").unwrap_or_default();
+            *inner.feeds.entry(table.to_owned()).or_default() += 1;
+        }
         inner.faults
     };
     if faults.busy {
