Prefer endpoints to which there is an idle connection

Cause: a call went to the less loaded of two endpoints drawn at random.

An endpoint that failed or refused a call is dropped from them. Weighed: a smaller subset of endpoints for each gateway, which keeps its size whatever the number of calls and leaves a gateway with much work too little choice; the preference follows the load itself.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -28,6 +28,7 @@
 };
 use std::{
     collections::VecDeque,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -95,6 +96,15 @@
     pub(super) crashes: Rc<Crashes>,
 }
 
+impl AttemptContext {
+    /// Tells the router about an idle connection to an endpoint, if there is one.
+    fn record_idle_connection(&self, endpoint: EndpointKey, address: SocketAddr) {
+        if let Some(end) = self.pool.idle_until(address) {
+            self.calls.record_idle_connection(endpoint, end);
+        }
+    }
+}
+
 /// Reports the end of an attempt whose answer is passed on as it arrives.
 pub(super) struct Guard {
     context: AttemptContext,
@@ -134,9 +144,11 @@
         self.ticket.finish(self.endpoint, Outcome::Answered);
         self.in_flight.mark_answered();
         if let Some(connection) = self.connection.take() {
+            let address = connection.address();
             self.context
                 .pool
                 .return_to_pool(connection, self.keep_alive);
+            self.context.record_idle_connection(self.endpoint, address);
         }
     }
 
@@ -262,7 +274,10 @@
     };
     let done = read_answer(&context, &head, &target, exchange, streams).await;
     let outcome = match &done {
-        Done::Answer(_) => "answered",
+        Done::Answer(_) => {
+            context.record_idle_connection(endpoint, target.address);
+            "answered"
+        }
         Done::NotRun(_) => {
             metered.mark_not_run();
             "not-run"
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -209,6 +209,12 @@
         self.flush();
     }
 
+    /// Records that a connection to an endpoint is idle, and kept until `end`.
+    pub(super) fn record_idle_connection(&self, endpoint: EndpointKey, end: Instant) {
+        let mut router = self.router.borrow_mut();
+        router.record_idle_connection(endpoint, end);
+    }
+
     /// Returns the target of an endpoint.
     pub(super) fn target(&self, key: EndpointKey) -> Option<Target> {
         self.targets.borrow().get(&key).cloned()
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -163,6 +163,12 @@
     address: SocketAddr,
 }
 
+impl Connection {
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -244,6 +250,13 @@
         }
     }
 
+    /// Returns until when an idle connection to an address is kept, if there is one.
+    pub(super) fn idle_until(&self, address: SocketAddr) -> Option<Instant> {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&address)?.iter();
+        connections.map(|connection| connection.expires_at).max()
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -209,6 +209,7 @@
         let Some(row) = self.endpoints.get_mut(endpoint) else {
             return;
         };
+        self.services[row.service].warm.remove(endpoint);
         match kind {
             ErrorKind::Saturated | ErrorKind::HandoverFull => {
                 row.limit.record_refusal(now, row.running);
@@ -240,6 +241,8 @@
         let Some(attempt) = self.end_attempt(now, key, endpoint) else {
             return;
         };
+        let service = self.calls[key].call.service;
+        self.services[service].warm.remove(endpoint);
         let failing = self
             .endpoints
             .get_mut(endpoint)
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -183,6 +183,7 @@
         service.endpoints.retain(|other| *other != key);
         service.awaiting_trial.retain(|other| *other != key);
         service.ring.remove(key);
+        service.warm.remove(key);
         if row.health.is_healthy() {
             row.health.leave_peers(&mut service.peers);
         } else {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -18,6 +18,9 @@
 //! * Placement relies on the entry's own calls in flight and their latency.
 //!   Load reports only add the load of other entries and lose weight with age,
 //!   so a late or missing report makes placement worse but never wrong.
+//! * Among endpoints that are about equally loaded, one with an open connection is
+//!   preferred (`warm`). An entry with few calls would otherwise open a connection
+//!   for nearly every call, the more so the more endpoints there are.
 //! * Retries and hedges draw on one budget per service (`retry`). A call is run
 //!   again only if it is repeatable or surely did not run, and only while its
 //!   caller has no part of an answer (`attempt`).
@@ -68,6 +71,7 @@
 mod spec;
 mod table;
 mod view;
+mod warm;
 
 pub use self::{
     router::Router,
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -3,7 +3,8 @@
 //! Each entry sees only its own calls and delayed load reports. If all entries
 //! sent to the endpoint that looks least loaded, they would all choose the same
 //! one. So each call draws two endpoints with free slots at random and takes the
-//! less loaded one. A call with a prompt prefix goes to an endpoint that has the
+//! less loaded one, or one with an idle connection that is not much more loaded. A call
+//! with a prompt prefix goes to an endpoint that has the
 //! prefix cached, unless that endpoint has much more work than the others.
 //!
 //! Endpoints with free slots are kept in one pool per tier, so that the cost of a
@@ -37,6 +38,9 @@
 /// Score above which an endpoint is compared with one of the next tier: a wait
 /// there may take longer than the round trip to another data centre.
 const BUSY_SCORE: f64 = 0.7;
+/// Ratio of scores up to which an endpoint with an idle connection is preferred to one
+/// that was drawn: less than one running call more, at any limit of a plain endpoint.
+const MAX_WARM_SCORE_RATIO: f64 = 1.25;
 /// Maximum calls that are preempted for a class at a time.
 const MAX_PREEMPTED: usize = 8;
 /// Preemptions of one call after which it keeps its slot.
@@ -113,9 +117,10 @@
         }
         let mut best: Option<(EndpointKey, f64)> = None;
         for tier in 0..TIERS {
-            let Some((key, score)) = self.draw_from_tier(now, call, tier, excluded) else {
+            let Some(drawn) = self.draw_from_tier(now, call, tier, excluded) else {
                 continue;
             };
+            let (key, score) = self.prefer_warm(now, call, tier, excluded, drawn);
             if score <= BUSY_SCORE {
                 return Some(key);
             }
@@ -200,6 +205,30 @@
         })
     }
 
+    /// Returns the least loaded endpoint of a tier with an idle connection, or the drawn one
+    /// if that has clearly less load.
+    fn prefer_warm(
+        &self,
+        now: Instant,
+        call: &Call,
+        tier: usize,
+        excluded: Option<EndpointKey>,
+        drawn: (EndpointKey, f64),
+    ) -> (EndpointKey, f64) {
+        let fits = |key: &EndpointKey| {
+            let row = &self.endpoints[*key];
+            row.tier == tier
+                && row.pool_index.is_some()
+                && Some(*key) != excluded
+                && row.has_cache_for(now, call.tokens)
+        };
+        let warm = self.services[call.service].warm.iter(now).filter(fits);
+        let scored = warm.map(|key| (key, self.endpoints[key].score(now)));
+        let best = scored.min_by(|a, b| a.1.total_cmp(&b.1));
+        best.filter(|(_, score)| *score <= drawn.1 * MAX_WARM_SCORE_RATIO)
+            .unwrap_or(drawn)
+    }
+
     /// Preempts calls of lower classes for a class that is below its floor, so that
     /// urgent calls don't wait for rollouts that take minutes.
     ///
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -283,6 +283,13 @@
         }
     }
 
+    /// Records that a connection to an endpoint is idle, and kept until `end`.
+    pub fn record_idle_connection(&mut self, endpoint: EndpointKey, end: Instant) {
+        if let Some(row) = self.endpoints.get(endpoint) {
+            self.services[row.service].warm.record(endpoint, end);
+        }
+    }
+
     /// Handles the timers that are due: expiry, hedges, health checks and placement.
     pub fn tick(&mut self, now: Instant) {
         while let Some((at, timer)) = self.timers.first().copied() {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -15,6 +15,7 @@
         ring::Ring,
         service_times::ServiceTimes,
         spec::{Call, EndpointSpec, LoadReport, ServiceSpec},
+        warm::WarmEndpoints,
     },
 };
 use std::{
@@ -52,6 +53,7 @@
     /// Endpoints with free slots, by tier.
     pub(super) pools: [Vec<EndpointKey>; TIERS],
     pub(super) ring: Ring,
+    pub(super) warm: WarmEndpoints,
     pub(super) queues: [Queue; 3],
     /// Running attempts, by class.
     pub(super) running: [u32; 3],
@@ -92,6 +94,7 @@
             endpoints: Vec::new(),
             pools: Default::default(),
             ring: Ring::default(),
+            warm: WarmEndpoints::default(),
             queues: Default::default(),
             running: [0; 3],
             capacity: 0,
