Keep the heartbeats of owners apart from the rows of all processes

The first rows of all processes after a common start shared the part, which takes 300 transactions a second, with heartbeats and the lease. Rows of processes that ended without a planned stop stayed for ever, and took the places of watchers.

Change: `entries` holds heartbeats only, of processes that own something, and is what polls read; they remove their row when they own nothing any more. All processes are in `members`, spread over four parts, renewed each minute, ignored and removed after four. A process reads one part at a time, the less often the larger it is, so that it reads about 4.6 KB/s whatever the number of processes. An owner without a row is given time by the latency of the store, as one with a row is. Weighed: reading the rows of the watched owners one by one (as many calls as owners), and one row that lists the owners (a conditional write of all of them).

Tests: only owners have heartbeats (gateway_store), an owner without a row under a slow store, and processes that left (rollout_presence, whose tests of watchers, successors and delays now give the processes by record_members and assert as before).

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -8,6 +8,7 @@
 mod draft;
 mod generate;
 mod heads;
+mod heartbeat;
 mod list;
 mod owner;
 mod pieces;
@@ -210,11 +211,6 @@
         newest.collect()
     }
 
-    /// Returns the directory entry of this process.
-    pub(super) const fn directory(&self) -> &Directory {
-        &self.directory
-    }
-
     /// Records whether this process holds the duty of the weights.
     pub(super) fn set_duty(&self, is_held: bool) {
         if self.holds_duty.replace(is_held) != is_held {
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -6,13 +6,13 @@
 
 use super::{Batches, HeadRow, OwnedBatch};
 use crate::{gateway::peers::decode_presence, logs::BATCHES, platform::Backoff};
-use futures_util::future::join3;
+use futures_util::future::{join, join3};
 use hibiscusroad::{
     clock::millis,
     rollout::{
         Submission,
         batch::Batch,
-        presence::{HEARTBEAT_INTERVAL, Heartbeat, Loss},
+        presence::{Heartbeat, Loss},
         row::{self, Head, Presence},
         text::{Piece, Text},
     },
@@ -30,12 +30,6 @@
     time::{sleep, sleep_until, timeout},
 };
 
-/// How long a process sends heartbeats after its last batch: the next step of the trainer
-/// is given to the owner of the last one.
-const IDLE_HEARTBEAT_DURATION: Duration = Duration::from_secs(10);
-/// Time between two renewals of the row of a process that owns nothing; the row also
-/// carries its clock offset.
-const IDLE_RENEWAL_INTERVAL: Duration = Duration::from_mins(1);
 /// Limit for the poll of a stopping process, which has about a second in all.
 const STOP_POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// The name under which the holder of the weights' duty is watched.
@@ -72,70 +66,6 @@
 }
 
 impl Batches {
-    /// Renews the heartbeat row of this process while it has batches.
-    pub(in crate::gateway) async fn renew_heartbeat(self: Rc<Self>) {
-        let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
-        // The first write announces this incarnation and replaces the row of the last one.
-        loop {
-            // The others must take over batches that were accepted during the stop.
-            if self.is_stopping.get() {
-                return;
-            }
-            let presence = self.own_presence();
-            let value = serde_json::to_vec(&presence).unwrap_or_default();
-            let change = Change::new().put(row::process(&self.directory.name), value);
-            let done = self.store.transact(&change).await;
-            if !matches!(done, Commit::Done { .. }) {
-                sleep(backoff.next_wait(&mut rand::rng())).await;
-                continue;
-            }
-            backoff.reset();
-            loop {
-                sleep(HEARTBEAT_INTERVAL).await;
-                // Until the store has answered, the clock offset is not known.
-                if self.needs_heartbeat() || presence.offset.is_none() {
-                    break;
-                }
-                if timeout(IDLE_RENEWAL_INTERVAL, self.ownership_changed.notified())
-                    .await
-                    .is_err()
-                {
-                    break;
-                }
-            }
-        }
-    }
-
-    /// Records that this process owns something, which starts the heartbeats.
-    pub(super) fn mark_owning(&self) {
-        self.last_owned_at.set(Some(Instant::now()));
-        self.ownership_changed.notify_one();
-    }
-
-    fn own_presence(&self) -> Presence {
-        Presence {
-            incarnation: self.incarnation.clone(),
-            peer: self.directory.address,
-            renewed: millis(self.store.now().unwrap_or_default()),
-            memory: self.memory_mb,
-            offset: self.directory.times.offset(),
-        }
-    }
-
-    /// Returns whether this process must send heartbeats: it owns something, or may be
-    /// given the next step of a trainer.
-    pub(in crate::gateway) fn needs_heartbeat(&self) -> bool {
-        let is_owner = self.holds_duty.get() || !self.owned.borrow().is_empty();
-        if is_owner {
-            self.last_owned_at.set(Some(Instant::now()));
-        }
-        is_owner
-            || self
-                .last_owned_at
-                .get()
-                .is_some_and(|at| at.elapsed() < IDLE_HEARTBEAT_DURATION)
-    }
-
     /// Polls the heartbeats and takes over batches whose owners are gone.
     pub(in crate::gateway) async fn watch_owners(self: Rc<Self>) {
         loop {
@@ -144,6 +74,7 @@
                 self.owners_changed.notified().await;
                 continue;
             }
+            self.ensure_members().await;
             match self.poll_heartbeats().await {
                 Ok(()) => {
                     for (id, row) in foreign {
@@ -199,13 +130,12 @@
         foreign.map(|(id, row)| (id.clone(), row.clone())).collect()
     }
 
-    /// Reads the heartbeats of all processes.
+    /// Reads the heartbeats of all owners.
     async fn poll_heartbeats(&self) -> Result<(), String> {
         let start = Instant::now();
         let page = self.store.read_whole(&Range::part(row::ENTRIES, "")).await;
         let page = page.map_err(|failure| failure.to_string())?;
         let now = Instant::now();
-        self.directory.update(&self.store, &page.rows);
         let heartbeats = page.rows.iter().filter_map(heartbeat).collect();
         let latency = now.saturating_duration_since(start);
         self.failure_detector
@@ -386,10 +316,8 @@
     pub(in crate::gateway) async fn leave(&self) {
         self.is_stopping.set(true);
         // The successor is chosen among the processes that are alive now.
-        if timeout(STOP_POLL_TIMEOUT, self.poll_heartbeats())
-            .await
-            .is_err()
-        {
+        let polled = join(self.ensure_members(), self.poll_heartbeats());
+        if timeout(STOP_POLL_TIMEOUT, polled).await.is_err() {
             log::info!(target: BATCHES,
                 "The heartbeats could not be read in time; the successor is chosen by the last poll.");
         }
@@ -403,8 +331,12 @@
             self.save_new_pieces(&owned).await;
             self.hand_over(&owned.id).await;
         }
-        let change = Change::new().remove(row::process(&self.directory.name));
-        let done = self.store.transact(&change).await;
+        let remove = async |id| self.store.transact(&Change::new().remove(id)).await;
+        let (done, _is_unlisted) = join(
+            remove(row::heartbeat(&self.directory.name)),
+            remove(row::member(&self.directory.name)),
+        )
+        .await;
         log::info!(target: BATCHES, done = matches!(done, Commit::Done { .. });
             "All batches are handed over; the heartbeats end.");
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -159,12 +159,8 @@
         let batches = Rc::clone(&gateway.batches);
         let receive = move |batch| batches.receive(batch);
         spawn_local(peers::serve(peers, Rc::clone(&gateway.store), receive));
-        let store = Rc::clone(&gateway.store);
-        spawn_local(peers::poll_peers(
-            store,
-            gateway.batches.directory().clone(),
-        ));
     }
+    spawn_local(Rc::clone(&gateway.batches).follow_members());
     if let Some(metrics) = metrics {
         let gateway = Rc::clone(&gateway);
         spawn_local(ready::serve(metrics, move || gateway.exposition()));
@@ -231,11 +227,7 @@
                 gateway.weights.apply_roster(changes);
             }
         }));
-        let directory = Directory {
-            name: settings.name.clone(),
-            address: own.peers,
-            times: times.clone(),
-        };
+        let directory = Directory::new(&settings.name, own.peers, times.clone());
         let batches = Rc::new(Batches::new(
             directory,
             &holder,
@@ -337,6 +329,7 @@
     spawn_local(async move { prober.run_probes().await });
     spawn_local(async move { calls.run().await });
     spawn_local(async move { expiring.run_expiry().await });
+    spawn_local(Rc::clone(batches).announce());
     spawn_local(Rc::clone(batches).renew_heartbeat());
     spawn_local(Rc::clone(batches).watch_owners());
     spawn_local(Rc::clone(batches).dispatch());
--- a/hibiscusroad-daemon/src/gateway/peers/directory.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/directory.rs
@@ -1,25 +1,43 @@
 //! Discovery of peers by the rows that all gateways write to the store.
 //!
-//! A gateway writes its row when it starts. The rows are read periodically, and by each poll
-//! of the owners of batches, too. Rows of gateways that ended stay for a while; a call to one
-//! of them costs a short connection attempt.
+//! A gateway writes its row when it starts, and renews it now and then. The rows are spread
+//! over parts, which are read in turn: the larger they are the less often, so that a gateway
+//! reads about as much whatever the number of its peers. Rows of gateways that ended stay
+//! for a while; a call to one of them costs a short connection attempt.
 
 use crate::{
-    gateway::{store::Store, times::Times},
+    gateway::{failure::Failure, store::Store, times::Times},
     logs::STORE,
 };
 use hibiscusroad::{
-    rollout::row::{ENTRIES, Presence},
-    table::{Range, Row},
+    clock::millis,
+    rollout::{
+        presence::Member,
+        row::{MEMBER_PARTS, MEMBERS, Presence},
+    },
+    table::{Change, Page, Range, Row},
+};
+use hibiscusroad_platform::table::MAX_ENTRIES;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
+/// Time between two renewals of a row, which also carries the clock offset of its host.
+pub(in crate::gateway) const RENEWAL_INTERVAL: Duration = Duration::from_mins(1);
+/// Age from which a row is ignored: its gateway has missed three renewals.
+const MAX_ROW_AGE: Duration = RENEWAL_INTERVAL.saturating_mul(4);
 /// Delay of the first read, and after a failed one. Gateways that start at the same time have
 /// written their rows by then.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(2_500);
-/// Interval at which the rows are read.
-const READ_INTERVAL: Duration = Duration::from_secs(30);
+/// Least time between two reads of parts.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(7_500);
+/// Time between two reads for each row of a part. Rows have some 200 bytes.
+const READ_INTERVAL_PER_ROW: Duration = Duration::from_millis(50);
 
 /// This process among its peers.
 #[derive(Clone)]
@@ -30,21 +48,90 @@
     pub(in crate::gateway) address: Option<SocketAddr>,
     /// The clocks of the other gateways.
     pub(in crate::gateway) times: Times,
+    /// The other gateways, by part.
+    others: Rc<RefCell<BTreeMap<String, Vec<Presence>>>>,
 }
 
 impl Directory {
-    /// Updates the peers and their clock offsets from the rows of all gateways.
-    pub(in crate::gateway) fn update(&self, store: &Store, rows: &[Row]) {
-        let others = rows.iter().filter(|row| row.id.key != self.name);
-        let presences: Vec<Presence> = others.filter_map(decode_presence).collect();
-        let addresses = presences.iter().filter_map(|presence| presence.peer);
+    pub(in crate::gateway) fn new(name: &str, address: Option<SocketAddr>, times: Times) -> Self {
+        Self {
+            name: name.to_owned(),
+            address,
+            times,
+            others: Rc::default(),
+        }
+    }
+
+    /// Reads the rows of one part. Updates the peers and their clock offsets, and returns the
+    /// gateways with rows there.
+    pub(in crate::gateway) async fn read_part(
+        &self,
+        store: &Store,
+        part: &str,
+    ) -> Result<Vec<Member>, Failure> {
+        let page = store.read_whole(&Range::part(MEMBERS, part)).await?;
+        let current = decode_current(&page);
+        remove_stale(store, &page, &current).await;
+        let others = current.iter().filter(|(name, _)| *name != self.name);
+        let others = others.map(|(_, presence)| presence.clone()).collect();
+        self.others.borrow_mut().insert(part.to_owned(), others);
+        self.apply(store);
+        let members = current.into_iter().map(|(name, presence)| Member {
+            name,
+            incarnation: presence.incarnation,
+            memory: presence.memory,
+        });
+        Ok(members.collect())
+    }
+
+    fn apply(&self, store: &Store) {
+        let parts = self.others.borrow();
+        let others = || parts.values().flatten();
+        let addresses = others().filter_map(|presence| presence.peer);
         let peers = addresses.filter(|address| Some(*address) != self.address);
         store.set_peers(peers.collect());
-        let offsets = presences.iter().filter_map(|presence| presence.offset);
+        let offsets = others().filter_map(|presence| presence.offset);
         self.times.set_offsets(offsets.collect());
     }
 }
 
+/// Returns the parts over which the rows of gateways are spread.
+pub(in crate::gateway) fn member_parts() -> impl Iterator<Item = String> {
+    (0..MEMBER_PARTS).map(|part| part.to_string())
+}
+
+/// Decodes the rows that were renewed recently, with the names of their gateways.
+fn decode_current(page: &Page) -> Vec<(String, Presence)> {
+    let oldest = millis(page.now.saturating_sub(MAX_ROW_AGE));
+    let decoded = page.rows.iter().filter_map(|row| {
+        let presence = decode_presence(row)?;
+        (presence.renewed >= oldest).then(|| (row.id.key.clone(), presence))
+    });
+    decoded.collect()
+}
+
+/// Removes rows whose gateways have ended without removing them. A row that was renewed
+/// meanwhile stays, since its version has changed.
+async fn remove_stale(store: &Store, page: &Page, current: &[(String, Presence)]) {
+    let current: HashSet<&str> = current.iter().map(|(name, _)| name.as_str()).collect();
+    let stale = page
+        .rows
+        .iter()
+        .filter(|row| !current.contains(row.id.key.as_str()));
+    let mut change = Change::new();
+    for row in stale.take(MAX_ENTRIES / 2) {
+        change = change
+            .expect(row.id.clone(), row.version)
+            .remove(row.id.clone());
+    }
+    if change.removes.is_empty() {
+        return;
+    }
+    let done = store.transact(&change).await;
+    log::info!(target: STORE, rows = change.removes.len(), done:? = done;
+        "Rows of processes that have ended are removed.");
+}
+
 /// Decodes the row of a process; `None`, and a logged error, if that fails.
 pub(in crate::gateway) fn decode_presence(row: &Row) -> Option<Presence> {
     let presence = serde_json::from_slice(&row.value).ok();
@@ -55,22 +142,42 @@
     presence
 }
 
-/// Reads the rows of all gateways periodically until the process ends.
-pub(in crate::gateway) async fn poll_peers(store: Rc<Store>, directory: Directory) {
+/// Reads the parts in turn until the process ends, and passes the gateways of each part to
+/// `record`. The first time, all parts are read at once.
+pub(in crate::gateway) async fn poll_members(
+    store: Rc<Store>,
+    directory: Directory,
+    record: impl Fn(&str, Vec<Member>),
+) {
     let jitter = Duration::from_millis(rand::random::<u64>() % 1_000);
-    let mut delay = FIRST_READ_DELAY + jitter;
+    sleep(FIRST_READ_DELAY + jitter).await;
+    let mut is_first_round = true;
     loop {
-        sleep(delay).await;
-        match store.read_whole(&Range::part(ENTRIES, "")).await {
-            Ok(page) => {
-                directory.update(&store, &page.rows);
-                delay = READ_INTERVAL + jitter;
-            }
-            Err(failure) => {
-                log::debug!(target: STORE, error = failure.to_string().as_str();
-                    "The rows of the peers could not be read.");
-                delay = FIRST_READ_DELAY + jitter;
-            }
+        for part in member_parts() {
+            let delay = match directory.read_part(&store, &part).await {
+                Ok(members) => {
+                    let delay = read_interval(members.len()) + jitter;
+                    record(&part, members);
+                    if is_first_round {
+                        Duration::ZERO
+                    } else {
+                        delay
+                    }
+                }
+                Err(failure) => {
+                    log::debug!(target: STORE, error = failure.to_string().as_str();
+                        "The rows of the peers could not be read.");
+                    FIRST_READ_DELAY + jitter
+                }
+            };
+            sleep(delay).await;
         }
+        is_first_round = false;
     }
 }
+
+/// Returns the time between two reads of parts with this number of rows.
+fn read_interval(rows: usize) -> Duration {
+    let rows = u32::try_from(rows).unwrap_or(u32::MAX);
+    MIN_READ_INTERVAL.max(READ_INTERVAL_PER_ROW.saturating_mul(rows))
+}
--- a/hibiscusroad-daemon/tests/gateway_store.rs
+++ b/hibiscusroad-daemon/tests/gateway_store.rs
@@ -2,7 +2,7 @@
 
 mod gateway_world;
 
-use gateway_world::World;
+use gateway_world::{World, batches::submit, submission, until};
 use serde_json::json;
 use std::{
     thread,
@@ -28,3 +28,30 @@
     assert!(changes > 60, "{changes}");
     assert!(feeds <= 10, "{feeds} feeds for {changes} changes");
 }
+
+// Guards against polls for lost owners that read more the more gateways there are: only
+// owners have a heartbeat.
+#[test]
+fn only_owners_send_heartbeats() {
+    let (mut world, _desk, engine) = World::ready("beats", 3);
+    engine.set_work_duration(Duration::from_millis(100));
+    engine.set_event_count(30);
+    until("all gateways are listed", || {
+        (world.store.rows("members").len() == 3).then_some(())
+    });
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    let senders = |world: &World| {
+        let rows = world.store.rows("entries").into_iter();
+        let names: Vec<String> = rows.map(|(_, name, _)| name).collect();
+        names
+    };
+    until("the owner sends heartbeats", || {
+        senders(&world)
+            .contains(&"gateway-1".to_owned())
+            .then_some(())
+    });
+    // The holder of the lease owns something, too.
+    assert!(senders(&world).len() <= 2, "{:?}", senders(&world));
+    world.gateways[0].kill();
+    world.gateways[1].line("A batch is taken over.");
+}
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -1,8 +1,10 @@
 //! Detects whether the owner of a batch is alive.
 //!
-//! Each owner renews a row of its own, and the other processes poll all rows. No clocks
-//! are compared: a process counts the time for which it has seen a row unchanged, and only
-//! while it reaches the store, because after an outage of the store all rows are old.
+//! Each owner renews a row of its own, and other processes poll the rows of all owners. No
+//! clocks are compared: a process counts the time for which it has seen a row unchanged,
+//! and only while it reaches the store, because after an outage of the store all rows are
+//! old. Which processes exist is read separately and rarely ([`Member`]); it decides who
+//! polls often and who takes over.
 //!
 //! A wrong suspicion only duplicates work, because writes of the former owner fail from
 //! the takeover on, so the timeouts are short. They grow with the latency of the store,
@@ -19,7 +21,7 @@
 /// An owner whose row is unchanged for this time is considered dead: it has missed
 /// three renewals.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Number of store latencies added to [`HEARTBEAT_TIMEOUT`]. A slow store delays the
+/// Number of store latencies added to each of the timeouts. A slow store delays the
 /// renewal by two (a write takes longer than a read) and the poll by one or two.
 const TIMEOUT_LATENCIES: u32 = 4;
 /// Number of processes, drawn by hash, that poll for an owner at every
@@ -45,7 +47,7 @@
     Silent,
 }
 
-/// The row of a process, as read by a poll.
+/// The row of an owner, as read by a poll.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Heartbeat {
     /// The name of the process.
@@ -58,6 +60,17 @@
     pub memory: u32,
 }
 
+/// A process, as read from the rows of all processes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// The name of the process.
+    pub name: String,
+    /// The incarnation of the process.
+    pub incarnation: String,
+    /// Megabytes that the process may use.
+    pub memory: u32,
+}
+
 #[derive(Debug)]
 struct Observation {
     incarnation: String,
@@ -67,10 +80,13 @@
     since: Instant,
 }
 
-/// Detects lost owners from the rows of all processes that one process polls.
+/// Detects lost owners from the rows that one process polls.
 #[derive(Debug, Default)]
 pub struct FailureDetector {
-    processes: HashMap<String, Observation>,
+    /// All processes, by the part of the store that their rows were read from.
+    members: HashMap<String, Vec<Member>>,
+    /// The processes that have a heartbeat row.
+    owners: HashMap<String, Observation>,
     /// The latency of the store at the last poll.
     latency: Duration,
     /// When the last poll was answered.
@@ -84,10 +100,15 @@
         Self::default()
     }
 
-    /// Returns how many processes have a row.
+    /// Returns how many processes are known.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.processes.len()
+        self.members.values().map(Vec::len).sum()
+    }
+
+    /// Records all processes whose rows are in one part of the store.
+    pub fn record_members(&mut self, part: &str, members: Vec<Member>) {
+        self.members.insert(part.to_owned(), members);
     }
 
     /// Records a poll that the store answered at `now`, after `latency`.
@@ -98,10 +119,10 @@
             .iter()
             .map(|heartbeat| heartbeat.name.as_str())
             .collect();
-        self.processes
+        self.owners
             .retain(|name, _| present.contains(name.as_str()));
         for heartbeat in heartbeats {
-            let known = self.processes.get(&heartbeat.name);
+            let known = self.owners.get(&heartbeat.name);
             if known.is_none_or(|process| process.version != heartbeat.version) {
                 let process = Observation {
                     incarnation: heartbeat.incarnation,
@@ -109,25 +130,25 @@
                     memory: heartbeat.memory,
                     since: now,
                 };
-                self.processes.insert(heartbeat.name, process);
+                self.owners.insert(heartbeat.name, process);
             }
         }
     }
 
-    /// Clears the view after a failed poll: time without polls must not count as an
+    /// Forgets the heartbeats after a failed poll: time without polls must not count as an
     /// owner's silence.
     pub fn clear(&mut self) {
-        self.processes.clear();
+        self.owners.clear();
         self.last_poll = None;
     }
 
     /// Returns how long the process `name` waits until its next poll, while it knows of
     /// these other owners.
     ///
-    /// A poll reads the rows of all processes. If every process polled at each renewal,
-    /// polls would exhaust the store; if all polled less often the more they are, a lost
-    /// owner would be noticed seconds late. So each owner has a few watchers that poll
-    /// often, and the other processes together poll as often as those.
+    /// If every process polled at each renewal, polls would exhaust the store; if all
+    /// polled less often the more they are, a lost owner would be noticed seconds late. So
+    /// each owner has a few watchers that poll often, and the other processes together poll
+    /// as often as those.
     #[must_use]
     pub fn poll_interval<'a>(
         &self,
@@ -138,7 +159,7 @@
         if owners.any(|owner| self.is_watcher(name, owner)) {
             return HEARTBEAT_INTERVAL;
         }
-        let count = u32::try_from(self.processes.len()).unwrap_or(u32::MAX);
+        let count = u32::try_from(self.count()).unwrap_or(u32::MAX);
         HEARTBEAT_INTERVAL * count.div_ceil(WATCHERS).max(1)
     }
 
@@ -147,33 +168,40 @@
         let seed = xxh3_64(owner.as_bytes());
         let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
         let own = score(name);
-        let higher = self.processes.keys().filter(|other| score(other) > own);
+        let higher = self.members().filter(|other| score(&other.name) > own);
         higher.take(WATCHERS as usize).count() < WATCHERS as usize
     }
 
     /// Returns the incarnation of the process that takes the batches of the process
     /// `name` when that one stops.
     ///
-    /// Prefers processes with a recent renewal, then the largest, then the highest hash.
+    /// Prefers owners with a recent renewal, then the largest, then the highest hash.
     /// All batches go to the same process, which then sees everything that runs at the
-    /// engines. Processes that own nothing renew no rows; if there are only such, one of
-    /// them is chosen nevertheless. Should it be gone, the batches are taken over.
+    /// engines. If no other owner is alive, a process that owns nothing is chosen. Should it be gone, the batches are taken over.
     #[must_use]
     pub fn successor(&self, name: &str) -> Option<&str> {
         let last_poll = self.last_poll?;
         let is_alive = |process: &Observation| {
             last_poll.saturating_duration_since(process.since) < HEARTBEAT_TIMEOUT
         };
-        let others = self
-            .processes
+        let seed = xxh3_64(name.as_bytes());
+        let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
+        let owners = self
+            .owners
             .iter()
             .filter(|(other, _)| other.as_str() != name);
-        let seed = xxh3_64(name.as_bytes());
-        let chosen = others.max_by_key(|(other, process)| {
-            let score = xxh3_64_with_seed(other.as_bytes(), seed);
-            (is_alive(process), process.memory, score)
-        });
-        chosen.map(|(_, process)| process.incarnation.as_str())
+        let alive = owners.filter(|(_, owner)| is_alive(owner));
+        let chosen = alive.max_by_key(|(other, owner)| (owner.memory, score(other)));
+        if let Some((_, owner)) = chosen {
+            return Some(&owner.incarnation);
+        }
+        let others = self.members().filter(|member| member.name != name);
+        let chosen = others.max_by_key(|member| (member.memory, score(&member.name)));
+        chosen.map(|member| member.incarnation.as_str())
+    }
+
+    fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().flatten()
     }
 
     /// Returns how long the process `name` with `memory` MB waits before it takes over
@@ -185,7 +213,7 @@
     /// batches over slow links.
     #[must_use]
     pub fn takeover_delay(&self, name: &str, memory: u32) -> Duration {
-        let largest = self.processes.values().map(|process| process.memory).max();
+        let largest = self.members().map(|member| member.memory).max();
         let is_large = memory.saturating_mul(2) >= largest.unwrap_or(0);
         let delay = Duration::from_millis(xxh3_64(name.as_bytes()) % TAKEOVER_SPREAD_MS);
         if is_large {
@@ -204,13 +232,14 @@
     pub fn loss(&self, owner: &str, since: Instant) -> Option<Loss> {
         let (name, _) = owner.rsplit_once('/')?;
         let last_poll = self.last_poll.filter(|last_poll| *last_poll >= since)?;
-        let Some(process) = self.processes.get(name) else {
-            return (last_poll - since > FIRST_ROW_TIMEOUT).then_some(Loss::NoRow);
+        let delay = self.latency * TIMEOUT_LATENCIES;
+        let Some(process) = self.owners.get(name) else {
+            return (last_poll - since > FIRST_ROW_TIMEOUT + delay).then_some(Loss::NoRow);
         };
         if process.incarnation != owner {
             return Some(Loss::LivesAnew);
         }
         let unchanged = last_poll.saturating_duration_since(process.since.max(since));
-        (unchanged > HEARTBEAT_TIMEOUT + self.latency * TIMEOUT_LATENCIES).then_some(Loss::Silent)
+        (unchanged > HEARTBEAT_TIMEOUT + delay).then_some(Loss::Silent)
     }
 }
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -7,14 +7,17 @@
 //! | `pieces` | bucket | batch/item/round/event | [`Piece`] of a text | the head's version |
 //! | `pieces` | bucket | batch/item/draft-tenure/round/event | [`Piece`] of a draft | the head's version |
 //! | `paces` | | service | [`Paces`] of its engines | its version |
-//! | `entries` | | process | [`Presence`] | none: only the process writes it |
+//! | `entries` | | process | [`Presence`], the heartbeat of a process that owns something | none: only the process writes it |
+//! | `members` | member part | process | [`Presence`] of every process | none: only the process writes it |
 //!
 //! [`Paces`]: crate::rollout::pace::Paces
 //! [`Piece`]: crate::rollout::text::Piece
 //!
 //! The submission itself is an object named after the batch. The bucket is a hash of the
 //! batch ID: all rows of a batch must share a part of the store, and a part takes only a
-//! few hundred transactions per second.
+//! few hundred transactions per second. For the same reason the rows of all processes are
+//! kept apart from the heartbeats of the few that own something: after a common start, the
+//! former take seconds to write, and every poll reads all of the latter.
 //!
 //! A result is written only if its position has no row, so of two writes to one position
 //! only the first succeeds. The head's version fences off a former owner, and its `ended`
@@ -32,8 +35,10 @@
 pub const RESULTS: &str = "results";
 /// The table of pieces of unfinished texts, by batch and item.
 pub const PIECES: &str = "pieces";
-/// The table of processes that may own batches.
+/// The table of the heartbeats of processes that own batches or a duty.
 pub const ENTRIES: &str = "entries";
+/// The table of all processes.
+pub const MEMBERS: &str = "members";
 /// The table of the paces of engines, by service.
 pub const PACES: &str = "paces";
 
@@ -41,6 +46,9 @@
 /// than the whole store does.
 const BUCKET_COUNT: u64 = 16;
 
+/// Number of parts over which the rows of all processes are spread.
+pub const MEMBER_PARTS: u64 = 4;
+
 /// Separates the item from the tenure in the keys of drafts.
 const DRAFT_SEPARATOR: &str = "/draft-";
 
@@ -118,7 +126,7 @@
     }
 }
 
-/// The heartbeat row of a process; each write changes the row's version.
+/// The row of a process; each write changes the row's version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Presence {
     /// The incarnation of the process.
@@ -207,10 +215,17 @@
 
 /// Returns the ID of the heartbeat row of a process.
 #[must_use]
-pub fn process(name: &str) -> RowId {
+pub fn heartbeat(name: &str) -> RowId {
     RowId::new(ENTRIES, "", name)
 }
 
+/// Returns the ID of the row of a process among all processes.
+#[must_use]
+pub fn member(name: &str) -> RowId {
+    let part = xxh3_64(name.as_bytes()) % MEMBER_PARTS;
+    RowId::new(MEMBERS, &part.to_string(), name)
+}
+
 /// Returns the ID of the row with the paces of a service's engines.
 #[must_use]
 pub fn paces(service: &str) -> RowId {
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -1,7 +1,7 @@
 //! Tests the detection of lost owners through a store that is slow or unreachable.
 
 use hibiscusroad::rollout::presence::{
-    FailureDetector, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat, Loss,
+    FailureDetector, HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT, Heartbeat, Loss, Member,
 };
 use std::{
     collections::HashSet,
@@ -10,6 +10,14 @@
 
 const OWNER: &str = "gateway-1/aa";
 
+fn member(n: usize, memory: u32) -> Member {
+    Member {
+        name: format!("gateway-{n}"),
+        incarnation: format!("gateway-{n}/aa"),
+        memory,
+    }
+}
+
 fn heartbeat(incarnation: &str, version: u64) -> Heartbeat {
     Heartbeat {
         name: "gateway-1".to_owned(),
@@ -121,6 +129,30 @@
     assert_eq!(detector.loss(OWNER, since), None);
 }
 
+// Guards against an owner that is taken to be gone while a slow store carries out its first
+// heartbeat.
+#[test]
+fn owner_without_a_row_is_given_time_by_the_latency_of_the_store() {
+    let start = Instant::now();
+    let latency = Duration::from_millis(800);
+    let mut detector = FailureDetector::new();
+    detector.record_poll(start + latency * 3, latency, Vec::new());
+    assert_eq!(detector.loss(OWNER, start), None);
+    detector.record_poll(start + latency * 6, latency, Vec::new());
+    assert_eq!(detector.loss(OWNER, start), Some(Loss::NoRow));
+}
+
+// The processes of a part replace those that were read from it before, and no others.
+#[test]
+fn processes_that_left_are_forgotten() {
+    let mut detector = FailureDetector::new();
+    detector.record_members("0", (0..5).map(|n| member(n, 512)).collect());
+    detector.record_members("1", (5..8).map(|n| member(n, 512)).collect());
+    assert_eq!(detector.count(), 8);
+    detector.record_members("0", vec![member(1, 512)]);
+    assert_eq!(detector.count(), 4);
+}
+
 // An owner that removed its row or was restarted is detected without a timeout.
 #[test]
 fn owner_that_left_or_restarted_is_detected_at_once() {
@@ -178,18 +210,12 @@
 // Processes that own nothing renew no rows, but one of the largest must still be chosen.
 #[test]
 fn successor_exists_where_no_other_process_owns_batches() {
-    let start = Instant::now();
     let mut detector = FailureDetector::new();
-    let row = |n: u64, memory: u32| Heartbeat {
-        name: format!("gateway-{n}"),
-        incarnation: format!("gateway-{n}/aa"),
-        version: n,
-        memory,
-    };
-    let rows = || vec![row(1, 512), row(2, 160), row(3, 512), row(4, 512)];
-    let latency = Duration::from_millis(5);
-    detector.record_poll(start, latency, rows());
-    detector.record_poll(start + HEARTBEAT_TIMEOUT * 3, latency, rows());
+    let members = [(1, 512), (2, 160), (3, 512), (4, 512)];
+    let members = members.map(|(n, memory)| member(n, memory));
+    detector.record_members("0", members.to_vec());
+    let own = heartbeat(OWNER, 1);
+    detector.record_poll(Instant::now(), Duration::from_millis(5), vec![own]);
     let successor = detector.successor("gateway-1").unwrap();
     assert!(
         ["gateway-3/aa", "gateway-4/aa"].contains(&successor),
@@ -201,39 +227,20 @@
 #[test]
 fn large_processes_take_over_first() {
     let mut detector = FailureDetector::new();
-    let heartbeat = |n: u32| Heartbeat {
-        name: format!("gateway-{n}"),
-        incarnation: format!("gateway-{n}/aa"),
-        version: 1,
-        memory: if n < 4 { 160 } else { 512 },
-    };
+    let member = |n: usize| member(n, if n < 4 { 160 } else { 512 });
     assert!(detector.takeover_delay("gateway-1", 160) < Duration::from_millis(150));
-    detector.record_poll(
-        Instant::now(),
-        Duration::from_millis(5),
-        (0..8).map(heartbeat).collect(),
-    );
-    let delay = |n: u32| detector.takeover_delay(&format!("gateway-{n}"), heartbeat(n).memory);
+    detector.record_members("0", (0..8).map(member).collect());
+    let delay = |n: usize| detector.takeover_delay(&format!("gateway-{n}"), member(n).memory);
     let longest = (4..8).map(delay).max().unwrap();
     assert!((0..4).all(|n| delay(n) >= longest));
     assert!((0..8).all(|n| delay(n) <= Duration::from_millis(300)));
 }
 
-/// Builds the view of a process that has polled `count` rows, and their names.
-fn poll_processes(count: usize) -> (FailureDetector, Vec<String>) {
-    let names: Vec<String> = (0..count).map(|n| format!("gateway-{n}")).collect();
-    let heartbeat = |name: &String| Heartbeat {
-        name: name.clone(),
-        incarnation: format!("{name}/aa"),
-        version: 1,
-        memory: 512,
-    };
+/// Builds the view of a process that knows `count` processes, and their names.
+fn known_processes(count: usize) -> (FailureDetector, Vec<String>) {
     let mut detector = FailureDetector::new();
-    detector.record_poll(
-        Instant::now(),
-        Duration::from_millis(4),
-        names.iter().map(heartbeat).collect(),
-    );
+    detector.record_members("0", (0..count).map(|n| member(n, 512)).collect());
+    let names = (0..count).map(|n| format!("gateway-{n}")).collect();
     (detector, names)
 }
 
@@ -242,7 +249,7 @@
 #[test]
 fn each_owner_has_a_few_watchers_among_any_number_of_processes() {
     for count in [8, 34, 88, 360] {
-        let (detector, names) = poll_processes(count);
+        let (detector, names) = known_processes(count);
         let owners = ["gateway-1/aa", "gateway-2/aa"];
         let intervals = names
             .iter()
@@ -268,7 +275,7 @@
 // owners are polled eventually.
 #[test]
 fn nearly_all_owners_keep_a_watcher_when_a_third_of_hosts_fail() {
-    let (detector, names) = poll_processes(360);
+    let (detector, names) = known_processes(360);
     let alive: HashSet<&String> = names.iter().skip(120).collect();
     let owners: Vec<String> = (0..1000).map(|n| format!("owner-{n}/aa")).collect();
     let unwatched = owners.iter().filter(|owner| {
