Learn the number of loads at once by levels, at any size

Cause: the number of engines that load weights at once was learned by steps of one load, each of which had to raise the total rate by a tenth: beyond ten loads no single one can.

Change: levels of concurrent loads, each a quarter above the one before; no maximum but the engines. From an initial number that is too high the level goes down until fewer loads are slower.

--- a/src/rollout/load_plan.rs
+++ b/src/rollout/load_plan.rs
@@ -24,12 +24,13 @@
 /// the number of engines.
 const ENGINES_PER_LOAD: usize = 8;
 const MIN_INITIAL_LOADS: usize = 2;
-/// A higher number of concurrent loads must raise the total rate by this factor.
+/// The next level of concurrent loads must raise the total rate by this factor.
 const MIN_RATE_GAIN: f64 = 1.1;
+/// Ratio of two levels of concurrent loads, where it exceeds one load. It is above
+/// [`MIN_RATE_GAIN`], so that a level that pays off can show it at any number of loads.
+const LEVEL_RATIO: (usize, usize) = (5, 4);
 /// Weight of a new sample in the average load time.
 const SAMPLE_WEIGHT: f64 = 0.3;
-/// Maximum number of concurrent loads.
-const MAX_CONCURRENT_LOADS: usize = 32;
 
 /// An engine, as the holder of the duty sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -195,10 +196,12 @@
 /// Learns how many concurrent loads give the highest total rate.
 ///
 /// The number from which on loads slow each other down differs between deployments and
-/// is not configured. One more load is tried as long as the last increase paid off.
+/// is not configured. Numbers of loads are tried by levels, each a quarter above the one
+/// before, as long as the last increase paid off. Steps of one load would stop at ten:
+/// beyond, no single load raises the rate by [`MIN_RATE_GAIN`].
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct LoadConcurrency {
-    /// Average seconds per load, by the number of concurrent loads.
+    /// Average seconds per load, by the level of concurrent loads.
     seconds: HashMap<usize, f64>,
 }
 
@@ -212,7 +215,7 @@
     /// Records the duration of a load that ran while `concurrent` loads were in progress.
     pub fn record_load(&mut self, concurrent: usize, duration: Duration) {
         let seconds = duration.as_secs_f64().max(0.001);
-        let mean = self.seconds.entry(concurrent).or_insert(seconds);
+        let mean = self.seconds.entry(level(concurrent)).or_insert(seconds);
         *mean += (seconds - *mean) * SAMPLE_WEIGHT;
     }
 
@@ -224,22 +227,40 @@
                 .get(&loads)
                 .map(|seconds| loads as f64 / seconds)
         };
-        let mut best = MIN_INITIAL_LOADS
-            .max(engines / ENGINES_PER_LOAD)
-            .min(MAX_CONCURRENT_LOADS);
+        let max = level(engines.max(MIN_INITIAL_LOADS));
+        let mut best = level(MIN_INITIAL_LOADS.max(engines / ENGINES_PER_LOAD));
         // The initial number may be too high.
         while best > 1
-            && matches!((rate(best - 1), rate(best)), (Some(fewer), Some(current)) if fewer * MIN_RATE_GAIN > current)
+            && matches!((rate(level(best - 1)), rate(best)), (Some(fewer), Some(current)) if fewer * MIN_RATE_GAIN > current)
         {
-            best -= 1;
+            best = level(best - 1);
         }
-        while best < MAX_CONCURRENT_LOADS {
-            match (rate(best), rate(best + 1)) {
-                (Some(_), None) => return best + 1,
-                (Some(current), Some(more)) if more > current * MIN_RATE_GAIN => best += 1,
-                _ => return best,
+        while best < max {
+            let next = next_level(best);
+            match (rate(best), rate(next)) {
+                (Some(_), None) => return next,
+                (Some(current), Some(more)) if more > current * MIN_RATE_GAIN => best = next,
+                _ => break,
             }
         }
+        // Fewer may do as well, if the initial number was too high.
+        let fewer = level(best - 1);
+        if rate(best).is_some() && rate(fewer).is_none() && fewer >= MIN_INITIAL_LOADS {
+            return fewer;
+        }
         best
     }
 }
+
+/// Returns the highest level that is not above this number of loads.
+fn level(loads: usize) -> usize {
+    let mut level = 1;
+    while next_level(level) <= loads {
+        level = next_level(level);
+    }
+    level
+}
+
+fn next_level(level: usize) -> usize {
+    (level + 1).max(level * LEVEL_RATIO.0 / LEVEL_RATIO.1)
+}
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -275,6 +275,27 @@
     }
 }
 
+// Guards against loads that stay as few as on a small fleet, where the source of the
+// weights is sized for the number of engines.
+#[test]
+fn concurrent_loads_grow_with_the_fleet() {
+    for engines in [350_usize, 700, 3_000] {
+        for threshold in [engines / 30, engines / 8, engines / 5] {
+            let mut concurrency = LoadConcurrency::new();
+            for _ in 0..80 {
+                let loads = concurrency.max_loads(engines);
+                let factor = (loads as f64 / threshold as f64).max(1.0);
+                concurrency.record_load(loads, Duration::from_secs_f64(0.9 * factor));
+            }
+            let loads = concurrency.max_loads(engines) as f64 / threshold as f64;
+            assert!(
+                (0.75..=1.4).contains(&loads),
+                "{engines} engines, {threshold} at full rate: {loads} times as many"
+            );
+        }
+    }
+}
+
 fn sample(event_micros: u32, measured_at: u64) -> Sample {
     Sample {
         event_micros,
