--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -14,12 +14,13 @@
     platform::Backoff,
 };
 use hibiscusroad::{
-    roster::{Endpoint, EndpointChange, Roster, change_pause},
+    change_pacing::ChangePacing,
+    roster::{Endpoint, EndpointChange, Roster},
     table::{Changes, Range, Row},
 };
 use hibiscusroad_platform::{catalog, roster, table};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
@@ -239,12 +240,14 @@
 }
 
 /// Builds the sink of the table of endpoints; `confirm` is called after each answer, and
-/// `needs_each_change` tells whether changes must not wait for later ones.
+/// `needs_each_change` tells whether changes must not wait, as at a process that starts
+/// items or loads at engines.
 pub(super) fn endpoints_sink(
     members: Rc<EndpointRoster>,
     confirm: impl Fn() + 'static,
     needs_each_change: impl Fn() -> bool + 'static,
 ) -> Sink {
+    let pacing = Cell::new(ChangePacing::new(Instant::now()));
     let all = Rc::clone(&members);
     Sink {
         table: table::ENDPOINTS_TABLE,
@@ -273,7 +276,15 @@
             members.expiry_changed.notify_one();
         }),
         confirm: Box::new(confirm),
-        pause: Box::new(move || change_pause(needs_each_change())),
+        pause: Box::new(move || {
+            if needs_each_change() {
+                return Duration::ZERO;
+            }
+            let mut next = pacing.get();
+            let pause = next.record_delivery(Instant::now());
+            pacing.set(next);
+            pause
+        }),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //!
 //! * [`account`]: client accounts and their keys.
 //! * [`catalog`]: routes, services and limits of one version of the configuration.
+//! * [`change_pacing`]: how often a process asks for the changes of a busy table.
 //! * [`claim`]: running a request that is not idempotent at most once.
 //! * [`class`]: the class of a request, and whether it may run twice.
 //! * [`clock`]: sources of the current time.
@@ -45,6 +46,7 @@
 
 pub mod account;
 pub mod catalog;
+pub mod change_pacing;
 pub mod claim;
 pub mod class;
 pub mod clock;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -16,27 +16,6 @@
 /// two seconds, and the change takes time to arrive.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_300);
 
-/// Time for which changes gather at a process that runs nothing at engines.
-///
-/// It is short beside the seconds for which a leaving endpoint still serves.
-const GATHERING_TIME: Duration = Duration::from_millis(500);
-
-/// Returns how long a process waits after changes of the roster before it requests the
-/// next ones.
-///
-/// Engines change their entries at each load of weights, and each change goes to every
-/// process, so that calls to the store grow with the product of endpoints and processes.
-/// A change after a quiet time arrives at once in any case. Only a process that starts
-/// items or loads at engines needs each of the following ones immediately.
-#[must_use]
-pub const fn change_pause(needs_each_change: bool) -> Duration {
-    if needs_each_change {
-        Duration::ZERO
-    } else {
-        GATHERING_TIME
-    }
-}
-
 /// The weights that an engine runs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Weights {
