Wait for the log of an endpoint in two tests of calls

invalid_answers_are_retried_at_another_endpoint and draining_endpoint_gets_no_new_requests waited until a call was answered by the second endpoint. Since a connection is preferred, all calls that follow each other go to the first one, and the wait timed out. They now wait for the log line of the second endpoint; what they check after it is unchanged.

--- a/hibiscusroad-daemon/tests/gateway_calls.rs
+++ b/hibiscusroad-daemon/tests/gateway_calls.rs
@@ -2,10 +2,19 @@
 
 mod gateway_world;
 
-use gateway_world::{HOST, World, ask, raw, until};
+use gateway_world::{Gateway, HOST, World, ask, raw, until};
 use hibiscusroad_standins::direct::{Behaviour, Faults};
 use std::time::{Duration, Instant};
 
+/// Waits until a gateway knows an endpoint. A request may go to another one, to which the
+/// gateway has a connection.
+fn wait_known(gateway: &Gateway, endpoint: &str) {
+    until("the endpoint is known", || {
+        let mut lines = gateway.lines().into_iter();
+        lines.find(|line| line["text"] == "An endpoint is known." && line["endpoint"] == endpoint)
+    });
+}
+
 #[test]
 fn call_returns_the_endpoints_complete_answer() {
     let (world, desk, _engine) = World::ready("calls", 1);
@@ -25,10 +34,7 @@
 fn invalid_answers_are_retried_at_another_endpoint() {
     let (world, desk, _engine) = World::ready("faulty", 1);
     let sound = world.endpoint("hut-desk", "i-sound", &[]);
-    until("the second endpoint is known", || {
-        let answer = world.gateways[0].call("POST", "/desk/x", "warm", b"");
-        answer.text().starts_with("i-sound").then_some(())
-    });
+    wait_known(&world.gateways[0], "i-sound");
     for manner in [Behaviour::Foreign, Behaviour::Unsigned, Behaviour::Torn] {
         desk.set_behaviour(manner);
         for n in 0..6 {
@@ -154,10 +160,7 @@
 fn draining_endpoint_gets_no_new_requests() {
     let (world, desk, _engine) = World::ready("leaving", 1);
     let other = world.endpoint("hut-desk", "i-other", &[]);
-    until("the second endpoint is known", || {
-        let answer = world.gateways[0].call("POST", "/desk/x", "warm", b"");
-        answer.text().starts_with("i-other").then_some(())
-    });
+    wait_known(&world.gateways[0], "i-other");
     desk.register("draining");
     std::thread::sleep(Duration::from_millis(300));
     let run_count = desk.runs().len();
