Never pass on a promise that a request has not run

Cause: 408, 421, 429 and 503 tell a caller that its request has not run. An endpoint that answered 408, 429 or 503 without confirming that it did not run the request had its status passed on, also for requests that may run only once. Change: such an answer is a failed attempt, whose outcome is unknown; a repeatable request goes to another endpoint, another one ends with 502. 421 has always counted as not run, by the protocol. The test fails before (408 was passed on).

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -341,6 +341,12 @@
             _ => ErrorKind::Saturated,
         });
     }
+    if header::promises_not_run(status.as_u16()) {
+        in_flight.mark_survived();
+        // The endpoint does not confirm it, so the request may have run: passing this
+        // status on would tell the caller that it has not.
+        return Done::Failed(ErrorKind::EndpointBroken, None);
+    }
     let signed = parts.headers.contains_key(header::SIGNATURE);
     let is_verified = echo.is_some() && signed && !parts.headers.contains_key(CONTENT_ENCODING);
     if status.is_success() && !is_verified {
--- a/hibiscusroad-daemon/tests/gateway_calls.rs
+++ b/hibiscusroad-daemon/tests/gateway_calls.rs
@@ -66,6 +66,27 @@
     assert_eq!(ran.filter(|ran| ran.id == "once-1").count(), 1);
 }
 
+// Guards against an answer that says "not run" of a request that ran: 408, 429 and 503
+// promise it, and an endpoint that does not confirm it may have run the request.
+#[test]
+fn status_that_promises_not_run_is_not_passed_on_unconfirmed() {
+    let (world, desk, _engine) = World::ready("promise", 1);
+    for status in [408, 429, 503] {
+        desk.set_behaviour(Behaviour::Status(status));
+        let id = format!("once-{status}");
+        let answer = world.gateways[0].call("POST", "/once/book", &id, b"");
+        assert_eq!(answer.status, 502, "{status}: {}", answer.text());
+        let runs = desk.runs();
+        assert_eq!(runs.iter().filter(|ran| ran.id == id).count(), 1);
+    }
+    let _sound = world.endpoint("hut-desk", "i-sound", &[]);
+    wait_known(&world.gateways[0], "i-sound");
+    for n in 0..6 {
+        let answer = world.gateways[0].call("POST", "/desk/x", &format!("again-{n}"), b"");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
 // If all endpoints are saturated, the answer says that nothing ran and when to retry.
 #[test]
 fn refusal_by_saturated_endpoints_has_retry_after() {
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -34,6 +34,8 @@
     Unsigned,
     /// Every request fails with status 500.
     Failing,
+    /// It runs requests and answers with this status.
+    Status(u16),
     /// It runs requests and never answers.
     Silent,
 }
@@ -391,6 +393,10 @@
             let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", &stamp)];
             exchange.answer_bytes(500, &headers, b"failed".to_vec());
         }
+        Behaviour::Status(status) => {
+            let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", &stamp)];
+            exchange.answer_bytes(status, &headers, b"ran".to_vec());
+        }
         Behaviour::Foreign => {
             let headers = [
                 ("X-Request-Id", "another"),
