Refuse a call once no endpoint of its service can be reached

Change: a call that was not run is queued again only while its service has an endpoint that is usable or awaits a trial. The new test of route_down fails before.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -197,7 +197,10 @@
         let may_start = row.attempts_started < MAX_STARTS || kind == ErrorKind::EndpointDown;
         let retry = kind.answer().retry == Retry::After && may_start && !row.committed;
         let retry = retry && self.can_answer_in_time(now, &call);
-        if retry && self.services[call.service].budget.try_spend(RESEND_COST) {
+        let service = &mut self.services[call.service];
+        // Known to be impossible where all endpoints are ejected.
+        let has_endpoint = service.usable > 0 || !service.awaiting_trial.is_empty();
+        if retry && has_endpoint && service.budget.try_spend(RESEND_COST) {
             self.enqueue(now, key);
         } else {
             self.refuse(now, key, kind);
--- a/tests/route_down.rs
+++ b/tests/route_down.rs
@@ -153,3 +153,16 @@
         assert_eq!(world.answered, 1, "seed {seed}");
     }
 }
+
+// Guards against a call that waits for its deadline although no endpoint can be reached.
+#[test]
+fn call_is_refused_once_all_endpoints_are_unreachable() {
+    for seed in 0..30 {
+        let mut world = World::new(seed, 2);
+        world.submit();
+        world.run(Duration::from_millis(400), |_, _| true);
+        assert_eq!(world.refused.len(), 1, "seed {seed}");
+        let (_, kind) = world.refused[0];
+        assert_eq!(kind, ErrorKind::EndpointDown, "seed {seed}");
+    }
+}
