Give the head and the content of a request a module of their own

Four files of the gateway imported each other, since the head stood with the attempt and the content with the forwarding, while the subject, which both use, is made of them. They are in `message` now, with the accessor of headers. Nothing else moves.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
     calls::{Calls, Target, Ticket},
     crashes::{Crashes, InFlight},
     http::{Connection, ConnectionPool, Fault, RequestBody},
+    message::{Head, text},
     meters::Meters,
     subject::Subject,
     usage::Usage,
@@ -22,7 +23,7 @@
 use hibiscusroad_platform::header;
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    HeaderMap, Request, Response, StatusCode,
     body::{Body, Bytes, Incoming},
     header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
 };
@@ -38,19 +39,6 @@
 /// much memory.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
-/// The method, target and headers of a request for an endpoint.
-#[derive(Clone, Debug)]
-pub(super) struct Head {
-    pub(super) method: Method,
-    pub(super) target: Uri,
-    pub(super) headers: HeaderMap,
-    /// The request id that the caller chose.
-    pub(super) id: String,
-    pub(super) deadline: Instant,
-    /// The client account that is charged for the request.
-    pub(super) account: Option<Rc<str>>,
-}
-
 /// An endpoint's answer.
 pub(super) struct Answer {
     pub(super) status: StatusCode,
@@ -195,11 +183,6 @@
     }
 }
 
-/// Returns a header's value if it is visible ASCII text.
-pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 /// Removes hop-by-hop headers.
 pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let values = headers.get_all("connection").iter();
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -10,10 +10,11 @@
 };
 use crate::{
     gateway::{
-        attempt::{self, Head, set, text},
+        attempt::{self, set},
         calls::Target,
         crashes::InFlight,
         http::full_body,
+        message::{Head, text},
         request::{internal_head, set_account},
         subject::Subject,
     },
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -6,9 +6,10 @@
 use super::{Batches, OwnedBatch};
 use crate::{
     gateway::{
-        attempt::{Answer, AnswerBody, text},
+        attempt::{Answer, AnswerBody},
         calls::pick_service,
-        forward::{Content, Ended, Forward, run_to_end},
+        forward::{Ended, Forward, run_to_end},
+        message::{Content, text},
         request::internal_head,
         subject::Subject,
     },
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -6,9 +6,9 @@
 //! connections, which cancels the work of a caller that has disconnected.
 
 use super::{
-    attempt::{Answer, AnswerBody, AttemptContext, AttemptRequest, Done, Head, run},
+    attempt::{Answer, AnswerBody, AttemptContext, AttemptRequest, Done, run},
     calls::Ticket,
-    http::{PartialBody, RequestBody, full_body},
+    message::{Content, Head},
     subject::Subject,
 };
 use crate::logs::CALLS;
@@ -18,41 +18,8 @@
     quarantine::Verdict,
     route::{EndpointKey, Outcome, Step},
 };
-use http_body_util::Either;
-use hyper::body::{Body, Bytes};
 use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
-/// A request's body.
-pub(super) enum Content {
-    /// A complete body, which can be sent any number of times.
-    Whole(Bytes),
-    /// A body that is still arriving, which can be sent once; `None` after that.
-    Once(Option<Box<PartialBody>>),
-}
-
-impl Content {
-    /// Returns the part that has been read, and the length of the whole body if the
-    /// caller declared it.
-    pub(super) fn prefix(&self) -> (Bytes, Option<u64>) {
-        match self {
-            Self::Whole(body) => (body.clone(), Some(body.len() as u64)),
-            Self::Once(None) => (Bytes::new(), None),
-            Self::Once(Some(rest)) => {
-                let first = rest.first.clone().unwrap_or_default();
-                (first, rest.size_hint().exact())
-            }
-        }
-    }
-
-    /// Returns the body for the next attempt; `None` if it can't be sent again.
-    fn take_body(&mut self) -> Option<RequestBody> {
-        match self {
-            Self::Whole(body) => Some(full_body(body.clone())),
-            Self::Once(rest) => rest.take().map(|rest| Either::Right(*rest)),
-        }
-    }
-}
-
 /// A request to run at a service.
 pub(super) struct Forward {
     pub(super) head: Rc<Head>,
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //!
 //! * [`front`], [`request`], [`forward`], [`attempt`], [`respond`], [`answer`]: the
 //!   path of a request from its caller to an endpoint and back.
+//! * [`message`]: the head and the content of a request.
 //! * [`subject`]: the parts of a request that identify it across repeats.
 //! * [`crashes`]: requests that crash endpoints, and their quarantine.
 //! * [`resume`]: streams that are resumed at another endpoint.
@@ -43,6 +44,7 @@
 mod front;
 mod http;
 mod known_config;
+mod message;
 pub mod meters;
 mod peers;
 mod ready;
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -3,10 +3,11 @@
 use super::{
     Gateway,
     answer::{ResponseBody, full_response, problem},
-    attempt::{Head, set, strip_hop_by_hop, text},
+    attempt::{set, strip_hop_by_hop},
     calls::pick_service,
-    forward::{Content, Forward},
+    forward::Forward,
     http::PartialBody,
+    message::{Content, Head, text},
     respond::run_for_caller,
     subject::Subject,
 };
--- a/hibiscusroad-daemon/src/gateway/respond.rs
+++ b/hibiscusroad-daemon/src/gateway/respond.rs
@@ -2,9 +2,10 @@
 
 use super::{
     answer::{Flow, ResponseBody, full_response, problem},
-    attempt::{Answer, AnswerBody, AttemptContext, Head, text},
+    attempt::{Answer, AnswerBody, AttemptContext},
     calls::Ticket,
     forward::{Ended, Forward, run_to_end},
+    message::{Head, text},
     resume::{ResumableRequest, resumed},
 };
 use crate::logs::CALLS;
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -10,8 +10,9 @@
 
 use super::{
     answer::{Broken, Resumed},
-    attempt::{Answer, AnswerBody, AttemptContext, Guard, Head, set},
-    forward::{Content, Ended, Forward, run_to_end},
+    attempt::{Answer, AnswerBody, AttemptContext, Guard, set},
+    forward::{Ended, Forward, run_to_end},
+    message::{Content, Head},
     subject::Subject,
 };
 use crate::logs::CALLS;
--- a/hibiscusroad-daemon/src/gateway/subject.rs
+++ b/hibiscusroad-daemon/src/gateway/subject.rs
@@ -1,9 +1,6 @@
 //! The parts of a request that identify it across repeats.
 
-use super::{
-    attempt::{Head, text},
-    forward::Content,
-};
+use super::message::{Content, Head, text};
 use hibiscusroad::{
     quarantine::{Fingerprint, Identity},
     rollout::Item,
