Print the gateways' logs when a listed test of owners fails

step_given_to_a_dead_owner_is_taken_over failed once in eleven runs beside eight busy processes, without logs; it did not fail again in six more.

--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -172,7 +172,13 @@
         accepted["owner"]
             .as_str()
             .unwrap()
-            .starts_with("gateway-1/")
+            .starts_with("gateway-1/"),
+        "{:#?}",
+        world
+            .gateways
+            .iter()
+            .map(Gateway::lines)
+            .collect::<Vec<_>>()
     );
     world.gateways[1].line("A batch is taken over.");
     check_whole(&results(&world, 1, "b2", 6), 8);
