Remove the heartbeat of a gateway whose last write was not answered

Found by reading: a removal expects the version of the last answered heartbeat. If a later one was carried out without an answer, the removal was refused and the row stayed. The conflict tells the version, with which it is tried again.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -78,7 +78,10 @@
                     backoff.reset();
                     sleep(HEARTBEAT_INTERVAL).await;
                 }
-                Commit::Conflict(_) => version = None,
+                // An unanswered heartbeat was written after the known one.
+                Commit::Conflict(rows) => {
+                    version = rows.iter().find(|row| row.id == id).map(|row| row.version);
+                }
                 Commit::Refused | Commit::Unknown => {
                     sleep(backoff.next_wait(&mut rand::rng())).await;
                 }
--- a/hibiscusroad-daemon/src/gateway/peers/directory.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/directory.rs
@@ -110,8 +110,8 @@
     decoded.collect()
 }
 
-/// Removes rows whose gateways have ended without removing them. A row that was renewed
-/// meanwhile stays, since its version has changed.
+/// Removes rows whose gateways have ended without removing them, and broken ones. A row that
+/// was renewed meanwhile stays, since its version has changed.
 async fn remove_stale(store: &Store, page: &Page, current: &[(String, Presence)]) {
     let current: HashSet<&str> = current.iter().map(|(name, _)| name.as_str()).collect();
     let stale = page
