Keep only as many engines up to date as a step has items

Cause: half of a model's engines loaded each version, whatever the work: loads grow with the engines where steps don't. Change: a model keeps at most as many engines up to date as its newest step has items, the same ones from version to version.

--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -107,6 +107,7 @@
                     newest: named,
                     lag: need.map_or(0, |head| head.lag),
                     work: need.map_or(0, |head| head.work) as f64,
+                    items: need.map(|head| head.total),
                     priority: need.map_or(0, |head| head.priority),
                     model,
                 }
--- a/src/rollout/load_plan.rs
+++ b/src/rollout/load_plan.rs
@@ -60,6 +60,8 @@
     pub lag: u64,
     /// Its share of the work, in any unit.
     pub work: f64,
+    /// Number of items of a step, once there was one.
+    pub items: Option<usize>,
     /// The rank of its steps, 0 being the highest.
     pub priority: u8,
 }
@@ -83,6 +85,8 @@
     for (goal, mut assigned) in goals.iter().zip(assign(engines, goals)) {
         let version = |idx: &usize| engines[*idx].weights.get(&goal.model).copied().unwrap_or(0);
         let oldest = goal.newest.saturating_sub(goal.lag);
+        // They are assigned with the newest weights first, so the same ones are kept.
+        assigned.truncate(goal.items.unwrap_or(usize::MAX).max(MIN_ENGINES));
         // The least loaded engines go first, because the fewest runs are held up there.
         assigned.sort_by_key(|idx| {
             (
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -178,6 +178,7 @@
         newest: named,
         lag,
         work: 1.0,
+        items: None,
         priority: 0,
     }
 }
@@ -214,6 +215,26 @@
     assert!(loads.iter().all(|n| *n <= 5), "{loads:?}");
 }
 
+// Guards against loads that grow with the engines where steps don't.
+#[test]
+fn only_engines_that_a_step_can_use_are_kept_up_to_date() {
+    let mut engines = engine_statuses(300, &[("guide", 1)]);
+    let goal = |named| ModelGoal {
+        items: Some(40),
+        ..goal("guide", named, 1)
+    };
+    run_loads(&mut engines, &[goal(2)]);
+    for named in 3..12 {
+        let loads = run_loads(&mut engines, &[goal(named)]);
+        assert!(loads <= 21, "{loads} loads for version {named}");
+        let usable = engines.iter().filter(|e| e.weights["guide"] + 1 >= named);
+        let usable = usable.count();
+        assert!((40..=60).contains(&usable), "{usable} usable engines");
+    }
+    let up_to_date = engines.iter().filter(|e| e.weights["guide"] > 1).count();
+    assert!(up_to_date <= 60, "{up_to_date} engines take turns");
+}
+
 #[test]
 fn every_engine_loads_each_version_when_steps_may_not_lag() {
     let mut engines = engine_statuses(5, &[("guide", 1)]);
