Name what measure's callers and samples are

Hard to read: `say`, `known`, `lacking`, `put`, `made`, `Way`, `TURN`, `PATIENCE`, `Seen` and `keep` told nothing of what they do. They are run_statement, query_local, entries_without, put_with_retries, CompletedCall, CallPath, ROUND_DURATION, LATE_ANSWER_TIMEOUT, VersionSample (requested_at, answered_at) and run_until_interrupt; Caller::make is Caller::run, Interrupt::is_asked is is_requested. No text that is printed and no option changes.

--- a/hibiscusroad-measure/src/caller.rs
+++ b/hibiscusroad-measure/src/caller.rs
@@ -13,11 +13,11 @@
 /// network and two schedulers may take, on a machine that runs everything.
 pub const GRACE: Duration = Duration::from_millis(50);
 
-// How much longer than that a caller waits, to see how late an answer is.
-const PATIENCE: Duration = Duration::from_secs(2);
-// Idle connections are given up by the caller before the other end does it,
-// so that no request meets a connection that is just being closed.
-const IDLE: Duration = Duration::from_secs(2);
+/// Time beyond the deadline and [`GRACE`] for which a late answer is awaited.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which the caller closes idle connections: before the other end does, so
+/// that no request meets a connection that is just being closed.
+const IDLE_CONNECTION_TTL: Duration = Duration::from_secs(2);
 
 /// What is asked for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -99,7 +99,7 @@
     fn default() -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
-            .max_idle_age(IDLE)
+            .max_idle_age(IDLE_CONNECTION_TTL)
             .proxy(None)
             .build();
         Self {
@@ -111,7 +111,7 @@
 impl Caller {
     /// Makes a call that was meant to be sent at `due`.
     #[must_use]
-    pub fn make(&self, call: &Call, due: Instant) -> Outcome {
+    pub fn run(&self, call: &Call, due: Instant) -> Outcome {
         let start = Instant::now();
         let mut progress = Progress::default();
         let ending = match self.send(call) {
@@ -133,7 +133,7 @@
 
     fn send(&self, call: &Call) -> Result<Response<Body>, ureq::Error> {
         let url = format!("{}{}", call.base, call.path);
-        let limit = call.deadline + GRACE + PATIENCE;
+        let limit = call.deadline + GRACE + LATE_ANSWER_TIMEOUT;
         let deadline = call.deadline.as_millis().to_string();
         let class = class_name(call.class);
         if call.work == Work::Get {
--- a/hibiscusroad-measure/src/control.rs
+++ b/hibiscusroad-measure/src/control.rs
@@ -57,7 +57,7 @@
         let name = format!("{entries}x{services}x{sides}");
         watch(&deployment, &name, options.time, interrupt, &mut report)?;
         change(&deployment, &name, services as u64, &mut report)?;
-        if interrupt.is_asked() {
+        if interrupt.is_requested() {
             return Err(Error::Interrupted);
         }
         deployment.stop(STOP)?;
@@ -97,7 +97,7 @@
 }
 
 impl Reading {
-    fn take(deployment: &Deployment) -> Result<Self, Error> {
+    fn read(deployment: &Deployment) -> Result<Self, Error> {
         let counts = counts(deployment)?;
         let count = |name: &str| counts[name].as_u64().unwrap_or(0);
         Ok(Self {
@@ -118,9 +118,9 @@
     interrupt: &Interrupt,
     report: &mut Report,
 ) -> Result<(), Error> {
-    let before = Reading::take(deployment)?;
+    let before = Reading::read(deployment)?;
     interrupt.sleep_until(before.at + time);
-    let after = Reading::take(deployment)?;
+    let after = Reading::read(deployment)?;
     let seconds = (after.at - before.at).as_secs_f64();
     let (entries, sides) = (deployment.entries.len(), deployment.sides.len());
     let share = |used: Duration, n: usize| 100.0 * used.as_secs_f64() / seconds / n as f64;
@@ -165,7 +165,7 @@
 fn links(deployment: &Deployment) -> Result<u64, Error> {
     let mut links = 0;
     for entry in 0..deployment.entries.len() {
-        let rows = deployment.known(entry, "entries")?;
+        let rows = deployment.query_local(entry, "entries")?;
         let own = rows.first().and_then(|row| row.get("links")?.as_u64());
         links += own.unwrap_or(0);
     }
--- a/hibiscusroad-measure/src/demo.rs
+++ b/hibiscusroad-measure/src/demo.rs
@@ -5,7 +5,7 @@
     deployment::{Deployment, Error, Kind, Spec},
     interrupt::Interrupt,
     judge::{Verdict, judge},
-    load::{self, Counters, Made},
+    load::{self, CompletedCall, Counters},
 };
 use hibiscusroad::Class;
 use hibiscusroad_standins::{plain::LogEntry, platform::history::epoch_ms};
@@ -119,12 +119,12 @@
     };
     explain(&found, &made);
     if options.keep {
-        keep(&deployment, interrupt);
+        run_until_interrupt(&deployment, interrupt);
     }
     let asked = Instant::now();
     deployment.stop(STOP)?;
     println!("all stopped gracefully in {:.1?}", asked.elapsed());
-    if interrupt.is_asked() && !options.keep {
+    if interrupt.is_requested() && !options.keep {
         return Err(Error::Interrupted);
     }
     Ok(found)
@@ -192,7 +192,7 @@
     }
 }
 
-fn explain(found: &Found, made: &[Made]) {
+fn explain(found: &Found, made: &[CompletedCall]) {
     let Found {
         verdict, drained, ..
     } = found;
@@ -207,7 +207,7 @@
     println!("{drained} requests began at the drained endpoint after {DRAIN_MS} ms");
 }
 
-fn keep(deployment: &Deployment, interrupt: &Interrupt) {
+fn run_until_interrupt(deployment: &Deployment, interrupt: &Interrupt) {
     let client = deployment.bins.client.display();
     println!("\nit goes on until Ctrl-C; type in another shell:");
     for entry in &deployment.entries {
@@ -227,7 +227,7 @@
             }
         }
     }
-    while !interrupt.is_asked() {
+    while !interrupt.is_requested() {
         thread::sleep(TICK);
     }
 }
--- a/hibiscusroad-measure/src/deployment/mod.rs
+++ b/hibiscusroad-measure/src/deployment/mod.rs
@@ -264,7 +264,7 @@
         let list: Vec<TargetGroup> = members.map(|member| member.daemon.target(state)).collect();
         let url = format!("http://{}/hosts", self.platform);
         let body = serde_json::to_string(&list).map_err(io::Error::other)?;
-        put(&url, &body)
+        put_with_retries(&url, &body)
     }
 
     /// Returns the URL of a service at an entry.
@@ -340,7 +340,7 @@
 /// # Errors
 ///
 /// Returns the last error if no try is answered.
-pub fn put(url: &str, body: &str) -> Result<(), Error> {
+pub fn put_with_retries(url: &str, body: &str) -> Result<(), Error> {
     let mut tries = 0;
     loop {
         let request = ureq::put(url).config().timeout_global(Some(TRY)).build();
--- a/hibiscusroad-measure/src/deployment/operator.rs
+++ b/hibiscusroad-measure/src/deployment/operator.rs
@@ -25,7 +25,7 @@
 impl Operator {
     /// Runs a statement and returns what was printed, be it done or refused.
     #[must_use]
-    pub fn say(&self, statement: &str) -> String {
+    pub fn run_statement(&self, statement: &str) -> String {
         let entries = self.entries.iter().flat_map(|e| ["--entry", e]);
         let args: Vec<&str> = entries.chain([statement]).collect();
         let output = match run(&self.client, &args) {
@@ -90,39 +90,39 @@
     pub fn wait_version(&self, version: u64, limit: Duration) -> Result<Duration, Error> {
         let start = Instant::now();
         loop {
-            let lacking = self.lacking(version);
-            if lacking.is_empty() {
+            let behind = self.entries_without(version);
+            if behind.is_empty() {
                 return Ok(start.elapsed());
             }
             if start.elapsed() > limit {
-                return Err(Error::Version(version, lacking.join("; ")));
+                return Err(Error::Version(version, behind.join("; ")));
             }
-            if self.interrupt.is_asked() {
+            if self.interrupt.is_requested() {
                 return Err(Error::Interrupted);
             }
             thread::sleep(POLL);
         }
     }
 
-    /// Says who doesn't show a configuration of at least `version` yet.
+    /// Returns the entries that don't show a configuration of at least `version` yet, and why.
     #[must_use]
-    pub fn lacking(&self, version: u64) -> Vec<String> {
-        let mut lacking = Vec::new();
+    pub fn entries_without(&self, version: u64) -> Vec<String> {
+        let mut behind = Vec::new();
         for (number, entry) in self.entries.iter().enumerate() {
             if let Err(who) = self.has_version(number, version) {
-                lacking.push(format!("{}: {who}", entry.daemon.name));
+                behind.push(format!("{}: {who}", entry.daemon.name));
             }
         }
-        lacking
+        behind
     }
 
-    /// Asks one entry what it knows itself, without its asking others: polled
-    /// many times a second, their asking would be the greater part of the load.
+    /// Queries one entry for its own rows, without those of other entries: polled
+    /// many times a second, its queries to them would be the greater part of the load.
     ///
     /// # Errors
     ///
     /// Returns an error if the entry gives no answer.
-    pub fn known(&self, entry: usize, subject: &str) -> Result<Vec<Row>, Error> {
+    pub fn query_local(&self, entry: usize, subject: &str) -> Result<Vec<Row>, Error> {
         let address = self.entries[entry].daemon.operators;
         let url = format!("http://{address}/v1/show/{subject}?only=self");
         let text = ureq::get(url).call()?.body_mut().read_to_string()?;
@@ -132,11 +132,15 @@
     }
 
     fn has_version(&self, entry: usize, version: u64) -> Result<(), String> {
-        let endpoints = self.known(entry, "endpoints").map_err(|e| e.to_string())?;
+        let endpoints = self
+            .query_local(entry, "endpoints")
+            .map_err(|e| e.to_string())?;
         if endpoints.len() < self.spec.endpoints() {
             return Err(format!("shows {} endpoints", endpoints.len()));
         }
-        let entries = self.known(entry, "entries").map_err(|e| e.to_string())?;
+        let entries = self
+            .query_local(entry, "entries")
+            .map_err(|e| e.to_string())?;
         match endpoints
             .iter()
             .chain(&entries)
--- a/hibiscusroad-measure/src/faults/check.rs
+++ b/hibiscusroad-measure/src/faults/check.rs
@@ -4,12 +4,12 @@
     counts::Counts,
     inject::{InjectedFault, OperatorReply},
     plan::Fault,
-    watch::Seen,
+    watch::VersionSample,
 };
 use crate::{
     caller::{Ending, GRACE, Work},
     deployment::Row,
-    load::Made,
+    load::CompletedCall,
 };
 use hibiscusroad::ErrorKind;
 use hibiscusroad_standins::plain::LogEntry;
@@ -28,11 +28,11 @@
 #[derive(Debug)]
 pub struct History {
     /// Calls and their outcomes.
-    pub calls: Vec<Made>,
+    pub calls: Vec<CompletedCall>,
     /// The addresses of the entries for callers.
     pub entries: Vec<String>,
     /// The configuration versions of each entry, in the order of `entries`.
-    pub versions: Vec<Vec<Seen>>,
+    pub versions: Vec<Vec<VersionSample>>,
     /// The requests that endpoints ran, by name of the endpoint.
     pub endpoint_logs: BTreeMap<String, Vec<LogEntry>>,
     /// The audit trail.
@@ -91,7 +91,7 @@
         trace
     }
 
-    fn check_outcome(&self, record: &Made, counts: &mut Counts) {
+    fn check_outcome(&self, record: &CompletedCall, counts: &mut Counts) {
         let (call, outcome) = (&record.call, &record.outcome);
         let repeatable = !matches!(call.work, Work::Post { .. });
         let unavailable = self.entry_unavailable(record);
@@ -143,7 +143,7 @@
 
     /// Returns whether a call's entry was killed or frozen during the call or
     /// had not recovered yet, or refused the connection while it stopped.
-    fn entry_unavailable(&self, record: &Made) -> bool {
+    fn entry_unavailable(&self, record: &CompletedCall) -> bool {
         self.overlaps_fault(record, |fault, n| match fault {
             Fault::KillEntry(entry) | Fault::FreezeEntry(entry) => entry == n,
             _ => false,
@@ -152,7 +152,7 @@
 
     /// Returns whether a stream had begun and a sidecar or endpoint was killed or
     /// frozen during the call. Planned stops don't count.
-    fn stream_broken(&self, record: &Made) -> bool {
+    fn stream_broken(&self, record: &CompletedCall) -> bool {
         let behind_entry = |fault| {
             matches!(
                 fault,
@@ -167,7 +167,7 @@
 
     /// Returns whether a refusal shows that a planned stop interrupted a request:
     /// it may have run, and no faults but planned stops were active.
-    fn cut_by_stop(&self, record: &Made, problem: &str) -> bool {
+    fn cut_by_stop(&self, record: &CompletedCall, problem: &str) -> bool {
         let may_have_run =
             ErrorKind::from_problem(problem).is_none_or(|kind| !kind.answer().not_run);
         let stop = |fault| matches!(fault, Fault::StopEntry(_) | Fault::StopSide(_));
@@ -182,12 +182,16 @@
     }
 
     /// Returns whether a call's entry was asked to stop during the call.
-    fn entry_stopping(&self, record: &Made) -> bool {
+    fn entry_stopping(&self, record: &CompletedCall) -> bool {
         self.overlaps_fault(record, |fault, n| fault == Fault::StopEntry(n))
     }
 
     /// Returns whether a fault that matches was active during a call.
-    fn overlaps_fault(&self, record: &Made, matches: impl Fn(Fault, usize) -> bool) -> bool {
+    fn overlaps_fault(
+        &self,
+        record: &CompletedCall,
+        matches: impl Fn(Fault, usize) -> bool,
+    ) -> bool {
         let to = record.call.at + record.outcome.latency;
         let from = to.saturating_sub(record.outcome.wait);
         let entry = self.entry_index(record);
@@ -200,7 +204,7 @@
     }
 
     /// Returns the index of a call's entry, or the number of entries if unknown.
-    fn entry_index(&self, record: &Made) -> usize {
+    fn entry_index(&self, record: &CompletedCall) -> usize {
         let entry_address = address(&record.call.base);
         let entries = self.entries.iter();
         entries
@@ -209,7 +213,7 @@
             .unwrap_or(entries.len())
     }
 
-    fn was_answered(&self, record: &Made) -> bool {
+    fn was_answered(&self, record: &CompletedCall) -> bool {
         let mut same = self
             .calls
             .iter()
@@ -237,7 +241,7 @@
     fn check_not_run(&self, counts: &mut Counts) {
         let logs = self.endpoint_logs.values().flatten();
         let ran: BTreeSet<&str> = logs.filter_map(|ran| ran.request.as_deref()).collect();
-        let mut calls: BTreeMap<&str, Vec<&Made>> = BTreeMap::new();
+        let mut calls: BTreeMap<&str, Vec<&CompletedCall>> = BTreeMap::new();
         for record in &self.calls {
             calls.entry(&record.call.request).or_default().push(record);
         }
@@ -257,7 +261,7 @@
                 let (before, after) = (pair[0], pair[1]);
                 let ended = self.faults.iter().any(|injected| {
                     let ends = matches!(injected.fault, Fault::KillEntry(n) | Fault::StopEntry(n) if n == entry);
-                    ends && before.asked <= injected.to && injected.from <= after.told
+                    ends && before.requested_at <= injected.to && injected.from <= after.answered_at
                 });
                 if after.version < before.version && !ended {
                     counts.config_reverts += 1;
@@ -322,7 +326,7 @@
     }
 }
 
-fn says_not_run(record: &Made) -> bool {
+fn says_not_run(record: &CompletedCall) -> bool {
     match &record.outcome.ending {
         Ending::Refused(_, problem) => {
             ErrorKind::from_problem(problem).is_some_and(|kind| kind.answer().not_run)
@@ -331,7 +335,7 @@
     }
 }
 
-fn refused_connection(record: &Made) -> bool {
+fn refused_connection(record: &CompletedCall) -> bool {
     matches!(&record.outcome.ending, Ending::Lost(why) if why.contains("refused"))
 }
 
@@ -342,7 +346,7 @@
         .unwrap_or(base)
 }
 
-fn describe(record: &Made) -> String {
+fn describe(record: &CompletedCall) -> String {
     let (call, outcome) = (&record.call, &record.outcome);
     let kind = match &call.work {
         Work::Get => "GET",
--- a/hibiscusroad-measure/src/faults/inject.rs
+++ b/hibiscusroad-measure/src/faults/inject.rs
@@ -2,7 +2,7 @@
 
 use super::plan::{Fault, PlannedFault};
 use crate::{
-    deployment::{Deployment, Error, Member, put},
+    deployment::{Deployment, Error, Member, put_with_retries},
     interrupt::Interrupt,
 };
 use hibiscusroad_standins::{
@@ -74,7 +74,7 @@
         });
     let list: Vec<TargetGroup> = entries.chain(sides).collect();
     let body = serde_json::to_string(&list).map_err(io::Error::other)?;
-    put(&format!("http://{}/hosts", deployment.platform), &body)
+    put_with_retries(&format!("http://{}/hosts", deployment.platform), &body)
 }
 
 /// Injects planned faults.
@@ -106,7 +106,7 @@
     pub(super) fn run(&mut self, plan: &[PlannedFault], interrupt: &Interrupt) {
         for planned in plan {
             self.undo_until(planned.at, interrupt);
-            if interrupt.is_asked() {
+            if interrupt.is_requested() {
                 break;
             }
             interrupt.sleep_until(self.start + planned.at);
@@ -231,7 +231,7 @@
     fn run_statement(&mut self, index: usize, statement: String) {
         let (operator, start) = (self.deployment.operator(), self.start);
         let handle = thread::spawn(move || {
-            let answer = operator.say(&statement);
+            let answer = operator.run_statement(&statement);
             OperatorReply {
                 at: start.elapsed(),
                 statement,
--- a/hibiscusroad-measure/src/faults/watch.rs
+++ b/hibiscusroad-measure/src/faults/watch.rs
@@ -14,11 +14,11 @@
 
 /// The configuration version that an entry reported.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Seen {
+pub struct VersionSample {
     /// When the request was sent, counted from the start of the load.
-    pub asked: Duration,
+    pub requested_at: Duration,
     /// When the answer was received, counted from the start of the load.
-    pub told: Duration,
+    pub answered_at: Duration,
     /// The version, or 0 if no configuration is in force.
     pub version: u64,
 }
@@ -49,15 +49,15 @@
         }
     }
 
-    pub(super) fn run(&self, start: Instant, finished: &AtomicBool) -> Vec<Seen> {
+    pub(super) fn run(&self, start: Instant, finished: &AtomicBool) -> Vec<VersionSample> {
         let mut seen = Vec::new();
         while !finished.load(Ordering::Relaxed) {
-            let asked = start.elapsed();
+            let requested_at = start.elapsed();
             if let Some(version) = self.fetch_version() {
-                let told = start.elapsed();
-                seen.push(Seen {
-                    asked,
-                    told,
+                let answered_at = start.elapsed();
+                seen.push(VersionSample {
+                    requested_at,
+                    answered_at,
                     version,
                 });
             }
--- a/hibiscusroad-measure/src/interrupt.rs
+++ b/hibiscusroad-measure/src/interrupt.rs
@@ -16,13 +16,13 @@
 
 const POLL: Duration = Duration::from_millis(20);
 
-/// Whether a signal has asked for an early end. Clones share it.
+/// Whether a signal has requested an early end. Clones share it.
 ///
 /// Nothing is ended by the signal itself: the processes of a deployment are
 /// stopped where the deployment is dropped, so that none is left behind.
 #[derive(Clone, Debug, Default)]
 pub struct Interrupt {
-    asked: Arc<AtomicBool>,
+    requested: Arc<AtomicBool>,
 }
 
 impl Interrupt {
@@ -34,22 +34,22 @@
     pub fn watch() -> io::Result<Self> {
         let interrupt = Self::default();
         for signal in [SIGINT, SIGTERM] {
-            flag::register(signal, Arc::clone(&interrupt.asked))?;
+            flag::register(signal, Arc::clone(&interrupt.requested))?;
         }
         Ok(interrupt)
     }
 
-    /// Says whether a signal came.
+    /// Returns whether a signal came.
     #[must_use]
-    pub fn is_asked(&self) -> bool {
-        self.asked.load(Ordering::Relaxed)
+    pub fn is_requested(&self) -> bool {
+        self.requested.load(Ordering::Relaxed)
     }
 
     /// Sleeps until `instant`, or until a signal comes.
     pub fn sleep_until(&self, instant: Instant) {
         loop {
             let left = instant.saturating_duration_since(Instant::now());
-            if self.is_asked() || left.is_zero() {
+            if self.is_requested() || left.is_zero() {
                 return;
             }
             thread::sleep(left.min(POLL));
--- a/hibiscusroad-measure/src/judge.rs
+++ b/hibiscusroad-measure/src/judge.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     caller::{Ending, GRACE, Work},
-    load::Made,
+    load::CompletedCall,
 };
 use hibiscusroad_standins::plain::LogEntry;
 use std::collections::BTreeMap;
@@ -45,7 +45,7 @@
 
 /// Judges calls, and the logs of the plain services that they may have reached.
 #[must_use]
-pub fn judge(made: &[Made], logs: &[Vec<LogEntry>]) -> Verdict {
+pub fn judge(made: &[CompletedCall], logs: &[Vec<LogEntry>]) -> Verdict {
     let mut verdict = Verdict::default();
     for made in made {
         count(made, &mut verdict);
@@ -54,8 +54,8 @@
     verdict
 }
 
-fn count(made: &Made, verdict: &mut Verdict) {
-    let Made { call, outcome } = made;
+fn count(made: &CompletedCall, verdict: &mut Verdict) {
+    let CompletedCall { call, outcome } = made;
     let name = format!("{} {} of {}", kind(&call.work), call.path, call.request);
     let wait = outcome.wait;
     let mut late = wait > call.deadline + GRACE;
@@ -94,7 +94,7 @@
 
 // All calls with one key carry the same request name as well, and endpoints
 // log the name even where the key isn't passed on to them.
-fn runs(made: &[Made], logs: &[Vec<LogEntry>], verdict: &mut Verdict) {
+fn runs(made: &[CompletedCall], logs: &[Vec<LogEntry>], verdict: &mut Verdict) {
     let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
     let writes = logs.iter().flatten().filter(|ran| ran.method == "POST");
     for name in writes.filter_map(|ran| ran.request.as_deref()) {
@@ -105,7 +105,7 @@
         verdict.remark(format!("doubled: {name} ran {count} times"));
     }
     // Without this a log that names nothing would make all look well.
-    for Made { call, outcome } in made {
+    for CompletedCall { call, outcome } in made {
         let write = matches!(call.work, Work::Post { .. });
         let name = call.request.as_str();
         if write && outcome.ending == Ending::Answered && !runs.contains_key(name) {
--- a/hibiscusroad-measure/src/load.rs
+++ b/hibiscusroad-measure/src/load.rs
@@ -25,7 +25,7 @@
 
 /// A call and what became of it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Made {
+pub struct CompletedCall {
     /// The call.
     pub call: Call,
     /// Its outcome.
@@ -64,7 +64,7 @@
     workers: usize,
     counters: &Arc<Counters>,
     interrupt: &Interrupt,
-) -> Vec<Made> {
+) -> Vec<CompletedCall> {
     calls.sort_by_key(|call| call.at);
     let queue = Mutex::new(VecDeque::from(calls));
     let made = Mutex::new(Vec::new());
@@ -79,14 +79,14 @@
 
 fn work(
     queue: &Mutex<VecDeque<Call>>,
-    made: &Mutex<Vec<Made>>,
+    made: &Mutex<Vec<CompletedCall>>,
     start: Instant,
     counters: &Counters,
     interrupt: &Interrupt,
 ) {
     let caller = Caller::default();
     let mut own = Vec::new();
-    while !interrupt.is_asked() {
+    while !interrupt.is_requested() {
         let next = queue
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -94,12 +94,12 @@
         let Some(call) = next else { break };
         let due = start + call.at;
         wait(due, interrupt);
-        if interrupt.is_asked() {
+        if interrupt.is_requested() {
             break;
         }
-        let outcome = caller.make(&call, due);
+        let outcome = caller.run(&call, due);
         counters.ended.fetch_add(1, Ordering::Relaxed);
-        own.push(Made { call, outcome });
+        own.push(CompletedCall { call, outcome });
     }
     made.lock()
         .unwrap_or_else(PoisonError::into_inner)
@@ -108,7 +108,7 @@
 
 fn wait(due: Instant, interrupt: &Interrupt) {
     interrupt.sleep_until(due.checked_sub(COARSE).unwrap_or(due));
-    while Instant::now() < due && !interrupt.is_asked() {
+    while Instant::now() < due && !interrupt.is_requested() {
         thread::yield_now();
     }
 }
--- a/hibiscusroad-measure/src/path.rs
+++ b/hibiscusroad-measure/src/path.rs
@@ -5,7 +5,7 @@
     caller::{Call, Ending, Work},
     deployment::{Deployment, Error, Kind, Member, Service, Spec},
     interrupt::Interrupt,
-    load::{self, Made},
+    load::{self, CompletedCall},
     report::Report,
 };
 use hdrhistogram::Histogram;
@@ -69,13 +69,13 @@
     deployment.set_up(SPREAD)?;
     memory(&deployment, "idle", &mut report)?;
     // Connections are opened and caches filled before anything counts.
-    let _ = small(&deployment, Way::Through, RATES[0], options, interrupt);
+    let _ = small(&deployment, CallPath::Through, RATES[0], options, interrupt);
     let held = hold(&deployment, options, interrupt, &mut report);
     report.add("held_rate", held, "requests/s");
     added(&deployment, held / 2.0, options, interrupt, &mut report)?;
     memory(&deployment, "loaded", &mut report)?;
     tokens(&deployment, interrupt, &mut report);
-    if interrupt.is_asked() {
+    if interrupt.is_requested() {
         return Err(Error::Interrupted);
     }
     deployment.stop(STOP)?;
@@ -107,12 +107,12 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Way {
+enum CallPath {
     Through,
     Direct,
 }
 
-impl Way {
+impl CallPath {
     const BOTH: [Self; 2] = [Self::Through, Self::Direct];
 
     const fn name(self) -> &'static str {
@@ -123,7 +123,7 @@
     }
 }
 
-fn base(deployment: &Deployment, way: Way, kind: Kind, number: usize) -> String {
+fn base(deployment: &Deployment, via: CallPath, kind: Kind, number: usize) -> String {
     let mut endpoints = deployment.endpoints.iter().filter(|e| e.kind == kind);
     let service = deployment
         .spec
@@ -134,20 +134,26 @@
         .service(kind)
         .map_or(1, |service| service.count);
     let endpoint = endpoints.nth(number % count);
-    match (way, endpoint) {
-        (Way::Direct, Some(endpoint)) => format!("http://{}", endpoint.address),
+    match (via, endpoint) {
+        (CallPath::Direct, Some(endpoint)) => format!("http://{}", endpoint.address),
         _ => deployment.base(0, service),
     }
 }
 
-fn calls(deployment: &Deployment, way: Way, rate: f64, time: Duration, seed: u64) -> Vec<Call> {
+fn calls(
+    deployment: &Deployment,
+    via: CallPath,
+    rate: f64,
+    time: Duration,
+    seed: u64,
+) -> Vec<Call> {
     let times = load::arrivals(rate, time, seed);
     let call = |(number, at)| Call {
         at,
-        base: base(deployment, way, Kind::Plain, number),
+        base: base(deployment, via, Kind::Plain, number),
         path: "/small".to_owned(),
         work: Work::Get,
-        request: format!("{}{number}", way.name()),
+        request: format!("{}{number}", via.name()),
         class: Class::Interactive,
         deadline: DEADLINE,
         size: 0,
@@ -157,12 +163,12 @@
 
 fn small(
     deployment: &Deployment,
-    way: Way,
+    via: CallPath,
     rate: f64,
     options: &Options,
     interrupt: &Interrupt,
-) -> Vec<Made> {
-    let calls = calls(deployment, way, rate, options.step, options.seed);
+) -> Vec<CompletedCall> {
+    let calls = calls(deployment, via, rate, options.step, options.seed);
     load::run(calls, WORKERS, &Arc::default(), interrupt)
 }
 
@@ -175,7 +181,7 @@
 ) -> f64 {
     let mut held = 0.0;
     for rate in RATES {
-        let made = small(deployment, Way::Through, rate, options, interrupt);
+        let made = small(deployment, CallPath::Through, rate, options, interrupt);
         let latency = latency(&made);
         let whole = made.len() - explain(&made);
         let answered = whole as f64 / made.len().max(1) as f64;
@@ -205,11 +211,11 @@
     let mut count = 0;
     let mut turns = [Vec::new(), Vec::new()];
     for turn in 0..options.time.as_secs() {
-        for (way, turns) in Way::BOTH.into_iter().zip(&mut turns) {
+        for (via, turns) in CallPath::BOTH.into_iter().zip(&mut turns) {
             let seed = options.seed + turn;
-            let calls = calls(deployment, way, rate, TURN, seed);
+            let calls = calls(deployment, via, rate, ROUND_DURATION, seed);
             let made = load::run(calls, WORKERS, &Arc::default(), interrupt);
-            if way == Way::Through {
+            if via == CallPath::Through {
                 failed += explain(&made);
                 count += made.len();
             }
@@ -235,7 +241,8 @@
     Ok(())
 }
 
-const TURN: Duration = Duration::from_secs(1);
+/// Duration of one round of a comparison.
+const ROUND_DURATION: Duration = Duration::from_secs(1);
 
 // In milliseconds.
 fn median(turns: &[Histogram<u64>], quantile: f64) -> f64 {
@@ -258,9 +265,9 @@
 }
 
 // Says why calls failed, and returns how many did.
-fn explain(made: &[Made]) -> usize {
+fn explain(made: &[CompletedCall]) -> usize {
     let mut failures = BTreeMap::new();
-    for Made { outcome, .. } in made {
+    for CompletedCall { outcome, .. } in made {
         if outcome.ending != Ending::Answered {
             *failures.entry(format!("{:?}", outcome.ending)).or_insert(0) += 1;
         }
@@ -280,13 +287,13 @@
     }
 }
 
-fn answered(made: &[Made]) -> usize {
-    let whole = |made: &&Made| made.outcome.ending == Ending::Answered;
+fn answered(made: &[CompletedCall]) -> usize {
+    let whole = |made: &&CompletedCall| made.outcome.ending == Ending::Answered;
     made.iter().filter(whole).count()
 }
 
 // From the time that was set for each call.
-fn latency(made: &[Made]) -> Histogram<u64> {
+fn latency(made: &[CompletedCall]) -> Histogram<u64> {
     histogram(made.iter().map(|made| made.outcome.latency))
 }
 
@@ -304,13 +311,13 @@
 // Streams that all begin at once and generate for some seconds: first on an
 // entry that has sent the engines nothing yet, then again.
 fn tokens(deployment: &Deployment, interrupt: &Interrupt, report: &mut Report) {
-    for (name, way) in [
-        ("cold", Way::Through),
-        ("through", Way::Through),
-        ("direct", Way::Direct),
+    for (name, via) in [
+        ("cold", CallPath::Through),
+        ("through", CallPath::Through),
+        ("direct", CallPath::Direct),
     ] {
         let start = Instant::now();
-        let calls = streams(deployment, way);
+        let calls = streams(deployment, via);
         let made = load::run(calls, STREAMS, &Arc::default(), interrupt);
         let time = start.elapsed().as_secs_f64();
         let tokens: u64 = made.iter().map(|made| made.outcome.tokens).sum();
@@ -322,17 +329,17 @@
     }
 }
 
-fn streams(deployment: &Deployment, way: Way) -> Vec<Call> {
+fn streams(deployment: &Deployment, via: CallPath) -> Vec<Call> {
     let call = |number| Call {
         at: Duration::ZERO,
-        base: base(deployment, way, Kind::Model, number),
+        base: base(deployment, via, Kind::Model, number),
         path: "/v1/completions".to_owned(),
         work: Work::Complete {
             prompt: format!("stream {number}"),
             tokens: STREAM_TOKENS,
             stream: true,
         },
-        request: format!("{}{number}", way.name()),
+        request: format!("{}{number}", via.name()),
         class: Class::Interactive,
         deadline: STREAM_DEADLINE,
         size: 0,
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -144,7 +144,7 @@
 }
 
 fn check_interrupt(interrupt: &Interrupt) -> Result<(), Error> {
-    if interrupt.is_asked() {
+    if interrupt.is_requested() {
         return Err(Error::Interrupted);
     }
     Ok(())
--- a/hibiscusroad-measure/tests/judge.rs
+++ b/hibiscusroad-measure/tests/judge.rs
@@ -4,7 +4,7 @@
 use hibiscusroad_measure::{
     caller::{Call, Caller, Ending, GRACE, Outcome, Work},
     judge::judge,
-    load::{Made, arrivals},
+    load::{CompletedCall, arrivals},
     report::Report,
 };
 use hibiscusroad_standins::{
@@ -29,8 +29,8 @@
     }
 }
 
-fn made(ending: Ending, wait: Duration) -> Made {
-    Made {
+fn completed(ending: Ending, wait: Duration) -> CompletedCall {
+    CompletedCall {
         call: call("", Work::Get),
         outcome: Outcome {
             ending,
@@ -59,11 +59,11 @@
     let refused = || Ending::Refused(503, "saturated".to_owned());
     let late = DEADLINE + GRACE * 2;
     let all = [
-        made(Ending::Answered, DEADLINE),
-        made(Ending::Answered, late),
-        made(refused(), DEADLINE),
-        made(refused(), late),
-        made(Ending::Lost("closed".to_owned()), Duration::ZERO),
+        completed(Ending::Answered, DEADLINE),
+        completed(Ending::Answered, late),
+        completed(refused(), DEADLINE),
+        completed(refused(), late),
+        completed(Ending::Lost("closed".to_owned()), Duration::ZERO),
     ];
     let verdict = judge(&all, &[]);
     assert_eq!((verdict.answered, verdict.refused, verdict.late), (2, 2, 3));
@@ -86,7 +86,7 @@
 
 #[test]
 fn answered_writes_have_to_have_run() {
-    let mut write = made(Ending::Answered, DEADLINE);
+    let mut write = completed(Ending::Answered, DEADLINE);
     write.call.work = Work::Post {
         key: "k1".to_owned(),
     };
@@ -133,11 +133,11 @@
         },
     ];
     for call in whole {
-        assert_eq!(caller.make(&call, now).ending, Ending::Answered, "{call:?}");
+        assert_eq!(caller.run(&call, now).ending, Ending::Answered, "{call:?}");
     }
     let other = other.unwrap();
     let stray = call(&format!("http://{}", other.addr()), Work::Get);
-    let ending = caller.make(&stray, now).ending;
+    let ending = caller.run(&stray, now).ending;
     assert!(matches!(ending, Ending::Short(_)), "{ending:?}");
 }
 
--- a/hibiscusroad-measure/tests/processes.rs
+++ b/hibiscusroad-measure/tests/processes.rs
@@ -63,8 +63,8 @@
     }
 }
 
-fn make(call: &Call) -> Ending {
-    Caller::default().make(call, Instant::now()).ending
+fn run(call: &Call) -> Ending {
+    Caller::default().run(call, Instant::now()).ending
 }
 
 fn kinds() -> [Work; 4] {
@@ -88,7 +88,7 @@
             if let Work::Post { key } = &mut call.work {
                 *key = format!("k{entry}");
             }
-            assert_eq!(make(&call), Ending::Answered, "{call:?}");
+            assert_eq!(run(&call), Ending::Answered, "{call:?}");
         }
     }
     deployment.stop(LIMIT).unwrap();
@@ -106,12 +106,12 @@
     };
     let calls = [0, 1].map(|entry| call(&deployment, entry, work()));
     let endings = thread::scope(|scope| {
-        let made = calls.each_ref().map(|call| scope.spawn(|| make(call)));
+        let made = calls.each_ref().map(|call| scope.spawn(|| run(call)));
         made.map(|made| made.join().unwrap())
     });
     assert!(endings.contains(&Ending::Answered), "{endings:?}");
     for call in &calls {
-        assert_eq!(make(call), Ending::Answered);
+        assert_eq!(run(call), Ending::Answered);
     }
     let runs: usize = deployment.logs().unwrap().iter().map(Vec::len).sum();
     assert_eq!(runs, 1, "{endings:?}");
@@ -126,10 +126,7 @@
     let deployment = start();
     let calls = kinds().map(|work| call(&deployment, 0, work));
     thread::scope(|scope| {
-        let made: Vec<_> = calls
-            .iter()
-            .map(|call| scope.spawn(|| make(call)))
-            .collect();
+        let made: Vec<_> = calls.iter().map(|call| scope.spawn(|| run(call))).collect();
         thread::sleep(WORK / 4);
         deployment.stop(LIMIT).unwrap();
         for (made, call) in made.into_iter().zip(&calls) {
