--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -36,7 +36,7 @@
 /// there may take longer than the round trip to another data centre.
 const BUSY_SCORE: f64 = 0.7;
 /// Ratio of scores up to which an endpoint with an idle connection is preferred to one
-/// that was drawn: less than one running call more, at any limit of a plain endpoint.
+/// that was drawn. One that runs a call is not preferred to an idle one.
 const MAX_WARM_SCORE_RATIO: f64 = 1.25;
 /// Maximum calls that are preempted for a class at a time.
 const MAX_PREEMPTED: usize = 8;
