--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -175,9 +175,10 @@
     /// Returns the incarnation of the process that takes the batches of the process
     /// `name` when that one stops.
     ///
-    /// Prefers owners with a recent renewal, then the largest, then the highest hash.
-    /// All batches go to the same process, which then sees everything that runs at the
-    /// engines. If no other owner is alive, a process that owns nothing is chosen. Should it be gone, the batches are taken over.
+    /// Prefers owners with a recent renewal, then the largest, then the highest hash. All
+    /// batches go to the same process, which then sees everything that runs at the engines.
+    /// If no other owner is alive, a process that owns nothing is chosen. Should it be gone,
+    /// the batches are taken over.
     #[must_use]
     pub fn successor(&self, name: &str) -> Option<&str> {
         let last_poll = self.last_poll?;
