Log why a batch is not given to an owner of others

`step_given_to_a_dead_owner_is_taken_over` and `next_step_goes_to_the_owner_of_the_last` fail now and then, and the logs that a failure prints do not tell whether the other owner has no heartbeat, an old one, too little memory, or could not be read. In four failing runs on (one of eight quiet, three of ten beside eight busy processes) the batch was accepted for gateway-2 without any line on the choice.

A line now gives the numbers of owners, heartbeats and candidates and the age of the newest heartbeat, and another one says when the heartbeats begin.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -74,6 +74,9 @@
                 Commit::Done {
                     version: written, ..
                 } => {
+                    if is_needed && version.is_none() {
+                        log::info!(target: BATCHES, row = written; "The heartbeats begin.");
+                    }
                     version = is_needed.then_some(written);
                     backoff.reset();
                     sleep(HEARTBEAT_INTERVAL).await;
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -146,6 +146,14 @@
             .collect();
         let now = self.store.now().unwrap_or_default();
         let chosen = choice::choose(&candidates, items, self.memory_mb, now);
+        if chosen.is_none() {
+            let ages = candidates
+                .iter()
+                .map(|candidate| millis(candidate.age(now)));
+            log::info!(target: BATCHES, owners = owners.len(), heartbeats = page.rows.len(),
+                candidates = candidates.len(), age_ms:? = ages.min(), items = items;
+                "No owner of other batches can take a batch; the accepting process runs it.");
+        }
         let other = chosen.filter(|found| found.presence.incarnation != self.incarnation);
         other.map_or(own, |found| Owner {
             incarnation: found.presence.incarnation.clone(),
--- a/src/rollout/choice.rs
+++ b/src/rollout/choice.rs
@@ -37,6 +37,14 @@
     pub last_batch_at: Duration,
 }
 
+impl Candidate {
+    /// Returns the time since its last heartbeat at the store's time `now`.
+    #[must_use]
+    pub const fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_millis(self.presence.renewed))
+    }
+}
+
 /// Chooses the process for a batch of `items` items that a process with `memory` MB
 /// accepts at the store's time `now`; `None` if the accepting process should run it.
 ///
@@ -50,9 +58,8 @@
     now: Duration,
 ) -> Option<&Candidate> {
     let eligible = |candidate: &&Candidate| {
-        let renewed = Duration::from_millis(candidate.presence.renewed);
         let candidate_memory = candidate.presence.memory;
-        let alive = now.saturating_sub(renewed) <= MAX_ROW_AGE;
+        let alive = candidate.age(now) <= MAX_ROW_AGE;
         let large = candidate_memory.saturating_mul(MAX_MEMORY_RATIO) >= memory;
         let max_items = MAX_ITEMS_PER_MB * usize::try_from(candidate_memory).unwrap_or(usize::MAX);
         alive && large && candidate.open_items + items <= max_items
