Send the first heartbeat before any read

What callers saw: after a start of its owner a trainer's next step went to a process without connections to the engines or knowledge of their pace, and later steps followed it.

Cause: a process reads the heartbeat row of its former incarnation before it sends its own. If that read gets no answer, heartbeats begin when the read times out, 0.6 to 1 s later. Meanwhile the process owns batches and has no row, so `choose_owner` at another process finds no candidate.

With steps of 40 ms the first step ends about when the read times out, hence its rarity.

Why the read hangs in the tests: the stand-in's HTTP library may leave a new connection waiting until another one ends. A store may do the same, so the stand-in stays as it is.

Fix: the lookup ends as soon as the process owns something; the write of a heartbeat has no condition and needs no lookup. The same fault in another place: the heartbeats of a process began after the optional reads of its first batch, up to 0.4 s later; they begin with the acceptance now.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -52,7 +52,12 @@
     /// afterwards.
     pub(in crate::gateway) async fn renew_heartbeat(self: Rc<Self>) {
         // A row of a former incarnation is replaced, so that others see the restart at once.
-        let mut version = self.former_heartbeat().await;
+        let mut version = tokio::select! {
+            version = self.former_heartbeat() => version,
+            // An owner without a row is given no next step and loses its batches, so its
+            // first heartbeat must not wait for a read.
+            () = self.heartbeat_needed() => None,
+        };
         if version.is_some() {
             self.mark_owning();
         }
@@ -66,7 +71,7 @@
                 // A removal that is carried out late must not hit a newer heartbeat.
                 Some(written) => Change::new().expect(id.clone(), written).remove(id.clone()),
                 None => {
-                    self.ownership_changed.notified().await;
+                    self.heartbeat_needed().await;
                     continue;
                 }
             };
@@ -92,6 +97,13 @@
         }
     }
 
+    /// Waits until this process must send heartbeats.
+    async fn heartbeat_needed(&self) {
+        while !self.needs_heartbeat() {
+            self.ownership_changed.notified().await;
+        }
+    }
+
     /// Returns the version of the heartbeat row that a former incarnation left.
     async fn former_heartbeat(&self) -> Option<u64> {
         let id = row::heartbeat(&self.directory.name);
@@ -102,9 +114,6 @@
                 Err(failure) => log::debug!(target: BATCHES, error = failure.to_string().as_str();
                     "The heartbeat of a former incarnation could not be read."),
             }
-            if self.needs_heartbeat() {
-                return None;
-            }
             sleep(backoff.next_wait(&mut rand::rng())).await;
         }
     }
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -255,6 +255,7 @@
         self.owners_changed.notify_one();
         let id = id.to_owned();
         if head.owner == self.incarnation {
+            self.mark_owning();
             let state = BatchState::new(submission);
             spawn_local(Rc::clone(self).begin(id, head, version, state));
         } else if let Some(address) = address {
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -157,6 +157,37 @@
     assert!(batches_run_by(&world, 1).is_empty());
 }
 
+// Guards against an owner without a heartbeat, which is given no next step, while the lookup of
+// the heartbeat of its former incarnation gets no answer.
+#[test]
+fn first_heartbeat_does_not_wait_for_the_lookup_of_a_former_one() {
+    let mut world = World::start("lookup");
+    world.store.stall_reads("entries");
+    let [_desk, engine] = world.start_gateways(1);
+    engine.set_work_duration(Duration::from_millis(10));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 1)).status, 202);
+    results(&world, 0, "b1", 1);
+    assert_eq!(world.store.rows("entries").len(), 1);
+}
+
+// Guards against an owner without a heartbeat while the optional reads of its first batch get
+// no answer.
+#[test]
+fn first_heartbeat_does_not_wait_for_the_preparation_of_a_batch() {
+    let (world, _desk, _engine) = World::ready("prepare", 1);
+    world.store.stall_reads("paces");
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 1)).status, 202);
+    let first = &world.gateways[0];
+    first.line("A batch is run here.");
+    first.line("The heartbeats begin.");
+    let lines = first.lines();
+    let position = |text: &str| lines.iter().position(|line| line["text"] == text);
+    assert!(
+        position("The heartbeats begin.") < position("A batch is run here."),
+        "{lines:#?}"
+    );
+}
+
 // A step is given to the last owner before its death is detected. It runs elsewhere once
 // the heartbeat timeout is over.
 #[test]
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -83,23 +83,29 @@
     /// Starts a store with a configuration, two endpoints and ready gateways.
     pub fn ready(test: &str, gateways: usize) -> (Self, Endpoint, Endpoint) {
         let mut world = Self::start(test);
-        world.configure(1, &[]);
-        let desk = world.endpoint("hut-desk", "i-desk", &[]);
-        let engine = world.endpoint("guide-lm", "i-lm", &["guide"]);
-        for _ in 0..gateways {
-            world.gateway();
+        let [desk, engine] = world.start_gateways(gateways);
+        (world, desk, engine)
+    }
+
+    /// Writes a configuration, and starts two endpoints and gateways that are ready.
+    pub fn start_gateways(&mut self, count: usize) -> [Endpoint; 2] {
+        self.configure(1, &[]);
+        let desk = self.endpoint("hut-desk", "i-desk", &[]);
+        let engine = self.endpoint("guide-lm", "i-lm", &["guide"]);
+        for _ in 0..count {
+            self.gateway();
         }
-        for n in 0..gateways {
-            world.wait_ready(n);
+        for n in 0..count {
+            self.wait_ready(n);
         }
         // Endpoints become known separately from the configuration.
-        for gateway in &world.gateways {
+        for gateway in &self.gateways {
             until("the endpoints are known", || {
                 let answer = gateway.call("POST", "/desk/warm", "warm", b"");
                 (answer.status == 200).then_some(())
             });
         }
-        (world, desk, engine)
+        [desk, engine]
     }
 
     pub fn endpoint(&self, service: &str, id: &str, models: &[&str]) -> Endpoint {
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io,
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
@@ -46,6 +46,8 @@
     version: u64,
     objects: BTreeMap<String, Vec<u8>>,
     faults: Faults,
+    /// Tables whose reads of rows get no answer.
+    stalled: BTreeSet<String>,
     calls: Vec<String>,
     /// How many reads and feeds were requested, by path and table.
     reads: BTreeMap<(String, String), usize>,
@@ -157,6 +159,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Leaves reads of rows of a table without an answer from now on.
+    pub fn stall_reads(&self, table: &str) {
+        self.shared.lock().stalled.insert(table.to_owned());
+    }
+
     /// Drops the log of changes; feeds that continue from an earlier version are refused.
     pub fn compact_log(&self) {
         let mut inner = self.shared.lock();
@@ -202,6 +209,11 @@
         self.changed.notify_all();
     }
 
+    fn is_stalled(&self, exchange: &Exchange) -> bool {
+        let table = exchange.query("table").unwrap_or_default();
+        exchange.path() == "/rows-get" && self.lock().stalled.contains(table)
+    }
+
     fn now_ms(&self) -> u64 {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(0) + 1
     }
@@ -273,6 +285,12 @@
         }
         return exchange.cut();
     }
+    if shared.is_stalled(&exchange) {
+        while exchange.is_open() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        return exchange.cut();
+    }
     thread::sleep(faults.slow);
     match exchange.path() {
         "/rows-tx" => run_transaction(shared, exchange),
