Look for drafts when a weight version is named

What callers saw: a long item that a trainer carries over into a later step was sometimes not drafted under the newer weights, so the later step began it anew. Found by `draft_of_a_successor_is_saved_separately`, which failed once in 6 runs of its file and in 2 of 28 runs of its own, beside eight busy processes.

Cause: a draft needs an engine with newer weights and a version that was named. The dispatcher was woken when the engine's entry changed. If the version became known after that, only the duty of the weights was woken; the dispatcher had no timer, as no draft was waiting for an engine.

Evidence: in the logs of 28 runs the owner learned of the load before the name in just the 2 that failed. The other hypothesis, a draft whose connection the stand-in leaves waiting, is ruled out by a test that brings about that order and has no such connection.

Fix: each change of the operator's table wakes the dispatcher.

Test: `draft_starts_if_its_version_is_named_after_the_load` failed in 3 of 3 runs before ("timed out: a draft runs") and passed in 5 of 5 after.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -245,6 +245,12 @@
             .inc();
     }
 
+    /// Looks for items and drafts that can start, after a change of the configuration or of
+    /// the named weight versions.
+    pub(super) fn wake_dispatcher(&self) {
+        self.dispatch_needed.notify_one();
+    }
+
     /// Returns how many items of this process run at an engine.
     pub(super) fn running_at(&self, endpoint: &str) -> u32 {
         self.engines.borrow().own_items(endpoint)
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -305,8 +305,11 @@
         move || members.record_recovery()
     });
     let wake = {
-        let weights = Rc::clone(weights);
-        move || weights.wake()
+        let (weights, batches) = (Rc::clone(weights), Rc::clone(batches));
+        move || {
+            weights.wake();
+            batches.wake_dispatcher();
+        }
     };
     let sinks = [
         sync::operator_sink(
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -405,3 +405,38 @@
     assert_eq!(runs[..2], [None, None]);
     assert!(runs.len() == 3 && runs[2] > Some(9), "{runs:?}");
 }
+
+// Guards against an item without a draft: an engine's weights become known before their version
+// is named, and nothing else happens until the item ends.
+#[test]
+fn draft_starts_if_its_version_is_named_after_the_load() {
+    let (world, _desk, engine) = World::ready("draft-late", 1);
+    let name_version = |version: u64| {
+        let named = serde_json::json!({ "model": "guide", "version": version });
+        world.store.put_json("op", "version/guide", &named);
+    };
+    let known_count = || {
+        let lines = world.gateways[0].lines().into_iter();
+        let known = lines.filter(|line| line["text"] == "An endpoint is known.");
+        known.filter(|line| line["endpoint"] == "i-lm").count()
+    };
+    let long = "item-1-1-1";
+    name_version(2);
+    until("the engine has loaded", || {
+        (engine.version("guide") == 2).then_some(())
+    });
+    until("the load is known", || (known_count() == 2).then_some(()));
+    engine.set_work_duration(Duration::from_millis(30));
+    engine.set_item_event_count(long, 120);
+    let mut step = submission(1, 1, 2, 2);
+    step["targetGroups"] = 1.into();
+    assert_eq!(submit(&world, 0, "b1", &step).status, 202);
+    results(&world, 0, "b1", 3);
+    engine.load("guide", 3);
+    until("the load is known", || (known_count() == 3).then_some(()));
+    name_version(3);
+    until("a draft runs", || {
+        let runs = engine.runs();
+        (runs.iter().filter(|ran| ran.id == long).count() == 2).then_some(())
+    });
+}
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -250,6 +250,14 @@
         self.shared.lock().order_holders.clone()
     }
 
+    /// Loads a weight version of a model without an order.
+    pub fn load(&self, model: &str, version: u64) {
+        let mut inner = self.shared.lock();
+        inner.weights.insert(model.to_owned(), version);
+        drop(inner);
+        self.shared.publish_models();
+    }
+
     /// Returns the weight version of a model.
     #[must_use]
     pub fn version(&self, model: &str) -> u64 {
@@ -270,6 +278,18 @@
         self.store.put_json("servers", &self.id, &row);
     }
 
+    /// Updates the models in its entry, if it is registered.
+    fn publish_models(&self) {
+        let rows = self.store.rows("servers");
+        let row = rows.into_iter().find(|(_, id, _)| *id == self.id);
+        if let Some((_, _, value)) = row
+            && let Ok(mut row) = serde_json::from_slice::<serde_json::Value>(&value)
+        {
+            row["models"] = self.models().into();
+            self.store.put_json("servers", &self.id, &row);
+        }
+    }
+
     fn models(&self) -> Vec<serde_json::Value> {
         let inner = self.lock();
         let models = inner.weights.iter();
@@ -313,15 +333,7 @@
     inner.order_holders.push((order.holder, order.fence));
     inner.weights.insert(order.model, order.version);
     drop(inner);
-    let key = shared.id.clone();
-    let rows = shared.store.rows("servers");
-    let row = rows.into_iter().find(|(_, id, _)| *id == key);
-    if let Some((_, _, value)) = row
-        && let Ok(mut row) = serde_json::from_slice::<serde_json::Value>(&value)
-    {
-        row["models"] = shared.models().into();
-        shared.store.put_json("servers", &key, &row);
-    }
+    shared.publish_models();
     exchange.answer(202, &json!({}));
 }
 
