Put back the reasons of constants that the rewording dropped

Only comments change: numbers and reasons that the earlier ones held and that are still true, under today's names.

--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -40,7 +40,8 @@
 /// while it receives an answer.
 ///
 /// Longer than the pauses of a phone on a bad network, short enough to bound the
-/// threads that half-open connections hold.
+/// threads that half-open connections hold: a thousand at 200 new
+/// ones a second.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time between two connections that wake accepting; well within [`IDLE_TIMEOUT`].
--- a/hibiscusroad-daemon/src/entry/trace.rs
+++ b/hibiscusroad-daemon/src/entry/trace.rs
@@ -21,7 +21,7 @@
     time::{Duration, Instant},
 };
 
-/// Requests that are kept.
+/// Requests that are kept, at about 300 bytes each.
 const MAX_REQUESTS: usize = 4096;
 
 /// Decisions that are kept of one request.
--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -36,7 +36,7 @@
 
 /// Answers up to this size are buffered before they are passed on, so that a
 /// truncated one can be retried elsewhere. Buffering larger ones would take too
-/// much memory.
+/// much memory: a process with 160 MB holds a few hundred of these.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// An endpoint's answer.
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -42,9 +42,10 @@
 };
 use tokio::time::timeout;
 
-/// Limit for the head of a response.
+/// Limit for the head of a response. Queues inside engines turn over in a second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Limit between two frames of a response; longer than a slow load of weights.
+/// Limit between two frames of a response. A load of weights delays events by one second, a
+/// slow one by two.
 const FRAME_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The lowest of the ten priorities of engines; 0 is the highest.
 const LOWEST_PRIORITY: u8 = 9;
@@ -52,7 +53,8 @@
 const DEFAULT_ITEM_TTL: Duration = Duration::from_mins(1);
 
 /// An engine is stalled when the gap between events exceeds this multiple of the median
-/// pace. A run is then better resumed at an engine with capacity.
+/// pace. A run is then better resumed at an engine with capacity, which reads the text so far
+/// in milliseconds.
 const STALL_FACTOR: f64 = 6.0;
 /// The shortest gap that counts as a stall; queues and quotas on the way cause gaps of
 /// 100 ms.
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -19,8 +19,9 @@
 
 /// Limit of the results in one write; the store accepts 1 MB with names and base64.
 const MAX_WRITE_BYTES: usize = 600 << 10;
-/// Delay after a write of several results, so that the next ones share a write. There is
-/// none after a single result, which may be the last one of a step.
+/// Delay after a write of several results, so that the next ones share a write: a step of a
+/// hundred items takes ten to twenty writes. There is none after a single result, which may be
+/// the last one of a step, for which the trainer waits.
 const GROUP_WRITE_DELAY: Duration = Duration::from_millis(80);
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -33,7 +33,7 @@
 /// The longest wait for new results.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Time between two reads of the store for a reader that waits at a process which is not
-/// the owner.
+/// the owner. It delays the last result of a step by 25 ms on average.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which the owner looks for an unanswered write in the store. Results that one
 /// process has shown must be readable at all processes within a second.
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -31,7 +31,8 @@
 
 /// Limit for one call if its route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Shortest and longest wait between calls.
+/// Shortest and longest wait between calls: scorers share their service with interactive
+/// callers.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(800));
 
 impl Batches {
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -16,7 +16,8 @@
 use std::{collections::HashMap, rc::Rc, time::Duration, time::Instant};
 use tokio::time::sleep;
 
-/// Time between two writes of an owner.
+/// Time between two writes of an owner. Eight owners make eight of the store's 800 writes a
+/// second.
 const SHARE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The last known version and content of the pace rows, by service.
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -43,11 +43,13 @@
 
 /// Limit for the acceptance of a batch; after it the trainer tries another process.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// When a trainer may submit again after the store has failed.
+/// When a trainer may submit again after the store has failed. Outages last seconds, but
+/// another process may reach the store.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// How long a batch runs if its route sets no limit.
 const DEFAULT_BATCH_TTL: Duration = Duration::from_mins(10);
-/// Limit for each of the optional reads before a batch starts.
+/// Limit for each of the optional reads before a batch starts. A batch that waits for a slow
+/// store loses more than it gains.
 const PREPARE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
--- a/hibiscusroad-daemon/src/gateway/batches/sweep.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/sweep.rs
@@ -17,7 +17,7 @@
 
 /// Mean time between two sweeps of a process; each is drawn at random up to twice this.
 const MEAN_SWEEP_INTERVAL: Duration = Duration::from_secs(4);
-/// Limit of the batches that one sweep removes.
+/// Limit of the batches that one sweep removes: a few dozen calls to the store.
 const MAX_SWEPT: usize = 4;
 /// Extra retention, for a read that begins in time and takes long.
 const RETENTION_MARGIN: Duration = Duration::from_secs(5);
--- a/hibiscusroad-daemon/src/gateway/peers/server.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/server.rs
@@ -23,8 +23,8 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status, transport::Server};
 
-/// Maximum queued calls of peers, enough for those of several gateways that can't reach the
-/// store.
+/// Maximum queued calls of peers. A gateway that can't reach the store has some ten calls under
+/// way; with a third of 360 gateways cut off, spread over the others, this is enough.
 const MAX_QUEUED_JOBS: usize = 64;
 /// Maximum time limit of a peer's call. It covers the long poll for changes and the transfer
 /// of an object.
--- a/hibiscusroad-daemon/src/gateway/refresh.rs
+++ b/hibiscusroad-daemon/src/gateway/refresh.rs
@@ -26,7 +26,8 @@
     time::{sleep_until, timeout},
 };
 
-/// Minimum time between the starts of two reads.
+/// Minimum time between the starts of two reads. 360 processes that all receive guessed keys
+/// make 1,440 reads a second.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of a read, for which a caller waits.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -33,8 +33,8 @@
     time::{sleep, timeout},
 };
 
-/// Smallest and largest timeout of a read; short enough for a retry if the
-/// connection has gone silent.
+/// Smallest and largest timeout of a read; short enough for a retry if the connection has gone
+/// silent. An answer takes 4 ms as a rule, and up to eighty times that from a slow store.
 const READ_TIMEOUTS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
 /// Smallest and largest timeout of a write. A write that times out may still be
 /// executed, so its outcome has to be read back.
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -33,7 +33,8 @@
 /// How long the store may hold a wait open without changes; bounds how long a
 /// silent connection delays a change.
 const FEED_WAIT: Duration = Duration::from_secs(2);
-/// First and longest delay of the backoff after a failed call.
+/// First and longest delay of the backoff after a failed call. A store that is back is noticed
+/// within a second, and 360 processes make at most 900 calls a second meanwhile.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
 /// Receives the rows and changes of a table.
--- a/hibiscusroad-daemon/src/gateway/usage/report.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/report.rs
@@ -37,7 +37,8 @@
 };
 use tokio::time::{sleep, timeout};
 
-/// Time limit of a call to the platform. Sending the same report again is harmless.
+/// Time limit of a call to the platform. A slow one answers in 250 ms, and sending the same
+/// report again is harmless.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before a failed step is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -22,7 +22,8 @@
 };
 use tokio::time::{sleep, timeout, timeout_at};
 
-/// Time limit of a call to an engine. The lease outlasts several of them.
+/// Time limit of a call to an engine, which answers in milliseconds, a slow one in some hundred.
+/// The lease outlasts several such calls.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for a load after which the engine is asked for a report, if it has not registered the
 /// new weights.
--- a/src/quarantine/unresolved.rs
+++ b/src/quarantine/unresolved.rs
@@ -6,7 +6,7 @@
     time::Instant,
 };
 
-/// Most attempts that are kept.
+/// Most attempts that are kept. A gateway on a small host has a few hundred in flight.
 const MAX_ATTEMPTS: usize = 4_096;
 
 #[derive(Debug)]
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -20,7 +20,8 @@
     time::{Duration, Instant},
 };
 
-/// First delay before an interrupted item starts again.
+/// First delay before an interrupted item starts again: an engine that refused it needs a
+/// moment, and another may have room.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest delay before an interrupted item starts again. A step has only seconds.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -40,7 +41,8 @@
     Never,
 }
 
-/// Items count as stragglers when at most one in this many is left.
+/// Items count as stragglers when at most one in this many is left. A trainer goes on without
+/// one group in ten as a rule, and one or two of a group's items are long.
 const STRAGGLER_DIVISOR: usize = 4;
 
 #[derive(Debug)]
--- a/src/rollout/choice.rs
+++ b/src/rollout/choice.rs
@@ -23,7 +23,7 @@
 /// is not chosen: hosts with little memory also have slow links and slow processors.
 const MAX_MEMORY_RATIO: u32 = 2;
 /// Maximum number of items in open batches for each megabyte of a process, so that their
-/// texts and results fill at most half of it.
+/// texts and results fill at most half of it: 64 KB each for a long item.
 const MAX_ITEMS_PER_MB: usize = 4;
 
 /// A process that has been given batches recently in its present incarnation.
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -31,7 +31,7 @@
 
 /// Lifetime of an engine's report of its load: generations take about a second.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(800);
-/// Pause after a refusal, in which slots become free.
+/// Pause after a refusal, in which about one slot in ten becomes free.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after the first failed connection; it doubles with each further one.
 const MIN_FAILURE_PAUSE: Duration = Duration::from_millis(250);
@@ -40,7 +40,8 @@
 /// Pause after an engine made no events. It is shorter than a load of weights, because an
 /// item that is sent too early moves on at once.
 const STALL_PAUSE: Duration = Duration::from_millis(300);
-/// A run is long if it has this many times the events of an average one.
+/// A run is long if it has this many times the events of an average one. Half of the runs that
+/// get there make as many again.
 const LONG_RUN_FACTOR: f64 = 1.5;
 /// Weight of a new sample in the average number of events of a text.
 const EVENTS_WEIGHT: f64 = 0.05;
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -19,14 +19,14 @@
 /// Time between two renewals of a row, and between two polls of a watcher.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// An owner whose row is unchanged for this time is considered dead: it has missed
-/// three renewals.
+/// three renewals. An owner that is paused for this long has lost its items anyway.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Number of store latencies added to each of the timeouts. A slow store delays the
 /// renewal by two (a write takes longer than a read) and the poll by one or two.
 const TIMEOUT_LATENCIES: u32 = 4;
 /// Number of processes, drawn by hash, that poll for an owner at every
 /// [`HEARTBEAT_INTERVAL`]. The others poll less often and notice an owner whose watchers
-/// fail with it.
+/// fail with it: one in 700 if a third of all hosts fail at once.
 const WATCHERS: u32 = 6;
 /// Range over which the takeover delays of processes are spread, in milliseconds. The
 /// other processes need time to learn of the first takeover.
--- a/src/rollout/start_order.rs
+++ b/src/rollout/start_order.rs
@@ -3,8 +3,8 @@
 use crate::rollout::Submission;
 use std::{cmp::Reverse, collections::HashMap};
 
-/// An item is long if its hint exceeds the mean of its batch by this factor. Hints are
-/// inexact.
+/// An item is long if its hint exceeds the mean of its batch by this factor. One item in ten
+/// has five times the usual length, and hints are off by a factor of up to 1.6 either way.
 const LONG_HINT_FACTOR: f64 = 2.5;
 
 /// Sorts items by start order: first the carried-over groups, which the trainer always
--- a/src/rollout/tier.rs
+++ b/src/rollout/tier.rs
@@ -4,7 +4,7 @@
 //! slow differs between deployments and is not configured.
 
 /// An engine is slow if its pace exceeds the median by this factor, more than the healthy
-/// engines of a service differ.
+/// engines of a service differ: by a third, while a disturbed one is three times slower or more.
 const SLOW_FACTOR: f64 = 1.7;
 /// A long run leaves an engine that is slower than the fastest peers by this factor.
 const MILD_FACTOR: f64 = 1.12;
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -23,7 +23,9 @@
 use rand::Rng;
 use std::time::{Duration, Instant};
 
-/// Factor by which an admitted call that misses its deadline raises the margin.
+/// Factor by which an admitted call that misses its deadline raises the margin. Other entries
+/// take slots unseen; with [`WAIT_MARGIN_EASE`] the margin balances at one such call in 2,000
+/// answers when it is 1.5.
 const WAIT_MARGIN_RAISE: f64 = 1.1;
 /// Part of the excess margin that each answer in time removes.
 const WAIT_MARGIN_EASE: f64 = 0.0005;
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -10,7 +10,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Weight of a sample in the moving averages.
+/// Weight of a sample in the moving averages. With exponential service times the mean log ratio
+/// then varies by 0.3, well below [`OUTLIER_LOG_RATIO`].
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Answers before an endpoint is compared with its peers.
 const MIN_SAMPLES: u32 = 6;
@@ -26,10 +27,12 @@
 const MAX_REFUSED_STREAK: u32 = 3;
 /// Pause after the first refused connection in a row; it doubles with the next one.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
-/// Time of the first ejection; it doubles with each failed trial.
+/// Time of the first ejection; it doubles with each failed trial. Callers may notice a second;
+/// the maximum is how long a repaired endpoint may stay unused.
 const MIN_EJECTION_TIME: Duration = Duration::from_secs(1);
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(30);
-/// Allowed silence as a multiple of the 99th percentile of the service time.
+/// Allowed silence as a multiple of the 99th percentile of the service time. Longer silence is
+/// rarely a single slow call.
 const SILENCE_FACTOR: f64 = 2.0;
 const MIN_SILENCE_SECS: f64 = 0.1;
 /// Allowed silence while the service time is unknown.
--- a/src/route/limit.rs
+++ b/src/route/limit.rs
@@ -17,12 +17,13 @@
 const INITIAL_LIMIT: f64 = 8.0;
 /// Limit after an ejection.
 const TRIAL_LIMIT: f64 = 1.0;
-/// Minimum answers in a window.
+/// Minimum answers in a window, so that a window is longer than one call at a small limit.
 const MIN_WINDOW_ANSWERS: u32 = 8;
 /// Answers in a window per slot of the limit, so that a window is longer than one
 /// call.
 const WINDOW_ANSWERS_PER_SLOT: u32 = 4;
-/// Factor by which the weight of earlier windows decays with each window.
+/// Factor by which the weight of earlier windows decays with each window. About five windows
+/// count; the sum of their answers varies by a tenth with exponential service times.
 const WINDOW_DECAY: f64 = 0.8;
 /// The same after growth, as the lower limit held the earlier windows down.
 const WINDOW_DECAY_GROWN: f64 = 0.3;
@@ -47,18 +48,19 @@
 /// Weight, in samples, of the assumption that a new endpoint is as fast as its
 /// peers, because the first answers alone vary too much.
 const PRIOR_RATIO_SAMPLES: u32 = 64;
-/// Share of the limit up to which the load is low. It also bounds how far the
-/// limit can exceed the capacity and still find calls that did not wait.
+/// Share of the limit up to which the load is low. A limit of up to four times the capacity
+/// still finds calls that did not wait, and comes down.
 const LOW_LOAD_SHARE: f64 = 0.25;
 /// Time without a call at low load, and the same in service times, after both of
-/// which the limit is lowered for a probe.
+/// which the limit is lowered for a probe. Probes then cost less than 1 % of the calls.
 const PROBE_INTERVAL: (Duration, u32) = (Duration::from_secs(10), 400);
 /// The same while there were too few calls at low load, so that an entry that
 /// starts under saturation soon learns the unloaded service time.
 const INITIAL_PROBE_INTERVAL: (Duration, u32) = (Duration::from_secs(1), 20);
 /// Calls at low load after which a probe ends.
 const PROBE_CALLS: u32 = 8;
-/// Pause in sending after the endpoint refused a call for lack of room.
+/// Pause in sending after the endpoint refused a call for lack of room: other entries fill it,
+/// and each refusal costs a round trip.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(20);
 
 /// One answer, as input of the limit.
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -30,7 +30,7 @@
 /// Maximum rows that are scanned where no draw fits.
 const MAX_SCANNED: usize = 16;
 /// Recent work of an endpoint, relative to the mean, above which a prefix goes to
-/// the next one on the ring.
+/// the next one on the ring. The busiest endpoint is to stay within 1.25 of the mean.
 const MAX_WORK_RATIO: f64 = 1.1;
 /// Score above which an endpoint is compared with one of the next tier: a wait
 /// there may take longer than the round trip to another data centre.
@@ -38,7 +38,7 @@
 /// Ratio of scores up to which an endpoint with an idle connection is preferred to one
 /// that was drawn. One that runs a call is not preferred to an idle one.
 const MAX_WARM_SCORE_RATIO: f64 = 1.25;
-/// Maximum calls that are preempted for a class at a time.
+/// Maximum calls that are preempted for a class at a time. More can follow with the next event.
 const MAX_PREEMPTED: usize = 8;
 /// Preemptions of one call after which it keeps its slot.
 const MAX_PREEMPTIONS: u8 = 2;
--- a/src/route/reconcile.rs
+++ b/src/route/reconcile.rs
@@ -18,21 +18,23 @@
     pub struct RoleKey;
 }
 
-/// Time constant of a role's demand. Shorter bursts are left to the queues.
+/// Time constant of a role's demand. Shorter bursts are left to the queues, as loading an engine
+/// takes half a minute.
 const DEMAND_DECAY_SECS: f64 = 30.0;
 /// Engines by which a role's demand must exceed its engines, and by which a
-/// donor's remaining engines must exceed its own demand.
+/// donor's remaining engines must exceed its own demand. Demand that varies by less moves none.
 const DEMAND_MARGIN: f64 = 0.5;
 /// Time that a shortage must last before an engine changes its role.
 const MIN_SHORTAGE_TIME: Duration = Duration::from_secs(15);
-/// Time for which an engine keeps a new role.
+/// Time for which an engine keeps a new role: ten times that of a load.
 const MIN_ROLE_TIME: Duration = Duration::from_mins(5);
 /// Time after which an order that is not reported done has failed.
 const CHANGE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Pause after a failed order; it doubles with each failure.
 const MIN_BACKOFF: Duration = Duration::from_secs(2);
 const MAX_BACKOFF: Duration = Duration::from_mins(2);
-/// Maximum share of a role's engines that change at once.
+/// Maximum share of a role's engines that change at once. The others carry a third more
+/// meanwhile.
 const MAX_WAVE_SHARE: f64 = 0.25;
 
 /// Settings of a role.
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -4,7 +4,8 @@
 //! earns a share of a retry and each retry spends a whole one, which bounds the
 //! extra load to that share.
 
-/// Budget that each first attempt earns.
+/// Budget that each first attempt earns: endpoints do at most 1.1 times the work that is
+/// answered.
 const EARNED_PER_CALL: f64 = 0.1;
 /// Initial and maximum balance. It lets a service with few calls retry those of a
 /// lost endpoint.
--- a/src/route/retry_after.rs
+++ b/src/route/retry_after.rs
@@ -6,9 +6,11 @@
 
 use std::time::{Duration, Instant};
 
-/// Lower bound, so that callers don't return before the queue has changed.
+/// Lower bound. A caller that returns within a few round trips finds the same queue and only
+/// adds load.
 const MIN_DELAY: Duration = Duration::from_millis(200);
-/// Upper bound. Returns that would be later are spread at random below it.
+/// Upper bound, beyond which the service rate will have changed. Returns that would be later are
+/// spread at random below it.
 const MAX_DELAY: Duration = Duration::from_secs(30);
 
 /// Share of the service rate that is scheduled for returning callers; the rest
--- a/src/route/ring.rs
+++ b/src/route/ring.rs
@@ -13,7 +13,8 @@
 
 /// Points of each endpoint; more of them even out the endpoints' shares.
 const POINTS_PER_ENDPOINT: u64 = 64;
-/// Maximum endpoints that are tried for a prefix.
+/// Maximum endpoints that are tried for a prefix. Under a bound of 1.1 times the mean work the
+/// next one with room is rarely further.
 pub(super) const MAX_CANDIDATES: usize = 8;
 
 #[derive(Clone, Debug, Default)]
--- a/src/route/service_times.rs
+++ b/src/route/service_times.rs
@@ -15,11 +15,11 @@
 const FIRST_BIN_SECS: f64 = 100e-6;
 /// Sizes: none, then one for each power of two of tokens.
 const SIZE_CLASSES: usize = 33;
-/// Total count at which all counts are halved: small enough to follow a change
-/// of weights, large enough to hold samples of the slowest 0.1 %.
+/// Total count at which all counts are halved: 40 s at 100 calls a second, short enough to
+/// follow a change of weights, long enough to hold samples of the slowest 0.1 %.
 const MAX_TOTAL: u32 = 4096;
-/// Calls after which the estimate is refreshed at the latest. A refresh reads the
-/// whole histogram.
+/// Calls after which the estimate is refreshed at the latest. A refresh reads the whole
+/// histogram, which costs as much as 20 samples.
 const REFRESH_CALLS: u32 = 16;
 /// Weights of a sample below and above the baseline. The baseline rises slowly,
 /// so that latency added by queueing does not soon pass for service time.
@@ -27,7 +27,7 @@
 const BASELINE_RISE_WEIGHT: f64 = BASELINE_FALL_WEIGHT / 32.0;
 /// Calls at low load that count in their moving average.
 const MAX_LOW_LOAD_SAMPLES: u32 = 512;
-/// Calls at low load from which on their average is used.
+/// Calls at low load from which on their average is used; it then varies by 12 %.
 const MIN_LOW_LOAD_SAMPLES: u32 = 64;
 /// Calls at any load that make the estimate reliable if there are too few at low
 /// load. The first to end are the shortest, so fewer would give too low a mean.
--- a/src/route/share.rs
+++ b/src/route/share.rs
@@ -11,10 +11,10 @@
 };
 use std::time::Instant;
 
-/// Maximum reserve, as a share of the slots.
+/// Maximum reserve, as a share of the slots. Rollouts are to use 90 % of what others leave.
 const MAX_RESERVED_SHARE: f64 = 0.05;
-/// Reserve as a share of the recent peak of more urgent classes. It covers the
-/// variation of random arrivals at a large peak; preemption covers small ones.
+/// Reserve as a share of the recent peak of more urgent classes. It covers three standard
+/// deviations of Poisson arrivals from a peak of 100 on; preemption covers smaller peaks.
 const RESERVED_PEAK_SHARE: f64 = 0.25;
 /// Decayed peak below which no reserve is kept.
 const NEGLIGIBLE_PEAK: f64 = 0.02;
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -27,16 +27,20 @@
 /// Interval at which queued calls are placed again, because reserved slots become
 /// free without an event.
 pub(super) const DISPATCH_INTERVAL: Duration = Duration::from_millis(50);
-/// Initial and lowest factor on the estimated wait, which is only an average.
+/// Initial and lowest factor on the estimated wait, which is only an average: slots become free
+/// in bunches. It keeps late answers below one in a thousand if no other entry uses the
+/// endpoints.
 pub(super) const BASE_WAIT_MARGIN: f64 = 1.35;
 /// Number of tiers: the entry's subset of its data centre, the rest of that data
 /// centre, and other data centres.
 pub(super) const TIERS: usize = 3;
 /// The tier of endpoints in other data centres.
 pub(super) const REMOTE_TIER: usize = 2;
-/// Time constant of the peaks from which reserved slots are computed.
+/// Time constant of the peaks from which reserved slots are computed: a few service times of an
+/// interactive call, so that lent slots are reserved again soon after a burst.
 const PEAK_DECAY: Duration = Duration::from_secs(5);
-/// Time constant of the recent work by which prefixes are balanced.
+/// Time constant of the recent work by which prefixes are balanced. At 24 calls a second to an
+/// engine the sum varies by 5 %, half of the margin of the ring's bound.
 const WORK_DECAY: Duration = Duration::from_secs(20);
 
 /// What a timer is set for.
--- a/src/usage/tally.rs
+++ b/src/usage/tally.rs
@@ -10,8 +10,9 @@
 
 /// After a store outage a process has counts of many windows to write.
 const MAX_ROWS_PER_WRITE: usize = 50;
+/// Minimum time between two writes of a process.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(200);
-/// Limits the writes of all processes together.
+/// Limits the writes of all processes together to a seventh of what the smallest store takes.
 const MAX_WRITES_PER_SECOND: u32 = 120;
 
 /// Number of requests by account.
