--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -406,8 +406,7 @@
     assert!(runs.len() == 3 && runs[2] > Some(9), "{runs:?}");
 }
 
-// Guards against an item without a draft: an engine's weights become known before their version
-// is named, and nothing else happens until the item ends.
+// Guards against an item without a draft after a load that becomes known before its version.
 #[test]
 fn draft_starts_if_its_version_is_named_after_the_load() {
     let (world, _desk, engine) = World::ready("draft-late", 1);
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -157,8 +157,7 @@
     assert!(batches_run_by(&world, 1).is_empty());
 }
 
-// Guards against an owner without a heartbeat, which is given no next step, while the lookup of
-// the heartbeat of its former incarnation gets no answer.
+// Guards against an owner without a heartbeat while a read of the former one gets no answer.
 #[test]
 fn first_heartbeat_does_not_wait_for_the_lookup_of_a_former_one() {
     let mut world = World::start("lookup");
@@ -170,8 +169,7 @@
     assert_eq!(world.store.rows("entries").len(), 1);
 }
 
-// Guards against an owner without a heartbeat while the optional reads of its first batch get
-// no answer.
+// Guards against an owner without a heartbeat while the reads before its first batch hang.
 #[test]
 fn first_heartbeat_does_not_wait_for_the_preparation_of_a_batch() {
     let (world, _desk, _engine) = World::ready("prepare", 1);
--- a/hibiscusroad-daemon/tests/gateway_store.rs
+++ b/hibiscusroad-daemon/tests/gateway_store.rs
@@ -57,8 +57,7 @@
     world.gateways[1].line("A batch is taken over.");
 }
 
-// Guards against a read of each part of a table by all gateways after a common start, whatever
-// the parts hold.
+// Guards against reads of empty parts of a table by all gateways after a common start.
 #[test]
 fn start_reads_only_the_parts_that_have_rows() {
     let (mut world, _desk, _engine) = World::ready("parts", 1);
