Choose an owner by its heartbeat row when its batches are not known

Cause: the process that accepts a batch looked for owners among the batches that it knows from the store's feed, and if it knew none it asked no further. It may know none after its start, or while its feed hangs.

Fix: the heartbeat row of an owner also tells how many items are open and when its last batch was accepted. It is read for each choice, and is used where the accepting process knows of no batch of that owner. Rows of earlier revisions lack it and count as before.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -11,10 +11,11 @@
     clock::millis,
     rollout::{
         presence::HEARTBEAT_INTERVAL,
-        row::{self, Presence},
+        row::{self, OwnerRow, Presence},
     },
     table::{Change, Commit},
 };
+use serde::Serialize;
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -67,7 +68,7 @@
         while !self.is_stopping.get() {
             let is_needed = self.needs_heartbeat();
             let change = match version {
-                _ if is_needed => Change::new().put(id.clone(), encode(&self.own_presence())),
+                _ if is_needed => Change::new().put(id.clone(), encode(&self.own_heartbeat())),
                 // A removal that is carried out late must not hit a newer heartbeat.
                 Some(written) => Change::new().expect(id.clone(), written).remove(id.clone()),
                 None => {
@@ -124,6 +125,16 @@
         self.ownership_changed.notify_one();
     }
 
+    fn own_heartbeat(&self) -> OwnerRow {
+        OwnerRow {
+            presence: self.own_presence(),
+            load: self
+                .known_loads()
+                .remove(&self.incarnation)
+                .unwrap_or_default(),
+        }
+    }
+
     fn own_presence(&self) -> Presence {
         Presence {
             incarnation: self.incarnation.clone(),
@@ -177,6 +188,6 @@
     }
 }
 
-fn encode(presence: &Presence) -> Vec<u8> {
-    serde_json::to_vec(presence).unwrap_or_default()
+fn encode(row: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(row).unwrap_or_default()
 }
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -5,7 +5,7 @@
 //! processes are gone.
 
 use super::{Batches, HeadRow, OwnedBatch};
-use crate::{gateway::peers::decode_presence, logs::BATCHES, platform::Backoff};
+use crate::{gateway::peers::decode_process, logs::BATCHES, platform::Backoff};
 use futures_util::future::{join, join3};
 use hibiscusroad::{
     clock::millis,
@@ -380,7 +380,7 @@
         incarnation,
         memory,
         ..
-    } = decode_presence(row)?;
+    } = decode_process(row)?;
     Some(Heartbeat {
         name: row.id.key.clone(),
         incarnation,
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -10,7 +10,7 @@
 use crate::{
     gateway::{
         answer::{ResponseBody, full_response, problem},
-        peers::decode_presence,
+        peers::decode_process,
     },
     logs::BATCHES,
     platform::Backoff,
@@ -24,7 +24,7 @@
     rollout::{
         Submission,
         choice::{self, Candidate},
-        row::{self, Head},
+        row::{self, Head, OwnerLoad, OwnerRow},
     },
     table::{Change, Commit, Range, Row},
 };
@@ -54,15 +54,6 @@
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
 
-/// The batches that one process owns, as far as they are known here.
-#[derive(Clone, Copy, Debug, Default)]
-struct OwnerLoad {
-    /// Items of its open batches.
-    open_items: usize,
-    /// When its last batch was accepted, by the store's clock.
-    last_batch_at: Duration,
-}
-
 /// A batch that is about to be accepted.
 struct NewBatch {
     head: Head,
@@ -122,10 +113,6 @@
             incarnation: self.incarnation.clone(),
             address: None,
         };
-        let owners = self.recent_owners();
-        if owners.is_empty() {
-            return own;
-        }
         let range = Range::part(row::ENTRIES, "");
         let read = timeout(PREPARE_TIMEOUT, self.store.read_whole(&range)).await;
         let Ok(Ok(page)) = read else {
@@ -133,27 +120,14 @@
                 "The heartbeats could not be read; the batch is run by the process that accepted it.");
             return own;
         };
-        let candidates: Vec<Candidate> = page
-            .rows
-            .iter()
-            .filter_map(|row| {
-                let presence = decode_presence(row)?;
-                let load = owners.get(&presence.incarnation)?;
-                Some(Candidate {
-                    presence,
-                    open_items: load.open_items,
-                    last_batch_at: load.last_batch_at,
-                })
-            })
-            .collect();
+        let candidates = self.candidates(&page.rows);
         let now = self.store.now().unwrap_or_default();
         let chosen = choice::choose(&candidates, items, self.memory_mb, now);
         if chosen.is_none() {
             let ages = candidates
                 .iter()
                 .map(|candidate| millis(candidate.age(now)));
-            log::info!(target: BATCHES, owners = owners.len(), heartbeats = page.rows.len(),
-                candidates = candidates.len(), age_ms:? = ages.min(), items = items;
+            log::info!(target: BATCHES, heartbeats = page.rows.len(), candidates = candidates.len(), age_ms:? = ages.min(), items = items;
                 "No owner of other batches can take a batch; the accepting process runs it.");
         }
         let other = chosen.filter(|found| found.presence.incarnation != self.incarnation);
@@ -163,13 +137,31 @@
         })
     }
 
+    /// Returns the processes that were given batches, by their heartbeat rows.
+    ///
+    /// An owner's row tells of its batches, too: after its start, and while its feed hangs, this
+    /// process doesn't know all of them.
+    fn candidates(&self, rows: &[Row]) -> Vec<Candidate> {
+        let loads = self.known_loads();
+        let candidates = rows.iter().filter_map(|row| {
+            let OwnerRow { presence, load } = decode_process(row)?;
+            let load = loads.get(&presence.incarnation).copied().unwrap_or(load);
+            (load.last_batch > 0).then(|| Candidate {
+                presence,
+                open_items: load.open_items,
+                last_batch_at: Duration::from_millis(load.last_batch),
+            })
+        });
+        candidates.collect()
+    }
+
     /// Returns the load of the owners of known batches, by incarnation.
-    fn recent_owners(&self) -> HashMap<String, OwnerLoad> {
+    pub(super) fn known_loads(&self) -> HashMap<String, OwnerLoad> {
         let mut owners: HashMap<String, OwnerLoad> = HashMap::new();
         for HeadRow { head, .. } in self.heads.borrow().values() {
             let load = owners.entry(head.owner.clone()).or_default();
             load.open_items += if head.ended { 0 } else { head.total };
-            load.last_batch_at = load.last_batch_at.max(Duration::from_millis(head.accepted));
+            load.last_batch = load.last_batch.max(head.accepted);
         }
         owners
     }
--- a/hibiscusroad-daemon/src/gateway/peers/directory.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/directory.rs
@@ -18,6 +18,7 @@
     table::{Change, Page, Range, Row},
 };
 use hibiscusroad_platform::table::MAX_ENTRIES;
+use serde::de::DeserializeOwned;
 use std::{
     cell::RefCell,
     collections::{BTreeMap, HashSet},
@@ -104,7 +105,7 @@
 fn decode_current(page: &Page) -> Vec<(String, Presence)> {
     let oldest = millis(page.now.saturating_sub(MAX_ROW_AGE));
     let decoded = page.rows.iter().filter_map(|row| {
-        let presence = decode_presence(row)?;
+        let presence: Presence = decode_process(row)?;
         (presence.renewed >= oldest).then(|| (row.id.key.clone(), presence))
     });
     decoded.collect()
@@ -133,13 +134,13 @@
 }
 
 /// Decodes the row of a process; `None`, and a logged error, if that fails.
-pub(in crate::gateway) fn decode_presence(row: &Row) -> Option<Presence> {
-    let presence = serde_json::from_slice(&row.value).ok();
-    if presence.is_none() {
+pub(in crate::gateway) fn decode_process<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    let process = serde_json::from_slice(&row.value).ok();
+    if process.is_none() {
         log::error!(target: STORE, entry = row.id.key.as_str();
             "The row of a process can't be decoded and is ignored.");
     }
-    presence
+    process
 }
 
 /// Reads the parts in turn until the process ends, and passes the gateways of each part to
--- a/hibiscusroad-daemon/src/gateway/peers/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/mod.rs
@@ -14,7 +14,7 @@
 
 pub(super) use self::{
     client::{Peers, RelayError},
-    directory::{Directory, RENEWAL_INTERVAL, decode_presence, member_parts, poll_members},
+    directory::{Directory, RENEWAL_INTERVAL, decode_process, member_parts, poll_members},
     server::serve,
 };
 
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -186,6 +186,24 @@
     );
 }
 
+// Guards against a step that runs where it is submitted while the reads of batches hang there.
+#[test]
+fn next_step_goes_to_an_owner_whose_batches_are_not_known() {
+    let (mut world, _desk, engine) = World::ready("unread", 1);
+    engine.set_work_duration(Duration::from_millis(40));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    results(&world, 0, "b1", 2);
+    world.store.stall_reads("batches");
+    world.gateway();
+    world.wait_ready(1);
+    assert_eq!(submit(&world, 1, "b2", &submission(2, 1, 2, 3)).status, 202);
+    let accepted = world.gateways[1].line("A batch is accepted.");
+    let owner = accepted["owner"].as_str().unwrap();
+    assert!(owner.starts_with("gateway-1/"), "{owner}");
+    world.store.resume_reads();
+    check_whole(&results(&world, 0, "b2", 6), 8);
+}
+
 // A step is given to the last owner before its death is detected. It runs elsewhere once
 // the heartbeat timeout is over.
 #[test]
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -159,11 +159,16 @@
         self.shared.changed.notify_all();
     }
 
-    /// Leaves reads of rows of a table without an answer from now on.
+    /// Leaves reads of rows of a table without an answer, until [`Store::resume_reads`].
     pub fn stall_reads(&self, table: &str) {
         self.shared.lock().stalled.insert(table.to_owned());
     }
 
+    /// Answers new reads again, and closes the connections of those that got no answer.
+    pub fn resume_reads(&self) {
+        self.shared.lock().stalled.clear();
+    }
+
     /// Drops the log of changes; feeds that continue from an earlier version are refused.
     pub fn compact_log(&self) {
         let mut inner = self.shared.lock();
@@ -286,7 +291,7 @@
         return exchange.cut();
     }
     if shared.is_stalled(&exchange) {
-        while exchange.is_open() {
+        while shared.is_stalled(&exchange) && exchange.is_open() {
             thread::sleep(Duration::from_millis(20));
         }
         return exchange.cut();
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -7,7 +7,7 @@
 //! | `pieces` | bucket | batch/item/round/event | [`Piece`] of a text | the head's version |
 //! | `pieces` | bucket | batch/item/draft-tenure/round/event | [`Piece`] of a draft | the head's version |
 //! | `paces` | | service | [`Paces`] of its engines | its version |
-//! | `entries` | | process | [`Presence`], the heartbeat of a process that owns something | none: only the process writes it |
+//! | `entries` | | process | [`OwnerRow`], the heartbeat of a process that owns something | none: only the process writes it |
 //! | `members` | member part | process | [`Presence`] of every process | none: only the process writes it |
 //!
 //! [`Paces`]: crate::rollout::pace::Paces
@@ -146,6 +146,27 @@
     pub offset: Option<Offset>,
 }
 
+/// The heartbeat row of a process that owns something.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnerRow {
+    /// The process.
+    #[serde(flatten)]
+    pub presence: Presence,
+    /// The batches that it owns, as far as it knows itself.
+    #[serde(default)]
+    pub load: OwnerLoad,
+}
+
+/// The batches that one process owns.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnerLoad {
+    /// Number of items in its open batches.
+    pub open_items: usize,
+    /// When its last batch was accepted, by the store's steady clock in milliseconds; 0 if it
+    /// owns none.
+    pub last_batch: u64,
+}
+
 /// Returns the bucket of a batch, which names a part of the store.
 #[must_use]
 pub fn bucket(batch: &str) -> String {
