--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -127,7 +127,8 @@
             let ages = candidates
                 .iter()
                 .map(|candidate| millis(candidate.age(now)));
-            log::info!(target: BATCHES, heartbeats = page.rows.len(), candidates = candidates.len(), age_ms:? = ages.min(), items = items;
+            log::info!(target: BATCHES, heartbeats = page.rows.len(),
+                candidates = candidates.len(), age_ms:? = ages.min(), items = items;
                 "No owner of other batches can take a batch; the accepting process runs it.");
         }
         let other = chosen.filter(|found| found.presence.incarnation != self.incarnation);
@@ -157,13 +158,13 @@
 
     /// Returns the load of the owners of known batches, by incarnation.
     pub(super) fn known_loads(&self) -> HashMap<String, OwnerLoad> {
-        let mut owners: HashMap<String, OwnerLoad> = HashMap::new();
+        let mut loads: HashMap<String, OwnerLoad> = HashMap::new();
         for HeadRow { head, .. } in self.heads.borrow().values() {
-            let load = owners.entry(head.owner.clone()).or_default();
+            let load = loads.entry(head.owner.clone()).or_default();
             load.open_items += if head.ended { 0 } else { head.total };
             load.last_batch = load.last_batch.max(head.accepted);
         }
-        owners
+        loads
     }
 
     /// Writes the submission's object.
