Add a switch for decisions on competition for room

Fair shares, fair queues and placement by expected end are to take effect only where a deployment asks for them: by settings, by what the platform declares, or because endpoints report how slow their hosts are. The settings, their checks and the type come first, so that the parts can be built side by side; nothing uses them yet.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -167,7 +167,7 @@
             context,
             members,
             known,
-            engines: RefCell::new(Engines::new()),
+            engines: RefCell::new(Engines::new().contention(settings.contention())),
             heads: RefCell::default(),
             owned: RefCell::default(),
             submissions: RefCell::default(),
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -9,6 +9,7 @@
     Class, ErrorKind, Incarnation, RequestId,
     catalog::{Catalog, Route},
     clock::millis,
+    contention::Contention,
     quarantine::EndpointIncarnation,
     roster::{Endpoint, EndpointChange},
     route::{
@@ -85,9 +86,10 @@
 }
 
 impl Calls {
-    pub(super) fn new(data_centre: &str, incarnation: Incarnation) -> Self {
+    pub(super) fn new(data_centre: &str, incarnation: Incarnation, contention: Contention) -> Self {
+        let router = Router::new(data_centre, incarnation.0).contention(contention);
         Self {
-            router: RefCell::new(Router::new(data_centre, incarnation.0)),
+            router: RefCell::new(router),
             waiting: RefCell::default(),
             keys: RefCell::default(),
             targets: RefCell::default(),
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -193,7 +193,11 @@
     let holder = format!("{}/{incarnation}", settings.name);
     let known = Rc::new(KnownConfig::new(own.trust_ms.map(Duration::from_millis)));
     let store = Rc::new(Store::new(own.store, Rc::clone(&meters)));
-    let calls = Rc::new(Calls::new(&settings.data_centre, incarnation));
+    let calls = Rc::new(Calls::new(
+        &settings.data_centre,
+        incarnation,
+        own.contention(),
+    ));
     let pool = Rc::new(ConnectionPool::new());
     let windows = own.usage.as_ref().map(|usage| {
         let length = Duration::from_secs(usage.window_s);
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -2,8 +2,10 @@
 
 use hibiscusroad::{
     config::Kind,
+    contention::{self, Contention},
     quarantine::{CRASH_LIMIT, CRASH_TTL},
 };
+use hibiscusroad_platform::conditions::declares_crowding;
 use serde::Deserialize;
 use std::{fmt, net::SocketAddr};
 
@@ -245,6 +247,19 @@
     /// Memory limit of the process, in megabytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
+    /// Whether decisions on competition for room take effect: `auto`, `on` or `off`.
+    #[serde(default)]
+    pub contention: contention::Mode,
+    /// What the platform declares about the deployment, in its own words.
+    #[serde(default)]
+    pub conditions: Vec<String>,
+    /// The part of an equal share of slots that each trainer's step gets before any other
+    /// gets more than its share, in percent.
+    #[serde(default = "default_share_floor")]
+    pub share_floor: u32,
+    /// The part of a service's places that calls of one client account may hold or wait for
+    /// while others wait, in percent; `None` for no limit.
+    pub account_share: Option<u32>,
     /// Number of endpoint crashes after which a request is quarantined.
     #[serde(default = "default_crash_limit")]
     pub crash_limit: usize,
@@ -253,6 +268,14 @@
     pub quarantine_s: u64,
 }
 
+impl Gateway {
+    /// Returns for which services competition for room is expected.
+    #[must_use]
+    pub fn contention(&self) -> Contention {
+        Contention::new(self.contention, declares_crowding(&self.conditions))
+    }
+}
+
 /// Settings of usage reports.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -265,6 +288,11 @@
     pub late_s: u64,
 }
 
+/// Half of an equal share: enough for the longest texts of a step, which decide when it ends.
+const fn default_share_floor() -> u32 {
+    50
+}
+
 fn default_memory_mb() -> u32 {
     256
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -35,6 +35,8 @@
     },
     /// A name of a process, host, data centre, region, service or endpoint.
     Name,
+    /// A list of names.
+    Names,
     /// One of these words.
     OneOf(&'static [&'static str]),
     /// A list of secrets, which are never included in messages.
@@ -156,6 +158,10 @@
             optional("fences", Rule::Flag),
             integer("memory_mb", 1, 1 << 20),
             integer("trust_ms", 100, MILLIS_PER_HOUR),
+            optional("contention", Rule::OneOf(&["auto", "on", "off"])),
+            optional("conditions", Rule::Names),
+            integer("share_floor", 0, 100),
+            integer("account_share", 1, 100),
             integer("crash_limit", 1, 100),
             integer("quarantine_s", 1, SECONDS_PER_DAY),
         ],
@@ -204,6 +210,9 @@
             Self::Name => {
                 format!("1 to {MAX_NAME_LEN} lower-case letters, digits, '-', '_' or '.'")
             }
+            Self::Names => format!(
+                "a list of names of 1 to {MAX_NAME_LEN} lower-case letters, digits, '-', '_' or '.'"
+            ),
             Self::OneOf(words) => words.join(", "),
             Self::Tokens => {
                 format!("a list of strings of at least {MIN_TOKEN_LEN} visible ASCII characters")
@@ -225,6 +234,10 @@
                 .is_some_and(|list| list.iter().all(|token| is_token(token.get_ref()))),
             Self::Address => value.as_str().and_then(address).is_some(),
             Self::Name => value.as_str().is_some_and(is_name),
+            Self::Names => value.as_array().is_some_and(|list| {
+                let mut names = list.iter().map(|name| name.get_ref().as_str());
+                names.all(|name| name.is_some_and(is_name))
+            }),
             Self::OneOf(words) => value.as_str().is_some_and(|word| words.contains(&word)),
             Self::Url => value.as_str().is_some_and(is_url),
         }
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -132,6 +132,7 @@
     ("bounds.graceS", "8"),
     ("bounds.enforceFencing", "true"),
     ("limits.memoryMb", "512"),
+    ("contracts|json", r#"["base", "cost"]"#),
 ];
 
 #[test]
@@ -151,6 +152,27 @@
     assert_eq!(gateway.usage, None);
 }
 
+// Deployments that don't ask for fair shares must be served without them.
+#[test]
+fn template_expects_contention_only_if_the_platform_declares_it() {
+    let declared = |conditions: &str| {
+        let values: Vec<_> = VALUES
+            .iter()
+            .map(|(name, value)| match *name {
+                "contracts|json" => (*name, conditions),
+                _ => (*name, *value),
+            })
+            .collect();
+        let gateway = Settings::parse(&render_template(&values)).unwrap().gateway;
+        gateway.unwrap().contention()
+    };
+    let calm = declared(r#"["base", "cost"]"#);
+    assert!(!calm.is_expected(false));
+    assert!(calm.is_expected(true));
+    assert!(declared(r#"["base", "pressure"]"#).is_expected(false));
+    assert!(!declared("[]").is_expected(false));
+}
+
 // Revoked API keys must also expire at gateways that can't reach the store.
 #[test]
 fn template_limits_the_trust_in_api_keys_if_requested() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 //! * [`clock`]: sources of the current time.
 //! * [`clock_estimate`]: an estimate of the steady clock of another host.
 //! * [`config`]: the configuration document, its changes and its propagation.
+//! * [`contention`]: the switch for decisions on competition for room.
 //! * [`error`]: the closed list of error kinds and the answers for them.
 //! * [`gate`]: admission, sealing, buffering and replay at a sidecar.
 //! * [`id`]: identifiers of requests and processes.
@@ -52,6 +53,7 @@
 pub mod clock;
 pub mod clock_estimate;
 pub mod config;
+pub mod contention;
 pub mod error;
 pub mod gate;
 pub mod id;
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    contention::Contention,
     rollout::{
         pace::{Paces, Sample},
         tier::{ServiceSpeed, Tier},
@@ -112,6 +113,9 @@
 pub struct Engines {
     states: SlotMap<EngineKey, EngineState>,
     index: HashMap<String, EngineKey>,
+    contention: Contention,
+    /// Services of which an engine has reported how slow its host is.
+    shared_hosts: BTreeSet<String>,
     /// Average number of events of a text.
     mean_events: Option<f64>,
     /// Average ratio of a text's hinted tokens to its events.
@@ -125,6 +129,20 @@
         Self::default()
     }
 
+    /// Sets for which services contention is expected.
+    #[must_use]
+    pub const fn contention(mut self, contention: Contention) -> Self {
+        self.contention = contention;
+        self
+    }
+
+    /// Returns whether trainers are expected to compete for the engines of a service.
+    #[must_use]
+    pub fn is_contended(&self, service: &str) -> bool {
+        self.contention
+            .is_expected(self.shared_hosts.contains(service))
+    }
+
     /// Adds an engine, or updates it from its registration.
     pub fn update(&mut self, endpoint: &Endpoint) {
         let Endpoint {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     class::Class,
+    contention::Contention,
     error::ErrorKind,
     id::RequestId,
     route::{
@@ -38,6 +39,7 @@
     pub(super) timers: BTreeSet<(Instant, Timer)>,
     pub(super) steps: VecDeque<Step>,
     pub(super) ring_candidates: Vec<EndpointKey>,
+    pub(super) contention: Contention,
     seq: u64,
 }
 
@@ -59,10 +61,26 @@
             timers: BTreeSet::new(),
             steps: VecDeque::new(),
             ring_candidates: Vec::new(),
+            contention: Contention::default(),
             seq: 0,
         }
     }
 
+    /// Sets for which services contention is expected.
+    #[must_use]
+    pub const fn contention(mut self, contention: Contention) -> Self {
+        self.contention = contention;
+        self
+    }
+
+    /// Returns whether callers are expected to compete for the endpoints of a service.
+    #[must_use]
+    pub fn is_contended(&self, service: ServiceKey) -> bool {
+        let row = self.services.get(service);
+        self.contention
+            .is_expected(row.is_some_and(|row| row.shares_hosts))
+    }
+
     /// Adds a service, or replaces the settings of the one with this name.
     pub fn set_service(&mut self, now: Instant, name: &str, spec: ServiceSpec) -> ServiceKey {
         if let Some(key) = self.service(name) {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -74,6 +74,8 @@
     pub(super) ejected: u32,
     /// Ejected endpoints that wait for a trial call.
     pub(super) awaiting_trial: Vec<EndpointKey>,
+    /// Whether an endpoint has reported how slow its host is.
+    pub(super) shares_hosts: bool,
     pub(super) peers: Peers,
     pub(super) service_times: ServiceTimes,
     /// Current service time relative to the estimate; it rises at the start of a
@@ -108,6 +110,7 @@
             usable_local: 0,
             ejected: 0,
             awaiting_trial: Vec::new(),
+            shares_hosts: false,
             peers: Peers::default(),
             service_times: ServiceTimes::new(),
             slowdown: 1.0,
