Write a heartbeat again while it is not answered

After an outage of the store in which calls got no answer, all batches of a living owner were taken over: its heartbeat had been sent into the outage and waited for its timeout of up to 1.8 s, while the watchers, whose reads were answered again, saw the row unchanged for 0.85 s.

The heartbeat is now written again every 500 ms while no write is answered; it replaces one row without a condition, so repeats are harmless.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -7,6 +7,7 @@
     logs::BATCHES,
     platform::Backoff,
 };
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use hibiscusroad::{
     clock::millis,
     rollout::{
@@ -25,6 +26,10 @@
 /// How long a process sends heartbeats after its last batch: the next step of the trainer
 /// is given to the owner of the last one.
 const IDLE_HEARTBEAT_DURATION: Duration = Duration::from_secs(10);
+/// Time without an answer after which a heartbeat is written again: two renewals, so that one
+/// arrives before the others count the third as missed. A write times out within 1.8 s, so at
+/// most four are under way.
+const RESEND_INTERVAL: Duration = HEARTBEAT_INTERVAL.saturating_mul(2);
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
@@ -76,7 +81,7 @@
                     continue;
                 }
             };
-            match self.store.transact(&change).await {
+            match self.write_heartbeat(&change).await {
                 Commit::Done {
                     version: written, ..
                 } => {
@@ -98,6 +103,31 @@
         }
     }
 
+    /// Writes the heartbeat, and again while earlier writes are not answered.
+    ///
+    /// After an outage a write may wait for its timeout on a connection that stays silent, for
+    /// longer than [`HEARTBEAT_TIMEOUT`]. The others, whose reads are answered already, would
+    /// take the batches over and make the texts of the outage again. The writes replace the
+    /// same row, so it doesn't matter how many of them are carried out.
+    async fn write_heartbeat(&self, change: &Change) -> Commit {
+        let mut writes = FuturesUnordered::new();
+        loop {
+            writes.push(self.store.transact(change));
+            let resend = sleep(RESEND_INTERVAL);
+            tokio::pin!(resend);
+            loop {
+                tokio::select! {
+                    Some(commit) = writes.next() => {
+                        if writes.is_empty() || !matches!(commit, Commit::Unknown) {
+                            return commit;
+                        }
+                    }
+                    () = &mut resend => break,
+                }
+            }
+        }
+    }
+
     /// Waits until this process must send heartbeats.
     async fn heartbeat_needed(&self) {
         while !self.needs_heartbeat() {
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -299,6 +299,32 @@
     assert!(engine.runs().iter().all(|ran| ran.last_event_id.is_none()));
 }
 
+// Guards against a takeover from a living owner whose heartbeat was lost in an outage of the
+// store: the texts that it made meanwhile would have to be made again.
+#[test]
+fn owner_renews_its_heartbeat_at_once_after_an_outage() {
+    let (world, _desk, engine) = World::ready("outage", 4);
+    engine.set_work_duration(Duration::from_millis(120));
+    engine.set_event_count(60);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 3)).status, 202);
+    until("items run", || (engine.runs().len() == 3).then_some(()));
+    world.store.set_faults(Faults {
+        lost: true,
+        ..Faults::default()
+    });
+    std::thread::sleep(Duration::from_secs(4));
+    world.store.set_faults(Faults::default());
+    check_whole(&results(&world, 0, "b1", 3), 60);
+    for gateway in &world.gateways {
+        let lines = gateway.lines();
+        let takeover = lines
+            .iter()
+            .find(|line| line["text"] == "A batch is taken over.");
+        assert_eq!(takeover, None);
+    }
+    assert_eq!(engine.runs().len(), 3);
+}
+
 // The store carries writes out, but its answers are lost. Results that were read at another
 // process must be readable at the owner, which has to look for them in the store.
 #[test]
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -26,6 +26,9 @@
     pub busy: bool,
     /// No call is carried out or answered.
     pub silent: bool,
+    /// No call is carried out or answered, and its connection stays silent after the fault
+    /// ends, as if the packets of the call were lost.
+    pub lost: bool,
     /// How many of the next transactions are carried out without an answer.
     pub lose: u32,
     /// The delay after which transactions without an answer are carried out.
@@ -290,6 +293,12 @@
         }
         return exchange.cut();
     }
+    if faults.lost {
+        while exchange.is_open() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        return exchange.cut();
+    }
     if shared.is_stalled(&exchange) {
         while shared.is_stalled(&exchange) && exchange.is_open() {
             thread::sleep(Duration::from_millis(20));
