Name the load in records of orders, and hold engines that load

Owners of batches sent items to engines that load weights, which refuse them although they have free slots: only the holder of the duty knew of the loads. Records of orders now have the model and the version, which may be missing or of an unknown form. A module without I/O assumes a load from a record or from a refusal, until the engine shows the version or twice a typical load has passed; then one item is sent as a trial.

Nothing is held where contention isn't expected.

--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -60,7 +60,7 @@
         let mut records = self.order_records.borrow().clone();
         records.expire(now, self.duty.call_gap());
         for load in loads {
-            records.record(&load.endpoint, self.duty.holder(), now);
+            records.record_load(load, self.duty.holder(), now);
         }
         let value = serde_json::to_vec(&records).unwrap_or_default();
         let change = Change::new().put(orders_row(), value);
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -8,6 +8,10 @@
 //! A group waits for its slowest item, so an engine that is much slower than its peers
 //! gets only one item at a time, which shows when it recovers.
 
+mod loads;
+
+pub use self::loads::RefusalReason;
+
 use slotmap::SlotMap;
 use std::{
     collections::{BTreeSet, HashMap},
@@ -18,6 +22,7 @@
 use crate::{
     contention::Contention,
     rollout::{
+        loading::Loads,
         pace::{Paces, Sample},
         tier::{ServiceSpeed, Tier},
         waits::WaitReason,
@@ -116,6 +121,8 @@
     contention: Contention,
     /// Services of which an engine has reported how slow its host is.
     shared_hosts: BTreeSet<String>,
+    /// Where loads of weights are assumed to be under way.
+    loads: Loads,
     /// Average number of events of a text.
     mean_events: Option<f64>,
     /// Average ratio of a text's hinted tokens to its events.
@@ -180,6 +187,7 @@
 
     /// Removes an engine.
     pub fn remove(&mut self, id: &str) {
+        self.loads.forget(id);
         if let Some(key) = self.index.remove(id) {
             self.states.remove(key);
         }
@@ -231,6 +239,7 @@
                 && engine.free_slots(now) > 0
                 && (tier(engine) != Tier::Slow || engine.own_items == 0)
                 && has_weights(engine, requirements)
+                && !self.is_held(now, engine, requirements)
         };
         let eligible = self
             .states
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 //! * [`load_plan`]: plans which engine loads which weights next.
 //! * [`pace`]: the speed of engines, as owners share it.
 //! * [`presence`]: detects whether the owner of a batch is alive.
+//! * [`loading`]: where a load of weights is assumed to be under way.
 //! * [`order_records`]: records the last order to each engine, for when the duty changes hands.
 //! * [`urgency`]: the priority of an item at its engine.
 //! * [`waits`]: accounts for the time that items wait before they run.
@@ -29,6 +30,7 @@
 pub mod choice;
 pub mod engines;
 pub mod load_plan;
+pub mod loading;
 pub mod order_records;
 pub mod pace;
 pub mod presence;
