Let owners of batches follow the orders of weights

The holder of the duty applies its records to its own batches before it orders. Changes are logged, and metrics count held engines, withheld items and refusals by reason.

The stand-in engine can take time for a load.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -40,6 +40,7 @@
     pub(in crate::gateway) async fn dispatch(self: Rc<Self>) {
         loop {
             let now = Instant::now();
+            self.settle_loads();
             let mut batches: Vec<Rc<OwnedBatch>> = self.owned.borrow().values().cloned().collect();
             batches.sort_by_key(|owned| (owned.priority, owned.due_at));
             for owned in &batches {
@@ -105,6 +106,7 @@
             let Some(key) = self.choose_engine(now, owned, &route, index, None) else {
                 let reason = self.wait_reason(owned, &route, index);
                 owned.batch.borrow_mut().record_wait(now, reason);
+                self.record_withheld(now, owned, &route, index);
                 return;
             };
             owned.batch.borrow_mut().record_wait(now, None);
@@ -202,6 +204,7 @@
             return;
         };
         let slot = Slot::occupy(self, key);
+        self.record_sent_item(now, owned, key);
         owned.avoided_engines.borrow_mut().remove(&index);
         let exact_version = owned.batch.borrow().required_version(index);
         let wait_times = owned.batch.borrow().wait_times(now, index);
@@ -270,6 +273,9 @@
             Interruption::Never => "never",
         };
         self.context.meters.runs.with_label_values(&[outcome]).inc();
+        if cause != Interruption::NotRun {
+            engines.record_unanswered_item(key, owned.submission.model.as_deref());
+        }
         match cause {
             Interruption::NotRun => engines.record_refusal(now, key),
             Interruption::Lost => engines.record_failure(now, key),
@@ -287,7 +293,7 @@
 }
 
 /// Returns what an item requires of an engine.
-fn requirements<'a>(
+pub(super) fn requirements<'a>(
     owned: &'a OwnedBatch,
     route: &'a Route,
     index: usize,
--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -134,6 +134,7 @@
             return false;
         };
         let slot = Slot::occupy(self, key);
+        self.record_sent_item(now, owned, key);
         let task = {
             let (batches, owned) = (Rc::clone(self), Rc::clone(owned));
             async move { batches.run_draft(&owned, index, slot, endpoint).await }
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -22,7 +22,11 @@
 };
 use hibiscusroad::{
     clock::millis,
-    rollout::{Item, batch::Interruption, engines::EngineKey},
+    rollout::{
+        Item,
+        batch::Interruption,
+        engines::{EngineKey, RefusalReason},
+    },
     roster::Endpoint,
 };
 use hibiscusroad_platform::{
@@ -386,14 +390,26 @@
         let status = response.status().as_u16();
         match status {
             200..=299 if echo.is_some() && headers.contains_key(header::SIGNATURE) => {}
-            _ if headers.contains_key(header::NOT_RUN) => return Err(Interruption::NotRun),
-            421 => return Err(Interruption::NotRun),
+            _ if headers.contains_key(header::NOT_RUN) => {
+                let has_exact_version = head.headers.contains_key(header::EXPECT_VERSION);
+                let model = self.owned.submission.model.as_deref();
+                let now = Instant::now();
+                let reason = engines.record_refused_item(now, self.key, model, has_exact_version);
+                self.batches.count_refusal(reason);
+                return Err(Interruption::NotRun);
+            }
+            421 => {
+                self.batches.count_refusal(RefusalReason::Other);
+                return Err(Interruption::NotRun);
+            }
             422 => return Err(Interruption::Never),
             500 => return Err(Interruption::Failed),
             _ => return Err(Interruption::Lost),
         }
+        let model = self.owned.submission.model.as_deref();
+        engines.record_answered_item(Instant::now(), self.key, model);
         self.version = text(headers, header::WEIGHT_VERSIONS).and_then(|v| v.trim().parse().ok());
-        if let Some((model, version)) = self.owned.submission.model.as_deref().zip(self.version) {
+        if let Some((model, version)) = model.zip(self.version) {
             engines.record_version(self.key, model, version);
         }
         Ok(())
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -10,6 +10,7 @@
 mod heads;
 mod heartbeat;
 mod list;
+mod loads;
 mod owner;
 mod pieces;
 mod read;
@@ -120,6 +121,8 @@
     write_started: Cell<Option<Instant>>,
     /// The engine that an item was just moved away from, by item.
     avoided_engines: RefCell<HashMap<usize, EngineKey>>,
+    /// The item that was last counted as not sent because engines load weights.
+    withheld: Cell<Option<usize>>,
     /// The version of the head row with which this process became the owner.
     tenure: u64,
     /// Drafts by item.
@@ -196,6 +199,7 @@
             }
         }
         drop(engines);
+        self.settle_loads();
         self.dispatch_needed.notify_one();
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -291,6 +291,7 @@
             version_lag: head.lag,
             write_started: Cell::new(None),
             avoided_engines: RefCell::default(),
+            withheld: Cell::new(None),
             piece_rows: RefCell::new(piece_rows),
             result_ready: Notify::new(),
             results_listed: Notify::new(),
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -21,6 +21,9 @@
         meters
             .running
             .set(gauge_value(self.batches.running() as u64));
+        meters
+            .engines_held
+            .set(gauge_value(self.batches.held_count() as u64));
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
             Err(error) => {
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -126,6 +126,24 @@
         "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
+    (
+        "gateway_engines_held",
+        "gauge",
+        "",
+        "engines that get no item of a model because they are assumed to load its weights",
+    ),
+    (
+        "gateway_items_withheld_total",
+        "counter",
+        "",
+        "items that waited because only engines that are held for a load had room",
+    ),
+    (
+        "gateway_refusals_total",
+        "counter",
+        "reason",
+        "items that engines did not run, by the probable reason: loading, full, other",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -148,6 +166,9 @@
     pub(super) reports: IntCounterVec,
     pub(super) crashes: IntCounterVec,
     pub(super) quarantined: IntGauge,
+    pub(super) engines_held: IntGauge,
+    pub(super) withheld: IntCounter,
+    pub(super) refusals: IntCounterVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -206,6 +227,9 @@
             reports: counter_vec(16)?,
             crashes: counter_vec(17)?,
             quarantined: gauge(18)?,
+            engines_held: gauge(19)?,
+            withheld: counter(20)?,
+            refusals: counter_vec(21)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -350,6 +350,7 @@
     spawn_local(Rc::clone(batches).dispatch());
     spawn_local(Rc::clone(batches).sweep());
     spawn_local(Rc::clone(batches).share_paces());
+    spawn_local(Rc::clone(batches).follow_orders());
     spawn_local(Rc::clone(weights).run());
     spawn_local(Rc::clone(usage).run_writer());
     spawn_local(Rc::clone(&context.crashes).run_writer());
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -176,6 +176,6 @@
 }
 
 /// Returns the ID of the row of recorded orders.
-fn orders_row() -> RowId {
+pub(super) fn orders_row() -> RowId {
     RowId::new(DUTIES_TABLE, "", ORDERS_KEY)
 }
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -66,6 +66,7 @@
         let change = Change::new().put(orders_row(), value);
         match self.duty.transact(change).await {
             Some(Commit::Done { .. }) => {
+                self.batches.apply_orders(&records);
                 self.order_records.replace(records);
                 true
             }
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -13,7 +13,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Lets the first part of an answer reach the caller before the connection closes.
@@ -96,6 +96,12 @@
     item_events: BTreeMap<String, u64>,
     weights: BTreeMap<String, u64>,
     orders: u64,
+    /// How long it takes to load weights that were ordered.
+    load_duration: Duration,
+    /// When it accepted the order that it carries out.
+    ordered_at: Option<Instant>,
+    /// Items that it refused during a load, by the time since the order.
+    load_refusals: Vec<Duration>,
     fence: u64,
     runs: Vec<ExecutedRequest>,
     order_holders: Vec<(String, u64)>,
@@ -161,6 +167,9 @@
                 item_events: BTreeMap::new(),
                 weights: models.iter().map(|m| ((*m).to_owned(), 1)).collect(),
                 orders: 0,
+                load_duration: Duration::ZERO,
+                ordered_at: None,
+                load_refusals: Vec::new(),
                 fence: 0,
                 runs: Vec::new(),
                 order_holders: Vec::new(),
@@ -244,6 +253,17 @@
         self.shared.lock().runs.clone()
     }
 
+    /// Sets how long a load of ordered weights takes. The engine runs no new items meanwhile.
+    pub fn set_load_duration(&self, duration: Duration) {
+        self.shared.lock().load_duration = duration;
+    }
+
+    /// Returns the items that it refused during a load, by the time since its order.
+    #[must_use]
+    pub fn load_refusals(&self) -> Vec<Duration> {
+        self.shared.lock().load_refusals.clone()
+    }
+
     /// Returns the lease holder and fencing token of each accepted order.
     #[must_use]
     pub fn order_holders(&self) -> Vec<(String, u64)> {
@@ -302,13 +322,22 @@
 fn serve(shared: &Arc<Shared>, exchange: Exchange) {
     match exchange.path() {
         "/report" => {
-            let orders = shared.lock().orders;
-            let body = json!({ "stage": "both", "models": shared.models(), "busy": false,
+            let (orders, is_busy) = {
+                let inner = shared.lock();
+                (inner.orders, inner.ordered_at.is_some())
+            };
+            let body = json!({ "stage": "both", "models": shared.models(), "busy": is_busy,
                 "seq": orders, "numWaiting": 0, "numRunning": 0 });
             exchange.answer(200, &body);
         }
         "/order" => apply_order(shared, exchange),
-        _ => run_request(shared, exchange),
+        _ => {
+            let ordered_at = shared.lock().ordered_at;
+            match ordered_at.filter(|_| exchange.header("X-Model").is_some()) {
+                Some(at) => refuse_item(shared, exchange, at.elapsed()),
+                None => run_request(shared, exchange),
+            }
+        }
     }
 }
 
@@ -331,10 +360,41 @@
     inner.fence = order.fence;
     inner.orders += 1;
     inner.order_holders.push((order.holder, order.fence));
-    inner.weights.insert(order.model, order.version);
+    if inner.load_duration.is_zero() {
+        inner.weights.insert(order.model, order.version);
+        drop(inner);
+        shared.publish_models();
+        return exchange.answer(202, &json!({}));
+    }
+    inner.ordered_at = Some(Instant::now());
+    let duration = inner.load_duration;
     drop(inner);
-    shared.publish_models();
     exchange.answer(202, &json!({}));
+    let shared = Arc::clone(shared);
+    thread::spawn(move || {
+        thread::sleep(duration);
+        let mut inner = shared.lock();
+        inner.ordered_at = None;
+        inner.weights.insert(order.model, order.version);
+        drop(inner);
+        shared.publish_models();
+    });
+}
+
+/// Refuses an item during a load, with a report of free slots.
+fn refuse_item(shared: &Shared, mut exchange: Exchange, since_order: Duration) {
+    shared.lock().load_refusals.push(since_order);
+    let id = exchange.header("X-Request-Id").unwrap_or_default();
+    let id = id.to_owned();
+    if exchange.body().is_err() {
+        return exchange.cut();
+    }
+    let headers = [
+        ("X-Not-Executed", "1"),
+        ("X-Request-Id", id.as_str()),
+        ("X-Server-Load", "0,0,8"),
+    ];
+    exchange.answer_bytes(503, &headers, Vec::new());
 }
 
 fn run_request(shared: &Arc<Shared>, mut exchange: Exchange) {
