Keep repeated orders from holding an engine that can't load

Each try of an order that an engine doesn't carry out has a new record, which began a new hold, so the engine would have got hardly any item. A record of the same version doesn't prolong a hold, and has no effect once the engine has answered a trial.

Tests for the limit on bytes of the row.

--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -224,6 +224,7 @@
     /// Chooses an engine with free capacity for an item.
     #[must_use]
     pub fn choose(&self, now: Instant, requirements: &Requirements<'_>) -> Option<EngineKey> {
+        let held = self.held_engines(now, requirements);
         let speed = self.service_speed(requirements.service);
         let tier = |engine: &EngineState| {
             let known = speed.zip(engine.pace);
@@ -239,7 +240,7 @@
                 && engine.free_slots(now) > 0
                 && (tier(engine) != Tier::Slow || engine.own_items == 0)
                 && has_weights(engine, requirements)
-                && !self.is_held(now, engine, requirements)
+                && !held.contains_key(key)
         };
         let eligible = self
             .states
--- a/src/rollout/engines/loads.rs
+++ b/src/rollout/engines/loads.rs
@@ -2,11 +2,12 @@
 //!
 //! Nothing here takes effect for a service for which contention isn't expected.
 
-use super::{EngineKey, EngineState, Engines, Requirements, has_weights};
+use super::{EngineKey, Engines, Requirements, has_weights};
 use crate::rollout::{
     loading::{HoldChange, Versions},
     order_records::OrderRecords,
 };
+use slotmap::SecondaryMap;
 use std::time::{Duration, Instant};
 
 /// Why an engine refused an item.
@@ -120,27 +121,33 @@
     /// Returns whether an engine could take an item if it weren't held for a load of weights.
     #[must_use]
     pub fn waits_for_load(&self, now: Instant, requirements: &Requirements<'_>) -> bool {
-        self.states.iter().any(|(key, engine)| {
+        let held = self.held_engines(now, requirements);
+        held.keys().any(|key| {
+            let engine = &self.states[key];
             Some(key) != requirements.excluded
                 && engine.is_open
                 && engine.service == requirements.service
                 && engine.paused_until.is_none_or(|until| until <= now)
                 && engine.free_slots(now) > 0
                 && has_weights(engine, requirements)
-                && self.is_held(now, engine, requirements)
         })
     }
 
-    /// Returns whether an engine is held for a load of the weights of an item's model.
-    pub(super) fn is_held(
+    /// Returns the engines that are held for a load of the weights of an item's model.
+    pub(super) fn held_engines(
         &self,
         now: Instant,
-        engine: &EngineState,
         requirements: &Requirements<'_>,
-    ) -> bool {
-        requirements.model.is_some_and(|model| {
-            self.loads.is_held(now, &engine.id, model, &engine.weights)
-                && self.is_contended(&engine.service)
-        })
+    ) -> SecondaryMap<EngineKey, ()> {
+        let model = requirements.model;
+        let Some(model) = model.filter(|_| self.is_contended(requirements.service)) else {
+            return SecondaryMap::new();
+        };
+        // Few engines load at once, so this costs less than a look at each engine's loads.
+        let held = self.loads.held(now, model).filter_map(|(id, hold)| {
+            let key = *self.index.get(id)?;
+            (!hold.is_over(model, &self.states[key].weights)).then_some((key, ()))
+        });
+        held.collect()
     }
 }
--- a/src/rollout/loading.rs
+++ b/src/rollout/loading.rs
@@ -12,6 +12,10 @@
 //! once it is answered. A long limit costs capacity where no load is under way, a short one
 //! costs one refused item.
 //!
+//! An order that an engine doesn't carry out is repeated, each time with another record. Such
+//! records don't prolong a hold, and once the engine has answered a trial they have no effect:
+//! otherwise an engine that can't load would get no items at all.
+//!
 //! Loads are kept by engine and model. A load that was learned from a refusal may be one of
 //! another model, so any newer version at that engine ends it.
 
@@ -85,7 +89,7 @@
 
 /// A load that is assumed to be under way.
 #[derive(Clone, Debug)]
-struct Hold {
+pub struct Hold {
     order: Option<Order>,
     /// The sum of the engine's versions when it refused an item.
     refused_at_sum: Option<u64>,
@@ -99,7 +103,8 @@
 
 impl Hold {
     /// Returns whether an engine with these versions has ended the load.
-    fn is_over(&self, model: &str, versions: &Versions) -> bool {
+    #[must_use]
+    pub fn is_over(&self, model: &str, versions: &Versions) -> bool {
         let has_ordered = self.order.is_some_and(|order| {
             let known = versions.get(model).copied();
             known.is_some_and(|known| known >= order.version)
@@ -123,6 +128,8 @@
     engines: HashMap<String, BTreeMap<String, Hold>>,
     /// When the last applied order of each engine was recorded, by the store's clock.
     applied: HashMap<String, Duration>,
+    /// Versions that engines didn't load although they were ordered, by engine and model.
+    not_loaded: HashMap<String, BTreeMap<String, u64>>,
     /// Seconds of a typical load.
     typical: Option<f64>,
     changes: Vec<HoldChange>,
@@ -171,11 +178,23 @@
         let Some(recorded_at) = now.checked_sub(counted).filter(|_| counted < limit) else {
             return;
         };
+        let order = Order {
+            version,
+            recorded_at,
+        };
+        let known = self.hold_mut(engine, model);
+        if let Some(known) = known.and_then(|hold| hold.order.as_mut())
+            && known.version == version
+        {
+            *known = order;
+            return;
+        }
+        let failed = self.not_loaded.get(engine);
+        if failed.and_then(|models| models.get(model)) == Some(&version) {
+            return;
+        }
         let hold = Hold {
-            order: Some(Order {
-                version,
-                recorded_at,
-            }),
+            order: Some(order),
             refused_at_sum: None,
             since: now,
             until: recorded_at + limit,
@@ -276,14 +295,16 @@
     /// Forgets the loads of an engine that was removed or restarted.
     pub fn forget(&mut self, engine: &str) {
         self.engines.remove(engine);
+        self.not_loaded.remove(engine);
     }
 
-    /// Returns whether no item of a model may be sent to an engine with these versions.
-    #[must_use]
-    pub fn is_held(&self, now: Instant, engine: &str, model: &str, versions: &Versions) -> bool {
-        let hold = self.engines.get(engine).and_then(|holds| holds.get(model));
-        hold.is_some_and(|hold| {
-            !hold.allows_item(now, self.time_limit()) && !hold.is_over(model, versions)
+    /// Returns the engines to which no item of a model may be sent, unless they have ended the
+    /// load since.
+    pub fn held(&self, now: Instant, model: &str) -> impl Iterator<Item = (&str, &Hold)> {
+        let limit = self.time_limit();
+        self.engines.iter().filter_map(move |(engine, holds)| {
+            let hold = holds.get(model)?;
+            (!hold.allows_item(now, limit)).then_some((engine.as_str(), hold))
         })
     }
 
@@ -332,8 +353,8 @@
             self.engines.remove(engine);
         }
         let Some(hold) = hold else { return };
-        if let Some(order) = hold.order.filter(|_| cause == HoldCause::Loaded) {
-            self.learn(now.saturating_duration_since(order.recorded_at));
+        if let Some(order) = hold.order {
+            self.record_outcome(now, engine, model, order, cause);
         }
         self.report(now, engine, model, &hold, cause);
     }
@@ -350,10 +371,27 @@
         });
     }
 
-    fn learn(&mut self, load: Duration) {
-        let seconds = load.min(LIMITS.1).as_secs_f64();
-        let mean = self.typical.unwrap_or(seconds);
-        self.typical = Some(mean + (seconds - mean) * SAMPLE_WEIGHT);
+    fn record_outcome(
+        &mut self,
+        now: Instant,
+        engine: &str,
+        model: &str,
+        order: Order,
+        cause: HoldCause,
+    ) {
+        match cause {
+            HoldCause::Loaded => {
+                let load = now.saturating_duration_since(order.recorded_at);
+                let seconds = load.min(LIMITS.1).as_secs_f64();
+                let mean = self.typical.unwrap_or(seconds);
+                self.typical = Some(mean + (seconds - mean) * SAMPLE_WEIGHT);
+            }
+            HoldCause::Answered => {
+                let models = self.not_loaded.entry(engine.to_owned()).or_default();
+                models.insert(model.to_owned(), order.version);
+            }
+            HoldCause::Ordered | HoldCause::Refused | HoldCause::TimedOut | HoldCause::Unused => {}
+        }
     }
 }
 
--- a/tests/change_pacing.rs
+++ b/tests/change_pacing.rs
@@ -1,6 +1,6 @@
 //! Pacing of the changes of a busy table.
 
-use hibiscusroad::change_pacing::ChangePacing;
+use hibiscusroad::change_pacing::{BytePacing, ChangePacing};
 use std::time::{Duration, Instant};
 
 /// Follows a table that changes at an interval for some time; returns the number of
@@ -50,3 +50,22 @@
     }
     assert!(pacing.record_delivery(start) > Duration::ZERO);
 }
+
+// Guards against records of loads that arrive late in a burst, and against bytes that grow
+// with the number of engines.
+#[test]
+fn bytes_of_large_rows_are_bounded_after_a_burst() {
+    let start = Instant::now();
+    let mut pacing = BytePacing::new(start);
+    let (mut now, mut bytes) = (start, 0);
+    while bytes < 30_000 {
+        bytes += 1_500;
+        assert_eq!(pacing.record_delivery(now, 1_500), Duration::ZERO);
+        now += Duration::from_millis(20);
+    }
+    while now < start + Duration::from_mins(1) {
+        bytes += 15_000;
+        now += pacing.record_delivery(now, 15_000) + Duration::from_millis(5);
+    }
+    assert!(bytes <= 32_000 + 11_000 * 60 + 15_000, "{bytes}");
+}
--- a/tests/rollout_loading.rs
+++ b/tests/rollout_loading.rs
@@ -129,6 +129,31 @@
     assert_eq!(causes(&mut engines, now).last(), Some(&HoldCause::Answered));
 }
 
+// Guards against an engine that can't load and gets no items, because its order is repeated.
+#[test]
+fn repeated_orders_do_not_prolong_a_hold() {
+    let start = Instant::now();
+    let mut engines = engine(Mode::On);
+    let key = engines.key("e").unwrap();
+    let record = |engines: &mut Engines, version, after| {
+        let at = STORE_NOW + ms(after);
+        engines.record_orders(start + ms(after), at, &order(version, at));
+    };
+    for after in [0, 500, 1_000, 1_500] {
+        record(&mut engines, 2, after);
+        assert!(!takes(&engines, start + ms(after), "guide"));
+    }
+    let now = start + ms(2_000);
+    record(&mut engines, 2, 2_000);
+    assert!(takes(&engines, now, "guide"));
+    engines.record_sent_item(now, key, Some("guide"));
+    engines.record_answered_item(now, key, Some("guide"));
+    record(&mut engines, 2, 2_500);
+    assert!(takes(&engines, now + ms(500), "guide"));
+    record(&mut engines, 3, 3_000);
+    assert!(!takes(&engines, now + ms(1_000), "guide"));
+}
+
 // Guards against an engine without items for ever because an item that was a trial was
 // cancelled.
 #[test]
