End the trial of an engine that is another instance than expected

Such an answer is neither a refusal by a loading engine nor a run, so the next item waited for the time limit of the trial. No test: the stand-in keeps its instance.

--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -399,6 +399,7 @@
                 return Err(Interruption::NotRun);
             }
             421 => {
+                engines.record_unanswered_item(self.key, self.owned.submission.model.as_deref());
                 self.batches.count_refusal(RefusalReason::Other);
                 return Err(Interruption::NotRun);
             }
