Parse the load header into a struct that has the slowness of the host

The fourth number of the header, the current slowness of an endpoint's host in percent, was dropped. It is now a field of header::Load.

Nothing reads the slowness yet.

--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -16,6 +16,7 @@
         Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
     },
 };
+use hibiscusroad_platform::header::Load;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
@@ -198,11 +199,11 @@
     }
 
     /// Passes the load that an endpoint reported to the router.
-    pub(super) fn record_load(&self, endpoint: EndpointKey, running: u32, queued: u32, slots: u32) {
+    pub(super) fn record_load(&self, endpoint: EndpointKey, load: Load) {
         let report = LoadReport {
-            running,
-            queued,
-            limit: slots,
+            running: load.running,
+            queued: load.queued,
+            limit: load.slots,
             ..LoadReport::default()
         };
         self.router
