Place items by expected end where engines share hosts or differ in speed

Items took the fastest engines first, whatever their length, so these were full of short texts when a long one started.

Where contention is expected, items that surely fit take slower engines while those have room, and all others take the engine with the earliest expected end. The first such report switches this on. A run moves when its rest, with a margin for inexact hints, no longer fits the time that is left and another engine with room ends it clearly earlier. The paces that owners share are the natural ones there. Metrics count moves by reason and engines' slowness; the lines of a run's end have the inputs.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -4,7 +4,7 @@
 //! before the last one is done.
 
 use super::{
-    Batches, OwnedBatch,
+    Batches, OwnedBatch, placement,
     slot::{ItemStart, Slot},
 };
 use crate::{gateway::calls::pick_service, logs::BATCHES};
@@ -149,11 +149,14 @@
         index: usize,
         excluded: Option<EngineKey>,
     ) -> Option<EngineKey> {
+        let engines = self.engines.borrow();
         let requirements = Requirements {
             excluded: excluded.or_else(|| owned.avoided_engines.borrow().get(&index).copied()),
+            rest: placement::rest(&engines, owned, index),
+            due: Some(owned.due_at),
             ..requirements(owned, route, index)?
         };
-        self.engines.borrow().choose(now, &requirements)
+        engines.choose(now, &requirements)
     }
 
     /// Returns what an item waits for that can't start now.
@@ -179,9 +182,12 @@
         min_version: u64,
     ) -> Option<EngineKey> {
         let engines = self.engines.borrow();
+        let item = &owned.submission.items[index];
         let requirements = Requirements {
             min_version,
             exact_version: None,
+            // A draft starts from nothing, and nobody waits for it.
+            rest: engines.length(item.hint, item.tokens).map(|it| it.rest(0)),
             ..requirements(owned, route, index)?
         };
         let found = engines.choose(now, &requirements);
@@ -301,5 +307,7 @@
         exact_version: owned.batch.borrow().required_version(index),
         group,
         excluded: None,
+        rest: None,
+        due: None,
     })
 }
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -5,7 +5,7 @@
 //! events; the versions that were ordered don't tell which one made a text.
 
 use super::{
-    Batches, OwnedBatch,
+    Batches, OwnedBatch, placement,
     slot::{ItemStart, Slot},
 };
 use crate::{
@@ -22,7 +22,7 @@
 };
 use hibiscusroad::{
     clock::millis,
-    rollout::{Item, batch::Interruption, engines::EngineKey},
+    rollout::{Item, batch::Interruption, engines::EngineKey, fit::Progress},
     roster::Endpoint,
 };
 use hibiscusroad_platform::{
@@ -87,6 +87,8 @@
     pace: Option<f64>,
     event_count: u32,
     last_data_at: Instant,
+    /// When the first event of this run came.
+    first_event_at: Instant,
     last_event_at: Instant,
 }
 
@@ -105,6 +107,10 @@
         let item = &owned.submission.items[index];
         let start = Instant::now();
         let mut run = Run::new(self, owned, &endpoint.service, index, slot.key);
+        let fit = {
+            let engines = self.engines.borrow();
+            placement::describe(&engines, start, owned, index, &endpoint.service, slot.key)
+        };
         let deadline = owned.expires_at.unwrap_or(start + DEFAULT_ITEM_TTL);
         let request = build_request(
             item,
@@ -138,7 +144,7 @@
                 endpoint = endpoint.id.as_str(), cause:? = cause, before:? = last_event,
                 fingerprint = subject.map(|it| it.fingerprint().to_string()),
                 events = run.event_count, pace_us = micros(run.pace),
-                took_ms = millis(start.elapsed()), waited_ms = millis(waited),
+                took_ms = millis(start.elapsed()), waited_ms = millis(waited), fit = fit.as_str(),
                 weights_ms = millis(waits.weights), room_ms = millis(waits.capacity); "A run of an item broke off.");
             self.record_interruption(owned, index, slot.key, last_event, cause);
             return;
@@ -147,7 +153,7 @@
             endpoint = endpoint.id.as_str(), before:? = last_event, events = run.event_count,
             pace_us = micros(run.pace), hint:? = item.hint, took_ms = millis(start.elapsed()),
             waited_ms = millis(waited), weights_ms = millis(waits.weights),
-            room_ms = millis(waits.capacity), group = item.group.as_str();
+            room_ms = millis(waits.capacity), group = item.group.as_str(), fit = fit.as_str();
             "The text of an item is whole.");
         let meters = &self.context.meters;
         meters.runs.with_label_values(&["whole"]).inc();
@@ -267,6 +273,7 @@
             pace: None,
             event_count: 0,
             last_data_at: now,
+            first_event_at: now,
             last_event_at: now,
         }
     }
@@ -319,7 +326,7 @@
                 "An engine did not answer.");
             Interruption::Lost
         })?;
-        if let Err(cause) = self.check_response(head, &response) {
+        if let Err(cause) = self.check_response(head, &endpoint.id, &response) {
             flight.mark_survived();
             return Err(cause);
         }
@@ -361,6 +368,7 @@
                 log::debug!(target: BATCHES, item = id,
                     waited_ms = millis(start.elapsed());
                     "An item leaves the queue of a full engine.");
+                self.batches.count_move("queue");
                 return Err(Interruption::Moved);
             }
             wait = REPLACEMENT_POLL_INTERVAL;
@@ -371,15 +379,22 @@
     fn check_response(
         &mut self,
         head: &Head,
+        endpoint: &str,
         response: &Response<Incoming>,
     ) -> Result<(), Interruption> {
         let headers = response.headers();
         let load = text(headers, header::LOAD).and_then(header::parse_load);
-        let mut engines = self.batches.engines.borrow_mut();
         if let Some(load) = load {
+            let mut engines = self.batches.engines.borrow_mut();
             let total = load.running.saturating_add(load.queued);
-            engines.record_load(Instant::now(), self.key, total);
+            let is_first = engines.record_load(Instant::now(), self.key, total, load.slowness);
+            drop(engines);
+            if let Some(percent) = load.slowness {
+                self.batches
+                    .record_slowness(self.service, endpoint, percent, is_first);
+            }
         }
+        let mut engines = self.batches.engines.borrow_mut();
         let echo = text(headers, header::REQUEST);
         if echo.is_some_and(|echo| echo != head.id) {
             return Err(Interruption::Lost);
@@ -463,6 +478,7 @@
                 .borrow_mut()
                 .record_stall(now, self.key);
             if self.other_engine(now).is_some() {
+                self.batches.count_move("stall");
                 return Err(Interruption::Moved);
             }
             wait = REPLACEMENT_POLL_INTERVAL;
@@ -504,6 +520,7 @@
         self.event_count += 1;
         if self.event_count == 1 {
             // The time to the first event measures the queue and the prompt.
+            self.first_event_at = now;
             return Ok(());
         }
         let pace = self.pace.unwrap_or(gap);
@@ -519,11 +536,31 @@
         let Some(other) = self.other_engine(now) else {
             return Ok(());
         };
-        let events = self.last_event().unwrap_or(0);
+        let progress = self.progress(now, pace);
         let engines = self.batches.engines.borrow();
-        if engines.is_worth_moving(self.service, pace, events, other) {
-            return Err(Interruption::Moved);
+        let reason = engines.move_reason(now, self.service, self.key, &progress, other);
+        drop(engines);
+        let Some(reason) = reason else {
+            return Ok(());
+        };
+        let engines = (self.key, other);
+        self.batches
+            .record_move(now, self.owned, self.index, engines, &progress, reason);
+        Err(Interruption::Moved)
+    }
+
+    /// Returns how far this run is, with its present pace.
+    fn progress(&self, now: Instant, pace: f64) -> Progress {
+        let item = &self.owned.submission.items[self.index];
+        let elapsed = now.saturating_duration_since(self.first_event_at);
+        let engines = self.batches.engines.borrow();
+        Progress {
+            events: self.last_event().unwrap_or(0),
+            pace,
+            mean_pace: elapsed.as_secs_f64() / f64::from(self.event_count.max(2) - 1),
+            elapsed,
+            length: engines.length(item.hint, item.tokens),
+            due: self.owned.due_at,
         }
-        Ok(())
     }
 }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -12,6 +12,7 @@
 mod list;
 mod owner;
 mod pieces;
+mod placement;
 mod read;
 mod score;
 mod share;
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -15,6 +15,9 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Upper bounds of the buckets of slowness, as multiples of the usual time.
+const SLOWNESS_BUCKETS: &[f64] = &[1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0];
+
 /// All metrics: name, kind, label and help text, as the operations page lists them.
 pub const NAMES: &[(&str, &str, &str, &str)] = &[
     (
@@ -126,6 +129,18 @@
         "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
+    (
+        "gateway_moves_total",
+        "counter",
+        "reason",
+        "runs that left an engine for another: queue, stall, pace, outgrown, late",
+    ),
+    (
+        "gateway_engine_slowness",
+        "histogram",
+        "",
+        "slowness of their hosts as engines reported it, 1 is as usual",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -148,6 +163,8 @@
     pub(super) reports: IntCounterVec,
     pub(super) crashes: IntCounterVec,
     pub(super) quarantined: IntGauge,
+    pub(super) moves: IntCounterVec,
+    pub(super) engine_slowness: Histogram,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -167,9 +184,9 @@
             registry.register(Box::new(counters.clone()))?;
             Ok(counters)
         };
-        let histogram = |n: usize| -> prometheus::Result<Histogram> {
+        let histogram = |n: usize, buckets: &[f64]| -> prometheus::Result<Histogram> {
             let (name, _, _, help) = NAMES[n];
-            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             let histogram = Histogram::with_opts(opts)?;
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
@@ -188,15 +205,15 @@
         };
         Ok(Self {
             answers: counter_vec(0)?,
-            answer_seconds: histogram(1)?,
+            answer_seconds: histogram(1, LATENCY_BUCKETS)?,
             attempts: counter_vec(2)?,
             batches: counter_vec(3)?,
             runs: counter_vec(4)?,
-            run_seconds: histogram(5)?,
+            run_seconds: histogram(5, LATENCY_BUCKETS)?,
             results: counter(6)?,
             running: gauge(7)?,
             loads: counter_vec(8)?,
-            load_seconds: histogram(9)?,
+            load_seconds: histogram(9, LATENCY_BUCKETS)?,
             store_calls: counter_vec(10)?,
             connections: gauge(11)?,
             config: gauge(12)?,
@@ -206,6 +223,8 @@
             reports: counter_vec(16)?,
             crashes: counter_vec(17)?,
             quarantined: gauge(18)?,
+            moves: counter_vec(19)?,
+            engine_slowness: histogram(20, SLOWNESS_BUCKETS)?,
             registry,
         })
     }
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -18,6 +18,7 @@
 use crate::{
     contention::Contention,
     rollout::{
+        fit::{self, Candidate, Length, MoveReason, Progress, Rest, Speed, Task},
         pace::{Paces, Sample},
         tier::{ServiceSpeed, Tier},
         waits::WaitReason,
@@ -51,6 +52,20 @@
 const SLOWNESS_TTL: Duration = Duration::from_secs(6);
 /// Weight of a new sample in an engine's pace.
 const PACE_WEIGHT: f64 = 0.4;
+/// Weight of a new sample in an engine's natural pace: a sample covers a part of one disturbance
+/// of a shared host, and the average many of them.
+const NATURAL_WEIGHT: f64 = 1.0 / NATURAL_SAMPLES as f64;
+/// Number of samples after which the natural pace no longer follows other owners.
+const NATURAL_SAMPLES: u32 = 32;
+/// A pace tells that an engine is disturbed now if it exceeds the natural one by this factor,
+/// more than single samples vary.
+const DISTURBED_FACTOR: f64 = 1.7;
+/// Pace of all engines, in seconds per event, while none is known.
+const UNKNOWN_PACE: f64 = 0.05;
+/// Lower bound of paces in seconds per event; events in one packet have no time between them.
+const MIN_PACE: f64 = 1e-6;
+/// A slowness of 100 percent is the usual one.
+const USUAL_PERCENT: f64 = 100.0;
 
 #[derive(Debug)]
 struct EngineState {
@@ -71,6 +86,12 @@
     failures: u32,
     /// Seconds per event.
     pace: Option<f64>,
+    /// Average of the pace over many runs, in seconds per event.
+    natural: Option<f64>,
+    /// Number of samples of the natural pace.
+    natural_samples: u32,
+    /// The host's slowness in percent, and when it was reported.
+    slowness: Option<(Instant, u32)>,
     /// When the pace was last measured, here or by another owner.
     pace_as_of: Option<Instant>,
     /// When the pace was last measured here.
@@ -89,6 +110,45 @@
         self.slots
             .saturating_sub(self.own_items + self.other_requests(now))
     }
+
+    /// Returns the host's slowness in percent and the age of its report, while that is valid.
+    fn slowness(&self, now: Instant) -> Option<(u32, Duration)> {
+        let (at, percent) = self.slowness?;
+        let age = now.saturating_duration_since(at);
+        (age < fit::REPORT_TTL).then_some((percent, age))
+    }
+
+    fn record_natural_pace(&mut self, pace: f64) {
+        self.natural_samples = self.natural_samples.saturating_add(1);
+        let weight = (1.0 / f64::from(self.natural_samples)).max(NATURAL_WEIGHT);
+        let old = self.natural.unwrap_or(pace);
+        self.natural = Some(old + (pace - old) * weight);
+    }
+
+    /// Returns the speed, with the `median` pace if the own one is not known. A pace that shows
+    /// a disturbance counts for `pace_ttl` if the host reports no slowness.
+    fn speed(&self, now: Instant, median: f64, pace_ttl: Duration) -> Speed {
+        let pace = self.natural.unwrap_or(median).max(MIN_PACE);
+        if let Some((percent, age)) = self.slowness(now) {
+            return Speed {
+                pace,
+                slowness: f64::from(percent) / USUAL_PERCENT,
+                window: fit::REPORT_TTL.saturating_sub(age).as_secs_f64(),
+            };
+        }
+        let valid = self.pace_as_of.and_then(|at| {
+            let age = now.saturating_duration_since(at);
+            pace_ttl.checked_sub(age)
+        });
+        match self.pace.zip(valid) {
+            Some((recent, valid)) if recent > pace * DISTURBED_FACTOR => Speed {
+                pace,
+                slowness: recent / pace,
+                window: valid.as_secs_f64(),
+            },
+            _ => Speed::steady(pace),
+        }
+    }
 }
 
 /// What an item requires of its engine.
@@ -106,6 +166,10 @@
     pub group: &'a str,
     /// An engine that must not be chosen.
     pub excluded: Option<EngineKey>,
+    /// What is left of the text, if that is known.
+    pub rest: Option<Rest>,
+    /// When the text is due, if anyone waits for it.
+    pub due: Option<Instant>,
 }
 
 /// All engines, as one owner of batches sees them.
@@ -120,6 +184,8 @@
     mean_events: Option<f64>,
     /// Average ratio of a text's hinted tokens to its events.
     tokens_per_event: Option<f64>,
+    /// Number of events of the longest text so far.
+    max_events: u64,
 }
 
 impl Engines {
@@ -143,6 +209,12 @@
             .is_expected(self.shared_hosts.contains(service))
     }
 
+    /// Records that an engine of a service has reported how slow its host is; returns whether it
+    /// is the first one.
+    pub fn record_shared_host(&mut self, service: &str) -> bool {
+        !self.shared_hosts.contains(service) && self.shared_hosts.insert(service.to_owned())
+    }
+
     /// Adds an engine, or updates it from its registration.
     pub fn update(&mut self, endpoint: &Endpoint) {
         let Endpoint {
@@ -164,6 +236,9 @@
                 paused_until: None,
                 failures: 0,
                 pace: None,
+                natural: None,
+                natural_samples: 0,
+                slowness: None,
                 pace_as_of: None,
                 own_measurement: None,
             });
@@ -216,6 +291,9 @@
     /// Chooses an engine with free capacity for an item.
     #[must_use]
     pub fn choose(&self, now: Instant, requirements: &Requirements<'_>) -> Option<EngineKey> {
+        if self.is_contended(requirements.service) {
+            return self.choose_by_end(now, requirements);
+        }
         let speed = self.service_speed(requirements.service);
         let tier = |engine: &EngineState| {
             let known = speed.zip(engine.pace);
@@ -223,28 +301,72 @@
             let outdated = engine.pace_as_of.is_some_and(|at| now > at + SLOWNESS_TTL);
             if outdated { tier.max(Tier::Mild) } else { tier }
         };
-        let is_eligible = |key: EngineKey, engine: &EngineState| {
-            Some(key) != requirements.excluded
-                && engine.is_open
-                && engine.service == requirements.service
-                && engine.paused_until.is_none_or(|until| until <= now)
-                && engine.free_slots(now) > 0
+        let eligible = self.states.iter().filter(|(key, engine)| {
+            is_eligible(now, *key, engine, requirements)
                 && (tier(engine) != Tier::Slow || engine.own_items == 0)
-                && has_weights(engine, requirements)
-        };
-        let eligible = self
-            .states
-            .iter()
-            .filter(|(key, engine)| is_eligible(*key, engine));
+        });
         let best = eligible.max_by_key(|(_, engine)| {
-            // Makes owners that see the same capacities choose different engines.
-            let group_hash = xxh3_64_with_seed(requirements.group.as_bytes(), 0);
-            let tie_breaker = xxh3_64_with_seed(engine.id.as_bytes(), group_hash);
+            let tie_breaker = tie_breaker(engine, requirements);
             (tier(engine), engine.free_slots(now), tie_breaker)
         });
         best.map(|(key, _)| key)
     }
 
+    /// Chooses an engine with free capacity by the expected end of an item.
+    fn choose_by_end(&self, now: Instant, requirements: &Requirements<'_>) -> Option<EngineKey> {
+        let service = requirements.service;
+        let median = self.natural_median(service).unwrap_or(UNKNOWN_PACE);
+        let pace_ttl = self.pace_ttl(service);
+        let eligible = self
+            .states
+            .iter()
+            .filter(|(key, engine)| is_eligible(now, *key, engine, requirements));
+        let candidates: Vec<_> = eligible
+            .map(|(key, engine)| Candidate {
+                key,
+                speed: engine.speed(now, median, pace_ttl),
+                slots: engine.slots,
+                free: engine.free_slots(now),
+            })
+            .collect();
+        let task = Task {
+            rest: requirements.rest,
+            left: requirements
+                .due
+                .map(|due| due.saturating_duration_since(now)),
+        };
+        fit::choose(task, median, &candidates, |key| {
+            tie_breaker(&self.states[key], requirements)
+        })
+    }
+
+    /// Returns the speed of an engine, and its host's reported slowness in percent with the age
+    /// of the report; the slowness is `None` if there is no valid report.
+    #[must_use]
+    pub fn speed(&self, now: Instant, key: EngineKey) -> Option<(Speed, Option<(u32, Duration)>)> {
+        let engine = self.states.get(key)?;
+        let median = self.natural_median(&engine.service)?;
+        let speed = engine.speed(now, median, self.pace_ttl(&engine.service));
+        Some((speed, engine.slowness(now)))
+    }
+
+    /// Returns how long a pace that shows a disturbance is assumed to last.
+    fn pace_ttl(&self, service: &str) -> Duration {
+        if self.shared_hosts.contains(service) {
+            fit::REPORT_TTL
+        } else {
+            SLOWNESS_TTL
+        }
+    }
+
+    fn natural_median(&self, service: &str) -> Option<f64> {
+        let engines = self.states.values().filter(|it| it.service == service);
+        let mut paces: Vec<f64> = engines.filter_map(|it| it.natural).collect();
+        let middle = paces.len() / 2;
+        let is_known = middle < paces.len();
+        is_known.then(|| *paces.select_nth_unstable_by(middle, f64::total_cmp).1)
+    }
+
     /// Returns what is missing when no engine can be chosen.
     #[must_use]
     pub fn wait_reason(&self, requirements: &Requirements<'_>) -> WaitReason {
@@ -297,8 +419,43 @@
         }
     }
 
+    /// Returns why a run at engine `key` of a service should go on at `other`, if it should.
+    #[must_use]
+    pub fn move_reason(
+        &self,
+        now: Instant,
+        service: &str,
+        key: EngineKey,
+        progress: &Progress,
+        other: EngineKey,
+    ) -> Option<MoveReason> {
+        if !self.is_contended(service) {
+            return self
+                .is_worth_moving(service, progress.pace, progress.events, other)
+                .then_some(MoveReason::Pace);
+        }
+        let left = progress.due.saturating_duration_since(now);
+        let (here, _) = self.speed(now, key)?;
+        let (there, _) = self.speed(now, other)?;
+        fit::move_reason(progress, left, here, there)
+    }
+
+    /// Returns the expected length of a text from its hint and its maximum, both in tokens;
+    /// `None` before any text was completed.
+    #[must_use]
+    pub fn length(&self, hint: Option<u32>, max_tokens: u32) -> Option<Length> {
+        let mean = self.mean_events?;
+        let events_of = |tokens: u32| Some(f64::from(tokens) / self.tokens_per_event?);
+        let hint = hint.map(|hint| hint.min(max_tokens));
+        let expected = hint.and_then(events_of).unwrap_or(mean);
+        let longest = (self.max_events as f64).max(expected);
+        let max = events_of(max_tokens).map_or(longest, |max| max.min(longest));
+        Some(Length { expected, max })
+    }
+
     /// Records the number of events of a complete text, and its length hint in tokens.
     pub fn record_text(&mut self, events: u64, hint: Option<u32>) {
+        self.max_events = self.max_events.max(events);
         let mean = self.mean_events.unwrap_or(events as f64);
         self.mean_events = Some(mean + (events as f64 - mean) * EVENTS_WEIGHT);
         if let Some(hint) = hint.filter(|_| events > 0) {
@@ -334,11 +491,26 @@
         }
     }
 
-    /// Records the total of running and queued requests that an engine reported.
-    pub fn record_load(&mut self, now: Instant, key: EngineKey, total: u32) {
-        if let Some(engine) = self.states.get_mut(key) {
-            engine.others_report = Some((now, total.saturating_sub(engine.own_items)));
-        }
+    /// Records the total of running and queued requests that an engine reported, and the
+    /// slowness of its host in percent; returns whether that is the first report of a slowness
+    /// for its service.
+    pub fn record_load(
+        &mut self,
+        now: Instant,
+        key: EngineKey,
+        total: u32,
+        slowness: Option<u32>,
+    ) -> bool {
+        let Some(engine) = self.states.get_mut(key) else {
+            return false;
+        };
+        engine.others_report = Some((now, total.saturating_sub(engine.own_items)));
+        let Some(percent) = slowness.filter(|percent| *percent > 0) else {
+            return false;
+        };
+        engine.slowness = Some((now, percent));
+        let service = engine.service.clone();
+        self.record_shared_host(&service)
     }
 
     /// Records the weight version that an engine reported with an answer.
@@ -391,6 +563,7 @@
             engine.failures = 0;
             engine.pace_as_of = Some(now);
             engine.own_measurement = Some(now);
+            engine.record_natural_pace(pace);
             let old = engine.pace.unwrap_or(pace);
             engine.pace = Some(old + (pace - old) * PACE_WEIGHT);
         }
@@ -411,12 +584,19 @@
     #[must_use]
     pub fn own_paces(&self, now: Instant, store_now: Duration, service: &str) -> Paces {
         let mut paces = Paces::new();
+        let is_contended = self.is_contended(service);
         for engine in self
             .states
             .values()
             .filter(|engine| engine.service == service)
         {
-            let Some((pace, measured_at)) = engine.pace.zip(engine.own_measurement) else {
+            // A pace of one moment misleads owners where disturbances are shorter than their reads.
+            let pace = if is_contended {
+                engine.natural
+            } else {
+                engine.pace
+            };
+            let Some((pace, measured_at)) = pace.zip(engine.own_measurement) else {
                 continue;
             };
             let age = now.saturating_duration_since(measured_at);
@@ -445,8 +625,12 @@
                 continue;
             };
             if engine.pace_as_of.is_none_or(|known| known < at) {
-                engine.pace = Some(f64::from(sample.event_micros) / 1e6);
+                let pace = f64::from(sample.event_micros) / 1e6;
+                engine.pace = Some(pace);
                 engine.pace_as_of = Some(at);
+                if engine.natural_samples < NATURAL_SAMPLES {
+                    engine.record_natural_pace(pace);
+                }
                 updated += 1;
             }
         }
@@ -468,6 +652,27 @@
     }
 }
 
+/// Returns whether an engine may run an item and has a free slot for it.
+fn is_eligible(
+    now: Instant,
+    key: EngineKey,
+    engine: &EngineState,
+    requirements: &Requirements<'_>,
+) -> bool {
+    Some(key) != requirements.excluded
+        && engine.is_open
+        && engine.service == requirements.service
+        && engine.paused_until.is_none_or(|until| until <= now)
+        && engine.free_slots(now) > 0
+        && has_weights(engine, requirements)
+}
+
+/// Makes owners that see the same capacities choose different engines.
+fn tie_breaker(engine: &EngineState, requirements: &Requirements<'_>) -> u64 {
+    let group_hash = xxh3_64_with_seed(requirements.group.as_bytes(), 0);
+    xxh3_64_with_seed(engine.id.as_bytes(), group_hash)
+}
+
 fn has_weights(engine: &EngineState, requirements: &Requirements<'_>) -> bool {
     let Some(model) = requirements.model else {
         return true;
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 //! * [`choice`]: chooses the process that runs a new batch.
 //! * [`batch`]: the state of a batch: which item starts next and which results are listed.
 //! * [`engines`]: chooses the engine for an item.
+//! * [`fit`]: fits items to engines of unequal speed.
 //! * [`load_plan`]: plans which engine loads which weights next.
 //! * [`pace`]: the speed of engines, as owners share it.
 //! * [`presence`]: detects whether the owner of a batch is alive.
@@ -28,6 +29,7 @@
 pub mod batch;
 pub mod choice;
 pub mod engines;
+pub mod fit;
 pub mod load_plan;
 pub mod order_records;
 pub mod pace;
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -20,6 +20,8 @@
     exact_version: None,
     group: "g",
     excluded: None,
+    rest: None,
+    due: None,
 };
 
 fn engines(versions: &[u64]) -> Engines {
@@ -79,7 +81,7 @@
     let now = Instant::now();
     let mut engines = engines(&[3]);
     let key = engines.key("e0").unwrap();
-    engines.record_load(now, key, 2);
+    engines.record_load(now, key, 2, None);
     assert_eq!(engines.choose(now, &REQUIREMENTS), None);
     assert_eq!(
         engines.choose(now + Duration::from_secs(1), &REQUIREMENTS),
