--- a/hibiscusroad-daemon/tests/gateway_explain.rs
+++ b/hibiscusroad-daemon/tests/gateway_explain.rs
@@ -89,6 +89,40 @@
     assert!(lines[completed].contains("endpoint=i-lm"), "{trace}");
 }
 
+// Guards against a slowness that is lost between the header and the choice, and against logs and
+// metrics that don't tell why an engine was chosen.
+#[test]
+fn reported_slowness_is_used_and_explained() {
+    let (world, _desk, engine) = World::ready("explain-slowness", 1);
+    let gateway = &world.gateways[0];
+    let run = |step: u64| {
+        let batch = format!("b{step}");
+        let body = submission(step, 1, 1, 1).to_string();
+        let answer = gateway.call("POST", "/lm/step", &batch, body.as_bytes());
+        assert_eq!(answer.status, 202);
+        let item = format!("item-{step}-0-0");
+        trace(&world, &item, "The text of an item is whole.")
+    };
+    assert!(!run(1).contains("left_ms="), "contention isn't expected");
+    engine.set_slowness(250);
+    run(2);
+    let first = gateway.line("The engines of a service share their hosts with others.");
+    assert_eq!(
+        (&first["slowness"], &first["contended"]),
+        (&250.into(), &true.into())
+    );
+    let mut step = 2;
+    // A report is used for 600 ms, which a busy machine may exceed between two batches.
+    until("a report is used", || {
+        step += 1;
+        run(step).contains("slowness=250 age_ms=").then_some(())
+    });
+    let answer = ask("GET", gateway.metrics, "/metrics", &[], b"", WAIT_TIMEOUT).unwrap();
+    let text = answer.text();
+    let count = format!("gateway_engine_slowness_count {}", step - 1);
+    assert!(text.contains(&count), "{text}");
+}
+
 // All metrics are listed in `NAMES` and on the operations page, and they count requests.
 #[test]
 fn served_metrics_match_the_operations_page() {
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -94,6 +94,8 @@
     event_count: u64,
     /// Overrides of `event_count` by request id.
     item_events: BTreeMap<String, u64>,
+    /// The slowness of its host in percent, if it reports that.
+    slowness: Option<u32>,
     weights: BTreeMap<String, u64>,
     orders: u64,
     fence: u64,
@@ -159,6 +161,7 @@
                 work_duration: Duration::from_millis(5),
                 event_count: 8,
                 item_events: BTreeMap::new(),
+                slowness: None,
                 weights: models.iter().map(|m| ((*m).to_owned(), 1)).collect(),
                 orders: 0,
                 fence: 0,
@@ -238,6 +241,11 @@
             .insert(item.to_owned(), events);
     }
 
+    /// Sets the slowness of its host in percent, which it reports from now on.
+    pub fn set_slowness(&self, percent: u32) {
+        self.shared.lock().slowness = Some(percent);
+    }
+
     /// Returns the requests that it started to run.
     #[must_use]
     pub fn runs(&self) -> Vec<ExecutedRequest> {
@@ -485,7 +493,9 @@
     let mut version = shared.lock().weights.get(model).copied().unwrap_or(0);
     let initial_version = version.to_string();
     let stamp = format!("stamp-{id}");
-    let headers = [
+    let slowness = shared.lock().slowness;
+    let load = slowness.map(|percent| format!("1,0,8,{percent}"));
+    let mut headers = vec![
         ("X-Request-Id", id),
         ("X-Server-Stamp", stamp.as_str()),
         ("X-Weight-Versions", initial_version.as_str()),
@@ -494,6 +504,7 @@
         // then block it.
         ("Connection", "close"),
     ];
+    headers.extend(load.as_deref().map(|load| ("X-Server-Load", load)));
     let Ok(mut stream) = exchange.stream_with(&headers) else {
         return;
     };
