--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -533,11 +533,15 @@
             .engines
             .borrow_mut()
             .record_pace(now, self.key, pace);
-        let Some(other) = self.other_engine(now) else {
+        let progress = self.progress(now, pace);
+        let engines = &self.batches.engines;
+        let may_move = engines
+            .borrow()
+            .may_move(now, self.service, self.key, &progress);
+        let Some(other) = may_move.then(|| self.other_engine(now)).flatten() else {
             return Ok(());
         };
-        let progress = self.progress(now, pace);
-        let engines = self.batches.engines.borrow();
+        let engines = engines.borrow();
         let reason = engines.move_reason(now, self.service, self.key, &progress, other);
         drop(engines);
         let Some(reason) = reason else {
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -10,7 +10,7 @@
 
 use slotmap::SlotMap;
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -18,7 +18,7 @@
 use crate::{
     contention::Contention,
     rollout::{
-        fit::{self, Candidate, Length, MoveReason, Progress, Rest, Speed, Task},
+        fit::{self, Candidate, LateRun, Length, MoveReason, Progress, Rest, Speed, Task},
         pace::{Paces, Sample},
         tier::{ServiceSpeed, Tier},
         waits::WaitReason,
@@ -76,7 +76,7 @@
     slots: u32,
     /// Whether the engine takes new requests.
     is_open: bool,
-    weights: HashMap<String, u64>,
+    weights: BTreeMap<String, u64>,
     /// Number of items of this owner that run there.
     own_items: u32,
     /// Number of other requests there, and when it was reported.
@@ -230,7 +230,7 @@
                 service: service.clone(),
                 slots: endpoint.slots,
                 is_open: !endpoint.leaving,
-                weights: HashMap::new(),
+                weights: BTreeMap::new(),
                 own_items: 0,
                 others_report: None,
                 paused_until: None,
@@ -305,8 +305,9 @@
             is_eligible(now, *key, engine, requirements)
                 && (tier(engine) != Tier::Slow || engine.own_items == 0)
         });
+        let group_hash = group_hash(requirements);
         let best = eligible.max_by_key(|(_, engine)| {
-            let tie_breaker = tie_breaker(engine, requirements);
+            let tie_breaker = tie_breaker(engine, group_hash);
             (tier(engine), engine.free_slots(now), tie_breaker)
         });
         best.map(|(key, _)| key)
@@ -335,8 +336,9 @@
                 .due
                 .map(|due| due.saturating_duration_since(now)),
         };
+        let group_hash = group_hash(requirements);
         fit::choose(task, median, &candidates, |key| {
-            tie_breaker(&self.states[key], requirements)
+            tie_breaker(&self.states[key], group_hash)
         })
     }
 
@@ -345,7 +347,8 @@
     #[must_use]
     pub fn speed(&self, now: Instant, key: EngineKey) -> Option<(Speed, Option<(u32, Duration)>)> {
         let engine = self.states.get(key)?;
-        let median = self.natural_median(&engine.service)?;
+        let pace = engine.natural;
+        let median = pace.or_else(|| self.natural_median(&engine.service))?;
         let speed = engine.speed(now, median, self.pace_ttl(&engine.service));
         Some((speed, engine.slowness(now)))
     }
@@ -434,10 +437,26 @@
                 .is_worth_moving(service, progress.pace, progress.events, other)
                 .then_some(MoveReason::Pace);
         }
+        let (speed, _) = self.speed(now, other)?;
+        self.late_run(now, key, progress)?.move_reason(speed)
+    }
+
+    /// Returns whether a run may have a reason to move, before another engine is looked for.
+    #[must_use]
+    pub fn may_move(
+        &self,
+        now: Instant,
+        service: &str,
+        key: EngineKey,
+        progress: &Progress,
+    ) -> bool {
+        !self.is_contended(service) || self.late_run(now, key, progress).is_some()
+    }
+
+    fn late_run(&self, now: Instant, key: EngineKey, progress: &Progress) -> Option<LateRun> {
         let left = progress.due.saturating_duration_since(now);
         let (here, _) = self.speed(now, key)?;
-        let (there, _) = self.speed(now, other)?;
-        fit::move_reason(progress, left, here, there)
+        fit::late_run(progress, left, here)
     }
 
     /// Returns the expected length of a text from its hint and its maximum, both in tokens;
@@ -667,9 +686,12 @@
         && has_weights(engine, requirements)
 }
 
+fn group_hash(requirements: &Requirements<'_>) -> u64 {
+    xxh3_64_with_seed(requirements.group.as_bytes(), 0)
+}
+
 /// Makes owners that see the same capacities choose different engines.
-fn tie_breaker(engine: &EngineState, requirements: &Requirements<'_>) -> u64 {
-    let group_hash = xxh3_64_with_seed(requirements.group.as_bytes(), 0);
+fn tie_breaker(engine: &EngineState, group_hash: u64) -> u64 {
     xxh3_64_with_seed(engine.id.as_bytes(), group_hash)
 }
 
@@ -687,7 +709,7 @@
 }
 
 /// Keeps the highest reported version, because registrations lag behind answers.
-fn raise_version(weights: &mut HashMap<String, u64>, model: &str, version: u64) {
+fn raise_version(weights: &mut BTreeMap<String, u64>, model: &str, version: u64) {
     let known = weights.entry(model.to_owned()).or_default();
     *known = (*known).max(version);
 }
--- a/src/rollout/fit.rs
+++ b/src/rollout/fit.rs
@@ -118,6 +118,9 @@
     /// Returns the seconds that a number of events takes.
     #[must_use]
     pub fn seconds(self, events: f64) -> f64 {
+        if self.window <= 0.0 {
+            return events * self.pace;
+        }
         let slow_pace = self.pace * self.slowness;
         if events * slow_pace <= self.window {
             return events * slow_pace;
@@ -168,8 +171,8 @@
         return earliest(candidates.iter(), 1.0, tie_breaker);
     };
     let fits = |it: &&Candidate<K>| is_in_time(it.speed, rest.worst, task.left);
-    let slower = || candidates.iter().filter(|it| !it.is_fast(median));
-    if let Some(key) = earliest(slower().filter(fits), rest.expected, &tie_breaker) {
+    let slower = candidates.iter().filter(|it| !it.is_fast(median));
+    if let Some(key) = earliest(slower.filter(fits), rest.expected, &tie_breaker) {
         return Some(key);
     }
     let unreserved = candidates.iter().filter(|it| !it.is_reserved());
@@ -187,16 +190,20 @@
 
 /// Returns the engine with the most free slots of those with the earliest expected end.
 fn earliest<'a, K: Copy + 'a>(
-    candidates: impl Iterator<Item = &'a Candidate<K>> + Clone,
+    candidates: impl Iterator<Item = &'a Candidate<K>>,
     events: f64,
     tie_breaker: impl Fn(K) -> u64,
 ) -> Option<K> {
-    let seconds = |it: &Candidate<K>| it.speed.seconds(events);
-    let best = candidates.clone().map(seconds).min_by(f64::total_cmp)?;
-    let equal = candidates.filter(|it| seconds(it) <= best * EQUAL_FACTOR);
-    let most_free = equal.clone().map(|it| it.free).max()?;
-    let freest = equal.filter(|it| it.free == most_free);
-    freest.map(|it| it.key).max_by_key(|key| tie_breaker(*key))
+    let ends: Vec<(f64, &Candidate<K>)> = candidates
+        .map(|it| (it.speed.seconds(events), it))
+        .collect();
+    let best = ends.iter().map(|(end, _)| *end).min_by(f64::total_cmp)?;
+    let equal = || ends.iter().filter(|(end, _)| *end <= best * EQUAL_FACTOR);
+    let most_free = equal().map(|(_, it)| it.free).max()?;
+    let freest = equal().filter(|(_, it)| it.free == most_free);
+    freest
+        .map(|(_, it)| it.key)
+        .max_by_key(|key| tie_breaker(*key))
 }
 
 /// Why a run moves to another engine.
@@ -240,25 +247,43 @@
     pub due: Instant,
 }
 
-/// Returns why a run that has `left` until it is due should go on at `other`, if it should.
-pub(super) fn move_reason(
-    progress: &Progress,
-    left: Duration,
-    here: Speed,
-    other: Speed,
-) -> Option<MoveReason> {
+/// The assumed rest of a run that may be late at its engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LateRun {
+    reason: MoveReason,
+    /// Events of the rest.
+    events: f64,
+    /// Seconds of the rest.
+    seconds: f64,
+}
+
+/// Returns the rest of a run at an engine with the speed `here` if that may not fit the time
+/// `left` until it is due.
+pub(super) fn late_run(progress: &Progress, left: Duration, here: Speed) -> Option<LateRun> {
     let length = progress.length?;
     let mut here = here;
     if progress.elapsed >= MIN_RUN_TIME {
         here.pace = here.pace.max(progress.mean_pace);
     }
-    let rest = length.rest(progress.events);
+    let events = length.rest(progress.events).worst;
     let reason = if length.is_outgrown(progress.events) {
         MoveReason::Outgrown
     } else {
         MoveReason::Late
     };
-    let elsewhere = MOVE_TIME.as_secs_f64() + other.seconds(rest.worst);
-    let is_earlier = elsewhere <= here.seconds(rest.worst) * MOVE_GAIN;
-    (is_earlier && !is_in_time(here, rest.worst, Some(left))).then_some(reason)
+    let seconds = here.seconds(events);
+    let run = LateRun {
+        reason,
+        events,
+        seconds,
+    };
+    (!is_in_time(here, events, Some(left))).then_some(run)
+}
+
+impl LateRun {
+    /// Returns why the run should go on at an engine with the speed `other`, if it should.
+    pub(super) fn move_reason(self, other: Speed) -> Option<MoveReason> {
+        let elsewhere = MOVE_TIME.as_secs_f64() + other.seconds(self.events);
+        (elsewhere <= self.seconds * MOVE_GAIN).then_some(self.reason)
+    }
 }
