--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -13,6 +13,7 @@
 mod loads;
 mod owner;
 mod pieces;
+mod placement;
 mod read;
 mod score;
 mod share;
--- a/src/rollout/loading.rs
+++ b/src/rollout/loading.rs
@@ -44,7 +44,7 @@
 const RECORD_TTL: Duration = Duration::from_mins(1);
 
 /// The versions of an engine, by model.
-pub type Versions = HashMap<String, u64>;
+pub type Versions = BTreeMap<String, u64>;
 
 /// Why an engine is held or released.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/tests/rollout_loading.rs
+++ b/tests/rollout_loading.rs
@@ -64,6 +64,8 @@
         exact_version: None,
         group: "g",
         excluded: None,
+        rest: None,
+        due: None,
     };
     engines.choose(now, &requirements).is_some()
 }
@@ -177,10 +179,10 @@
     let start = Instant::now();
     let mut engines = engine(Mode::On);
     let key = engines.key("e").unwrap();
-    engines.record_load(start, key, 4);
+    engines.record_load(start, key, 4, None);
     assert_eq!(refuse(&mut engines, start, "guide"), RefusalReason::Full);
     assert!(!takes(&engines, start, "guide"));
-    engines.record_load(start, key, 1);
+    engines.record_load(start, key, 1, None);
     assert!(takes(&engines, start, "guide"));
     assert_eq!(refuse(&mut engines, start, "guide"), RefusalReason::Loading);
     // Items that were sent with the first are refused, too, and don't prolong the hold.
