Test that moves and shared paces are unchanged without contention

move_reason is compared with is_worth_moving, and the shared pace with the one of the last events; where contention is expected, one disturbance must not show as the pace of an engine.

--- a/tests/rollout_fit.rs
+++ b/tests/rollout_fit.rs
@@ -155,6 +155,48 @@
     }
 }
 
+// Guards against moves by length or slowness for deployments that don't ask for them.
+#[test]
+fn moves_without_contention_follow_the_pace_alone() {
+    let now = Instant::now();
+    let (mut engines, keys) = engines(Mode::Off, 8, 6, 1);
+    for (n, key) in keys.iter().enumerate() {
+        engines.record_pace(now, *key, pace(n));
+        engines.record_load(now, *key, 0, Some(250));
+    }
+    engines.record_text(20, Some(80));
+    for (pace, events) in [(FAST, 9), (SLOW, 9), (SLOW, 99), (0.2, 9), (0.2, 99)] {
+        let progress = Progress {
+            events,
+            pace,
+            mean_pace: pace,
+            elapsed: Duration::from_secs(2),
+            length: engines.length(Some(80), 400),
+            due: now,
+        };
+        for other in &keys {
+            let is_worth = engines.is_worth_moving(SERVICE, pace, events, *other);
+            let reason = engines.move_reason(now, SERVICE, keys[1], &progress, *other);
+            assert_eq!(reason, is_worth.then_some(MoveReason::Pace));
+            assert!(engines.may_move(now, SERVICE, keys[1], &progress));
+        }
+    }
+}
+
+// Guards against owners that share the pace of one disturbance as that of the engine.
+#[test]
+fn natural_pace_is_shared_where_hosts_are_disturbed() {
+    let now = Instant::now();
+    for (mode, low, high) in [(Mode::On, 58_000, 70_000), (Mode::Off, 90_000, 100_000)] {
+        let (mut engines, keys) = engines(mode, 1, 6, 1);
+        (0..20).for_each(|_| engines.record_pace(now, keys[0], SLOW));
+        engines.record_pace(now, keys[0], SLOW * 2.5);
+        let paces = engines.own_paces(now, Duration::from_secs(9), SERVICE);
+        let micros = paces.get("e0").unwrap().event_micros;
+        assert!((low..high).contains(&micros), "{mode:?}: {micros}");
+    }
+}
+
 /// The choice without contention.
 fn uncontended_choice(now: Instant, states: &[State], keys: &[EngineKey]) -> Option<EngineKey> {
     let mut paces: Vec<f64> = states.iter().map(|it| it.pace).collect();
