--- a/src/rollout/fit.rs
+++ b/src/rollout/fit.rs
@@ -175,11 +175,12 @@
     if let Some(key) = earliest(slower.filter(fits), rest.expected, &tie_breaker) {
         return Some(key);
     }
-    let unreserved = candidates.iter().filter(|it| !it.is_reserved());
-    let is_short = is_in_time(Speed::steady(median), rest.worst, task.left);
-    is_short
-        .then(|| earliest(unreserved.filter(fits), rest.expected, &tie_breaker))
-        .flatten()
+    // Slower engines are full; a text that would fit there leaves the reserve to others.
+    let fits_slower = is_in_time(Speed::steady(median), rest.worst, task.left);
+    let unreserved = candidates
+        .iter()
+        .filter(|it| fits_slower && !it.is_reserved());
+    earliest(unreserved.filter(fits), rest.expected, &tie_breaker)
         .or_else(|| earliest(candidates.iter(), rest.expected, &tie_breaker))
 }
 
