Refuse no call by the service time of a few answers

A call that finds a free slot is refused if the median service time exceeds the time that it has left. The median was that of a single answer after the start of an entry. One answer that took 200 ms on a busy machine then refused every call with a deadline of 200 ms as saturated, and refused calls yield no answer that corrects the estimate.

The service time now refuses a call only from 16 answers on: on arrival, in the queue and before a retry. Expected waits use the estimate as before.

Both new tests fail without the change.

--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -35,7 +35,7 @@
 /// Cap on the tail of the service time, as a share of the time left. Without it
 /// a class whose slowest calls outlast every deadline would always be refused.
 const MAX_TAIL_SHARE: f64 = 0.5;
-/// Wait below which only the median service time has to fit.
+/// Wait below which only the median service time has to fit, if it is known.
 const NEGLIGIBLE_WAIT_SECS: f64 = 0.001;
 
 impl Router {
@@ -127,7 +127,7 @@
         }
         // The timer refuses the call as soon as it can't be answered in time.
         let call = self.calls[key].call;
-        let median = self.estimate(&call).map_or(0.0, |e| e.p50);
+        let median = self.estimate(&call).map_or(0.0, |e| e.known_median());
         let latest_start = call.deadline.checked_sub(seconds(median));
         let latest_start = latest_start.map_or(now, |at| at.max(now));
         self.calls[key].latest_start = latest_start;
@@ -235,17 +235,22 @@
     }
 
     pub(super) fn can_answer_in_time(&self, now: Instant, call: &Call) -> bool {
-        let median = self.estimate(call).map_or(0.0, |e| e.p50);
+        let median = self.estimate(call).map_or(0.0, |e| e.known_median());
         now + seconds(median) < call.deadline
     }
 }
 
 fn fits_deadline(wait: f64, wait_margin: f64, estimate: &Estimate, time_left: f64) -> bool {
     if wait < NEGLIGIBLE_WAIT_SECS {
-        return estimate.p50 <= time_left;
+        return estimate.known_median() <= time_left;
     }
+    let known_mean = if estimate.is_known() {
+        estimate.mean
+    } else {
+        0.0
+    };
     let tail = estimate
         .p999
-        .min((time_left * MAX_TAIL_SHARE).max(estimate.mean));
+        .min((time_left * MAX_TAIL_SHARE).max(known_mean));
     wait * wait_margin + tail <= time_left
 }
--- a/src/route/service_times.rs
+++ b/src/route/service_times.rs
@@ -33,9 +33,15 @@
 /// load. The first to end are the shortest, so fewer would give too low a mean.
 const MIN_SAMPLES: u32 = 512;
 
+/// Answers from which on the service time counts as known. If a call in five is slow, for
+/// example while connections are opened, most of 16 are with a probability of 1 in 700.
+const MIN_KNOWN_ANSWERS: u32 = 16;
+
 /// What a call is expected to take at an endpoint, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Estimate {
+    /// Number of answers behind the estimate.
+    pub(super) answers: u32,
     pub(super) mean: f64,
     pub(super) p50: f64,
     pub(super) p95: f64,
@@ -52,8 +58,23 @@
 }
 
 impl Estimate {
+    /// Returns whether there are enough answers to refuse a call because of its own
+    /// service time.
+    ///
+    /// A refused call yields no answer, so an estimate of a few slow ones would refuse all
+    /// calls with short deadlines until others correct it.
+    pub(super) fn is_known(&self) -> bool {
+        self.answers >= MIN_KNOWN_ANSWERS
+    }
+
+    /// Returns the median, or 0 while it is not known.
+    pub(super) fn known_median(&self) -> f64 {
+        if self.is_known() { self.p50 } else { 0.0 }
+    }
+
     fn scale(self, factor: f64) -> Self {
         Self {
+            answers: self.answers,
             mean: self.mean * factor,
             p50: self.p50 * factor,
             p95: self.p95 * factor,
@@ -103,6 +124,7 @@
             first_calls: Average::default(),
             since_refresh: 0,
             estimate: Estimate {
+                answers: 1,
                 mean: secs,
                 p50: secs,
                 p95: secs,
@@ -172,6 +194,7 @@
         }
         let from_low_load = self.low_load.count >= MIN_LOW_LOAD_SAMPLES;
         self.estimate = Estimate {
+            answers: self.total,
             mean: self.sum / f64::from(self.total.max(1)),
             p50: quantiles[0],
             p95: quantiles[1],
--- a/tests/route_once.rs
+++ b/tests/route_once.rs
@@ -211,3 +211,39 @@
         assert_eq!(refused, committed, "{steps:?}");
     }
 }
+
+/// Guards against refusing a call that finds a free slot because one earlier answer was
+/// slow. Refused calls yield no answer that could correct the estimate.
+#[test]
+fn a_short_deadline_is_refused_only_by_a_known_median() {
+    let (mut now, mut router, service, endpoint) = setup(4);
+    let mut answer = |seq, refused: bool| {
+        let call = Call::new(id(seq), service, Class::Interactive, now + secs(1));
+        router.submit(now, call);
+        assert!(matches!(steps(&mut router)[..], [Step::Start { .. }]));
+        now += Duration::from_millis(250);
+        router.finish(now, call.id, endpoint, Outcome::Answered);
+        let deadline = now + Duration::from_millis(200);
+        let short = Call::new(id(seq + 100), service, Class::Interactive, deadline);
+        router.submit(now, short);
+        let is_started = matches!(steps(&mut router)[..], [Step::Start { .. }]);
+        assert_eq!(is_started, !refused, "after {seq} answers");
+        router.cancel(now, short.id);
+        steps(&mut router);
+    };
+    (1..=15).for_each(|seq| answer(seq, false));
+    answer(16, true);
+}
+
+/// As above, where all slots are in use and the call would wait for one.
+#[test]
+fn a_short_deadline_is_queued_after_one_slow_answer() {
+    let (now, mut router, service, endpoint) = setup(4);
+    let call = |seq, deadline| Call::new(id(seq), service, Class::Interactive, deadline);
+    router.submit(now, call(1, now + secs(1)));
+    let now = now + Duration::from_millis(250);
+    router.finish(now, id(1), endpoint, Outcome::Answered);
+    (2..6).for_each(|seq| router.submit(now, call(seq, now + secs(9))));
+    router.submit(now, call(6, now + Duration::from_millis(200)));
+    assert_eq!(router.queued(service, Class::Interactive), 1);
+}
