Place plain calls by the current slowness of hosts

An endpoint's load report may say how long work takes on its host at the moment. The router keeps it for 600 ms: endpoints of the usual pace that have room come first, the score of the others is their load times the slowness, expected waits and the check on deadlines use the mean over usable endpoints relative to that of past answers, and answers of slow hosts don't eject an endpoint or shrink its limit. Reports switch this on for their service. The metric gateway_endpoints counts endpoints by slowness.

--- a/hibiscusroad-daemon/src/entry/links.rs
+++ b/hibiscusroad-daemon/src/entry/links.rs
@@ -195,6 +195,7 @@
                 limit: load.limit,
                 pending_tokens: load.tokens,
                 cache_free: load.cache_free,
+                slowness: None,
                 age: Duration::from_millis(load.age_ms.into()),
             };
             self.sides[key].report = report;
--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -247,8 +247,8 @@
         }
     };
     let load = text(response.headers(), header::LOAD).and_then(header::parse_load);
-    if let Some((running, queued, slots)) = load {
-        context.calls.record_load(endpoint, running, queued, slots);
+    if let Some(load) = load {
+        context.calls.record_load(endpoint, load);
     }
     let exchange = Exchange {
         response,
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -376,8 +376,9 @@
         let headers = response.headers();
         let load = text(headers, header::LOAD).and_then(header::parse_load);
         let mut engines = self.batches.engines.borrow_mut();
-        if let Some((running, queued, _)) = load {
-            engines.record_load(Instant::now(), self.key, running + queued);
+        if let Some(load) = load {
+            let open = load.running.saturating_add(load.queued);
+            engines.record_load(Instant::now(), self.key, open);
         }
         let echo = text(headers, header::REQUEST);
         if echo.is_some_and(|echo| echo != head.id) {
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -13,9 +13,11 @@
     quarantine::EndpointIncarnation,
     roster::{Endpoint, EndpointChange},
     route::{
-        Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
+        Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec,
+        SlownessCounts, Step,
     },
 };
+use hibiscusroad_platform::header::Load;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
@@ -198,19 +200,34 @@
     }
 
     /// Passes the load that an endpoint reported to the router.
-    pub(super) fn record_load(&self, endpoint: EndpointKey, running: u32, queued: u32, slots: u32) {
+    pub(super) fn record_load(&self, endpoint: EndpointKey, load: Load) {
         let report = LoadReport {
-            running,
-            queued,
-            limit: slots,
+            running: load.running,
+            queued: load.queued,
+            limit: load.slots,
+            slowness: load.slowness,
             ..LoadReport::default()
         };
-        self.router
-            .borrow_mut()
-            .record_load(Instant::now(), endpoint, report);
+        let mut router = self.router.borrow_mut();
+        let service = router.service_of(endpoint);
+        let was_contended = service.is_some_and(|service| router.is_contended(service));
+        router.record_load(Instant::now(), endpoint, report);
+        let is_contended = service.is_some_and(|service| router.is_contended(service));
+        drop(router);
+        if is_contended && !was_contended {
+            let id = self.target(endpoint).map(|target| target.id);
+            log::info!(target: CALLS, endpoint = id.as_deref().unwrap_or_default(),
+                slowness = load.slowness.unwrap_or_default();
+                "An endpoint reports how slow its host is; from now on placement and waits depend on it.");
+        }
         self.flush();
     }
 
+    /// Counts the endpoints that take calls by the current slowness of their hosts.
+    pub(super) fn count_slowness(&self) -> SlownessCounts {
+        self.router.borrow().count_slowness(Instant::now())
+    }
+
     /// Records that a connection to an endpoint is idle, and kept until `end`.
     pub(super) fn record_idle_connection(&self, endpoint: EndpointKey, end: Instant) {
         let mut router = self.router.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -21,6 +21,16 @@
         meters
             .running
             .set(gauge_value(self.batches.running() as u64));
+        let counts = self.context.calls.count_slowness();
+        let by_slowness = [
+            ("usual", counts.usual),
+            ("slow", counts.slow),
+            ("unknown", counts.unknown),
+        ];
+        for (slowness, count) in by_slowness {
+            let gauge = meters.endpoints.with_label_values(&[slowness]);
+            gauge.set(count.into());
+        }
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
             Err(error) => {
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -5,8 +5,8 @@
 
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -126,6 +126,12 @@
         "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
+    (
+        "gateway_endpoints",
+        "gauge",
+        "slowness",
+        "endpoints that take calls by the current pace of their hosts: usual, slow, unknown",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -148,6 +154,7 @@
     pub(super) reports: IntCounterVec,
     pub(super) crashes: IntCounterVec,
     pub(super) quarantined: IntGauge,
+    pub(super) endpoints: IntGaugeVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -180,6 +187,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let gauge_vec = |n: usize| -> prometheus::Result<IntGaugeVec> {
+            let (name, _, label, help) = NAMES[n];
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok(gauges)
+        };
         let counter = |n: usize| -> prometheus::Result<IntCounter> {
             let (name, _, _, help) = NAMES[n];
             let counter = IntCounter::new(name, help)?;
@@ -206,6 +219,7 @@
             reports: counter_vec(16)?,
             crashes: counter_vec(17)?,
             quarantined: gauge(18)?,
+            endpoints: gauge_vec(19)?,
             registry,
         })
     }
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -76,7 +76,8 @@
         };
         let work_ahead = queue.work_before(call.deadline) + slot_wait;
         let wait = self.estimate_wait(now, call.service, call.class, work_ahead);
-        if !fits_deadline(wait, row.wait_margin, &estimate, time_left) {
+        let slowness = self.relative_slowness(now, call.service).max(1.0);
+        if !fits_deadline(wait, row.wait_margin, &estimate, slowness, time_left) {
             return Err(ErrorKind::Saturated);
         }
         // The call must not make those behind it in the queue late either.
@@ -86,7 +87,7 @@
         let total_work = queue.work() + estimate.mean + slot_wait;
         let wait = self.estimate_wait(now, call.service, call.class, total_work);
         let time_left = (last.deadline - now).as_secs_f64();
-        if fits_deadline(wait, row.wait_margin, &estimate, time_left) {
+        if fits_deadline(wait, row.wait_margin, &estimate, slowness, time_left) {
             Ok(())
         } else {
             Err(ErrorKind::Saturated)
@@ -107,7 +108,11 @@
             return 0.0;
         }
         let capacity = f64::from(row.capacity.max(1));
-        work * row.slowdown.max(1.0) / (capacity * share::expected_share(row, now, class))
+        let slowdown = row
+            .slowdown
+            .max(1.0)
+            .max(self.relative_slowness(now, service));
+        work * slowdown / (capacity * share::expected_share(row, now, class))
     }
 
     pub(super) fn enqueue(&mut self, now: Instant, key: CallKey) {
@@ -240,12 +245,22 @@
     }
 }
 
-fn fits_deadline(wait: f64, wait_margin: f64, estimate: &Estimate, time_left: f64) -> bool {
+/// Returns whether a call can be answered in time.
+///
+/// `slowness` raises only the mean: the tail was learned from slow hosts as well. It does
+/// not count for a call that finds a free slot, which a false report must not refuse.
+fn fits_deadline(
+    wait: f64,
+    wait_margin: f64,
+    estimate: &Estimate,
+    slowness: f64,
+    time_left: f64,
+) -> bool {
     if wait < NEGLIGIBLE_WAIT_SECS {
         return estimate.known_median() <= time_left;
     }
     let known_mean = if estimate.is_known() {
-        estimate.mean
+        estimate.mean * slowness
     } else {
         0.0
     };
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -16,6 +16,7 @@
         retry::{RERUN_COST, RESEND_COST},
         retry_after::seconds,
         router::Router,
+        slowness::SLOW_FACTOR,
         spec::{Call, Step},
         table::{Attempt, CallKey},
     },
@@ -49,11 +50,14 @@
         let other_calls = ceil_to_u32(endpoint_row.others_load(now));
         let low_load = endpoint_row.limit.is_low_load(endpoint_row.running)
             && endpoint_row.limit.is_low_load(other_calls);
+        let slowness = self.slowness(now, endpoint);
+        let row = &mut self.calls[key];
         row.attempts[attempt_index] = Some(Attempt {
             endpoint,
             start: now,
             trial,
             low_load,
+            slowness,
         });
         row.attempts_started = row.attempts_started.saturating_add(1);
         row.last_endpoint = Some(endpoint);
@@ -304,7 +308,9 @@
     ) {
         let secs = elapsed.as_secs_f64().max(1e-6);
         let estimate = self.estimate(call);
-        let ratio = estimate.map_or(1.0, |e| secs / e.baseline);
+        // The pace may have changed on the way.
+        let slowness = self.slowness(now, attempt.endpoint).max(attempt.slowness);
+        let ratio = estimate.map_or(1.0, |e| secs / e.baseline) / slowness;
         let Some(row) = self.endpoints.get_mut(attempt.endpoint) else {
             return;
         };
@@ -320,14 +326,16 @@
         }
         let sample = Sample {
             elapsed,
-            unloaded: estimate.map_or(secs, |e| e.unloaded),
+            unloaded: estimate.map_or(secs, |e| e.unloaded * slowness),
             running,
             low_load: attempt.low_load,
             reliable: estimate.is_some_and(|e| e.reliable),
             from_low_load: estimate.is_some_and(|e| e.from_low_load),
         };
         row.limit.record(now, &sample);
-        if !row.health.is_healthy() {
+        // The report of a slow host explains its latency. Compared with the peers', it would
+        // eject the endpoint, or others if the pace changed during the attempt.
+        if !row.health.is_healthy() || slowness >= SLOW_FACTOR {
             return;
         }
         row.health.leave_peers(peers);
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -43,10 +43,14 @@
         unused || (fits_capacity && fits_report)
     }
 
+    /// Returns the calls that would run there with one more, those of other entries included.
+    pub(super) fn load(&self, now: Instant) -> f64 {
+        f64::from(self.running) + self.others_load(now) + 1.0
+    }
+
     /// Returns its load relative to its limit and speed; lower is better.
     pub(super) fn score(&self, now: Instant) -> f64 {
-        let running = f64::from(self.running) + self.others_load(now) + 1.0;
-        running * self.health.latency_ratio() / f64::from(self.limit.get().max(1))
+        self.load(now) * self.health.latency_ratio() / f64::from(self.limit.get().max(1))
     }
 
     /// Returns the calls of other entries there, decayed with the report's age.
@@ -119,6 +123,7 @@
             }
             (true, false) => {
                 service.usable -= 1;
+                service.slowness.remove(key);
                 service.usable_local -= local;
             }
             _ => {}
@@ -257,7 +262,8 @@
         let (start, call) = row.attempts.first()?;
         let since = row.health.last_activity.map_or(*start, |at| at.max(*start));
         let estimate = self.estimate(&self.calls[*call].call);
-        Some(since + seconds(health::silence_limit(estimate.map(|e| e.p99))))
+        let limit = health::silence_limit(estimate.map(|e| e.p99));
+        Some(since + seconds(limit * self.last_slowness(key)))
     }
 
     fn set_endpoint_timer(&mut self, key: EndpointKey, at: Instant) {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -18,6 +18,8 @@
 //! * Placement relies on the entry's own calls in flight and their latency.
 //!   Load reports only add the load of other entries and lose weight with age,
 //!   so a late or missing report makes placement worse but never wrong.
+//! * Where endpoints report how slow their hosts are at the moment, placement and expected
+//!   waits take it into account while the report is fresh (`slowness`).
 //! * Among endpoints that are about equally loaded, one with an open connection is
 //!   preferred (`warm`). An entry with few calls would otherwise open a connection
 //!   for nearly every call, the more so the more endpoints there are.
@@ -68,6 +70,7 @@
 mod router;
 mod service_times;
 mod share;
+mod slowness;
 mod spec;
 mod table;
 mod view;
@@ -75,6 +78,7 @@
 
 pub use self::{
     router::Router,
+    slowness::SlownessCounts,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
     view::{EndpointView, HealthState},
 };
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -18,6 +18,7 @@
         retry::RERUN_COST,
         router::Router,
         share,
+        slowness::Rank,
         spec::Call,
         table::{CallKey, TIERS},
     },
@@ -117,7 +118,8 @@
             let Some(drawn) = self.draw_from_tier(now, call, tier, excluded) else {
                 continue;
             };
-            let (key, score) = self.prefer_warm(now, call, tier, excluded, drawn);
+            let (key, rank) = self.prefer_warm(now, call, tier, excluded, drawn);
+            let score = rank.score;
             if score <= BUSY_SCORE {
                 return Some(key);
             }
@@ -165,31 +167,35 @@
         best.map(|(key, _)| key)
     }
 
-    /// Draws two endpoints of a tier and returns the less loaded one.
+    /// Draws two endpoints of a tier and returns the less loaded one. If its host is slow
+    /// at the moment, further ones are drawn.
     fn draw_from_tier(
         &mut self,
         now: Instant,
         call: &Call,
         tier: usize,
         excluded: Option<EndpointKey>,
-    ) -> Option<(EndpointKey, f64)> {
+    ) -> Option<(EndpointKey, Rank)> {
         let pool = &self.services[call.service].pools[tier];
         if pool.is_empty() {
             return None;
         }
-        let mut best: Option<(EndpointKey, f64)> = None;
+        let mut best: Option<(EndpointKey, Rank)> = None;
         for _ in 0..MAX_DRAWS {
             let key = pool[self.rng.random_range(0..pool.len())];
             let row = &self.endpoints[key];
             if Some(key) == excluded || !row.has_cache_for(now, call.tokens) {
                 continue;
             }
-            let score = row.score(now);
-            match best {
-                None => best = Some((key, score)),
-                Some((other, _)) if key == other => {}
-                Some((_, other)) if score < other => return Some((key, score)),
-                found => return found,
+            let rank = self.rank(now, key);
+            let better = match best {
+                Some((other, _)) if key == other => continue,
+                Some(found) if !rank.is_before(found.1) => found,
+                _ => (key, rank),
+            };
+            let is_pair = best.replace(better).is_some();
+            if is_pair && !better.1.is_slow {
+                break;
             }
         }
         let scan = || pool.iter().take(MAX_SCANNED).copied();
@@ -198,7 +204,7 @@
         };
         best.or_else(|| {
             let key = scan().find(fits)?;
-            Some((key, self.endpoints[key].score(now)))
+            Some((key, self.rank(now, key)))
         })
     }
 
@@ -210,8 +216,8 @@
         call: &Call,
         tier: usize,
         excluded: Option<EndpointKey>,
-        drawn: (EndpointKey, f64),
-    ) -> (EndpointKey, f64) {
+        drawn: (EndpointKey, Rank),
+    ) -> (EndpointKey, Rank) {
         let fits = |key: &EndpointKey| {
             let row = &self.endpoints[*key];
             row.tier == tier
@@ -220,9 +226,9 @@
                 && row.has_cache_for(now, call.tokens)
         };
         let warm = self.services[call.service].warm.iter(now).filter(fits);
-        let scored = warm.map(|key| (key, self.endpoints[key].score(now)));
-        let best = scored.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.filter(|(_, score)| *score <= drawn.1 * MAX_WARM_SCORE_RATIO)
+        let ranked = warm.map(|key| (key, self.rank(now, key)));
+        let best = ranked.reduce(|a, b| if b.1.is_before(a.1) { b } else { a });
+        best.filter(|(_, rank)| rank.is_within(drawn.1, MAX_WARM_SCORE_RATIO))
             .unwrap_or(drawn)
     }
 
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -81,6 +81,12 @@
             .is_expected(row.is_some_and(|row| row.shares_hosts))
     }
 
+    /// Returns the service of an endpoint.
+    #[must_use]
+    pub fn service_of(&self, endpoint: EndpointKey) -> Option<ServiceKey> {
+        self.endpoints.get(endpoint).map(|row| row.service)
+    }
+
     /// Adds a service, or replaces the settings of the one with this name.
     pub fn set_service(&mut self, now: Instant, name: &str, spec: ServiceSpec) -> ServiceKey {
         if let Some(key) = self.service(name) {
@@ -289,14 +295,18 @@
         if report.cache_free > 0 {
             row.limit.record_engine_load(report.running, report.queued);
         }
+        let valid_at = now.checked_sub(report.age).unwrap_or(now);
         row.last_report = Some(ReceivedReport {
             report,
-            valid_at: now.checked_sub(report.age).unwrap_or(now),
+            valid_at,
             own_running: row.running,
             tokens_sent: 0,
         });
         let service = row.service;
         self.refresh(now, endpoint);
+        if let Some(percent) = report.slowness {
+            self.record_slowness(endpoint, valid_at, percent);
+        }
         if !self.services[service].queues_empty() {
             self.dispatch(now, service);
         }
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -181,6 +181,9 @@
     pub pending_tokens: u64,
     /// Free cache memory in tokens; 0 if unknown.
     pub cache_free: u64,
+    /// How long work takes on its host at the moment, in percent of the usual duration, if
+    /// it is known.
+    pub slowness: Option<u32>,
     /// Age of the report.
     pub age: Duration,
 }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -13,6 +13,7 @@
         retry_after::ReturnSchedule,
         ring::Ring,
         service_times::ServiceTimes,
+        slowness::HostSlowness,
         spec::{Call, EndpointSpec, LoadReport, ServiceSpec},
         warm::WarmEndpoints,
     },
@@ -76,6 +77,7 @@
     pub(super) awaiting_trial: Vec<EndpointKey>,
     /// Whether an endpoint has reported how slow its host is.
     pub(super) shares_hosts: bool,
+    pub(super) slowness: HostSlowness,
     pub(super) peers: Peers,
     pub(super) service_times: ServiceTimes,
     /// Current service time relative to the estimate; it rises at the start of a
@@ -111,6 +113,7 @@
             ejected: 0,
             awaiting_trial: Vec::new(),
             shares_hosts: false,
+            slowness: HostSlowness::new(),
             peers: Peers::default(),
             service_times: ServiceTimes::new(),
             slowdown: 1.0,
@@ -206,6 +209,8 @@
     pub(super) trial: bool,
     /// Whether the endpoint was at low load when it started.
     pub(super) low_load: bool,
+    /// Current slowness of the endpoint's host at the start.
+    pub(super) slowness: f64,
 }
 
 #[derive(Debug)]
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -57,7 +57,7 @@
             health: self.health_state(endpoint)?,
             running: row.running,
             limit: row.limit.get(),
-            score: row.score(now),
+            score: self.rank(now, endpoint).score,
             latency_ratio: row.health.latency_ratio(),
             failure_rate,
             refused_streak,
