Serve callers that come at once with idle connections

The server of an entry's callers decides by the number of waiting threads whether it adds one, and a thread counts as waiting until it has woken. Of connections that arrive at once, several may go to one thread; those behind an idle connection got no answer until it ended. A connection that wakes accepting takes one of them along. It came every second and now comes every 20 ms, and it ends with the listener.

--- a/hibiscusroad-daemon/src/entry/front/mod.rs
+++ b/hibiscusroad-daemon/src/entry/front/mod.rs
@@ -1,12 +1,15 @@
 //! The callers' HTTP server.
 //!
 //! `tiny_http` uses a thread per connection, has no timeouts, and ends its accept
-//! loop on the first error. Three workarounds:
+//! loop on the first error. Four workarounds:
 //!
 //! * Linux passes the listener's read and write timeouts on to accepted sockets,
 //!   so idle and half-open connections are closed.
 //! * The timeout applies to accepting too, so a thread connects to the listener
 //!   periodically and accepting never times out.
+//! * Of connections that arrive at once, it may give several to one idle thread, and then those
+//!   behind an idle connection wait until that one ends. Each connection that wakes accepting
+//!   also makes a thread take one of them, so they wait for some wake intervals at most.
 //! * If accepting fails, another server starts on a clone of the socket.
 //!
 //! A request goes to an idle worker or is refused at once. Refusals that must skip
@@ -44,8 +47,12 @@
 /// ones a second.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time between two connections that wake accepting; well within [`IDLE_TIMEOUT`].
-const WAKE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two connections that wake accepting; well within [`IDLE_TIMEOUT`]. A burst of
+/// 30 connections to a single idle thread is then served within 600 ms.
+const WAKE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long to wait for a request before the age of a replaced server is checked again.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Connect timeout of such a connection.
 const WAKE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -207,7 +214,8 @@
             refusals,
         };
         acceptor.spawn()?;
-        spawn("wake", move || wake(address))?;
+        let woken = Arc::clone(&shared);
+        spawn("wake", move || wake(address, &woken))?;
         Ok(Self { address, shared })
     }
 }
@@ -233,15 +241,16 @@
     Ok(socket.into())
 }
 
-/// Connects to the listener periodically, so that accepting never times out.
-fn wake(mut address: SocketAddr) {
+/// Connects to the listener periodically until it is closed, so that accepting never times out
+/// and no connection stays behind an idle one.
+fn wake(mut address: SocketAddr, shared: &Shared) {
     if address.ip().is_unspecified() {
         address.set_ip(match address.ip() {
             IpAddr::V4(_) => Ipv4Addr::LOCALHOST.into(),
             IpAddr::V6(_) => Ipv6Addr::LOCALHOST.into(),
         });
     }
-    loop {
+    while !shared.closed() {
         thread::sleep(WAKE_INTERVAL);
         if let Err(e) = TcpStream::connect_timeout(&address, WAKE_TIMEOUT) {
             log::debug!(target: "callers", "Connecting to the own listener failed: {e}.");
@@ -268,7 +277,7 @@
         let mut last_request = Instant::now();
         let mut retired = false;
         while !retired || last_request.elapsed() < RETIRED_SERVER_TTL {
-            match server.recv_timeout(WAKE_INTERVAL) {
+            match server.recv_timeout(RECEIVE_TIMEOUT) {
                 Ok(Some(request)) => {
                     last_request = Instant::now();
                     self.dispatch(request, last_request);
--- a/hibiscusroad-daemon/tests/entry_input.rs
+++ b/hibiscusroad-daemon/tests/entry_input.rs
@@ -2,12 +2,14 @@
 
 mod entry_support;
 
-use entry_support::{Side, call, raw, rest, start};
+use entry_support::{Side, call, raw, rest, start, wait_until};
 use hibiscusroad_daemon::entry::Running;
 use hibiscusroad_wire::to_side::Frame;
 use std::{
+    array,
     io::Write,
     net::TcpStream,
+    sync::Barrier,
     thread,
     time::{Duration, Instant},
 };
@@ -267,3 +269,31 @@
         thread::sleep(Duration::from_millis(50));
     }
 }
+
+// Guards against callers whose connections wait behind idle ones that came at the same
+// time, although threads could be added.
+#[test]
+fn idle_connections_do_not_delay_callers_that_come_with_them() {
+    let side = echo();
+    let request = "GET /s/hut-desk/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    // An entry has few threads only for its first burst.
+    for round in 0..10 {
+        let entry = start(&[&side], "");
+        wait_until(|| call(&entry, "GET", "/s/hut-desk/x", "", "").contains(" 200 "));
+        let barrier = Barrier::new(8);
+        thread::scope(|scope| {
+            for _ in 0..8 {
+                scope.spawn(|| {
+                    barrier.wait();
+                    let connect = || TcpStream::connect(entry.callers()).unwrap();
+                    let _idle: [TcpStream; 6] = array::from_fn(|_| connect());
+                    let mut caller = connect();
+                    caller.write_all(request.as_bytes()).unwrap();
+                    let answer = rest(&mut caller);
+                    assert!(answer.contains(" 200 "), "round {round}: {answer}");
+                });
+            }
+        });
+        entry.stopper().stop();
+    }
+}
