--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -4,7 +4,7 @@
 //! before the last one is done.
 
 use super::{
-    Batches, OwnedBatch,
+    Batches, OwnedBatch, placement,
     slot::{ItemStart, Slot},
 };
 use crate::{gateway::calls::pick_service, logs::BATCHES};
@@ -40,6 +40,7 @@
     pub(in crate::gateway) async fn dispatch(self: Rc<Self>) {
         loop {
             let now = Instant::now();
+            self.settle_loads();
             let mut batches: Vec<Rc<OwnedBatch>> = self.owned.borrow().values().cloned().collect();
             batches.sort_by_key(|owned| (owned.priority, owned.due_at));
             for owned in &batches {
@@ -105,6 +106,7 @@
             let Some(key) = self.choose_engine(now, owned, &route, index, None) else {
                 let reason = self.wait_reason(owned, &route, index);
                 owned.batch.borrow_mut().record_wait(now, reason);
+                self.record_withheld(now, owned, &route, index);
                 return;
             };
             owned.batch.borrow_mut().record_wait(now, None);
@@ -149,11 +151,14 @@
         index: usize,
         excluded: Option<EngineKey>,
     ) -> Option<EngineKey> {
+        let engines = self.engines.borrow();
         let requirements = Requirements {
             excluded: excluded.or_else(|| owned.avoided_engines.borrow().get(&index).copied()),
+            rest: placement::rest(&engines, owned, index),
+            due: Some(owned.due_at),
             ..requirements(owned, route, index)?
         };
-        self.engines.borrow().choose(now, &requirements)
+        engines.choose(now, &requirements)
     }
 
     /// Returns what an item waits for that can't start now.
@@ -179,9 +184,12 @@
         min_version: u64,
     ) -> Option<EngineKey> {
         let engines = self.engines.borrow();
+        let item = &owned.submission.items[index];
         let requirements = Requirements {
             min_version,
             exact_version: None,
+            // A draft starts from nothing, and nobody waits for it.
+            rest: engines.length(item.hint, item.tokens).map(|it| it.rest(0)),
             ..requirements(owned, route, index)?
         };
         let found = engines.choose(now, &requirements);
@@ -202,6 +210,7 @@
             return;
         };
         let slot = Slot::occupy(self, key);
+        self.record_sent_item(now, owned, key);
         owned.avoided_engines.borrow_mut().remove(&index);
         let exact_version = owned.batch.borrow().required_version(index);
         let wait_times = owned.batch.borrow().wait_times(now, index);
@@ -270,6 +279,9 @@
             Interruption::Never => "never",
         };
         self.context.meters.runs.with_label_values(&[outcome]).inc();
+        if cause != Interruption::NotRun {
+            engines.record_unanswered_item(key, owned.submission.model.as_deref());
+        }
         match cause {
             Interruption::NotRun => engines.record_refusal(now, key),
             Interruption::Lost => engines.record_failure(now, key),
@@ -287,7 +299,7 @@
 }
 
 /// Returns what an item requires of an engine.
-fn requirements<'a>(
+pub(super) fn requirements<'a>(
     owned: &'a OwnedBatch,
     route: &'a Route,
     index: usize,
@@ -301,5 +313,7 @@
         exact_version: owned.batch.borrow().required_version(index),
         group,
         excluded: None,
+        rest: None,
+        due: None,
     })
 }
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -21,6 +21,9 @@
         meters
             .running
             .set(gauge_value(self.batches.running() as u64));
+        meters
+            .engines_held
+            .set(gauge_value(self.batches.held_count() as u64));
         let counts = self.context.calls.count_slowness();
         let by_slowness = [
             ("usual", counts.usual),
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -15,6 +15,9 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Upper bounds of the buckets of slowness, as multiples of the usual time.
+const SLOWNESS_BUCKETS: &[f64] = &[1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0];
+
 /// All metrics: name, kind, label and help text, as the operations page lists them.
 pub const NAMES: &[(&str, &str, &str, &str)] = &[
     (
@@ -126,6 +129,36 @@
         "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
+    (
+        "gateway_engines_held",
+        "gauge",
+        "",
+        "engines that get no item of a model because they are assumed to load its weights",
+    ),
+    (
+        "gateway_items_withheld_total",
+        "counter",
+        "",
+        "items that waited because only engines that are held for a load had room",
+    ),
+    (
+        "gateway_refusals_total",
+        "counter",
+        "reason",
+        "items that engines did not run, by the probable reason: loading, full, other",
+    ),
+    (
+        "gateway_moves_total",
+        "counter",
+        "reason",
+        "runs that left an engine for another: queue, stall, pace, outgrown, late",
+    ),
+    (
+        "gateway_engine_slowness",
+        "histogram",
+        "",
+        "slowness of their hosts as engines reported it, 1 is as usual",
+    ),
     (
         "gateway_endpoints",
         "gauge",
@@ -154,6 +187,11 @@
     pub(super) reports: IntCounterVec,
     pub(super) crashes: IntCounterVec,
     pub(super) quarantined: IntGauge,
+    pub(super) engines_held: IntGauge,
+    pub(super) withheld: IntCounter,
+    pub(super) refusals: IntCounterVec,
+    pub(super) moves: IntCounterVec,
+    pub(super) engine_slowness: Histogram,
     pub(super) endpoints: IntGaugeVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
@@ -174,9 +212,9 @@
             registry.register(Box::new(counters.clone()))?;
             Ok(counters)
         };
-        let histogram = |n: usize| -> prometheus::Result<Histogram> {
+        let histogram = |n: usize, buckets: &[f64]| -> prometheus::Result<Histogram> {
             let (name, _, _, help) = NAMES[n];
-            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             let histogram = Histogram::with_opts(opts)?;
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
@@ -201,15 +239,15 @@
         };
         Ok(Self {
             answers: counter_vec(0)?,
-            answer_seconds: histogram(1)?,
+            answer_seconds: histogram(1, LATENCY_BUCKETS)?,
             attempts: counter_vec(2)?,
             batches: counter_vec(3)?,
             runs: counter_vec(4)?,
-            run_seconds: histogram(5)?,
+            run_seconds: histogram(5, LATENCY_BUCKETS)?,
             results: counter(6)?,
             running: gauge(7)?,
             loads: counter_vec(8)?,
-            load_seconds: histogram(9)?,
+            load_seconds: histogram(9, LATENCY_BUCKETS)?,
             store_calls: counter_vec(10)?,
             connections: gauge(11)?,
             config: gauge(12)?,
@@ -219,7 +257,12 @@
             reports: counter_vec(16)?,
             crashes: counter_vec(17)?,
             quarantined: gauge(18)?,
-            endpoints: gauge_vec(19)?,
+            engines_held: gauge(19)?,
+            withheld: counter(20)?,
+            refusals: counter_vec(21)?,
+            moves: counter_vec(22)?,
+            engine_slowness: histogram(23, SLOWNESS_BUCKETS)?,
+            endpoints: gauge_vec(24)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -60,12 +60,13 @@
         let mut records = self.order_records.borrow().clone();
         records.expire(now, self.duty.call_gap());
         for load in loads {
-            records.record(&load.endpoint, self.duty.holder(), now);
+            records.record_load(load, self.duty.holder(), now);
         }
         let value = serde_json::to_vec(&records).unwrap_or_default();
         let change = Change::new().put(orders_row(), value);
         match self.duty.transact(change).await {
             Some(Commit::Done { .. }) => {
+                self.batches.apply_orders(&records);
                 self.order_records.replace(records);
                 true
             }
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -13,7 +13,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Lets the first part of an answer reach the caller before the connection closes.
@@ -94,8 +94,16 @@
     event_count: u64,
     /// Overrides of `event_count` by request id.
     item_events: BTreeMap<String, u64>,
+    /// The slowness of its host in percent, if it reports that.
+    slowness: Option<u32>,
     weights: BTreeMap<String, u64>,
     orders: u64,
+    /// How long it takes to load weights that were ordered.
+    load_duration: Duration,
+    /// When it accepted the order that it carries out.
+    ordered_at: Option<Instant>,
+    /// Items that it refused during a load, by the time since the order.
+    load_refusals: Vec<Duration>,
     fence: u64,
     runs: Vec<ExecutedRequest>,
     order_holders: Vec<(String, u64)>,
@@ -159,8 +167,12 @@
                 work_duration: Duration::from_millis(5),
                 event_count: 8,
                 item_events: BTreeMap::new(),
+                slowness: None,
                 weights: models.iter().map(|m| ((*m).to_owned(), 1)).collect(),
                 orders: 0,
+                load_duration: Duration::ZERO,
+                ordered_at: None,
+                load_refusals: Vec::new(),
                 fence: 0,
                 runs: Vec::new(),
                 order_holders: Vec::new(),
@@ -238,12 +250,28 @@
             .insert(item.to_owned(), events);
     }
 
+    /// Sets the slowness of its host in percent, which it reports from now on.
+    pub fn set_slowness(&self, percent: u32) {
+        self.shared.lock().slowness = Some(percent);
+    }
+
     /// Returns the requests that it started to run.
     #[must_use]
     pub fn runs(&self) -> Vec<ExecutedRequest> {
         self.shared.lock().runs.clone()
     }
 
+    /// Sets how long a load of ordered weights takes. The engine runs no new items meanwhile.
+    pub fn set_load_duration(&self, duration: Duration) {
+        self.shared.lock().load_duration = duration;
+    }
+
+    /// Returns the items that it refused during a load, by the time since its order.
+    #[must_use]
+    pub fn load_refusals(&self) -> Vec<Duration> {
+        self.shared.lock().load_refusals.clone()
+    }
+
     /// Returns the lease holder and fencing token of each accepted order.
     #[must_use]
     pub fn order_holders(&self) -> Vec<(String, u64)> {
@@ -302,13 +330,22 @@
 fn serve(shared: &Arc<Shared>, exchange: Exchange) {
     match exchange.path() {
         "/report" => {
-            let orders = shared.lock().orders;
-            let body = json!({ "stage": "both", "models": shared.models(), "busy": false,
+            let (orders, is_busy) = {
+                let inner = shared.lock();
+                (inner.orders, inner.ordered_at.is_some())
+            };
+            let body = json!({ "stage": "both", "models": shared.models(), "busy": is_busy,
                 "seq": orders, "numWaiting": 0, "numRunning": 0 });
             exchange.answer(200, &body);
         }
         "/order" => apply_order(shared, exchange),
-        _ => run_request(shared, exchange),
+        _ => {
+            let ordered_at = shared.lock().ordered_at;
+            match ordered_at.filter(|_| exchange.header("X-Model").is_some()) {
+                Some(at) => refuse_item(shared, exchange, at.elapsed()),
+                None => run_request(shared, exchange),
+            }
+        }
     }
 }
 
@@ -331,10 +368,41 @@
     inner.fence = order.fence;
     inner.orders += 1;
     inner.order_holders.push((order.holder, order.fence));
-    inner.weights.insert(order.model, order.version);
+    if inner.load_duration.is_zero() {
+        inner.weights.insert(order.model, order.version);
+        drop(inner);
+        shared.publish_models();
+        return exchange.answer(202, &json!({}));
+    }
+    inner.ordered_at = Some(Instant::now());
+    let duration = inner.load_duration;
     drop(inner);
-    shared.publish_models();
     exchange.answer(202, &json!({}));
+    let shared = Arc::clone(shared);
+    thread::spawn(move || {
+        thread::sleep(duration);
+        let mut inner = shared.lock();
+        inner.ordered_at = None;
+        inner.weights.insert(order.model, order.version);
+        drop(inner);
+        shared.publish_models();
+    });
+}
+
+/// Refuses an item during a load, with a report of free slots.
+fn refuse_item(shared: &Shared, mut exchange: Exchange, since_order: Duration) {
+    shared.lock().load_refusals.push(since_order);
+    let id = exchange.header("X-Request-Id").unwrap_or_default();
+    let id = id.to_owned();
+    if exchange.body().is_err() {
+        return exchange.cut();
+    }
+    let headers = [
+        ("X-Not-Executed", "1"),
+        ("X-Request-Id", id.as_str()),
+        ("X-Server-Load", "0,0,8"),
+    ];
+    exchange.answer_bytes(503, &headers, Vec::new());
 }
 
 fn run_request(shared: &Arc<Shared>, mut exchange: Exchange) {
@@ -485,7 +553,9 @@
     let mut version = shared.lock().weights.get(model).copied().unwrap_or(0);
     let initial_version = version.to_string();
     let stamp = format!("stamp-{id}");
-    let headers = [
+    let slowness = shared.lock().slowness;
+    let load = slowness.map(|percent| format!("1,0,8,{percent}"));
+    let mut headers = vec![
         ("X-Request-Id", id),
         ("X-Server-Stamp", stamp.as_str()),
         ("X-Weight-Versions", initial_version.as_str()),
@@ -494,6 +564,7 @@
         // then block it.
         ("Connection", "close"),
     ];
+    headers.extend(load.as_deref().map(|load| ("X-Server-Load", load)));
     let Ok(mut stream) = exchange.stream_with(&headers) else {
         return;
     };
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -7,9 +7,11 @@
 //! * [`choice`]: chooses the process that runs a new batch.
 //! * [`batch`]: the state of a batch: which item starts next and which results are listed.
 //! * [`engines`]: chooses the engine for an item.
+//! * [`fit`]: fits items to engines of unequal speed.
 //! * [`load_plan`]: plans which engine loads which weights next.
 //! * [`pace`]: the speed of engines, as owners share it.
 //! * [`presence`]: detects whether the owner of a batch is alive.
+//! * [`loading`]: where a load of weights is assumed to be under way.
 //! * [`order_records`]: records the last order to each engine, for when the duty changes hands.
 //! * [`urgency`]: the priority of an item at its engine.
 //! * [`waits`]: accounts for the time that items wait before they run.
@@ -28,7 +30,9 @@
 pub mod batch;
 pub mod choice;
 pub mod engines;
+pub mod fit;
 pub mod load_plan;
+pub mod loading;
 pub mod order_records;
 pub mod pace;
 pub mod presence;
