Divide engines among models by speed where trainers compete

The load plan counted engines, so with engines of two speeds a model could get none of the fast ones, and its long texts ended late. Where contention is expected, engines at most 0.7 of the median pace are now divided separately, and the others make up for the difference. The division starts from the engines that each model has and moves one only where a model is a whole engine away from its share. An engine's pace is the median of nine measurements, so a host that is slow for a moment moves nothing. Owners pass the fact that a service's hosts are shared on in the row of paces, because the holder of the duty may own no batch.

A plan that moves engines at half an engine of difference fails the test of small changes.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -33,7 +33,7 @@
         presence::{FailureDetector, Loss},
         row::Head,
     },
-    roster::EndpointChange,
+    roster::{Endpoint, EndpointChange},
     table::RowId,
 };
 use std::{
@@ -261,6 +261,16 @@
         self.engines.borrow().is_slow(Instant::now(), endpoint)
     }
 
+    /// Returns an engine's time per event and when it was measured, if trainers are expected
+    /// to compete for the engines of its service.
+    pub(super) fn contended_pace(&self, endpoint: &Endpoint) -> Option<(Instant, Duration)> {
+        let engines = self.engines.borrow();
+        let (measured_at, pace) = engines.pace(&endpoint.id)?;
+        engines
+            .is_contended(&endpoint.service)
+            .then(|| (measured_at, Duration::from_secs_f64(pace)))
+    }
+
     /// Records a weight version that an engine reported.
     pub(super) fn record_version(&self, endpoint: &str, model: &str, version: u64) {
         let mut engines = self.engines.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -95,12 +95,15 @@
             }
         };
         if let Some(now) = self.store.now() {
-            let applied = self
-                .engines
-                .borrow_mut()
-                .merge_paces(Instant::now(), now, &paces);
-            log::debug!(target: BATCHES, service = row.id.key.as_str(), row = row.version,
-                engines = applied, store_ms = millis(now); "Engine paces are read from the store.");
+            let service = row.id.key.as_str();
+            let is_shared = paces.has_shared_hosts(now);
+            let mut engines = self.engines.borrow_mut();
+            engines.set_other_shared_hosts(service, is_shared);
+            let applied = engines.merge_paces(Instant::now(), now, &paces);
+            drop(engines);
+            log::debug!(target: BATCHES, service = service, row = row.version,
+                engines = applied, shared_hosts = is_shared, store_ms = millis(now);
+                "Engine paces are read from the store.");
         }
         paces
     }
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -26,6 +26,7 @@
     rollout::{
         load_plan::LoadConcurrency,
         order_records::{ORDER_TTL, OrderRecords},
+        steady_pace::SteadyPaces,
     },
     roster::EndpointChange,
     table::RowId,
@@ -73,6 +74,8 @@
     prepared_token: Cell<Option<u64>>,
     /// When the pace of loads was last written.
     pace_written: Cell<Option<Instant>>,
+    /// The paces of engines without the changes of a moment.
+    steady_paces: RefCell<SteadyPaces>,
     /// When the paces of engines were last read.
     paces_read: Cell<Option<Instant>>,
     /// Notified when loads have to be planned again.
@@ -111,6 +114,7 @@
             order_records: RefCell::new(OrderRecords::new()),
             prepared_token: Cell::new(None),
             pace_written: Cell::new(None),
+            steady_paces: RefCell::default(),
             paces_read: Cell::new(None),
             plan_needed: Notify::new(),
             roster_changed: Notify::new(),
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -11,6 +11,7 @@
     table::{Change, Commit},
 };
 use std::{
+    collections::HashSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -127,11 +128,18 @@
         });
         let endpoints = services.flat_map(|service| self.members.in_service(&service.name));
         let staying = endpoints.filter(|endpoint| !endpoint.leaving);
-        staying.map(|endpoint| self.loader(now, endpoint)).collect()
+        let engines: Vec<EngineStatus> =
+            staying.map(|endpoint| self.loader(now, endpoint)).collect();
+        let ids: HashSet<&str> = engines.iter().map(|engine| engine.id.as_str()).collect();
+        self.steady_paces
+            .borrow_mut()
+            .retain(|engine| ids.contains(engine));
+        engines
     }
 
     fn loader(&self, now: Instant, endpoint: Endpoint) -> EngineStatus {
         let reported = self.reported.borrow();
+        let pace = self.steady_pace(&endpoint);
         let weights = endpoint.weights.into_iter().map(|weights| {
             let key = (endpoint.id.clone(), weights.model.clone());
             let reported = reported.get(&key).copied().unwrap_or(0);
@@ -149,7 +157,16 @@
             slow: self.batches.is_slow(&endpoint.id),
             loading: reserved_until.is_some_and(|until| now < until),
             running_requests: self.batches.running_at(&endpoint.id),
+            pace,
             id: endpoint.id,
         }
     }
+
+    /// Returns the time per event of an engine, if trainers compete for the engines of its
+    /// service.
+    fn steady_pace(&self, endpoint: &Endpoint) -> Option<Duration> {
+        let (measured_at, pace) = self.batches.contended_pace(endpoint)?;
+        let mut paces = self.steady_paces.borrow_mut();
+        Some(paces.record(&endpoint.id, measured_at, pace))
+    }
 }
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -10,6 +10,7 @@
 
 use crate::rollout::{
     Item, ItemResult, Outcome, Submission,
+    shares::GroupDemand,
     start_order::{groups, start_order},
     text::{Piece, Text},
     waits::{WaitReason, WaitTimes, WaitTracker},
@@ -86,6 +87,11 @@
     index: HashMap<String, usize>,
     /// Items in the order in which they start.
     start_order: Vec<usize>,
+    /// The position of the group of each item.
+    groups: Vec<usize>,
+    group_count: usize,
+    /// Number of groups that are carried over from an earlier step; they come first.
+    carried_groups: usize,
     waits: WaitTracker,
     listed: usize,
     max_attempts: u32,
@@ -129,6 +135,12 @@
             items: items.iter().map(new_item).collect(),
             index: index.collect(),
             start_order: start_order(submission, &groups, carried_groups),
+            groups: items
+                .iter()
+                .map(|item| groups[item.group.as_str()].position)
+                .collect(),
+            group_count: groups.len(),
+            carried_groups,
             waits: WaitTracker::default(),
             listed: 0,
             max_attempts: max_attempts.max(1),
@@ -216,6 +228,41 @@
         self.items.iter().filter(is_waiting).count()
     }
 
+    /// Returns the number of complete groups, and what the others still need.
+    ///
+    /// `remaining` returns the expected remaining time of an item whose text has the given
+    /// last event. An errored item counts as done, because it can't become better.
+    #[must_use]
+    pub fn group_demands(
+        &self,
+        remaining: impl Fn(usize, Option<u64>) -> Duration,
+    ) -> (usize, Vec<GroupDemand>) {
+        let mut open = vec![None; self.group_count];
+        for (idx, item) in self.items.iter().enumerate() {
+            let (waiting, running) = match item.phase {
+                Phase::Waiting { .. } | Phase::Held { .. } => (1, 0),
+                Phase::Running => (0, 1),
+                Phase::Scoring => (0, 0),
+                Phase::Ready(_) | Phase::Listed => continue,
+            };
+            let position = self.groups[idx];
+            let group = open[position].get_or_insert(GroupDemand {
+                is_carried: position < self.carried_groups,
+                waiting: 0,
+                running: 0,
+                remaining: Duration::ZERO,
+            });
+            group.waiting += waiting;
+            group.running += running;
+            if waiting + running > 0 {
+                let expected = remaining(idx, item.text.last_event());
+                group.remaining = group.remaining.max(expected);
+            }
+        }
+        let open: Vec<GroupDemand> = open.into_iter().flatten().collect();
+        (self.group_count - open.len(), open)
+    }
+
     /// Appends a piece of a text that an earlier owner saved; pieces come in the order in
     /// which they were saved.
     pub fn restore_piece(&mut self, id: &str, piece: Piece) {
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -108,6 +108,22 @@
     pub excluded: Option<EngineKey>,
 }
 
+/// How long texts take at the fastest engine of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TextSpeed {
+    event_seconds: f64,
+    tokens_per_event: f64,
+}
+
+impl TextSpeed {
+    /// Returns how long a text with this hint in tokens takes after event `last`.
+    #[must_use]
+    pub fn remaining(self, hint: u32, last: u64) -> Duration {
+        let events = (f64::from(hint) / self.tokens_per_event - last as f64).max(0.0);
+        Duration::from_secs_f64(events * self.event_seconds)
+    }
+}
+
 /// All engines, as one owner of batches sees them.
 #[derive(Debug, Default)]
 pub struct Engines {
@@ -116,6 +132,8 @@
     contention: Contention,
     /// Services of which an engine has reported how slow its host is.
     shared_hosts: BTreeSet<String>,
+    /// Services of which another owner has recently had such a report.
+    other_shared_hosts: BTreeSet<String>,
     /// Average number of events of a text.
     mean_events: Option<f64>,
     /// Average ratio of a text's hinted tokens to its events.
@@ -139,8 +157,55 @@
     /// Returns whether trainers are expected to compete for the engines of a service.
     #[must_use]
     pub fn is_contended(&self, service: &str) -> bool {
-        self.contention
-            .is_expected(self.shared_hosts.contains(service))
+        let has_shared_hosts =
+            self.shared_hosts.contains(service) || self.other_shared_hosts.contains(service);
+        self.contention.is_expected(has_shared_hosts)
+    }
+
+    /// Records that an engine of a service has reported how slow its host is.
+    pub fn record_shared_host(&mut self, service: &str) {
+        if !self.shared_hosts.contains(service) {
+            self.shared_hosts.insert(service.to_owned());
+        }
+    }
+
+    /// Records whether another owner has recently had such a report.
+    pub fn set_other_shared_hosts(&mut self, service: &str, is_shared: bool) {
+        if is_shared {
+            self.other_shared_hosts.insert(service.to_owned());
+        } else {
+            self.other_shared_hosts.remove(service);
+        }
+    }
+
+    /// Returns how many slots of a service own items use or could use.
+    #[must_use]
+    pub fn usable_slots(&self, now: Instant, service: &str) -> usize {
+        let engines = self.states.values();
+        let open = engines.filter(|engine| engine.is_open && engine.service == service);
+        open.map(|engine| (engine.own_items + engine.free_slots(now)) as usize)
+            .sum()
+    }
+
+    /// Returns the pace of an engine in seconds per event, and when it was measured.
+    #[must_use]
+    pub fn pace(&self, id: &str) -> Option<(Instant, f64)> {
+        let engine = self.states.get(self.key(id)?)?;
+        engine.pace_as_of.zip(engine.pace)
+    }
+
+    /// Returns how long texts take at the fastest engine of a service, before which none
+    /// can end; `None` before any text was completed.
+    #[must_use]
+    pub fn text_speed(&self, service: &str) -> Option<TextSpeed> {
+        let engines = self.states.values();
+        let paces = engines.filter(|engine| engine.service == service);
+        let best = paces.filter_map(|engine| engine.pace).reduce(f64::min)?;
+        let ratio = self.tokens_per_event.filter(|ratio| *ratio > 0.0)?;
+        Some(TextSpeed {
+            event_seconds: best,
+            tokens_per_event: ratio,
+        })
     }
 
     /// Adds an engine, or updates it from its registration.
@@ -411,6 +476,9 @@
     #[must_use]
     pub fn own_paces(&self, now: Instant, store_now: Duration, service: &str) -> Paces {
         let mut paces = Paces::new();
+        if self.shared_hosts.contains(service) {
+            paces.record_shared_hosts(store_now);
+        }
         for engine in self
             .states
             .values()
--- a/src/rollout/load_plan.rs
+++ b/src/rollout/load_plan.rs
@@ -4,11 +4,13 @@
 //! once, and a new version of each model arrives every few seconds. Steps accept weights
 //! that are some versions old (their lag, usually one), so half of the engines may skip a
 //! version and load the next. With several models, each engine is assigned to one of
-//! them, in proportion to the work of their steps; slow engines are left out.
+//! them, in proportion to the work of their steps; slow engines are left out. Where trainers
+//! compete for engines, the speed of the engines counts in place of their number.
 //!
 //! Stale engines are loaded in turn, so that after an outage each model gets the same
 //! share of its engines back. Among equal shares, the most urgent model goes first.
 
+use crate::rollout::model_shares::{self, Pool};
 use serde::{Deserialize, Serialize};
 use std::{
     cmp::Ordering,
@@ -18,7 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Minimum number of engines per model, so that losing one doesn't stop the model.
-const MIN_ENGINES: usize = 2;
+pub(super) const MIN_ENGINES: usize = 2;
 /// Before any load is measured, one engine in this many loads at once, but at least
 /// [`MIN_INITIAL_LOADS`] engines do. The source of the weights is assumed to be sized for
 /// the number of engines.
@@ -47,6 +49,8 @@
     pub slow: bool,
     /// Number of requests known to run there.
     pub running_requests: u32,
+    /// Its time per event, if engines are to be divided by speed and the time is known.
+    pub pace: Option<Duration>,
 }
 
 /// What the steps of a model need.
@@ -157,27 +161,59 @@
 /// Assigns engines to models, preferring those with the newest weights, so that engines
 /// stay with their models whichever process decides.
 fn assign(engines: &[EngineStatus], goals: &[ModelGoal]) -> Vec<Vec<usize>> {
-    let healthy = engines.iter().filter(|engine| !engine.slow).count();
-    let mut quotas = quotas(healthy, goals);
+    let mut assigned = vec![Vec::new(); goals.len()];
+    if let Some(pools) = model_shares::divide(engines, goals) {
+        for pool in pools {
+            assign_pool(engines, goals, pool, &mut assigned);
+        }
+        return assigned;
+    }
+    let healthy = (0..engines.len()).filter(|idx| !engines[*idx].slow);
+    let healthy: Vec<usize> = healthy.collect();
+    let pool = Pool {
+        quotas: quotas(healthy.len(), goals),
+        engines: healthy,
+    };
+    assign_pool(engines, goals, pool, &mut assigned);
+    assigned
+}
+
+/// Assigns the engines of a pool.
+fn assign_pool(
+    engines: &[EngineStatus],
+    goals: &[ModelGoal],
+    pool: Pool,
+    assigned: &mut [Vec<usize>],
+) {
+    let mut quotas = pool.quotas;
     let mut pairs = Vec::new();
-    for (model, goal) in goals.iter().enumerate() {
-        for (idx, engine) in engines.iter().enumerate().filter(|(_, e)| !e.slow) {
-            let version = engine.weights.get(&goal.model).copied().unwrap_or(0);
-            let tie_breaker = xxh3_64_with_seed(engine.id.as_bytes(), model as u64);
-            pairs.push((goal.newest.saturating_sub(version), tie_breaker, model, idx));
+    for model in 0..goals.len() {
+        for idx in pool.engines.iter().copied() {
+            pairs.push((affinity(&engines[idx], goals, model), idx));
         }
     }
     pairs.sort_unstable();
-    let mut assigned = vec![Vec::new(); goals.len()];
     let mut is_assigned = vec![false; engines.len()];
-    for (_, _, model, idx) in pairs {
+    for ((_, _, model), idx) in pairs {
         if quotas[model] > 0 && !is_assigned[idx] {
             quotas[model] -= 1;
             is_assigned[idx] = true;
             assigned[model].push(idx);
         }
     }
-    assigned
+}
+
+/// Returns the sort key by which an engine prefers a model: the versions that it is behind,
+/// a tie-breaker and the model.
+pub(super) fn affinity(
+    engine: &EngineStatus,
+    goals: &[ModelGoal],
+    model: usize,
+) -> (u64, u64, usize) {
+    let goal = &goals[model];
+    let version = engine.weights.get(&goal.model).copied().unwrap_or(0);
+    let tie_breaker = xxh3_64_with_seed(engine.id.as_bytes(), model as u64);
+    (goal.newest.saturating_sub(version), tie_breaker, model)
 }
 
 /// Divides `count` engines among models in proportion to their work.
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,6 +10,8 @@
 //! * [`load_plan`]: plans which engine loads which weights next.
 //! * [`pace`]: the speed of engines, as owners share it.
 //! * [`presence`]: detects whether the owner of a batch is alive.
+//! * [`shares`]: shares slots between the open steps of one owner.
+//! * [`steady_pace`]: the pace of an engine without the changes of a moment.
 //! * [`order_records`]: records the last order to each engine, for when the duty changes hands.
 //! * [`urgency`]: the priority of an item at its engine.
 //! * [`waits`]: accounts for the time that items wait before they run.
@@ -29,12 +31,15 @@
 pub mod choice;
 pub mod engines;
 pub mod load_plan;
+mod model_shares;
 pub mod order_records;
 pub mod pace;
 pub mod presence;
 pub mod row;
+pub mod shares;
 mod spec;
 mod start_order;
+pub mod steady_pace;
 pub mod text;
 mod tier;
 pub mod urgency;
--- a/src/rollout/pace.rs
+++ b/src/rollout/pace.rs
@@ -28,6 +28,10 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Paces {
     engines: BTreeMap<String, Sample>,
+    /// The store's steady clock, in milliseconds, when an owner last knew that engines
+    /// report how slow their hosts are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    shared_hosts: Option<u64>,
 }
 
 impl Paces {
@@ -51,8 +55,23 @@
         }
     }
 
+    /// Records that engines of the service report how slow their hosts are.
+    pub fn record_shared_hosts(&mut self, store_now: Duration) {
+        let now = u64::try_from(store_now.as_millis()).unwrap_or(0);
+        self.shared_hosts = self.shared_hosts.max(Some(now));
+    }
+
+    /// Returns whether an owner has recently known that engines report how slow their
+    /// hosts are. The holder of the weight-loading duty may own no batch and see no report.
+    #[must_use]
+    pub fn has_shared_hosts(&self, store_now: Duration) -> bool {
+        self.shared_hosts
+            .is_some_and(|at| at >= oldest_sample(store_now))
+    }
+
     /// Merges all samples of another table into this one.
     pub fn merge(&mut self, other: &Self) {
+        self.shared_hosts = self.shared_hosts.max(other.shared_hosts);
         for (engine, sample) in &other.engines {
             self.record(engine, *sample);
         }
@@ -60,9 +79,10 @@
 
     /// Drops samples that have expired at the store's time `now`.
     pub fn expire(&mut self, now: Duration) {
-        let oldest = u64::try_from(now.saturating_sub(SAMPLE_TTL).as_millis()).unwrap_or(0);
+        let oldest = oldest_sample(now);
         self.engines
             .retain(|_, sample| sample.measured_at >= oldest);
+        self.shared_hosts = self.shared_hosts.filter(|at| *at >= oldest);
     }
 
     /// Iterates over the samples of all engines.
@@ -78,3 +98,8 @@
         self.engines.get(engine).copied()
     }
 }
+
+/// Returns the store's steady clock, in milliseconds, before which samples have expired.
+fn oldest_sample(now: Duration) -> u64 {
+    u64::try_from(now.saturating_sub(SAMPLE_TTL).as_millis()).unwrap_or(0)
+}
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -168,6 +168,7 @@
         blocked: false,
         slow: false,
         running_requests: 0,
+        pace: None,
     });
     engines.collect()
 }
