Share slots between the steps of trainers that compete

The dispatcher started all items that it could of the most urgent batch before it looked at the next one, so one trainer bore the wait of all. For services where contention is expected, starts are now interleaved by weighted max-min fairness with a floor for each step whose trainer still waits for items that don't run. A step that can't be in time yields, but is needed again once it is late by its whole allowance. A step whose next item finds no engine is skipped in that pass. Changes of a step's state are logged with their inputs; metrics count steps by state and slots by priority.

Without the switch the second of two steps gets no item before the first has none waiting, which a test still checks; with it, at least 16 of the 32 items of the second start before.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -1,7 +1,8 @@
 //! Starts items at engines.
 //!
 //! Batches are served by priority, then by due time: a trainer can't submit its next step
-//! before the last one is done.
+//! before the last one is done. Where trainers are expected to compete, their steps share
+//! the slots instead ([`super::interleave`]).
 
 use super::{
     Batches, OwnedBatch,
@@ -42,9 +43,7 @@
             let now = Instant::now();
             let mut batches: Vec<Rc<OwnedBatch>> = self.owned.borrow().values().cloned().collect();
             batches.sort_by_key(|owned| (owned.priority, owned.due_at));
-            for owned in &batches {
-                self.start_items(now, owned);
-            }
+            self.start_all(now, &batches);
             let mut all_drafted = true;
             for owned in &batches {
                 all_drafted &= self.draft_stragglers(now, owned);
@@ -76,7 +75,7 @@
     }
 
     /// Starts items of a batch as far as engines have capacity.
-    fn start_items(self: &Rc<Self>, now: Instant, owned: &Rc<OwnedBatch>) {
+    pub(super) fn start_items(self: &Rc<Self>, now: Instant, owned: &Rc<OwnedBatch>) {
         if owned.is_stopped.get() || owned.batch.borrow().next_start(now).is_none() {
             return;
         }
@@ -91,9 +90,19 @@
             owned.result_ready.notify_one();
             return;
         };
+        while self.start_next(now, owned, &route) {}
+    }
+
+    /// Starts the next item of a batch; returns `false` if none can start now.
+    pub(super) fn start_next(
+        self: &Rc<Self>,
+        now: Instant,
+        owned: &Rc<OwnedBatch>,
+        route: &Route,
+    ) -> bool {
         loop {
             let next = owned.batch.borrow().next_start(now);
-            let Some(index) = next else { return };
+            let Some(index) = next else { return false };
             if self.is_quarantined(owned, index) {
                 owned
                     .batch
@@ -101,14 +110,15 @@
                     .hold_until(index, now + QUARANTINE_CHECK_INTERVAL);
                 continue;
             }
-            self.discard_unusable_text(owned, &route, index);
-            let Some(key) = self.choose_engine(now, owned, &route, index, None) else {
-                let reason = self.wait_reason(owned, &route, index);
+            self.discard_unusable_text(owned, route, index);
+            let Some(key) = self.choose_engine(now, owned, route, index, None) else {
+                let reason = self.wait_reason(owned, route, index);
                 owned.batch.borrow_mut().record_wait(now, reason);
-                return;
+                return false;
             };
             owned.batch.borrow_mut().record_wait(now, None);
-            self.start_item(now, owned, &route, index, key);
+            self.start_item(now, owned, route, index, key);
+            return true;
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -60,6 +60,7 @@
             if let Some(owned) = running {
                 self.owned.borrow_mut().remove(id);
                 owned.stop();
+                self.wake_dispatcher();
                 if head.ended && head.owner == self.incarnation {
                     spawn_local(Rc::clone(self).finish_drafts(owned, row.version));
                 } else {
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -9,6 +9,7 @@
 mod generate;
 mod heads;
 mod heartbeat;
+mod interleave;
 mod list;
 mod owner;
 mod pieces;
@@ -32,6 +33,7 @@
         engines::{EngineKey, Engines},
         presence::{FailureDetector, Loss},
         row::Head,
+        shares::StepState,
     },
     roster::{Endpoint, EndpointChange},
     table::RowId,
@@ -66,6 +68,8 @@
     max_row_bytes: usize,
     /// The memory that this process may use.
     memory_mb: u32,
+    /// The percentage of an equal share of slots that each needed step gets first.
+    share_floor: u32,
     /// How long a batch stays readable after its submission.
     retention: Duration,
     store: Rc<Store>,
@@ -111,6 +115,8 @@
     due_at: Instant,
     /// Its priority; 0 is the highest.
     priority: u8,
+    /// How it last took part in the sharing of slots, if trainers compete.
+    share_state: Cell<Option<StepState>>,
     /// When its unfinished items are given up.
     expires_at: Option<Instant>,
     batch: RefCell<Batch>,
@@ -162,6 +168,7 @@
             directory,
             max_row_bytes: settings.row_bytes,
             memory_mb: settings.memory_mb,
+            share_floor: settings.share_floor,
             retention: Duration::from_secs(settings.keep_s),
             store,
             context,
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -281,6 +281,7 @@
             account: head.account,
             submission,
             priority: head.priority,
+            share_state: Cell::new(None),
             due_at: accepted_at + route.as_ref().and_then(|r| r.due).unwrap_or_default(),
             expires_at: route.and_then(|r| r.item_ttl).map(|ttl| accepted_at + ttl),
             version: Cell::new(version),
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -5,8 +5,8 @@
 
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -126,6 +126,18 @@
         "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
+    (
+        "gateway_steps",
+        "gauge",
+        "state",
+        "open steps here that share slots, where trainers compete: needed, lost, surplus",
+    ),
+    (
+        "gateway_slots",
+        "gauge",
+        "priority",
+        "slots that items of these steps use, by priority; 9 is 9 and below",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -148,6 +160,8 @@
     pub(super) reports: IntCounterVec,
     pub(super) crashes: IntCounterVec,
     pub(super) quarantined: IntGauge,
+    pub(super) steps: IntGaugeVec,
+    pub(super) slots: IntGaugeVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -180,6 +194,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let gauge_vec = |n: usize| -> prometheus::Result<IntGaugeVec> {
+            let (name, _, label, help) = NAMES[n];
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok(gauges)
+        };
         let counter = |n: usize| -> prometheus::Result<IntCounter> {
             let (name, _, _, help) = NAMES[n];
             let counter = IntCounter::new(name, help)?;
@@ -206,6 +226,8 @@
             reports: counter_vec(16)?,
             crashes: counter_vec(17)?,
             quarantined: gauge(18)?,
+            steps: gauge_vec(19)?,
+            slots: gauge_vec(20)?,
             registry,
         })
     }
@@ -221,6 +243,21 @@
         Ok(text)
     }
 
+    /// Removes the values of the steps that share slots.
+    pub(super) fn reset_steps(&self) {
+        self.steps.reset();
+        self.slots.reset();
+    }
+
+    /// Counts a step that shares slots, and the slots that it uses.
+    pub(super) fn record_step(&self, state: &str, priority: u8, slots: usize) {
+        let slots = i64::try_from(slots).unwrap_or(i64::MAX);
+        self.steps.with_label_values(&[state]).inc();
+        self.slots
+            .with_label_values(&[priority.to_string().as_str()])
+            .add(slots);
+    }
+
     /// Counts a response to a caller and records its latency.
     pub(super) fn record_response(
         &self,
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -439,3 +439,53 @@
         (runs.iter().filter(|ran| ran.id == long).count() == 2).then_some(())
     });
 }
+
+/// Submits two steps at a gateway with these settings, and returns the number of items of
+/// the second that run before all items of the first have begun.
+fn second_step_items_among_first(test: &str, extra_settings: &str) -> (usize, World) {
+    let (world, [_desk, engine]) = with_settings(test, 1, extra_settings);
+    engine.set_work_duration(Duration::from_millis(120));
+    let step = |n: u64| submission(n, 1, 8, 4);
+    until("the first step is accepted", || {
+        (submit(&world, 0, "b1", &step(1)).status == 202).then_some(())
+    });
+    assert_eq!(submit(&world, 0, "b2", &step(2)).status, 202);
+    for batch in ["b1", "b2"] {
+        check_whole(&results(&world, 0, batch, 32), 8);
+    }
+    let is_second: Vec<bool> = engine
+        .runs()
+        .iter()
+        .map(|ran| ran.id.starts_with("item-2-"))
+        .collect();
+    let last = is_second.iter().rposition(|second| !second).unwrap();
+    (
+        is_second[..last].iter().filter(|second| **second).count(),
+        world,
+    )
+}
+
+// Guards against a trainer that gets no slot until the step of another has none waiting.
+#[test]
+fn competing_trainers_share_engines() {
+    let (count, world) = second_step_items_among_first("shared", "contention = \"on\"\n");
+    assert!(count >= 16, "{count} items of the second step");
+    let line = world.gateways[0].line("The state of a step has changed.");
+    assert_eq!(line["state"], "needed");
+    assert_eq!(line["before"], "new");
+    assert!(line["capacity"].as_u64() > Some(0), "{line}");
+}
+
+// Without contention, the step that is due first must be served first, as ever.
+#[test]
+fn steps_are_served_in_turn_without_contention() {
+    for (test, settings) in [("turn-auto", ""), ("turn-off", "contention = \"off\"\n")] {
+        let (count, world) = second_step_items_among_first(test, settings);
+        assert_eq!(count, 0, "{test}");
+        let lines = world.gateways[0].lines();
+        let changes = lines
+            .iter()
+            .filter(|line| line["text"] == "The state of a step has changed.");
+        assert_eq!(changes.count(), 0, "{test}");
+    }
+}
