Try other kinds of items of a step whose next item finds no engine

The next item of a step may need an engine that is not free: a weight version that few have, or a fast engine. The items behind it waited with it, although engines that could run them had free slots. Where trainers compete, up to eight other kinds of items are now tried while slots are free. The free slots are counted per pass, and the fastest engines' pace is that of the faster kind, not of the fastest measurement.

A change of what other owners tell about shared hosts is logged.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -90,36 +90,50 @@
             owned.result_ready.notify_one();
             return;
         };
-        while self.start_next(now, owned, &route) {}
+        while let Some(index) = self.next_item(now, owned, |_| true) {
+            if !self.try_start(now, owned, &route, index) {
+                let reason = self.wait_reason(owned, &route, index);
+                owned.batch.borrow_mut().record_wait(now, reason);
+                return;
+            }
+            owned.batch.borrow_mut().record_wait(now, None);
+        }
+    }
+
+    /// Returns the item of a batch that starts next among the allowed ones, and holds those
+    /// that are in quarantine.
+    pub(super) fn next_item(
+        &self,
+        now: Instant,
+        owned: &OwnedBatch,
+        is_allowed: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        loop {
+            let index = owned.batch.borrow().next_start_where(now, &is_allowed)?;
+            if !self.is_quarantined(owned, index) {
+                return Some(index);
+            }
+            owned
+                .batch
+                .borrow_mut()
+                .hold_until(index, now + QUARANTINE_CHECK_INTERVAL);
+        }
     }
 
-    /// Starts the next item of a batch; returns `false` if none can start now.
-    pub(super) fn start_next(
+    /// Starts an item, unless no engine can run it now.
+    pub(super) fn try_start(
         self: &Rc<Self>,
         now: Instant,
         owned: &Rc<OwnedBatch>,
         route: &Route,
+        index: usize,
     ) -> bool {
-        loop {
-            let next = owned.batch.borrow().next_start(now);
-            let Some(index) = next else { return false };
-            if self.is_quarantined(owned, index) {
-                owned
-                    .batch
-                    .borrow_mut()
-                    .hold_until(index, now + QUARANTINE_CHECK_INTERVAL);
-                continue;
-            }
-            self.discard_unusable_text(owned, route, index);
-            let Some(key) = self.choose_engine(now, owned, route, index, None) else {
-                let reason = self.wait_reason(owned, route, index);
-                owned.batch.borrow_mut().record_wait(now, reason);
-                return false;
-            };
-            owned.batch.borrow_mut().record_wait(now, None);
-            self.start_item(now, owned, route, index, key);
-            return true;
-        }
+        self.discard_unusable_text(owned, route, index);
+        let Some(key) = self.choose_engine(now, owned, route, index, None) else {
+            return false;
+        };
+        self.start_item(now, owned, route, index, key);
+        true
     }
 
     /// Returns whether an item is in quarantine because engines crash while they run it.
@@ -167,7 +181,12 @@
     }
 
     /// Returns what an item waits for that can't start now.
-    fn wait_reason(&self, owned: &OwnedBatch, route: &Route, index: usize) -> Option<WaitReason> {
+    pub(super) fn wait_reason(
+        &self,
+        owned: &OwnedBatch,
+        route: &Route,
+        index: usize,
+    ) -> Option<WaitReason> {
         let requirements = requirements(owned, route, index)?;
         Some(self.engines.borrow().wait_reason(&requirements))
     }
--- a/hibiscusroad-daemon/src/gateway/batches/interleave.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/interleave.rs
@@ -1,8 +1,9 @@
 //! Interleaves the starts of steps whose trainers compete for engines.
 //!
-//! [`hibiscusroad::rollout::shares`] decides from which step the next item starts. A step
-//! whose next item finds no engine is skipped for the rest of the pass, so that no slot
-//! stays free while another step can use it. Batches of services without contention are
+//! [`hibiscusroad::rollout::shares`] decides from which step the next item starts. Where
+//! the next item of a step finds no engine, items that need less of one are tried while
+//! slots are free, and then the step is skipped for the rest of the pass. So no slot stays
+//! free behind an item that needs another engine. Batches of services without contention are
 //! served one after the other.
 
 use super::{Batches, OwnedBatch};
@@ -11,7 +12,7 @@
     catalog::Route,
     clock::millis,
     rollout::{
-        engines::TextSpeed,
+        engines::{EngineKey, TextSpeed},
         shares::{Shares, StepDemand, StepState},
     },
 };
@@ -23,6 +24,12 @@
 
 /// Steps of this priority and below share one metric, so that metrics stay bounded.
 const LOWEST_METRIC_PRIORITY: u8 = 9;
+/// Limit of the kinds of items that are tried for a step in a pass although no engine can
+/// run them, because each try reads all engines.
+const MAX_SKIPPED_KINDS: usize = 8;
+/// An item needs less of an engine than another if its hint is at most this percentage of
+/// the other's. Eight such steps lead from the longest texts to a tenth of their length.
+const SHORTER_PERCENT: u64 = 75;
 
 /// An open batch of a contended service.
 struct OpenStep<'a> {
@@ -30,6 +37,13 @@
     route: Route,
 }
 
+/// A kind of item that found no engine.
+struct SkippedKind {
+    required_version: Option<u64>,
+    avoided_engine: Option<EngineKey>,
+    hint: u64,
+}
+
 impl Batches {
     /// Starts items of all batches, which are sorted by priority and due time.
     pub(super) fn start_all(self: &Rc<Self>, now: Instant, batches: &[Rc<OwnedBatch>]) {
@@ -59,19 +73,16 @@
 
     /// Starts items of the steps of a contended service in the order of their shares.
     fn start_interleaved(self: &Rc<Self>, now: Instant, service: &str, steps: &[OpenStep<'_>]) {
-        let (speed, capacity) = {
-            let engines = self.engines.borrow();
-            (
-                engines.text_speed(service),
-                engines.usable_slots(now, service),
-            )
-        };
+        let speed = self.engines.borrow().text_speed(service);
+        let free = self.engines.borrow().free_slots(now, service);
         let mut demands: Vec<StepDemand> = steps.iter().map(|step| step.demand(speed)).collect();
+        let used: usize = demands.iter().map(StepDemand::used_slots).sum();
+        let capacity = used + free;
         let mut shares = Shares::new(now, capacity, self.share_floor, &demands);
+        let mut skipped: Vec<Vec<SkippedKind>> = steps.iter().map(|_| Vec::new()).collect();
         while let Some(idx) = shares.next_step() {
-            let step = &steps[idx];
-            if self.start_next(now, step.owned, &step.route) {
-                demands[idx] = step.demand(speed);
+            if self.start_one(now, service, &steps[idx], &mut skipped[idx]) {
+                demands[idx] = steps[idx].demand(speed);
                 shares.update(now, idx, &demands[idx]);
             } else {
                 shares.skip(idx);
@@ -87,6 +98,39 @@
             step.log_state(now, state, &demands[idx], capacity);
         }
     }
+
+    /// Starts the next item of a step that finds an engine; returns `false` if none does.
+    fn start_one(
+        self: &Rc<Self>,
+        now: Instant,
+        service: &str,
+        step: &OpenStep<'_>,
+        skipped: &mut Vec<SkippedKind>,
+    ) -> bool {
+        while let Some(index) = self.next_item(now, step.owned, |index| {
+            skipped.iter().all(|kind| !step.is_of_kind(index, kind))
+        }) {
+            let is_first = skipped.is_empty();
+            if self.try_start(now, step.owned, &step.route, index) {
+                // Wait times are those of the first item.
+                if is_first {
+                    step.owned.batch.borrow_mut().record_wait(now, None);
+                }
+                return true;
+            }
+            if is_first {
+                let reason = self.wait_reason(step.owned, &step.route, index);
+                step.owned.batch.borrow_mut().record_wait(now, reason);
+            }
+            skipped.push(step.kind(index));
+            if skipped.len() >= MAX_SKIPPED_KINDS
+                || self.engines.borrow().free_slots(now, service) == 0
+            {
+                break;
+            }
+        }
+        false
+    }
 }
 
 impl OpenStep<'_> {
@@ -111,6 +155,28 @@
         }
     }
 
+    /// Returns what the item needs of an engine, for the rest of the pass.
+    fn kind(&self, index: usize) -> SkippedKind {
+        SkippedKind {
+            required_version: self.owned.batch.borrow().required_version(index),
+            avoided_engine: self.owned.avoided_engines.borrow().get(&index).copied(),
+            hint: self.hint(index),
+        }
+    }
+
+    /// Returns whether an item needs as much of an engine as this kind.
+    fn is_of_kind(&self, index: usize, kind: &SkippedKind) -> bool {
+        let own = self.kind(index);
+        own.required_version == kind.required_version
+            && own.avoided_engine == kind.avoided_engine
+            && own.hint * 100 >= kind.hint * SHORTER_PERCENT
+    }
+
+    fn hint(&self, index: usize) -> u64 {
+        let item = &self.owned.submission.items[index];
+        u64::from(item.hint.unwrap_or(0).min(item.tokens))
+    }
+
     fn metric_priority(&self) -> u8 {
         self.owned.priority.min(LOWEST_METRIC_PRIORITY)
     }
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -98,9 +98,14 @@
             let service = row.id.key.as_str();
             let is_shared = paces.has_shared_hosts(now);
             let mut engines = self.engines.borrow_mut();
-            engines.set_other_shared_hosts(service, is_shared);
+            let is_change = engines.set_other_shared_hosts(service, is_shared);
             let applied = engines.merge_paces(Instant::now(), now, &paces);
             drop(engines);
+            if is_change {
+                log::info!(target: BATCHES, service = service, shared_hosts = is_shared,
+                    row = row.version, store_ms = millis(now);
+                    "Whether hosts of a service are shared was learned from other owners.");
+            }
             log::debug!(target: BATCHES, service = service, row = row.version,
                 engines = applied, shared_hosts = is_shared, store_ms = millis(now);
                 "Engine paces are read from the store.");
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -182,9 +182,18 @@
     /// fill all engines, and end the step late.
     #[must_use]
     pub fn next_start(&self, now: Instant) -> Option<usize> {
+        self.next_start_where(now, |_| true)
+    }
+
+    /// Returns the item that starts next among those for which `is_allowed` is true.
+    pub fn next_start_where(
+        &self,
+        now: Instant,
+        is_allowed: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
         let is_due = |idx: &usize| match self.items[*idx].phase {
-            Phase::Waiting { after } => after <= now,
-            Phase::Held { until } => until <= now,
+            Phase::Waiting { after } => after <= now && is_allowed(*idx),
+            Phase::Held { until } => until <= now && is_allowed(*idx),
             _ => false,
         };
         let has_text = |idx: &usize| self.items[*idx].text.last_event().is_some();
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -49,6 +49,9 @@
 /// Lifetime of an engine's slowness: disturbances last some seconds. After it, a slow
 /// engine is treated as one that is mildly slow.
 const SLOWNESS_TTL: Duration = Duration::from_secs(6);
+/// The pace of the fastest engines is taken at position `count / FASTEST_DIVISOR`. If a
+/// quarter of the engines is of a faster kind, this is the median of that quarter.
+const FASTEST_DIVISOR: usize = 8;
 /// Weight of a new sample in an engine's pace.
 const PACE_WEIGHT: f64 = 0.4;
 
@@ -108,7 +111,7 @@
     pub excluded: Option<EngineKey>,
 }
 
-/// How long texts take at the fastest engine of a service.
+/// How long texts take at the fastest engines of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TextSpeed {
     event_seconds: f64,
@@ -169,22 +172,22 @@
         }
     }
 
-    /// Records whether another owner has recently had such a report.
-    pub fn set_other_shared_hosts(&mut self, service: &str, is_shared: bool) {
+    /// Records whether another owner has recently had such a report; returns whether that
+    /// is a change.
+    pub fn set_other_shared_hosts(&mut self, service: &str, is_shared: bool) -> bool {
         if is_shared {
-            self.other_shared_hosts.insert(service.to_owned());
+            self.other_shared_hosts.insert(service.to_owned())
         } else {
-            self.other_shared_hosts.remove(service);
+            self.other_shared_hosts.remove(service)
         }
     }
 
-    /// Returns how many slots of a service own items use or could use.
+    /// Returns how many slots of a service's engines are free.
     #[must_use]
-    pub fn usable_slots(&self, now: Instant, service: &str) -> usize {
+    pub fn free_slots(&self, now: Instant, service: &str) -> usize {
         let engines = self.states.values();
         let open = engines.filter(|engine| engine.is_open && engine.service == service);
-        open.map(|engine| (engine.own_items + engine.free_slots(now)) as usize)
-            .sum()
+        open.map(|engine| engine.free_slots(now) as usize).sum()
     }
 
     /// Returns the pace of an engine in seconds per event, and when it was measured.
@@ -194,13 +197,19 @@
         engine.pace_as_of.zip(engine.pace)
     }
 
-    /// Returns how long texts take at the fastest engine of a service, before which none
-    /// can end; `None` before any text was completed.
+    /// Returns how long texts take at the fastest engines of a service; `None` before any
+    /// text was completed.
     #[must_use]
     pub fn text_speed(&self, service: &str) -> Option<TextSpeed> {
         let engines = self.states.values();
-        let paces = engines.filter(|engine| engine.service == service);
-        let best = paces.filter_map(|engine| engine.pace).reduce(f64::min)?;
+        let engines = engines.filter(|engine| engine.service == service);
+        let mut paces: Vec<f64> = engines.filter_map(|engine| engine.pace).collect();
+        let position = paces.len() / FASTEST_DIVISOR;
+        if paces.is_empty() {
+            return None;
+        }
+        let (_, best, _) = paces.select_nth_unstable_by(position, f64::total_cmp);
+        let best = *best;
         let ratio = self.tokens_per_event.filter(|ratio| *ratio > 0.0)?;
         Some(TextSpeed {
             event_seconds: best,
--- a/tests/rollout_batch.rs
+++ b/tests/rollout_batch.rs
@@ -3,6 +3,7 @@
 use hibiscusroad::rollout::{
     Item, Outcome, Submission,
     batch::{Batch, Interruption},
+    shares::GroupDemand,
     text::{Piece, Text, assemble},
 };
 use proptest::prelude::*;
@@ -390,3 +391,49 @@
             .is_some_and(|n| batch.last_event(n).is_none())
     );
 }
+
+// Guards against a step whose state follows from items that are done, or from the whole
+// length of texts that have begun.
+#[test]
+fn group_demands_count_what_is_left() {
+    let now = Instant::now();
+    let step = submission(&[10, 20, 30]);
+    let mut batch = Batch::new(now, &step, 3, false, 1);
+    let hint = |idx: usize, last: Option<u64>| {
+        let hint = u64::from(step.items[idx].hint.unwrap());
+        Duration::from_secs(hint.saturating_sub(last.unwrap_or(0)))
+    };
+    let demand = |is_carried, waiting, running, seconds| GroupDemand {
+        is_carried,
+        waiting,
+        running,
+        remaining: Duration::from_secs(seconds),
+    };
+    batch.start(0);
+    assert!(batch.append_event(0, 1, "a", Some(3)));
+    batch.start(3);
+    batch.hold_until(4, now + Duration::from_secs(1));
+    let (complete, groups) = batch.group_demands(hint);
+    assert_eq!(complete, 0);
+    assert_eq!(
+        groups,
+        [
+            demand(true, 1, 1, 9),
+            demand(false, 1, 1, 20),
+            demand(false, 2, 0, 30)
+        ]
+    );
+    // A group is complete when its results are ready; until then, its scorer is waited for.
+    for idx in [0, 1, 2, 3] {
+        batch.start(idx);
+        assert!(batch.complete_text(now, idx));
+    }
+    batch.complete_scoring(0, None);
+    batch.complete_scoring(1, None);
+    let (complete, groups) = batch.group_demands(hint);
+    assert_eq!(complete, 1);
+    assert_eq!(groups, [demand(false, 0, 0, 0), demand(false, 2, 0, 30)]);
+    // Skipped items leave the start order of the others as it is.
+    assert_eq!(batch.next_start(now), Some(5));
+    assert_eq!(batch.next_start_where(now, |idx| idx != 5), None);
+}
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -508,3 +508,60 @@
         assert!(!engine.slow || engine.weights == before, "{engine:?}");
     }
 }
+
+// The holder of the weight-loading duty may own no batch and see no report of slow hosts. It
+// must learn of them from the row of paces, also beside owners of an earlier revision, and
+// must forget them when owners have none.
+#[test]
+fn shared_hosts_are_passed_on_with_the_paces() {
+    let (now, store) = (Instant::now(), Duration::from_mins(10));
+    let earlier: Paces = serde_json::from_str(r#"{"engines":{}}"#).unwrap();
+    assert!(!earlier.has_shared_hosts(store));
+    let mut owner = engines(&[3]);
+    assert!(!owner.own_paces(now, store, "lm").has_shared_hosts(store));
+    owner.record_shared_host("lm");
+    assert!(owner.is_contended("lm"));
+    assert!(!owner.is_contended("other"));
+    let mut row = earlier;
+    row.merge(&owner.own_paces(now, store, "lm"));
+    let mut row: Paces = serde_json::from_slice(&serde_json::to_vec(&row).unwrap()).unwrap();
+
+    let mut holder = engines(&[3]);
+    assert!(holder.set_other_shared_hosts("lm", row.has_shared_hosts(store)));
+    assert!(!holder.set_other_shared_hosts("lm", row.has_shared_hosts(store)));
+    assert!(holder.is_contended("lm"));
+    let own = holder.own_paces(now, store, "lm");
+    assert!(
+        !own.has_shared_hosts(store),
+        "only own reports are passed on"
+    );
+    let later = store + Duration::from_secs(61);
+    assert!(!row.has_shared_hosts(later));
+    row.expire(later);
+    assert_eq!(serde_json::to_string(&row).unwrap(), r#"{"engines":{}}"#);
+    assert!(holder.set_other_shared_hosts("lm", row.has_shared_hosts(later)));
+    assert!(!holder.is_contended("lm"));
+}
+
+// Guards against a step that counts as lost because of one engine's pace or an unknown one.
+#[test]
+fn text_speed_is_that_of_the_faster_kind_of_engines() {
+    let now = Instant::now();
+    let mut engines = engines(&[3; 16]);
+    assert_eq!(engines.text_speed("lm"), None);
+    for n in 0..16 {
+        let key = engines.key(&format!("e{n}")).unwrap();
+        let pace = match n {
+            0 => 0.001,
+            1..4 => 0.026,
+            _ => 0.058,
+        };
+        engines.record_pace(now, key, pace);
+    }
+    assert_eq!(engines.text_speed("lm"), None, "no text was completed");
+    engines.record_text(100, Some(200));
+    let speed = engines.text_speed("lm").unwrap();
+    assert_eq!(speed.remaining(200, 0), Duration::from_millis(2600));
+    assert_eq!(speed.remaining(200, 50), Duration::from_millis(1300));
+    assert_eq!(speed.remaining(200, 500), Duration::ZERO);
+}
