Decide without I/O which items pass one that finds no engine

The expected remaining time of a text is limited: hints of zero make the learned ratio of tokens to events so small that the time would be out of range, and the process would end.

--- a/hibiscusroad-daemon/src/gateway/batches/interleave.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/interleave.rs
@@ -12,7 +12,8 @@
     catalog::Route,
     clock::millis,
     rollout::{
-        engines::{EngineKey, TextSpeed},
+        engines::TextSpeed,
+        item_kind::{ItemKind, SkippedKinds},
         shares::{Shares, StepDemand, StepState},
     },
 };
@@ -24,26 +25,12 @@
 
 /// Steps of this priority and below share one metric, so that metrics stay bounded.
 const LOWEST_METRIC_PRIORITY: u8 = 9;
-/// Limit of the kinds of items that are tried for a step in a pass although no engine can
-/// run them, because each try reads all engines.
-const MAX_SKIPPED_KINDS: usize = 8;
-/// An item needs less of an engine than another if its hint is at most this percentage of
-/// the other's. Eight such steps lead from the longest texts to a tenth of their length.
-const SHORTER_PERCENT: u64 = 75;
-
 /// An open batch of a contended service.
 struct OpenStep<'a> {
     owned: &'a Rc<OwnedBatch>,
     route: Route,
 }
 
-/// A kind of item that found no engine.
-struct SkippedKind {
-    required_version: Option<u64>,
-    avoided_engine: Option<EngineKey>,
-    hint: u64,
-}
-
 impl Batches {
     /// Starts items of all batches, which are sorted by priority and due time.
     pub(super) fn start_all(self: &Rc<Self>, now: Instant, batches: &[Rc<OwnedBatch>]) {
@@ -79,7 +66,8 @@
         let used: usize = demands.iter().map(StepDemand::used_slots).sum();
         let capacity = used + free;
         let mut shares = Shares::new(now, capacity, self.share_floor, &demands);
-        let mut skipped: Vec<Vec<SkippedKind>> = steps.iter().map(|_| Vec::new()).collect();
+        let mut skipped: Vec<SkippedKinds> =
+            steps.iter().map(|_| SkippedKinds::default()).collect();
         while let Some(idx) = shares.next_step() {
             if self.start_one(now, service, &steps[idx], &mut skipped[idx]) {
                 demands[idx] = steps[idx].demand(speed);
@@ -105,11 +93,11 @@
         now: Instant,
         service: &str,
         step: &OpenStep<'_>,
-        skipped: &mut Vec<SkippedKind>,
+        skipped: &mut SkippedKinds,
     ) -> bool {
-        while let Some(index) = self.next_item(now, step.owned, |index| {
-            skipped.iter().all(|kind| !step.is_of_kind(index, kind))
-        }) {
+        while let Some(index) =
+            self.next_item(now, step.owned, |index| skipped.allows(&step.kind(index)))
+        {
             let is_first = skipped.is_empty();
             if self.try_start(now, step.owned, &step.route, index) {
                 // Wait times are those of the first item.
@@ -122,10 +110,8 @@
                 let reason = self.wait_reason(step.owned, &step.route, index);
                 step.owned.batch.borrow_mut().record_wait(now, reason);
             }
-            skipped.push(step.kind(index));
-            if skipped.len() >= MAX_SKIPPED_KINDS
-                || self.engines.borrow().free_slots(now, service) == 0
-            {
+            let may_retry = skipped.skip(step.kind(index));
+            if !may_retry || self.engines.borrow().free_slots(now, service) == 0 {
                 break;
             }
         }
@@ -137,11 +123,9 @@
     /// Returns what the step still needs.
     fn demand(&self, speed: Option<TextSpeed>) -> StepDemand {
         let owned = self.owned;
-        let items = &owned.submission.items;
         let remaining = |idx: usize, last: Option<u64>| {
-            let hint = items[idx].hint.unwrap_or(0).min(items[idx].tokens);
             speed.map_or(Duration::ZERO, |speed| {
-                speed.remaining(hint, last.unwrap_or(0))
+                speed.remaining(self.hint(idx), last.unwrap_or(0))
             })
         };
         let (complete, groups) = owned.batch.borrow().group_demands(remaining);
@@ -155,26 +139,18 @@
         }
     }
 
-    /// Returns what the item needs of an engine, for the rest of the pass.
-    fn kind(&self, index: usize) -> SkippedKind {
-        SkippedKind {
+    /// Returns what an item needs of an engine.
+    fn kind(&self, index: usize) -> ItemKind {
+        ItemKind {
             required_version: self.owned.batch.borrow().required_version(index),
             avoided_engine: self.owned.avoided_engines.borrow().get(&index).copied(),
             hint: self.hint(index),
         }
     }
 
-    /// Returns whether an item needs as much of an engine as this kind.
-    fn is_of_kind(&self, index: usize, kind: &SkippedKind) -> bool {
-        let own = self.kind(index);
-        own.required_version == kind.required_version
-            && own.avoided_engine == kind.avoided_engine
-            && own.hint * 100 >= kind.hint * SHORTER_PERCENT
-    }
-
-    fn hint(&self, index: usize) -> u64 {
+    fn hint(&self, index: usize) -> u32 {
         let item = &self.owned.submission.items[index];
-        u64::from(item.hint.unwrap_or(0).min(item.tokens))
+        item.hint.unwrap_or(0).min(item.tokens)
     }
 
     fn metric_priority(&self) -> u8 {
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -52,6 +52,9 @@
 /// The pace of the fastest engines is taken at position `count / FASTEST_DIVISOR`. If a
 /// quarter of the engines is of a faster kind, this is the median of that quarter.
 const FASTEST_DIVISOR: usize = 8;
+/// Limit of an expected remaining time, above any step's. Hints of zero make the ratio of
+/// tokens to events so small that the time would be out of range.
+const MAX_REMAINING: Duration = Duration::from_hours(1);
 /// Weight of a new sample in an engine's pace.
 const PACE_WEIGHT: f64 = 0.4;
 
@@ -123,7 +126,8 @@
     #[must_use]
     pub fn remaining(self, hint: u32, last: u64) -> Duration {
         let events = (f64::from(hint) / self.tokens_per_event - last as f64).max(0.0);
-        Duration::from_secs_f64(events * self.event_seconds)
+        Duration::try_from_secs_f64(events * self.event_seconds)
+            .map_or(MAX_REMAINING, |remaining| remaining.min(MAX_REMAINING))
     }
 }
 
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 //! * [`load_plan`]: plans which engine loads which weights next.
 //! * [`pace`]: the speed of engines, as owners share it.
 //! * [`presence`]: detects whether the owner of a batch is alive.
+//! * [`item_kind`]: tells items apart by what they need of an engine.
 //! * [`shares`]: shares slots between the open steps of one owner.
 //! * [`steady_pace`]: the pace of an engine without the changes of a moment.
 //! * [`order_records`]: records the last order to each engine, for when the duty changes hands.
@@ -30,6 +31,7 @@
 pub mod batch;
 pub mod choice;
 pub mod engines;
+pub mod item_kind;
 pub mod load_plan;
 mod model_shares;
 pub mod order_records;
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -564,4 +564,10 @@
     assert_eq!(speed.remaining(200, 0), Duration::from_millis(2600));
     assert_eq!(speed.remaining(200, 50), Duration::from_millis(1300));
     assert_eq!(speed.remaining(200, 500), Duration::ZERO);
+    for _ in 0..2000 {
+        engines.record_text(100, Some(0));
+    }
+    // Hints of zero must not make the time overflow.
+    let speed = engines.text_speed("lm").unwrap();
+    assert_eq!(speed.remaining(200, 0), Duration::from_hours(1));
 }
