Wake the dispatcher for the end of a batch only where its slots were shared

Without contention the end of a batch caused one more pass than before. The test of competing trainers also checks the metrics of steps and slots, which the end of a batch must change.

--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -60,7 +60,10 @@
             if let Some(owned) = running {
                 self.owned.borrow_mut().remove(id);
                 owned.stop();
-                self.wake_dispatcher();
+                if owned.share_state.get().is_some() {
+                    // The others share its slots, and metrics no longer count it.
+                    self.wake_dispatcher();
+                }
                 if head.ended && head.owner == self.incarnation {
                     spawn_local(Rc::clone(self).finish_drafts(owned, row.version));
                 } else {
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -3,7 +3,7 @@
 mod gateway_world;
 
 use gateway_world::{
-    World,
+    WAIT_TIMEOUT, World, ask,
     batches::{check_whole, read, results, submit, text, with_settings},
     submission, until,
 };
@@ -480,6 +480,19 @@
     assert_eq!(line["state"], "needed");
     assert_eq!(line["before"], "new");
     assert!(line["capacity"].as_u64() > Some(0), "{line}");
+    let gateway = &world.gateways[0];
+    let steps = |count: &str| {
+        until("the steps are counted", || {
+            let answer = ask("GET", gateway.metrics, "/", &[], b"", WAIT_TIMEOUT)?;
+            let text = answer.text();
+            let steps = format!("gateway_steps{{state=\"surplus\"}} {count}");
+            let slots = "gateway_slots{priority=\"0\"} 0";
+            (text.contains(&steps) && text.contains(slots)).then_some(())
+        });
+    };
+    steps("2");
+    assert_eq!(gateway.call("DELETE", "/lots/b1", "end", b"").status, 200);
+    steps("1");
 }
 
 // Without contention, the step that is due first must be served first, as ever.
