--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -1,7 +1,8 @@
 //! Starts items at engines.
 //!
 //! Batches are served by priority, then by due time: a trainer can't submit its next step
-//! before the last one is done.
+//! before the last one is done. Where trainers are expected to compete, their steps share
+//! the slots instead ([`super::interleave`]).
 
 use super::{
     Batches, OwnedBatch, placement,
@@ -43,9 +44,7 @@
             self.settle_loads();
             let mut batches: Vec<Rc<OwnedBatch>> = self.owned.borrow().values().cloned().collect();
             batches.sort_by_key(|owned| (owned.priority, owned.due_at));
-            for owned in &batches {
-                self.start_items(now, owned);
-            }
+            self.start_all(now, &batches);
             let mut all_drafted = true;
             for owned in &batches {
                 all_drafted &= self.draft_stragglers(now, owned);
@@ -77,7 +76,7 @@
     }
 
     /// Starts items of a batch as far as engines have capacity.
-    fn start_items(self: &Rc<Self>, now: Instant, owned: &Rc<OwnedBatch>) {
+    pub(super) fn start_items(self: &Rc<Self>, now: Instant, owned: &Rc<OwnedBatch>) {
         if owned.is_stopped.get() || owned.batch.borrow().next_start(now).is_none() {
             return;
         }
@@ -92,28 +91,53 @@
             owned.result_ready.notify_one();
             return;
         };
-        loop {
-            let next = owned.batch.borrow().next_start(now);
-            let Some(index) = next else { return };
-            if self.is_quarantined(owned, index) {
-                owned
-                    .batch
-                    .borrow_mut()
-                    .hold_until(index, now + QUARANTINE_CHECK_INTERVAL);
-                continue;
-            }
-            self.discard_unusable_text(owned, &route, index);
-            let Some(key) = self.choose_engine(now, owned, &route, index, None) else {
+        while let Some(index) = self.next_item(now, owned, |_| true) {
+            if !self.try_start(now, owned, &route, index) {
                 let reason = self.wait_reason(owned, &route, index);
                 owned.batch.borrow_mut().record_wait(now, reason);
                 self.record_withheld(now, owned, &route, index);
                 return;
-            };
+            }
             owned.batch.borrow_mut().record_wait(now, None);
-            self.start_item(now, owned, &route, index, key);
         }
     }
 
+    /// Returns the item of a batch that starts next among the allowed ones, and holds those
+    /// that are in quarantine.
+    pub(super) fn next_item(
+        &self,
+        now: Instant,
+        owned: &OwnedBatch,
+        is_allowed: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        loop {
+            let index = owned.batch.borrow().next_start_where(now, &is_allowed)?;
+            if !self.is_quarantined(owned, index) {
+                return Some(index);
+            }
+            owned
+                .batch
+                .borrow_mut()
+                .hold_until(index, now + QUARANTINE_CHECK_INTERVAL);
+        }
+    }
+
+    /// Starts an item, unless no engine can run it now.
+    pub(super) fn try_start(
+        self: &Rc<Self>,
+        now: Instant,
+        owned: &Rc<OwnedBatch>,
+        route: &Route,
+        index: usize,
+    ) -> bool {
+        self.discard_unusable_text(owned, route, index);
+        let Some(key) = self.choose_engine(now, owned, route, index, None) else {
+            return false;
+        };
+        self.start_item(now, owned, route, index, key);
+        true
+    }
+
     /// Returns whether an item is in quarantine because engines crash while they run it.
     ///
     /// The item is held and not errored: it may run again when its quarantine ends.
@@ -162,7 +186,12 @@
     }
 
     /// Returns what an item waits for that can't start now.
-    fn wait_reason(&self, owned: &OwnedBatch, route: &Route, index: usize) -> Option<WaitReason> {
+    pub(super) fn wait_reason(
+        &self,
+        owned: &OwnedBatch,
+        route: &Route,
+        index: usize,
+    ) -> Option<WaitReason> {
         let requirements = requirements(owned, route, index)?;
         Some(self.engines.borrow().wait_reason(&requirements))
     }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -9,6 +9,7 @@
 mod generate;
 mod heads;
 mod heartbeat;
+mod interleave;
 mod list;
 mod loads;
 mod owner;
@@ -34,8 +35,9 @@
         engines::{EngineKey, Engines},
         presence::{FailureDetector, Loss},
         row::Head,
+        shares::StepState,
     },
-    roster::EndpointChange,
+    roster::{Endpoint, EndpointChange},
     table::RowId,
 };
 use std::{
@@ -68,6 +70,8 @@
     max_row_bytes: usize,
     /// The memory that this process may use.
     memory_mb: u32,
+    /// The percentage of an equal share of slots that each needed step gets first.
+    share_floor: u32,
     /// How long a batch stays readable after its submission.
     retention: Duration,
     store: Rc<Store>,
@@ -113,6 +117,8 @@
     due_at: Instant,
     /// Its priority; 0 is the highest.
     priority: u8,
+    /// How it last took part in the sharing of slots, if trainers compete.
+    share_state: Cell<Option<StepState>>,
     /// When its unfinished items are given up.
     expires_at: Option<Instant>,
     batch: RefCell<Batch>,
@@ -166,6 +172,7 @@
             directory,
             max_row_bytes: settings.row_bytes,
             memory_mb: settings.memory_mb,
+            share_floor: settings.share_floor,
             retention: Duration::from_secs(settings.keep_s),
             store,
             context,
@@ -266,6 +273,16 @@
         self.engines.borrow().is_slow(Instant::now(), endpoint)
     }
 
+    /// Returns an engine's time per event and when it was measured, if trainers are expected
+    /// to compete for the engines of its service.
+    pub(super) fn contended_pace(&self, endpoint: &Endpoint) -> Option<(Instant, Duration)> {
+        let engines = self.engines.borrow();
+        let (measured_at, pace) = engines.pace(&endpoint.id)?;
+        engines
+            .is_contended(&endpoint.service)
+            .then(|| (measured_at, Duration::from_secs_f64(pace)))
+    }
+
     /// Records a weight version that an engine reported.
     pub(super) fn record_version(&self, endpoint: &str, model: &str, version: u64) {
         let mut engines = self.engines.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -165,6 +165,18 @@
         "slowness",
         "endpoints that take calls by the current pace of their hosts: usual, slow, unknown",
     ),
+    (
+        "gateway_steps",
+        "gauge",
+        "state",
+        "open steps here that share slots, where trainers compete: needed, lost, surplus",
+    ),
+    (
+        "gateway_slots",
+        "gauge",
+        "priority",
+        "slots that items of these steps use, by priority; 9 is 9 and below",
+    ),
 ];
 
 /// All metrics of a gateway.
@@ -193,6 +205,8 @@
     pub(super) moves: IntCounterVec,
     pub(super) engine_slowness: Histogram,
     pub(super) endpoints: IntGaugeVec,
+    pub(super) steps: IntGaugeVec,
+    pub(super) slots: IntGaugeVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
@@ -263,6 +277,8 @@
             moves: counter_vec(22)?,
             engine_slowness: histogram(23, SLOWNESS_BUCKETS)?,
             endpoints: gauge_vec(24)?,
+            steps: gauge_vec(25)?,
+            slots: gauge_vec(26)?,
             registry,
         })
     }
@@ -278,6 +294,21 @@
         Ok(text)
     }
 
+    /// Removes the values of the steps that share slots.
+    pub(super) fn reset_steps(&self) {
+        self.steps.reset();
+        self.slots.reset();
+    }
+
+    /// Counts a step that shares slots, and the slots that it uses.
+    pub(super) fn record_step(&self, state: &str, priority: u8, slots: usize) {
+        let slots = i64::try_from(slots).unwrap_or(i64::MAX);
+        self.steps.with_label_values(&[state]).inc();
+        self.slots
+            .with_label_values(&[priority.to_string().as_str()])
+            .add(slots);
+    }
+
     /// Counts a response to a caller and records its latency.
     pub(super) fn record_response(
         &self,
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -55,6 +55,12 @@
 /// Lifetime of an engine's slowness: disturbances last some seconds. After it, a slow
 /// engine is treated as one that is mildly slow.
 const SLOWNESS_TTL: Duration = Duration::from_secs(6);
+/// The pace of the fastest engines is taken at position `count / FASTEST_DIVISOR`. If a
+/// quarter of the engines is of a faster kind, this is the median of that quarter.
+const FASTEST_DIVISOR: usize = 8;
+/// Limit of an expected remaining time, above any step's. Hints of zero make the ratio of
+/// tokens to events so small that the time would be out of range.
+const MAX_REMAINING: Duration = Duration::from_hours(1);
 /// Weight of a new sample in an engine's pace.
 const PACE_WEIGHT: f64 = 0.4;
 /// Weight of a new sample in an engine's natural pace: a sample covers a part of one disturbance
@@ -182,6 +188,23 @@
     pub due: Option<Instant>,
 }
 
+/// How long texts take at the fastest engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TextSpeed {
+    event_seconds: f64,
+    tokens_per_event: f64,
+}
+
+impl TextSpeed {
+    /// Returns how long a text with this hint in tokens takes after event `last`.
+    #[must_use]
+    pub fn remaining(self, hint: u32, last: u64) -> Duration {
+        let events = (f64::from(hint) / self.tokens_per_event - last as f64).max(0.0);
+        Duration::try_from_secs_f64(events * self.event_seconds)
+            .map_or(MAX_REMAINING, |remaining| remaining.min(MAX_REMAINING))
+    }
+}
+
 /// All engines, as one owner of batches sees them.
 #[derive(Debug, Default)]
 pub struct Engines {
@@ -192,6 +215,8 @@
     shared_hosts: BTreeSet<String>,
     /// Where loads of weights are assumed to be under way.
     loads: Loads,
+    /// Services of which another owner has recently had such a report.
+    other_shared_hosts: BTreeSet<String>,
     /// Average number of events of a text.
     mean_events: Option<f64>,
     /// Average ratio of a text's hinted tokens to its events.
@@ -217,8 +242,54 @@
     /// Returns whether trainers are expected to compete for the engines of a service.
     #[must_use]
     pub fn is_contended(&self, service: &str) -> bool {
-        self.contention
-            .is_expected(self.shared_hosts.contains(service))
+        let has_shared_hosts =
+            self.shared_hosts.contains(service) || self.other_shared_hosts.contains(service);
+        self.contention.is_expected(has_shared_hosts)
+    }
+
+    /// Records whether another owner has recently had such a report; returns whether that
+    /// is a change.
+    pub fn set_other_shared_hosts(&mut self, service: &str, is_shared: bool) -> bool {
+        if is_shared {
+            self.other_shared_hosts.insert(service.to_owned())
+        } else {
+            self.other_shared_hosts.remove(service)
+        }
+    }
+
+    /// Returns how many slots of a service's engines are free.
+    #[must_use]
+    pub fn free_slots(&self, now: Instant, service: &str) -> usize {
+        let engines = self.states.values();
+        let open = engines.filter(|engine| engine.is_open && engine.service == service);
+        open.map(|engine| engine.free_slots(now) as usize).sum()
+    }
+
+    /// Returns the pace of an engine in seconds per event, and when it was measured.
+    #[must_use]
+    pub fn pace(&self, id: &str) -> Option<(Instant, f64)> {
+        let engine = self.states.get(self.key(id)?)?;
+        engine.pace_as_of.zip(engine.pace)
+    }
+
+    /// Returns how long texts take at the fastest engines of a service; `None` before any
+    /// text was completed.
+    #[must_use]
+    pub fn text_speed(&self, service: &str) -> Option<TextSpeed> {
+        let engines = self.states.values();
+        let engines = engines.filter(|engine| engine.service == service);
+        let mut paces: Vec<f64> = engines.filter_map(|engine| engine.pace).collect();
+        let position = paces.len() / FASTEST_DIVISOR;
+        if paces.is_empty() {
+            return None;
+        }
+        let (_, best, _) = paces.select_nth_unstable_by(position, f64::total_cmp);
+        let best = *best;
+        let ratio = self.tokens_per_event.filter(|ratio| *ratio > 0.0)?;
+        Some(TextSpeed {
+            event_seconds: best,
+            tokens_per_event: ratio,
+        })
     }
 
     /// Records that an engine of a service has reported how slow its host is; returns whether it
@@ -620,6 +691,9 @@
     pub fn own_paces(&self, now: Instant, store_now: Duration, service: &str) -> Paces {
         let mut paces = Paces::new();
         let is_contended = self.is_contended(service);
+        if self.shared_hosts.contains(service) {
+            paces.record_shared_hosts(store_now);
+        }
         for engine in self
             .states
             .values()
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -8,10 +8,13 @@
 //! * [`batch`]: the state of a batch: which item starts next and which results are listed.
 //! * [`engines`]: chooses the engine for an item.
 //! * [`fit`]: fits items to engines of unequal speed.
+//! * [`item_kind`]: tells items apart by what they need of an engine.
 //! * [`load_plan`]: plans which engine loads which weights next.
+//! * [`loading`]: where a load of weights is assumed to be under way.
 //! * [`pace`]: the speed of engines, as owners share it.
 //! * [`presence`]: detects whether the owner of a batch is alive.
-//! * [`loading`]: where a load of weights is assumed to be under way.
+//! * [`shares`]: shares slots between the open steps of one owner.
+//! * [`steady_pace`]: the pace of an engine without the changes of a moment.
 //! * [`order_records`]: records the last order to each engine, for when the duty changes hands.
 //! * [`urgency`]: the priority of an item at its engine.
 //! * [`waits`]: accounts for the time that items wait before they run.
@@ -31,14 +34,18 @@
 pub mod choice;
 pub mod engines;
 pub mod fit;
+pub mod item_kind;
 pub mod load_plan;
 pub mod loading;
+mod model_shares;
 pub mod order_records;
 pub mod pace;
 pub mod presence;
 pub mod row;
+pub mod shares;
 mod spec;
 mod start_order;
+pub mod steady_pace;
 pub mod text;
 mod tier;
 pub mod urgency;
