Let calls wait fairly among accounts where callers compete

Calls of one class for one service waited by deadline alone, so an account that sends much took the capacity of all, and others were refused because of its backlog. Where contention is expected, calls with an account now wait by the priority of the account, then by self-clocked fair queueing with work in seconds, then by deadline. Admission, the refusal of calls that can't be answered, and Retry-After use the work ahead in that order. A call that makes others late is admitted if these have more waiting than its account; the last of them is refused instead. The optional account_share limits the places of one account while others wait, with an error kind of its own (429).

Without contention or accounts there is one account with the previous queue.

--- a/src/error.rs
+++ b/src/error.rs
@@ -126,6 +126,8 @@
     OutcomeUnknown = 502, "outcome-unknown", "It is not known whether the request ran", false, SameKey;
     /// The request can't be answered before its deadline under the current load.
     Saturated = 503, "saturated", "Too much work to answer in time", true, After;
+    /// The account has as many places as it may have while others wait.
+    AccountShare = 429, "account-share", "The account has its share of the places", true, After;
     /// The queue between two threads is full.
     HandoverFull = 503, "handover-full", "Too many requests at once", true, After;
     /// No endpoint of the service accepts requests.
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -11,6 +11,7 @@
     error::ErrorKind,
     route::{
         ServiceKey,
+        accounts::slot_wait,
         queue::QueuedCall,
         retry_after::seconds,
         router::Router,
@@ -47,21 +48,24 @@
             self.refuse(now, key, ErrorKind::Expired);
             return false;
         }
-        if let Err(kind) = self.check_admission(now, &call) {
+        if let Err(kind) = self.check_admission(now, &call, row.work) {
             self.refuse(now, key, kind);
             return false;
         }
         self.enqueue(now, key);
+        self.refuse_displaced(now, key);
         true
     }
 
-    fn check_admission(&self, now: Instant, call: &Call) -> Result<(), ErrorKind> {
+    fn check_admission(&self, now: Instant, call: &Call, work: f64) -> Result<(), ErrorKind> {
         let row = &self.services[call.service];
         let queue = row.queue(call.class);
         if row.usable == 0 && row.awaiting_trial.is_empty() {
             return Err(ErrorKind::NoEndpoint);
         }
-        if queue.len() >= row.spec.max_queued {
+        let account = self.queue_account(call);
+        self.check_share(call, account)?;
+        if queue.len() >= row.spec.max_queued && !self.goes_before_last(call, account, work) {
             return Err(ErrorKind::Saturated);
         }
         let time_left = (call.deadline - now).as_secs_f64();
@@ -69,23 +73,23 @@
             return Ok(());
         };
         // With all slots in use the call also waits for one to become free.
-        let slot_wait = if row.free_slots == 0 {
-            estimate.mean
-        } else {
-            0.0
-        };
-        let work_ahead = queue.work_before(call.deadline) + slot_wait;
+        let slot_wait = slot_wait(row, &estimate);
+        let ahead = queue.work_ahead(account, call.deadline, estimate.mean);
+        let work_ahead = ahead + slot_wait;
         let wait = self.estimate_wait(now, call.service, call.class, work_ahead);
         if !fits_deadline(wait, row.wait_margin, &estimate, time_left) {
             return Err(ErrorKind::Saturated);
         }
-        // The call must not make those behind it in the queue late either.
-        let Some(last) = queue.last().filter(|last| last.deadline > call.deadline) else {
+        // The call must not make those of its account behind it late either. Calls of others
+        // that it makes late have more work ahead than their share (`accounts`).
+        let latest = queue.latest_deadline(account);
+        let Some(latest) = latest.filter(|latest| *latest > call.deadline) else {
             return Ok(());
         };
-        let total_work = queue.work() + estimate.mean + slot_wait;
+        let ahead = queue.work_ahead_of_last(account, estimate.mean);
+        let total_work = ahead + estimate.mean + slot_wait;
         let wait = self.estimate_wait(now, call.service, call.class, total_work);
-        let time_left = (last.deadline - now).as_secs_f64();
+        let time_left = (latest - now).as_secs_f64();
         if fits_deadline(wait, row.wait_margin, &estimate, time_left) {
             Ok(())
         } else {
@@ -111,15 +115,17 @@
     }
 
     pub(super) fn enqueue(&mut self, now: Instant, key: CallKey) {
+        let account = self.queue_account(&self.calls[key].call);
         let row = &mut self.calls[key];
         row.queued = true;
+        row.queue_account = account;
         let queued_call = QueuedCall {
             call: key,
             work: row.work,
         };
         let (service, class, queue_key) = (row.call.service, row.call.class, row.queue_key());
         let service_row = &mut self.services[service];
-        service_row.queues[class.index()].push(queue_key, queued_call);
+        service_row.queues[class.index()].push(account, queue_key, queued_call);
         if service_row.timer_at.is_none() {
             service_row.timer_at = Some(now + DISPATCH_INTERVAL);
             self.timers
@@ -142,7 +148,7 @@
             let no_endpoint = row.usable == 0 && row.awaiting_trial.is_empty();
             let mut work = 0.0;
             let mut unanswerable = Vec::new();
-            for (queue_key, queued_call) in row.queue(class).iter() {
+            for (queue_key, queued_call) in row.queue(class).in_order() {
                 let time_left = (queue_key.deadline - now).as_secs_f64();
                 let wait = self.estimate_wait(now, service, class, work);
                 if no_endpoint || wait + queued_call.work > time_left {
@@ -187,6 +193,9 @@
             return Duration::ZERO;
         };
         let mean = row.service_times.estimate(call).map_or(0.1, |e| e.mean);
+        if call.account.is_some() && self.is_contended(call.service) {
+            return self.next_account_return(now, call, mean, random);
+        }
         let wait = self.estimate_wait(now, call.service, call.class, row.queue(call.class).work());
         let interval = self.estimate_wait(now, call.service, call.class, mean);
         let row = &mut self.services[call.service];
@@ -205,20 +214,24 @@
         *wait_margin += WAIT_MARGIN_EASE * (BASE_WAIT_MARGIN - *wait_margin);
     }
 
-    /// Removes a call from its queue, if it is queued.
-    pub(super) fn dequeue(&mut self, key: CallKey) {
+    /// Removes a call from its queue, if it is queued; `is_started` if it runs now.
+    pub(super) fn dequeue(&mut self, key: CallKey, is_started: bool) {
         let row = &mut self.calls[key];
         if row.queued {
             row.queued = false;
-            let queue_key = row.queue_key();
-            let queues = &mut self.services[row.call.service].queues;
-            queues[row.call.class.index()].remove(queue_key);
+            let (account, queue_key) = (row.queue_account, row.queue_key());
+            let queue = &mut self.services[row.call.service].queues[row.call.class.index()];
+            if is_started {
+                queue.start(account, queue_key);
+            } else {
+                queue.remove(account, queue_key);
+            }
         }
     }
 
     /// Removes a call from all tables and cancels its running attempts.
     pub(super) fn remove_call(&mut self, now: Instant, key: CallKey) {
-        self.dequeue(key);
+        self.dequeue(key, false);
         for attempt_index in 0..2 {
             self.cancel_attempt(now, key, attempt_index);
         }
@@ -240,7 +253,12 @@
     }
 }
 
-fn fits_deadline(wait: f64, wait_margin: f64, estimate: &Estimate, time_left: f64) -> bool {
+pub(super) fn fits_deadline(
+    wait: f64,
+    wait_margin: f64,
+    estimate: &Estimate,
+    time_left: f64,
+) -> bool {
     if wait < NEGLIGIBLE_WAIT_SECS {
         return estimate.p50 <= time_left;
     }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -40,7 +40,7 @@
         endpoint: EndpointKey,
         trial: bool,
     ) {
-        self.dequeue(key);
+        self.dequeue(key, true);
         let row = &mut self.calls[key];
         let (call, work, repeatable) = (row.call, row.work, row.is_repeatable());
         let hedge = row.is_running();
@@ -61,6 +61,7 @@
         let service = &mut self.services[call.service];
         let class = call.class.index();
         service.running[class] += 1;
+        service.add_running(call.account.unwrap_or_default().id);
         service.recent_peaks[class].raise_to(now, f64::from(service.running[class]));
         service.recent_work.add(now, work);
         if first {
@@ -99,9 +100,15 @@
     fn detach(&mut self, now: Instant, key: CallKey, attempt_index: usize) -> Option<Attempt> {
         let row = &mut self.calls[key];
         let attempt = row.attempts[attempt_index].take()?;
-        let call = row.call;
+        let (call, account, work) = (row.call, row.queue_account, row.work);
         let service = &mut self.services[call.service];
         service.running[call.class.index()] -= 1;
+        service.remove_running(call.account.unwrap_or_default().id);
+        // The account was charged the expected time at the start. A hedge was not charged.
+        if attempt_index == 0 {
+            let elapsed = (now - attempt.start).as_secs_f64();
+            service.queues[call.class.index()].correct(account, elapsed - work);
+        }
         service.preemptible.remove(&(attempt.start, key));
         if let Some(row) = self.endpoints.get_mut(attempt.endpoint) {
             row.remove_attempt(key, &attempt, &call);
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -11,6 +11,8 @@
 //!   reordered, expired or moved. Each endpoint has a concurrency limit
 //!   (`limit`), and a call that can't be answered in time is refused on arrival
 //!   (`admit`).
+//! * Where callers compete, the calls of a class are fair among client accounts by work
+//!   (`fair`); otherwise they wait by deadline alone (`queue`).
 //! * Both decisions use service times learned per class and size (`service_times`). The
 //!   expected wait is the work ahead divided by the slots that the class gets
 //!   (`share`); the limit is the throughput times the service time without load
@@ -53,10 +55,12 @@
 //! assert_eq!(router.next_step(), Some(Step::Start { id, endpoint, hedge: false }));
 //! ```
 
+mod accounts;
 mod admit;
 mod attempt;
 mod decay;
 mod endpoint;
+mod fair;
 mod health;
 mod limit;
 mod placement;
@@ -74,6 +78,8 @@
 mod warm;
 
 pub use self::{
+    accounts::AccountView,
+    fair::AccountKey,
     router::Router,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
     view::{EndpointView, HealthState},
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -62,7 +62,7 @@
     fn place_queued(&mut self, now: Instant, service: ServiceKey) {
         let mut blocked = [false; 3];
         while let Some(class) = share::next_class(&self.services[service], now, blocked) {
-            let Some((_, first)) = self.services[service].queue(class).first() else {
+            let Some((_, first)) = self.first_call(service, class) else {
                 return;
             };
             let key = first.call;
--- a/src/route/queue.rs
+++ b/src/route/queue.rs
@@ -1,4 +1,4 @@
-//! Queue of one class's calls for one service, earliest deadline first.
+//! Queue of one account's calls of one class for one service, earliest deadline first.
 //!
 //! Among calls that can all be answered, no other order answers more of them in
 //! time. Under overload it would spend capacity on calls that are about to
@@ -62,8 +62,10 @@
             .map(|(queue_key, row)| (*queue_key, *row))
     }
 
-    pub(super) fn last(&self) -> Option<QueueKey> {
-        self.rows.last_key_value().map(|(queue_key, _)| *queue_key)
+    pub(super) fn last(&self) -> Option<(QueueKey, QueuedCall)> {
+        self.rows
+            .last_key_value()
+            .map(|(queue_key, row)| (*queue_key, *row))
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = (QueueKey, QueuedCall)> {
@@ -80,7 +82,7 @@
     /// Assumes that the work is spread evenly between the first and the last
     /// deadline, because an exact sum would read the queue on each arrival.
     pub(super) fn work_before(&self, deadline: Instant) -> f64 {
-        let (Some((first, _)), Some(last)) = (self.first(), self.last()) else {
+        let (Some((first, _)), Some((last, _))) = (self.first(), self.last()) else {
             return 0.0;
         };
         if deadline >= last.deadline {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -40,6 +40,8 @@
     pub(super) steps: VecDeque<Step>,
     pub(super) ring_candidates: Vec<EndpointKey>,
     pub(super) contention: Contention,
+    /// Limit on the places of one account, in percent.
+    pub(super) account_share: Option<u32>,
     seq: u64,
 }
 
@@ -62,6 +64,7 @@
             steps: VecDeque::new(),
             ring_candidates: Vec::new(),
             contention: Contention::default(),
+            account_share: None,
             seq: 0,
         }
     }
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -4,7 +4,7 @@
     class::{Class, Repeat},
     error::ErrorKind,
     id::RequestId,
-    route::{EndpointKey, ServiceKey, retry::DEFAULT_MAX_ATTEMPTS},
+    route::{EndpointKey, ServiceKey, fair::AccountKey, retry::DEFAULT_MAX_ATTEMPTS},
 };
 use std::time::{Duration, Instant};
 
@@ -112,6 +112,8 @@
     pub max_attempts: u8,
     /// Whether it is never hedged.
     pub no_hedge: bool,
+    /// Its account; calls without one count as one account.
+    pub account: Option<AccountKey>,
 }
 
 impl Call {
@@ -128,6 +130,7 @@
             prefix: None,
             max_attempts: DEFAULT_MAX_ATTEMPTS,
             no_hedge: false,
+            account: None,
         }
     }
 
@@ -139,6 +142,13 @@
         self
     }
 
+    /// Sets its account, which takes effect where callers compete.
+    #[must_use]
+    pub const fn account(mut self, account: AccountKey) -> Self {
+        self.account = Some(account);
+        self
+    }
+
     /// Sets the maximum of attempts, hedges included.
     #[must_use]
     pub const fn max_attempts(mut self, max_attempts: u8) -> Self {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -6,9 +6,10 @@
     route::{
         EndpointKey, ServiceKey,
         decay::DecayingSum,
+        fair::{AccountKey, FairQueue},
         health::{Health, Peers},
         limit::ConcurrencyLimit,
-        queue::{Queue, QueueKey},
+        queue::QueueKey,
         retry::RetryBudget,
         retry_after::ReturnSchedule,
         ring::Ring,
@@ -18,7 +19,7 @@
     },
 };
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -59,9 +60,11 @@
     pub(super) pools: [Vec<EndpointKey>; TIERS],
     pub(super) ring: Ring,
     pub(super) warm: WarmEndpoints,
-    pub(super) queues: [Queue; 3],
+    pub(super) queues: [FairQueue; 3],
     /// Running attempts, by class.
     pub(super) running: [u32; 3],
+    /// Running attempts, by account.
+    account_running: HashMap<u64, u32>,
     /// Sum of the limits of usable endpoints.
     pub(super) capacity: u32,
     /// Sum of the free slots of usable endpoints.
@@ -104,6 +107,7 @@
             warm: WarmEndpoints::default(),
             queues: Default::default(),
             running: [0; 3],
+            account_running: HashMap::new(),
             capacity: 0,
             free_slots: 0,
             usable: 0,
@@ -124,12 +128,30 @@
         }
     }
 
-    pub(super) fn queue(&self, class: Class) -> &Queue {
+    pub(super) fn queue(&self, class: Class) -> &FairQueue {
         &self.queues[class.index()]
     }
 
+    /// Returns the number of running attempts of an account.
+    pub(super) fn running_of(&self, account: u64) -> u32 {
+        self.account_running.get(&account).copied().unwrap_or(0)
+    }
+
+    pub(super) fn add_running(&mut self, account: u64) {
+        *self.account_running.entry(account).or_default() += 1;
+    }
+
+    pub(super) fn remove_running(&mut self, account: u64) {
+        if let Some(running) = self.account_running.get_mut(&account) {
+            *running -= 1;
+            if *running == 0 {
+                self.account_running.remove(&account);
+            }
+        }
+    }
+
     pub(super) fn queues_empty(&self) -> bool {
-        self.queues.iter().all(Queue::is_empty)
+        self.queues.iter().all(FairQueue::is_empty)
     }
 }
 
@@ -219,6 +241,8 @@
     /// Number of times that it was preempted.
     pub(super) preemptions: u8,
     pub(super) queued: bool,
+    /// The account that it waits for.
+    pub(super) queue_account: AccountKey,
     /// Whether its caller has received part of an answer.
     pub(super) committed: bool,
     /// Error to report if an attempt may have run.
@@ -242,6 +266,7 @@
             attempts_started: 0,
             preemptions: 0,
             queued: false,
+            queue_account: AccountKey::default(),
             committed: false,
             run_error: None,
             last_endpoint: None,
