Pass accounts from the gateway to the fair queues

Requests of callers wait in the turn of their account, with the priority of the account or else of the route; streams that are resumed keep theirs. Calls of scorers stay in the class of partners and wait in the turn of the batch's account, all at one priority. The gateway counts refusals and waiting calls by priority, lists the waiting work of eight accounts at most, and logs an account that is refused for its own work, at most once a second.

gateway_accounts, flood_of_one_account_does_not_delay_another: 60 callers of one account with deadlines of 0.5 s before one endpoint of 8 slots.

--- a/benches/route.rs
+++ b/benches/route.rs
@@ -1,12 +1,16 @@
 //! Benchmarks of the router: placing a call and processing a tick with 600 endpoints and
-//! 10,000 queued calls in one or more services, and adding endpoints in bulk.
+//! 10,000 queued calls in one or more services, the same with client accounts, and adding
+//! endpoints in bulk.
 
 #![expect(missing_docs, reason = "criterion_group! generates a public function")]
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use hibiscusroad::{
     Class, Incarnation, RequestId,
-    route::{Call, EndpointKey, EndpointSpec, Outcome, Router, ServiceKey, ServiceSpec, Step},
+    contention::{Contention, Mode},
+    route::{
+        AccountKey, Call, EndpointKey, EndpointSpec, Outcome, Router, ServiceKey, ServiceSpec, Step,
+    },
 };
 use std::{
     collections::VecDeque,
@@ -31,12 +35,15 @@
     submitted: u64,
     placed: u64,
     prefixes: bool,
+    /// Number of client accounts; 0 for none.
+    accounts: u64,
 }
 
 impl LoadedRouter {
-    fn new(services: usize, prefixes: bool) -> Self {
+    fn new(services: usize, prefixes: bool, accounts: u64) -> Self {
         let now = Instant::now();
-        let mut router = Router::new("senec", 1);
+        let mode = if accounts > 0 { Mode::On } else { Mode::Off };
+        let mut router = Router::new("senec", 1).contention(Contention::new(mode, false));
         let spec = ServiceSpec::new().max_queued(2 * QUEUED_CALLS);
         let services: Vec<ServiceKey> = (0..services)
             .map(|n| router.set_service(now, &format!("service-{n}"), spec.clone()))
@@ -56,6 +63,7 @@
             submitted: 0,
             placed: 0,
             prefixes,
+            accounts,
         };
         for _ in 0..ENDPOINTS * ENDPOINT_LIMIT as usize + QUEUED_CALLS {
             loaded.submit();
@@ -77,6 +85,10 @@
         if self.prefixes {
             call = call.tokens(500).prefix(self.seq % 997);
         }
+        if self.accounts > 0 {
+            let name = format!("account-{}", self.seq % self.accounts);
+            call = call.account(AccountKey::new(Some(&name), 0));
+        }
         self.router.submit(self.now, call);
         self.apply_steps();
     }
@@ -146,7 +158,7 @@
         ("prefixes, 1 service", 1, true),
         ("prefixes, 100 services", 100, true),
     ] {
-        let mut loaded = LoadedRouter::new(services, prefixes);
+        let mut loaded = LoadedRouter::new(services, prefixes, 0);
         c.bench_function(&format!("finish, arrive and place: {name}"), |b| {
             b.iter(|| loaded.replace_call());
         });
@@ -155,9 +167,21 @@
     }
 }
 
+/// Measures a finished call, the admission of another and the choice of the next one, with
+/// accounts. The time grows with the number of accounts that wait.
+fn placement_with_accounts(c: &mut Criterion) {
+    for accounts in [10, 100, 1_000] {
+        let mut loaded = LoadedRouter::new(1, false, accounts);
+        let name = format!("finish, arrive and place: {accounts} accounts");
+        c.bench_function(&name, |b| b.iter(|| loaded.replace_call()));
+        loaded.assert_saturated();
+        black_box(&loaded.router);
+    }
+}
+
 fn tick(c: &mut Criterion) {
     for services in [1, 10, 100] {
-        let mut loaded = LoadedRouter::new(services, false);
+        let mut loaded = LoadedRouter::new(services, false, 0);
         let name = format!("tick after 50 ms: {services} services");
         c.bench_function(&name, |b| {
             b.iter_custom(|count| (0..count).map(|_| loaded.tick()).sum());
@@ -190,5 +214,11 @@
     router
 }
 
-criterion_group!(benches, placement, tick, add_endpoints_in_bulk);
+criterion_group!(
+    benches,
+    placement,
+    placement_with_accounts,
+    tick,
+    add_endpoints_in_bulk
+);
 criterion_main!(benches);
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -2,10 +2,15 @@
 //!
 //! The call is made when the text is complete, and the result is listed only with the
 //! score. A call may be repeated, and is until the batch expires.
+//!
+//! Calls of scorers are of the class of partners, whose slots protect them from callers, and
+//! callers from them. They wait in the turn of the batch's account, so that one trainer's
+//! scorers don't hold up another's.
 
 use super::{Batches, OwnedBatch};
 use crate::{
     gateway::{
+        accounts::QueueAccount,
         attempt::{Answer, AnswerBody},
         calls::pick_service,
         forward::{Ended, Forward, run_to_end},
@@ -47,12 +52,14 @@
         let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
         let start = Instant::now();
         loop {
-            let route = self
-                .known
-                .catalog()
-                .and_then(|catalog| catalog.find(&scorer.host, &scorer.path).cloned());
-            if let Some(route) = route {
-                match self.call_scorer(scorer, &route).await {
+            let catalog = self.known.catalog();
+            let route = catalog.as_ref().and_then(|catalog| {
+                let route = catalog.find(&scorer.host, &scorer.path)?.clone();
+                let account = QueueAccount::of_scorer(catalog, owned.account.as_deref());
+                Some((route, account))
+            });
+            if let Some((route, account)) = route {
+                match self.call_scorer(scorer, &route, account).await {
                     ScorerOutcome::Score(score) => {
                         log::info!(target: BATCHES, batch = owned.id.as_str(),
                             item = item.id.as_str(), scorer = scorer.id.as_str(),
@@ -84,7 +91,12 @@
     }
 
     /// Makes one call of a scorer.
-    async fn call_scorer(&self, scorer: &Scorer, route: &Route) -> ScorerOutcome {
+    async fn call_scorer(
+        &self,
+        scorer: &Scorer,
+        route: &Route,
+        account: Option<QueueAccount>,
+    ) -> ScorerOutcome {
         let deadline = Instant::now() + route.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let head = match internal_head(&scorer.host, &scorer.path, &scorer.id, deadline) {
             Ok(head) => head,
@@ -109,6 +121,7 @@
             // The caller repeats the call and counts its failures.
             max_attempts: 1,
             tokens: 0,
+            account,
         };
         match run_to_end(&self.context, request).await {
             Ended::Answer(answer, _) => classify(&answer),
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -4,6 +4,7 @@
 //! channel of its own. Dropping its [`Ticket`] cancels the call, so the slot of a
 //! caller that disconnects is free at once.
 
+use super::accounts::{QueueAccount, RefusalLog};
 use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Incarnation, RequestId,
@@ -13,7 +14,8 @@
     quarantine::EndpointIncarnation,
     roster::{Endpoint, EndpointChange},
     route::{
-        Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router, ServiceKey, ServiceSpec, Step,
+        AccountKey, AccountView, Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router,
+        ServiceKey, ServiceSpec, Step,
     },
 };
 use std::{
@@ -62,7 +64,8 @@
 #[derive(Debug)]
 pub(super) struct Calls {
     router: RefCell<Router>,
-    waiting: RefCell<HashMap<RequestId, UnboundedSender<Step>>>,
+    waiting: RefCell<HashMap<RequestId, Waiter>>,
+    pub(super) refusals: RefCell<RefusalLog>,
     keys: RefCell<HashMap<String, EndpointKey>>,
     targets: RefCell<HashMap<EndpointKey, Target>>,
     changed: Notify,
@@ -70,6 +73,13 @@
     seq: Cell<u64>,
 }
 
+/// A request that waits for steps.
+#[derive(Debug)]
+struct Waiter {
+    steps: UnboundedSender<Step>,
+    account: Option<QueueAccount>,
+}
+
 /// A request's call at the router; dropping it cancels the call.
 #[derive(Debug)]
 pub(super) struct Ticket {
@@ -86,11 +96,19 @@
 }
 
 impl Calls {
-    pub(super) fn new(data_centre: &str, incarnation: Incarnation, contention: Contention) -> Self {
-        let router = Router::new(data_centre, incarnation.0).contention(contention);
+    pub(super) fn new(
+        data_centre: &str,
+        incarnation: Incarnation,
+        contention: Contention,
+        account_share: Option<u32>,
+    ) -> Self {
+        let router = Router::new(data_centre, incarnation.0)
+            .contention(contention)
+            .account_share(account_share);
         Self {
             router: RefCell::new(router),
             waiting: RefCell::default(),
+            refusals: RefCell::default(),
             keys: RefCell::default(),
             targets: RefCell::default(),
             changed: Notify::new(),
@@ -175,6 +193,7 @@
         service: &str,
         class: Class,
         deadline: Instant,
+        account: Option<QueueAccount>,
         configure: impl FnOnce(Call) -> Call,
     ) -> Ticket {
         let now = Instant::now();
@@ -185,8 +204,13 @@
             seq: self.seq.get(),
         };
         let (sender, steps) = unbounded_channel();
-        self.waiting.borrow_mut().insert(id, sender);
-        let call = configure(Call::new(id, key, class, deadline));
+        let mut call = configure(Call::new(id, key, class, deadline));
+        call.account = account.as_ref().map(|account| account.key);
+        let waiter = Waiter {
+            steps: sender,
+            account,
+        };
+        self.waiting.borrow_mut().insert(id, waiter);
         self.router.borrow_mut().submit(now, call);
         self.flush();
         Ticket {
@@ -222,6 +246,32 @@
         self.targets.borrow().get(&key).cloned()
     }
 
+    /// Returns what an account has waiting for a class of a service, if callers compete for it.
+    pub(super) fn account_view(
+        &self,
+        service: &str,
+        class: Class,
+        account: AccountKey,
+    ) -> Option<AccountView> {
+        let router = self.router.borrow();
+        router.account_view(Instant::now(), router.service(service)?, class, account)
+    }
+
+    /// Returns the accounts that wait where callers compete, with the numbers of their calls
+    /// and their work in seconds.
+    pub(super) fn waiting_accounts(&self) -> Vec<(AccountKey, usize, f64)> {
+        self.router.borrow().waiting_accounts().collect()
+    }
+
+    /// Returns the names of the accounts that have requests here.
+    pub(super) fn account_names(&self) -> HashMap<u64, Rc<str>> {
+        let waiting = self.waiting.borrow();
+        let accounts = waiting.values().filter_map(|w| w.account.as_ref());
+        accounts
+            .map(|account| (account.key.id, Rc::clone(&account.name)))
+            .collect()
+    }
+
     /// Runs the router's timers.
     pub(super) async fn run(&self) {
         loop {
@@ -248,9 +298,9 @@
             let step = self.router.borrow_mut().next_step();
             let Some(step) = step else { break };
             let (Step::Start { id, .. } | Step::Cancel { id, .. } | Step::Refuse { id, .. }) = step;
-            if let Some(sender) = self.waiting.borrow().get(&id) {
+            if let Some(waiter) = self.waiting.borrow().get(&id) {
                 // A request whose receiver is dropped cancels its own call.
-                let _closed = sender.send(step).is_err();
+                let _closed = waiter.steps.send(step).is_err();
             }
         }
         self.changed.notify_one();
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -1,7 +1,7 @@
 //! Answers requests for the metrics of a gateway.
 
 use super::{
-    Gateway,
+    Gateway, accounts,
     answer::{ResponseBody, full_response},
 };
 use crate::logs::{PROCESS, dropped_lines};
@@ -21,6 +21,7 @@
         meters
             .running
             .set(gauge_value(self.batches.running() as u64));
+        accounts::set_gauges(&self.context.calls, meters);
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
             Err(error) => {
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 //! connections, which cancels the work of a caller that has disconnected.
 
 use super::{
+    accounts::{QueueAccount, record_refusal},
     attempt::{Answer, AnswerBody, AttemptContext, AttemptRequest, Done, run},
     calls::Ticket,
     message::{Content, Head},
@@ -30,6 +31,8 @@
     pub(super) kind: Kind,
     pub(super) max_attempts: u32,
     pub(super) tokens: u32,
+    /// The account in whose turn it waits for an endpoint.
+    pub(super) account: Option<QueueAccount>,
 }
 
 /// How a request ended.
@@ -63,9 +66,13 @@
             .tokens(request.tokens);
         call.no_hedge(no_hedge)
     };
-    let mut ticket = context
-        .calls
-        .submit(&request.service, request.class, deadline, configure);
+    let mut ticket = context.calls.submit(
+        &request.service,
+        request.class,
+        deadline,
+        request.account.clone(),
+        configure,
+    );
     let mut running: Vec<Running> = Vec::new();
     // An endpoint's error response, passed on if no attempt succeeds.
     let mut error_answer = None;
@@ -95,6 +102,7 @@
                 }
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
                 Step::Refuse { kind, retry_after, .. } => {
+                    record_refusal(context, &request, kind);
                     return match error_answer {
                         Some(answer) => Ended::Answer(Box::new(answer), None),
                         None => Ended::Refused(kind, retry_after),
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -5,8 +5,9 @@
 
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
+    core::{Atomic, GenericGaugeVec},
 };
 use std::time::Duration;
 
@@ -126,8 +127,53 @@
         "requests in flight at endpoints that ended: noted, cleared, void",
     ),
     ("gateway_quarantined", "gauge", "", "requests in quarantine"),
+    (
+        "gateway_waiting_calls",
+        "gauge",
+        "priority",
+        "waiting calls of services for which callers compete, by account priority",
+    ),
+    (
+        "gateway_account_refusals_total",
+        "counter",
+        "priority",
+        "calls refused as `saturated` where callers compete, by account priority",
+    ),
+    (
+        "gateway_account_share_refusals_total",
+        "counter",
+        "priority",
+        "calls refused as `account-share`, by account priority",
+    ),
+    (
+        "gateway_account_work_seconds",
+        "gauge",
+        "account",
+        "work that waits, of the eight accounts with the most",
+    ),
 ];
 
+/// Returns the position of a metric in [`NAMES`].
+///
+/// # Panics
+///
+/// Panics if it is not listed.
+fn position(name: &str) -> usize {
+    let found = NAMES.iter().position(|(listed, ..)| *listed == name);
+    found.expect("each metric is listed")
+}
+
+/// Registers gauges with the label that [`NAMES`] has for them.
+fn labelled<P>(n: usize, registry: &Registry) -> prometheus::Result<GenericGaugeVec<P>>
+where
+    P: Atomic + 'static,
+{
+    let (name, _, label, help) = NAMES[n];
+    let gauges = GenericGaugeVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub(super) struct Meters {
@@ -151,6 +197,10 @@
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
+    pub(super) waiting_calls: IntGaugeVec,
+    pub(super) account_refusals: IntCounterVec,
+    pub(super) share_refusals: IntCounterVec,
+    pub(super) account_work: GaugeVec,
 }
 
 impl Meters {
@@ -206,6 +256,10 @@
             reports: counter_vec(16)?,
             crashes: counter_vec(17)?,
             quarantined: gauge(18)?,
+            waiting_calls: labelled(position("gateway_waiting_calls"), &registry)?,
+            account_refusals: counter_vec(position("gateway_account_refusals_total"))?,
+            share_refusals: counter_vec(position("gateway_account_share_refusals_total"))?,
+            account_work: labelled(position("gateway_account_work_seconds"), &registry)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -20,7 +20,8 @@
 //! * [`subject`]: the parts of a request that identify it across repeats.
 //! * [`crashes`]: requests that crash endpoints, and their quarantine.
 //! * [`resume`]: streams that are resumed at another endpoint.
-//! * [`calls`]: the router and the requests that wait for it.
+//! * [`calls`]: the router and the requests that wait for it. [`accounts`]: client accounts in
+//!   its queues.
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
 //! * [`duty`]: the lease of the gateway that acts for all.
@@ -31,6 +32,7 @@
 //! * [`stopping`], [`ready`], [`boot`], [`times`]: planned stops, readiness, clocks.
 //! * [`meters`], [`exposition`]: metrics and their exposition.
 
+mod accounts;
 mod answer;
 mod attempt;
 mod batches;
@@ -197,6 +199,7 @@
         &settings.data_centre,
         incarnation,
         own.contention(),
+        own.account_share,
     ));
     let pool = Rc::new(ConnectionPool::new());
     let windows = own.usage.as_ref().map(|usage| {
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Gateway,
+    accounts::QueueAccount,
     answer::{ResponseBody, full_response, problem},
     attempt::{set, strip_hop_by_hop},
     calls::pick_service,
@@ -123,6 +124,7 @@
             kind: route.kind,
             max_attempts: route.max_attempts,
             tokens: tokens.unwrap_or(0),
+            account: QueueAccount::of_caller(&catalog, account, route),
             subject: Subject::new(&head, head.account.as_deref(), &content),
             content,
             head: Rc::new(head),
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -9,6 +9,7 @@
 //! cost is that an event is delayed until its last byte has arrived.
 
 use super::{
+    accounts::QueueAccount,
     answer::{Broken, Resumed},
     attempt::{Answer, AnswerBody, AttemptContext, Guard, set},
     forward::{Ended, Forward, run_to_end},
@@ -33,6 +34,7 @@
     class: Class,
     kind: Kind,
     tokens: u32,
+    account: Option<QueueAccount>,
     /// Number of runs left.
     runs_left: u32,
 }
@@ -53,6 +55,7 @@
             class: request.class,
             kind: request.kind,
             tokens: request.tokens,
+            account: request.account.clone(),
             runs_left: request.max_attempts.saturating_sub(1),
         })
     }
@@ -73,6 +76,7 @@
             kind: self.kind,
             max_attempts: self.runs_left + 1,
             tokens: self.tokens,
+            account: self.account.clone(),
         })
     }
 }
--- a/hibiscusroad-daemon/tests/gateway_accounts.rs
+++ b/hibiscusroad-daemon/tests/gateway_accounts.rs
@@ -13,6 +13,7 @@
 };
 use serde_json::{Value, json};
 use std::{
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -447,3 +448,69 @@
     }
     (world, relay, endpoint)
 }
+
+// Guards against an account that delays others, or has them refused, by sending much. The flood
+// has earlier deadlines, and would go first without accounts.
+#[test]
+fn flood_of_one_account_does_not_delay_another() {
+    let mut world = World::start("flood");
+    let mut config = account_config(1, &[1]);
+    config["tenants"][0]["priority"] = Value::Null;
+    world.store.put_json("op", "config", &config);
+    let endpoint = world.endpoint("hut-desk", "i-desk", &[]);
+    endpoint.set_work_duration(Duration::from_millis(50));
+    world.gateway_with("contention = \"on\"\n");
+    world.wait_ready(0);
+    let gateway = &world.gateways[0];
+    until("the endpoint is known", || {
+        (call(gateway, "/desk/warm", "warm", &[SCHOOL_KEY]).status == 200).then_some(())
+    });
+    let is_over = AtomicBool::new(false);
+    let (waits, metrics) = thread::scope(|scope| {
+        for n in 0..60 {
+            let is_over = &is_over;
+            scope.spawn(move || {
+                for m in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let id = format!("flood-{n}-{m}");
+                    let headers = [
+                        ("X-Request-Id", id.as_str()),
+                        ("X-Deadline-Ms", "500"),
+                        ("Authorization", SCHOOL_KEY),
+                    ];
+                    let path = "/desk/flood";
+                    ask("POST", gateway.callers, path, &headers, b"", WAIT_TIMEOUT);
+                }
+            });
+        }
+        gateway.line("An account is refused for its own backlog.");
+        let waits: Vec<(u16, Duration)> = (0..20)
+            .map(|n| {
+                let start = Instant::now();
+                let answer = call(gateway, "/desk/a", &format!("small-{n}"), &[CHARITY_KEY_1]);
+                (answer.status, start.elapsed())
+            })
+            .collect();
+        let metrics = ask("GET", gateway.metrics, "/metrics", &[], b"", WAIT_TIMEOUT);
+        is_over.store(true, Ordering::Relaxed);
+        (waits, metrics.unwrap().text())
+    });
+    assert!(waits.iter().all(|(status, _)| *status == 200), "{waits:?}");
+    // The flood alone keeps the endpoint busy for 0.3 s.
+    let total: Duration = waits.iter().map(|(_, wait)| *wait).sum();
+    assert!(total / 20 < Duration::from_millis(200), "{waits:?}");
+    let line = gateway.line("An account is refused for its own backlog.");
+    assert_eq!(
+        (&line["account"], &line["kind"]),
+        (&json!("school"), &json!("saturated"))
+    );
+    for metric in [
+        "gateway_account_refusals_total{priority=\"2\"}",
+        "gateway_account_work_seconds{account=\"school\"}",
+        "gateway_waiting_calls{priority=\"2\"}",
+    ] {
+        assert!(metrics.contains(metric), "{metric} is not in {metrics}");
+    }
+}
