Let only larger backlogs give way, and refuse the new call otherwise

A call that made others late was admitted whenever another account's calls ended later by any amount, so accounts with equal loads refused each other's waiting calls in turn. The last call in the order now gives way only if its account still has as much without it, or has a lower priority; otherwise the new call is refused on arrival.

New tests: few_calls_of_a_flood_wait_in_vain fails if admission counts the whole queue; loss_of_capacity_is_borne_by_the_backlog fails if calls are not checked in the fair order.

--- a/src/route/accounts.rs
+++ b/src/route/accounts.rs
@@ -139,11 +139,37 @@
         queue.first_of(has_places).or_else(|| queue.first())
     }
 
-    /// Returns whether a call of `work` seconds would go before the last one in the order.
-    pub(super) fn goes_before_last(&self, call: &Call, account: AccountKey, work: f64) -> bool {
-        let queue = self.services[call.service].queue(call.class);
-        let last = queue.last();
-        last.is_some_and(|last| last.is_behind(account, queue.end_with(account, work)))
+    /// Checks whether a call of `work` seconds makes the last one in the order late, or finds no
+    /// place left, and that one doesn't give way.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Saturated`] in this case.
+    pub(super) fn check_last(
+        &self,
+        now: Instant,
+        call: &Call,
+        account: AccountKey,
+        work: f64,
+    ) -> Result<(), ErrorKind> {
+        let row = &self.services[call.service];
+        let queue = row.queue(call.class);
+        let is_full = queue.len() >= row.spec.max_queued;
+        let last = queue.last().filter(|last| last.account != account);
+        let Some(last) = last else {
+            return if is_full {
+                Err(ErrorKind::Saturated)
+            } else {
+                Ok(())
+            };
+        };
+        let is_allowed = last.gives_way(account, queue.end_with(account, work))
+            || (!is_full && self.is_in_time(now, call, &last, work));
+        if is_allowed {
+            Ok(())
+        } else {
+            Err(ErrorKind::Saturated)
+        }
     }
 
     /// Refuses calls of accounts with more waiting work, or of a lower priority, which a new
@@ -155,26 +181,28 @@
             let row = &self.services[call.service];
             let queue = row.queue(call.class);
             let end = queue.end_with(account, 0.0);
-            let last = queue.last().filter(|last| last.is_behind(account, end));
+            let last = queue.last().filter(|last| last.gives_way(account, end));
             let Some(last) = last else {
                 return;
             };
             let is_full = queue.len() > row.spec.max_queued;
-            if !is_full && self.is_last_in_time(now, &call, &last) {
+            if !is_full && self.is_in_time(now, &call, &last, 0.0) {
                 return;
             }
             self.refuse(now, last.call.call, ErrorKind::Saturated);
         }
     }
 
-    /// Returns whether the last call in the order of a queue can be answered in time.
-    fn is_last_in_time(&self, now: Instant, call: &Call, last: &LastCall) -> bool {
+    /// Returns whether the last call in the order of a queue can be answered in time, with `work`
+    /// more seconds before it.
+    fn is_in_time(&self, now: Instant, call: &Call, last: &LastCall, work: f64) -> bool {
         let row = &self.services[call.service];
         let Some(estimate) = self.estimate(&self.calls[last.call.call].call) else {
             return true;
         };
-        let work = row.queue(call.class).work() - last.call.work + slot_wait(row, &estimate);
-        let wait = self.estimate_wait(now, call.service, call.class, work);
+        let others = row.queue(call.class).work() - last.call.work;
+        let ahead = others + work + slot_wait(row, &estimate);
+        let wait = self.estimate_wait(now, call.service, call.class, ahead);
         let time_left = last.deadline.saturating_duration_since(now).as_secs_f64();
         fits_deadline(wait, row.wait_margin, &estimate, time_left)
     }
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -65,9 +65,7 @@
         }
         let account = self.queue_account(call);
         self.check_share(call, account)?;
-        if queue.len() >= row.spec.max_queued && !self.goes_before_last(call, account, work) {
-            return Err(ErrorKind::Saturated);
-        }
+        self.check_last(now, call, account, work)?;
         let time_left = (call.deadline - now).as_secs_f64();
         let Some(estimate) = row.service_times.estimate(call) else {
             return Ok(());
--- a/src/route/fair.rs
+++ b/src/route/fair.rs
@@ -108,11 +108,17 @@
 }
 
 impl LastCall {
-    /// Returns whether it goes after an account's calls that end at the virtual time `end`.
-    pub(super) fn is_behind(&self, account: AccountKey, end: u64) -> bool {
+    /// Returns whether it gives way to an account whose calls end at the virtual time `end`: its
+    /// account has a lower priority, or still has as much without it.
+    ///
+    /// With any smaller difference, accounts with equal loads would displace each other's calls
+    /// in turn.
+    pub(super) fn gives_way(&self, account: AccountKey, end: u64) -> bool {
         let is_lower = self.account.priority > account.priority;
+        let is_equal = self.account.priority == account.priority;
         let is_other = self.account.id != account.id;
-        is_lower || (self.account.priority == account.priority && is_other && self.end > end)
+        let rest = self.end.saturating_sub(nanos(self.call.work));
+        is_lower || (is_equal && is_other && rest >= end)
     }
 }
 
--- a/tests/route_fair.rs
+++ b/tests/route_fair.rs
@@ -41,6 +41,8 @@
     /// Longest waits by account.
     waits: HashMap<usize, Duration>,
     refused: Vec<(usize, ErrorKind, Duration)>,
+    /// Calls that were refused only when it was too late to start them.
+    late: usize,
     steps: Vec<Step>,
     has_keys: bool,
     /// Whether accounts have an order of their own.
@@ -72,6 +74,7 @@
             served: HashMap::new(),
             waits: HashMap::new(),
             refused: Vec::new(),
+            late: 0,
             steps: Vec::new(),
             has_keys: true,
             is_fair: true,
@@ -178,6 +181,8 @@
                     let group = self.group(sent.account);
                     let waiting = self.waiting.get_mut(&group).unwrap();
                     assert!(waiting.remove(&(sent.deadline, id)));
+                    let time_left = sent.deadline.saturating_duration_since(self.now);
+                    self.late += usize::from(time_left <= Duration::from_millis(UNIT_MS * 3 / 2));
                     self.refused.push((sent.account, kind, retry_after));
                 }
                 Step::Cancel { .. } => panic!("nothing is cancelled here"),
@@ -383,6 +388,53 @@
     assert_eq!(world.router.queued(world.service, CLASS), 20);
 }
 
+// Guards against admitting calls that then wait in vain: those that can't be answered are
+// refused at once, or as soon as a call of a smaller account makes them late.
+#[test]
+fn few_calls_of_a_flood_wait_in_vain() {
+    let mut world = World::new(Mode::On, 256);
+    for round in 0..2_000 {
+        // The flood alone is twice the capacity.
+        for _ in 0..8 {
+            world.send(0, 1, 300);
+        }
+        if round % 2 == 0 {
+            world.send(1 + round / 2 % 3, 1, 300);
+        }
+        world.run_for(UNIT_MS / 2);
+    }
+    let (sent, late) = (world.calls.len(), world.late);
+    assert!(late * 100 < sent, "{late} of {sent} calls");
+    assert_eq!(
+        world.refusals_of(1) + world.refusals_of(2) + world.refusals_of(3),
+        0
+    );
+    // What the others leave is the flood's.
+    let capacity = 10_000 * u64::from(SLOTS);
+    let served: u64 = (0..4).map(|account| world.served(account)).sum();
+    assert!(served * 100 > capacity * 99, "{served} of {capacity} ms");
+}
+
+// Guards against refusing calls of a small account after a loss of capacity, because a large
+// one has more waiting than can be answered.
+#[test]
+fn loss_of_capacity_is_borne_by_the_backlog() {
+    let mut world = World::new(Mode::On, 256);
+    let spec = EndpointSpec::new("hut-desk-2", "senec").limit(SLOTS);
+    let second = world.router.add_endpoint(world.now, world.service, spec);
+    for _ in 0..200 {
+        world.send(0, 1, 150);
+    }
+    for _ in 0..8 {
+        world.send(1, 1, 150);
+    }
+    let refused = world.refused.len();
+    world.router.set_accepting(world.now, second, false);
+    world.apply_steps();
+    assert!(world.refused.len() > refused, "nothing is refused");
+    assert_eq!(world.refusals_of(1), 0);
+}
+
 // Guards against `Retry-After` values of a small account that follow the backlog of another,
 // and of a large one that don't follow its own.
 #[test]
