Check the last call in the order once for each new call

A call that goes after all others was refused if the last of them, of a higher priority or with less waiting, was late already, though it doesn't delay that one. Admission now looks at the last call only if the new one goes before it, and remembers whether it gives way. Ids and ends of accounts are kept apart from their queues, which most scans skip.

--- a/hibiscusroad-daemon/tests/gateway_accounts.rs
+++ b/hibiscusroad-daemon/tests/gateway_accounts.rs
@@ -449,8 +449,9 @@
     (world, relay, endpoint)
 }
 
-// Guards against an account that delays others, or has them refused, by sending much. The flood
-// has earlier deadlines, and would go first without accounts.
+// Guards against an account that delays others, has them refused, or starves the scorers of
+// their batches, by sending much. The flood has earlier deadlines, and would go first without
+// accounts.
 #[test]
 fn flood_of_one_account_does_not_delay_another() {
     let mut world = World::start("flood");
@@ -459,6 +460,7 @@
     world.store.put_json("op", "config", &config);
     let endpoint = world.endpoint("hut-desk", "i-desk", &[]);
     endpoint.set_work_duration(Duration::from_millis(50));
+    let _engine = world.endpoint("guide-lm", "i-lm", &["guide"]);
     world.gateway_with("contention = \"on\"\n");
     world.wait_ready(0);
     let gateway = &world.gateways[0];
@@ -493,6 +495,15 @@
                 (answer.status, start.elapsed())
             })
             .collect();
+        let step = submission(1, 1, 1, 4).to_string();
+        let key = &[CHARITY_KEY_1];
+        let body = step.as_bytes();
+        let answer = call_with_keys(gateway, "POST", "/lm/step", "b1", body, key);
+        assert_eq!(answer.status, 202);
+        until("all texts are scored", || {
+            let answer = call_with_keys(gateway, "GET", "/lots/b1", "r", b"", key);
+            (answer.json()["results"].as_array()?.len() == 4).then_some(())
+        });
         let metrics = ask("GET", gateway.metrics, "/metrics", &[], b"", WAIT_TIMEOUT);
         is_over.store(true, Ordering::Relaxed);
         (waits, metrics.unwrap().text())
--- a/src/route/accounts.rs
+++ b/src/route/accounts.rs
@@ -139,36 +139,30 @@
         queue.first_of(has_places).or_else(|| queue.first())
     }
 
-    /// Checks whether a call of `work` seconds makes the last one in the order late, or finds no
-    /// place left, and that one doesn't give way.
+    /// Checks the effect of a new call of `work` seconds on the last one in the order. Returns
+    /// whether that one has to give way, because it would be late or there is no place left.
     ///
     /// # Errors
     ///
-    /// Returns [`ErrorKind::Saturated`] in this case.
-    pub(super) fn check_last(
+    /// Returns [`ErrorKind::Saturated`] if it would have to, but has the better claim.
+    pub(super) fn displaces_last(
         &self,
         now: Instant,
         call: &Call,
         account: AccountKey,
         work: f64,
-    ) -> Result<(), ErrorKind> {
+    ) -> Result<bool, ErrorKind> {
         let row = &self.services[call.service];
         let queue = row.queue(call.class);
         let is_full = queue.len() >= row.spec.max_queued;
-        let last = queue.last().filter(|last| last.account != account);
-        let Some(last) = last else {
-            return if is_full {
-                Err(ErrorKind::Saturated)
-            } else {
-                Ok(())
-            };
-        };
-        let is_allowed = last.gives_way(account, queue.end_with(account, work))
-            || (!is_full && self.is_in_time(now, call, &last, work));
-        if is_allowed {
-            Ok(())
-        } else {
-            Err(ErrorKind::Saturated)
+        let end = queue.end_with(account, work);
+        let last = queue.last().filter(|last| last.is_behind(account, end));
+        match last {
+            None if is_full => Err(ErrorKind::Saturated),
+            None => Ok(false),
+            Some(last) if !is_full && self.is_in_time(now, call, &last, work) => Ok(false),
+            Some(last) if last.gives_way(account, end) => Ok(true),
+            Some(_) => Err(ErrorKind::Saturated),
         }
     }
 
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -48,16 +48,23 @@
             self.refuse(now, key, ErrorKind::Expired);
             return false;
         }
-        if let Err(kind) = self.check_admission(now, &call, row.work) {
-            self.refuse(now, key, kind);
-            return false;
-        }
+        let displaces = match self.check_admission(now, &call, row.work) {
+            Ok(displaces) => displaces,
+            Err(kind) => {
+                self.refuse(now, key, kind);
+                return false;
+            }
+        };
         self.enqueue(now, key);
-        self.refuse_displaced(now, key);
+        if displaces {
+            self.refuse_displaced(now, key);
+        }
         true
     }
 
-    fn check_admission(&self, now: Instant, call: &Call, work: f64) -> Result<(), ErrorKind> {
+    /// Returns whether calls of other accounts have to give way to the call, or the kind of its
+    /// refusal.
+    fn check_admission(&self, now: Instant, call: &Call, work: f64) -> Result<bool, ErrorKind> {
         let row = &self.services[call.service];
         let queue = row.queue(call.class);
         if row.usable == 0 && row.awaiting_trial.is_empty() {
@@ -65,10 +72,10 @@
         }
         let account = self.queue_account(call);
         self.check_share(call, account)?;
-        self.check_last(now, call, account, work)?;
+        let displaces = self.displaces_last(now, call, account, work)?;
         let time_left = (call.deadline - now).as_secs_f64();
         let Some(estimate) = row.service_times.estimate(call) else {
-            return Ok(());
+            return Ok(displaces);
         };
         // With all slots in use the call also waits for one to become free.
         let slot_wait = slot_wait(row, &estimate);
@@ -82,14 +89,14 @@
         // that it makes late have more work ahead than their share (`accounts`).
         let latest = queue.latest_deadline(account);
         let Some(latest) = latest.filter(|latest| *latest > call.deadline) else {
-            return Ok(());
+            return Ok(displaces);
         };
         let ahead = queue.work_ahead_of_last(account, estimate.mean);
         let total_work = ahead + estimate.mean + slot_wait;
         let wait = self.estimate_wait(now, call.service, call.class, total_work);
         let time_left = (latest - now).as_secs_f64();
         if fits_deadline(wait, row.wait_margin, &estimate, time_left) {
-            Ok(())
+            Ok(displaces)
         } else {
             Err(ErrorKind::Saturated)
         }
--- a/src/route/fair.rs
+++ b/src/route/fair.rs
@@ -62,19 +62,17 @@
     served: u64,
     /// Virtual time at which its next call ends, in nanoseconds.
     next: u64,
+    /// Virtual time at which its last call ends, in nanoseconds.
+    end: u64,
     calls: Queue,
     returns: ReturnSchedule,
 }
 
 impl Flow {
-    /// Returns the virtual time at which its last call ends, in nanoseconds.
-    fn end(&self) -> u64 {
-        self.served + nanos(self.calls.work())
-    }
-
-    fn update_next(&mut self) {
+    fn update_tags(&mut self) {
         let work = self.calls.first().map_or(0.0, |(_, call)| call.work);
         self.next = self.served + nanos(work);
+        self.end = self.served + nanos(self.calls.work());
     }
 }
 
@@ -84,12 +82,18 @@
     priority: u8,
     /// Virtual time of the latest call that was started, in nanoseconds.
     clock: u64,
+    /// The ids of `flows`, apart from them because most scans need no more.
+    ids: Vec<u64>,
     flows: Vec<Flow>,
 }
 
 impl Level {
+    fn position(&self, id: u64) -> Option<usize> {
+        self.ids.iter().position(|other| *other == id)
+    }
+
     fn flow(&self, id: u64) -> Option<&Flow> {
-        self.flows.iter().find(|flow| flow.id == id)
+        self.position(id).map(|position| &self.flows[position])
     }
 
     fn work(&self) -> f64 {
@@ -108,17 +112,23 @@
 }
 
 impl LastCall {
-    /// Returns whether it gives way to an account whose calls end at the virtual time `end`: its
-    /// account has a lower priority, or still has as much without it.
+    /// Returns whether it goes after the calls of another account, which end at the virtual time
+    /// `end`.
+    pub(super) fn is_behind(&self, account: AccountKey, end: u64) -> bool {
+        let (own, other) = (self.account, account);
+        let is_later = own.priority == other.priority && own.id != other.id && self.end > end;
+        own.priority > other.priority || is_later
+    }
+
+    /// Returns whether it gives way to another account, whose calls end at the virtual time
+    /// `end`: its account has a lower priority, or still has as much without it.
     ///
     /// With any smaller difference, accounts with equal loads would displace each other's calls
     /// in turn.
     pub(super) fn gives_way(&self, account: AccountKey, end: u64) -> bool {
-        let is_lower = self.account.priority > account.priority;
-        let is_equal = self.account.priority == account.priority;
-        let is_other = self.account.id != account.id;
         let rest = self.end.saturating_sub(nanos(self.call.work));
-        is_lower || (is_equal && is_other && rest >= end)
+        let has_more = self.account.priority > account.priority || rest >= end;
+        self.is_behind(account, end) && has_more
     }
 }
 
@@ -146,25 +156,27 @@
             let level = Level {
                 priority: account.priority,
                 clock: 0,
+                ids: Vec::new(),
                 flows: Vec::new(),
             };
             self.levels.insert(index, level);
             index
         });
-        let Level { clock, flows, .. } = &mut self.levels[index];
-        let position = flows.iter().position(|flow| flow.id == account.id);
-        let position = position.unwrap_or_else(|| {
-            flows.push(Flow {
+        let level = &mut self.levels[index];
+        let position = level.position(account.id).unwrap_or_else(|| {
+            level.ids.push(account.id);
+            level.flows.push(Flow {
                 id: account.id,
-                served: *clock,
-                next: *clock,
+                served: level.clock,
+                next: level.clock,
+                end: level.clock,
                 calls: Queue::default(),
                 returns: ReturnSchedule::default(),
             });
-            flows.len() - 1
+            level.flows.len() - 1
         });
-        flows[position].calls.push(queue_key, call);
-        flows[position].update_next();
+        level.flows[position].calls.push(queue_key, call);
+        level.flows[position].update_tags();
         self.len += 1;
     }
 
@@ -183,7 +195,7 @@
             return;
         };
         let level = &mut self.levels[index];
-        let Some(position) = level.flows.iter().position(|flow| flow.id == account.id) else {
+        let Some(position) = level.position(account.id) else {
             return;
         };
         let flow = &mut level.flows[position];
@@ -195,8 +207,9 @@
             flow.served += nanos(call.work);
             level.clock = level.clock.max(flow.served);
         }
-        flow.update_next();
+        flow.update_tags();
         if flow.calls.is_empty() {
+            level.ids.swap_remove(position);
             level.flows.swap_remove(position);
         }
         if level.flows.is_empty() {
@@ -215,7 +228,7 @@
         } else {
             flow.served + nanos(secs)
         };
-        flow.update_next();
+        flow.update_tags();
     }
 
     /// Returns the call that is to be started next.
@@ -238,14 +251,14 @@
     /// Returns the call that is started last, if no other arrives.
     pub(super) fn last(&self) -> Option<LastCall> {
         let level = self.levels.last()?;
-        let flow = level.flows.iter().max_by_key(|flow| flow.end())?;
+        let flow = level.flows.iter().max_by_key(|flow| flow.end)?;
         let (queue_key, call) = flow.calls.last()?;
         Some(LastCall {
             account: AccountKey {
                 priority: level.priority,
                 id: flow.id,
             },
-            end: flow.end(),
+            end: flow.end,
             call,
             deadline: queue_key.deadline,
         })
@@ -264,7 +277,7 @@
             return nanos(work);
         };
         let level = &self.levels[index];
-        let end = level.flow(account.id).map_or(level.clock, Flow::end);
+        let end = level.flow(account.id).map_or(level.clock, |flow| flow.end);
         end + nanos(work)
     }
 
@@ -374,8 +387,9 @@
 
     fn flow_mut(&mut self, account: AccountKey) -> Option<&mut Flow> {
         let index = self.level_index(account.priority)?;
-        let mut flows = self.levels[index].flows.iter_mut();
-        flows.find(|flow| flow.id == account.id)
+        let level = &mut self.levels[index];
+        let position = level.position(account.id)?;
+        level.flows.get_mut(position)
     }
 }
 
