Queue a call that is due before calls that share one deadline

The estimate of the work ahead divided by the span of the waiting calls' deadlines. If all had one deadline, a single waiting call included, the estimate was not a number and the new call was refused as saturated. It is now 0 for a call that is due before the first. a_call_due_before_the_only_waiting_one_is_queued failed before (1 call in the queue, not 2).

--- a/src/route/queue.rs
+++ b/src/route/queue.rs
@@ -88,6 +88,10 @@
         if deadline >= last.deadline {
             return self.work;
         }
+        // Without this, calls that all have one deadline would give no number at all.
+        if deadline <= first.deadline {
+            return 0.0;
+        }
         let span = (last.deadline - first.deadline).as_secs_f64();
         let before = deadline.saturating_duration_since(first.deadline);
         self.work * before.as_secs_f64() / span
--- a/tests/route_once.rs
+++ b/tests/route_once.rs
@@ -247,3 +247,19 @@
     router.submit(now, call(6, now + Duration::from_millis(200)));
     assert_eq!(router.queued(service, Class::Interactive), 1);
 }
+
+/// Guards against refusing a call with room because all waiting calls share one later deadline.
+#[test]
+fn a_call_due_before_the_only_waiting_one_is_queued() {
+    let (mut now, mut router, service, endpoint) = setup(4);
+    let call = |seq, deadline| Call::new(id(seq), service, Class::Interactive, deadline);
+    for seq in 0..20 {
+        router.submit(now, call(seq, now + secs(9)));
+        now += Duration::from_millis(50);
+        router.finish(now, id(seq), endpoint, Outcome::Answered);
+    }
+    (20..25).for_each(|seq| router.submit(now, call(seq, now + secs(9))));
+    assert_eq!(router.queued(service, Class::Interactive), 1);
+    router.submit(now, call(25, now + secs(5)));
+    assert_eq!(router.queued(service, Class::Interactive), 2);
+}
