--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -1,7 +1,7 @@
 //! Answers requests for the metrics of a gateway.
 
 use super::{
-    Gateway,
+    Gateway, accounts,
     answer::{ResponseBody, full_response},
 };
 use crate::logs::{PROCESS, dropped_lines};
@@ -24,6 +24,17 @@
         meters
             .engines_held
             .set(gauge_value(self.batches.held_count() as u64));
+        let counts = self.context.calls.count_slowness();
+        let by_slowness = [
+            ("usual", counts.usual),
+            ("slow", counts.slow),
+            ("unknown", counts.unknown),
+        ];
+        for (slowness, count) in by_slowness {
+            let gauge = meters.endpoints.with_label_values(&[slowness]);
+            gauge.set(count.into());
+        }
+        accounts::set_gauges(&self.context.calls, meters);
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
             Err(error) => {
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -5,8 +5,9 @@
 
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
+    core::{Atomic, GenericGaugeVec},
 };
 use std::time::Duration;
 
@@ -159,8 +160,71 @@
         "",
         "slowness of their hosts as engines reported it, 1 is as usual",
     ),
+    (
+        "gateway_endpoints",
+        "gauge",
+        "slowness",
+        "endpoints that take calls by the current pace of their hosts: usual, slow, unknown",
+    ),
+    (
+        "gateway_steps",
+        "gauge",
+        "state",
+        "open steps here that share slots, where trainers compete: needed, lost, surplus",
+    ),
+    (
+        "gateway_slots",
+        "gauge",
+        "priority",
+        "slots that items of these steps use, by priority; 9 is 9 and below",
+    ),
+    (
+        "gateway_waiting_calls",
+        "gauge",
+        "priority",
+        "waiting calls of services for which callers compete, by account priority",
+    ),
+    (
+        "gateway_account_refusals_total",
+        "counter",
+        "priority",
+        "calls refused as `saturated` where callers compete, by account priority",
+    ),
+    (
+        "gateway_account_share_refusals_total",
+        "counter",
+        "priority",
+        "calls refused as `account-share`, by account priority",
+    ),
+    (
+        "gateway_account_work_seconds",
+        "gauge",
+        "account",
+        "work that waits, of the eight accounts with the most",
+    ),
 ];
 
+/// Returns the position of a metric in [`NAMES`].
+///
+/// # Panics
+///
+/// Panics if it is not listed.
+fn position(name: &str) -> usize {
+    let found = NAMES.iter().position(|(listed, ..)| *listed == name);
+    found.expect("each metric is listed")
+}
+
+/// Registers gauges with the label that [`NAMES`] has for them.
+fn labelled<P>(n: usize, registry: &Registry) -> prometheus::Result<GenericGaugeVec<P>>
+where
+    P: Atomic + 'static,
+{
+    let (name, _, label, help) = NAMES[n];
+    let gauges = GenericGaugeVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub(super) struct Meters {
@@ -186,9 +250,16 @@
     pub(super) refusals: IntCounterVec,
     pub(super) moves: IntCounterVec,
     pub(super) engine_slowness: Histogram,
+    pub(super) endpoints: IntGaugeVec,
+    pub(super) steps: IntGaugeVec,
+    pub(super) slots: IntGaugeVec,
     pub(super) connections: IntGauge,
     pub(super) config: IntGauge,
     pub(super) dropped: IntGauge,
+    pub(super) waiting_calls: IntGaugeVec,
+    pub(super) account_refusals: IntCounterVec,
+    pub(super) share_refusals: IntCounterVec,
+    pub(super) account_work: GaugeVec,
 }
 
 impl Meters {
@@ -249,6 +320,13 @@
             refusals: counter_vec(21)?,
             moves: counter_vec(22)?,
             engine_slowness: histogram(23, SLOWNESS_BUCKETS)?,
+            endpoints: labelled(24, &registry)?,
+            steps: labelled(25, &registry)?,
+            slots: labelled(26, &registry)?,
+            waiting_calls: labelled(position("gateway_waiting_calls"), &registry)?,
+            account_refusals: counter_vec(position("gateway_account_refusals_total"))?,
+            share_refusals: counter_vec(position("gateway_account_share_refusals_total"))?,
+            account_work: labelled(position("gateway_account_work_seconds"), &registry)?,
             registry,
         })
     }
@@ -264,6 +342,21 @@
         Ok(text)
     }
 
+    /// Removes the values of the steps that share slots.
+    pub(super) fn reset_steps(&self) {
+        self.steps.reset();
+        self.slots.reset();
+    }
+
+    /// Counts a step that shares slots, and the slots that it uses.
+    pub(super) fn record_step(&self, state: &str, priority: u8, slots: usize) {
+        let slots = i64::try_from(slots).unwrap_or(i64::MAX);
+        self.steps.with_label_values(&[state]).inc();
+        self.slots
+            .with_label_values(&[priority.to_string().as_str()])
+            .add(slots);
+    }
+
     /// Counts a response to a caller and records its latency.
     pub(super) fn record_response(
         &self,
--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -3,12 +3,15 @@
 mod gateway_world;
 
 use gateway_world::{
-    World,
+    WAIT_TIMEOUT, World, ask,
     batches::{check_whole, read, results, submit, text, with_settings},
     submission, until,
 };
 use hibiscusroad_standins::direct::{Behaviour, Faults, Store};
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 #[test]
 fn batch_is_run_scored_and_read_at_every_gateway() {
@@ -439,3 +442,74 @@
         (runs.iter().filter(|ran| ran.id == long).count() == 2).then_some(())
     });
 }
+
+/// Submits two steps at a gateway with these settings, and returns the number of items of
+/// the second that run before all items of the first have begun.
+fn second_step_items_among_first(test: &str, extra_settings: &str) -> (usize, World) {
+    let (world, [_desk, engine]) = with_settings(test, 1, extra_settings);
+    engine.set_work_duration(Duration::from_millis(120));
+    let step = |n: u64| submission(n, 1, 8, 4);
+    until("the first step is accepted", || {
+        (submit(&world, 0, "b1", &step(1)).status == 202).then_some(())
+    });
+    assert_eq!(submit(&world, 0, "b2", &step(2)).status, 202);
+    for batch in ["b1", "b2"] {
+        check_whole(&results(&world, 0, batch, 32), 8);
+    }
+    // An item that was interrupted runs again behind others.
+    let mut begun = HashSet::new();
+    let mut runs = engine.runs();
+    runs.retain(|ran| begun.insert(ran.id.clone()));
+    let is_second: Vec<bool> = runs
+        .iter()
+        .map(|ran| ran.id.starts_with("item-2-"))
+        .collect();
+    let last = is_second.iter().rposition(|second| !second).unwrap();
+    (
+        is_second[..last].iter().filter(|second| **second).count(),
+        world,
+    )
+}
+
+// Guards against a trainer that gets no slot until the step of another has none waiting.
+#[test]
+fn competing_trainers_share_engines() {
+    let (count, world) = second_step_items_among_first("shared", "contention = \"on\"\n");
+    assert!(count >= 16, "{count} items of the second step");
+    let line = world.gateways[0].line("The state of a step has changed.");
+    assert_eq!(line["state"], "needed");
+    assert_eq!(line["before"], "new");
+    assert!(line["capacity"].as_u64() > Some(0), "{line}");
+    let gateway = &world.gateways[0];
+    let steps = |count: &str| {
+        until("the steps are counted", || {
+            let answer = ask("GET", gateway.metrics, "/", &[], b"", WAIT_TIMEOUT)?;
+            let text = answer.text();
+            let steps = format!("gateway_steps{{state=\"surplus\"}} {count}");
+            let slots = "gateway_slots{priority=\"0\"} 0";
+            (text.contains(&steps) && text.contains(slots)).then_some(())
+        });
+    };
+    steps("2");
+    assert_eq!(gateway.call("DELETE", "/lots/b1", "end", b"").status, 200);
+    steps("1");
+}
+
+// Without contention, the step that is due first must be served first, as ever.
+#[test]
+fn steps_are_served_in_turn_without_contention() {
+    for (test, settings) in [("turn-auto", ""), ("turn-off", "contention = \"off\"\n")] {
+        let (count, world) = second_step_items_among_first(test, settings);
+        let lines = world.gateways[0].lines();
+        // During the retry delay of an interrupted item, an item of the second step may start.
+        let is_interruption = |line: &&serde_json::Value| {
+            line["text"] == "A run of an item broke off." && line["batch"] == "b1"
+        };
+        let interruptions = lines.iter().filter(is_interruption).count();
+        assert!(count <= interruptions, "{test}: {count}, {interruptions}");
+        let changes = lines
+            .iter()
+            .filter(|line| line["text"] == "The state of a step has changed.");
+        assert_eq!(changes.count(), 0, "{test}");
+    }
+}
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -11,6 +11,7 @@
     error::ErrorKind,
     route::{
         ServiceKey,
+        accounts::slot_wait,
         queue::QueuedCall,
         retry_after::seconds,
         router::Router,
@@ -35,7 +36,7 @@
 /// Cap on the tail of the service time, as a share of the time left. Without it
 /// a class whose slowest calls outlast every deadline would always be refused.
 const MAX_TAIL_SHARE: f64 = 0.5;
-/// Wait below which only the median service time has to fit.
+/// Wait below which only the median service time has to fit, if it is known.
 const NEGLIGIBLE_WAIT_SECS: f64 = 0.001;
 
 impl Router {
@@ -47,47 +48,56 @@
             self.refuse(now, key, ErrorKind::Expired);
             return false;
         }
-        if let Err(kind) = self.check_admission(now, &call) {
-            self.refuse(now, key, kind);
-            return false;
-        }
+        let displaces = match self.check_admission(now, &call, row.work) {
+            Ok(displaces) => displaces,
+            Err(kind) => {
+                self.refuse(now, key, kind);
+                return false;
+            }
+        };
         self.enqueue(now, key);
+        if displaces {
+            self.refuse_displaced(now, key);
+        }
         true
     }
 
-    fn check_admission(&self, now: Instant, call: &Call) -> Result<(), ErrorKind> {
+    /// Returns whether calls of other accounts have to give way to the call, or the kind of its
+    /// refusal.
+    fn check_admission(&self, now: Instant, call: &Call, work: f64) -> Result<bool, ErrorKind> {
         let row = &self.services[call.service];
         let queue = row.queue(call.class);
         if row.usable == 0 && row.awaiting_trial.is_empty() {
             return Err(ErrorKind::NoEndpoint);
         }
-        if queue.len() >= row.spec.max_queued {
-            return Err(ErrorKind::Saturated);
-        }
+        let account = self.queue_account(call);
+        self.check_share(call, account)?;
+        let displaces = self.displaces_last(now, call, account, work)?;
         let time_left = (call.deadline - now).as_secs_f64();
         let Some(estimate) = row.service_times.estimate(call) else {
-            return Ok(());
+            return Ok(displaces);
         };
         // With all slots in use the call also waits for one to become free.
-        let slot_wait = if row.free_slots == 0 {
-            estimate.mean
-        } else {
-            0.0
-        };
-        let work_ahead = queue.work_before(call.deadline) + slot_wait;
-        let wait = self.estimate_wait(now, call.service, call.class, work_ahead);
-        if !fits_deadline(wait, row.wait_margin, &estimate, time_left) {
+        let slot_wait = slot_wait(row, &estimate);
+        let ahead = queue.work_ahead(account, call.deadline, estimate.mean);
+        let work_ahead = ahead + slot_wait;
+        let wait = self.account_wait(now, call, account, work_ahead);
+        let slowness = self.relative_slowness(now, call.service).max(1.0);
+        if !fits_deadline(wait, row.wait_margin, &estimate, slowness, time_left) {
             return Err(ErrorKind::Saturated);
         }
-        // The call must not make those behind it in the queue late either.
-        let Some(last) = queue.last().filter(|last| last.deadline > call.deadline) else {
-            return Ok(());
+        // The call must not make those of its account behind it late either. Calls of others
+        // that it makes late have more work ahead than their share (`accounts`).
+        let latest = queue.latest_deadline(account);
+        let Some(latest) = latest.filter(|latest| *latest > call.deadline) else {
+            return Ok(displaces);
         };
-        let total_work = queue.work() + estimate.mean + slot_wait;
-        let wait = self.estimate_wait(now, call.service, call.class, total_work);
-        let time_left = (last.deadline - now).as_secs_f64();
-        if fits_deadline(wait, row.wait_margin, &estimate, time_left) {
-            Ok(())
+        let ahead = queue.work_ahead_of_last(account, estimate.mean);
+        let total_work = ahead + estimate.mean + slot_wait;
+        let wait = self.account_wait(now, call, account, total_work);
+        let time_left = (latest - now).as_secs_f64();
+        if fits_deadline(wait, row.wait_margin, &estimate, slowness, time_left) {
+            Ok(displaces)
         } else {
             Err(ErrorKind::Saturated)
         }
@@ -107,19 +117,25 @@
             return 0.0;
         }
         let capacity = f64::from(row.capacity.max(1));
-        work * row.slowdown.max(1.0) / (capacity * share::expected_share(row, now, class))
+        let slowdown = row
+            .slowdown
+            .max(1.0)
+            .max(self.relative_slowness(now, service));
+        work * slowdown / (capacity * share::expected_share(row, now, class))
     }
 
     pub(super) fn enqueue(&mut self, now: Instant, key: CallKey) {
+        let account = self.queue_account(&self.calls[key].call);
         let row = &mut self.calls[key];
         row.queued = true;
+        row.queue_account = account;
         let queued_call = QueuedCall {
             call: key,
             work: row.work,
         };
         let (service, class, queue_key) = (row.call.service, row.call.class, row.queue_key());
         let service_row = &mut self.services[service];
-        service_row.queues[class.index()].push(queue_key, queued_call);
+        service_row.queues[class.index()].push(account, queue_key, queued_call);
         if service_row.timer_at.is_none() {
             service_row.timer_at = Some(now + DISPATCH_INTERVAL);
             self.timers
@@ -127,7 +143,7 @@
         }
         // The timer refuses the call as soon as it can't be answered in time.
         let call = self.calls[key].call;
-        let median = self.estimate(&call).map_or(0.0, |e| e.p50);
+        let median = self.estimate(&call).map_or(0.0, |e| e.known_median());
         let latest_start = call.deadline.checked_sub(seconds(median));
         let latest_start = latest_start.map_or(now, |at| at.max(now));
         self.calls[key].latest_start = latest_start;
@@ -142,7 +158,7 @@
             let no_endpoint = row.usable == 0 && row.awaiting_trial.is_empty();
             let mut work = 0.0;
             let mut unanswerable = Vec::new();
-            for (queue_key, queued_call) in row.queue(class).iter() {
+            for (queue_key, queued_call) in row.queue(class).in_order() {
                 let time_left = (queue_key.deadline - now).as_secs_f64();
                 let wait = self.estimate_wait(now, service, class, work);
                 if no_endpoint || wait + queued_call.work > time_left {
@@ -187,6 +203,9 @@
             return Duration::ZERO;
         };
         let mean = row.service_times.estimate(call).map_or(0.1, |e| e.mean);
+        if call.account.is_some() && self.is_contended(call.service) {
+            return self.next_account_return(now, call, mean, random);
+        }
         let wait = self.estimate_wait(now, call.service, call.class, row.queue(call.class).work());
         let interval = self.estimate_wait(now, call.service, call.class, mean);
         let row = &mut self.services[call.service];
@@ -205,20 +224,24 @@
         *wait_margin += WAIT_MARGIN_EASE * (BASE_WAIT_MARGIN - *wait_margin);
     }
 
-    /// Removes a call from its queue, if it is queued.
-    pub(super) fn dequeue(&mut self, key: CallKey) {
+    /// Removes a call from its queue, if it is queued; `is_started` if it runs now.
+    pub(super) fn dequeue(&mut self, key: CallKey, is_started: bool) {
         let row = &mut self.calls[key];
         if row.queued {
             row.queued = false;
-            let queue_key = row.queue_key();
-            let queues = &mut self.services[row.call.service].queues;
-            queues[row.call.class.index()].remove(queue_key);
+            let (account, queue_key) = (row.queue_account, row.queue_key());
+            let queue = &mut self.services[row.call.service].queues[row.call.class.index()];
+            if is_started {
+                queue.start(account, queue_key);
+            } else {
+                queue.remove(account, queue_key);
+            }
         }
     }
 
     /// Removes a call from all tables and cancels its running attempts.
     pub(super) fn remove_call(&mut self, now: Instant, key: CallKey) {
-        self.dequeue(key);
+        self.dequeue(key, false);
         for attempt_index in 0..2 {
             self.cancel_attempt(now, key, attempt_index);
         }
@@ -235,17 +258,32 @@
     }
 
     pub(super) fn can_answer_in_time(&self, now: Instant, call: &Call) -> bool {
-        let median = self.estimate(call).map_or(0.0, |e| e.p50);
+        let median = self.estimate(call).map_or(0.0, |e| e.known_median());
         now + seconds(median) < call.deadline
     }
 }
 
-fn fits_deadline(wait: f64, wait_margin: f64, estimate: &Estimate, time_left: f64) -> bool {
+/// Returns whether a call can be answered in time.
+///
+/// `slowness` raises only the mean: the tail was learned from slow hosts as well. It does
+/// not count for a call that finds a free slot, which a false report must not refuse.
+pub(super) fn fits_deadline(
+    wait: f64,
+    wait_margin: f64,
+    estimate: &Estimate,
+    slowness: f64,
+    time_left: f64,
+) -> bool {
     if wait < NEGLIGIBLE_WAIT_SECS {
-        return estimate.p50 <= time_left;
+        return estimate.known_median() <= time_left;
     }
+    let known_mean = if estimate.is_known() {
+        estimate.mean * slowness
+    } else {
+        0.0
+    };
     let tail = estimate
         .p999
-        .min((time_left * MAX_TAIL_SHARE).max(estimate.mean));
+        .min((time_left * MAX_TAIL_SHARE).max(known_mean));
     wait * wait_margin + tail <= time_left
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -16,6 +16,7 @@
         retry::{RERUN_COST, RESEND_COST},
         retry_after::seconds,
         router::Router,
+        slowness::SLOW_FACTOR,
         spec::{Call, Step},
         table::{Attempt, CallKey},
     },
@@ -40,20 +41,24 @@
         endpoint: EndpointKey,
         trial: bool,
     ) {
-        self.dequeue(key);
+        self.dequeue(key, true);
         let row = &mut self.calls[key];
         let (call, work, repeatable) = (row.call, row.work, row.is_repeatable());
+        let account = row.queue_account;
         let hedge = row.is_running();
         let attempt_index = usize::from(row.attempts[0].is_some());
         let endpoint_row = &self.endpoints[endpoint];
         let other_calls = ceil_to_u32(endpoint_row.others_load(now));
         let low_load = endpoint_row.limit.is_low_load(endpoint_row.running)
             && endpoint_row.limit.is_low_load(other_calls);
+        let slowness = self.slowness(now, endpoint);
+        let row = &mut self.calls[key];
         row.attempts[attempt_index] = Some(Attempt {
             endpoint,
             start: now,
             trial,
             low_load,
+            slowness,
         });
         row.attempts_started = row.attempts_started.saturating_add(1);
         row.last_endpoint = Some(endpoint);
@@ -61,6 +66,10 @@
         let service = &mut self.services[call.service];
         let class = call.class.index();
         service.running[class] += 1;
+        if !hedge {
+            service.add_priority_work(now, call.class, account, work);
+        }
+        service.add_running(call.account.unwrap_or_default().id);
         service.recent_peaks[class].raise_to(now, f64::from(service.running[class]));
         service.recent_work.add(now, work);
         if first {
@@ -99,9 +108,15 @@
     fn detach(&mut self, now: Instant, key: CallKey, attempt_index: usize) -> Option<Attempt> {
         let row = &mut self.calls[key];
         let attempt = row.attempts[attempt_index].take()?;
-        let call = row.call;
+        let (call, account, work) = (row.call, row.queue_account, row.work);
         let service = &mut self.services[call.service];
         service.running[call.class.index()] -= 1;
+        service.remove_running(call.account.unwrap_or_default().id);
+        // The account was charged the expected time at the start. A hedge was not charged.
+        if attempt_index == 0 {
+            let elapsed = (now - attempt.start).as_secs_f64();
+            service.queues[call.class.index()].correct(account, elapsed - work);
+        }
         service.preemptible.remove(&(attempt.start, key));
         if let Some(row) = self.endpoints.get_mut(attempt.endpoint) {
             row.remove_attempt(key, &attempt, &call);
@@ -304,7 +319,9 @@
     ) {
         let secs = elapsed.as_secs_f64().max(1e-6);
         let estimate = self.estimate(call);
-        let ratio = estimate.map_or(1.0, |e| secs / e.baseline);
+        // The pace may have changed on the way.
+        let slowness = self.slowness(now, attempt.endpoint).max(attempt.slowness);
+        let ratio = estimate.map_or(1.0, |e| secs / e.baseline) / slowness;
         let Some(row) = self.endpoints.get_mut(attempt.endpoint) else {
             return;
         };
@@ -320,14 +337,16 @@
         }
         let sample = Sample {
             elapsed,
-            unloaded: estimate.map_or(secs, |e| e.unloaded),
+            unloaded: estimate.map_or(secs, |e| e.unloaded * slowness),
             running,
             low_load: attempt.low_load,
             reliable: estimate.is_some_and(|e| e.reliable),
             from_low_load: estimate.is_some_and(|e| e.from_low_load),
         };
         row.limit.record(now, &sample);
-        if !row.health.is_healthy() {
+        // The report of a slow host explains its latency. Compared with the peers', it would
+        // eject the endpoint, or others if the pace changed during the attempt.
+        if !row.health.is_healthy() || slowness >= SLOW_FACTOR {
             return;
         }
         row.health.leave_peers(peers);
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -11,6 +11,8 @@
 //!   reordered, expired or moved. Each endpoint has a concurrency limit
 //!   (`limit`), and a call that can't be answered in time is refused on arrival
 //!   (`admit`).
+//! * Where callers compete, the calls of a class are fair among client accounts by work
+//!   (`fair`); otherwise they wait by deadline alone (`queue`).
 //! * Both decisions use service times learned per class and size (`service_times`). The
 //!   expected wait is the work ahead divided by the slots that the class gets
 //!   (`share`); the limit is the throughput times the service time without load
@@ -18,6 +20,8 @@
 //! * Placement relies on the entry's own calls in flight and their latency.
 //!   Load reports only add the load of other entries and lose weight with age,
 //!   so a late or missing report makes placement worse but never wrong.
+//! * Where endpoints report how slow their hosts are at the moment, placement and expected
+//!   waits take it into account while the report is fresh (`slowness`).
 //! * Among endpoints that are about equally loaded, one with an open connection is
 //!   preferred (`warm`). An entry with few calls would otherwise open a connection
 //!   for nearly every call, the more so the more endpoints there are.
@@ -53,10 +57,12 @@
 //! assert_eq!(router.next_step(), Some(Step::Start { id, endpoint, hedge: false }));
 //! ```
 
+mod accounts;
 mod admit;
 mod attempt;
 mod decay;
 mod endpoint;
+mod fair;
 mod health;
 mod limit;
 mod placement;
@@ -68,13 +74,17 @@
 mod router;
 mod service_times;
 mod share;
+mod slowness;
 mod spec;
 mod table;
 mod view;
 mod warm;
 
 pub use self::{
+    accounts::AccountView,
+    fair::AccountKey,
     router::Router,
+    slowness::SlownessCounts,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
     view::{EndpointView, HealthState},
 };
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -6,19 +6,21 @@
     route::{
         EndpointKey, ServiceKey,
         decay::DecayingSum,
+        fair::{AccountKey, FairQueue},
         health::{Health, Peers},
         limit::ConcurrencyLimit,
-        queue::{Queue, QueueKey},
+        queue::QueueKey,
         retry::RetryBudget,
         retry_after::ReturnSchedule,
         ring::Ring,
         service_times::ServiceTimes,
+        slowness::HostSlowness,
         spec::{Call, EndpointSpec, LoadReport, ServiceSpec},
         warm::WarmEndpoints,
     },
 };
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -43,6 +45,13 @@
 /// engine the sum varies by 5 %, half of the margin of the ring's bound.
 const WORK_DECAY: Duration = Duration::from_secs(20);
 
+/// Time constant of the work of each priority: long enough to average over arrivals, short enough
+/// that a lower priority gets back what is left soon after a higher one pauses.
+const PRIORITY_DECAY: Duration = Duration::from_millis(500);
+/// Lower bound of the share that is assumed to be left to a priority. With a tenth, calls that fit
+/// into the next pause of the higher ones are refused, and up to 3 % fewer are answered.
+const MIN_PRIORITY_SHARE: f64 = 0.5;
+
 /// What a timer is set for.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Timer {
@@ -59,9 +68,11 @@
     pub(super) pools: [Vec<EndpointKey>; TIERS],
     pub(super) ring: Ring,
     pub(super) warm: WarmEndpoints,
-    pub(super) queues: [Queue; 3],
+    pub(super) queues: [FairQueue; 3],
     /// Running attempts, by class.
     pub(super) running: [u32; 3],
+    /// Running attempts, by account.
+    account_running: HashMap<u64, u32>,
     /// Sum of the limits of usable endpoints.
     pub(super) capacity: u32,
     /// Sum of the free slots of usable endpoints.
@@ -76,6 +87,7 @@
     pub(super) awaiting_trial: Vec<EndpointKey>,
     /// Whether an endpoint has reported how slow its host is.
     pub(super) shares_hosts: bool,
+    pub(super) slowness: HostSlowness,
     pub(super) peers: Peers,
     pub(super) service_times: ServiceTimes,
     /// Current service time relative to the estimate; it rises at the start of a
@@ -87,6 +99,8 @@
     pub(super) return_schedules: [ReturnSchedule; 3],
     /// Recently placed work of all endpoints.
     pub(super) recent_work: DecayingSum,
+    /// Recently started work of accounts, by class and priority.
+    priority_work: [BTreeMap<u8, DecayingSum>; 3],
     /// Decayed peaks of running attempts, by class.
     pub(super) recent_peaks: [DecayingSum; 3],
     /// Running calls that may be preempted, by start.
@@ -104,6 +118,7 @@
             warm: WarmEndpoints::default(),
             queues: Default::default(),
             running: [0; 3],
+            account_running: HashMap::new(),
             capacity: 0,
             free_slots: 0,
             usable: 0,
@@ -111,6 +126,7 @@
             ejected: 0,
             awaiting_trial: Vec::new(),
             shares_hosts: false,
+            slowness: HostSlowness::new(),
             peers: Peers::default(),
             service_times: ServiceTimes::new(),
             slowdown: 1.0,
@@ -118,18 +134,61 @@
             budget: RetryBudget::new(),
             return_schedules: [ReturnSchedule::default(); 3],
             recent_work: DecayingSum::new(WORK_DECAY),
+            priority_work: Default::default(),
             recent_peaks: [DecayingSum::new(PEAK_DECAY); 3],
             preemptible: BTreeSet::new(),
             timer_at: None,
         }
     }
 
-    pub(super) fn queue(&self, class: Class) -> &Queue {
+    pub(super) fn queue(&self, class: Class) -> &FairQueue {
         &self.queues[class.index()]
     }
 
+    /// Returns the number of running attempts of an account.
+    pub(super) fn running_of(&self, account: u64) -> u32 {
+        self.account_running.get(&account).copied().unwrap_or(0)
+    }
+
+    /// Records work in seconds that is started for an account.
+    pub(super) fn add_priority_work(
+        &mut self,
+        now: Instant,
+        class: Class,
+        account: AccountKey,
+        work: f64,
+    ) {
+        if account != AccountKey::default() {
+            let sums = &mut self.priority_work[class.index()];
+            let sum = sums.entry(account.priority);
+            sum.or_insert_with(|| DecayingSum::new(PRIORITY_DECAY))
+                .add(now, work);
+        }
+    }
+
+    /// Estimates the share of a class's slots that higher priorities leave to an account.
+    pub(super) fn priority_share(&self, now: Instant, class: Class, account: AccountKey) -> f64 {
+        let higher = self.priority_work[class.index()].range(..account.priority);
+        let work: f64 = higher.map(|(_, sum)| sum.value(now)).sum();
+        let slots = work / PRIORITY_DECAY.as_secs_f64();
+        (1.0 - slots / f64::from(self.capacity.max(1))).max(MIN_PRIORITY_SHARE)
+    }
+
+    pub(super) fn add_running(&mut self, account: u64) {
+        *self.account_running.entry(account).or_default() += 1;
+    }
+
+    pub(super) fn remove_running(&mut self, account: u64) {
+        if let Some(running) = self.account_running.get_mut(&account) {
+            *running -= 1;
+            if *running == 0 {
+                self.account_running.remove(&account);
+            }
+        }
+    }
+
     pub(super) fn queues_empty(&self) -> bool {
-        self.queues.iter().all(Queue::is_empty)
+        self.queues.iter().all(FairQueue::is_empty)
     }
 }
 
@@ -206,6 +265,8 @@
     pub(super) trial: bool,
     /// Whether the endpoint was at low load when it started.
     pub(super) low_load: bool,
+    /// Current slowness of the endpoint's host at the start.
+    pub(super) slowness: f64,
 }
 
 #[derive(Debug)]
@@ -219,6 +280,8 @@
     /// Number of times that it was preempted.
     pub(super) preemptions: u8,
     pub(super) queued: bool,
+    /// The account that it waits for.
+    pub(super) queue_account: AccountKey,
     /// Whether its caller has received part of an answer.
     pub(super) committed: bool,
     /// Error to report if an attempt may have run.
@@ -242,6 +305,7 @@
             attempts_started: 0,
             preemptions: 0,
             queued: false,
+            queue_account: AccountKey::default(),
             committed: false,
             run_error: None,
             last_endpoint: None,
