--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -93,7 +93,7 @@
     event_count: u32,
     last_data_at: Instant,
     /// When the first event of this run came.
-    first_event_at: Instant,
+    first_event: Instant,
     last_event_at: Instant,
 }
 
@@ -278,7 +278,7 @@
             pace: None,
             event_count: 0,
             last_data_at: now,
-            first_event_at: now,
+            first_event: now,
             last_event_at: now,
         }
     }
@@ -538,7 +538,7 @@
         self.event_count += 1;
         if self.event_count == 1 {
             // The time to the first event measures the queue and the prompt.
-            self.first_event_at = now;
+            self.first_event = now;
             return Ok(());
         }
         let pace = self.pace.unwrap_or(gap);
@@ -574,7 +574,7 @@
     /// Returns how far this run is, with its present pace.
     fn progress(&self, now: Instant, pace: f64) -> Progress {
         let item = &self.owned.submission.items[self.index];
-        let elapsed = now.saturating_duration_since(self.first_event_at);
+        let elapsed = now.saturating_duration_since(self.first_event);
         let engines = self.batches.engines.borrow();
         Progress {
             events: self.last_event().unwrap_or(0),
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -1,7 +1,7 @@
 //! Answers requests for the metrics of a gateway.
 
 use super::{
-    Gateway, accounts,
+    Gateway, account_meters,
     answer::{ResponseBody, full_response},
 };
 use crate::logs::{PROCESS, dropped_lines};
@@ -34,7 +34,7 @@
             let gauge = meters.endpoints.with_label_values(&[slowness]);
             gauge.set(count.into());
         }
-        accounts::set_gauges(&self.context.calls, meters);
+        account_meters::set_gauges(&self.context.calls, meters);
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
             Err(error) => {
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -6,7 +6,8 @@
 //! connections, which cancels the work of a caller that has disconnected.
 
 use super::{
-    accounts::{QueueAccount, record_refusal},
+    account_meters::{Refusal, record_refusal},
+    accounts::QueueAccount,
     attempt::{Answer, AnswerBody, AttemptContext, AttemptRequest, Done, run},
     calls::Ticket,
     message::{Content, Head},
@@ -102,7 +103,7 @@
                 }
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
                 Step::Refuse { kind, retry_after, .. } => {
-                    record_refusal(context, &request, kind);
+                    record_account_refusal(context, &request, kind);
                     return match error_answer {
                         Some(answer) => Ended::Answer(Box::new(answer), None),
                         None => Ended::Refused(kind, retry_after),
@@ -163,3 +164,17 @@
     })
     .await
 }
+
+/// Records a refusal by the router for the account of a request, if it has one.
+fn record_account_refusal(context: &AttemptContext, request: &Forward, kind: ErrorKind) {
+    if let Some(account) = &request.account {
+        let refusal = Refusal {
+            id: request.head.id.as_str(),
+            account,
+            service: &request.service,
+            class: request.class,
+            kind,
+        };
+        record_refusal(&context.calls, &context.meters, &refusal);
+    }
+}
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 //! * [`crashes`]: requests that crash endpoints, and their quarantine.
 //! * [`resume`]: streams that are resumed at another endpoint.
 //! * [`calls`]: the router and the requests that wait for it. [`accounts`]: client accounts in
-//!   its queues.
+//!   its queues. [`account_meters`]: their log lines and metrics.
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
 //! * [`duty`]: the lease of the gateway that acts for all.
@@ -32,6 +32,7 @@
 //! * [`stopping`], [`ready`], [`boot`], [`times`]: planned stops, readiness, clocks.
 //! * [`meters`], [`exposition`]: metrics and their exposition.
 
+mod account_meters;
 mod accounts;
 mod answer;
 mod attempt;
--- a/src/rollout/load_plan.rs
+++ b/src/rollout/load_plan.rs
@@ -10,17 +10,19 @@
 //! Stale engines are loaded in turn, so that after an outage each model gets the same
 //! share of its engines back. Among equal shares, the most urgent model goes first.
 
-use crate::rollout::model_shares::{self, Pool};
+use crate::rollout::{
+    load_goal::{MIN_ENGINES, affinity},
+    model_shares::{self, Pool},
+};
 use serde::{Deserialize, Serialize};
 use std::{
     cmp::Ordering,
     collections::{HashMap, HashSet},
     time::Duration,
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Minimum number of engines per model, so that losing one doesn't stop the model.
-pub(super) const MIN_ENGINES: usize = 2;
+pub use crate::rollout::load_goal::{EngineStatus, ModelGoal};
+
 /// Before any load is measured, one engine in this many loads at once, but at least
 /// [`MIN_INITIAL_LOADS`] engines do. The source of the weights is assumed to be sized for
 /// the number of engines.
@@ -34,42 +36,6 @@
 /// Weight of a new sample in the average load time.
 const SAMPLE_WEIGHT: f64 = 0.3;
 
-/// An engine, as the holder of the duty sees it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct EngineStatus {
-    /// The ID of the engine.
-    pub id: String,
-    /// The versions that it has, by model.
-    pub weights: HashMap<String, u64>,
-    /// Whether an order is in progress there.
-    pub loading: bool,
-    /// Whether it must not be ordered for now, although no order is in progress.
-    pub blocked: bool,
-    /// Whether it is much slower than its peers.
-    pub slow: bool,
-    /// Number of requests known to run there.
-    pub running_requests: u32,
-    /// Its time per event, if engines are to be divided by speed and the time is known.
-    pub pace: Option<Duration>,
-}
-
-/// What the steps of a model need.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelGoal {
-    /// The model.
-    pub model: String,
-    /// The newest version that was announced.
-    pub newest: u64,
-    /// Number of versions by which its steps may lag.
-    pub lag: u64,
-    /// Its share of the work, in any unit.
-    pub work: f64,
-    /// Number of items of a step, once there was one.
-    pub items: Option<usize>,
-    /// The rank of its steps, 0 being the highest.
-    pub priority: u8,
-}
-
 /// A load to order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WeightLoad {
@@ -203,19 +169,6 @@
     }
 }
 
-/// Returns the sort key by which an engine prefers a model: the versions that it is behind,
-/// a tie-breaker and the model.
-pub(super) fn affinity(
-    engine: &EngineStatus,
-    goals: &[ModelGoal],
-    model: usize,
-) -> (u64, u64, usize) {
-    let goal = &goals[model];
-    let version = engine.weights.get(&goal.model).copied().unwrap_or(0);
-    let tie_breaker = xxh3_64_with_seed(engine.id.as_bytes(), model as u64);
-    (goal.newest.saturating_sub(version), tie_breaker, model)
-}
-
 /// Divides `count` engines among models in proportion to their work.
 fn quotas(count: usize, goals: &[ModelGoal]) -> Vec<usize> {
     let total: f64 = goals.iter().map(|goal| goal.work.max(1.0)).sum();
--- a/src/rollout/loading.rs
+++ b/src/rollout/loading.rs
@@ -92,7 +92,7 @@
 pub struct Hold {
     order: Option<Order>,
     /// The sum of the engine's versions when it refused an item.
-    refused_at_sum: Option<u64>,
+    refusal_sum: Option<u64>,
     since: Instant,
     until: Instant,
     /// When an item was sent as a trial that is not answered yet.
@@ -111,7 +111,7 @@
         });
         has_ordered
             || self
-                .refused_at_sum
+                .refusal_sum
                 .is_some_and(|sum| version_sum(versions) > sum)
     }
 
@@ -195,7 +195,7 @@
         }
         let hold = Hold {
             order: Some(order),
-            refused_at_sum: None,
+            refusal_sum: None,
             since: now,
             until: recorded_at + limit,
             trial_sent: None,
@@ -226,7 +226,7 @@
         let order = known.and_then(|hold| hold.order);
         let hold = Hold {
             order,
-            refused_at_sum: Some(version_sum(versions)),
+            refusal_sum: Some(version_sum(versions)),
             since: now,
             until: now + self.time_limit(),
             trial_sent: None,
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -35,6 +35,7 @@
 pub mod engines;
 pub mod fit;
 pub mod item_kind;
+mod load_goal;
 pub mod load_plan;
 pub mod loading;
 mod model_shares;
--- a/src/rollout/model_shares.rs
+++ b/src/rollout/model_shares.rs
@@ -12,7 +12,7 @@
 //! before moves nothing.
 
 use crate::rollout::{
-    load_plan::{EngineStatus, MIN_ENGINES, ModelGoal, affinity},
+    load_goal::{EngineStatus, MIN_ENGINES, ModelGoal, affinity},
     tier::{ServiceSpeed, Tier},
 };
 use std::time::Duration;
--- a/src/route/accounts.rs
+++ b/src/route/accounts.rs
@@ -14,14 +14,13 @@
     error::ErrorKind,
     route::{
         ServiceKey,
-        admit::fits_deadline,
+        admit::{fits_deadline, slot_wait},
         fair::{AccountKey, FairQueue, LastCall},
         queue::{QueueKey, QueuedCall},
         retry_after::{ReturnSchedule, seconds},
         router::Router,
-        service_times::Estimate,
         spec::Call,
-        table::{CallKey, ServiceRow},
+        table::CallKey,
     },
 };
 use std::time::{Duration, Instant};
@@ -244,12 +243,3 @@
         returns.reserve(now, wait, interval, random)
     }
 }
-
-/// Returns the work that a call waits for a slot, in seconds, if all are in use.
-pub(super) fn slot_wait(row: &ServiceRow, estimate: &Estimate) -> f64 {
-    if row.free_slots == 0 {
-        estimate.mean
-    } else {
-        0.0
-    }
-}
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -11,14 +11,13 @@
     error::ErrorKind,
     route::{
         ServiceKey,
-        accounts::slot_wait,
         queue::QueuedCall,
         retry_after::seconds,
         router::Router,
         service_times::Estimate,
         share,
         spec::{Call, Step},
-        table::{BASE_WAIT_MARGIN, CallKey, DISPATCH_INTERVAL, Timer},
+        table::{BASE_WAIT_MARGIN, CallKey, DISPATCH_INTERVAL, ServiceRow, Timer},
     },
 };
 use rand::Rng;
@@ -287,3 +286,12 @@
         .min((time_left * MAX_TAIL_SHARE).max(known_mean));
     wait * wait_margin + tail <= time_left
 }
+
+/// Returns the work that a call waits for a slot, in seconds, if all are in use.
+pub(super) fn slot_wait(row: &ServiceRow, estimate: &Estimate) -> f64 {
+    if row.free_slots == 0 {
+        estimate.mean
+    } else {
+        0.0
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -67,6 +67,7 @@
 mod limit;
 mod placement;
 mod queue;
+mod rank;
 pub mod reconcile;
 mod retry;
 mod retry_after;
@@ -83,8 +84,8 @@
 pub use self::{
     accounts::AccountView,
     fair::AccountKey,
+    rank::SlownessCounts,
     router::Router,
-    slowness::SlownessCounts,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
     view::{EndpointView, HealthState},
 };
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -15,10 +15,10 @@
     error::ErrorKind,
     route::{
         EndpointKey, ServiceKey,
+        rank::Rank,
         retry::RERUN_COST,
         router::Router,
         share,
-        slowness::Rank,
         spec::Call,
         table::{CallKey, TIERS},
     },
--- a/src/route/slowness.rs
+++ b/src/route/slowness.rs
@@ -14,7 +14,7 @@
 //! Service times are learned from answers of slow hosts too. An expected wait is therefore
 //! scaled by the mean slowness relative to that of the answers, which is 1 in the long run.
 
-use crate::route::{EndpointKey, ServiceKey, router::Router};
+use crate::route::EndpointKey;
 use slotmap::SecondaryMap;
 use std::{
     cell::Cell,
@@ -26,7 +26,7 @@
 const REPORT_TTL: Duration = Duration::from_millis(600);
 /// Factors that a report may state. They bound the harm of a false one; hosts are up to 2.5
 /// times slower.
-const FACTORS: RangeInclusive<f64> = 0.5..=4.0;
+pub(super) const FACTORS: RangeInclusive<f64> = 0.5..=4.0;
 /// Factor from which a host counts as slow: halfway to 2.5 on a logarithmic scale.
 pub(super) const SLOW_FACTOR: f64 = 1.6;
 /// Weight of one report in the moving average of the usual factor. Two seconds at a hundred
@@ -34,9 +34,9 @@
 const USUAL_WEIGHT: f64 = 1.0 / 256.0;
 
 #[derive(Clone, Copy, Debug)]
-struct Reading {
-    factor: f64,
-    valid_at: Instant,
+pub(super) struct Reading {
+    pub(super) factor: f64,
+    pub(super) valid_at: Instant,
 }
 
 impl Reading {
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct HostSlowness {
     /// The last report of each usable endpoint.
-    readings: SecondaryMap<EndpointKey, Reading>,
+    pub(super) readings: SecondaryMap<EndpointKey, Reading>,
     /// Moving average over all reports; each comes with an answer.
     usual: f64,
     /// The last relative mean with the instant and the number of endpoints that it is for.
@@ -72,7 +72,7 @@
         self.mean.set(None);
     }
 
-    fn record(&mut self, key: EndpointKey, reading: Reading) {
+    pub(super) fn record(&mut self, key: EndpointKey, reading: Reading) {
         let last = self.readings.get(key);
         if last.is_none_or(|last| last.valid_at <= reading.valid_at) {
             self.readings.insert(key, reading);
@@ -81,14 +81,14 @@
         }
     }
 
-    fn factor(&self, now: Instant, key: EndpointKey) -> Option<f64> {
+    pub(super) fn factor(&self, now: Instant, key: EndpointKey) -> Option<f64> {
         let reading = self.readings.get(key)?;
         reading.is_fresh(now).then_some(reading.factor)
     }
 
     /// Returns the mean factor of `usable` endpoints relative to the usual one. Endpoints
     /// without a fresh report count as usual.
-    fn relative_mean(&self, now: Instant, usable: u32) -> f64 {
+    pub(super) fn relative_mean(&self, now: Instant, usable: u32) -> f64 {
         let known = self.mean.get();
         if let Some((_, _, mean)) = known.filter(|(at, n, _)| (*at, *n) == (now, usable)) {
             return mean;
@@ -100,126 +100,3 @@
         mean
     }
 }
-
-/// How well an endpoint with a free slot suits a call.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Rank {
-    pub(super) is_slow: bool,
-    /// Whether its limit has room for a call even if all reported calls still run.
-    has_room: bool,
-    /// Its load relative to its limit and its current speed; lower is better.
-    pub(super) score: f64,
-}
-
-impl Rank {
-    /// Returns whether it suits better than `other`.
-    ///
-    /// A call in a free slot hardly depends on those in the others, so a host of the usual
-    /// pace that has room is better than a slow one that is idle.
-    pub(super) fn is_before(self, other: Self) -> bool {
-        match (self.is_slow, other.is_slow) {
-            (false, true) if self.has_room => true,
-            (true, false) if other.has_room => false,
-            _ => self.score < other.score,
-        }
-    }
-
-    /// Returns whether it suits about as well as `other`: its score is at most `ratio` times
-    /// as high, unless just one of the two is slow.
-    pub(super) fn is_within(self, other: Self, ratio: f64) -> bool {
-        if self.is_slow == other.is_slow {
-            self.score <= other.score * ratio
-        } else {
-            self.is_before(other)
-        }
-    }
-}
-
-/// Number of usable endpoints by what is known of their hosts at the moment.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct SlownessCounts {
-    /// Endpoints on hosts about as fast as usual.
-    pub usual: u32,
-    /// Endpoints on hosts that are slow.
-    pub slow: u32,
-    /// Endpoints without a fresh report.
-    pub unknown: u32,
-}
-
-impl Router {
-    /// Records how slow the host of an endpoint was, in percent of the usual duration.
-    pub(super) fn record_slowness(&mut self, key: EndpointKey, valid_at: Instant, percent: u32) {
-        let row = &self.endpoints[key];
-        let service = &mut self.services[row.service];
-        // No host takes no time: the endpoint doesn't know.
-        if percent == 0 {
-            return;
-        }
-        service.shares_hosts = true;
-        if row.is_usable() {
-            let factor = (f64::from(percent) / 100.0).clamp(*FACTORS.start(), *FACTORS.end());
-            let reading = Reading { factor, valid_at };
-            service.slowness.record(key, reading);
-        }
-    }
-
-    /// Returns how many times longer work takes on an endpoint's host at the moment than
-    /// usual; 1 if that is not known or contention is not expected.
-    pub(super) fn slowness(&self, now: Instant, key: EndpointKey) -> f64 {
-        let row = self.endpoints.get(key);
-        let Some(service) = row.map(|row| row.service).filter(|s| self.is_contended(*s)) else {
-            return 1.0;
-        };
-        let factor = self.services[service].slowness.factor(now, key);
-        factor.unwrap_or(1.0)
-    }
-
-    /// Returns the last reported factor of an endpoint's host, however old it is, but at
-    /// least 1.
-    ///
-    /// For the time that an endpoint may be silent: a slow host gets few calls, and a silent
-    /// one sends no newer report.
-    pub(super) fn last_slowness(&self, key: EndpointKey) -> f64 {
-        let Some(row) = self.endpoints.get(key) else {
-            return 1.0;
-        };
-        let last = self.services[row.service].slowness.readings.get(key);
-        let last = last.filter(|_| self.is_contended(row.service));
-        last.map_or(1.0, |reading| reading.factor.max(1.0))
-    }
-
-    /// Returns the rank of an endpoint with a free slot.
-    pub(super) fn rank(&self, now: Instant, key: EndpointKey) -> Rank {
-        let slowness = self.slowness(now, key);
-        let row = &self.endpoints[key];
-        Rank {
-            is_slow: slowness >= SLOW_FACTOR,
-            has_room: row.load(now) <= f64::from(row.limit.get()),
-            score: row.score(now) * slowness,
-        }
-    }
-
-    /// Returns how many times longer a service's endpoints take at the moment than for the
-    /// answers from which service times were learned.
-    pub(super) fn relative_slowness(&self, now: Instant, service: ServiceKey) -> f64 {
-        if !self.is_contended(service) {
-            return 1.0;
-        }
-        let row = &self.services[service];
-        row.slowness.relative_mean(now, row.usable)
-    }
-
-    /// Counts the usable endpoints by the current slowness of their hosts.
-    #[must_use]
-    pub fn count_slowness(&self, now: Instant) -> SlownessCounts {
-        let mut counts = SlownessCounts::default();
-        for (key, row) in self.endpoints.iter().filter(|(_, row)| row.is_usable()) {
-            match self.services[row.service].slowness.factor(now, key) {
-                None => counts.unknown += 1,
-                Some(factor) if factor >= SLOW_FACTOR => counts.slow += 1,
-                Some(_) => counts.usual += 1,
-            }
-        }
-        counts
-    }
-}
