--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -19,7 +19,7 @@
                     [--json]
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
                       [--trace] [--json]
-       measure soak [--seconds N] [--seed N] [--processes N]
+       measure soak [--seconds N] [--seed N] [--processes N] [--contention]
        measure policy [--seed N] [--scenario NAME]
        measure train [--deployment pobrezie|lakeshore] [--seed N]
                      [--outage SECONDS]
@@ -211,6 +211,7 @@
             Arg::Long("seconds") => options.time = seconds(&mut parser)?,
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             Arg::Long("processes") => options.processes = parser.value()?.parse()?,
+            Arg::Long("contention") => options.contention = true,
             arg => return Err(arg.unexpected()),
         }
     }
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -47,6 +47,8 @@
     pub seed: u64,
     /// Number of gateway processes.
     pub processes: usize,
+    /// Whether gateways expect contention, and hosts turn slow by turns.
+    pub contention: bool,
 }
 
 impl Default for Options {
@@ -55,6 +57,7 @@
             time: Duration::from_secs(20),
             seed: 1,
             processes: 5,
+            contention: false,
         }
     }
 }
@@ -67,7 +70,7 @@
 /// interrupted.
 pub fn run(options: &Options, interrupt: &Interrupt) -> Result<Found, Error> {
     let check = check::Check::new();
-    let mut world = World::start(options.processes)?;
+    let mut world = World::start(options)?;
     world.wait_ready()?;
     let stopped = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -1,6 +1,7 @@
 //! Gateway processes, the store, the endpoints and the relays that connect them.
 
 use super::{
+    Options,
     keys::{CALLER_ACCOUNT, Keys},
     plan::Fault,
 };
@@ -11,6 +12,8 @@
     ports,
     relay::{Direction, Relay},
 };
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use std::{
     fs,
@@ -33,6 +36,15 @@
 pub(super) const MODELS: [&str; 2] = ["alpha", "beta"];
 /// Duration of the leases on duties; reports of two holders must be at least this far apart.
 pub(super) const LEASE_MS: u64 = 1_500;
+/// How long an endpoint works on a request, or on each event of a text.
+const WORK_DURATION: Duration = Duration::from_millis(25);
+/// Time after which other hosts are slow, shorter than most texts take.
+const SLOWNESS_INTERVAL: Duration = Duration::from_millis(600);
+/// Probability that a host is slow: with six hosts, one is as a rule.
+const SLOW_SHARE: f64 = 0.15;
+/// Reported slowness in percent and its factor, of a host that is slow and of another one.
+const SLOW_HOST: (u32, f64) = (250, 2.5);
+const USUAL_HOST: (u32, f64) = (100, 1.0);
 /// Limit on the wait for all gateways to accept connections after the faults.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Request body that crashes a plain endpoint.
@@ -81,10 +93,41 @@
     undo: Vec<(Instant, Undo)>,
     /// Number of processes that exited without a request to stop.
     pub(super) unexpected_exits: usize,
+    /// How slow hosts are, where contention is expected.
+    slowness: Option<Slowness>,
+}
+
+/// Draws which hosts are slow.
+struct Slowness {
+    rng: Pcg64,
+    next_change: Instant,
+}
+
+impl Slowness {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: Pcg64::seed_from_u64(seed),
+            next_change: Instant::now(),
+        }
+    }
+
+    /// Draws for each host anew whether it is slow, if that is due.
+    fn change(&mut self, now: Instant, endpoints: &[Endpoint]) {
+        if now < self.next_change {
+            return;
+        }
+        self.next_change = now + SLOWNESS_INTERVAL;
+        for endpoint in endpoints {
+            let is_slow = self.rng.random_bool(SLOW_SHARE);
+            let (percent, factor) = if is_slow { SLOW_HOST } else { USUAL_HOST };
+            endpoint.set_slowness(percent);
+            endpoint.set_work_duration(WORK_DURATION.mul_f64(factor));
+        }
+    }
 }
 
 impl World {
-    pub(super) fn start(processes: usize) -> Result<Self, Error> {
+    pub(super) fn start(options: &Options) -> Result<Self, Error> {
         let n = WORLD_COUNT.fetch_add(1, Ordering::Relaxed);
         let name = format!("hibiscusroad-soak-{}-{n}", std::process::id());
         let directory = std::env::temp_dir().join(name);
@@ -109,9 +152,10 @@
             version: 1,
             undo: Vec::new(),
             unexpected_exits: 0,
+            slowness: options.contention.then(|| Slowness::new(options.seed)),
         };
         let daemon = Bins::find()?.daemon;
-        for n in 0..processes {
+        for n in 0..options.processes {
             world.add_gateway(n, &daemon)?;
         }
         Ok(world)
@@ -126,10 +170,14 @@
             ports::free_port()?,
         ];
         let file = self.directory.join(format!("{name}.toml"));
+        let contention = match self.slowness {
+            Some(_) => "contention = \"on\"\naccount_share = 50\n",
+            None => "",
+        };
         let text = format!(
             "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
              [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nstore = \"{}\"\n\
-             peers = \"{peers}\"\nlease_ms = {LEASE_MS}\nfences = true\n\n\
+             peers = \"{peers}\"\nlease_ms = {LEASE_MS}\nfences = true\n{contention}\n\
              [gateway.usage]\naddress = \"{}\"\nwindow_s = 1\nlate_s = 6\n\n\
              [stop]\ndeadline_s = 4\n",
             relay.addr(),
@@ -222,6 +270,9 @@
     /// Ends the faults that are due, and restarts stopped processes and crashed endpoints.
     pub(super) fn recover_due(&mut self) -> Result<(), Error> {
         let now = Instant::now();
+        if let Some(slowness) = &mut self.slowness {
+            slowness.change(now, &self.endpoints);
+        }
         let (due, later): (Vec<_>, Vec<_>) = self.undo.drain(..).partition(|(at, _)| *at <= now);
         self.undo = later;
         for (_, undo) in due {
@@ -339,7 +390,7 @@
         ("lm", &MODELS[..])
     };
     let endpoint = Endpoint::start_at(listen, store, service, id, models)?;
-    endpoint.set_work_duration(Duration::from_millis(25));
+    endpoint.set_work_duration(WORK_DURATION);
     endpoint.set_event_count(20);
     endpoint.crash_on(Crash {
         marker: CRASH_MARKER.to_vec(),
--- a/hibiscusroad-measure/tests/soak.rs
+++ b/hibiscusroad-measure/tests/soak.rs
@@ -34,6 +34,7 @@
         time: Duration::from_secs(seconds),
         seed,
         processes,
+        contention: false,
     };
     soak::run(&options, &Interrupt::default()).unwrap()
 }
@@ -49,6 +50,22 @@
     assert!(found.count("reports") >= 2, "{}", found.text());
 }
 
+// Shares, fair queues, placement by expected end and holds for loads must break no promise while
+// faults strike.
+#[test]
+fn promises_hold_where_contention_is_expected() {
+    let options = Options {
+        time: Duration::from_secs(8),
+        seed: 2,
+        processes: 4,
+        contention: true,
+    };
+    let found = soak::run(&options, &Interrupt::default()).unwrap();
+    assert!(found.is_clean(), "{}", found.text());
+    assert!(found.count("answered") > 50, "{}", found.text());
+    assert!(found.count("steps") >= 2, "{}", found.text());
+}
+
 #[test]
 fn plans_that_broke_a_promise_break_none() {
     let soaks = REGRESSIONS.iter().map(|(seed, seconds, cause)| {
