--- a/src/rollout/model_shares.rs
+++ b/src/rollout/model_shares.rs
@@ -132,21 +132,21 @@
         models.clone().max_by(compare).zip(models.min_by(compare))
     };
     for _ in counts.iter().sum::<usize>()..total {
-        if let Some((poorest, _)) = extremes(&counts) {
-            counts[poorest] += 1;
+        if let Some((most_lacking, _)) = extremes(&counts) {
+            counts[most_lacking] += 1;
         }
     }
     // Each move brings the counts closer to the shares, so this many moves suffice.
     for _ in 0..total {
-        let Some((poorest, richest)) = extremes(&counts) else {
+        let Some((most_lacking, least_lacking)) = extremes(&counts) else {
             break;
         };
-        let (lacking, excess) = (lack(&counts, poorest), -lack(&counts, richest));
-        if lacking.max(excess) < 1.0 || lacking + excess <= 1.0 || counts[richest] == 0 {
+        let (lacking, excess) = (lack(&counts, most_lacking), -lack(&counts, least_lacking));
+        if lacking.max(excess) < 1.0 || lacking + excess <= 1.0 || counts[least_lacking] == 0 {
             break;
         }
-        counts[poorest] += 1;
-        counts[richest] -= 1;
+        counts[most_lacking] += 1;
+        counts[least_lacking] -= 1;
     }
     counts
 }
--- a/src/route/fair.rs
+++ b/src/route/fair.rs
@@ -311,10 +311,6 @@
     pub(super) fn work_ahead(&self, account: AccountKey, deadline: Instant, work: f64) -> f64 {
         let flow = self.flow(account);
         let own = flow.map_or(0.0, |flow| flow.calls.work_before(deadline));
-        // The estimate is not a number if all calls are due at one later instant. Without
-        // accounts the call is then refused.
-        let is_undefined = own.is_nan() && account != AccountKey::default();
-        let own = if is_undefined { 0.0 } else { own };
         own + self.others_ahead(account, own + work)
     }
 
