Count items that wait for a load where trainers compete

gateway_items_withheld_total was counted only in the path for services without contention, where no engine is held, so it stayed 0. It is counted where steps share slots now. The added check of owner_without_the_duty_sends_no_items_into_a_load failed before.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -95,7 +95,6 @@
             if !self.try_start(now, owned, &route, index) {
                 let reason = self.wait_reason(owned, &route, index);
                 owned.batch.borrow_mut().record_wait(now, reason);
-                self.record_withheld(now, owned, &route, index);
                 return;
             }
             owned.batch.borrow_mut().record_wait(now, None);
--- a/hibiscusroad-daemon/src/gateway/batches/interleave.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/interleave.rs
@@ -109,6 +109,7 @@
             if is_first {
                 let reason = self.wait_reason(step.owned, &step.route, index);
                 step.owned.batch.borrow_mut().record_wait(now, reason);
+                self.record_withheld(now, step.owned, &step.route, index);
             }
             let may_retry = skipped.skip(step.kind(index));
             if !may_retry || self.engines.borrow().free_slots(now, service) == 0 {
--- a/hibiscusroad-daemon/tests/gateway_loading.rs
+++ b/hibiscusroad-daemon/tests/gateway_loading.rs
@@ -3,7 +3,7 @@
 mod gateway_world;
 
 use gateway_world::{
-    World,
+    World, ask,
     batches::{batches_run_by, check_whole, results, submit, with_settings},
     submission, until,
 };
@@ -78,6 +78,10 @@
     let released = world.gateways[1].line("An engine is released.");
     assert_eq!(released["cause"], "Loaded");
     assert!(world.store.feed_count("duties") > 0);
+    let metrics = world.gateways[1].metrics;
+    let answer = ask("GET", metrics, "/", &[], b"", Duration::from_secs(2)).unwrap();
+    let none = "gateway_items_withheld_total 0";
+    assert!(!answer.text().lines().any(|line| line == none), "{none}");
 }
 
 // Guards against a holder of the duty that sends its own items into loads that it orders,
