--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -98,7 +98,7 @@
             let service = row.id.key.as_str();
             let is_shared = paces.has_shared_hosts(now);
             let mut engines = self.engines.borrow_mut();
-            let is_change = engines.set_other_shared_hosts(service, is_shared);
+            let is_change = engines.set_shared_elsewhere(service, is_shared);
             let applied = engines.merge_paces(Instant::now(), now, &paces);
             drop(engines);
             if is_change {
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -173,7 +173,7 @@
 
     /// Records whether another owner has recently had such a report; returns whether that
     /// is a change.
-    pub fn set_other_shared_hosts(&mut self, service: &str, is_shared: bool) -> bool {
+    pub fn set_shared_elsewhere(&mut self, service: &str, is_shared: bool) -> bool {
         if is_shared {
             self.shared_elsewhere.insert(service.to_owned())
         } else {
--- a/src/rollout/engines/loads.rs
+++ b/src/rollout/engines/loads.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here takes effect for a service for which contention isn't expected.
 
-use super::{EngineKey, Engines, Requirements, has_weights};
+use super::{EngineKey, Engines, Requirements, is_eligible};
 use crate::rollout::{
     loading::{HoldChange, Versions},
     order_records::OrderRecords,
@@ -122,15 +122,8 @@
     #[must_use]
     pub fn waits_for_load(&self, now: Instant, requirements: &Requirements<'_>) -> bool {
         let held = self.held_engines(now, requirements);
-        held.keys().any(|key| {
-            let engine = &self.states[key];
-            Some(key) != requirements.excluded
-                && engine.is_open
-                && engine.service == requirements.service
-                && engine.paused_until.is_none_or(|until| until <= now)
-                && engine.free_slots(now) > 0
-                && has_weights(engine, requirements)
-        })
+        held.keys()
+            .any(|key| is_eligible(now, key, &self.states[key], requirements))
     }
 
     /// Returns the engines that are held for a load of the weights of an item's model.
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -529,8 +529,8 @@
     let mut row: Paces = serde_json::from_slice(&serde_json::to_vec(&row).unwrap()).unwrap();
 
     let mut holder = engines(&[3]);
-    assert!(holder.set_other_shared_hosts("lm", row.has_shared_hosts(store)));
-    assert!(!holder.set_other_shared_hosts("lm", row.has_shared_hosts(store)));
+    assert!(holder.set_shared_elsewhere("lm", row.has_shared_hosts(store)));
+    assert!(!holder.set_shared_elsewhere("lm", row.has_shared_hosts(store)));
     assert!(holder.is_contended("lm"));
     let own = holder.own_paces(now, store, "lm");
     assert!(
@@ -541,7 +541,7 @@
     assert!(!row.has_shared_hosts(later));
     row.expire(later);
     assert_eq!(serde_json::to_string(&row).unwrap(), r#"{"engines":{}}"#);
-    assert!(holder.set_other_shared_hosts("lm", row.has_shared_hosts(later)));
+    assert!(holder.set_shared_elsewhere("lm", row.has_shared_hosts(later)));
     assert!(!holder.is_contended("lm"));
 }
 
