--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -179,7 +179,7 @@
         self.targets.borrow_mut().insert(key, Target::of(endpoint));
         self.router
             .borrow_mut()
-            .set_accepting(now, key, !endpoint.leaving);
+            .set_accepting(now, key, endpoint.is_open());
     }
 
     fn ensure_service(&self, now: Instant, name: &str) -> ServiceKey {
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -128,7 +128,7 @@
             engine.is_some_and(|engine| has_goal(&engine.models))
         });
         let endpoints = services.flat_map(|service| self.members.in_service(&service.name));
-        let staying = endpoints.filter(|endpoint| !endpoint.leaving);
+        let staying = endpoints.filter(Endpoint::is_open);
         let engines: Vec<EngineStatus> =
             staying.map(|endpoint| self.loader(now, endpoint)).collect();
         let ids: HashSet<&str> = engines.iter().map(|engine| engine.id.as_str()).collect();
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -42,6 +42,7 @@
 
 use serde::Deserialize;
 use std::{
+    collections::BTreeMap,
     fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -88,6 +89,9 @@
     pub data_centre: String,
     /// Region of the data centre.
     pub region: String,
+    /// The regions of all data centres, by data centre.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// URLs of the platform's services; empty for a gateway.
     #[serde(default)]
     pub platform: Platform,
--- a/hibiscusroad-daemon/src/settings/roles.rs
+++ b/hibiscusroad-daemon/src/settings/roles.rs
@@ -260,6 +260,12 @@
     /// The part of a service's places that calls of one client account may hold or wait for
     /// while others wait, in percent; `None` for no limit.
     pub account_share: Option<u32>,
+    /// Factor by which requests to a cold endpoint may exceed the rate that its service declares.
+    #[serde(default = "default_cold_overrun")]
+    pub cold_overrun: f64,
+    /// Requests to a cold endpoint that are allowed beyond that in any second.
+    #[serde(default)]
+    pub cold_slack: u32,
     /// Number of endpoint crashes after which a request is quarantined.
     #[serde(default = "default_crash_limit")]
     pub crash_limit: usize,
@@ -297,6 +303,10 @@
     256
 }
 
+const fn default_cold_overrun() -> f64 {
+    1.0
+}
+
 fn default_crash_limit() -> usize {
     CRASH_LIMIT
 }
--- a/hibiscusroad-daemon/src/settings/schema.rs
+++ b/hibiscusroad-daemon/src/settings/schema.rs
@@ -35,8 +35,17 @@
     },
     /// A name of a process, host, data centre, region, service or endpoint.
     Name,
+    /// A table of names by name.
+    NameMap,
     /// A list of names.
     Names,
+    /// A number from `min` to `max`.
+    Number {
+        /// Minimum.
+        min: f64,
+        /// Maximum.
+        max: f64,
+    },
     /// One of these words.
     OneOf(&'static [&'static str]),
     /// A list of secrets, which are never included in messages.
@@ -97,6 +106,7 @@
             required("host", Rule::Name),
             required("place", Rule::Name),
             required("region", Rule::Name),
+            optional("regions", Rule::NameMap),
         ],
     },
     Table {
@@ -162,6 +172,14 @@
             optional("conditions", Rule::Names),
             integer("share_floor", 0, 100),
             integer("account_share", 1, 100),
+            optional(
+                "cold_overrun",
+                Rule::Number {
+                    min: 1.0,
+                    max: 100.0,
+                },
+            ),
+            integer("cold_slack", 0, 10_000),
             integer("crash_limit", 1, 100),
             integer("quarantine_s", 1, SECONDS_PER_DAY),
         ],
@@ -210,6 +228,10 @@
             Self::Name => {
                 format!("1 to {MAX_NAME_LEN} lower-case letters, digits, '-', '_' or '.'")
             }
+            Self::NameMap => format!(
+                "a table of names of 1 to {MAX_NAME_LEN} lower-case letters, digits, '-', '_' or '.'"
+            ),
+            Self::Number { min, max } => format!("a number from {min} to {max}"),
             Self::Names => format!(
                 "a list of names of 1 to {MAX_NAME_LEN} lower-case letters, digits, '-', '_' or '.'"
             ),
@@ -234,6 +256,15 @@
                 .is_some_and(|list| list.iter().all(|token| is_token(token.get_ref()))),
             Self::Address => value.as_str().and_then(address).is_some(),
             Self::Name => value.as_str().is_some_and(is_name),
+            Self::NameMap => value.as_table().is_some_and(|table| {
+                let mut entries = table.iter();
+                entries.all(|(key, name)| {
+                    is_name(key.get_ref()) && name.get_ref().as_str().is_some_and(is_name)
+                })
+            }),
+            Self::Number { min, max } => {
+                parse_number(value).is_some_and(|n| (min..=max).contains(&n))
+            }
             Self::Names => value.as_array().is_some_and(|list| {
                 let mut names = list.iter().map(|name| name.get_ref().as_str());
                 names.all(|name| name.is_some_and(is_name))
@@ -278,6 +309,15 @@
     u64::from_str_radix(n.as_str(), n.radix()).ok()
 }
 
+fn parse_number(value: &DeValue<'_>) -> Option<f64> {
+    let text = match value {
+        DeValue::Integer(n) => n.as_str(),
+        DeValue::Float(n) => n.as_str(),
+        _ => return None,
+    };
+    text.replace('_', "").parse().ok()
+}
+
 fn is_name(text: &str) -> bool {
     let is_allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
     (1..=MAX_NAME_LEN).contains(&text.len()) && text.chars().all(is_allowed)
--- a/src/account.rs
+++ b/src/account.rs
@@ -58,6 +58,8 @@
     pub name: String,
     /// The priority, which overrides that of the route; 0 is the highest.
     pub priority: Option<u8>,
+    /// The regions in which its requests may be served, cached and stored; empty for all.
+    pub allowed_regions: Vec<String>,
 }
 
 /// All accounts of one version of the configuration.
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -65,6 +65,8 @@
     pub single_version: bool,
     /// Whether callers need no key.
     pub public: bool,
+    /// The regions in which requests may be served, cached and stored; empty for all.
+    pub allowed_regions: Vec<String>,
 }
 
 impl Route {
@@ -96,13 +98,24 @@
     pub models: Vec<String>,
 }
 
+/// What an endpoint of a service bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an endpoint is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold endpoint bears, from all gateways together.
+    pub per_second: f64,
+}
+
 /// One service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// The name.
     pub name: String,
     /// Connections that each endpoint accepts from all callers together.
     pub max_connections: Option<u32>,
+    /// What a cold endpoint bears; `None` if the service sets no limit.
+    pub cold_start: Option<ColdStart>,
     /// Set if the endpoints are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -216,7 +216,7 @@
                 incarnation: started_ms.map_or_else(|| id.clone(), |born| format!("{id}@{born}")),
                 service: service.clone(),
                 slots: endpoint.slots,
-                is_open: !endpoint.leaving,
+                is_open: endpoint.is_open(),
                 weights: BTreeMap::new(),
                 own_items: 0,
                 others_report: None,
@@ -235,7 +235,7 @@
         });
         let engine = &mut self.states[key];
         engine.slots = endpoint.slots;
-        engine.is_open = !endpoint.leaving;
+        engine.is_open = endpoint.is_open();
         for weights in &endpoint.weights {
             raise_version(&mut engine.weights, &weights.model, weights.version);
         }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -43,12 +43,22 @@
     pub slots: u32,
     /// Whether the endpoint has announced its shutdown.
     pub leaving: bool,
-    /// Whether the endpoint is still slow after its start.
-    pub cold: bool,
+    /// How much longer the endpoint stays cold, by the time that its entry was written.
+    pub cold_remaining: Duration,
+    /// Whether its data centre is evacuated. Entries don't tell; the roster sets it.
+    pub evacuated: bool,
     /// The weights of a model engine.
     pub weights: Vec<Weights>,
 }
 
+impl Endpoint {
+    /// Returns whether it may get requests, whatever their kind.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+}
+
 /// A change of the roster.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EndpointChange {
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -9,6 +9,7 @@
 fn account(name: &str) -> Account {
     Account {
         name: name.to_owned(),
+        allowed_regions: Vec::new(),
         priority: None,
     }
 }
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -156,7 +156,8 @@
         data_centre: "senec".to_owned(),
         slots: 2,
         leaving: false,
-        cold: false,
+        cold_remaining: Duration::ZERO,
+        evacuated: false,
         weights,
     }
 }
--- a/tests/rollout_fit.rs
+++ b/tests/rollout_fit.rs
@@ -44,7 +44,8 @@
             data_centre: "senec".to_owned(),
             slots,
             leaving: false,
-            cold: false,
+            cold_remaining: Duration::ZERO,
+            evacuated: false,
             weights: vec![Weights {
                 model: format!("m{}", n % models),
                 version: 1,
--- a/tests/rollout_loading.rs
+++ b/tests/rollout_loading.rs
@@ -39,7 +39,8 @@
         data_centre: "senec".to_owned(),
         slots: 4,
         leaving: false,
-        cold: false,
+        cold_remaining: Duration::ZERO,
+        evacuated: false,
         weights: weights.to_vec(),
     }
 }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -16,7 +16,8 @@
         data_centre: "senec".to_owned(),
         slots: 6,
         leaving: false,
-        cold: false,
+        cold_remaining: Duration::ZERO,
+        evacuated: false,
         weights: Vec::new(),
     }
 }
@@ -80,6 +81,7 @@
         item_ttl: None,
         single_version: false,
         public: false,
+        allowed_regions: Vec::new(),
     };
     let routes = vec![
         route("short", "a", "/x/"),
@@ -115,6 +117,7 @@
         item_ttl: None,
         single_version: false,
         public: false,
+        allowed_regions: Vec::new(),
     };
     let count = |name: &str| {
         let draws = (0..1000).map(|n| f64::from(n) / 1000.0);
