Learn evacuated data centres from the operator's table, and send nothing there

No code read the rows evacuate/ZONE, and removed rows of the operator's table were ignored.

Evacuations are applied by version, so that late answers of the feed or of a direct read have no effect, and a read of the whole table replaces them. The roster marks the endpoints, also those that register later, and reports none before the evacuations are known. Endpoints that open are reported before those that close: the property test found that a call was refused while one data centre took the place of another in one list.

Each request to an endpoint (attempts, items, drafts, orders and reports of weights) is checked right before it is written to its connection. A call that was not sent is queued again without cost to the retry budget or to the health of the endpoint. Where evacuations leave no endpoint, calls are refused at once with a Retry-After of about a second. Runs that break at evacuated endpoints are no evidence of a crash. Two metrics and log lines tell what still runs there.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use super::{
     calls::{Calls, Target, Ticket},
     crashes::{Crashes, InFlight},
+    evacuation::DataCentres,
     http::{Connection, ConnectionPool, Fault, RequestBody},
     message::{Head, text},
     meters::Meters,
@@ -82,6 +83,7 @@
     pub(super) meters: Rc<Meters>,
     pub(super) usage: Rc<Usage>,
     pub(super) crashes: Rc<Crashes>,
+    pub(super) data_centres: Rc<DataCentres>,
 }
 
 impl AttemptContext {
@@ -228,13 +230,15 @@
     let mut metered = context.usage.track(head.account.as_ref());
     let mut in_flight = context.crashes.track(&subject, target.incarnation());
     let request = build_request(&head, &target, body);
-    let on_send = || {
+    let start = || {
+        let running = context.data_centres.enter(&target.data_centre)?;
         metered.mark_sent();
         in_flight.mark_sent();
+        Some(running)
     };
     let answer = context
         .pool
-        .send_with_hook(target.address, request, on_send)
+        .send_to_endpoint(target.address, request, start)
         .await;
     let (response, connection) = match answer {
         Ok(answer) => answer,
@@ -277,6 +281,11 @@
 }
 
 fn unanswered(head: &Head, subject: &Subject, target: &Target, fault: &Fault) -> Done {
+    if matches!(fault, Fault::Evacuated) {
+        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
+            place = &*target.data_centre; "A request is not sent to an evacuated data centre.");
+        return Done::NotRun(ErrorKind::NoEndpoint);
+    }
     log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
         path = subject.path(), fingerprint:% = subject.fingerprint(), error = fault.to_string().as_str(); "An endpoint did not answer.");
     if fault.is_unsent() {
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -13,7 +13,7 @@
         attempt::{self, set},
         calls::Target,
         crashes::InFlight,
-        http::full_body,
+        http::{Fault, full_body},
         message::{Head, text},
         request::{internal_head, set_account},
         subject::Subject,
@@ -321,7 +321,13 @@
         let mut flight = crashes.track(&request.subject, target.incarnation());
         let sent = attempt::build_request(head, &target, full_body(request.body.clone()));
         let pool = &self.batches.context.pool;
-        let sending = pool.send_with_hook(target.address, sent, || flight.mark_sent());
+        let data_centres = &self.batches.context.data_centres;
+        let start = || {
+            let running = data_centres.enter(&target.data_centre)?;
+            flight.mark_sent();
+            Some(running)
+        };
+        let sending = pool.send_to_endpoint(target.address, sent, start);
         let sent = self.await_response(sending, head.id.as_str()).await?;
         let (response, connection) = sent.map_err(|fault| {
             flight.record_fault(&fault);
@@ -329,6 +335,14 @@
                 endpoint = endpoint.id.as_str(),
                 fingerprint:% = request.subject.fingerprint(), error = fault.to_string().as_str();
                 "An engine did not answer.");
+            if matches!(fault, Fault::Evacuated) {
+                log::info!(target: BATCHES, item = head.id.as_str(), endpoint = endpoint.id.as_str(),
+                    place = &*target.data_centre; "An item is not sent to an evacuated data centre.");
+                let model = self.owned.submission.model.as_deref();
+                let mut engines = self.batches.engines.borrow_mut();
+                engines.record_unanswered_item(self.key, model);
+                return Interruption::NotRun;
+            }
             Interruption::Lost
         })?;
         if let Err(cause) = self.check_response(head, &endpoint.id, &response) {
--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -22,7 +22,7 @@
     Sink {
         table: row::BATCHES,
         parts: row::buckets().collect(),
-        replace: Box::new(move |rows| {
+        replace: Box::new(move |rows, _version| {
             let ids: HashSet<String> = rows.iter().map(|row| row.id.key.clone()).collect();
             all.remove_heads(|id| !ids.contains(id));
             for row in &rows {
--- a/hibiscusroad-daemon/src/gateway/batches/loads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/loads.rs
@@ -174,7 +174,7 @@
     Sink {
         table: DUTIES_TABLE,
         parts: vec![String::new()],
-        replace: Box::new(move |rows| replace(rows)),
+        replace: Box::new(move |rows, _version| replace(rows)),
         change: Box::new(move |changes| apply(changes.rows)),
         confirm: Box::new(|| {}),
         pause: Box::new(move || {
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -39,6 +39,7 @@
 pub(super) struct Target {
     pub(super) id: Rc<str>,
     pub(super) address: SocketAddr,
+    pub(super) data_centre: Rc<str>,
     /// Start time of this incarnation, if the endpoint reports it.
     pub(super) started_ms: Option<u64>,
 }
@@ -48,6 +49,7 @@
         Self {
             id: endpoint.id.as_str().into(),
             address: endpoint.address,
+            data_centre: endpoint.data_centre.as_str().into(),
             started_ms: endpoint.started_ms,
         }
     }
@@ -163,9 +165,10 @@
         }
         for (name, endpoints) in services {
             let service = self.ensure_service(now, name);
-            let specs = endpoints
-                .values()
-                .map(|e| EndpointSpec::new(&e.id, &e.data_centre).limit(e.slots));
+            let specs = endpoints.values().map(|e| {
+                let spec = EndpointSpec::new(&e.id, &e.data_centre).limit(e.slots);
+                spec.accepting(e.is_open())
+            });
             let keys = self.router.borrow_mut().add_endpoints(now, service, specs);
             let ids = endpoints.keys().map(|id| (*id).to_owned());
             self.keys.borrow_mut().extend(ids.zip(keys));
@@ -177,9 +180,9 @@
             return;
         };
         self.targets.borrow_mut().insert(key, Target::of(endpoint));
-        self.router
-            .borrow_mut()
-            .set_accepting(now, key, endpoint.is_open());
+        let mut router = self.router.borrow_mut();
+        router.set_evacuated(key, endpoint.evacuated);
+        router.set_accepting(now, key, endpoint.is_open());
     }
 
     fn ensure_service(&self, now: Instant, name: &str) -> ServiceKey {
--- a/hibiscusroad-daemon/src/gateway/crashes/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/mod.rs
@@ -37,7 +37,9 @@
 #[derive(Clone, Copy, Debug)]
 struct EndpointState {
     started_ms: Option<u64>,
-    leaving: bool,
+    /// Whether it may end without a crash: it has announced its end, or operators have evacuated
+    /// its data centre, where they may stop it.
+    may_end: bool,
 }
 
 /// The crash evidence that this gateway has, its own and that of other gateways.
@@ -101,7 +103,7 @@
                 EndpointChange::Updated(endpoint) => {
                     let state = EndpointState {
                         started_ms: endpoint.started_ms,
-                        leaving: endpoint.leaving,
+                        may_end: !endpoint.is_open(),
                     };
                     self.endpoints
                         .borrow_mut()
@@ -130,16 +132,16 @@
         self.endpoints.borrow_mut().remove(id);
     }
 
-    /// Returns whether an endpoint announced its end, which is no crash then.
-    fn is_leaving(&self, incarnation: &EndpointIncarnation) -> bool {
+    /// Returns whether the end of an endpoint is no crash, since it was announced or may be meant.
+    fn may_end(&self, incarnation: &EndpointIncarnation) -> bool {
         let endpoints = self.endpoints.borrow();
         let state = endpoints.get(&incarnation.endpoint);
-        state.is_some_and(|state| state.leaving && state.started_ms == incarnation.started_ms)
+        state.is_some_and(|state| state.may_end && state.started_ms == incarnation.started_ms)
     }
 
     /// Records that an endpoint ended, as evidence against its unresolved requests.
     fn record_end(&self, incarnation: &EndpointIncarnation) {
-        if self.is_leaving(incarnation) {
+        if self.may_end(incarnation) {
             return;
         }
         let requests = self
@@ -153,7 +155,7 @@
 
     /// Records that a request was in flight at an endpoint that ended.
     fn record_crash(&self, request: Fingerprint, incarnation: &EndpointIncarnation, path: &str) {
-        if self.is_leaving(incarnation) {
+        if self.may_end(incarnation) {
             return;
         }
         let crash = Crash {
--- a/hibiscusroad-daemon/src/gateway/crashes/sink.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/sink.rs
@@ -17,7 +17,7 @@
     Sink {
         table: CRASHES,
         parts: vec![String::new()],
-        replace: Box::new(move |rows| replacing.replace_rows(&rows)),
+        replace: Box::new(move |rows, _version| replacing.replace_rows(&rows)),
         change: Box::new(move |changes| crashes.apply_changes(&changes.rows, &changes.removed)),
         confirm: Box::new(|| {}),
         pause: Box::new(|| Duration::ZERO),
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -7,6 +7,9 @@
 use crate::logs::{PROCESS, dropped_lines};
 use hyper::{Response, StatusCode};
 
+/// Most evacuated data centres that have a metric of their own.
+const MAX_DATA_CENTRES: usize = 8;
+
 impl Gateway {
     /// Updates the gauges and returns all metrics as text.
     pub(super) fn exposition(&self) -> Response<ResponseBody> {
@@ -34,6 +37,13 @@
             let gauge = meters.endpoints.with_label_values(&[slowness]);
             gauge.set(count.into());
         }
+        let evacuated = self.context.data_centres.evacuated();
+        meters.evacuated.set(gauge_value(evacuated.len() as u64));
+        meters.evacuated_requests.reset();
+        for (data_centre, running) in evacuated.iter().take(MAX_DATA_CENTRES) {
+            let gauge = meters.evacuated_requests.with_label_values(&[data_centre]);
+            gauge.set(gauge_value(*running as u64));
+        }
         account_meters::set_gauges(&self.context.calls, meters);
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -86,8 +86,12 @@
                     if let Verdict::Quarantined(left) = context.crashes.verdict(&request.subject) {
                         return end_quarantined(&request, error_answer, may_run > 0, left);
                     }
+                    // The body of a large request can be taken once, so this is checked first.
                     let target = context.calls.target(endpoint);
-                    let (Some(target), Some(body)) = (target, request.content.take_body()) else {
+                    let target = target
+                        .filter(|target| !context.data_centres.is_evacuated(&target.data_centre));
+                    let body = target.as_ref().and_then(|_| request.content.take_body());
+                    let (Some(target), Some(body)) = (target, body) else {
                         ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
                         continue;
                     };
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -6,6 +6,7 @@
 //! the request at its endpoint. hyper closes an idle connection on which
 //! unrequested data arrives.
 
+use super::evacuation::RunningRequest;
 use hibiscusroad_platform::request::Request as PlatformRequest;
 use http_body_util::{Either, Full};
 use hyper::{
@@ -133,6 +134,9 @@
     /// There was no connection, or it closed before anything was sent.
     #[error("connection failed: {0}")]
     Connect(ConnectError),
+    /// The request must not be sent, since the data centre is evacuated.
+    #[error("the data centre is evacuated")]
+    Evacuated,
     /// The connection broke after at least part of the request was sent.
     #[error("connection broke: {0}")]
     Broken(#[from] hyper::Error),
@@ -141,7 +145,7 @@
 impl Fault {
     /// Returns whether no part of the request was sent.
     pub(super) const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_))
+        matches!(self, Self::Connect(_) | Self::Evacuated)
     }
 }
 
@@ -161,6 +165,8 @@
     sender: SendRequest<RequestBody>,
     _driver: Driver,
     address: SocketAddr,
+    /// The request that it carries, if it was sent to an endpoint.
+    running: Option<RunningRequest>,
 }
 
 impl Connection {
@@ -192,31 +198,48 @@
         self.opened.get()
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request that is for no endpoint, and waits for the head of its answer.
     pub(super) async fn send(
         &self,
         address: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
-        self.send_with_hook(address, request, || {}).await
+        self.send_with_hook(address, request, || Ok(None)).await
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request to an endpoint and waits for the head of its answer.
     ///
-    /// Calls `on_send` before each send on an open connection. There is a second
-    /// send if a pooled connection turns out to be closed.
-    pub(super) async fn send_with_hook(
+    /// Calls `start` before each send on an open connection; the request is not sent if it
+    /// returns `None`. There is a second send if a pooled connection turns out to be closed.
+    pub(super) async fn send_to_endpoint(
+        &self,
+        address: SocketAddr,
+        request: Request<RequestBody>,
+        mut start: impl FnMut() -> Option<RunningRequest>,
+    ) -> Result<(Response<Incoming>, Connection), Fault> {
+        let on_send = || start().ok_or(Fault::Evacuated).map(Some);
+        self.send_with_hook(address, request, on_send).await
+    }
+
+    async fn send_with_hook(
         &self,
         address: SocketAddr,
         mut request: Request<RequestBody>,
-        mut on_send: impl FnMut(),
+        mut on_send: impl FnMut() -> Result<Option<RunningRequest>, Fault>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         loop {
             let (mut connection, pooled) = match self.take_idle(address) {
                 Some(connection) => (connection, true),
                 None => (self.open(address).await?, false),
             };
-            on_send();
+            match on_send() {
+                Ok(running) => connection.running = running,
+                Err(fault) => {
+                    // The connection is unused and serves a later request.
+                    self.return_to_pool(connection, None);
+                    return Err(fault);
+                }
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -233,7 +256,8 @@
     }
 
     /// Returns a connection to the pool after its answer was read to the end.
-    pub(super) fn return_to_pool(&self, connection: Connection, keep_alive: Option<Duration>) {
+    pub(super) fn return_to_pool(&self, mut connection: Connection, keep_alive: Option<Duration>) {
+        connection.running = None;
         if connection.sender.is_closed() {
             return;
         }
@@ -291,6 +315,7 @@
             sender,
             _driver: driver,
             address,
+            running: None,
         })
     }
 }
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -202,6 +202,18 @@
         "account",
         "work that waits, of the eight accounts with the most",
     ),
+    (
+        "gateway_evacuated_data_centres",
+        "gauge",
+        "",
+        "data centres that are evacuated",
+    ),
+    (
+        "gateway_evacuated_requests",
+        "gauge",
+        "place",
+        "requests of this process that still run in evacuated data centres, the first eight by name",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -260,6 +272,8 @@
     pub(super) account_refusals: IntCounterVec,
     pub(super) share_refusals: IntCounterVec,
     pub(super) account_work: GaugeVec,
+    pub(super) evacuated: IntGauge,
+    pub(super) evacuated_requests: IntGaugeVec,
 }
 
 impl Meters {
@@ -327,6 +341,8 @@
             account_refusals: counter_vec(position("gateway_account_refusals_total"))?,
             share_refusals: counter_vec(position("gateway_account_share_refusals_total"))?,
             account_work: labelled(position("gateway_account_work_seconds"), &registry)?,
+            evacuated: gauge(position("gateway_evacuated_data_centres"))?,
+            evacuated_requests: labelled(position("gateway_evacuated_requests"), &registry)?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //!   its queues. [`account_meters`]: their log lines and metrics.
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
+//! * [`evacuation`]: requests in evacuated data centres.
 //! * [`duty`]: the lease of the gateway that acts for all.
 //! * [`store`], [`failure`], [`sync`], [`known_config`], [`refresh`]: the store's client and the
 //!   state that follows its tables.
@@ -41,6 +42,7 @@
 mod calls;
 mod crashes;
 mod duty;
+mod evacuation;
 mod exposition;
 mod failure;
 mod forward;
@@ -69,6 +71,7 @@
     calls::Calls,
     crashes::Crashes,
     duty::Duty,
+    evacuation::DataCentres,
     http::ConnectionPool,
     known_config::KnownConfig,
     meters::Meters,
@@ -85,7 +88,7 @@
     logs::{self, PROCESS},
     settings::{Gateway as GatewaySettings, Settings},
 };
-use hibiscusroad::{Incarnation, usage::Windows};
+use hibiscusroad::{Incarnation, roster::EndpointChange, usage::Windows};
 use std::{
     io,
     path::Path,
@@ -220,8 +223,10 @@
         Rc::clone(&store),
         Rc::clone(&meters),
     ));
+    let data_centres = Rc::new(DataCentres::new());
     let context = AttemptContext {
         crashes,
+        data_centres: Rc::clone(&data_centres),
         calls: Rc::clone(&calls),
         pool: Rc::clone(&pool),
         meters: Rc::clone(&meters),
@@ -229,14 +234,16 @@
     };
     Rc::new_cyclic(|gateway: &Weak<Gateway>| {
         let listener = Weak::clone(gateway);
-        let members = Rc::new(EndpointRoster::new(Rc::clone(&meters), move |changes| {
+        let on_change = move |changes: &[EndpointChange]| {
             if let Some(gateway) = listener.upgrade() {
                 gateway.context.calls.apply_roster(changes);
                 gateway.context.crashes.apply_roster(changes);
                 gateway.batches.roster(changes);
                 gateway.weights.apply_roster(changes);
             }
-        }));
+        };
+        let members = EndpointRoster::new(Rc::clone(&meters), data_centres, on_change);
+        let members = Rc::new(members);
         let directory = Directory::new(&settings.name, own.peers, times.clone());
         let batches = Rc::new(Batches::new(
             directory,
@@ -272,10 +279,16 @@
             members: Rc::clone(&members),
             batches: Rc::clone(&batches),
             pool,
+            data_centres: Rc::clone(&context.data_centres),
             meters: Rc::clone(&meters),
         };
         let weights = Rc::new(Weights::new(own.fences, dependencies));
-        let refresher = CatalogRefresher::new(Rc::clone(&store), Rc::clone(&known), calls);
+        let refresher = CatalogRefresher::new(
+            Rc::clone(&store),
+            Rc::clone(&known),
+            calls,
+            Rc::clone(&members),
+        );
         Gateway {
             known,
             refresher,
@@ -323,6 +336,7 @@
         sync::operator_sink(
             Rc::clone(known),
             Rc::clone(&context.calls),
+            Rc::clone(members),
             refresher.position(),
             wake,
         ),
--- a/hibiscusroad-daemon/src/gateway/refresh.rs
+++ b/hibiscusroad-daemon/src/gateway/refresh.rs
@@ -12,7 +12,7 @@
     failure::Failure,
     known_config::KnownConfig,
     store::Store,
-    sync::{self, Position},
+    sync::{self, EndpointRoster, Position},
 };
 use crate::logs::CONFIG;
 use hibiscusroad::table::RowId;
@@ -45,17 +45,24 @@
     store: Rc<Store>,
     known: Rc<KnownConfig>,
     calls: Rc<Calls>,
+    members: Rc<EndpointRoster>,
     /// The version up to which changes of the operator's table were received.
     position: Position,
     last: Mutex<Option<Refresh>>,
 }
 
 impl CatalogRefresher {
-    pub(super) fn new(store: Rc<Store>, known: Rc<KnownConfig>, calls: Rc<Calls>) -> Self {
+    pub(super) fn new(
+        store: Rc<Store>,
+        known: Rc<KnownConfig>,
+        calls: Rc<Calls>,
+        members: Rc<EndpointRoster>,
+    ) -> Self {
         Self {
             store,
             known,
             calls,
+            members,
             position: Position::default(),
             last: Mutex::default(),
         }
@@ -109,12 +116,15 @@
         let Some(changes) = self.store.feed(table, after, Duration::ZERO).await? else {
             return self.read_whole().await;
         };
+        self.members.update_evacuations(&changes);
         for row in &changes.rows {
             sync::apply_operator_row(&self.known, &self.calls, row);
         }
         Ok(())
     }
 
+    /// Reads the configuration alone. Evacuations are read whole by the task that follows the
+    /// table, since only a read of all their rows says which of them have ended.
     async fn read_whole(&self) -> Result<(), Failure> {
         let id = RowId::new(table::OPERATOR_TABLE, "", table::CONFIG_KEY);
         let row = self.store.read_row(&id).await?;
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -431,6 +431,7 @@
                 .await
                 .map_err(|fault| match fault {
                     Fault::Connect(why) => Failure::Refused(why.to_string()),
+                    Fault::Evacuated => Failure::Refused(Fault::Evacuated.to_string()),
                     Fault::Broken(error) => Failure::Lost(error.to_string()),
                 })?;
         let status = response.status().as_u16();
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -7,7 +7,8 @@
 //! whole table is read again.
 
 use super::{
-    calls::Calls, failure::Failure, known_config::KnownConfig, meters::Meters, store::Store,
+    calls::Calls, evacuation::DataCentres, failure::Failure, known_config::KnownConfig,
+    meters::Meters, store::Store,
 };
 use crate::{
     logs::{CONFIG, HOSTS, STORE},
@@ -20,7 +21,7 @@
 };
 use hibiscusroad_platform::{catalog, roster, table};
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
@@ -43,8 +44,8 @@
     pub(super) table: &'static str,
     /// Parts of the table to read.
     pub(super) parts: Vec<String>,
-    /// Called with all rows after a full read.
-    pub(super) replace: Box<dyn Fn(Vec<Row>)>,
+    /// Called with all rows and their version after a full read.
+    pub(super) replace: Box<dyn Fn(Vec<Row>, u64)>,
     /// Called with changes since the last call.
     pub(super) change: Box<dyn Fn(Changes)>,
     /// Called after each answer of the store.
@@ -100,7 +101,7 @@
             read(part).await?;
         }
     }
-    (sink.replace)(rows);
+    (sink.replace)(rows, version);
     (sink.confirm)();
     Ok(version)
 }
@@ -140,24 +141,32 @@
 pub(super) fn operator_sink(
     known: Rc<KnownConfig>,
     calls: Rc<Calls>,
+    members: Rc<EndpointRoster>,
     position: Position,
     on_change: impl Fn() + 'static,
 ) -> Sink {
     let apply = Rc::new({
         let known = Rc::clone(&known);
-        move |rows: Vec<Row>| {
+        move |rows: &[Row]| {
             for row in rows {
-                apply_operator_row(&known, &calls, &row);
+                apply_operator_row(&known, &calls, row);
             }
             on_change();
         }
     });
     let replace = Rc::clone(&apply);
+    let all = Rc::clone(&members);
     Sink {
         table: table::OPERATOR_TABLE,
         parts: vec![String::new()],
-        replace: Box::new(move |rows| replace(rows)),
-        change: Box::new(move |changes| apply(changes.rows)),
+        replace: Box::new(move |rows, version| {
+            all.replace_evacuations(version, &rows);
+            replace(&rows);
+        }),
+        change: Box::new(move |changes| {
+            members.update_evacuations(&changes);
+            apply(&changes.rows);
+        }),
         confirm: Box::new(move || known.confirm(Instant::now())),
         pause: Box::new(|| Duration::ZERO),
         position,
@@ -209,17 +218,23 @@
     /// Keys of entries that could not be decoded, with the versions of their rows.
     broken: RefCell<HashMap<String, u64>>,
     meters: Rc<Meters>,
+    data_centres: Rc<DataCentres>,
     /// Notified when the time of the next expiry may have changed.
     expiry_changed: Notify,
     on_change: RosterListener,
 }
 
 impl EndpointRoster {
-    pub(super) fn new(meters: Rc<Meters>, on_change: impl Fn(&[EndpointChange]) + 'static) -> Self {
+    pub(super) fn new(
+        meters: Rc<Meters>,
+        data_centres: Rc<DataCentres>,
+        on_change: impl Fn(&[EndpointChange]) + 'static,
+    ) -> Self {
         Self {
             roster: RefCell::new(Roster::new()),
             broken: RefCell::default(),
             meters,
+            data_centres,
             expiry_changed: Notify::new(),
             on_change: Box::new(on_change),
         }
@@ -242,6 +257,20 @@
         found.cloned().collect()
     }
 
+    /// Returns how many endpoints meet a condition.
+    pub(super) fn count(&self, condition: impl Fn(&Endpoint) -> bool) -> usize {
+        let roster = self.roster.borrow();
+        roster.iter().filter(|endpoint| condition(endpoint)).count()
+    }
+
+    pub(super) fn roster_mut(&self) -> RefMut<'_, Roster> {
+        self.roster.borrow_mut()
+    }
+
+    pub(super) const fn data_centres(&self) -> &Rc<DataCentres> {
+        &self.data_centres
+    }
+
     /// Expires entries that have been missing for too long.
     pub(super) async fn run_expiry(&self) {
         loop {
@@ -260,11 +289,17 @@
         for change in changes {
             match change {
                 EndpointChange::Updated(e) => log::info!(target: HOSTS, endpoint = e.id.as_str(),
-                    service = e.service.as_str(), leaving = e.leaving; "An endpoint is known."),
+                    service = e.service.as_str(), leaving = e.leaving, evacuated = e.evacuated;
+                    "An endpoint is known."),
                 EndpointChange::Removed(id) => log::info!(target: HOSTS, endpoint = id.as_str();
                     "An endpoint is gone."),
             }
         }
+        self.publish_marked(changes);
+    }
+
+    /// Passes changes to the listener that were logged as a whole.
+    pub(super) fn publish_marked(&self, changes: &[EndpointChange]) {
         if !changes.is_empty() {
             (self.on_change)(changes);
         }
@@ -284,7 +319,7 @@
     Sink {
         table: table::ENDPOINTS_TABLE,
         parts: vec![String::new()],
-        replace: Box::new(move |rows| {
+        replace: Box::new(move |rows, _version| {
             let endpoints = rows.iter().filter_map(|row| all.decode(row)).collect();
             let changes = all.roster.borrow_mut().replace(Instant::now(), endpoints);
             all.publish(&changes);
@@ -332,12 +367,17 @@
             }
             Err(error) => error.to_string(),
         };
-        let previous = self.broken.borrow_mut().insert(key.to_owned(), row.version);
-        if previous != Some(row.version) {
+        if self.is_new_broken(key, row.version) {
             self.meters.broken_entries.inc();
             log::warn!(target: HOSTS, endpoint = key, row = row.version, error = error.as_str();
                 "An endpoint's entry is broken; it is ignored.");
         }
         None
     }
+
+    /// Records a row that can't be decoded; returns whether this version of it is new.
+    pub(super) fn is_new_broken(&self, key: &str, version: u64) -> bool {
+        let previous = self.broken.borrow_mut().insert(key.to_owned(), version);
+        previous != Some(version)
+    }
 }
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -4,7 +4,10 @@
     REPORT_INTERVAL, Weights,
     order::{LOAD_TIMEOUT, RETRY_DELAY},
 };
-use crate::{gateway::http::encode, logs::WEIGHTS};
+use crate::{
+    gateway::http::{Fault, encode},
+    logs::WEIGHTS,
+};
 use hibiscusroad::{
     clock::millis,
     rollout::{LoadOrder, OrderAnswer, load_plan::WeightLoad},
@@ -17,6 +20,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use std::{
+    error::Error,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -29,6 +33,17 @@
 /// new weights.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Why an engine did not answer a call.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    /// The call was not sent, since the data centre of the engine is evacuated.
+    #[error("the data centre is evacuated")]
+    Evacuated,
+    /// The call may have been executed.
+    #[error("{0}")]
+    Lost(String),
+}
+
 impl Weights {
     /// Orders an engine to load a version, and waits until the engine runs it. The order is
     /// sent before `valid_until`, or not at all.
@@ -92,6 +107,16 @@
         let previous = weights.find(|weights| weights.model == load.model);
         let previous = previous.map_or(0, |weights| weights.version);
         let answer = self.call(&endpoint, engine::order_request(&order)).await;
+        if matches!(answer, Err(CallError::Evacuated)) {
+            log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(),
+                model = load.model.as_str(), version = load.version,
+                place = endpoint.data_centre.as_str();
+                "No order is given to an engine in an evacuated data centre.");
+            self.order_counts
+                .borrow_mut()
+                .insert(load.endpoint.clone(), order_count);
+            return false;
+        }
         let answer = answer.map_or(OrderAnswer::Unknown, |(status, _)| {
             engine::order_outcome(status)
         });
@@ -147,6 +172,10 @@
                 continue;
             }
             next_report = Instant::now() + REPORT_INTERVAL;
+            // Nothing is sent to an evacuated data centre; its engines still register weights.
+            if current.evacuated {
+                continue;
+            }
             let report = self.fetch_report(endpoint).await;
             if report.is_some_and(|report| self.record_report(load, &report)) {
                 return true;
@@ -181,7 +210,8 @@
     async fn fetch_report(&self, endpoint: &Endpoint) -> Option<Report> {
         let (status, body) = self
             .call(endpoint, engine::report_request(&endpoint.id))
-            .await?;
+            .await
+            .ok()?;
         match engine::decode_report(status, &body) {
             Ok(report)
                 if report.started_ms.is_some() && report.started_ms != endpoint.started_ms =>
@@ -200,25 +230,29 @@
         }
     }
 
-    async fn call(&self, endpoint: &Endpoint, wire: Wire) -> Option<(u16, Bytes)> {
+    async fn call(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), CallError> {
         let answer = timeout(CALL_TIMEOUT, self.exchange(endpoint, wire)).await;
-        let error = match answer {
-            Ok(Ok(answer)) => return Some(answer),
-            Ok(Err(error)) => error,
-            Err(_elapsed) => "timed out".to_owned(),
-        };
-        log::info!(target: WEIGHTS, endpoint = endpoint.id.as_str(), error = error.as_str();
-            "An engine did not answer.");
-        None
+        let answer = answer.unwrap_or_else(|_elapsed| Err(CallError::Lost("timed out".to_owned())));
+        if let Err(error) = &answer {
+            log::info!(target: WEIGHTS, endpoint = endpoint.id.as_str(),
+                error = error.to_string().as_str(); "An engine did not answer.");
+        }
+        answer
     }
 
-    async fn exchange(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), String> {
-        let request = encode(&wire, endpoint.address).map_err(|error| error.to_string())?;
-        let sent = self.pool.send(endpoint.address, request).await;
-        let (response, connection) = sent.map_err(|fault| fault.to_string())?;
+    async fn exchange(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), CallError> {
+        let lost = |error: &dyn Error| CallError::Lost(error.to_string());
+        let request = encode(&wire, endpoint.address).map_err(|error| lost(&error))?;
+        let data_centre = endpoint.data_centre.as_str().into();
+        let start = || self.data_centres.enter(&data_centre);
+        let sent = self.pool.send_to_endpoint(endpoint.address, request, start);
+        let (response, connection) = sent.await.map_err(|fault| match fault {
+            Fault::Evacuated => CallError::Evacuated,
+            Fault::Connect(_) | Fault::Broken(_) => lost(&fault),
+        })?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await;
-        let body = body.map_err(|error| error.to_string())?;
+        let body = body.map_err(|error| lost(&error))?;
         self.pool.return_to_pool(connection, None);
         Ok((status, body.to_bytes()))
     }
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -16,6 +16,7 @@
 use super::{
     batches::Batches,
     duty::{DUTIES_TABLE, Duty},
+    evacuation::DataCentres,
     http::ConnectionPool,
     known_config::KnownConfig,
     meters::Meters,
@@ -56,6 +57,7 @@
     members: Rc<EndpointRoster>,
     batches: Rc<Batches>,
     pool: Rc<ConnectionPool>,
+    data_centres: Rc<DataCentres>,
     meters: Rc<Meters>,
     /// Engines that get no other order until this time, since they load or a load failed.
     reserved: RefCell<HashMap<String, Instant>>,
@@ -92,6 +94,7 @@
     pub(super) members: Rc<EndpointRoster>,
     pub(super) batches: Rc<Batches>,
     pub(super) pool: Rc<ConnectionPool>,
+    pub(super) data_centres: Rc<DataCentres>,
     pub(super) meters: Rc<Meters>,
 }
 
@@ -105,6 +108,7 @@
             members: dependencies.members,
             batches: dependencies.batches,
             pool: dependencies.pool,
+            data_centres: dependencies.data_centres,
             meters: dependencies.meters,
             reserved: RefCell::default(),
             reported: RefCell::default(),
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -97,6 +97,8 @@
     /// The slowness of its host in percent, if it reports that.
     slowness: Option<u32>,
     weights: BTreeMap<String, u64>,
+    /// The data centre in its entry.
+    data_centre: String,
     orders: u64,
     /// How long it takes to load weights that were ordered.
     load_duration: Duration,
@@ -169,6 +171,7 @@
                 item_events: BTreeMap::new(),
                 slowness: None,
                 weights: models.iter().map(|m| ((*m).to_owned(), 1)).collect(),
+                data_centre: "senec".to_owned(),
                 orders: 0,
                 load_duration: Duration::ZERO,
                 ordered_at: None,
@@ -193,6 +196,12 @@
         self.shared.register(self.addr(), state);
     }
 
+    /// Registers the endpoint in another data centre.
+    pub fn move_to(&self, data_centre: &str) {
+        data_centre.clone_into(&mut self.shared.lock().data_centre);
+        self.register("ready");
+    }
+
     /// Returns the address that it listens on.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
@@ -301,7 +310,7 @@
     fn register(&self, addr: SocketAddr, state: &str) {
         let models = self.models();
         let row = json!({ "service": self.service, "address": addr.to_string(),
-            "zone": "senec", "version": "v1", "slots": 8, "state": state,
+            "zone": self.lock().data_centre, "version": "v1", "slots": 8, "state": state,
             "coldRemainingMs": 0, "models": models, "seq": 1 });
         self.store.put_json("servers", &self.id, &row);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 //! * [`config`]: the configuration document, its changes and its propagation.
 //! * [`contention`]: the switch for decisions on competition for room.
 //! * [`error`]: the closed list of error kinds and the answers for them.
+//! * [`evacuation`]: the data centres that operators have evacuated.
 //! * [`gate`]: admission, sealing, buffering and replay at a sidecar.
 //! * [`id`]: identifiers of requests and processes.
 //! * [`lease`]: duties with one holder, and their fencing tokens.
@@ -55,6 +56,7 @@
 pub mod config;
 pub mod contention;
 pub mod error;
+pub mod evacuation;
 pub mod gate;
 pub mod id;
 pub mod lease;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -5,7 +5,12 @@
 //! although the endpoints serve; live endpoints register again about two seconds after the
 //! outage. Dropping them at once would empty whole services. So an entry that goes missing
 //! within [`REREGISTRATION_GRACE`] of an outage is kept for the rest of that time.
+//!
+//! The roster also marks the endpoints of evacuated data centres ([`crate::evacuation`]), and
+//! changes of evacuations are changes of their endpoints. It is the one place from which senders
+//! of requests learn of both. Until the evacuations are known, it has no endpoint for them.
 
+use crate::evacuation::{EvacuationChange, EvacuationRow, Evacuations};
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -95,16 +100,27 @@
     drop_at: Option<Instant>,
 }
 
+/// Changes of evacuations, and the endpoints that they concern.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EvacuationUpdate {
+    /// The data centres whose state has changed.
+    pub evacuations: Vec<EvacuationChange>,
+    /// The changes of endpoints, those that open first; all endpoints when the evacuations become
+    /// known.
+    pub endpoints: Vec<EndpointChange>,
+}
+
 /// All known endpoints.
 #[derive(Debug, Default)]
 pub struct Roster {
     rows: HashMap<String, Row>,
     /// The end of the grace period after an outage.
     grace_end: Option<Instant>,
+    evacuations: Evacuations,
 }
 
 impl Roster {
-    /// Creates an empty roster.
+    /// Creates an empty roster, which reports no endpoint before it knows the evacuations.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
@@ -133,7 +149,8 @@
     ///
     /// A restarted endpoint, which has lost its state, is reported as removed and as updated.
     /// A late entry of an earlier incarnation is ignored.
-    pub fn update(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+    pub fn update(&mut self, mut endpoint: Endpoint) -> Vec<EndpointChange> {
+        endpoint.evacuated = self.evacuations.contains(&endpoint.data_centre);
         let mut changes = Vec::new();
         if let Some(row) = self.rows.get_mut(&endpoint.id) {
             let (old_start, new_start) = (row.endpoint.started_ms, endpoint.started_ms);
@@ -154,6 +171,9 @@
         };
         self.rows.insert(endpoint.id.clone(), row);
         changes.push(EndpointChange::Updated(endpoint));
+        if !self.evacuations.is_known() {
+            changes.clear();
+        }
         changes
     }
 
@@ -165,7 +185,8 @@
             return None;
         }
         self.rows.remove(id);
-        Some(EndpointChange::Removed(id.to_owned()))
+        let is_known = self.evacuations.is_known();
+        is_known.then(|| EndpointChange::Removed(id.to_owned()))
     }
 
     /// Drops the endpoints whose entries are still missing after the grace period.
@@ -173,14 +194,67 @@
         let is_due = |row: &Row| row.drop_at.is_some_and(|until| until <= now);
         let rows = self.rows.iter().filter(|(_, row)| is_due(row));
         let ids: Vec<String> = rows.map(|(id, _)| id.clone()).collect();
+        let is_known = self.evacuations.is_known();
         ids.into_iter()
-            .map(|id| {
+            .filter_map(|id| {
                 self.rows.remove(&id);
-                EndpointChange::Removed(id)
+                is_known.then_some(EndpointChange::Removed(id))
             })
             .collect()
     }
 
+    /// Replaces the evacuations by a read of all their rows as of a version of the store.
+    pub fn replace_evacuations(
+        &mut self,
+        version: u64,
+        rows: impl IntoIterator<Item = EvacuationRow>,
+    ) -> EvacuationUpdate {
+        let is_first = !self.evacuations.is_known();
+        let evacuations = self.evacuations.replace(version, rows);
+        self.mark_endpoints(evacuations, is_first)
+    }
+
+    /// Applies changes of the rows of evacuations up to a version of the store.
+    pub fn update_evacuations<'a>(
+        &mut self,
+        version: u64,
+        rows: impl IntoIterator<Item = EvacuationRow>,
+        removed: impl IntoIterator<Item = &'a str>,
+    ) -> EvacuationUpdate {
+        let evacuations = self.evacuations.update(version, rows, removed);
+        self.mark_endpoints(evacuations, false)
+    }
+
+    /// Marks the endpoints in evacuated data centres, and returns those that have changed, or
+    /// all of them.
+    fn mark_endpoints(&mut self, changes: Vec<EvacuationChange>, all: bool) -> EvacuationUpdate {
+        let mut endpoints = Vec::new();
+        if all || !changes.is_empty() {
+            for Row { endpoint, .. } in self.rows.values_mut() {
+                let evacuated = self.evacuations.contains(&endpoint.data_centre);
+                if endpoint.evacuated != evacuated || all {
+                    endpoint.evacuated = evacuated;
+                    endpoints.push(EndpointChange::Updated(endpoint.clone()));
+                }
+            }
+        }
+        if !self.evacuations.is_known() {
+            endpoints.clear();
+        }
+        // Endpoints that open come first: a call that waits must not find all of them closed
+        // while one data centre takes the place of another.
+        endpoints.sort_by_key(|change| change.updated().is_some_and(|it| it.evacuated));
+        EvacuationUpdate {
+            evacuations: changes,
+            endpoints,
+        }
+    }
+
+    /// Returns the evacuated data centres by name.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.evacuations.iter()
+    }
+
     /// Returns when [`Roster::expire`] next drops an endpoint.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
@@ -190,11 +264,13 @@
     /// Returns the endpoint with an id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
-        self.rows.get(id).map(|row| &row.endpoint)
+        let row = self.rows.get(id).filter(|_| self.evacuations.is_known());
+        row.map(|row| &row.endpoint)
     }
 
     /// Returns all endpoints, in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.rows.values().map(|row| &row.endpoint)
+        let rows = self.rows.values().filter(|_| self.evacuations.is_known());
+        rows.map(|row| &row.endpoint)
     }
 }
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -37,6 +37,9 @@
 const MAX_TAIL_SHARE: f64 = 0.5;
 /// Wait below which only the median service time has to fit, if it is known.
 const NEGLIGIBLE_WAIT_SECS: f64 = 0.001;
+/// Mean time after which callers come back that were refused because of an evacuation. Its end is
+/// not known, and causes no event for them; a second is short beside an evacuation.
+const EVACUATED_DELAY: Duration = Duration::from_secs(1);
 
 impl Router {
     /// Queues the call, or refuses it and returns `false`.
@@ -186,7 +189,11 @@
         let call = row.call;
         let run_error = row.run_error.filter(|_| kind.answer().not_run);
         let kind = run_error.unwrap_or(kind);
-        let retry_after = self.next_return(now, &call);
+        let retry_after = if kind == ErrorKind::NoEndpoint && self.is_evacuated(call.service) {
+            EVACUATED_DELAY.mul_f64(0.75 + 0.5 * self.rng.random::<f64>())
+        } else {
+            self.next_return(now, &call)
+        };
         self.remove_call(now, key);
         self.steps.push_back(Step::Refuse {
             id: call.id,
@@ -195,6 +202,13 @@
         });
     }
 
+    /// Returns whether an evacuation has closed endpoints of a service.
+    fn is_evacuated(&self, service: ServiceKey) -> bool {
+        let keys = self.services.get(service).map(|row| &row.endpoints);
+        let mut keys = keys.into_iter().flatten();
+        keys.any(|key| self.endpoints[*key].evacuated)
+    }
+
     /// Chooses when a refused caller should come back.
     fn next_return(&mut self, now: Instant, call: &Call) -> Duration {
         let random = self.rng.random();
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -215,7 +215,9 @@
         let service = &mut self.services[call.service];
         // Known to be impossible where all endpoints are ejected.
         let has_endpoint = service.usable > 0 || !service.awaiting_trial.is_empty();
-        if retry && has_endpoint && service.budget.try_spend(RESEND_COST) {
+        // A call that was not sent adds no load when it is sent elsewhere.
+        let is_unsent = kind == ErrorKind::NoEndpoint;
+        if retry && has_endpoint && (is_unsent || service.budget.try_spend(RESEND_COST)) {
             self.enqueue(now, key);
         } else {
             self.refuse(now, key, kind);
@@ -246,6 +248,8 @@
                 }
                 _ => self.eject(now, endpoint, true),
             },
+            // Nothing was sent, which tells nothing about the endpoint.
+            ErrorKind::NoEndpoint if !attempt.trial => {}
             _ if kind.answer().retry == Retry::After => self.eject(now, endpoint, true),
             _ if attempt.trial => self.readmit(now, endpoint),
             _ => {}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -108,7 +108,7 @@
         self.service_keys.get(name).copied()
     }
 
-    /// Adds an endpoint, which accepts calls immediately.
+    /// Adds an endpoint, which accepts calls immediately unless its description says otherwise.
     ///
     /// # Panics
     ///
@@ -125,7 +125,8 @@
         key
     }
 
-    /// Adds several endpoints, which accept calls immediately.
+    /// Adds several endpoints, which accept calls immediately unless their descriptions say
+    /// otherwise.
     ///
     /// This is cheaper than adding them one by one, because the service's tiers are
     /// assigned only once.
@@ -181,6 +182,14 @@
         self.dispatch(now, service);
     }
 
+    /// Records whether the data centre of an endpoint is evacuated, which determines when refused
+    /// callers come back. [`Router::set_accepting`] closes the endpoint.
+    pub fn set_evacuated(&mut self, endpoint: EndpointKey, evacuated: bool) {
+        if let Some(row) = self.endpoints.get_mut(endpoint) {
+            row.evacuated = evacuated;
+        }
+    }
+
     /// Removes an endpoint. The entry still reports the end of each attempt that
     /// runs there.
     pub fn remove_endpoint(&mut self, now: Instant, endpoint: EndpointKey) {
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -62,6 +62,8 @@
     /// Capacity of its cache memory in tokens; 0 for a plain endpoint, which is
     /// limited only by the number of requests.
     pub cache_tokens: u64,
+    /// Whether it accepts calls when it is added.
+    pub accepting: bool,
 }
 
 impl EndpointSpec {
@@ -73,6 +75,7 @@
             data_centre: data_centre.to_owned(),
             limit: 64,
             cache_tokens: 0,
+            accepting: true,
         }
     }
 
@@ -83,6 +86,13 @@
         self
     }
 
+    /// Sets whether it accepts calls when it is added.
+    #[must_use]
+    pub const fn accepting(mut self, accepting: bool) -> Self {
+        self.accepting = accepting;
+        self
+    }
+
     /// Sets the maximum of requests that its sidecar accepts at once.
     #[must_use]
     pub const fn limit(mut self, limit: u32) -> Self {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -209,6 +209,8 @@
     pub(super) spec: EndpointSpec,
     pub(super) service: ServiceKey,
     pub(super) accepting: bool,
+    /// Whether its data centre is evacuated.
+    pub(super) evacuated: bool,
     pub(super) running: u32,
     /// Tokens of the running attempts.
     pub(super) tokens: u64,
@@ -237,9 +239,10 @@
     pub(super) fn new(service: ServiceKey, spec: EndpointSpec) -> Self {
         Self {
             limit: ConcurrencyLimit::new(spec.limit),
+            accepting: spec.accepting,
             spec,
             service,
-            accepting: true,
+            evacuated: false,
             running: 0,
             tokens: 0,
             health: Health::new(),
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -22,6 +22,13 @@
     }
 }
 
+/// Returns an empty roster without evacuations.
+fn roster() -> Roster {
+    let mut roster = Roster::new();
+    roster.replace_evacuations(1, []);
+    roster
+}
+
 fn removed(id: &str) -> EndpointChange {
     EndpointChange::Removed(id.to_owned())
 }
@@ -29,7 +36,7 @@
 #[test]
 fn removed_endpoint_is_dropped_at_once() {
     let now = Instant::now();
-    let mut roster = Roster::new();
+    let mut roster = roster();
     assert_eq!(roster.update(endpoint("a")).len(), 1);
     assert!(roster.update(endpoint("a")).is_empty(), "nothing changed");
     assert_eq!(roster.remove(now, "a"), Some(removed("a")));
@@ -40,7 +47,7 @@
 #[test]
 fn entries_that_expired_in_an_outage_are_kept_for_the_grace_period() {
     let now = Instant::now();
-    let mut roster = Roster::new();
+    let mut roster = roster();
     roster.replace(now, vec![endpoint("a"), endpoint("b")]);
     roster.record_recovery(now);
     assert!(roster.replace(now, Vec::new()).is_empty());
@@ -56,7 +63,7 @@
 #[test]
 fn endpoint_removed_after_the_grace_period_is_dropped_at_once() {
     let now = Instant::now();
-    let mut roster = Roster::new();
+    let mut roster = roster();
     roster.update(endpoint("a"));
     roster.record_recovery(now);
     assert_eq!(
@@ -158,7 +165,7 @@
 // Guards against attributing the state of a crashed engine to its next incarnation.
 #[test]
 fn restarted_endpoint_is_reported_as_removed_and_updated() {
-    let mut roster = Roster::new();
+    let mut roster = roster();
     let incarnation = |started_ms: u64| Endpoint {
         started_ms: Some(started_ms),
         ..endpoint("a")
