--- a/hibiscusroad-daemon/src/gateway/evacuation.rs
+++ b/hibiscusroad-daemon/src/gateway/evacuation.rs
@@ -109,8 +109,9 @@
     /// Applies a read of the whole operator's table as of a version.
     pub(super) fn replace_evacuations(&self, version: u64, rows: &[Row]) {
         let rows = self.decode_evacuations(rows);
+        let is_first = !self.roster_mut().knows_evacuations();
         let update = self.roster_mut().replace_evacuations(version, rows);
-        self.apply_evacuations(&update);
+        self.apply_evacuations(&update, is_first);
     }
 
     /// Applies changes of the operator's table.
@@ -120,7 +121,7 @@
         let update = self
             .roster_mut()
             .update_evacuations(changes.version, rows, removed);
-        self.apply_evacuations(&update);
+        self.apply_evacuations(&update, false);
     }
 
     /// Returns the rows that evacuate a data centre. One without a name is logged once.
@@ -142,13 +143,18 @@
         rows.collect()
     }
 
-    /// Stops new requests to evacuated data centres, then publishes the changed endpoints.
-    fn apply_evacuations(&self, update: &EvacuationUpdate) {
+    /// Stops new requests to evacuated data centres, then publishes the changed endpoints, which
+    /// are new to this process if `is_first` is set.
+    fn apply_evacuations(&self, update: &EvacuationUpdate, is_first: bool) {
         for change in &update.evacuations {
             let running = self.data_centres().apply(change);
             self.log_evacuation(change, running);
         }
-        self.publish_marked(&update.endpoints);
+        if is_first {
+            self.publish(&update.endpoints);
+        } else {
+            self.publish_marked(&update.endpoints);
+        }
     }
 
     fn log_evacuation(&self, change: &EvacuationChange, running: usize) {
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -285,7 +285,7 @@
     }
 
     /// Logs changes and passes them to the listener.
-    fn publish(&self, changes: &[EndpointChange]) {
+    pub(super) fn publish(&self, changes: &[EndpointChange]) {
         for change in changes {
             match change {
                 EndpointChange::Updated(e) => log::info!(target: HOSTS, endpoint = e.id.as_str(),
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -250,6 +250,12 @@
         }
     }
 
+    /// Returns whether the evacuations are known, and with them the endpoints.
+    #[must_use]
+    pub const fn knows_evacuations(&self) -> bool {
+        self.evacuations.is_known()
+    }
+
     /// Returns the evacuated data centres by name.
     pub fn evacuated(&self) -> impl Iterator<Item = &str> {
         self.evacuations.iter()
