--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -233,17 +233,7 @@
         usage: Rc::clone(&usage),
     };
     Rc::new_cyclic(|gateway: &Weak<Gateway>| {
-        let listener = Weak::clone(gateway);
-        let on_change = move |changes: &[EndpointChange]| {
-            if let Some(gateway) = listener.upgrade() {
-                gateway.context.calls.apply_roster(changes);
-                gateway.context.crashes.apply_roster(changes);
-                gateway.batches.roster(changes);
-                gateway.weights.apply_roster(changes);
-            }
-        };
-        let members = EndpointRoster::new(Rc::clone(&meters), data_centres, on_change);
-        let members = Rc::new(members);
+        let members = new_roster(gateway, Rc::clone(&meters), data_centres);
         let directory = Directory::new(&settings.name, own.peers, times.clone());
         let batches = Rc::new(Batches::new(
             directory,
@@ -306,6 +296,24 @@
     })
 }
 
+/// Creates the roster, whose changes reach all senders of requests to endpoints.
+fn new_roster(
+    gateway: &Weak<Gateway>,
+    meters: Rc<Meters>,
+    data_centres: Rc<DataCentres>,
+) -> Rc<EndpointRoster> {
+    let listener = Weak::clone(gateway);
+    let on_change = move |changes: &[EndpointChange]| {
+        if let Some(gateway) = listener.upgrade() {
+            gateway.context.calls.apply_roster(changes);
+            gateway.context.crashes.apply_roster(changes);
+            gateway.batches.roster(changes);
+            gateway.weights.apply_roster(changes);
+        }
+    };
+    Rc::new(EndpointRoster::new(meters, data_centres, on_change))
+}
+
 /// Starts the gateway's background tasks.
 fn spawn_tasks(gateway: &Rc<Gateway>) {
     let Gateway {
