--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //!   its queues. [`account_meters`]: their log lines and metrics.
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
+//! * [`evacuation`]: requests in evacuated data centres.
 //! * [`duty`]: the lease of the gateway that acts for all.
 //! * [`store`], [`failure`], [`sync`], [`known_config`], [`refresh`]: the store's client and the
 //!   state that follows its tables.
@@ -41,6 +42,7 @@
 mod calls;
 mod crashes;
 mod duty;
+mod evacuation;
 mod exposition;
 mod failure;
 mod forward;
@@ -69,6 +71,7 @@
     calls::Calls,
     crashes::Crashes,
     duty::Duty,
+    evacuation::DataCentres,
     http::ConnectionPool,
     known_config::KnownConfig,
     meters::Meters,
@@ -85,7 +88,7 @@
     logs::{self, PROCESS},
     settings::{Gateway as GatewaySettings, Settings},
 };
-use hibiscusroad::{Incarnation, usage::Windows};
+use hibiscusroad::{Incarnation, roster::EndpointChange, usage::Windows};
 use std::{
     io,
     path::Path,
@@ -220,23 +223,17 @@
         Rc::clone(&store),
         Rc::clone(&meters),
     ));
+    let data_centres = Rc::new(DataCentres::new());
     let context = AttemptContext {
         crashes,
+        data_centres: Rc::clone(&data_centres),
         calls: Rc::clone(&calls),
         pool: Rc::clone(&pool),
         meters: Rc::clone(&meters),
         usage: Rc::clone(&usage),
     };
     Rc::new_cyclic(|gateway: &Weak<Gateway>| {
-        let listener = Weak::clone(gateway);
-        let members = Rc::new(EndpointRoster::new(Rc::clone(&meters), move |changes| {
-            if let Some(gateway) = listener.upgrade() {
-                gateway.context.calls.apply_roster(changes);
-                gateway.context.crashes.apply_roster(changes);
-                gateway.batches.roster(changes);
-                gateway.weights.apply_roster(changes);
-            }
-        }));
+        let members = new_roster(gateway, Rc::clone(&meters), data_centres);
         let directory = Directory::new(&settings.name, own.peers, times.clone());
         let batches = Rc::new(Batches::new(
             directory,
@@ -272,10 +269,16 @@
             members: Rc::clone(&members),
             batches: Rc::clone(&batches),
             pool,
+            data_centres: Rc::clone(&context.data_centres),
             meters: Rc::clone(&meters),
         };
         let weights = Rc::new(Weights::new(own.fences, dependencies));
-        let refresher = CatalogRefresher::new(Rc::clone(&store), Rc::clone(&known), calls);
+        let refresher = CatalogRefresher::new(
+            Rc::clone(&store),
+            Rc::clone(&known),
+            calls,
+            Rc::clone(&members),
+        );
         Gateway {
             known,
             refresher,
@@ -293,6 +296,24 @@
     })
 }
 
+/// Creates the roster, whose changes reach all senders of requests to endpoints.
+fn new_roster(
+    gateway: &Weak<Gateway>,
+    meters: Rc<Meters>,
+    data_centres: Rc<DataCentres>,
+) -> Rc<EndpointRoster> {
+    let listener = Weak::clone(gateway);
+    let on_change = move |changes: &[EndpointChange]| {
+        if let Some(gateway) = listener.upgrade() {
+            gateway.context.calls.apply_roster(changes);
+            gateway.context.crashes.apply_roster(changes);
+            gateway.batches.roster(changes);
+            gateway.weights.apply_roster(changes);
+        }
+    };
+    Rc::new(EndpointRoster::new(meters, data_centres, on_change))
+}
+
 /// Starts the gateway's background tasks.
 fn spawn_tasks(gateway: &Rc<Gateway>) {
     let Gateway {
@@ -323,6 +344,7 @@
         sync::operator_sink(
             Rc::clone(known),
             Rc::clone(&context.calls),
+            Rc::clone(members),
             refresher.position(),
             wake,
         ),
