End the process in the signal handler of a second signal, in all roles

Cause: a thread counted the signals that the handler had only flagged. Two that arrived before it ran, or before it was started, were one, and the process completed its stop. The thread also waited for the full event queue before it read the second. A gateway ignored a second signal altogether.

Change: the handler itself ends the process with code 3 on the second signal. The gateway uses the same handler as the other roles.

The tests: copies of `check` shared one settings file, so one waited at the port, or signalled the process, of another (codes 1 and none, "does not serve"). Each now has its own file and loopback address. In place of 0.1 s, the second signal waits until the first is handled, during a request that keeps the stop open; this is stricter, as the process has less time to count.

--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -84,6 +84,7 @@
 use crate::{
     logs::{self, PROCESS},
     settings::{Gateway as GatewaySettings, Settings},
+    stop::SignalHandler,
 };
 use hibiscusroad::{Incarnation, usage::Windows};
 use std::{
@@ -96,6 +97,7 @@
     net::TcpListener,
     runtime,
     signal::unix::{SignalKind, signal},
+    sync::oneshot,
     task::{LocalSet, spawn_local},
     time::{interval, timeout},
 };
@@ -134,8 +136,7 @@
 }
 
 async fn serve(settings: &Settings, own: &GatewaySettings, file: &Path) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let signals = SignalHandler::new()?;
     let callers = TcpListener::bind(own.callers).await?;
     let ready = TcpListener::bind(own.ready).await?;
     let meters = Rc::new(Meters::new().map_err(io::Error::other)?);
@@ -170,10 +171,13 @@
         let gateway = Rc::clone(&gateway);
         spawn_local(ready::serve(metrics, move || gateway.exposition()));
     }
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let (sender, first_signal) = oneshot::channel();
+    signals.watch(move || {
+        // The receiver lives until the signal is received.
+        let _ = sender.send(());
+    })?;
+    // The sender is dropped only after it has sent.
+    let _ = first_signal.await;
     log::info!(target: PROCESS, deadline_s = settings.stop.deadline_s; "A planned stop begins.");
     gateway.stop.begin();
     let handover = async {
--- a/hibiscusroad-daemon/src/stop.rs
+++ b/hibiscusroad-daemon/src/stop.rs
@@ -5,9 +5,17 @@
 
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
+    flag,
     iterator::Signals,
 };
-use std::{io, process, thread};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+};
 
 /// Exit code after a second signal.
 pub const EXIT_FORCED: i32 = 3;
@@ -18,10 +26,16 @@
 /// signal that arrives in between stays pending; without a handler it would kill the
 /// process and disconnect its callers.
 ///
+/// The second signal ends the process in the signal handler itself, whatever its threads do.
+/// Two signals that the system delivers as one, because the process did not run in between,
+/// count as one.
+///
 /// [`watch`]: Self::watch
 #[derive(Debug)]
 pub struct SignalHandler {
     signals: Signals,
+    /// Whether a signal has arrived.
+    has_signal: Arc<AtomicBool>,
 }
 
 impl SignalHandler {
@@ -31,12 +45,25 @@
     ///
     /// Returns an error if the handlers can't be installed.
     pub fn new() -> io::Result<Self> {
+        let has_signal = Arc::new(AtomicBool::new(false));
+        let is_armed = Arc::new(AtomicBool::new(false));
+        for signal in [SIGTERM, SIGINT] {
+            // Actions run in the order of their registration: the first signal arms the
+            // shutdown, and the second runs it. `has_signal` is registered first, so that a
+            // signal that arrives between two registrations is not lost.
+            flag::register(signal, Arc::clone(&has_signal))?;
+            flag::register_conditional_shutdown(signal, EXIT_FORCED, Arc::clone(&is_armed))?;
+            flag::register(signal, Arc::clone(&is_armed))?;
+        }
+        is_armed.fetch_or(has_signal.load(Ordering::SeqCst), Ordering::SeqCst);
         let signals = Signals::new([SIGINT, SIGTERM])?;
-        Ok(Self { signals })
+        Ok(Self {
+            signals,
+            has_signal,
+        })
     }
 
-    /// Spawns a thread that calls `on_first` on the first signal and ends the process on
-    /// the second.
+    /// Spawns a thread that calls `on_first` on the first signal.
     ///
     /// # Errors
     ///
@@ -45,13 +72,11 @@
         thread::Builder::new()
             .name("signals".to_owned())
             .spawn(move || {
-                let mut on_first = Some(on_first);
-                for _ in self.signals.forever() {
-                    match on_first.take() {
-                        Some(on_first) => on_first(),
-                        None => process::exit(EXIT_FORCED),
-                    }
+                // A signal that arrived before `signals` was created is in the flag only.
+                if !self.has_signal.load(Ordering::SeqCst) {
+                    self.signals.forever().next();
                 }
+                on_first();
             })?;
         Ok(())
     }
--- a/hibiscusroad-daemon/tests/check.rs
+++ b/hibiscusroad-daemon/tests/check.rs
@@ -3,20 +3,21 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs,
-    net::{SocketAddr, TcpListener, TcpStream},
+    io::Write,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::Path,
-    process::{Child, Command, Output, Stdio},
+    process::{self, Child, Command, Output, Stdio},
     sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
-/// Time limit for a process to start serving.
+/// Time limit for a process to start serving or to handle a signal.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time between two attempts to connect, short so that a test can send a signal right after
-/// the process starts to listen.
-const CONNECT_INTERVAL: Duration = Duration::from_micros(100);
+/// Time between two polls, short so that a test can send a signal right after the process
+/// starts to listen or has handled another.
+const POLL_INTERVAL: Duration = Duration::from_micros(100);
 
 /// Held while ports are chosen and while a process is spawned.
 ///
@@ -90,16 +91,23 @@
     }
 }
 
-/// Starts an entry whose platform can't be reached, and waits until it serves.
-fn start_entry(name: &str, ip: &str) -> Child {
-    start_process(name, ip, |callers, operators| {
+/// A started process.
+struct Process {
+    child: Child,
+    /// Where it will serve.
+    address: SocketAddr,
+}
+
+/// Starts an entry whose platform can't be reached.
+fn start_entry(name: &str, number: u32) -> Process {
+    start_process(name, number, |callers, operators| {
         format!("[entry]\ncallers = \"{callers}\"\noperators = \"{operators}\"\n")
     })
 }
 
-/// Starts a sidecar whose endpoint can't be reached, and waits until it serves.
-fn start_side(name: &str, ip: &str) -> Child {
-    start_process(name, ip, |links, endpoint| {
+/// Starts a sidecar whose endpoint can't be reached.
+fn start_side(name: &str, number: u32) -> Process {
+    start_process(name, number, |links, endpoint| {
         format!(
             "[side]\nlinks = \"{links}\"\nservice = \"desk\"\nendpoint = \"desk-1\"\n\
              address = \"{endpoint}\"\nkind = \"plain\"\n"
@@ -107,18 +115,26 @@
     })
 }
 
-/// Starts a process with the table that `role_table` returns, and waits until it serves at
-/// the first of the addresses passed to it.
+/// Returns a loopback address that no other test uses, in this process or in another.
+///
+/// The 24 bits below 127 hold a process id, which has at most 22 bits, and the number of the
+/// test, from 0 to 3.
+fn loopback_address(number: u32) -> Ipv4Addr {
+    assert!(number < 4);
+    Ipv4Addr::from(0x7f00_0000 | process::id() << 2 | number)
+}
+
+/// Starts a process with the table that `role_table` returns.
 ///
-/// Each test uses a loopback address of its own, so that none takes a port that another
-/// has just chosen.
+/// Addresses and the settings file are of this test alone, so that no other test, and no copy
+/// of this one, takes a port that was just chosen or overwrites the file.
 fn start_process(
     name: &str,
-    ip: &str,
+    number: u32,
     role_table: impl Fn(SocketAddr, SocketAddr) -> String,
-) -> Child {
+) -> Process {
     let lock = SPAWN_LOCK.lock().unwrap();
-    let bind = || TcpListener::bind((ip, 0)).unwrap();
+    let bind = || TcpListener::bind((loopback_address(number), 0)).unwrap();
     let (serving, other, platform) = (bind(), bind(), bind());
     let address_of = |listener: &TcpListener| listener.local_addr().unwrap();
     let address = address_of(&serving);
@@ -128,7 +144,8 @@
         address_of(&platform),
         role_table(address, address_of(&other)),
     );
-    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+    let file = format!("{name}-{}.toml", process::id());
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
     fs::write(&file, text).unwrap();
     drop((serving, other, platform));
     let child = Command::new(env!("CARGO_BIN_EXE_hibiscusroadd"))
@@ -137,44 +154,122 @@
         .spawn()
         .unwrap();
     drop(lock);
-    let start = Instant::now();
-    while TcpStream::connect(address).is_err() {
-        assert!(start.elapsed() < START_TIMEOUT, "{name} does not serve");
-        thread::sleep(CONNECT_INTERVAL);
+    Process { child, address }
+}
+
+impl Process {
+    /// Waits until it serves, and returns a connection to it.
+    fn connect(&self) -> TcpStream {
+        until("the process serves", || {
+            TcpStream::connect(self.address).ok()
+        })
+    }
+
+    fn terminate(&self) {
+        let pid = Pid::from_raw(self.child.id().try_into().unwrap()).unwrap();
+        kill_process(pid, Signal::TERM).unwrap();
+    }
+
+    fn exit_code(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
     }
-    child
+
+    /// Returns whether it has installed all actions for SIGTERM: the handler of SIGINT is
+    /// installed after them.
+    fn handles_termination(&self) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        has_signal(&status.unwrap(), "SigCgt:", Signal::INT)
+    }
+
+    /// Returns whether no SIGTERM is pending and no thread runs the handler, during which
+    /// SIGTERM is blocked.
+    fn has_handled_signal(&self) -> bool {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let statuses = threads.map(|thread| {
+            // A thread may have ended since.
+            fs::read_to_string(thread.unwrap().path().join("status")).unwrap_or_default()
+        });
+        let lists = ["ShdPnd:", "SigPnd:", "SigBlk:"];
+        statuses.into_iter().all(|status| {
+            lists
+                .iter()
+                .all(|list| !has_signal(&status, list, Signal::TERM))
+        })
+    }
+}
+
+/// Returns whether a signal is in a list of signals of a `/proc` status file.
+fn has_signal(status: &str, list: &str, signal: Signal) -> bool {
+    let mut lines = status.lines();
+    let mask = lines.find_map(|line| line.strip_prefix(list));
+    let mask = u64::from_str_radix(mask.unwrap_or("0").trim(), 16).unwrap();
+    mask & 1 << (signal.as_raw() - 1) != 0
 }
 
-fn terminate(child: &Child) {
-    let pid = Pid::from_raw(child.id().try_into().unwrap()).unwrap();
-    kill_process(pid, Signal::TERM).unwrap();
+/// Polls `check` until it returns a value; panics with `what` after [`START_TIMEOUT`].
+fn until<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = check() {
+            return found;
+        }
+        assert!(start.elapsed() < START_TIMEOUT, "timed out: {what}");
+        thread::sleep(POLL_INTERVAL);
+    }
 }
 
 // The signal arrives right after the first connection. A process that listened before it
 // handled signals would be killed and disconnect its callers.
 #[test]
 fn graceful_shutdown_exits_with_0() {
-    let mut child = start_entry("planned-stop", "127.0.0.2");
-    terminate(&child);
-    assert_eq!(child.wait().unwrap().code(), Some(0));
+    let mut entry = start_entry("planned-stop", 0);
+    let _connection = entry.connect();
+    entry.terminate();
+    assert_eq!(entry.exit_code(), Some(0));
 }
 
 // The same for a sidecar, whose first connection is a stream from an entry.
 #[test]
 fn graceful_shutdown_of_side_exits_with_0() {
-    let mut child = start_side("planned-stop-side", "127.0.0.4");
-    terminate(&child);
-    assert_eq!(child.wait().unwrap().code(), Some(0));
+    let mut side = start_side("planned-stop-side", 1);
+    let _connection = side.connect();
+    side.terminate();
+    assert_eq!(side.exit_code(), Some(0));
 }
 
-// The second signal arrives during the graceful shutdown.
+// The second signal arrives during the graceful shutdown, as soon as the first is handled. A
+// process that counted signals later, in a thread, would take both for one and complete the
+// request.
 #[test]
 fn second_signal_exits_with_3() {
-    let mut child = start_entry("second-signal", "127.0.0.3");
-    terminate(&child);
-    thread::sleep(Duration::from_millis(100));
-    terminate(&child);
-    assert_eq!(child.wait().unwrap().code(), Some(3));
+    let mut entry = start_entry("second-signal", 2);
+    let mut request = entry.connect();
+    // The process waits for the rest of the request, so it doesn't end before the signal.
+    request
+        .write_all(b"POST /s/desk/x HTTP/1.1\r\nContent-Length: 9\r\n\r\n")
+        .unwrap();
+    entry.terminate();
+    until("the first signal is handled", || {
+        entry.has_handled_signal().then_some(())
+    });
+    entry.terminate();
+    assert_eq!(entry.exit_code(), Some(3));
+}
+
+// The same before the process listens, when nothing waits for signals yet. An entry that stops
+// stays for its idle connections, so it doesn't end before the second signal.
+#[test]
+fn second_signal_during_start_exits_with_3() {
+    let mut entry = start_entry("second-signal-start", 3);
+    until("the process handles signals", || {
+        entry.handles_termination().then_some(())
+    });
+    entry.terminate();
+    until("the first signal is handled", || {
+        entry.has_handled_signal().then_some(())
+    });
+    entry.terminate();
+    assert_eq!(entry.exit_code(), Some(3));
 }
 
 // The settings are valid, but the address for callers is in use.
--- a/hibiscusroad-daemon/tests/gateway_process.rs
+++ b/hibiscusroad-daemon/tests/gateway_process.rs
@@ -2,8 +2,11 @@
 
 mod gateway_world;
 
-use gateway_world::{HOST, World, ask, config, raw, read_all, settings_text, until};
-use hibiscusroad_standins::{direct::Store, ports};
+use gateway_world::{HOST, WAIT_TIMEOUT, World, ask, config, raw, read_all, settings_text, until};
+use hibiscusroad_standins::{
+    direct::{Behaviour, Store},
+    ports,
+};
 use rustix::process::Signal;
 use std::{
     fs,
@@ -98,6 +101,32 @@
     assert_eq!(gateway.wait().code(), Some(0));
 }
 
+// Guards against a planned stop that ignores a second signal while a request is in flight.
+#[test]
+fn second_signal_ends_a_planned_stop() {
+    let (mut world, desk, _engine) = World::ready("second-signal", 1);
+    desk.set_behaviour(Behaviour::Silent);
+    let callers = world.gateways[0].callers;
+    let cut_off = thread::spawn(move || {
+        let headers = [("X-Request-Id", "slow-1"), ("X-Deadline-Ms", "5000")];
+        ask("POST", callers, "/desk/slow", &headers, b"", WAIT_TIMEOUT)
+    });
+    until("the endpoint has it", || {
+        let runs = desk.runs();
+        runs.iter().any(|ran| ran.id == "slow-1").then_some(())
+    });
+    let gateway = &mut world.gateways[0];
+    gateway.signal(Signal::TERM);
+    let ready = gateway.ready;
+    until("the process is not ready", || {
+        let answer = ask("GET", ready, "/readyz", &[], b"", Duration::from_secs(1));
+        (answer?.status == 503).then_some(())
+    });
+    gateway.signal(Signal::TERM);
+    assert_eq!(gateway.wait().code(), Some(3));
+    assert!(cut_off.join().unwrap().is_none());
+}
+
 // Connections with a partial request or none must time out, or they would exhaust file
 // descriptors. A connection that is reused within the idle timeout stays open.
 #[test]
