Keep the planned stop of a gateway through repeated signals

A gateway that ended at the second signal would cut off requests in flight where a restart is ordered twice. It ignores further signals, as it did before; entry and sidecar keep ending. second_signal_does_not_cut_off_requests_in_flight takes the place of the test of the opposite.

--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -87,7 +87,6 @@
 use crate::{
     logs::{self, PROCESS},
     settings::{Gateway as GatewaySettings, Settings},
-    stop::SignalHandler,
 };
 use hibiscusroad::{Incarnation, roster::EndpointChange, usage::Windows};
 use std::{
@@ -100,7 +99,6 @@
     net::TcpListener,
     runtime,
     signal::unix::{SignalKind, signal},
-    sync::oneshot,
     task::{LocalSet, spawn_local},
     time::{interval, timeout},
 };
@@ -139,7 +137,8 @@
 }
 
 async fn serve(settings: &Settings, own: &GatewaySettings, file: &Path) -> io::Result<()> {
-    let signals = SignalHandler::new()?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let callers = TcpListener::bind(own.callers).await?;
     let ready = TcpListener::bind(own.ready).await?;
     let meters = Rc::new(Meters::new().map_err(io::Error::other)?);
@@ -174,13 +173,12 @@
         let gateway = Rc::clone(&gateway);
         spawn_local(ready::serve(metrics, move || gateway.exposition()));
     }
-    let (sender, first_signal) = oneshot::channel();
-    signals.watch(move || {
-        // The receiver lives until the signal is received.
-        let _ = sender.send(());
-    })?;
-    // The sender is dropped only after it has sent.
-    let _ = first_signal.await;
+    // Further signals are ignored: an operator's tool may repeat a restart that is under way, and
+    // the requests in flight have the whole grace period. The platform kills a process after it.
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
     log::info!(target: PROCESS, deadline_s = settings.stop.deadline_s; "A planned stop begins.");
     gateway.stop.begin();
     let handover = async {
