Choose endpoints from near to far and only in the allowed regions

Cause: the router distinguished only its own data centre from all others, and knew no regions in which a call may be served.

Change: Topology knows the regions of data centres, and each call carries a RegionSet that binds choice, hedges, retries, trials, prefixes, preemption and admission. Other regions are one more tier with a higher bar. A call whose regions have no endpoint is refused with no-endpoint-in-region.

--- a/src/error.rs
+++ b/src/error.rs
@@ -132,6 +132,8 @@
     HandoverFull = 503, "handover-full", "Too many requests at once", true, After;
     /// No endpoint of the service accepts requests.
     NoEndpoint = 503, "no-endpoint", "No endpoint takes work", true, After;
+    /// No endpoint in the regions that are allowed for the request accepts requests.
+    NoEndpointInRegion = 503, "no-endpoint-in-region", "No endpoint in the allowed regions takes work", true, After;
     /// The request crashes the endpoints that run it.
     Quarantined = 503, "quarantined", "Endpoints end while they run this request", true, After;
     /// The process or endpoint is stopping and accepts no new requests.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 //! * [`subset`]: the choice of sidecars to which an entry keeps streams.
 //! * [`table`]: the interface to the table service that stores persistent data.
 //! * [`timeout`]: a timeout that adapts to the latency of a service.
+//! * [`topology`]: data centres, regions, and where a request may be served.
 //! * [`train`]: the steps, samples and pace of a trainer.
 //! * [`usage`]: the usage of client accounts, and its reports.
 
@@ -66,6 +67,7 @@
 pub mod subset;
 pub mod table;
 pub mod timeout;
+pub mod topology;
 pub mod train;
 pub mod usage;
 
--- a/src/route/accounts.rs
+++ b/src/route/accounts.rs
@@ -14,7 +14,7 @@
     error::ErrorKind,
     route::{
         ServiceKey,
-        admit::{fits_deadline, slot_wait},
+        admit::fits_deadline,
         fair::{AccountKey, FairQueue, LastCall},
         queue::{QueueKey, QueuedCall},
         retry_after::{ReturnSchedule, seconds},
@@ -22,6 +22,7 @@
         spec::Call,
         table::CallKey,
     },
+    topology::RegionSet,
 };
 use std::time::{Duration, Instant};
 
@@ -126,19 +127,32 @@
     }
 
     /// Returns the call of a class that is to be started next: that of an account with places
-    /// left, if there is one.
+    /// left, if there is one. Calls that may only use regions of a `blocked` set are passed over.
     pub(super) fn first_call(
         &self,
         service: ServiceKey,
         class: Class,
+        blocked: &[(Class, RegionSet)],
     ) -> Option<(QueueKey, QueuedCall)> {
         let row = &self.services[service];
         let queue = row.queue(class);
-        let Some(limit) = self.max_places(service) else {
-            return queue.first();
-        };
-        let has_places = |id| (row.running_of(id) as usize) < limit;
-        queue.first_of(has_places).or_else(|| queue.first())
+        let limit = self.max_places(service);
+        let has_places = |id| limit.is_none_or(|limit| (row.running_of(id) as usize) < limit);
+        let blocked = || blocked.iter().filter(|(other, _)| *other == class);
+        if blocked().next().is_none() {
+            return match limit {
+                None => queue.first(),
+                Some(_) => queue.first_of(has_places).or_else(|| queue.first()),
+            };
+        }
+        let mut others = queue.in_order();
+        others.retain(|(_, queued)| {
+            let regions = self.calls[queued.call].call.regions;
+            !blocked().any(|(_, set)| regions.is_subset(*set))
+        });
+        let account = |key: CallKey| self.calls[key].call.account.unwrap_or_default().id;
+        let with_places = others.iter().find(|(_, it)| has_places(account(it.call)));
+        with_places.or_else(|| others.first()).copied()
     }
 
     /// Estimates how long it takes to start `work` seconds of calls that go before those of an
@@ -209,11 +223,17 @@
     /// more seconds before it.
     fn is_in_time(&self, now: Instant, call: &Call, last: &LastCall, work: f64) -> bool {
         let row = &self.services[call.service];
-        let Some(estimate) = self.estimate(&self.calls[last.call.call].call) else {
+        let last_call = &self.calls[last.call.call].call;
+        let regions = last_call.regions;
+        if regions.intersection(call.regions).is_empty() {
+            return true;
+        }
+        let Some(estimate) = self.estimate(last_call) else {
             return true;
         };
         let others = row.queue(call.class).work() - last.call.work;
-        let ahead = others + work + slot_wait(row, &estimate);
+        let share = row.competing_share(call.class, regions);
+        let ahead = (others + work) * share + row.slot_wait(regions, estimate.mean);
         let wait = self.account_wait(now, call, last.account, ahead);
         let time_left = last.deadline.saturating_duration_since(now).as_secs_f64();
         let slowness = self.relative_slowness(now, call.service).max(1.0);
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -17,7 +17,7 @@
         service_times::Estimate,
         share,
         spec::{Call, Step},
-        table::{BASE_WAIT_MARGIN, CallKey, DISPATCH_INTERVAL, ServiceRow, Timer},
+        table::{BASE_WAIT_MARGIN, CallKey, DISPATCH_INTERVAL, Timer},
     },
 };
 use rand::Rng;
@@ -66,22 +66,31 @@
     fn check_admission(&self, now: Instant, call: &Call, work: f64) -> Result<bool, ErrorKind> {
         let row = &self.services[call.service];
         let queue = row.queue(call.class);
-        if row.usable == 0 && row.awaiting_trial.is_empty() {
-            return Err(ErrorKind::NoEndpoint);
-        }
+        self.check_endpoints(call.service, call.regions)?;
         let account = self.queue_account(call);
         self.check_share(call, account)?;
-        let displaces = self.displaces_last(now, call, account, work)?;
         let time_left = (call.deadline - now).as_secs_f64();
+        let slowness = self.relative_slowness(now, call.service).max(1.0);
+        if row.starts_at_once(call.class, call.regions) {
+            let estimate = row.service_times.estimate(call);
+            let fits = estimate
+                .is_none_or(|it| fits_deadline(0.0, row.wait_margin, &it, slowness, time_left));
+            return if fits {
+                Ok(false)
+            } else {
+                Err(ErrorKind::Saturated)
+            };
+        }
+        let displaces = self.displaces_last(now, call, account, work)?;
         let Some(estimate) = row.service_times.estimate(call) else {
             return Ok(displaces);
         };
         // With all slots in use the call also waits for one to become free.
-        let slot_wait = slot_wait(row, &estimate);
-        let ahead = queue.work_ahead(account, call.deadline, estimate.mean);
+        let slot_wait = row.slot_wait(call.regions, estimate.mean);
+        let share = row.competing_share(call.class, call.regions);
+        let ahead = queue.work_ahead(account, call.deadline, estimate.mean) * share;
         let work_ahead = ahead + slot_wait;
         let wait = self.account_wait(now, call, account, work_ahead);
-        let slowness = self.relative_slowness(now, call.service).max(1.0);
         if !fits_deadline(wait, row.wait_margin, &estimate, slowness, time_left) {
             return Err(ErrorKind::Saturated);
         }
@@ -91,7 +100,7 @@
         let Some(latest) = latest.filter(|latest| *latest > call.deadline) else {
             return Ok(displaces);
         };
-        let ahead = queue.work_ahead_of_last(account, estimate.mean);
+        let ahead = queue.work_ahead_of_last(account, estimate.mean) * share;
         let total_work = ahead + estimate.mean + slot_wait;
         let wait = self.account_wait(now, call, account, total_work);
         let time_left = (latest - now).as_secs_f64();
@@ -134,6 +143,7 @@
         };
         let (service, class, queue_key) = (row.call.service, row.call.class, row.queue_key());
         let service_row = &mut self.services[service];
+        service_row.restricted[class.index()].add(row.call.regions, row.work);
         service_row.queues[class.index()].push(account, queue_key, queued_call);
         if service_row.timer_at.is_none() {
             service_row.timer_at = Some(now + DISPATCH_INTERVAL);
@@ -154,24 +164,24 @@
     pub(super) fn refuse_unanswerable(&mut self, now: Instant, service: ServiceKey) {
         for class in Class::ALL {
             let row = &self.services[service];
-            let no_endpoint = row.usable == 0 && row.awaiting_trial.is_empty();
             let mut work = 0.0;
             let mut unanswerable = Vec::new();
             for (queue_key, queued_call) in row.queue(class).in_order() {
                 let time_left = (queue_key.deadline - now).as_secs_f64();
-                let wait = self.estimate_wait(now, service, class, work);
-                if no_endpoint || wait + queued_call.work > time_left {
-                    unanswerable.push(queued_call.call);
+                let regions = self.calls[queued_call.call].call.regions;
+                if let Err(kind) = self.check_endpoints(service, regions) {
+                    unanswerable.push((queued_call.call, kind));
+                    continue;
+                }
+                let competing = work * row.competing_share(class, regions);
+                let wait = self.estimate_wait(now, service, class, competing);
+                if wait + queued_call.work > time_left {
+                    unanswerable.push((queued_call.call, ErrorKind::Saturated));
                 } else {
                     work += queued_call.work;
                 }
             }
-            let kind = if no_endpoint {
-                ErrorKind::NoEndpoint
-            } else {
-                ErrorKind::Saturated
-            };
-            for key in unanswerable {
+            for (key, kind) in unanswerable {
                 self.refuse(now, key, kind);
             }
         }
@@ -205,7 +215,8 @@
         if call.account.is_some() && self.is_contended(call.service) {
             return self.next_account_return(now, call, mean, random);
         }
-        let wait = self.estimate_wait(now, call.service, call.class, row.queue(call.class).work());
+        let work = row.queue(call.class).work() * row.competing_share(call.class, call.regions);
+        let wait = self.estimate_wait(now, call.service, call.class, work);
         let interval = self.estimate_wait(now, call.service, call.class, mean);
         let row = &mut self.services[call.service];
         row.return_schedules[call.class.index()].reserve(now, wait, interval, random)
@@ -229,7 +240,9 @@
         if row.queued {
             row.queued = false;
             let (account, queue_key) = (row.queue_account, row.queue_key());
-            let queue = &mut self.services[row.call.service].queues[row.call.class.index()];
+            let service_row = &mut self.services[row.call.service];
+            service_row.restricted[row.call.class.index()].remove(row.call.regions, row.work);
+            let queue = &mut service_row.queues[row.call.class.index()];
             if is_started {
                 queue.start(account, queue_key);
             } else {
@@ -286,12 +299,3 @@
         .min((time_left * MAX_TAIL_SHARE).max(known_mean));
     wait * wait_margin + tail <= time_left
 }
-
-/// Returns the work that a call waits for a slot, in seconds, if all are in use.
-pub(super) fn slot_wait(row: &ServiceRow, estimate: &Estimate) -> f64 {
-    if row.free_slots == 0 {
-        estimate.mean
-    } else {
-        0.0
-    }
-}
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -72,6 +72,8 @@
         service.add_running(call.account.unwrap_or_default().id);
         service.recent_peaks[class].raise_to(now, f64::from(service.running[class]));
         service.recent_work.add(now, work);
+        let position = self.topology.position(self.endpoints[endpoint].region);
+        service.regions[position].recent_work.add(now, work);
         if first {
             service.budget.earn();
         }
@@ -212,9 +214,9 @@
         let may_start = row.attempts_started < MAX_STARTS || kind == ErrorKind::EndpointDown;
         let retry = kind.answer().retry == Retry::After && may_start && !row.committed;
         let retry = retry && self.can_answer_in_time(now, &call);
-        let service = &mut self.services[call.service];
         // Known to be impossible where all endpoints are ejected.
-        let has_endpoint = service.usable > 0 || !service.awaiting_trial.is_empty();
+        let has_endpoint = self.check_endpoints(call.service, call.regions).is_ok();
+        let service = &mut self.services[call.service];
         if retry && has_endpoint && service.budget.try_spend(RESEND_COST) {
             self.enqueue(now, key);
         } else {
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -6,7 +6,7 @@
     retry_after::seconds,
     router::Router,
     spec::Call,
-    table::{Attempt, CallKey, Counted, EndpointRow, REMOTE_TIER, Timer},
+    table::{Attempt, CallKey, Counted, EndpointRow, FAR_TIER, REMOTE_TIER, Timer},
 };
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -115,20 +115,23 @@
         let service = &mut self.services[row.service];
         service.capacity = service.capacity + capacity - before.capacity;
         service.free_slots = service.free_slots + free_slots - before.free_slots;
-        let local = u32::from(row.tier != REMOTE_TIER);
+        let position = self.topology.position(row.region);
+        let region = &mut service.regions[position];
+        region.capacity = region.capacity + capacity - before.capacity;
+        region.free_slots = region.free_slots + free_slots - before.free_slots;
         match (before.capacity > 0, capacity > 0) {
             (false, true) => {
                 service.usable += 1;
-                service.usable_local += local;
+                region.usable += 1;
             }
             (true, false) => {
                 service.usable -= 1;
+                region.usable -= 1;
                 service.slowness.remove(key);
-                service.usable_local -= local;
             }
             _ => {}
         }
-        let pool = &mut service.pools[row.tier];
+        let pool = &mut service.pools[row.pool(position)];
         match (row.pool_index, free_slots > 0) {
             (None, true) => {
                 row.pool_index = Some(pool.len());
@@ -163,14 +166,21 @@
             xxh3_64_with_seed(name.as_bytes(), self.seed)
         };
         let is_local =
-            |key: &EndpointKey| self.endpoints[*key].spec.data_centre == self.data_centre;
+            |key: &EndpointKey| self.topology.is_own(&self.endpoints[*key].spec.data_centre);
         let (mut local, remote): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_local);
         if local.len() > SUBSET_SIZE {
             local.sort_by_cached_key(rank);
         }
         let local = local.into_iter().enumerate();
         let tiers = local.map(|(index, key)| (key, usize::from(index >= SUBSET_SIZE)));
-        for (key, tier) in tiers.chain(remote.into_iter().map(|key| (key, REMOTE_TIER))) {
+        let remote: Vec<(EndpointKey, usize)> = remote
+            .into_iter()
+            .map(|key| {
+                let is_far = self.topology.is_far(self.endpoints[key].region);
+                (key, if is_far { FAR_TIER } else { REMOTE_TIER })
+            })
+            .collect();
+        for (key, tier) in tiers.chain(remote) {
             if self.endpoints[key].tier != tier {
                 self.remove_from_sums(now, key);
                 self.endpoints[key].tier = tier;
@@ -212,10 +222,13 @@
         let service = &mut self.services[row.service];
         let healthy = row.health.is_healthy();
         let max_ejected = service.endpoints.len() as f64 * MAX_EJECTED_SHARE;
-        if healthy
-            && !certain
-            && (f64::from(service.ejected) + 1.0 > max_ejected || service.usable < 2)
-        {
+        // Some calls may only use this region.
+        let usable = if self.topology.is_divided() {
+            service.regions[self.topology.position(row.region)].usable
+        } else {
+            service.usable
+        };
+        if healthy && !certain && (f64::from(service.ejected) + 1.0 > max_ejected || usable < 2) {
             return;
         }
         if healthy {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -22,6 +22,9 @@
 //!   so a late or missing report makes placement worse but never wrong.
 //! * Where endpoints report how slow their hosts are at the moment, placement and expected
 //!   waits take it into account while the report is fresh (`slowness`).
+//! * Endpoints are considered from near to far: those of the own data centre, of the own region,
+//!   of other regions. A call that may not use all regions sees only endpoints of its regions,
+//!   and waits only behind calls that compete for them (`regions`).
 //! * Among endpoints that are about equally loaded, one with an open connection is
 //!   preferred (`warm`). An entry with few calls would otherwise open a connection
 //!   for nearly every call, the more so the more endpoints there are.
@@ -69,6 +72,7 @@
 mod queue;
 mod rank;
 pub mod reconcile;
+mod regions;
 mod retry;
 mod retry_after;
 mod ring;
@@ -85,6 +89,7 @@
     accounts::AccountView,
     fair::AccountKey,
     rank::SlownessCounts,
+    regions::NearState,
     router::Router,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
     view::{EndpointView, HealthState},
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -20,8 +20,9 @@
         router::Router,
         share,
         spec::Call,
-        table::{CallKey, TIERS},
+        table::{CallKey, FAR_TIER},
     },
+    topology::RegionSet,
 };
 use rand::Rng;
 use std::time::Instant;
@@ -36,6 +37,13 @@
 /// Score above which an endpoint is compared with one of the next tier: a wait
 /// there may take longer than the round trip to another data centre.
 const BUSY_SCORE: f64 = 0.7;
+/// Score above which an endpoint is compared with those of other regions. A round trip there
+/// takes 16 ms, eleven times that to another data centre, and the link is priced and shared by
+/// all traffic. So near endpoints must be busy beyond their limit or clearly slow.
+const FAR_BUSY_SCORE: f64 = 1.5;
+/// Score of an endpoint in another region, relative to the best near one, up to which it is
+/// chosen: with a smaller difference the call gains less than the round trip.
+const MAX_FAR_SCORE_RATIO: f64 = 0.5;
 /// Ratio of scores up to which an endpoint with an idle connection is preferred to one
 /// that was drawn. One that runs a call is not preferred to an idle one.
 const MAX_WARM_SCORE_RATIO: f64 = 1.25;
@@ -62,9 +70,11 @@
 
     fn place_queued(&mut self, now: Instant, service: ServiceKey) {
         let mut blocked = [false; 3];
+        let mut blocked_sets: Vec<(Class, RegionSet)> = Vec::new();
         while let Some(class) = share::next_class(&self.services[service], now, blocked) {
-            let Some((_, first)) = self.first_call(service, class) else {
-                return;
+            let Some((_, first)) = self.first_call(service, class, &blocked_sets) else {
+                blocked[class.index()] = true;
+                continue;
             };
             let key = first.call;
             if !self.can_answer_in_time(now, &self.calls[key].call) {
@@ -74,6 +84,10 @@
             }
             match self.choose_endpoint(now, key) {
                 Some((endpoint, trial)) => self.start_attempt(now, key, endpoint, trial),
+                // Calls that may use other regions can still start.
+                None if !self.calls[key].call.regions.is_all() => {
+                    blocked_sets.push((class, self.calls[key].call.regions));
+                }
                 None => blocked[class.index()] = true,
             }
         }
@@ -84,9 +98,9 @@
         let row = &self.calls[key];
         let (call, last) = (row.call, row.last_endpoint);
         let first_try = row.is_repeatable() && row.attempts_started == 0;
-        let service = &mut self.services[call.service];
-        if (first_try || service.usable == 0)
-            && let Some(endpoint) = service.awaiting_trial.pop()
+        let service = &self.services[call.service];
+        if (first_try || service.room(call.regions).usable == 0)
+            && let Some(endpoint) = self.take_trial(call.service, call.regions)
         {
             return Some((endpoint, true));
         }
@@ -108,18 +122,16 @@
             return None;
         }
         if let Some(prefix) = call.prefix {
-            let cached = self.pick_cached(now, call, prefix, excluded);
+            let cached = self.pick_cached(now, call, prefix, excluded, false);
             if cached.is_some() {
                 return cached;
             }
         }
         let mut best: Option<(EndpointKey, f64)> = None;
-        for tier in 0..TIERS {
-            let Some(drawn) = self.draw_from_tier(now, call, tier, excluded) else {
+        for tier in 0..FAR_TIER {
+            let Some((key, score)) = self.pick_from_tier(now, call, tier, excluded) else {
                 continue;
             };
-            let (key, rank) = self.prefer_warm(now, call, tier, excluded, drawn);
-            let score = rank.score;
             if score <= BUSY_SCORE {
                 return Some(key);
             }
@@ -127,27 +139,80 @@
                 best = Some((key, score));
             }
         }
-        best.map(|(key, _)| key)
+        let near = best;
+        if !self.topology.is_divided() || near.is_some_and(|(_, score)| score <= FAR_BUSY_SCORE) {
+            return near.map(|(key, _)| key);
+        }
+        if let Some(key) = self.find_near(now, call, excluded) {
+            return Some(key);
+        }
+        if let (None, Some(prefix)) = (near, call.prefix) {
+            let cached = self.pick_cached(now, call, prefix, excluded, true);
+            if cached.is_some() {
+                return cached;
+            }
+        }
+        let far = self.pick_from_tier(now, call, FAR_TIER, excluded);
+        let is_better = |(_, score): &(EndpointKey, f64)| {
+            near.is_none_or(|(_, near)| *score <= near * MAX_FAR_SCORE_RATIO)
+        };
+        far.filter(is_better).or(near).map(|(key, _)| key)
+    }
+
+    /// Finds an endpoint of the own region that is not too busy for a call: draws see only some
+    /// of them, and a call must not leave the region because of those.
+    fn find_near(
+        &self,
+        now: Instant,
+        call: &Call,
+        excluded: Option<EndpointKey>,
+    ) -> Option<EndpointKey> {
+        let service = &self.services[call.service];
+        let pools = (0..FAR_TIER).flat_map(|tier| service.pools_of(tier, call.regions));
+        let fits = |key: &EndpointKey| {
+            Some(*key) != excluded
+                && self.endpoints[*key].has_cache_for(now, call.tokens)
+                && self.rank(now, *key).score <= FAR_BUSY_SCORE
+        };
+        pools.flatten().copied().find(fits)
+    }
+
+    /// Picks an endpoint of a tier, and returns its score.
+    fn pick_from_tier(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        tier: usize,
+        excluded: Option<EndpointKey>,
+    ) -> Option<(EndpointKey, f64)> {
+        let drawn = self.draw_from_tier(now, call, tier, excluded)?;
+        let (key, rank) = self.prefer_warm(now, call, tier, excluded, drawn);
+        Some((key, rank.score))
     }
 
     /// Picks an endpoint that is likely to have the prefix cached: the first on the
-    /// ring within the bound on recent work, or else the one with the least.
+    /// ring within the bound on recent work, or else the one with the least. Endpoints of other
+    /// regions are picked only if `is_far`, and then alone.
     fn pick_cached(
         &mut self,
         now: Instant,
         call: &Call,
         prefix: u64,
         excluded: Option<EndpointKey>,
+        is_far: bool,
     ) -> Option<EndpointKey> {
         let mut found = std::mem::take(&mut self.ring_candidates);
         found.clear();
+        let endpoints = &self.endpoints;
         let row = &mut self.services[call.service];
-        row.ring.find(prefix, &mut found);
-        let row = &self.services[call.service];
-        let mean = row.recent_work.value(now) / f64::from(row.usable.max(1));
+        row.ring.find(prefix, &mut found, |key| {
+            let row = &endpoints[key];
+            (row.tier == FAR_TIER) == is_far && call.regions.contains(row.region)
+        });
+        let mean = self.mean_work(now, call.service, call.regions, is_far);
         let work = self.estimate(call).map_or(0.0, |e| e.mean);
         let max_work = mean * MAX_WORK_RATIO + work;
-        // The ring ignores tiers: the round trip to another data centre costs less
+        // The ring ignores the other tiers: the round trip to another data centre costs less
         // than processing the prompt again.
         let mut best: Option<(EndpointKey, f64)> = None;
         for key in &found {
@@ -176,13 +241,16 @@
         tier: usize,
         excluded: Option<EndpointKey>,
     ) -> Option<(EndpointKey, Rank)> {
-        let pool = &self.services[call.service].pools[tier];
-        if pool.is_empty() {
-            return None;
-        }
+        let service = &self.services[call.service];
+        let pools = || service.pools_of(tier, call.regions);
+        let (first, len) = (pools().next()?, pools().map(<[_]>::len).sum());
         let mut best: Option<(EndpointKey, Rank)> = None;
         for _ in 0..MAX_DRAWS {
-            let key = pool[self.rng.random_range(0..pool.len())];
+            let index = self.rng.random_range(0..len);
+            let key = match first.get(index) {
+                Some(key) => *key,
+                None => *pools().flatten().nth(index)?,
+            };
             let row = &self.endpoints[key];
             if Some(key) == excluded || !row.has_cache_for(now, call.tokens) {
                 continue;
@@ -198,7 +266,7 @@
                 break;
             }
         }
-        let scan = || pool.iter().take(MAX_SCANNED).copied();
+        let scan = || pools().flatten().take(MAX_SCANNED).copied();
         let fits = |key: &EndpointKey| {
             Some(*key) != excluded && self.endpoints[*key].has_cache_for(now, call.tokens)
         };
@@ -221,6 +289,7 @@
         let fits = |key: &EndpointKey| {
             let row = &self.endpoints[*key];
             row.tier == tier
+                && call.regions.contains(row.region)
                 && row.pool_index.is_some()
                 && Some(*key) != excluded
                 && row.has_cache_for(now, call.tokens)
@@ -243,8 +312,10 @@
             for _ in 0..MAX_PREEMPTED {
                 let row = &self.services[service];
                 let waiting = row.queue(class).len();
+                let first = row.queue(class).first();
+                let regions = first.map(|(_, first)| self.calls[first.call].call.regions);
                 if waiting == 0
-                    || row.free_slots as usize >= waiting
+                    || row.room(regions.unwrap_or_default()).free_slots as usize >= waiting
                     || !share::is_below_floor(row, class)
                 {
                     break;
@@ -263,6 +334,7 @@
     fn find_preemptible(&self, service: ServiceKey, class: Class) -> Option<CallKey> {
         let row = &self.services[service];
         let (_, first) = row.queue(class).first()?;
+        let regions = self.calls[first.call].call.regions;
         let mut latest = row
             .preemptible
             .iter()
@@ -273,7 +345,9 @@
             let call = &self.calls[*key];
             let lower = call.call.class;
             let used = f64::from(row.running[lower.index()]);
+            let mut attempts = call.attempts.iter().flatten();
             lower > class
+                && attempts.any(|attempt| self.is_allowed(attempt.endpoint, regions))
                 && !call.committed
                 && call.preemptions < MAX_PREEMPTIONS
                 && used > row.spec.min_shares[lower.index()] * f64::from(row.capacity)
@@ -311,7 +385,8 @@
             return;
         }
         let service = &self.services[call.service];
-        let has_slack = service.queues_empty() && service.free_slots * 10 > service.capacity;
+        let room = service.room(call.regions);
+        let has_slack = service.queues_empty() && room.free_slots * 10 > room.capacity;
         if !has_slack
             || !row.can_rerun()
             || row.attempts_started >= call.max_attempts
--- /dev/null
+++ b/src/route/regions.rs
@@ -0,0 +1,343 @@
+//! Sums of a service by region, and calls that may not use all regions.
+//!
+//! The calls of a class wait in one queue, so that accounts and deadlines decide their order
+//! wherever they may run. A call whose regions have no free slot is passed over, so that no slot
+//! stays free behind it. Its wait is estimated from the calls that compete for its regions: the
+//! work of each waiting call is spread evenly over the slots of the regions that the call may
+//! use, and a call waits in the region with the least work for each slot.
+//!
+//! A queue for each set of regions would need a rule for the order between the queues.
+
+use crate::{
+    class::Class,
+    error::ErrorKind,
+    route::{
+        EndpointKey, ServiceKey,
+        decay::DecayingSum,
+        router::Router,
+        table::{FAR_TIER, REMOTE_TIER, ServiceRow, WORK_DECAY},
+    },
+    topology::{Region, RegionSet, Topology},
+};
+use std::time::Instant;
+
+/// Sums of one region's endpoints.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RegionRow {
+    region: Region,
+    pub(super) is_far: bool,
+    /// Sum of the limits of usable endpoints.
+    pub(super) capacity: u32,
+    /// Sum of the free slots of usable endpoints.
+    pub(super) free_slots: u32,
+    /// Endpoints that accept calls and have a limit above 0.
+    pub(super) usable: u32,
+    /// Recently placed work.
+    pub(super) recent_work: DecayingSum,
+}
+
+impl RegionRow {
+    /// Returns the rows of all regions of a topology, that of unknown ones last.
+    pub(super) fn all(topology: &Topology) -> Vec<Self> {
+        let rows = topology.all_regions().map(|region| Self {
+            region,
+            is_far: topology.is_far(region),
+            capacity: 0,
+            free_slots: 0,
+            usable: 0,
+            recent_work: DecayingSum::new(WORK_DECAY),
+        });
+        rows.collect()
+    }
+}
+
+/// What a set of regions has for calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Room {
+    pub(super) capacity: u32,
+    pub(super) free_slots: u32,
+    pub(super) usable: u32,
+}
+
+/// Queued calls that may use the same regions.
+#[derive(Clone, Copy, Debug)]
+struct SetLoad {
+    regions: RegionSet,
+    calls: usize,
+    /// Their work in seconds.
+    work: f64,
+}
+
+/// Queued calls of one class that may not use all regions, by their sets.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RestrictedCalls {
+    loads: Vec<SetLoad>,
+}
+
+impl RestrictedCalls {
+    pub(super) fn is_empty(&self) -> bool {
+        self.loads.is_empty()
+    }
+
+    pub(super) fn add(&mut self, regions: RegionSet, work: f64) {
+        if regions.is_all() {
+            return;
+        }
+        let found = self.loads.iter_mut().find(|load| load.regions == regions);
+        if let Some(load) = found {
+            load.calls += 1;
+            load.work += work;
+        } else {
+            let calls = 1;
+            self.loads.push(SetLoad {
+                regions,
+                calls,
+                work,
+            });
+        }
+    }
+
+    pub(super) fn remove(&mut self, regions: RegionSet, work: f64) {
+        if regions.is_all() {
+            return;
+        }
+        for load in self.loads.iter_mut().filter(|load| load.regions == regions) {
+            load.calls -= 1;
+            load.work = (load.work - work).max(0.0);
+        }
+        self.loads.retain(|load| load.calls > 0);
+    }
+
+    fn calls(&self) -> usize {
+        self.loads.iter().map(|load| load.calls).sum()
+    }
+
+    fn work(&self) -> f64 {
+        self.loads.iter().map(|load| load.work).sum()
+    }
+
+    fn compete_for(&self, region: Region) -> impl Iterator<Item = &SetLoad> {
+        let loads = self.loads.iter();
+        loads.filter(move |load| load.regions.contains(region))
+    }
+}
+
+impl ServiceRow {
+    /// Returns the rows of a set of regions.
+    pub(super) fn regions_in(&self, regions: RegionSet) -> impl Iterator<Item = &RegionRow> {
+        let rows = self.regions.iter();
+        rows.filter(move |row| regions.contains(row.region))
+    }
+
+    /// Returns what a set of regions has for calls.
+    pub(super) fn room(&self, regions: RegionSet) -> Room {
+        if regions.is_all() {
+            return Room {
+                capacity: self.capacity,
+                free_slots: self.free_slots,
+                usable: self.usable,
+            };
+        }
+        let rows = self.regions_in(regions);
+        rows.fold(Room::default(), |room, row| Room {
+            capacity: room.capacity + row.capacity,
+            free_slots: room.free_slots + row.free_slots,
+            usable: room.usable + row.usable,
+        })
+    }
+
+    /// Returns the pools of a tier that hold endpoints of a set of regions.
+    pub(super) fn pools_of(
+        &self,
+        tier: usize,
+        regions: RegionSet,
+    ) -> impl Iterator<Item = &[EndpointKey]> + Clone {
+        let (first, last) = match tier {
+            0..REMOTE_TIER => (tier, tier + 1),
+            _ => (REMOTE_TIER, self.pools.len()),
+        };
+        let pools = self.pools[first..last].iter().enumerate();
+        let is_open = move |index: usize| {
+            // The pools of the first tiers hold endpoints of the own region, which is the first.
+            let row = &self.regions[if tier < REMOTE_TIER { 0 } else { index }];
+            row.is_far == (tier == FAR_TIER) && regions.contains(row.region)
+        };
+        let open = pools.filter(move |(index, pool)| !pool.is_empty() && is_open(*index));
+        open.map(|(_, pool)| pool.as_slice())
+    }
+
+    /// Returns whether regions make a difference for a call of a class: it may not use all, or
+    /// one that waits may not.
+    fn is_regional(&self, class: Class, regions: RegionSet) -> bool {
+        !regions.is_all() || !self.restricted[class.index()].is_empty()
+    }
+
+    /// Returns whether a call starts at once: one of its regions has a free slot for which no
+    /// queued call competes.
+    pub(super) fn starts_at_once(&self, class: Class, regions: RegionSet) -> bool {
+        let restricted = &self.restricted[class.index()];
+        self.is_regional(class, regions)
+            && self.queue(class).len() == restricted.calls()
+            && self.regions_in(regions).any(|row| {
+                row.free_slots > 0 && restricted.compete_for(row.region).next().is_none()
+            })
+    }
+
+    /// Returns the part of a class's queued work that competes with a call for its regions, as
+    /// a factor on work that is spread over the slots of all regions.
+    pub(super) fn competing_share(&self, class: Class, regions: RegionSet) -> f64 {
+        let queue_work = self.queue(class).work();
+        if !self.is_regional(class, regions) || queue_work <= 0.0 {
+            return 1.0;
+        }
+        let restricted = &self.restricted[class.index()];
+        let capacity = f64::from(self.capacity.max(1));
+        let unrestricted = (queue_work - restricted.work()).max(0.0) / capacity;
+        let work_per_slot = |row: &RegionRow| {
+            let loads = restricted.compete_for(row.region);
+            let restricted: f64 = loads
+                .map(|load| load.work / f64::from(self.room(load.regions).capacity.max(1)))
+                .sum();
+            unrestricted + restricted
+        };
+        let usable = self.regions_in(regions).filter(|row| row.usable > 0);
+        let least = usable.map(work_per_slot).min_by(f64::total_cmp);
+        least.map_or(1.0, |least| least * capacity / queue_work)
+    }
+
+    /// Returns the work that a call waits for a slot, in seconds spread over the slots of all
+    /// regions, if all slots of its regions are in use.
+    pub(super) fn slot_wait(&self, regions: RegionSet, mean: f64) -> f64 {
+        let room = self.room(regions);
+        if room.free_slots == 0 {
+            mean * (f64::from(self.capacity.max(1)) / f64::from(room.capacity.max(1)))
+        } else {
+            0.0
+        }
+    }
+}
+
+/// The endpoints of the own region, as seen by a call that leaves it.
+///
+/// Ordered by how close they are to getting the call; the state of several endpoints is the
+/// highest of theirs.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum NearState {
+    /// The call may not use the region.
+    NotAllowed,
+    /// There are none.
+    None,
+    /// All are evacuated or stopping.
+    Evacuated,
+    /// Those that are open are ejected.
+    Ejected,
+    /// Those that get calls have no free slot.
+    Full,
+    /// They have free slots but are slow or busy.
+    Slow,
+}
+
+impl NearState {
+    /// Returns the name for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotAllowed => "not-allowed",
+            Self::None => "none",
+            Self::Evacuated => "evacuated",
+            Self::Ejected => "ejected",
+            Self::Full => "full",
+            Self::Slow => "slow",
+        }
+    }
+}
+
+impl Router {
+    /// Returns the state of the own region's endpoints for a call that leaves the region.
+    #[must_use]
+    pub fn near_state(&self, service: ServiceKey, regions: RegionSet) -> NearState {
+        let Some(row) = self.services.get(service) else {
+            return NearState::None;
+        };
+        if !regions.contains(Region::OWN) {
+            return NearState::NotAllowed;
+        }
+        let endpoints = row.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let near = endpoints.filter(|endpoint| endpoint.tier < FAR_TIER);
+        let states = near.map(|endpoint| match endpoint.pool_index {
+            Some(_) => NearState::Slow,
+            None if endpoint.is_usable() => NearState::Full,
+            None if endpoint.accepting => NearState::Ejected,
+            None => NearState::Evacuated,
+        });
+        states.max().unwrap_or(NearState::None)
+    }
+
+    /// Returns whether an endpoint is in a set of regions.
+    pub(super) fn is_allowed(&self, endpoint: EndpointKey, regions: RegionSet) -> bool {
+        let row = self.endpoints.get(endpoint);
+        regions.is_all() || row.is_some_and(|row| regions.contains(row.region))
+    }
+
+    /// Checks that a call with these regions has an endpoint that may get it, now or after a
+    /// trial.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of the refusal if there is none.
+    pub(super) fn check_endpoints(
+        &self,
+        service: ServiceKey,
+        regions: RegionSet,
+    ) -> Result<(), ErrorKind> {
+        let row = &self.services[service];
+        let awaiting = &row.awaiting_trial;
+        let is_awaiting = |key: &EndpointKey| self.is_allowed(*key, regions);
+        if row.room(regions).usable > 0 || awaiting.iter().any(is_awaiting) {
+            Ok(())
+        } else if row.usable == 0 && awaiting.is_empty() {
+            Err(ErrorKind::NoEndpoint)
+        } else {
+            Err(ErrorKind::NoEndpointInRegion)
+        }
+    }
+
+    /// Takes an endpoint that awaits a trial by a call with these regions. One in another region
+    /// is only tried where none near gets calls.
+    pub(super) fn take_trial(
+        &mut self,
+        service: ServiceKey,
+        regions: RegionSet,
+    ) -> Option<EndpointKey> {
+        let row = &self.services[service];
+        let has_near = || {
+            let mut near = row.regions_in(regions).filter(|row| !row.is_far);
+            near.any(|row| row.usable > 0)
+        };
+        let fits = |key: &EndpointKey| {
+            let is_near = self.endpoints[*key].tier < FAR_TIER;
+            self.is_allowed(*key, regions) && (is_near || !has_near())
+        };
+        let position = row.awaiting_trial.iter().rposition(fits)?;
+        Some(self.services[service].awaiting_trial.remove(position))
+    }
+
+    /// Returns the mean recent work of the usable endpoints among which a prefix is placed.
+    pub(super) fn mean_work(
+        &self,
+        now: Instant,
+        service: ServiceKey,
+        regions: RegionSet,
+        is_far: bool,
+    ) -> f64 {
+        let row = &self.services[service];
+        if !self.topology.is_divided() {
+            return row.recent_work.value(now) / f64::from(row.usable.max(1));
+        }
+        let rows = row.regions_in(regions).filter(|row| row.is_far == is_far);
+        let (work, usable) = rows.fold((0.0, 0), |(work, usable), row| {
+            (work + row.recent_work.value(now), usable + row.usable)
+        });
+        work / f64::from(usable.max(1))
+    }
+}
--- a/src/route/ring.rs
+++ b/src/route/ring.rs
@@ -41,8 +41,13 @@
         }
     }
 
-    /// Appends the first endpoints for a prefix to `found`, in order.
-    pub(super) fn find(&mut self, prefix: u64, found: &mut Vec<EndpointKey>) {
+    /// Appends the first endpoints for a prefix that `fits` accepts to `found`, in order.
+    pub(super) fn find(
+        &mut self,
+        prefix: u64,
+        found: &mut Vec<EndpointKey>,
+        fits: impl Fn(EndpointKey) -> bool,
+    ) {
         self.insert_pending();
         let hash = xxh3_64(&prefix.to_le_bytes());
         let start = self.points.partition_point(|(point, _)| *point < hash);
@@ -50,7 +55,7 @@
         // Stops early where the ring has fewer endpoints than the maximum.
         let max_found = MAX_CANDIDATES.min(self.endpoint_count);
         for (_, key) in after.iter().chain(before).take(MAX_CANDIDATES * 8) {
-            if !found.contains(key) {
+            if !found.contains(key) && fits(*key) {
                 found.push(*key);
             }
             if found.len() == max_found {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -11,6 +11,7 @@
             CallKey, CallRow, DISPATCH_INTERVAL, EndpointRow, ReceivedReport, ServiceRow, Timer,
         },
     },
+    topology::Topology,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -28,7 +29,7 @@
 /// Each event carries the current instant, which must not decrease.
 #[derive(Debug)]
 pub struct Router {
-    pub(super) data_centre: String,
+    pub(super) topology: Topology,
     pub(super) seed: u64,
     pub(super) rng: Pcg64,
     pub(super) service_keys: HashMap<String, ServiceKey>,
@@ -52,7 +53,7 @@
     #[must_use]
     pub fn new(data_centre: &str, seed: u64) -> Self {
         Self {
-            data_centre: data_centre.to_owned(),
+            topology: Topology::without_regions(data_centre),
             seed,
             rng: Pcg64::seed_from_u64(seed),
             service_keys: HashMap::new(),
@@ -69,6 +70,13 @@
         }
     }
 
+    /// Sets the data centres and regions; must be called before services are added.
+    #[must_use]
+    pub fn topology(mut self, topology: Topology) -> Self {
+        self.topology = topology;
+        self
+    }
+
     /// Sets for which services contention is expected.
     #[must_use]
     pub const fn contention(mut self, contention: Contention) -> Self {
@@ -97,7 +105,8 @@
             self.dispatch(now, key);
             return key;
         }
-        let key = self.services.insert(ServiceRow::new(spec));
+        let row = ServiceRow::new(spec, &self.topology);
+        let key = self.services.insert(row);
         self.service_keys.insert(name.to_owned(), key);
         key
     }
@@ -150,7 +159,9 @@
 
     fn insert_endpoint(&mut self, service: ServiceKey, spec: EndpointSpec) -> EndpointKey {
         let name = spec.name.clone();
-        let key = self.endpoints.insert(EndpointRow::new(service, spec));
+        let region = self.topology.region(&spec.data_centre);
+        let row = EndpointRow::new(service, spec, region);
+        let key = self.endpoints.insert(row);
         let row = &mut self.services[service];
         row.endpoints.push(key);
         row.ring.add(key, &name);
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -5,6 +5,7 @@
     error::ErrorKind,
     id::RequestId,
     route::{EndpointKey, ServiceKey, fair::AccountKey, retry::DEFAULT_MAX_ATTEMPTS},
+    topology::RegionSet,
 };
 use std::time::{Duration, Instant};
 
@@ -114,6 +115,8 @@
     pub no_hedge: bool,
     /// Its account; calls without one count as one account.
     pub account: Option<AccountKey>,
+    /// The regions of the endpoints that may get it.
+    pub regions: RegionSet,
 }
 
 impl Call {
@@ -131,6 +134,7 @@
             max_attempts: DEFAULT_MAX_ATTEMPTS,
             no_hedge: false,
             account: None,
+            regions: RegionSet::ALL,
         }
     }
 
@@ -149,6 +153,13 @@
         self
     }
 
+    /// Sets the regions of the endpoints that may get it.
+    #[must_use]
+    pub const fn regions(mut self, regions: RegionSet) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Sets the maximum of attempts, hedges included.
     #[must_use]
     pub const fn max_attempts(mut self, max_attempts: u8) -> Self {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -10,6 +10,7 @@
         health::{Health, Peers},
         limit::ConcurrencyLimit,
         queue::QueueKey,
+        regions::{RegionRow, RestrictedCalls},
         retry::RetryBudget,
         retry_after::ReturnSchedule,
         ring::Ring,
@@ -18,6 +19,7 @@
         spec::{Call, EndpointSpec, LoadReport, ServiceSpec},
         warm::WarmEndpoints,
     },
+    topology::{Region, Topology},
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -33,17 +35,17 @@
 /// in bunches. It keeps late answers below one in a thousand if no other entry uses the
 /// endpoints.
 pub(super) const BASE_WAIT_MARGIN: f64 = 1.35;
-/// Number of tiers: the entry's subset of its data centre, the rest of that data
-/// centre, and other data centres.
-pub(super) const TIERS: usize = 3;
-/// The tier of endpoints in other data centres.
+/// The tier of endpoints in other data centres of the entry's region. Those before it are the
+/// entry's subset of its data centre and the rest of that data centre.
 pub(super) const REMOTE_TIER: usize = 2;
+/// The tier of endpoints in other regions.
+pub(super) const FAR_TIER: usize = 3;
 /// Time constant of the peaks from which reserved slots are computed: a few service times of an
 /// interactive call, so that lent slots are reserved again soon after a burst.
 const PEAK_DECAY: Duration = Duration::from_secs(5);
 /// Time constant of the recent work by which prefixes are balanced. At 24 calls a second to an
 /// engine the sum varies by 5 %, half of the margin of the ring's bound.
-const WORK_DECAY: Duration = Duration::from_secs(20);
+pub(super) const WORK_DECAY: Duration = Duration::from_secs(20);
 
 /// Time constant of the work of each priority: long enough to average over arrivals, short enough
 /// that a lower priority gets back what is left soon after a higher one pauses.
@@ -64,8 +66,13 @@
 pub(super) struct ServiceRow {
     pub(super) spec: ServiceSpec,
     pub(super) endpoints: Vec<EndpointKey>,
-    /// Endpoints with free slots, by tier.
-    pub(super) pools: [Vec<EndpointKey>; TIERS],
+    /// Endpoints with free slots: those of the first tiers, then those of other data centres by
+    /// region.
+    pub(super) pools: Vec<Vec<EndpointKey>>,
+    /// Sums by region, that of unknown regions last.
+    pub(super) regions: Vec<RegionRow>,
+    /// Queued calls that may not use all regions, by class.
+    pub(super) restricted: [RestrictedCalls; 3],
     pub(super) ring: Ring,
     pub(super) warm: WarmEndpoints,
     pub(super) queues: [FairQueue; 3],
@@ -79,8 +86,6 @@
     pub(super) free_slots: u32,
     /// Endpoints that accept calls and have a limit above 0.
     pub(super) usable: u32,
-    /// Those of them in the entry's data centre.
-    pub(super) usable_local: u32,
     /// Number of ejected endpoints, including those on trial.
     pub(super) ejected: u32,
     /// Ejected endpoints that wait for a trial call.
@@ -109,11 +114,14 @@
 }
 
 impl ServiceRow {
-    pub(super) fn new(spec: ServiceSpec) -> Self {
+    pub(super) fn new(spec: ServiceSpec, topology: &Topology) -> Self {
+        let regions = RegionRow::all(topology);
         Self {
             spec,
             endpoints: Vec::new(),
-            pools: Default::default(),
+            pools: vec![Vec::new(); REMOTE_TIER + regions.len()],
+            regions,
+            restricted: Default::default(),
             ring: Ring::default(),
             warm: WarmEndpoints::default(),
             queues: Default::default(),
@@ -122,7 +130,6 @@
             capacity: 0,
             free_slots: 0,
             usable: 0,
-            usable_local: 0,
             ejected: 0,
             awaiting_trial: Vec::new(),
             shares_hosts: false,
@@ -215,7 +222,8 @@
     pub(super) limit: ConcurrencyLimit,
     pub(super) health: Health,
     pub(super) tier: usize,
-    /// Position in its tier's pool, while it has free slots.
+    pub(super) region: Region,
+    /// Position in its pool, while it has free slots.
     pub(super) pool_index: Option<usize>,
     /// Its part in the service's sums.
     pub(super) counted: Counted,
@@ -234,7 +242,16 @@
 }
 
 impl EndpointRow {
-    pub(super) fn new(service: ServiceKey, spec: EndpointSpec) -> Self {
+    /// Returns the index of the pool that holds it, with the position of its region.
+    pub(super) const fn pool(&self, position: usize) -> usize {
+        if self.tier < REMOTE_TIER {
+            self.tier
+        } else {
+            REMOTE_TIER + position
+        }
+    }
+
+    pub(super) fn new(service: ServiceKey, spec: EndpointSpec, region: Region) -> Self {
         Self {
             limit: ConcurrencyLimit::new(spec.limit),
             spec,
@@ -244,6 +261,7 @@
             tokens: 0,
             health: Health::new(),
             tier: 0,
+            region,
             pool_index: None,
             counted: Counted::default(),
             last_report: None,
