Check the regions in the settings, and render them in the template's test

Cause: settings whose regions lack the own data centre, or name another region for it, would be taken, and endpoints of the own region would count as far. The template's test didn't render the table of data centres.

Change: such settings are refused with the line of the entry.

--- a/hibiscusroad-daemon/src/settings/check.rs
+++ b/hibiscusroad-daemon/src/settings/check.rs
@@ -63,6 +63,7 @@
         checker.check_table("", &root);
         checker.check_roles(root.get_ref());
         checker.check_addresses(root.get_ref());
+        checker.check_regions(root.get_ref());
     }
     for error in errors {
         let offset = error.span().map_or(0, |span| span.start);
@@ -174,6 +175,31 @@
         }
     }
 
+    /// Checks that the regions, if there are any, agree with the own location.
+    fn check_regions(&mut self, root: &DeTable<'_>) {
+        let text_of = |key: &str| root.get(key)?.get_ref().as_str();
+        let regions = root.get("regions").and_then(|value| {
+            let table = value.get_ref().as_table()?;
+            Some((value.span().start, table))
+        });
+        let own = text_of("place").zip(text_of("region"));
+        let Some(((offset, regions), (place, region))) = regions.zip(own) else {
+            return;
+        };
+        if regions.is_empty() {
+            return;
+        }
+        let found = regions.get(place);
+        let name = found.and_then(|value| value.get_ref().as_str());
+        if name == Some(region) {
+            return;
+        }
+        let offset = found.map_or(offset, |value| value.span().start);
+        let found = name.map_or_else(|| "nothing".to_owned(), |name| format!("{name:?}"));
+        let allowed = format!("{region:?}, the region of this process");
+        self.report(offset, &join("regions", place), found, allowed);
+    }
+
     fn check_addresses(&mut self, root: &DeTable<'_>) {
         for (table, first_key, second_key) in DISTINCT_ADDRESSES {
             let address_of = |key: &str| -> Option<(SocketAddr, usize)> {
--- a/hibiscusroad-daemon/src/settings/mod.rs
+++ b/hibiscusroad-daemon/src/settings/mod.rs
@@ -40,6 +40,7 @@
 };
 pub use hibiscusroad::config::Kind;
 
+use hibiscusroad::topology::Topology;
 use serde::Deserialize;
 use std::{
     collections::BTreeMap,
@@ -129,6 +130,12 @@
         })
     }
 
+    /// Returns the data centres and regions, as this process sees them.
+    #[must_use]
+    pub fn topology(&self) -> Topology {
+        Topology::new(&self.data_centre, &self.region, &self.regions)
+    }
+
     /// Parses and validates the content of a file.
     ///
     /// # Errors
--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -106,10 +106,36 @@
     text
 }
 
+/// Renders the section of a table: once for each entry, with its key and value, and what stands
+/// between two of them.
+fn render_table(text: &str, name: &str, entries: &[(&str, &str)]) -> String {
+    let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+    let (before, rest) = text.split_once(&open).unwrap();
+    let (body, after) = rest.split_once(&close).unwrap();
+    let rendered = entries.iter().enumerate().map(|(n, (key, value))| {
+        let comma = if n + 1 < entries.len() { ", " } else { "" };
+        let body = body.replace("{{@}}", key).replace("{{.}}", value);
+        body.replace("{{,}}", comma)
+    });
+    format!("{before}{}{after}", rendered.collect::<String>())
+}
+
+/// The data centres and their regions.
+const ZONES: &[(&str, &str)] = &[
+    ("senec", "zapad"),
+    ("trnava", "zapad"),
+    ("kosice", "vychod"),
+];
+
 /// Renders the template of a gateway's settings as the platform does.
 fn render_template(values: &[(&str, &str)]) -> String {
+    render_with_zones(values, ZONES)
+}
+
+fn render_with_zones(values: &[(&str, &str)], zones: &[(&str, &str)]) -> String {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/gateway.toml");
-    let mut text = render_sections(fs::read_to_string(file).unwrap(), values);
+    let text = render_table(&fs::read_to_string(file).unwrap(), "zones", zones);
+    let mut text = render_sections(text, values);
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
@@ -152,6 +178,21 @@
     assert_eq!(gateway.usage, None);
 }
 
+// Guards against gateways that treat all data centres alike because the table of regions is lost
+// on the way.
+#[test]
+fn template_renders_the_regions_of_all_data_centres() {
+    let settings = Settings::parse(&render_template(VALUES)).unwrap();
+    let zones = ZONES.iter();
+    let expected: BTreeMap<String, String> = zones
+        .map(|(place, region)| ((*place).to_owned(), (*region).to_owned()))
+        .collect();
+    assert_eq!(settings.regions, expected);
+    assert!(settings.topology().is_divided());
+    let none = Settings::parse(&render_with_zones(VALUES, &[])).unwrap();
+    assert!(none.regions.is_empty() && !none.topology().is_divided());
+}
+
 // Deployments that don't ask for fair shares must be served without them.
 #[test]
 fn template_expects_contention_only_if_the_platform_declares_it() {
