--- a/hibiscusroad-daemon/src/gateway/accounts.rs
+++ b/hibiscusroad-daemon/src/gateway/accounts.rs
@@ -12,19 +12,11 @@
     catalog::{Catalog, Route},
     route::AccountKey,
 };
-use std::{
-    collections::HashMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::rc::Rc;
 
 /// Priority of all calls of scorers. Their class has slots of its own, and a text that waits
 /// for its score has cost an engine seconds already, whosever it is.
 const SCORER_PRIORITY: u8 = 0;
-/// Interval of the lines on refusals of one account.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Time without refusals after which an account's row in the log's state is dropped.
-const LOG_RETENTION: Duration = Duration::from_mins(1);
 
 /// The account that a request waits for in the router's queues.
 #[derive(Clone, Debug)]
@@ -59,37 +51,3 @@
         })
     }
 }
-
-/// Refusals of one account since its last line.
-#[derive(Debug)]
-struct Unlogged {
-    last_line: Instant,
-    refusals: u32,
-}
-
-/// Decides which refusals of accounts get a line.
-#[derive(Debug, Default)]
-pub(super) struct RefusalLog {
-    rows: HashMap<AccountKey, Unlogged>,
-}
-
-impl RefusalLog {
-    /// Counts a refusal; returns how many the line that is due covers, if one is.
-    pub(super) fn record(&mut self, now: Instant, account: AccountKey) -> Option<u32> {
-        if let Some(row) = self.rows.get_mut(&account) {
-            row.refusals += 1;
-            if now - row.last_line < LOG_INTERVAL {
-                return None;
-            }
-        }
-        let refusals = self.rows.remove(&account).map_or(1, |row| row.refusals);
-        self.rows
-            .retain(|_, row| now - row.last_line < LOG_RETENTION);
-        let row = Unlogged {
-            last_line: now,
-            refusals: 0,
-        };
-        self.rows.insert(account, row);
-        Some(refusals)
-    }
-}
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -158,9 +158,10 @@
         let Some((version, model)) = required.zip(owned.submission.model.as_deref()) else {
             return;
         };
+        let regions = self.regions(owned, route);
         let engines = self.engines.borrow();
         let mut services = route.shares.iter().map(|share| share.service.as_str());
-        if !services.any(|service| engines.has_version(service, model, version)) {
+        if !services.any(|service| engines.has_version(service, model, version, regions)) {
             owned.batch.borrow_mut().discard_text(index);
         }
     }
@@ -179,11 +180,33 @@
             excluded: excluded.or_else(|| owned.avoided_engines.borrow().get(&index).copied()),
             rest: placement::rest(&engines, owned, index),
             due: Some(owned.due_at),
-            ..requirements(owned, route, index)?
+            ..self.requirements(owned, route, index)?
         };
         engines.choose(now, &requirements)
     }
 
+    /// Returns what an item requires of an engine.
+    pub(super) fn requirements<'a>(
+        &self,
+        owned: &'a OwnedBatch,
+        route: &'a Route,
+        index: usize,
+    ) -> Option<Requirements<'a>> {
+        let submission = &owned.submission;
+        let group = submission.items[index].group.as_str();
+        Some(Requirements {
+            service: pick_service(route)?,
+            model: submission.model.as_deref(),
+            min_version: submission.min_version,
+            exact_version: owned.batch.borrow().required_version(index),
+            regions: self.regions(owned, route),
+            group,
+            excluded: None,
+            rest: None,
+            due: None,
+        })
+    }
+
     /// Returns what an item waits for that can't start now.
     pub(super) fn wait_reason(
         &self,
@@ -191,7 +214,7 @@
         route: &Route,
         index: usize,
     ) -> Option<WaitReason> {
-        let requirements = requirements(owned, route, index)?;
+        let requirements = self.requirements(owned, route, index)?;
         Some(self.engines.borrow().wait_reason(&requirements))
     }
 
@@ -218,7 +241,7 @@
             exact_version: None,
             // A draft starts from nothing, and nobody waits for it.
             rest: engines.length(item.hint, item.tokens).map(|it| it.rest(0)),
-            ..requirements(owned, route, index)?
+            ..self.requirements(owned, route, index)?
         };
         let found = engines.choose(now, &requirements);
         found.filter(|key| engines.is_idle(now, *key))
@@ -325,23 +348,3 @@
         owned.result_ready.notify_one();
     }
 }
-
-/// Returns what an item requires of an engine.
-pub(super) fn requirements<'a>(
-    owned: &'a OwnedBatch,
-    route: &'a Route,
-    index: usize,
-) -> Option<Requirements<'a>> {
-    let submission = &owned.submission;
-    let group = submission.items[index].group.as_str();
-    Some(Requirements {
-        service: pick_service(route)?,
-        model: submission.model.as_deref(),
-        min_version: submission.min_version,
-        exact_version: owned.batch.borrow().required_version(index),
-        group,
-        excluded: None,
-        rest: None,
-        due: None,
-    })
-}
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -316,7 +316,9 @@
         endpoint: &Endpoint,
     ) -> Result<(), Interruption> {
         let head = &request.head;
-        let target = Target::of(endpoint);
+        let context = &self.batches.context;
+        let target = Target::of(endpoint, context.calls.topology());
+        context.meters.record_sent(target.distance);
         let crashes = &self.batches.context.crashes;
         let mut flight = crashes.track(&request.subject, target.incarnation());
         let sent = attempt::build_request(head, &target, full_body(request.body.clone()));
--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -172,6 +172,7 @@
             renewed: millis(self.store.now().unwrap_or_default()),
             memory: self.memory_mb,
             offset: self.directory.times.offset(),
+            region: Some(self.topology().own_region_name().to_owned()),
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/loads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/loads.rs
@@ -5,7 +5,7 @@
 //! a call to the store for each change of the table of duties, so one that owns nothing
 //! doesn't. If the records can't be read, owners learn of loads from refusals.
 
-use super::{Batches, OwnedBatch, dispatch::requirements};
+use super::{Batches, OwnedBatch};
 use crate::{
     gateway::{
         duty::DUTIES_TABLE,
@@ -141,7 +141,7 @@
         route: &Route,
         index: usize,
     ) {
-        let Some(requirements) = requirements(owned, route, index) else {
+        let Some(requirements) = self.requirements(owned, route, index) else {
             return;
         };
         let is_withheld = self.engines.borrow().waits_for_load(now, &requirements);
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -16,6 +16,7 @@
 mod pieces;
 mod placement;
 mod read;
+mod regions;
 mod score;
 mod share;
 mod slot;
@@ -39,6 +40,7 @@
     },
     roster::{Endpoint, EndpointChange},
     table::RowId,
+    topology::{RegionSet, Topology},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -112,6 +114,10 @@
     host: String,
     /// The client account that submitted it.
     account: Option<String>,
+    /// The regions that were allowed at its acceptance.
+    regions: RegionSet,
+    /// The regions that are allowed for its account, by the version of a configuration.
+    account_regions: Cell<Option<(u64, RegionSet)>>,
     /// The current version of its head row.
     version: Cell<u64>,
     due_at: Instant,
@@ -167,6 +173,9 @@
         members: Rc<EndpointRoster>,
         known: Rc<KnownConfig>,
     ) -> Self {
+        let engines = Engines::new()
+            .contention(settings.contention())
+            .topology(context.calls.topology().clone());
         Self {
             incarnation: holder.to_owned(),
             directory,
@@ -178,7 +187,7 @@
             context,
             members,
             known,
-            engines: RefCell::new(Engines::new().contention(settings.contention())),
+            engines: RefCell::new(engines),
             heads: RefCell::default(),
             owned: RefCell::default(),
             submissions: RefCell::default(),
@@ -194,6 +203,11 @@
         }
     }
 
+    /// Returns the data centres and regions.
+    fn topology(&self) -> &Topology {
+        self.context.calls.topology()
+    }
+
     /// Applies changes of the roster.
     pub(super) fn roster(&self, changes: &[EndpointChange]) {
         let mut engines = self.engines.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -17,6 +17,7 @@
         text::{Piece, Text},
     },
     table::{Change, Commit, Range, Row, RowId},
+    topology::RegionSet,
 };
 use hibiscusroad_platform::batch;
 use std::{
@@ -120,13 +121,14 @@
         }
     }
 
-    /// Returns the open batches that other processes own.
+    /// Returns the open batches that other processes own and this one may take over.
     fn foreign_batches(&self) -> Vec<(String, HeadRow)> {
         let heads = self.heads.borrow();
         let now = millis(self.store.now().unwrap_or_default());
         let is_open = |row: &HeadRow| !row.head.ended && now < row.head.runs_until;
         let open = heads.iter().filter(|(_, row)| is_open(row));
         let foreign = open.filter(|(_, row)| row.head.owner != self.incarnation);
+        let foreign = foreign.filter(|(_, row)| self.may_hold(&row.head));
         foreign.map(|(id, row)| (id.clone(), row.clone())).collect()
     }
 
@@ -178,6 +180,9 @@
 
     /// Loads a batch of which this process is the owner and runs it.
     pub(super) async fn adopt(self: Rc<Self>, id: String, head: Head, version: u64) {
+        if !self.may_hold(&head) {
+            return self.give_away(&id).await;
+        }
         let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
         // Loading may take longer than the heartbeat timeout, so heartbeats start now.
         self.mark_owning();
@@ -279,6 +284,10 @@
             path: head.path,
             host: head.host,
             account: head.account,
+            regions: head
+                .regions
+                .map_or(RegionSet::ALL, |names| self.topology().named(&names)),
+            account_regions: Cell::new(None),
             submission,
             priority: head.priority,
             share_state: Cell::new(None),
@@ -345,9 +354,12 @@
 }
 
 impl Batches {
-    fn successor(&self) -> Option<String> {
+    /// Returns the process that takes a batch when this one stops.
+    fn successor(&self, head: &Head) -> Option<String> {
         let detector = self.failure_detector.borrow();
-        detector.successor(&self.directory.name).map(str::to_owned)
+        let may_hold = |region: Option<&str>| head.may_be_held_in(region);
+        let successor = detector.successor(&self.directory.name, may_hold);
+        successor.map(str::to_owned)
     }
 
     /// Makes another process the owner of a batch.
@@ -356,12 +368,17 @@
     /// after the heartbeat timeout. If it is gone or stopping itself, the batch is taken
     /// over like any other.
     pub(super) async fn hand_over(&self, batch: &str) {
-        let Some((successor, row)) = self.successor().zip(self.head(batch)) else {
+        let Some(row) = self.head(batch) else {
             return;
         };
         if row.head.owner != self.incarnation || row.head.ended {
             return;
         }
+        let Some(successor) = self.successor(&row.head) else {
+            log::info!(target: BATCHES, batch = batch, regions:? = row.head.regions;
+                "No process is known that a batch may be handed to; it waits for a takeover.");
+            return;
+        };
         let head = Head {
             owner: successor.clone(),
             ..row.head
@@ -381,6 +398,7 @@
     let Presence {
         incarnation,
         memory,
+        region,
         ..
     } = decode_process(row)?;
     Some(Heartbeat {
@@ -388,6 +406,7 @@
         incarnation,
         version: row.version,
         memory,
+        region,
     })
 }
 
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -181,7 +181,8 @@
         }))
     }
 
-    /// Returns a batch's submission from the cache or the store.
+    /// Returns a batch's submission from the cache or the store. It is kept only where the batch
+    /// may be held.
     async fn load_submission(&self, id: &str) -> Result<Rc<Submission>, Failure> {
         let known = self
             .submissions
@@ -196,6 +197,9 @@
         let object =
             object.ok_or_else(|| Failure::Refused("the submission object is missing".into()))?;
         let submission = Rc::new(batch::decode_submission(&object)?);
+        if !self.head(id).is_some_and(|row| self.may_hold(&row.head)) {
+            return Ok(submission);
+        }
         let mut cache = self.submissions.borrow_mut();
         if cache.len() >= MAX_CACHED_SUBMISSIONS {
             cache.remove(0);
--- a/hibiscusroad-daemon/src/gateway/batches/score.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/score.rs
@@ -5,7 +5,8 @@
 //!
 //! Calls of scorers are of the class of partners, whose slots protect them from callers, and
 //! callers from them. They wait in the turn of the batch's account, so that one trainer's
-//! scorers don't hold up another's.
+//! scorers don't hold up another's. They are served only in the regions that both the scorer's
+//! route and the batch's account allow.
 
 use super::{Batches, OwnedBatch};
 use crate::{
@@ -26,6 +27,7 @@
     catalog::{Kind, Route},
     clock::millis,
     rollout::Scorer,
+    topology::RegionSet,
 };
 use hibiscusroad_platform::header;
 use std::{
@@ -56,10 +58,12 @@
             let route = catalog.as_ref().and_then(|catalog| {
                 let route = catalog.find(&scorer.host, &scorer.path)?.clone();
                 let account = QueueAccount::of_scorer(catalog, owned.account.as_deref());
-                Some((route, account))
+                let regions = self.topology().allowed(&route.allowed_regions);
+                let regions = regions.intersection(self.account_regions(owned));
+                Some((route, account, regions))
             });
-            if let Some((route, account)) = route {
-                match self.call_scorer(scorer, &route, account).await {
+            if let Some((route, account, regions)) = route {
+                match self.call_scorer(scorer, &route, account, regions).await {
                     ScorerOutcome::Score(score) => {
                         log::info!(target: BATCHES, batch = owned.id.as_str(),
                             item = item.id.as_str(), scorer = scorer.id.as_str(),
@@ -96,6 +100,7 @@
         scorer: &Scorer,
         route: &Route,
         account: Option<QueueAccount>,
+        regions: RegionSet,
     ) -> ScorerOutcome {
         let deadline = Instant::now() + route.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let head = match internal_head(&scorer.host, &scorer.path, &scorer.id, deadline) {
@@ -122,6 +127,7 @@
             max_attempts: 1,
             tokens: 0,
             account,
+            regions,
         };
         match run_to_end(&self.context, request).await {
             Ended::Answer(answer, _) => classify(&answer),
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -6,7 +6,7 @@
 //! still be carried out seconds later; the caller is told that the outcome is unknown and
 //! submits again, which finds the head or writes it.
 
-use super::{Batches, HeadRow, owner::BatchState, transfer::Owner};
+use super::{Batches, HeadRow, owner::BatchState, regions::allowed_names, transfer::Owner};
 use crate::{
     gateway::{
         answer::{ResponseBody, full_response, problem},
@@ -23,7 +23,7 @@
     clock::millis,
     rollout::{
         Submission,
-        choice::{self, Candidate},
+        choice::{self, Candidate, Home, PREFERENCE},
         row::{self, Head, OwnerLoad, OwnerRow},
     },
     table::{Change, Commit, Range, Row},
@@ -46,6 +46,9 @@
 /// When a trainer may submit again after the store has failed. Outages last seconds, but
 /// another process may reach the store.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// When a trainer may submit a batch again whose regions have no data centre, which only a change
+/// of the configuration or the settings mends.
+const REGION_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// How long a batch runs if its route sets no limit.
 const DEFAULT_BATCH_TTL: Duration = Duration::from_mins(10);
 /// Limit for each of the optional reads before a batch starts. A batch that waits for a slow
@@ -77,6 +80,13 @@
         if let Some(row) = self.head(id) {
             return answer_repeated(&row.head, account.map(|account| account.name.as_str()));
         }
+        let allowed = allowed_names(route, account);
+        if self.is_nowhere(allowed.as_deref()) {
+            self.context.meters.region_refusals.inc();
+            log::info!(target: BATCHES, batch = id, route = route.name.as_str(), allowed:? = allowed;
+                "A batch is refused: its regions have no data centre.");
+            return problem(ErrorKind::NoEndpointInRegion, REGION_RETRY_AFTER);
+        }
         let submission = match batch::decode_submission(&body) {
             Ok(submission) if has_unique_ids(&submission) => submission,
             Ok(_) => return problem(ErrorKind::BadBody, Duration::ZERO),
@@ -89,7 +99,7 @@
         let deadline = Instant::now() + ACCEPT_TIMEOUT;
         let (stored, owner) = join(
             self.store_submission(id, &body, deadline),
-            self.choose_owner(submission.items.len()),
+            self.choose_owner(submission.items.len(), allowed.as_deref()),
         )
         .await;
         if let Err(failure) = stored {
@@ -97,7 +107,12 @@
                 "A submission could not be stored; it is refused.");
             return problem(ErrorKind::StoreDown, RETRY_AFTER);
         }
-        let head = self.new_head(path, route, account, &submission, owner.incarnation);
+        let origin = self.topology().own_region_name();
+        let head = Head {
+            origin: allowed.is_some().then(|| origin.to_owned()),
+            regions: allowed,
+            ..self.new_head(path, route, account, &submission, owner.incarnation)
+        };
         let new = NewBatch {
             head,
             address: owner.address,
@@ -107,8 +122,8 @@
         self.write_head(id, new, deadline).await
     }
 
-    /// Chooses the process that runs a new batch with the given number of items.
-    async fn choose_owner(&self, items: usize) -> Owner {
+    /// Chooses the process that runs a new batch with the given number of items in these regions.
+    async fn choose_owner(&self, items: usize, allowed: Option<&[String]>) -> Owner {
         let own = Owner {
             incarnation: self.incarnation.clone(),
             address: None,
@@ -122,13 +137,19 @@
         };
         let candidates = self.candidates(&page.rows);
         let now = self.store.now().unwrap_or_default();
-        let chosen = choice::choose(&candidates, items, self.memory_mb, now);
+        let home = Home {
+            region: self.topology().own_region_name(),
+            allowed,
+            preference: PREFERENCE,
+        };
+        let chosen = choice::choose_in_regions(&candidates, items, self.memory_mb, now, &home);
         if chosen.is_none() {
             let ages = candidates
                 .iter()
                 .map(|candidate| millis(candidate.age(now)));
             log::info!(target: BATCHES, heartbeats = page.rows.len(),
-                candidates = candidates.len(), age_ms:? = ages.min(), items = items;
+                candidates = candidates.len(), age_ms:? = ages.min(), items = items,
+                allowed:? = allowed;
                 "No owner of other batches can take a batch; the accepting process runs it.");
         }
         let other = chosen.filter(|found| found.presence.incarnation != self.incarnation);
@@ -330,6 +351,8 @@
             account: name,
             groups,
             model,
+            regions: None,
+            origin: None,
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/transfer.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/transfer.rs
@@ -3,7 +3,8 @@
 //! The new owner would learn of the batch from the store's feed and read the submission
 //! there. Sending both directly is faster, and only an optimisation: a message that is
 //! lost, late or repeated does no harm, since each write of a batch is conditional on the
-//! version of its head row.
+//! version of its head row. The owner is chosen among processes that may hold the batch, so the
+//! submission reaches no region that isn't allowed.
 
 use super::{Batches, owner::BatchState};
 use crate::logs::BATCHES;
@@ -65,8 +66,12 @@
                 return;
             }
         };
-        if self.is_stopping.get() || !self.update_head(&message.id, head.clone(), message.version) {
-            // The head is known already, or the process is stopping and hands the batch over.
+        if self.is_stopping.get()
+            || !self.may_hold(&head)
+            || !self.update_head(&message.id, head.clone(), message.version)
+        {
+            // The head is known already, or the process is stopping or may not hold the batch, and
+            // hands it over.
             self.record_head(&Row {
                 id: row::head(&message.id),
                 value: message.head,
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -4,7 +4,7 @@
 //! channel of its own. Dropping its [`Ticket`] cancels the call, so the slot of a
 //! caller that disconnects is free at once.
 
-use super::accounts::{QueueAccount, RefusalLog};
+use super::{accounts::QueueAccount, line_limit::LineLimit};
 use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Incarnation, RequestId,
@@ -14,9 +14,10 @@
     quarantine::EndpointIncarnation,
     roster::{Endpoint, EndpointChange},
     route::{
-        AccountKey, AccountView, Call, EndpointKey, EndpointSpec, LoadReport, Outcome, Router,
-        ServiceKey, ServiceSpec, SlownessCounts, Step,
+        AccountKey, AccountView, Call, EndpointKey, EndpointSpec, LoadReport, NearState, Outcome,
+        Router, ServiceKey, ServiceSpec, SlownessCounts, Step,
     },
+    topology::{Distance, RegionSet, Topology},
 };
 use hibiscusroad_platform::header::Load;
 use std::{
@@ -41,14 +42,18 @@
     pub(super) address: SocketAddr,
     /// Start time of this incarnation, if the endpoint reports it.
     pub(super) started_ms: Option<u64>,
+    pub(super) data_centre: Rc<str>,
+    pub(super) distance: Distance,
 }
 
 impl Target {
-    pub(super) fn of(endpoint: &Endpoint) -> Self {
+    pub(super) fn of(endpoint: &Endpoint, topology: &Topology) -> Self {
         Self {
             id: endpoint.id.as_str().into(),
             address: endpoint.address,
             started_ms: endpoint.started_ms,
+            data_centre: endpoint.data_centre.as_str().into(),
+            distance: topology.distance(&endpoint.data_centre),
         }
     }
 
@@ -65,8 +70,11 @@
 #[derive(Debug)]
 pub(super) struct Calls {
     router: RefCell<Router>,
+    topology: Topology,
     waiting: RefCell<HashMap<RequestId, Waiter>>,
-    pub(super) refusals: RefCell<RefusalLog>,
+    pub(super) refusals: RefCell<LineLimit<AccountKey>>,
+    /// Requests that leave their region or are refused by it, by service and reason.
+    pub(super) departures: RefCell<LineLimit<(String, &'static str)>>,
     keys: RefCell<HashMap<String, EndpointKey>>,
     targets: RefCell<HashMap<EndpointKey, Target>>,
     changed: Notify,
@@ -98,18 +106,21 @@
 
 impl Calls {
     pub(super) fn new(
-        data_centre: &str,
+        topology: Topology,
         incarnation: Incarnation,
         contention: Contention,
         account_share: Option<u32>,
     ) -> Self {
-        let router = Router::new(data_centre, incarnation.0)
+        let router = Router::new(topology.data_centre(), incarnation.0)
+            .topology(topology.clone())
             .contention(contention)
             .account_share(account_share);
         Self {
             router: RefCell::new(router),
+            topology,
             waiting: RefCell::default(),
             refusals: RefCell::default(),
+            departures: RefCell::default(),
             keys: RefCell::default(),
             targets: RefCell::default(),
             changed: Notify::new(),
@@ -176,7 +187,8 @@
         let Some(key) = self.keys.borrow().get(&endpoint.id).copied() else {
             return;
         };
-        self.targets.borrow_mut().insert(key, Target::of(endpoint));
+        let target = Target::of(endpoint, &self.topology);
+        self.targets.borrow_mut().insert(key, target);
         self.router
             .borrow_mut()
             .set_accepting(now, key, endpoint.is_open());
@@ -257,6 +269,18 @@
         router.record_idle_connection(endpoint, end);
     }
 
+    /// Returns the data centres and regions.
+    pub(super) const fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// Returns the state of the own region's endpoints for a call that leaves the region.
+    pub(super) fn near_state(&self, service: &str, regions: RegionSet) -> NearState {
+        let router = self.router.borrow();
+        let service = router.service(service);
+        service.map_or(NearState::None, |key| router.near_state(key, regions))
+    }
+
     /// Returns the target of an endpoint.
     pub(super) fn target(&self, key: EndpointKey) -> Option<Target> {
         self.targets.borrow().get(&key).cloned()
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -11,6 +11,7 @@
     attempt::{Answer, AnswerBody, AttemptContext, AttemptRequest, Done, run},
     calls::Ticket,
     message::{Content, Head},
+    regions::{record_refusal as record_refusal_by_regions, record_sent},
     subject::Subject,
 };
 use crate::logs::CALLS;
@@ -19,6 +20,7 @@
     catalog::Kind,
     quarantine::Verdict,
     route::{EndpointKey, Outcome, Step},
+    topology::RegionSet,
 };
 use std::{future::poll_fn, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
@@ -34,6 +36,8 @@
     pub(super) tokens: u32,
     /// The account in whose turn it waits for an endpoint.
     pub(super) account: Option<QueueAccount>,
+    /// The regions in which it may be served.
+    pub(super) regions: RegionSet,
 }
 
 /// How a request ended.
@@ -64,7 +68,8 @@
         let call = call
             .repeat(repeat)
             .max_attempts(max_attempts)
-            .tokens(request.tokens);
+            .tokens(request.tokens)
+            .regions(request.regions);
         call.no_hedge(no_hedge)
     };
     let mut ticket = context.calls.submit(
@@ -91,6 +96,7 @@
                         ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
                         continue;
                     };
+                    record_sent(context, &request, &target);
                     let attempt = AttemptRequest {
                         head: Rc::clone(&request.head),
                         subject: Rc::clone(&request.subject),
@@ -104,6 +110,9 @@
                 Step::Cancel { endpoint, .. } => running.retain(|(key, _)| *key != endpoint),
                 Step::Refuse { kind, retry_after, .. } => {
                     record_account_refusal(context, &request, kind);
+                    if kind == ErrorKind::NoEndpointInRegion {
+                        record_refusal_by_regions(context, &request);
+                    }
                     return match error_answer {
                         Some(answer) => Ended::Answer(Box::new(answer), None),
                         None => Ended::Refused(kind, retry_after),
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -3,6 +3,7 @@
 //! The role entry pushes its metrics with `cadence`. A gateway's are scraped from an
 //! address in the settings, so they need a registry instead.
 
+use hibiscusroad::topology::Distance;
 use hyper::StatusCode;
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
@@ -202,6 +203,18 @@
         "account",
         "work that waits, of the eight accounts with the most",
     ),
+    (
+        "gateway_sent_total",
+        "counter",
+        "distance",
+        "requests and items sent to endpoints: own-data-centre, own-region, other-region",
+    ),
+    (
+        "gateway_region_refusals_total",
+        "counter",
+        "",
+        "requests and batches refused because their regions have no endpoint that takes them",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -260,6 +273,8 @@
     pub(super) account_refusals: IntCounterVec,
     pub(super) share_refusals: IntCounterVec,
     pub(super) account_work: GaugeVec,
+    sent: IntCounterVec,
+    pub(super) region_refusals: IntCounter,
 }
 
 impl Meters {
@@ -327,6 +342,8 @@
             account_refusals: counter_vec(position("gateway_account_refusals_total"))?,
             share_refusals: counter_vec(position("gateway_account_share_refusals_total"))?,
             account_work: labelled(position("gateway_account_work_seconds"), &registry)?,
+            sent: counter_vec(position("gateway_sent_total"))?,
+            region_refusals: counter(position("gateway_region_refusals_total"))?,
             registry,
         })
     }
@@ -357,6 +374,11 @@
             .add(slots);
     }
 
+    /// Counts a request that is sent to an endpoint.
+    pub(super) fn record_sent(&self, distance: Distance) {
+        self.sent.with_label_values(&[distance.name()]).inc();
+    }
+
     /// Counts a response to a caller and records its latency.
     pub(super) fn record_response(
         &self,
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -21,7 +21,8 @@
 //! * [`crashes`]: requests that crash endpoints, and their quarantine.
 //! * [`resume`]: streams that are resumed at another endpoint.
 //! * [`calls`]: the router and the requests that wait for it. [`accounts`]: client accounts in
-//!   its queues. [`account_meters`]: their log lines and metrics.
+//!   its queues. [`account_meters`]: their log lines and metrics. [`regions`]: those of regions.
+//!   [`line_limit`]: limits of log lines.
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
 //! * [`duty`]: the lease of the gateway that acts for all.
@@ -47,11 +48,13 @@
 mod front;
 mod http;
 mod known_config;
+mod line_limit;
 mod message;
 pub mod meters;
 mod peers;
 mod ready;
 mod refresh;
+mod regions;
 mod request;
 mod respond;
 mod resume;
@@ -197,7 +200,7 @@
     let known = Rc::new(KnownConfig::new(own.trust_ms.map(Duration::from_millis)));
     let store = Rc::new(Store::new(own.store, Rc::clone(&meters)));
     let calls = Rc::new(Calls::new(
-        &settings.data_centre,
+        settings.topology(),
         incarnation,
         own.contention(),
         own.account_share,
@@ -237,7 +240,7 @@
                 gateway.weights.apply_roster(changes);
             }
         }));
-        let directory = Directory::new(&settings.name, own.peers, times.clone());
+        let directory = Directory::new(settings, own.peers, times.clone());
         let batches = Rc::new(Batches::new(
             directory,
             &holder,
@@ -407,7 +410,9 @@
         return;
     };
     gateway.store.set_address(own.store);
-    let needs_restart = before.callers != own.callers || before.ready != own.ready;
+    let needs_restart = before.callers != own.callers
+        || before.ready != own.ready
+        || old.topology() != new.topology();
     log::info!(target: PROCESS, store = own.store.to_string().as_str(), restart = needs_restart;
-        "Changed settings are in force; listening addresses need a restart.");
+        "Changed settings are in force; listening addresses and regions need a restart.");
 }
--- a/hibiscusroad-daemon/src/gateway/peers/directory.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/directory.rs
@@ -8,6 +8,7 @@
 use crate::{
     gateway::{failure::Failure, store::Store, times::Times},
     logs::STORE,
+    settings::Settings,
 };
 use hibiscusroad::{
     clock::millis,
@@ -16,6 +17,7 @@
         row::{MEMBER_PARTS, MEMBERS, Presence},
     },
     table::{Change, Page, Range, Row},
+    topology::Topology,
 };
 use hibiscusroad_platform::table::MAX_ENTRIES;
 use serde::de::DeserializeOwned;
@@ -49,16 +51,22 @@
     pub(in crate::gateway) address: Option<SocketAddr>,
     /// The clocks of the other gateways.
     pub(in crate::gateway) times: Times,
+    topology: Topology,
     /// The other gateways, by part.
     others: Rc<RefCell<BTreeMap<String, Vec<Presence>>>>,
 }
 
 impl Directory {
-    pub(in crate::gateway) fn new(name: &str, address: Option<SocketAddr>, times: Times) -> Self {
+    pub(in crate::gateway) fn new(
+        settings: &Settings,
+        address: Option<SocketAddr>,
+        times: Times,
+    ) -> Self {
         Self {
-            name: name.to_owned(),
+            name: settings.name.clone(),
             address,
             times,
+            topology: settings.topology(),
             others: Rc::default(),
         }
     }
@@ -81,6 +89,7 @@
             name,
             incarnation: presence.incarnation,
             memory: presence.memory,
+            region: presence.region,
         });
         Ok(members.collect())
     }
@@ -88,7 +97,15 @@
     fn apply(&self, store: &Store) {
         let parts = self.others.borrow();
         let others = || parts.values().flatten();
-        let addresses = others().filter_map(|presence| presence.peer);
+        // What is on its way to the store must not pass another region, which may not be allowed
+        // to hold it.
+        let region = self.topology.own_region_name();
+        let is_near = |presence: &&Presence| {
+            !self.topology.is_divided() || presence.region.as_deref() == Some(region)
+        };
+        let addresses = others()
+            .filter(is_near)
+            .filter_map(|presence| presence.peer);
         let peers = addresses.filter(|address| Some(*address) != self.address);
         store.set_peers(peers.collect());
         let offsets = others().filter_map(|presence| presence.offset);
--- a/hibiscusroad-daemon/src/gateway/request.rs
+++ b/hibiscusroad-daemon/src/gateway/request.rs
@@ -116,6 +116,10 @@
         let Some(service) = pick_service(route) else {
             return problem(ErrorKind::NoEndpoint, UNAVAILABLE_RETRY_DELAY);
         };
+        let topology = self.context.calls.topology();
+        let by_account = account.map_or(&[][..], |account| &account.allowed_regions);
+        let regions = topology.allowed(&route.allowed_regions);
+        let regions = regions.intersection(topology.allowed(by_account));
         let tokens = text(&parts.headers, header::TOKENS).and_then(header::parse_tokens);
         let head = head(parts, id, deadline, &catalog, account);
         let request = Forward {
@@ -125,6 +129,7 @@
             max_attempts: route.max_attempts,
             tokens: tokens.unwrap_or(0),
             account: QueueAccount::of_caller(&catalog, account, route),
+            regions,
             subject: Subject::new(&head, head.account.as_deref(), &content),
             content,
             head: Rc::new(head),
--- a/hibiscusroad-daemon/src/gateway/resume.rs
+++ b/hibiscusroad-daemon/src/gateway/resume.rs
@@ -18,7 +18,7 @@
 };
 use crate::logs::CALLS;
 use futures_util::stream::unfold;
-use hibiscusroad::{Class, catalog::Kind, clock::millis};
+use hibiscusroad::{Class, catalog::Kind, clock::millis, topology::RegionSet};
 use hibiscusroad_platform::{event::EventDecoder, header};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
@@ -35,6 +35,7 @@
     kind: Kind,
     tokens: u32,
     account: Option<QueueAccount>,
+    regions: RegionSet,
     /// Number of runs left.
     runs_left: u32,
 }
@@ -56,6 +57,7 @@
             kind: request.kind,
             tokens: request.tokens,
             account: request.account.clone(),
+            regions: request.regions,
             runs_left: request.max_attempts.saturating_sub(1),
         })
     }
@@ -77,6 +79,7 @@
             max_attempts: self.runs_left + 1,
             tokens: self.tokens,
             account: self.account.clone(),
+            regions: self.regions,
         })
     }
 }
--- a/hibiscusroad-daemon/tests/gateway_world/mod.rs
+++ b/hibiscusroad-daemon/tests/gateway_world/mod.rs
@@ -25,6 +25,8 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// The hostname of all routes in these tests.
 pub const HOST: &str = "huts.example";
+/// The location of gateways, unless a test sets another.
+const DEFAULT_LOCATION: &str = "place = \"senec\"\nregion = \"zapad\"\n";
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 /// An answer as its caller receives it.
@@ -155,13 +157,25 @@
         name: &str,
         store: SocketAddr,
         extra_settings: &str,
+    ) -> Self {
+        Self::start_in(dir, name, store, DEFAULT_LOCATION, extra_settings)
+    }
+
+    /// Starts a gateway with these lines on its location and others in its own table.
+    pub fn start_in(
+        dir: &std::path::Path,
+        name: &str,
+        store: SocketAddr,
+        location: &str,
+        extra_settings: &str,
     ) -> Self {
         let [callers, ready, metrics, peers] = [(); 4].map(|()| ports::free_port().unwrap());
         let extra_settings = format!("peers = \"{peers}\"\n{extra_settings}");
         let settings = dir.join(format!("{name}.toml"));
         fs::write(
             &settings,
-            settings_text(name, callers, ready, metrics, store, &extra_settings),
+            settings_text(name, callers, ready, metrics, store, &extra_settings)
+                .replace(DEFAULT_LOCATION, location),
         )
         .unwrap();
         let output = dir.join(format!("{name}.log"));
@@ -251,7 +265,7 @@
         "lease_ms = 1500\n"
     };
     format!(
-        "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
+        "name = \"{name}\"\nhost = \"{name}\"\n{DEFAULT_LOCATION}\n\
          [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\n\
          store = \"{store}\"\n{lease}fences = true\n{extra_settings}\n[stop]\ndeadline_s = 4\n"
     )
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -109,6 +109,7 @@
     order_holders: Vec<(String, u64)>,
     crash: Option<Crash>,
     crashed: bool,
+    data_centre: String,
 }
 
 #[derive(Debug)]
@@ -178,6 +179,7 @@
                 order_holders: Vec::new(),
                 crash: None,
                 crashed: false,
+                data_centre: "senec".to_owned(),
             }),
             store: Arc::clone(store),
         });
@@ -193,6 +195,12 @@
         self.shared.register(self.addr(), state);
     }
 
+    /// Registers the endpoint in another data centre.
+    pub fn set_data_centre(&self, name: &str) {
+        name.clone_into(&mut self.shared.lock().data_centre);
+        self.register("ready");
+    }
+
     /// Returns the address that it listens on.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
@@ -301,7 +309,7 @@
     fn register(&self, addr: SocketAddr, state: &str) {
         let models = self.models();
         let row = json!({ "service": self.service, "address": addr.to_string(),
-            "zone": "senec", "version": "v1", "slots": 8, "state": state,
+            "zone": self.lock().data_centre, "version": "v1", "slots": 8, "state": state,
             "coldRemainingMs": 0, "models": models, "seq": 1 });
         self.store.put_json("servers", &self.id, &row);
     }
--- a/src/account.rs
+++ b/src/account.rs
@@ -113,6 +113,12 @@
         self.table.is_empty()
     }
 
+    /// Returns the account with a name.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<&Account> {
+        self.table.values().find(|account| account.name == name)
+    }
+
     /// Returns the account that a credential authenticates.
     ///
     /// # Errors
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -212,6 +212,12 @@
         accounts.authenticate(credential).map(Some)
     }
 
+    /// Returns the account with a name.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        self.accounts.as_ref()?.find(name)
+    }
+
     /// Decides whether a caller is admitted, and returns its account if it has one.
     ///
     /// What is public needs no key, but a valid key still identifies the account.
--- a/src/rollout/choice.rs
+++ b/src/rollout/choice.rs
@@ -5,13 +5,16 @@
 //! trainers' length hints. If each process ran the batches that it accepts, owners
 //! would see only their own items and send long ones to engines that are full.
 //!
+//! Where there are several regions, [`choose_in_regions`] decides which processes are considered:
+//! those that may hold the batch, and by [`PREFERENCE`] those of one region first.
+//!
 //! The chosen process must have renewed its row recently, have memory for the batch,
 //! and not be much smaller than the process that accepts it. The choice may turn out
 //! wrong: if the process is gone, its batches are taken over like any others.
 
 use crate::rollout::{
     presence::{HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT},
-    row::Presence,
+    row::{Presence, may_hold},
 };
 use std::time::Duration;
 
@@ -26,6 +29,19 @@
 /// texts and results fill at most half of it: 64 KB each for a long item.
 const MAX_ITEMS_PER_MB: usize = 4;
 
+/// Which owners are preferred for batches that may be held in all regions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Preference {
+    /// One owner for all batches, in any region.
+    OneOwner,
+    /// An owner in the region of the accepting process, if one can take the batch.
+    NearOwner,
+}
+
+/// The preference in force. One owner sees what runs on all engines and so avoids refusals;
+/// owners in two regions would use the engines of both anyway.
+pub const PREFERENCE: Preference = Preference::OneOwner;
+
 /// A process that has been given batches recently in its present incarnation.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -38,6 +54,10 @@
 }
 
 impl Candidate {
+    fn region(&self) -> Option<&str> {
+        self.presence.region.as_deref()
+    }
+
     /// Returns the time since its last heartbeat at the store's time `now`.
     #[must_use]
     pub const fn age(&self, now: Duration) -> Duration {
@@ -45,6 +65,40 @@
     }
 }
 
+/// Where a new batch comes from and may be held.
+#[derive(Clone, Copy, Debug)]
+pub struct Home<'a> {
+    /// The region of the accepting process.
+    pub region: &'a str,
+    /// The regions in which the batch may be held; `None` for all.
+    pub allowed: Option<&'a [String]>,
+    /// Which owners are preferred if it may be held in all regions.
+    pub preference: Preference,
+}
+
+/// Chooses the process for a batch as [`choose`] does, among those that may hold it by their
+/// region.
+#[must_use]
+pub fn choose_in_regions<'a>(
+    candidates: &'a [Candidate],
+    items: usize,
+    memory: u32,
+    now: Duration,
+    home: &Home<'_>,
+) -> Option<&'a Candidate> {
+    if home.preference == Preference::NearOwner && home.allowed.is_none() {
+        let near = candidates
+            .iter()
+            .filter(|it| it.region() == Some(home.region));
+        let chosen = choose_among(near, items, memory, now);
+        if chosen.is_some() {
+            return chosen;
+        }
+    }
+    let may_hold = |it: &&Candidate| may_hold(home.allowed, Some(home.region), it.region());
+    choose_among(candidates.iter().filter(may_hold), items, memory, now)
+}
+
 /// Chooses the process for a batch of `items` items that a process with `memory` MB
 /// accepts at the store's time `now`; `None` if the accepting process should run it.
 ///
@@ -57,6 +111,15 @@
     memory: u32,
     now: Duration,
 ) -> Option<&Candidate> {
+    choose_among(candidates.iter(), items, memory, now)
+}
+
+fn choose_among<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+    items: usize,
+    memory: u32,
+    now: Duration,
+) -> Option<&'a Candidate> {
     let eligible = |candidate: &&Candidate| {
         let candidate_memory = candidate.presence.memory;
         let alive = candidate.age(now) <= MAX_ROW_AGE;
@@ -64,6 +127,6 @@
         let max_items = MAX_ITEMS_PER_MB * usize::try_from(candidate_memory).unwrap_or(usize::MAX);
         alive && large && candidate.open_items + items <= max_items
     };
-    let eligible = candidates.iter().filter(eligible);
+    let eligible = candidates.filter(eligible);
     eligible.max_by_key(|candidate| (candidate.presence.memory, candidate.last_batch_at))
 }
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -3,7 +3,8 @@
 //! Several owners send items to the same engines, and none sees the items of the others.
 //! The capacity of an engine is therefore its slots, less own items and the other requests
 //! that it last reported. Ties are broken by a hash of group and engine, so that owners
-//! don't all choose the same engine.
+//! don't all choose the same engine. Engines of the own region come first among those that are
+//! equal in everything else.
 //!
 //! A group waits for its slowest item, so an engine that is much slower than its peers
 //! gets only one item at a time, which shows when it recovers.
@@ -30,6 +31,7 @@
         waits::WaitReason,
     },
     roster::Endpoint,
+    topology::{Region, RegionSet, Topology},
 };
 
 slotmap::new_key_type! {
@@ -69,6 +71,9 @@
     slots: u32,
     /// Whether the engine takes new requests.
     is_open: bool,
+    region: Region,
+    /// Whether it is in another region.
+    is_far: bool,
     weights: BTreeMap<String, u64>,
     /// Number of items of this owner that run there.
     own_items: u32,
@@ -119,6 +124,8 @@
     pub min_version: u64,
     /// The only weight version that is allowed, if it is fixed.
     pub exact_version: Option<u64>,
+    /// The regions whose engines are allowed.
+    pub regions: RegionSet,
     /// The item's group, which breaks ties.
     pub group: &'a str,
     /// An engine that must not be chosen.
@@ -135,6 +142,7 @@
     states: SlotMap<EngineKey, EngineState>,
     index: HashMap<String, EngineKey>,
     contention: Contention,
+    topology: Option<Topology>,
     /// Services of which an engine has reported how slow its host is.
     shared_hosts: BTreeSet<String>,
     /// Where loads of weights are assumed to be under way.
@@ -156,6 +164,13 @@
         Self::default()
     }
 
+    /// Sets the data centres and regions; without them, no engine's region is known.
+    #[must_use]
+    pub fn topology(mut self, topology: Topology) -> Self {
+        self.topology = Some(topology);
+        self
+    }
+
     /// Sets for which services contention is expected.
     #[must_use]
     pub const fn contention(mut self, contention: Contention) -> Self {
@@ -210,6 +225,12 @@
             service,
             ..
         } = endpoint;
+        let topology = self.topology.as_ref();
+        let region = topology.map(|topology| topology.region(&endpoint.data_centre));
+        let is_far = topology
+            .zip(region)
+            .is_some_and(|(it, region)| it.is_far(region));
+        let region = region.unwrap_or(Region::UNKNOWN);
         let key = self.index.get(id).copied().unwrap_or_else(|| {
             let key = self.states.insert(EngineState {
                 id: id.clone(),
@@ -217,6 +238,8 @@
                 service: service.clone(),
                 slots: endpoint.slots,
                 is_open: endpoint.is_open(),
+                region,
+                is_far,
                 weights: BTreeMap::new(),
                 own_items: 0,
                 others_report: None,
@@ -236,6 +259,7 @@
         let engine = &mut self.states[key];
         engine.slots = endpoint.slots;
         engine.is_open = endpoint.is_open();
+        (engine.region, engine.is_far) = (region, is_far);
         for weights in &endpoint.weights {
             raise_version(&mut engine.weights, &weights.model, weights.version);
         }
@@ -267,11 +291,19 @@
         self.key(id).map_or(0, |key| self.states[key].own_items)
     }
 
-    /// Returns whether any engine of a service has exactly this version of a model.
+    /// Returns whether any engine of a service in these regions has exactly this version of a
+    /// model.
     #[must_use]
-    pub fn has_version(&self, service: &str, model: &str, version: u64) -> bool {
+    pub fn has_version(
+        &self,
+        service: &str,
+        model: &str,
+        version: u64,
+        regions: RegionSet,
+    ) -> bool {
         self.states.values().any(|engine| {
             engine.is_open
+                && regions.contains(engine.region)
                 && engine.service == service
                 && engine.weights.get(model) == Some(&version)
         })
@@ -297,7 +329,8 @@
         let group_hash = group_hash(requirements);
         let best = eligible.max_by_key(|(_, engine)| {
             let tie_breaker = tie_breaker(engine, group_hash);
-            (tier(engine), engine.free_slots(now), tie_breaker)
+            let free_slots = engine.free_slots(now);
+            (tier(engine), free_slots, !engine.is_far, tie_breaker)
         });
         best.map(|(key, _)| key)
     }
@@ -308,6 +341,7 @@
         let is_suitable = |engine: &EngineState| {
             engine.is_open
                 && engine.service == requirements.service
+                && requirements.regions.contains(engine.region)
                 && has_weights(engine, requirements)
         };
         if self.states.values().any(is_suitable) {
@@ -568,6 +602,7 @@
     Some(key) != requirements.excluded
         && engine.is_open
         && engine.service == requirements.service
+        && requirements.regions.contains(engine.region)
         && engine.paused_until.is_none_or(|until| until <= now)
         && engine.free_slots(now) > 0
         && has_weights(engine, requirements)
--- a/src/rollout/engines/speed.rs
+++ b/src/rollout/engines/speed.rs
@@ -138,7 +138,8 @@
         };
         let group_hash = group_hash(requirements);
         fit::choose(task, median, &candidates, |key| {
-            tie_breaker(&self.states[key], group_hash)
+            let engine = &self.states[key];
+            (!engine.is_far, tie_breaker(engine, group_hash))
         })
     }
 
--- a/src/rollout/fit.rs
+++ b/src/rollout/fit.rs
@@ -160,11 +160,11 @@
 
 /// Chooses the engine for a text; `median` is the median pace of the service, and
 /// `tie_breaker` orders engines that are equal in everything else.
-pub(super) fn choose<K: Copy>(
+pub(super) fn choose<K: Copy, T: Ord>(
     task: Task,
     median: f64,
     candidates: &[Candidate<K>],
-    tie_breaker: impl Fn(K) -> u64,
+    tie_breaker: impl Fn(K) -> T,
 ) -> Option<K> {
     let Some(rest) = task.rest else {
         // A text of unknown length may be long.
@@ -190,10 +190,10 @@
 }
 
 /// Returns the engine with the most free slots of those with the earliest expected end.
-fn earliest<'a, K: Copy + 'a>(
+fn earliest<'a, K: Copy + 'a, T: Ord>(
     candidates: impl Iterator<Item = &'a Candidate<K>>,
     events: f64,
-    tie_breaker: impl Fn(K) -> u64,
+    tie_breaker: impl Fn(K) -> T,
 ) -> Option<K> {
     let ends: Vec<(f64, &Candidate<K>)> = candidates
         .map(|it| (it.speed.seconds(events), it))
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -58,6 +58,8 @@
     pub version: u64,
     /// Megabytes that the process may use.
     pub memory: u32,
+    /// The region of the process, if it is known.
+    pub region: Option<String>,
 }
 
 /// A process, as read from the rows of all processes.
@@ -69,6 +71,8 @@
     pub incarnation: String,
     /// Megabytes that the process may use.
     pub memory: u32,
+    /// The region of the process, if it is known.
+    pub region: Option<String>,
 }
 
 #[derive(Debug)]
@@ -76,6 +80,7 @@
     incarnation: String,
     version: u64,
     memory: u32,
+    region: Option<String>,
     /// When this version was first seen.
     since: Instant,
 }
@@ -128,6 +133,7 @@
                     incarnation: heartbeat.incarnation,
                     version: heartbeat.version,
                     memory: heartbeat.memory,
+                    region: heartbeat.region,
                     since: now,
                 };
                 self.owners.insert(heartbeat.name, process);
@@ -172,15 +178,15 @@
         higher.take(WATCHERS as usize).count() < WATCHERS as usize
     }
 
-    /// Returns the incarnation of the process that takes the batches of the process
-    /// `name` when that one stops.
+    /// Returns the incarnation of the process that takes a batch of the process `name` when
+    /// that one stops; `may_hold` tells whether a process in a region may.
     ///
     /// Prefers owners with a recent renewal, then the largest, then the highest hash. All
     /// batches go to the same process, which then sees everything that runs at the engines.
     /// If no other owner is alive, a process that owns nothing is chosen. Should it be gone,
     /// the batches are taken over.
     #[must_use]
-    pub fn successor(&self, name: &str) -> Option<&str> {
+    pub fn successor(&self, name: &str, may_hold: impl Fn(Option<&str>) -> bool) -> Option<&str> {
         let last_poll = self.last_poll?;
         let is_alive = |process: &Observation| {
             last_poll.saturating_duration_since(process.since) < HEARTBEAT_TIMEOUT
@@ -190,13 +196,15 @@
         let owners = self
             .owners
             .iter()
-            .filter(|(other, _)| other.as_str() != name);
+            .filter(|(other, owner)| other.as_str() != name && may_hold(owner.region.as_deref()));
         let alive = owners.filter(|(_, owner)| is_alive(owner));
         let chosen = alive.max_by_key(|(other, owner)| (owner.memory, score(other)));
         if let Some((_, owner)) = chosen {
             return Some(&owner.incarnation);
         }
-        let others = self.members().filter(|member| member.name != name);
+        let others = self
+            .members()
+            .filter(|member| member.name != name && may_hold(member.region.as_deref()));
         let chosen = others.max_by_key(|member| (member.memory, score(&member.name)));
         chosen.map(|member| member.incarnation.as_str())
     }
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -85,6 +85,12 @@
     pub groups: Vec<u32>,
     /// Number of groups at the beginning that are carried over.
     pub carried: usize,
+    /// The regions in which it may be run and held; `None` for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<String>>,
+    /// The region of the process that accepted it, if its regions are limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<String>,
 }
 
 impl Head {
@@ -112,11 +118,19 @@
     }
 
     /// Returns whether groups and texts of another batch may be carried over to this one:
-    /// both have the same client account and model. Callers choose the IDs of items and
-    /// groups, and guessing another caller's ID must not give access to its texts.
+    /// both have the same client account and model, and are limited to the same regions. Callers
+    /// choose the IDs of items and groups, and guessing another caller's ID must not give access
+    /// to its texts.
     #[must_use]
     pub fn shares_texts_with(&self, other: &Self) -> bool {
-        self.account == other.account && self.model == other.model
+        let has_same_regions = self.regions == other.regions;
+        self.account == other.account && self.model == other.model && has_same_regions
+    }
+
+    /// Returns whether a process in `region` may own the batch and hold its data ([`may_hold`]).
+    #[must_use]
+    pub fn may_be_held_in(&self, region: Option<&str>) -> bool {
+        may_hold(self.regions.as_deref(), self.origin.as_deref(), region)
     }
 
     /// Returns the time since its acceptance, at the store's time `store`.
@@ -126,6 +140,19 @@
     }
 }
 
+/// Returns whether a process in `region` may hold the data of a batch with these allowed regions
+/// that was accepted in the region `origin`.
+///
+/// It may in an allowed region, and in that of the acceptance, where the data has been anyway. A
+/// process whose region isn't known may only hold batches that are not limited.
+#[must_use]
+pub fn may_hold(allowed: Option<&[String]>, origin: Option<&str>, region: Option<&str>) -> bool {
+    let Some(allowed) = allowed else {
+        return true;
+    };
+    region.is_some_and(|region| origin == Some(region) || allowed.iter().any(|it| it == region))
+}
+
 /// The row of a process; each write changes the row's version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Presence {
@@ -144,6 +171,9 @@
     /// The difference between its host's time of day and the store's clock.
     #[serde(default)]
     pub offset: Option<Offset>,
+    /// The region of the process; absent in rows of earlier versions.
+    #[serde(default)]
+    pub region: Option<String>,
 }
 
 /// The heartbeat row of a process that owns something.
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -38,8 +38,8 @@
 /// there may take longer than the round trip to another data centre.
 const BUSY_SCORE: f64 = 0.7;
 /// Score above which an endpoint is compared with those of other regions. A round trip there
-/// takes 16 ms, eleven times that to another data centre, and the link is priced and shared by
-/// all traffic. So near endpoints must be busy beyond their limit or clearly slow.
+/// takes 16 ms, six times that to another data centre, and the link is priced and shared by all
+/// traffic. So near endpoints must be busy beyond their limit or clearly slow.
 const FAR_BUSY_SCORE: f64 = 1.5;
 /// Score of an endpoint in another region, relative to the best near one, up to which it is
 /// chosen: with a smaller difference the call gains less than the round trip.
--- a/src/topology.rs
+++ b/src/topology.rs
@@ -144,6 +144,19 @@
         Self::new(data_centre, "", &BTreeMap::new())
     }
 
+    /// Returns the own data centre.
+    #[must_use]
+    pub fn data_centre(&self) -> &str {
+        &self.data_centre
+    }
+
+    /// Returns the names of the regions in a set.
+    pub fn names(&self, regions: RegionSet) -> impl Iterator<Item = &str> {
+        let numbered = self.all_regions().zip(&self.regions);
+        let contained = numbered.filter(move |(region, _)| regions.contains(*region));
+        contained.map(|(_, name)| name.as_str())
+    }
+
     /// Returns the name of the own region.
     #[must_use]
     pub fn own_region_name(&self) -> &str {
--- a/tests/rollout_choice.rs
+++ b/tests/rollout_choice.rs
@@ -1,8 +1,8 @@
 //! Tests the choice of the process that runs a new batch.
 
 use hibiscusroad::rollout::{
-    choice::{Candidate, choose},
-    row::Presence,
+    choice::{Candidate, Home, Preference, choose, choose_in_regions},
+    row::{Presence, may_hold},
 };
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
             peer: None,
             renewed: 10_000 - age_ms,
             memory,
+            region: None,
         },
         open_items: 200,
         last_batch_at: Duration::from_secs(8),
@@ -79,3 +80,61 @@
     full.open_items = 1_024;
     assert!(choose(&[full], 1_024, 512, NOW).is_some());
 }
+
+/// Returns the process for a batch that a process in `zapad` accepts.
+fn chosen_in(
+    owners: &[(&str, Option<&str>)],
+    allowed: Option<&[&str]>,
+    preference: Preference,
+) -> Option<String> {
+    let candidates = owners.iter().map(|(name, region)| {
+        let mut owner = candidate(name, 10, 512);
+        owner.presence.region = region.map(str::to_owned);
+        owner
+    });
+    let candidates: Vec<Candidate> = candidates.collect();
+    let allowed = allowed.map(|names| names.iter().map(|it| (*it).to_owned()).collect::<Vec<_>>());
+    let home = Home {
+        region: "zapad",
+        allowed: allowed.as_deref(),
+        preference,
+    };
+    let chosen = choose_in_regions(&candidates, 200, 512, NOW, &home)?;
+    Some(chosen.presence.incarnation.clone())
+}
+
+// Guards against a submission that is sent to a region that must not have it.
+#[test]
+fn owner_is_in_an_allowed_region_or_that_of_the_acceptance() {
+    let one = Preference::OneOwner;
+    let east = [("a", Some("vychod"))];
+    assert_eq!(chosen_in(&east, None, one).as_deref(), Some("a/aa"));
+    assert_eq!(chosen_in(&east, Some(&["zapad"]), one), None);
+    assert_eq!(chosen_in(&east, Some(&[]), one), None);
+    let allowed = chosen_in(&east, Some(&["vychod"]), one);
+    assert_eq!(allowed.as_deref(), Some("a/aa"));
+    let home = chosen_in(&[("a", Some("zapad"))], Some(&["vychod"]), one);
+    assert_eq!(home.as_deref(), Some("a/aa"));
+    // A row of an earlier version.
+    assert_eq!(chosen_in(&[("a", None)], Some(&["zapad"]), one), None);
+    let unlimited = chosen_in(&[("a", None)], None, one);
+    assert_eq!(unlimited.as_deref(), Some("a/aa"));
+}
+
+// Guards against a near owner that is preferred although it can't take the batch.
+#[test]
+fn near_owner_is_preferred_only_if_it_can_take_the_batch() {
+    let owners = [("a", Some("vychod")), ("b", Some("zapad"))];
+    let near = chosen_in(&owners, None, Preference::NearOwner);
+    assert_eq!(near.as_deref(), Some("b/aa"));
+    let far = chosen_in(&owners[..1], None, Preference::NearOwner);
+    assert_eq!(far.as_deref(), Some("a/aa"));
+}
+
+#[test]
+fn data_without_limits_may_be_held_anywhere() {
+    assert!(may_hold(None, None, None));
+    assert!(!may_hold(Some(&[]), Some("zapad"), None));
+    assert!(may_hold(Some(&[]), Some("zapad"), Some("zapad")));
+    assert!(!may_hold(Some(&[]), Some("zapad"), Some("vychod")));
+}
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -7,6 +7,7 @@
         pace::{Paces, Sample},
     },
     roster::{Endpoint, Weights},
+    topology::RegionSet,
 };
 use std::{
     collections::HashMap,
@@ -18,6 +19,7 @@
     model: Some("guide"),
     min_version: 3,
     exact_version: None,
+    regions: RegionSet::ALL,
     group: "g",
     excluded: None,
     rest: None,
--- a/tests/rollout_fit.rs
+++ b/tests/rollout_fit.rs
@@ -7,6 +7,7 @@
         fit::{Length, MoveReason, Progress, Rest},
     },
     roster::{Endpoint, Weights},
+    topology::RegionSet,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -24,6 +25,7 @@
     model: None,
     min_version: 0,
     exact_version: None,
+    regions: RegionSet::ALL,
     group: "g",
     excluded: None,
     rest: None,
--- a/tests/rollout_loading.rs
+++ b/tests/rollout_loading.rs
@@ -9,6 +9,7 @@
         order_records::OrderRecords,
     },
     roster::{Endpoint, Weights},
+    topology::RegionSet,
 };
 use std::time::{Duration, Instant};
 
@@ -63,6 +64,7 @@
         model: Some(model),
         min_version: 1,
         exact_version: None,
+        regions: RegionSet::ALL,
         group: "g",
         excluded: None,
         rest: None,
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -15,6 +15,7 @@
         name: format!("gateway-{n}"),
         incarnation: format!("gateway-{n}/aa"),
         memory,
+        region: None,
     }
 }
 
@@ -24,6 +25,7 @@
         incarnation: incarnation.to_owned(),
         version,
         memory: 512,
+        region: None,
     }
 }
 
@@ -185,8 +187,9 @@
         incarnation: format!("gateway-{n}/aa"),
         version,
         memory: 512,
+        region: None,
     };
-    assert_eq!(detector.successor("gateway-1"), None);
+    assert_eq!(detector.successor("gateway-1", |_| true), None);
     detector.record_poll(start, latency, (1..=4).map(|n| row(n, n)).collect());
     let later = start + HEARTBEAT_TIMEOUT * 2;
     let renewed = |n: u64| if n < 4 { n + 10 } else { n };
@@ -195,13 +198,13 @@
         latency,
         (1..=4).map(|n| row(n, renewed(n))).collect(),
     );
-    let successor = detector.successor("gateway-1").unwrap();
+    let successor = detector.successor("gateway-1", |_| true).unwrap();
     assert!(
         ["gateway-2/aa", "gateway-3/aa"].contains(&successor),
         "{successor}"
     );
     let successors: HashSet<_> = (5..40)
-        .filter_map(|n| detector.successor(&format!("gateway-{n}")))
+        .filter_map(|n| detector.successor(&format!("gateway-{n}"), |_| true))
         .collect();
     let alive = ["gateway-1/aa", "gateway-2/aa", "gateway-3/aa"];
     assert_eq!(successors, alive.into());
@@ -216,13 +219,39 @@
     detector.record_members("0", members.to_vec());
     let own = heartbeat(OWNER, 1);
     detector.record_poll(Instant::now(), Duration::from_millis(5), vec![own]);
-    let successor = detector.successor("gateway-1").unwrap();
+    let successor = detector.successor("gateway-1", |_| true).unwrap();
     assert!(
         ["gateway-3/aa", "gateway-4/aa"].contains(&successor),
         "{successor}"
     );
 }
 
+// Guards against a batch that is handed to a process in a region that must not have its data,
+// or whose region isn't known.
+#[test]
+fn successor_is_in_a_region_that_may_hold_the_batch() {
+    let mut detector = FailureDetector::new();
+    let regions = [Some("zapad"), Some("vychod"), None, Some("vychod")];
+    let members = (1..).zip(regions).map(|(n, region)| Member {
+        region: region.map(str::to_owned),
+        ..member(n, 512)
+    });
+    detector.record_members("0", members.collect());
+    let other = Heartbeat {
+        name: "gateway-3".to_owned(),
+        ..heartbeat("gateway-3/aa", 1)
+    };
+    detector.record_poll(Instant::now(), Duration::from_millis(5), vec![other]);
+    let only = |name: &'static str| move |region: Option<&str>| region == Some(name);
+    assert_eq!(detector.successor("gateway-1", only("zapad")), None);
+    let successor = detector.successor("gateway-1", only("vychod")).unwrap();
+    assert!(["gateway-2/aa", "gateway-4/aa"].contains(&successor));
+    assert_eq!(
+        detector.successor("gateway-1", |_| true),
+        Some("gateway-3/aa")
+    );
+}
+
 // Guards against batches of a lost owner that are scattered, or go to small hosts.
 #[test]
 fn large_processes_take_over_first() {
