Take candidates for a prefix from the ring before their regions are checked

Cause: the ring looked up the row of each endpoint that it passed to check its region, though the choice mostly takes the first one or two.

Change: the ring returns keys as before, twice as many where there are several regions, and the choice checks region and distance with the rest.

--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -17,6 +17,7 @@
         EndpointKey, ServiceKey,
         rank::Rank,
         retry::RERUN_COST,
+        ring::{MAX_CANDIDATES, MAX_CANDIDATES_IN_REGIONS},
         router::Router,
         share,
         spec::Call,
@@ -203,12 +204,13 @@
     ) -> Option<EndpointKey> {
         let mut found = std::mem::take(&mut self.ring_candidates);
         found.clear();
-        let endpoints = &self.endpoints;
+        let max = if self.topology.is_divided() {
+            MAX_CANDIDATES_IN_REGIONS
+        } else {
+            MAX_CANDIDATES
+        };
         let row = &mut self.services[call.service];
-        row.ring.find(prefix, &mut found, |key| {
-            let row = &endpoints[key];
-            (row.tier == FAR_TIER) == is_far && call.regions.contains(row.region)
-        });
+        row.ring.find(prefix, &mut found, max);
         let mean = self.mean_work(now, call.service, call.regions, is_far);
         let work = self.estimate(call).map_or(0.0, |e| e.mean);
         let max_work = mean * MAX_WORK_RATIO + work;
@@ -218,6 +220,8 @@
         for key in &found {
             let row = &self.endpoints[*key];
             let fits = row.pool_index.is_some()
+                && (row.tier == FAR_TIER) == is_far
+                && call.regions.contains(row.region)
                 && Some(*key) != excluded
                 && row.has_cache_for(now, call.tokens);
             let endpoint_work = row.recent_work.value(now);
--- a/src/route/ring.rs
+++ b/src/route/ring.rs
@@ -16,6 +16,8 @@
 /// Maximum endpoints that are tried for a prefix. Under a bound of 1.1 times the mean work the
 /// next one with room is rarely further.
 pub(super) const MAX_CANDIDATES: usize = 8;
+/// The same where there are several regions, of which a call uses one at a time.
+pub(super) const MAX_CANDIDATES_IN_REGIONS: usize = 2 * MAX_CANDIDATES;
 
 #[derive(Clone, Debug, Default)]
 pub(super) struct Ring {
@@ -41,21 +43,16 @@
         }
     }
 
-    /// Appends the first endpoints for a prefix that `fits` accepts to `found`, in order.
-    pub(super) fn find(
-        &mut self,
-        prefix: u64,
-        found: &mut Vec<EndpointKey>,
-        fits: impl Fn(EndpointKey) -> bool,
-    ) {
+    /// Appends the first `max` endpoints for a prefix to `found`, in order.
+    pub(super) fn find(&mut self, prefix: u64, found: &mut Vec<EndpointKey>, max: usize) {
         self.insert_pending();
         let hash = xxh3_64(&prefix.to_le_bytes());
         let start = self.points.partition_point(|(point, _)| *point < hash);
         let (before, after) = self.points.split_at(start);
         // Stops early where the ring has fewer endpoints than the maximum.
-        let max_found = MAX_CANDIDATES.min(self.endpoint_count);
-        for (_, key) in after.iter().chain(before).take(MAX_CANDIDATES * 8) {
-            if !found.contains(key) && fits(*key) {
+        let max_found = max.min(self.endpoint_count);
+        for (_, key) in after.iter().chain(before).take(max * 8) {
+            if !found.contains(key) {
                 found.push(*key);
             }
             if found.len() == max_found {
