--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -3,6 +3,7 @@
 //! The role entry pushes its metrics with `cadence`. A gateway's are scraped from an
 //! address in the settings, so they need a registry instead.
 
+use hibiscusroad::topology::Distance;
 use hyper::StatusCode;
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
@@ -214,6 +215,18 @@
         "place",
         "requests of this process that still run in evacuated data centres, the first eight by name",
     ),
+    (
+        "gateway_sent_total",
+        "counter",
+        "distance",
+        "requests and items sent to endpoints: own-data-centre, own-region, other-region",
+    ),
+    (
+        "gateway_region_refusals_total",
+        "counter",
+        "",
+        "requests and batches refused because their regions have no endpoint that takes them",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -274,6 +287,8 @@
     pub(super) account_work: GaugeVec,
     pub(super) evacuated: IntGauge,
     pub(super) evacuated_requests: IntGaugeVec,
+    sent: IntCounterVec,
+    pub(super) region_refusals: IntCounter,
 }
 
 impl Meters {
@@ -343,6 +358,8 @@
             account_work: labelled(position("gateway_account_work_seconds"), &registry)?,
             evacuated: gauge(position("gateway_evacuated_data_centres"))?,
             evacuated_requests: labelled(position("gateway_evacuated_requests"), &registry)?,
+            sent: counter_vec(position("gateway_sent_total"))?,
+            region_refusals: counter(position("gateway_region_refusals_total"))?,
             registry,
         })
     }
@@ -373,6 +390,11 @@
             .add(slots);
     }
 
+    /// Counts a request that is sent to an endpoint.
+    pub(super) fn record_sent(&self, distance: Distance) {
+        self.sent.with_label_values(&[distance.name()]).inc();
+    }
+
     /// Counts a response to a caller and records its latency.
     pub(super) fn record_response(
         &self,
--- a/hibiscusroad-daemon/tests/gateway_evacuation.rs
+++ b/hibiscusroad-daemon/tests/gateway_evacuation.rs
@@ -30,8 +30,8 @@
     let mut world = World::start(test);
     let desks = ["i-near", "i-far"].map(|id| world.endpoint("hut-desk", id, &[]));
     let engines = ["e-near", "e-far"].map(|id| world.endpoint("guide-lm", id, &["guide"]));
-    desks[1].move_to("jih");
-    engines[1].move_to("jih");
+    desks[1].set_data_centre("jih");
+    engines[1].set_data_centre("jih");
     world.configure(1, &[]);
     world.gateway();
     world.wait_ready(0);
@@ -188,7 +188,7 @@
     world.configure(1, &[]);
     let near = world.endpoint("hut-desk", "i-near", &[]);
     let far = world.endpoint("hut-desk", "i-far", &[]);
-    far.move_to("jih");
+    far.set_data_centre("jih");
     evacuate(&world, "senec");
     world.store.stall_reads("op");
     let name = world.gateway().name.clone();
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -197,8 +197,8 @@
     }
 
     /// Registers the endpoint in another data centre.
-    pub fn move_to(&self, data_centre: &str) {
-        data_centre.clone_into(&mut self.shared.lock().data_centre);
+    pub fn set_data_centre(&self, name: &str) {
+        name.clone_into(&mut self.shared.lock().data_centre);
         self.register("ready");
     }
 
