Add the state of cold endpoints and the limits on what is sent to them

Cause: a cold endpoint crashes above a number of requests a second, which no gateway sees whole. Change: coldness from entries, starts and ends of evacuations; a window of sends shared by items and calls; the holder's half, the owners' share, the ramp, and what a thawed process may send. An entry with remaining coldness is published also if it equals the last one, and a lease tells when it ends.

--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -164,6 +164,15 @@
         }
     }
 
+    /// Returns when the lease ends if it is not renewed, while this process holds the duty.
+    #[must_use]
+    pub fn held_until(&self, now: Instant) -> Option<Instant> {
+        match &self.state {
+            State::Held { since, .. } => Some(self.expires_at(*since)).filter(|end| now < *end),
+            _ => None,
+        }
+    }
+
     /// Releases the duty with the next write, so that another process need not
     /// wait for the lease to expire.
     pub const fn release(&mut self) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 //! * [`class`]: the class of a request, and whether it may run twice.
 //! * [`clock`]: sources of the current time.
 //! * [`clock_estimate`]: an estimate of the steady clock of another host.
+//! * [`cold_start`]: limits on what is sent to cold endpoints.
 //! * [`config`]: the configuration document, its changes and its propagation.
 //! * [`contention`]: the switch for decisions on competition for room.
 //! * [`error`]: the closed list of error kinds and the answers for them.
@@ -52,6 +53,7 @@
 pub mod class;
 pub mod clock;
 pub mod clock_estimate;
+pub mod cold_start;
 pub mod config;
 pub mod contention;
 pub mod error;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -141,7 +141,8 @@
                 return changes;
             }
             row.drop_at = None;
-            if row.endpoint == endpoint {
+            // A remaining time holds from each entry anew, also if it is the same as before.
+            if row.endpoint == endpoint && endpoint.cold_remaining.is_zero() {
                 return changes;
             }
             if old_start != new_start {
