Choose cold endpoints only for what waits, as far as they admit it

Cause: the router and the choice of engines did not know coldness. Change: both keep what an endpoint admits and count it down. Warm ones come first; hedges get no cold endpoint. Calls are refused at once if every usable endpoint admits none until after their latest start, with that time.

--- a/benches/route.rs
+++ b/benches/route.rs
@@ -7,6 +7,7 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use hibiscusroad::{
     Class, Incarnation, RequestId,
+    cold_start::Admission,
     contention::{Contention, Mode},
     route::{
         AccountKey, Call, EndpointKey, EndpointSpec, Outcome, Router, ServiceKey, ServiceSpec, Step,
@@ -30,6 +31,7 @@
     now: Instant,
     router: Router,
     services: Vec<ServiceKey>,
+    endpoints: Vec<EndpointKey>,
     running: VecDeque<(RequestId, EndpointKey)>,
     seq: u64,
     submitted: u64,
@@ -48,16 +50,18 @@
         let services: Vec<ServiceKey> = (0..services)
             .map(|n| router.set_service(now, &format!("service-{n}"), spec.clone()))
             .collect();
+        let mut endpoints = Vec::new();
         for n in 0..ENDPOINTS {
             let service = services[n % services.len()];
             let spec = EndpointSpec::new(&format!("endpoint-{n}"), DATA_CENTRES[n % 3])
                 .limit(ENDPOINT_LIMIT);
-            router.add_endpoint(now, service, spec);
+            endpoints.push(router.add_endpoint(now, service, spec));
         }
         let mut loaded = Self {
             now,
             router,
             services,
+            endpoints,
             running: VecDeque::new(),
             seq: 0,
             submitted: 0,
@@ -71,6 +75,19 @@
         loaded
     }
 
+    /// Makes endpoints cold that admit no call.
+    fn set_cold(&mut self, count: usize) {
+        let admission = Admission {
+            is_cold: true,
+            calls: Some(0),
+            items: Some(0),
+            opens_at: None,
+        };
+        for key in self.endpoints.iter().take(count) {
+            self.router.set_admission(self.now, *key, admission);
+        }
+    }
+
     fn submit(&mut self) {
         self.seq += 1;
         self.submitted += 1;
@@ -179,6 +196,18 @@
     }
 }
 
+/// Measures the same with a tenth of the endpoints cold, which get what the others have no
+/// room for.
+fn placement_with_cold_endpoints(c: &mut Criterion) {
+    let mut loaded = LoadedRouter::new(1, false, 0);
+    loaded.set_cold(ENDPOINTS / 10);
+    c.bench_function("finish, arrive and place: 60 cold", |b| {
+        b.iter(|| loaded.replace_call());
+    });
+    loaded.assert_saturated();
+    black_box(&loaded.router);
+}
+
 fn tick(c: &mut Criterion) {
     for services in [1, 10, 100] {
         let mut loaded = LoadedRouter::new(services, false, 0);
@@ -218,6 +247,7 @@
     benches,
     placement,
     placement_with_accounts,
+    placement_with_cold_endpoints,
     tick,
     add_endpoints_in_bulk
 );
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    cold_start::Admission,
     contention::Contention,
     rollout::{
         fit::Rest,
@@ -69,6 +70,8 @@
     slots: u32,
     /// Whether the engine takes new requests.
     is_open: bool,
+    /// What it admits now, less the items that were sent since that was decided.
+    admission: Admission,
     weights: BTreeMap<String, u64>,
     /// Number of items of this owner that run there.
     own_items: u32,
@@ -217,6 +220,7 @@
                 service: service.clone(),
                 slots: endpoint.slots,
                 is_open: endpoint.is_open(),
+                admission: Admission::OPEN,
                 weights: BTreeMap::new(),
                 own_items: 0,
                 others_report: None,
@@ -241,6 +245,29 @@
         }
     }
 
+    /// Sets what an engine admits.
+    pub fn set_admission(&mut self, id: &str, admission: Admission) {
+        if let Some(key) = self.key(id) {
+            self.states[key].admission = admission;
+        }
+    }
+
+    /// Returns whether an engine is cold, as far as is known.
+    #[must_use]
+    pub fn is_cold(&self, key: EngineKey) -> bool {
+        let engine = self.states.get(key);
+        engine.is_some_and(|engine| engine.admission.is_cold)
+    }
+
+    /// Returns whether an item that finds no engine would have found one without the limits of
+    /// cold endpoints.
+    #[must_use]
+    pub fn is_held_back(&self, now: Instant, requirements: &Requirements<'_>) -> bool {
+        self.states.iter().any(|(key, engine)| {
+            engine.admission.items == Some(0) && has_room(now, key, engine, requirements)
+        })
+    }
+
     /// Removes an engine.
     pub fn remove(&mut self, id: &str) {
         self.loads.forget(id);
@@ -297,7 +324,8 @@
         let group_hash = group_hash(requirements);
         let best = eligible.max_by_key(|(_, engine)| {
             let tie_breaker = tie_breaker(engine, group_hash);
-            (tier(engine), engine.free_slots(now), tie_breaker)
+            let is_warm = !engine.admission.is_cold;
+            (is_warm, tier(engine), engine.free_slots(now), tie_breaker)
         });
         best.map(|(key, _)| key)
     }
@@ -382,6 +410,9 @@
     pub fn add_item(&mut self, key: EngineKey) {
         if let Some(engine) = self.states.get_mut(key) {
             engine.own_items += 1;
+            if let Some(room) = &mut engine.admission.items {
+                *room = room.saturating_sub(1);
+            }
         }
     }
 
@@ -558,12 +589,22 @@
     }
 }
 
-/// Returns whether an engine may run an item and has a free slot for it.
+/// Returns whether an engine may run an item, has a free slot for it and admits it.
 fn is_eligible(
     now: Instant,
     key: EngineKey,
     engine: &EngineState,
     requirements: &Requirements<'_>,
+) -> bool {
+    engine.admission.items != Some(0) && has_room(now, key, engine, requirements)
+}
+
+/// Returns whether an engine may run an item and has a free slot for it.
+fn has_room(
+    now: Instant,
+    key: EngineKey,
+    engine: &EngineState,
+    requirements: &Requirements<'_>,
 ) -> bool {
     Some(key) != requirements.excluded
         && engine.is_open
--- a/src/rollout/engines/speed.rs
+++ b/src/rollout/engines/speed.rs
@@ -122,7 +122,11 @@
         let eligible = self.states.iter().filter(|(key, engine)| {
             is_eligible(now, *key, engine, requirements) && !held.contains_key(*key)
         });
-        let candidates: Vec<_> = eligible
+        let (cold, warm): (Vec<_>, Vec<_>) =
+            eligible.partition(|(_, engine)| engine.admission.is_cold);
+        let preferred = if warm.is_empty() { cold } else { warm };
+        let candidates: Vec<_> = preferred
+            .into_iter()
             .map(|(key, engine)| Candidate {
                 key,
                 speed: engine.speed(now, median, pace_ttl),
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -47,7 +47,10 @@
             self.refuse(now, key, ErrorKind::Expired);
             return false;
         }
-        let displaces = match self.check_admission(now, &call, row.work) {
+        if !self.services[call.service].has_endpoint() {
+            self.request_permit(call.service);
+        }
+        let displaces = match self.check_admission(now, &call, self.calls[key].work) {
             Ok(displaces) => displaces,
             Err(kind) => {
                 self.refuse(now, key, kind);
@@ -66,12 +69,16 @@
     fn check_admission(&self, now: Instant, call: &Call, work: f64) -> Result<bool, ErrorKind> {
         let row = &self.services[call.service];
         let queue = row.queue(call.class);
-        if row.usable == 0 && row.awaiting_trial.is_empty() {
+        if !row.has_endpoint() && row.held == 0 {
             return Err(ErrorKind::NoEndpoint);
         }
         let account = self.queue_account(call);
         self.check_share(call, account)?;
         let displaces = self.displaces_last(now, call, account, work)?;
+        if !row.has_endpoint() {
+            let can_wait = self.opens_in_time(now, call);
+            return can_wait.then_some(displaces).ok_or(ErrorKind::Saturated);
+        }
         let time_left = (call.deadline - now).as_secs_f64();
         let Some(estimate) = row.service_times.estimate(call) else {
             return Ok(displaces);
@@ -154,13 +161,19 @@
     pub(super) fn refuse_unanswerable(&mut self, now: Instant, service: ServiceKey) {
         for class in Class::ALL {
             let row = &self.services[service];
-            let no_endpoint = row.usable == 0 && row.awaiting_trial.is_empty();
+            let no_endpoint = !row.has_endpoint() && row.held == 0;
+            let all_held = !row.has_endpoint() && !no_endpoint;
             let mut work = 0.0;
             let mut unanswerable = Vec::new();
             for (queue_key, queued_call) in row.queue(class).in_order() {
                 let time_left = (queue_key.deadline - now).as_secs_f64();
                 let wait = self.estimate_wait(now, service, class, work);
-                if no_endpoint || wait + queued_call.work > time_left {
+                let is_lost = if all_held {
+                    !self.opens_in_time(now, &self.calls[queued_call.call].call)
+                } else {
+                    wait + queued_call.work > time_left
+                };
+                if no_endpoint || is_lost {
                     unanswerable.push(queued_call.call);
                 } else {
                     work += queued_call.work;
@@ -207,6 +220,8 @@
         }
         let wait = self.estimate_wait(now, call.service, call.class, row.queue(call.class).work());
         let interval = self.estimate_wait(now, call.service, call.class, mean);
+        let opens_in = self.opens_at(now, call.service).map(|at| at - now);
+        let wait = wait.max(opens_in.unwrap_or_default().as_secs_f64());
         let row = &mut self.services[call.service];
         row.return_schedules[call.class.index()].reserve(now, wait, interval, random)
     }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -78,7 +78,11 @@
         if repeatable && !hedge && call.class != Class::Interactive {
             service.preemptible.insert((now, key));
         }
-        self.endpoints[endpoint].add_attempt(now, key, &call, work, trial);
+        let endpoint_row = &mut self.endpoints[endpoint];
+        endpoint_row.add_attempt(now, key, &call, work, trial);
+        if let Some(room) = &mut endpoint_row.admission.calls {
+            *room = room.saturating_sub(1);
+        }
         self.refresh(now, endpoint);
         self.schedule_check(now, endpoint);
         if !hedge {
@@ -214,7 +218,7 @@
         let retry = retry && self.can_answer_in_time(now, &call);
         let service = &mut self.services[call.service];
         // Known to be impossible where all endpoints are ejected.
-        let has_endpoint = service.usable > 0 || !service.awaiting_trial.is_empty();
+        let has_endpoint = service.has_endpoint() || service.held > 0;
         if retry && has_endpoint && service.budget.try_spend(RESEND_COST) {
             self.enqueue(now, key);
         } else {
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -111,8 +111,10 @@
         row.counted = Counted {
             capacity,
             free_slots,
+            is_held: row.accepting && row.health.is_healthy() && row.is_held(),
         };
         let service = &mut self.services[row.service];
+        service.held = service.held + u32::from(row.counted.is_held) - u32::from(before.is_held);
         service.capacity = service.capacity + capacity - before.capacity;
         service.free_slots = service.free_slots + free_slots - before.free_slots;
         let local = u32::from(row.tier != REMOTE_TIER);
@@ -128,7 +130,7 @@
             }
             _ => {}
         }
-        let pool = &mut service.pools[row.tier];
+        let pool = &mut service.pools[row.pool()];
         match (row.pool_index, free_slots > 0) {
             (None, true) => {
                 row.pool_index = Some(pool.len());
@@ -146,7 +148,7 @@
     }
 
     /// Removes an endpoint from all sums and pools.
-    fn remove_from_sums(&mut self, now: Instant, key: EndpointKey) {
+    pub(super) fn remove_from_sums(&mut self, now: Instant, key: EndpointKey) {
         let row = &mut self.endpoints[key];
         let accepting = row.accepting;
         row.accepting = false;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -60,6 +60,7 @@
 mod accounts;
 mod admit;
 mod attempt;
+mod cold;
 mod decay;
 mod endpoint;
 mod fair;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -20,7 +20,7 @@
         router::Router,
         share,
         spec::Call,
-        table::{CallKey, TIERS},
+        table::{COLD_POOL, CallKey, TIERS},
     },
 };
 use rand::Rng;
@@ -72,9 +72,11 @@
                 self.refuse(now, key, ErrorKind::Saturated);
                 continue;
             }
-            match self.choose_endpoint(now, key) {
-                Some((endpoint, trial)) => self.start_attempt(now, key, endpoint, trial),
-                None => blocked[class.index()] = true,
+            if let Some((endpoint, trial)) = self.choose_endpoint(now, key) {
+                self.start_attempt(now, key, endpoint, trial);
+            } else {
+                blocked[class.index()] = true;
+                self.request_permit(service);
             }
         }
     }
@@ -85,10 +87,12 @@
         let (call, last) = (row.call, row.last_endpoint);
         let first_try = row.is_repeatable() && row.attempts_started == 0;
         let service = &mut self.services[call.service];
-        if (first_try || service.usable == 0)
-            && let Some(endpoint) = service.awaiting_trial.pop()
-        {
-            return Some((endpoint, true));
+        if first_try || service.usable == 0 {
+            let endpoints = &self.endpoints;
+            let mut waiting = service.awaiting_trial.iter();
+            if let Some(position) = waiting.rposition(|key| !endpoints[*key].is_held()) {
+                return Some((service.awaiting_trial.remove(position), true));
+            }
         }
         let preferred = self.pick_endpoint(now, &call, last);
         let found = preferred.or_else(|| {
@@ -127,6 +131,11 @@
                 best = Some((key, score));
             }
         }
+        if best.is_none() {
+            // What waits goes to a cold endpoint, as far as its limit allows.
+            let drawn = self.draw_from_tier(now, call, COLD_POOL, excluded);
+            return drawn.map(|(key, _)| key);
+        }
         best.map(|(key, _)| key)
     }
 
@@ -153,6 +162,7 @@
         for key in &found {
             let row = &self.endpoints[*key];
             let fits = row.pool_index.is_some()
+                && !row.admission.is_cold
                 && Some(*key) != excluded
                 && row.has_cache_for(now, call.tokens);
             let endpoint_work = row.recent_work.value(now);
@@ -220,7 +230,7 @@
     ) -> (EndpointKey, Rank) {
         let fits = |key: &EndpointKey| {
             let row = &self.endpoints[*key];
-            row.tier == tier
+            row.pool() == tier
                 && row.pool_index.is_some()
                 && Some(*key) != excluded
                 && row.has_cache_for(now, call.tokens)
@@ -329,6 +339,10 @@
         let Some(endpoint) = self.pick_endpoint(now, &call, Some(first.endpoint)) else {
             return;
         };
+        // A hedge does not wait: it is not worth a request to a cold endpoint.
+        if self.endpoints[endpoint].admission.is_cold {
+            return;
+        }
         // A call that has run this long takes more than the mean.
         let cost = self
             .estimate(&call)
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -42,6 +42,8 @@
     pub(super) contention: Contention,
     /// Limit on the places of one account, in percent.
     pub(super) account_share: Option<u32>,
+    /// Services with calls that only cold endpoints without a permit could take.
+    pub(super) permit_requests: Vec<ServiceKey>,
     seq: u64,
 }
 
@@ -65,6 +67,7 @@
             ring_candidates: Vec::new(),
             contention: Contention::default(),
             account_share: None,
+            permit_requests: Vec::new(),
             seq: 0,
         }
     }
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     class::{Class, Repeat},
+    cold_start::Admission,
     error::ErrorKind,
     id::RequestId,
     route::{EndpointKey, ServiceKey, fair::AccountKey, retry::DEFAULT_MAX_ATTEMPTS},
@@ -62,6 +63,8 @@
     /// Capacity of its cache memory in tokens; 0 for a plain endpoint, which is
     /// limited only by the number of requests.
     pub cache_tokens: u64,
+    /// What it admits at first, if it may be cold.
+    pub admission: Admission,
 }
 
 impl EndpointSpec {
@@ -73,9 +76,17 @@
             data_centre: data_centre.to_owned(),
             limit: 64,
             cache_tokens: 0,
+            admission: Admission::OPEN,
         }
     }
 
+    /// Sets what it admits at first.
+    #[must_use]
+    pub const fn admission(mut self, admission: Admission) -> Self {
+        self.admission = admission;
+        self
+    }
+
     /// Sets the capacity of its cache memory in tokens.
     #[must_use]
     pub const fn cache_tokens(mut self, cache_tokens: u64) -> Self {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     class::{Class, Repeat},
+    cold_start::Admission,
     error::ErrorKind,
     route::{
         EndpointKey, ServiceKey,
@@ -36,6 +37,8 @@
 /// Number of tiers: the entry's subset of its data centre, the rest of that data
 /// centre, and other data centres.
 pub(super) const TIERS: usize = 3;
+/// The pool of cold endpoints, which get what no other endpoint has room for.
+pub(super) const COLD_POOL: usize = TIERS;
 /// The tier of endpoints in other data centres.
 pub(super) const REMOTE_TIER: usize = 2;
 /// Time constant of the peaks from which reserved slots are computed: a few service times of an
@@ -64,8 +67,8 @@
 pub(super) struct ServiceRow {
     pub(super) spec: ServiceSpec,
     pub(super) endpoints: Vec<EndpointKey>,
-    /// Endpoints with free slots, by tier.
-    pub(super) pools: [Vec<EndpointKey>; TIERS],
+    /// Endpoints with free slots, by tier, and the cold ones.
+    pub(super) pools: [Vec<EndpointKey>; TIERS + 1],
     pub(super) ring: Ring,
     pub(super) warm: WarmEndpoints,
     pub(super) queues: [FairQueue; 3],
@@ -81,6 +84,8 @@
     pub(super) usable: u32,
     /// Those of them in the entry's data centre.
     pub(super) usable_local: u32,
+    /// Endpoints that would be usable, but admit no call now because they are or were cold.
+    pub(super) held: u32,
     /// Number of ejected endpoints, including those on trial.
     pub(super) ejected: u32,
     /// Ejected endpoints that wait for a trial call.
@@ -123,6 +128,7 @@
             free_slots: 0,
             usable: 0,
             usable_local: 0,
+            held: 0,
             ejected: 0,
             awaiting_trial: Vec::new(),
             shares_hosts: false,
@@ -187,6 +193,11 @@
         }
     }
 
+    /// Returns whether an endpoint can get a call, now or after a trial.
+    pub(super) const fn has_endpoint(&self) -> bool {
+        self.usable > 0 || !self.awaiting_trial.is_empty()
+    }
+
     pub(super) fn queues_empty(&self) -> bool {
         self.queues.iter().all(FairQueue::is_empty)
     }
@@ -209,6 +220,7 @@
     pub(super) spec: EndpointSpec,
     pub(super) service: ServiceKey,
     pub(super) accepting: bool,
+    pub(super) admission: Admission,
     pub(super) running: u32,
     /// Tokens of the running attempts.
     pub(super) tokens: u64,
@@ -231,12 +243,14 @@
 pub(super) struct Counted {
     pub(super) capacity: u32,
     pub(super) free_slots: u32,
+    pub(super) is_held: bool,
 }
 
 impl EndpointRow {
     pub(super) fn new(service: ServiceKey, spec: EndpointSpec) -> Self {
         Self {
             limit: ConcurrencyLimit::new(spec.limit),
+            admission: spec.admission,
             spec,
             service,
             accepting: true,
@@ -254,7 +268,21 @@
     }
 
     pub(super) fn is_usable(&self) -> bool {
-        self.accepting && self.health.is_healthy()
+        self.accepting && self.health.is_healthy() && !self.is_held()
+    }
+
+    /// Returns whether it admits no call now because it is or was cold.
+    pub(super) fn is_held(&self) -> bool {
+        self.admission.calls == Some(0)
+    }
+
+    /// Returns the pool that it is in while it has free slots.
+    pub(super) const fn pool(&self) -> usize {
+        if self.admission.is_cold {
+            COLD_POOL
+        } else {
+            self.tier
+        }
     }
 }
 
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -1,6 +1,8 @@
 //! Tests the choice of an engine for an item, and the plan of weight loads.
 
 use hibiscusroad::{
+    cold_start::Admission,
+    contention::{Contention, Mode},
     rollout::{
         engines::{Engines, Requirements},
         load_plan::{EngineStatus, LoadConcurrency, ModelGoal, plan},
@@ -146,6 +148,31 @@
     );
 }
 
+// A cold engine gets only what no warm one has a slot for, and no more than it admits.
+#[test]
+fn warm_engines_come_first() {
+    let now = Instant::now();
+    for mode in [Mode::Off, Mode::On] {
+        let mut engines = engines(&[3, 3]).contention(Contention::new(mode, false));
+        let admission = Admission {
+            is_cold: true,
+            calls: Some(1),
+            items: Some(1),
+            opens_at: None,
+        };
+        engines.set_admission("e0", admission);
+        let mut chosen = Vec::new();
+        while let Some(key) = engines.choose(now, &REQUIREMENTS) {
+            chosen.push(engines.id(key).unwrap().to_owned());
+            engines.add_item(key);
+        }
+        assert_eq!(chosen, ["e1", "e1", "e0"]);
+        assert!(engines.is_held_back(now, &REQUIREMENTS));
+        engines.set_admission("e0", Admission::OPEN);
+        assert_eq!(engines.choose(now, &REQUIREMENTS), engines.key("e0"));
+    }
+}
+
 /// Builds an engine with two slots.
 fn engine(id: &str, started_ms: Option<u64>, weights: Vec<Weights>) -> Endpoint {
     Endpoint {
