Keep the limits of cold endpoints at gateways

Cause: items that a cold engine refused were sent to it again and again. Change: a gateway reserves each request to an endpoint of a service with coldPerS when it is chosen and confirms it on the open connection before it is written. A leased permit by service lets one gateway use cold endpoints. Metrics, log lines, operations page. The stand-in endpoint reports coldness and the arrival of requests.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::{
     calls::{Calls, Target, Ticket},
+    cold::Cold,
     crashes::{Crashes, InFlight},
     http::{Connection, ConnectionPool, Fault, RequestBody},
     message::{Head, text},
@@ -18,6 +19,7 @@
 use crate::{headers::is_hop_by_hop, logs::CALLS};
 use hibiscusroad::{
     ErrorKind,
+    cold_start::Sender,
     route::{EndpointKey, Outcome},
 };
 use hibiscusroad_platform::header;
@@ -82,6 +84,7 @@
     pub(super) meters: Rc<Meters>,
     pub(super) usage: Rc<Usage>,
     pub(super) crashes: Rc<Crashes>,
+    pub(super) cold: Rc<Cold>,
 }
 
 impl AttemptContext {
@@ -229,8 +232,12 @@
     let mut in_flight = context.crashes.track(&subject, target.incarnation());
     let request = build_request(&head, &target, body);
     let on_send = || {
-        metered.mark_sent();
-        in_flight.mark_sent();
+        let is_admitted = context.cold.confirm_send(&target.id, Sender::Call);
+        if is_admitted {
+            metered.mark_sent();
+            in_flight.mark_sent();
+        }
+        is_admitted
     };
     let answer = context
         .pool
@@ -279,7 +286,9 @@
 fn unanswered(head: &Head, subject: &Subject, target: &Target, fault: &Fault) -> Done {
     log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
         path = subject.path(), fingerprint:% = subject.fingerprint(), error = fault.to_string().as_str(); "An endpoint did not answer.");
-    if fault.is_unsent() {
+    if matches!(fault, Fault::Withheld) {
+        Done::NotRun(ErrorKind::Saturated)
+    } else if fault.is_unsent() {
         Done::NotRun(ErrorKind::EndpointDown)
     } else {
         Done::Failed(ErrorKind::EndpointBroken, None)
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -42,6 +42,7 @@
         loop {
             let now = Instant::now();
             self.settle_loads();
+            self.update_owners();
             let mut batches: Vec<Rc<OwnedBatch>> = self.owned.borrow().values().cloned().collect();
             batches.sort_by_key(|owned| (owned.priority, owned.due_at));
             self.start_all(now, &batches);
@@ -49,6 +50,7 @@
             for owned in &batches {
                 all_drafted &= self.draft_stragglers(now, owned);
             }
+            self.request_permits(&batches);
             let is_waiting = batches
                 .iter()
                 .any(|owned| owned.batch.borrow().waiting_count() > 0);
@@ -93,6 +95,7 @@
         };
         while let Some(index) = self.next_item(now, owned, |_| true) {
             if !self.try_start(now, owned, &route, index) {
+                self.record_held_back(now, owned, &route, index);
                 let reason = self.wait_reason(owned, &route, index);
                 owned.batch.borrow_mut().record_wait(now, reason);
                 return;
@@ -221,7 +224,7 @@
             ..requirements(owned, route, index)?
         };
         let found = engines.choose(now, &requirements);
-        found.filter(|key| engines.is_idle(now, *key))
+        found.filter(|key| engines.is_idle(now, *key) && !engines.is_cold(*key))
     }
 
     /// Starts an item at an engine.
@@ -238,6 +241,7 @@
             return;
         };
         let slot = Slot::occupy(self, key);
+        self.context.cold.reserve(&endpoint.id);
         self.record_sent_item(now, owned, key);
         owned.avoided_engines.borrow_mut().remove(&index);
         let exact_version = owned.batch.borrow().required_version(index);
--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -134,6 +134,7 @@
             return false;
         };
         let slot = Slot::occupy(self, key);
+        self.context.cold.reserve(&endpoint.id);
         self.record_sent_item(now, owned, key);
         let task = {
             let (batches, owned) = (Rc::clone(self), Rc::clone(owned));
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -13,7 +13,7 @@
         attempt::{self, set},
         calls::Target,
         crashes::InFlight,
-        http::full_body,
+        http::{Fault, full_body},
         message::{Head, text},
         request::{internal_head, set_account},
         subject::Subject,
@@ -22,6 +22,7 @@
 };
 use hibiscusroad::{
     clock::millis,
+    cold_start::Sender,
     rollout::{
         Item,
         batch::Interruption,
@@ -321,7 +322,14 @@
         let mut flight = crashes.track(&request.subject, target.incarnation());
         let sent = attempt::build_request(head, &target, full_body(request.body.clone()));
         let pool = &self.batches.context.pool;
-        let sending = pool.send_with_hook(target.address, sent, || flight.mark_sent());
+        let cold = &self.batches.context.cold;
+        let sending = pool.send_with_hook(target.address, sent, || {
+            let is_admitted = cold.confirm_send(&endpoint.id, Sender::Item);
+            if is_admitted {
+                flight.mark_sent();
+            }
+            is_admitted
+        });
         let sent = self.await_response(sending, head.id.as_str()).await?;
         let (response, connection) = sent.map_err(|fault| {
             flight.record_fault(&fault);
@@ -329,7 +337,11 @@
                 endpoint = endpoint.id.as_str(),
                 fingerprint:% = request.subject.fingerprint(), error = fault.to_string().as_str();
                 "An engine did not answer.");
-            Interruption::Lost
+            if matches!(fault, Fault::Withheld) {
+                Interruption::NotRun
+            } else {
+                Interruption::Lost
+            }
         })?;
         if let Err(cause) = self.check_response(head, &endpoint.id, &response) {
             flight.mark_survived();
@@ -560,6 +572,10 @@
             return Ok(());
         };
         let engines = engines.borrow();
+        // A run that makes events does not wait: a cold engine is for those that do.
+        if engines.is_cold(other) {
+            return Ok(());
+        }
         let reason = engines.move_reason(now, self.service, self.key, &progress, other);
         drop(engines);
         let Some(reason) = reason else {
--- a/hibiscusroad-daemon/src/gateway/batches/interleave.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/interleave.rs
@@ -110,6 +110,7 @@
                 let reason = self.wait_reason(step.owned, &step.route, index);
                 step.owned.batch.borrow_mut().record_wait(now, reason);
                 self.record_withheld(now, step.owned, &step.route, index);
+                self.record_held_back(now, step.owned, &step.route, index);
             }
             let may_retry = skipped.skip(step.kind(index));
             if !may_retry || self.engines.borrow().free_slots(now, service) == 0 {
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -4,6 +4,7 @@
 //! submission before the 202, a result before it can be read. For readers, the owner's
 //! memory is only a cache of the store.
 
+mod cold;
 mod dispatch;
 mod draft;
 mod generate;
@@ -130,6 +131,8 @@
     avoided_engines: RefCell<HashMap<usize, EngineKey>>,
     /// The item that was last counted as not sent because engines load weights.
     withheld: Cell<Option<usize>>,
+    /// The item that was last counted as not sent because engines are cold.
+    held_back: Cell<Option<usize>>,
     /// The version of the head row with which this process became the owner.
     tenure: u64,
     /// Drafts by item.
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -293,6 +293,7 @@
             write_started: Cell::new(None),
             avoided_engines: RefCell::default(),
             withheld: Cell::new(None),
+            held_back: Cell::new(None),
             piece_rows: RefCell::new(piece_rows),
             result_ready: Notify::new(),
             results_listed: Notify::new(),
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -4,12 +4,16 @@
 //! channel of its own. Dropping its [`Ticket`] cancels the call, so the slot of a
 //! caller that disconnects is free at once.
 
-use super::accounts::{QueueAccount, RefusalLog};
+use super::{
+    accounts::{QueueAccount, RefusalLog},
+    cold::Cold,
+};
 use crate::logs::CALLS;
 use hibiscusroad::{
     Class, ErrorKind, Incarnation, RequestId,
     catalog::{Catalog, Route},
     clock::millis,
+    cold_start::Admission,
     contention::Contention,
     quarantine::EndpointIncarnation,
     roster::{Endpoint, EndpointChange},
@@ -70,6 +74,7 @@
     keys: RefCell<HashMap<String, EndpointKey>>,
     targets: RefCell<HashMap<EndpointKey, Target>>,
     changed: Notify,
+    cold: Rc<Cold>,
     incarnation: Incarnation,
     seq: Cell<u64>,
 }
@@ -102,6 +107,7 @@
         incarnation: Incarnation,
         contention: Contention,
         account_share: Option<u32>,
+        cold: Rc<Cold>,
     ) -> Self {
         let router = Router::new(data_centre, incarnation.0)
             .contention(contention)
@@ -113,6 +119,7 @@
             keys: RefCell::default(),
             targets: RefCell::default(),
             changed: Notify::new(),
+            cold,
             incarnation,
             seq: Cell::new(0),
         }
@@ -124,6 +131,7 @@
         for service in catalog.services() {
             self.ensure_service(now, &service.name);
         }
+        self.cold.configure(catalog);
         self.flush();
     }
 
@@ -163,9 +171,11 @@
         }
         for (name, endpoints) in services {
             let service = self.ensure_service(now, name);
-            let specs = endpoints
-                .values()
-                .map(|e| EndpointSpec::new(&e.id, &e.data_centre).limit(e.slots));
+            let specs = endpoints.values().map(|e| {
+                EndpointSpec::new(&e.id, &e.data_centre)
+                    .limit(e.slots)
+                    .admission(self.cold.admission(&e.id))
+            });
             let keys = self.router.borrow_mut().add_endpoints(now, service, specs);
             let ids = endpoints.keys().map(|id| (*id).to_owned());
             self.keys.borrow_mut().extend(ids.zip(keys));
@@ -222,6 +232,19 @@
         }
     }
 
+    /// Sets what endpoints admit, and starts the calls that waited for that.
+    pub(super) fn set_admissions(&self, admissions: &[(String, Admission)]) {
+        let now = Instant::now();
+        for (id, admission) in admissions {
+            let key = self.keys.borrow().get(id).copied();
+            if let Some(key) = key {
+                let mut router = self.router.borrow_mut();
+                router.set_admission(now, key, *admission);
+            }
+        }
+        self.flush();
+    }
+
     /// Passes the load that an endpoint reported to the router.
     pub(super) fn record_load(&self, endpoint: EndpointKey, load: Load) {
         let report = LoadReport {
@@ -313,6 +336,11 @@
         loop {
             let step = self.router.borrow_mut().next_step();
             let Some(step) = step else { break };
+            if let Step::Start { endpoint, .. } = step
+                && let Some(target) = self.targets.borrow().get(&endpoint)
+            {
+                self.cold.reserve(&target.id);
+            }
             let (Step::Start { id, .. } | Step::Cancel { id, .. } | Step::Refuse { id, .. }) = step;
             if let Some(waiter) = self.waiting.borrow().get(&id) {
                 // A request whose receiver is dropped cancels its own call.
@@ -320,6 +348,12 @@
             }
         }
         self.changed.notify_one();
+        let requests = self.router.borrow_mut().take_permit_requests();
+        for service in requests {
+            if let Some(name) = self.router.borrow().service_name(service) {
+                self.cold.request_permit(name);
+            }
+        }
     }
 }
 
--- a/hibiscusroad-daemon/src/gateway/crashes/flight.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/flight.rs
@@ -83,6 +83,7 @@
     pub(in crate::gateway) fn record_fault(&mut self, fault: &Fault) {
         match fault {
             Fault::Broken(error) => self.record_break(error),
+            Fault::Withheld => self.unresolved = false,
             Fault::Connect(cause) => {
                 self.unresolved = false;
                 if cause.is_refusal() {
--- a/hibiscusroad-daemon/src/gateway/duty.rs
+++ b/hibiscusroad-daemon/src/gateway/duty.rs
@@ -274,7 +274,7 @@
 /// A broken row counts as another holder's lease and expires like one. The row's
 /// version serves as its fencing token: it is above all earlier tokens, since each
 /// of them took a write.
-fn decode_lease(row: &Row) -> LeaseRow {
+pub(super) fn decode_lease(row: &Row) -> LeaseRow {
     serde_json::from_slice(&row.value).unwrap_or_else(|error| {
         log::error!(target: TARGET, row = row.version, error = error.to_string().as_str();
             "The lease's row is broken; it counts as another holder's.");
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -34,6 +34,7 @@
             let gauge = meters.endpoints.with_label_values(&[slowness]);
             gauge.set(count.into());
         }
+        self.context.cold.set_gauges();
         account_meters::set_gauges(&self.context.calls, meters);
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -136,12 +136,15 @@
     /// The connection broke after at least part of the request was sent.
     #[error("connection broke: {0}")]
     Broken(#[from] hyper::Error),
+    /// The endpoint is cold and admits no request now.
+    #[error("the endpoint is cold")]
+    Withheld,
 }
 
 impl Fault {
     /// Returns whether no part of the request was sent.
     pub(super) const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_))
+        matches!(self, Self::Connect(_) | Self::Withheld)
     }
 }
 
@@ -198,25 +201,28 @@
         address: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
-        self.send_with_hook(address, request, || {}).await
+        self.send_with_hook(address, request, || true).await
     }
 
     /// Sends a request and waits for the head of its answer.
     ///
-    /// Calls `on_send` before each send on an open connection. There is a second
-    /// send if a pooled connection turns out to be closed.
+    /// Calls `on_send` before each send on an open connection, and sends nothing if that
+    /// returns `false`. There is a second send if a pooled connection turns out to be closed.
     pub(super) async fn send_with_hook(
         &self,
         address: SocketAddr,
         mut request: Request<RequestBody>,
-        mut on_send: impl FnMut(),
+        mut on_send: impl FnMut() -> bool,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         loop {
             let (mut connection, pooled) = match self.take_idle(address) {
                 Some(connection) => (connection, true),
                 None => (self.open(address).await?, false),
             };
-            on_send();
+            if !on_send() {
+                self.return_to_pool(connection, None);
+                return Err(Fault::Withheld);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -202,6 +202,30 @@
         "account",
         "work that waits, of the eight accounts with the most",
     ),
+    (
+        "gateway_cold_endpoints",
+        "gauge",
+        "service",
+        "endpoints that are cold, as far as is known here; services after the eighth are other",
+    ),
+    (
+        "gateway_cold_requests_total",
+        "counter",
+        "service",
+        "requests that were sent from here to endpoints that were known to be cold",
+    ),
+    (
+        "gateway_cold_permits",
+        "gauge",
+        "service",
+        "permits for the cold endpoints of a service that are held here",
+    ),
+    (
+        "gateway_items_held_back_total",
+        "counter",
+        "service",
+        "items that waited because only engines had room that are, were or may be cold",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -260,6 +284,10 @@
     pub(super) account_refusals: IntCounterVec,
     pub(super) share_refusals: IntCounterVec,
     pub(super) account_work: GaugeVec,
+    pub(super) cold_endpoints: IntGaugeVec,
+    pub(super) cold_requests: IntCounterVec,
+    pub(super) cold_permits: IntGaugeVec,
+    pub(super) items_held_back: IntCounterVec,
 }
 
 impl Meters {
@@ -327,6 +355,10 @@
             account_refusals: counter_vec(position("gateway_account_refusals_total"))?,
             share_refusals: counter_vec(position("gateway_account_share_refusals_total"))?,
             account_work: labelled(position("gateway_account_work_seconds"), &registry)?,
+            cold_endpoints: labelled(position("gateway_cold_endpoints"), &registry)?,
+            cold_requests: counter_vec(position("gateway_cold_requests_total"))?,
+            cold_permits: labelled(position("gateway_cold_permits"), &registry)?,
+            items_held_back: counter_vec(position("gateway_items_held_back_total"))?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //!   path of a request from its caller to an endpoint and back.
 //! * [`message`]: the head and the content of a request.
 //! * [`subject`]: the parts of a request that identify it across repeats.
+//! * [`cold`]: limits on what is sent to cold endpoints.
 //! * [`crashes`]: requests that crash endpoints, and their quarantine.
 //! * [`resume`]: streams that are resumed at another endpoint.
 //! * [`calls`]: the router and the requests that wait for it. [`accounts`]: client accounts in
@@ -39,6 +40,7 @@
 mod batches;
 mod boot;
 mod calls;
+mod cold;
 mod crashes;
 mod duty;
 mod exposition;
@@ -67,6 +69,7 @@
     attempt::AttemptContext,
     batches::Batches,
     calls::Calls,
+    cold::Cold,
     crashes::Crashes,
     duty::Duty,
     http::ConnectionPool,
@@ -85,7 +88,7 @@
     logs::{self, PROCESS},
     settings::{Gateway as GatewaySettings, Settings},
 };
-use hibiscusroad::{Incarnation, usage::Windows};
+use hibiscusroad::{Incarnation, roster::EndpointChange, usage::Windows};
 use std::{
     io,
     path::Path,
@@ -121,6 +124,25 @@
     stop: Stop,
 }
 
+impl Gateway {
+    /// Passes on changes of the roster.
+    fn apply_roster(&self, changes: &[EndpointChange]) {
+        let AttemptContext {
+            calls,
+            crashes,
+            cold,
+            ..
+        } = &self.context;
+        // Before calls and items are sent to endpoints that are new.
+        cold.apply_roster(changes);
+        calls.apply_roster(changes);
+        crashes.apply_roster(changes);
+        self.batches.roster(changes);
+        cold.publish(calls, &self.batches);
+        self.weights.apply_roster(changes);
+    }
+}
+
 /// Runs a gateway until it receives a termination signal.
 ///
 /// # Errors
@@ -177,6 +199,7 @@
     log::info!(target: PROCESS, deadline_s = settings.stop.deadline_s; "A planned stop begins.");
     gateway.stop.begin();
     let handover = async {
+        gateway.context.cold.release().await;
         gateway.batches.leave().await;
         gateway.duty.release().await;
     };
@@ -196,11 +219,13 @@
     let holder = format!("{}/{incarnation}", settings.name);
     let known = Rc::new(KnownConfig::new(own.trust_ms.map(Duration::from_millis)));
     let store = Rc::new(Store::new(own.store, Rc::clone(&meters)));
+    let cold = Rc::new(Cold::new(&holder, own, &store, &meters));
     let calls = Rc::new(Calls::new(
         &settings.data_centre,
         incarnation,
         own.contention(),
         own.account_share,
+        Rc::clone(&cold),
     ));
     let pool = Rc::new(ConnectionPool::new());
     let windows = own.usage.as_ref().map(|usage| {
@@ -226,15 +251,13 @@
         pool: Rc::clone(&pool),
         meters: Rc::clone(&meters),
         usage: Rc::clone(&usage),
+        cold,
     };
     Rc::new_cyclic(|gateway: &Weak<Gateway>| {
         let listener = Weak::clone(gateway);
         let members = Rc::new(EndpointRoster::new(Rc::clone(&meters), move |changes| {
             if let Some(gateway) = listener.upgrade() {
-                gateway.context.calls.apply_roster(changes);
-                gateway.context.crashes.apply_roster(changes);
-                gateway.batches.roster(changes);
-                gateway.weights.apply_roster(changes);
+                gateway.apply_roster(changes);
             }
         }));
         let directory = Directory::new(&settings.name, own.peers, times.clone());
@@ -330,7 +353,11 @@
             Rc::clone(members),
             {
                 let crashes = Rc::clone(&context.crashes);
-                move || crashes.confirm_roster()
+                let cold = Rc::clone(&context.cold);
+                move || {
+                    crashes.confirm_roster();
+                    cold.confirm_roster();
+                }
             },
             {
                 let batches = Rc::clone(batches);
@@ -346,6 +373,8 @@
     let (calls, expiring) = (Rc::clone(&context.calls), Rc::clone(members));
     let prober = Rc::clone(store);
     spawn_local(async move { prober.run_probes().await });
+    let cold = Rc::clone(&context.cold);
+    spawn_local(cold.run(Rc::clone(&context.calls), Rc::clone(batches)));
     spawn_local(async move { calls.run().await });
     spawn_local(async move { expiring.run_expiry().await });
     spawn_local(Rc::clone(batches).announce());
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -432,6 +432,7 @@
                 .map_err(|fault| match fault {
                     Fault::Connect(why) => Failure::Refused(why.to_string()),
                     Fault::Broken(error) => Failure::Lost(error.to_string()),
+                    Fault::Withheld => Failure::Refused(Fault::Withheld.to_string()),
                 })?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await;
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -96,6 +96,10 @@
     item_events: BTreeMap<String, u64>,
     /// The slowness of its host in percent, if it reports that.
     slowness: Option<u32>,
+    /// How much longer it is cold, as its entry tells.
+    cold_remaining: Duration,
+    /// When requests arrived that it ran or refused as `Refusing`.
+    arrivals: Vec<Instant>,
     weights: BTreeMap<String, u64>,
     orders: u64,
     /// How long it takes to load weights that were ordered.
@@ -168,6 +172,8 @@
                 event_count: 8,
                 item_events: BTreeMap::new(),
                 slowness: None,
+                cold_remaining: Duration::ZERO,
+                arrivals: Vec::new(),
                 weights: models.iter().map(|m| ((*m).to_owned(), 1)).collect(),
                 orders: 0,
                 load_duration: Duration::ZERO,
@@ -255,6 +261,18 @@
         self.shared.lock().slowness = Some(percent);
     }
 
+    /// Writes its entry with a remaining time of coldness; zero if it is warm.
+    pub fn report_cold(&self, remaining: Duration) {
+        self.shared.lock().cold_remaining = remaining;
+        self.register("ready");
+    }
+
+    /// Returns when requests arrived, those included that it declared not to have run.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.lock().arrivals.clone()
+    }
+
     /// Returns the requests that it started to run.
     #[must_use]
     pub fn runs(&self) -> Vec<ExecutedRequest> {
@@ -300,9 +318,10 @@
 
     fn register(&self, addr: SocketAddr, state: &str) {
         let models = self.models();
+        let cold_ms = u64::try_from(self.lock().cold_remaining.as_millis()).unwrap_or(u64::MAX);
         let row = json!({ "service": self.service, "address": addr.to_string(),
             "zone": "senec", "version": "v1", "slots": 8, "state": state,
-            "coldRemainingMs": 0, "models": models, "seq": 1 });
+            "coldRemainingMs": cold_ms, "models": models, "seq": 1 });
         self.store.put_json("servers", &self.id, &row);
     }
 
@@ -423,6 +442,7 @@
     let Ok(body) = exchange.body() else {
         return exchange.cut();
     };
+    shared.lock().arrivals.push(Instant::now());
     if behaviour == Behaviour::Refusing {
         let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
         return exchange.answer_bytes(503, &headers, Vec::new());
