Merge the limits on requests to cold endpoints

Cold endpoints have pools of their own by region; a call takes one only within its allowed regions, a near one first. A request that is withheld right before it is sent, because its data centre is evacuated or its endpoint admits none, is not run.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::{
     calls::{Calls, Target, Ticket},
+    cold::Cold,
     crashes::{Crashes, InFlight},
     evacuation::DataCentres,
     http::{Connection, ConnectionPool, Fault, RequestBody},
@@ -19,6 +20,7 @@
 use crate::{headers::is_hop_by_hop, logs::CALLS};
 use hibiscusroad::{
     ErrorKind,
+    cold_start::Sender,
     route::{EndpointKey, Outcome},
 };
 use hibiscusroad_platform::header;
@@ -84,6 +86,7 @@
     pub(super) usage: Rc<Usage>,
     pub(super) crashes: Rc<Crashes>,
     pub(super) data_centres: Rc<DataCentres>,
+    pub(super) cold: Rc<Cold>,
 }
 
 impl AttemptContext {
@@ -231,10 +234,14 @@
     let mut in_flight = context.crashes.track(&subject, target.incarnation());
     let request = build_request(&head, &target, body);
     let start = || {
-        let running = context.data_centres.enter(&target.data_centre)?;
+        let running = context.data_centres.enter(&target.data_centre);
+        let running = running.ok_or(Fault::Evacuated)?;
+        if !context.cold.confirm_send(&target.id, Sender::Call) {
+            return Err(Fault::Withheld);
+        }
         metered.mark_sent();
         in_flight.mark_sent();
-        Some(running)
+        Ok(running)
     };
     let answer = context
         .pool
@@ -288,7 +295,9 @@
     }
     log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
         path = subject.path(), fingerprint:% = subject.fingerprint(), error = fault.to_string().as_str(); "An endpoint did not answer.");
-    if fault.is_unsent() {
+    if matches!(fault, Fault::Withheld) {
+        Done::NotRun(ErrorKind::Saturated)
+    } else if fault.is_unsent() {
         Done::NotRun(ErrorKind::EndpointDown)
     } else {
         Done::Failed(ErrorKind::EndpointBroken, None)
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -22,6 +22,7 @@
 };
 use hibiscusroad::{
     clock::millis,
+    cold_start::Sender,
     rollout::{
         Item,
         batch::Interruption,
@@ -323,11 +324,17 @@
         let mut flight = crashes.track(&request.subject, target.incarnation());
         let sent = attempt::build_request(head, &target, full_body(request.body.clone()));
         let pool = &self.batches.context.pool;
-        let data_centres = &self.batches.context.data_centres;
+        let AttemptContext {
+            cold, data_centres, ..
+        } = &self.batches.context;
         let start = || {
-            let running = data_centres.enter(&target.data_centre)?;
+            let running = data_centres.enter(&target.data_centre);
+            let running = running.ok_or(Fault::Evacuated)?;
+            if !cold.confirm_send(&endpoint.id, Sender::Item) {
+                return Err(Fault::Withheld);
+            }
             flight.mark_sent();
-            Some(running)
+            Ok(running)
         };
         let sending = pool.send_to_endpoint(target.address, sent, start);
         let sent = self.await_response(sending, head.id.as_str()).await?;
@@ -337,15 +344,19 @@
                 endpoint = endpoint.id.as_str(),
                 fingerprint:% = request.subject.fingerprint(), error = fault.to_string().as_str();
                 "An engine did not answer.");
-            if matches!(fault, Fault::Evacuated) {
-                log::info!(target: BATCHES, item = head.id.as_str(), endpoint = endpoint.id.as_str(),
-                    place = &*target.data_centre; "An item is not sent to an evacuated data centre.");
-                let model = self.owned.submission.model.as_deref();
-                let mut engines = self.batches.engines.borrow_mut();
-                engines.record_unanswered_item(self.key, model);
-                return Interruption::NotRun;
+            match fault {
+                Fault::Evacuated => {
+                    log::info!(target: BATCHES, item = head.id.as_str(),
+                        endpoint = endpoint.id.as_str(), place = &*target.data_centre;
+                        "An item is not sent to an evacuated data centre.");
+                    let model = self.owned.submission.model.as_deref();
+                    let mut engines = self.batches.engines.borrow_mut();
+                    engines.record_unanswered_item(self.key, model);
+                    Interruption::NotRun
+                }
+                Fault::Withheld => Interruption::NotRun,
+                Fault::Connect(_) | Fault::Broken(_) => Interruption::Lost,
             }
-            Interruption::Lost
         })?;
         if let Err(cause) = self.check_response(head, &endpoint.id, &response) {
             flight.mark_survived();
@@ -576,6 +587,10 @@
             return Ok(());
         };
         let engines = engines.borrow();
+        // A run that makes events does not wait: a cold engine is for those that do.
+        if engines.is_cold(other) {
+            return Ok(());
+        }
         let reason = engines.move_reason(now, self.service, self.key, &progress, other);
         drop(engines);
         let Some(reason) = reason else {
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -44,6 +44,7 @@
             let gauge = meters.evacuated_requests.with_label_values(&[data_centre]);
             gauge.set(gauge_value(*running as u64));
         }
+        self.context.cold.set_gauges();
         account_meters::set_gauges(&self.context.calls, meters);
         match meters.text() {
             Ok(text) => full_response(StatusCode::OK, "text/plain; version=0.0.4", text),
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -140,12 +140,15 @@
     /// The connection broke after at least part of the request was sent.
     #[error("connection broke: {0}")]
     Broken(#[from] hyper::Error),
+    /// The endpoint is cold and admits no request now.
+    #[error("the endpoint is cold")]
+    Withheld,
 }
 
 impl Fault {
     /// Returns whether no part of the request was sent.
     pub(super) const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Evacuated)
+        matches!(self, Self::Connect(_) | Self::Evacuated | Self::Withheld)
     }
 }
 
@@ -210,14 +213,14 @@
     /// Sends a request to an endpoint and waits for the head of its answer.
     ///
     /// Calls `start` before each send on an open connection; the request is not sent if it
-    /// returns `None`. There is a second send if a pooled connection turns out to be closed.
+    /// returns an error. There is a second send if a pooled connection turns out to be closed.
     pub(super) async fn send_to_endpoint(
         &self,
         address: SocketAddr,
         request: Request<RequestBody>,
-        mut start: impl FnMut() -> Option<RunningRequest>,
+        mut start: impl FnMut() -> Result<RunningRequest, Fault>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
-        let on_send = || start().ok_or(Fault::Evacuated).map(Some);
+        let on_send = || start().map(Some);
         self.send_with_hook(address, request, on_send).await
     }
 
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -227,6 +227,30 @@
         "",
         "requests and batches refused because their regions have no endpoint that takes them",
     ),
+    (
+        "gateway_cold_endpoints",
+        "gauge",
+        "service",
+        "endpoints that are cold, as far as is known here; services after the eighth are other",
+    ),
+    (
+        "gateway_cold_requests_total",
+        "counter",
+        "service",
+        "requests that were sent from here to endpoints that were known to be cold",
+    ),
+    (
+        "gateway_cold_permits",
+        "gauge",
+        "service",
+        "permits for the cold endpoints of a service that are held here",
+    ),
+    (
+        "gateway_items_held_back_total",
+        "counter",
+        "service",
+        "items that waited because only engines had room that are, were or may be cold",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -289,6 +313,10 @@
     pub(super) evacuated_requests: IntGaugeVec,
     sent: IntCounterVec,
     pub(super) region_refusals: IntCounter,
+    pub(super) cold_endpoints: IntGaugeVec,
+    pub(super) cold_requests: IntCounterVec,
+    pub(super) cold_permits: IntGaugeVec,
+    pub(super) items_held_back: IntCounterVec,
 }
 
 impl Meters {
@@ -360,6 +388,10 @@
             evacuated_requests: labelled(position("gateway_evacuated_requests"), &registry)?,
             sent: counter_vec(position("gateway_sent_total"))?,
             region_refusals: counter(position("gateway_region_refusals_total"))?,
+            cold_endpoints: labelled(position("gateway_cold_endpoints"), &registry)?,
+            cold_requests: counter_vec(position("gateway_cold_requests_total"))?,
+            cold_permits: labelled(position("gateway_cold_permits"), &registry)?,
+            items_held_back: counter_vec(position("gateway_items_held_back_total"))?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -433,6 +433,7 @@
                     Fault::Connect(why) => Failure::Refused(why.to_string()),
                     Fault::Evacuated => Failure::Refused(Fault::Evacuated.to_string()),
                     Fault::Broken(error) => Failure::Lost(error.to_string()),
+                    Fault::Withheld => Failure::Refused(Fault::Withheld.to_string()),
                 })?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await;
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -244,7 +244,10 @@
         let lost = |error: &dyn Error| CallError::Lost(error.to_string());
         let request = encode(&wire, endpoint.address).map_err(|error| lost(&error))?;
         let data_centre = endpoint.data_centre.as_str().into();
-        let start = || self.data_centres.enter(&data_centre);
+        let start = || {
+            let running = self.data_centres.enter(&data_centre);
+            running.ok_or(Fault::Evacuated)
+        };
         let sent = self.pool.send_to_endpoint(endpoint.address, request, start);
         let (response, connection) = sent.await.map_err(|fault| match fault {
             Fault::Evacuated => CallError::Evacuated,
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -50,7 +50,10 @@
             self.refuse(now, key, ErrorKind::Expired);
             return false;
         }
-        let displaces = match self.check_admission(now, &call, row.work) {
+        if !self.has_open_endpoint(call.service, call.regions) {
+            self.request_permit(call.service);
+        }
+        let displaces = match self.check_admission(now, &call, self.calls[key].work) {
             Ok(displaces) => displaces,
             Err(kind) => {
                 self.refuse(now, key, kind);
@@ -72,6 +75,11 @@
         self.check_endpoints(call.service, call.regions)?;
         let account = self.queue_account(call);
         self.check_share(call, account)?;
+        if !self.has_open_endpoint(call.service, call.regions) {
+            let displaces = self.displaces_last(now, call, account, work)?;
+            let can_wait = self.opens_in_time(now, call);
+            return can_wait.then_some(displaces).ok_or(ErrorKind::Saturated);
+        }
         let time_left = (call.deadline - now).as_secs_f64();
         let slowness = self.relative_slowness(now, call.service).max(1.0);
         if row.starts_at_once(call.class, call.regions) {
@@ -171,14 +179,19 @@
             let mut unanswerable = Vec::new();
             for (queue_key, queued_call) in row.queue(class).in_order() {
                 let time_left = (queue_key.deadline - now).as_secs_f64();
-                let regions = self.calls[queued_call.call].call.regions;
-                if let Err(kind) = self.check_endpoints(service, regions) {
+                let call = &self.calls[queued_call.call].call;
+                if let Err(kind) = self.check_endpoints(service, call.regions) {
                     unanswerable.push((queued_call.call, kind));
                     continue;
                 }
-                let competing = work * row.competing_share(class, regions);
+                let competing = work * row.competing_share(class, call.regions);
                 let wait = self.estimate_wait(now, service, class, competing);
-                if wait + queued_call.work > time_left {
+                let is_late = if self.has_open_endpoint(service, call.regions) {
+                    wait + queued_call.work > time_left
+                } else {
+                    !self.opens_in_time(now, call)
+                };
+                if is_late {
                     unanswerable.push((queued_call.call, ErrorKind::Saturated));
                 } else {
                     work += queued_call.work;
@@ -199,7 +212,9 @@
         let call = row.call;
         let run_error = row.run_error.filter(|_| kind.answer().not_run);
         let kind = run_error.unwrap_or(kind);
-        let retry_after = if kind == ErrorKind::NoEndpoint && self.is_evacuated(call.service) {
+        let retry_after = if matches!(kind, ErrorKind::NoEndpoint | ErrorKind::NoEndpointInRegion)
+            && self.is_evacuated(call.service)
+        {
             EVACUATED_DELAY.mul_f64(0.75 + 0.5 * self.rng.random::<f64>())
         } else {
             self.next_return(now, &call)
@@ -232,6 +247,10 @@
         let work = row.queue(call.class).work() * row.competing_share(call.class, call.regions);
         let wait = self.estimate_wait(now, call.service, call.class, work);
         let interval = self.estimate_wait(now, call.service, call.class, mean);
+        let opens_in = self
+            .opens_at(now, call.service, call.regions)
+            .map(|at| at - now);
+        let wait = wait.max(opens_in.unwrap_or_default().as_secs_f64());
         let row = &mut self.services[call.service];
         row.return_schedules[call.class.index()].reserve(now, wait, interval, random)
     }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -80,7 +80,11 @@
         if repeatable && !hedge && call.class != Class::Interactive {
             service.preemptible.insert((now, key));
         }
-        self.endpoints[endpoint].add_attempt(now, key, &call, work, trial);
+        let endpoint_row = &mut self.endpoints[endpoint];
+        endpoint_row.add_attempt(now, key, &call, work, trial);
+        if let Some(room) = &mut endpoint_row.admission.calls {
+            *room = room.saturating_sub(1);
+        }
         self.refresh(now, endpoint);
         self.schedule_check(now, endpoint);
         if !hedge {
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -111,14 +111,17 @@
         row.counted = Counted {
             capacity,
             free_slots,
+            is_held: row.accepting && row.health.is_healthy() && row.is_held(),
         };
         let service = &mut self.services[row.service];
+        service.held = service.held + u32::from(row.counted.is_held) - u32::from(before.is_held);
         service.capacity = service.capacity + capacity - before.capacity;
         service.free_slots = service.free_slots + free_slots - before.free_slots;
         let position = self.topology.position(row.region);
         let region = &mut service.regions[position];
         region.capacity = region.capacity + capacity - before.capacity;
         region.free_slots = region.free_slots + free_slots - before.free_slots;
+        region.held = region.held + u32::from(row.counted.is_held) - u32::from(before.is_held);
         match (before.capacity > 0, capacity > 0) {
             (false, true) => {
                 service.usable += 1;
@@ -131,7 +134,8 @@
             }
             _ => {}
         }
-        let pool = &mut service.pools[row.pool(position)];
+        let pool_number = row.pool(position, service.regions.len());
+        let pool = &mut service.pools[pool_number];
         match (row.pool_index, free_slots > 0) {
             (None, true) => {
                 row.pool_index = Some(pool.len());
@@ -149,7 +153,7 @@
     }
 
     /// Removes an endpoint from all sums and pools.
-    fn remove_from_sums(&mut self, now: Instant, key: EndpointKey) {
+    pub(super) fn remove_from_sums(&mut self, now: Instant, key: EndpointKey) {
         let row = &mut self.endpoints[key];
         let accepting = row.accepting;
         row.accepting = false;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -21,7 +21,7 @@
         router::Router,
         share,
         spec::Call,
-        table::{CallKey, FAR_TIER},
+        table::{COLD_TIER, CallKey, FAR_COLD_TIER, FAR_TIER},
     },
     topology::RegionSet,
 };
@@ -83,13 +83,17 @@
                 self.refuse(now, key, ErrorKind::Saturated);
                 continue;
             }
-            match self.choose_endpoint(now, key) {
-                Some((endpoint, trial)) => self.start_attempt(now, key, endpoint, trial),
+            if let Some((endpoint, trial)) = self.choose_endpoint(now, key) {
+                self.start_attempt(now, key, endpoint, trial);
+                continue;
+            }
+            self.request_permit(service);
+            let regions = self.calls[key].call.regions;
+            if regions.is_all() {
+                blocked[class.index()] = true;
+            } else {
                 // Calls that may use other regions can still start.
-                None if !self.calls[key].call.regions.is_all() => {
-                    blocked_sets.push((class, self.calls[key].call.regions));
-                }
-                None => blocked[class.index()] = true,
+                blocked_sets.push((class, regions));
             }
         }
     }
@@ -141,9 +145,26 @@
             }
         }
         let near = best;
-        if !self.topology.is_divided() || near.is_some_and(|(_, score)| score <= FAR_BUSY_SCORE) {
-            return near.map(|(key, _)| key);
+        let is_divided = self.topology.is_divided();
+        if let Some((key, _)) = near.filter(|(_, score)| !is_divided || *score <= FAR_BUSY_SCORE) {
+            return Some(key);
         }
+        let found = is_divided.then(|| self.pick_beyond_near(now, call, excluded, near));
+        // What waits goes to a cold endpoint, as far as its limit allows.
+        found
+            .flatten()
+            .or_else(|| self.pick_cold(now, call, excluded))
+    }
+
+    /// Picks an endpoint for a call that found only busy ones near: one of the own region that no
+    /// draw saw, one of another region if that is clearly better, or the busy one.
+    fn pick_beyond_near(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        excluded: Option<EndpointKey>,
+        near: Option<(EndpointKey, f64)>,
+    ) -> Option<EndpointKey> {
         if let Some(key) = self.find_near(now, call, excluded) {
             return Some(key);
         }
@@ -160,6 +181,18 @@
         far.filter(is_better).or(near).map(|(key, _)| key)
     }
 
+    /// Picks a cold endpoint, a near one if there is any.
+    fn pick_cold(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        excluded: Option<EndpointKey>,
+    ) -> Option<EndpointKey> {
+        let drawn = self.draw_from_tier(now, call, COLD_TIER, excluded);
+        let drawn = drawn.or_else(|| self.draw_from_tier(now, call, FAR_COLD_TIER, excluded));
+        drawn.map(|(key, _)| key)
+    }
+
     /// Finds an endpoint of the own region that is not too busy for a call: draws see only some
     /// of them, and a call must not leave the region because of those.
     fn find_near(
@@ -222,6 +255,7 @@
             let fits = row.pool_index.is_some()
                 && (row.tier == FAR_TIER) == is_far
                 && call.regions.contains(row.region)
+                && !row.admission.is_cold
                 && Some(*key) != excluded
                 && row.has_cache_for(now, call.tokens);
             let endpoint_work = row.recent_work.value(now);
@@ -293,6 +327,7 @@
         let fits = |key: &EndpointKey| {
             let row = &self.endpoints[*key];
             row.tier == tier
+                && !row.admission.is_cold
                 && call.regions.contains(row.region)
                 && row.pool_index.is_some()
                 && Some(*key) != excluded
@@ -408,6 +443,10 @@
         let Some(endpoint) = self.pick_endpoint(now, &call, Some(first.endpoint)) else {
             return;
         };
+        // A hedge does not wait: it is not worth a request to a cold endpoint.
+        if self.endpoints[endpoint].admission.is_cold {
+            return;
+        }
         // A call that has run this long takes more than the mean.
         let cost = self
             .estimate(&call)
--- a/src/route/regions.rs
+++ b/src/route/regions.rs
@@ -15,7 +15,7 @@
         EndpointKey, ServiceKey,
         decay::DecayingSum,
         router::Router,
-        table::{FAR_TIER, REMOTE_TIER, ServiceRow, WORK_DECAY},
+        table::{FAR_COLD_TIER, FAR_TIER, REMOTE_TIER, ServiceRow, WORK_DECAY},
     },
     topology::{Region, RegionSet, Topology},
 };
@@ -32,6 +32,8 @@
     pub(super) free_slots: u32,
     /// Endpoints that accept calls and have a limit above 0.
     pub(super) usable: u32,
+    /// Endpoints that would be usable, but admit no call now because they are or were cold.
+    pub(super) held: u32,
     /// Recently placed work.
     pub(super) recent_work: DecayingSum,
 }
@@ -45,6 +47,7 @@
             capacity: 0,
             free_slots: 0,
             usable: 0,
+            held: 0,
             recent_work: DecayingSum::new(WORK_DECAY),
         });
         rows.collect()
@@ -57,6 +60,7 @@
     pub(super) capacity: u32,
     pub(super) free_slots: u32,
     pub(super) usable: u32,
+    pub(super) held: u32,
 }
 
 /// Queued calls that may use the same regions.
@@ -136,6 +140,7 @@
                 capacity: self.capacity,
                 free_slots: self.free_slots,
                 usable: self.usable,
+                held: self.held,
             };
         }
         let rows = self.regions_in(regions);
@@ -143,6 +148,7 @@
             capacity: room.capacity + row.capacity,
             free_slots: room.free_slots + row.free_slots,
             usable: room.usable + row.usable,
+            held: room.held + row.held,
         })
     }
 
@@ -152,15 +158,18 @@
         tier: usize,
         regions: RegionSet,
     ) -> impl Iterator<Item = &[EndpointKey]> + Clone {
+        let first_cold = REMOTE_TIER + self.regions.len();
         let (first, last) = match tier {
             0..REMOTE_TIER => (tier, tier + 1),
-            _ => (REMOTE_TIER, self.pools.len()),
+            REMOTE_TIER | FAR_TIER => (REMOTE_TIER, first_cold),
+            _ => (first_cold, self.pools.len()),
         };
+        let is_far = matches!(tier, FAR_TIER | FAR_COLD_TIER);
         let pools = self.pools[first..last].iter().enumerate();
         let is_open = move |index: usize| {
             // The pools of the first tiers hold endpoints of the own region, which is the first.
             let row = &self.regions[if tier < REMOTE_TIER { 0 } else { index }];
-            row.is_far == (tier == FAR_TIER) && regions.contains(row.region)
+            row.is_far == is_far && regions.contains(row.region)
         };
         let open = pools.filter(move |(index, pool)| !pool.is_empty() && is_open(*index));
         open.map(|(_, pool)| pool.as_slice())
@@ -266,7 +275,7 @@
         let near = endpoints.filter(|endpoint| endpoint.tier < FAR_TIER);
         let states = near.map(|endpoint| match endpoint.pool_index {
             Some(_) => NearState::Slow,
-            None if endpoint.is_usable() => NearState::Full,
+            None if endpoint.is_usable() || endpoint.counted.is_held => NearState::Full,
             None if endpoint.accepting => NearState::Ejected,
             None => NearState::Evacuated,
         });
@@ -279,8 +288,16 @@
         regions.is_all() || row.is_some_and(|row| regions.contains(row.region))
     }
 
-    /// Checks that a call with these regions has an endpoint that may get it, now or after a
+    /// Returns whether a call with these regions has an endpoint that admits it now or after a
     /// trial.
+    pub(super) fn has_open_endpoint(&self, service: ServiceKey, regions: RegionSet) -> bool {
+        let row = &self.services[service];
+        let mut awaiting = row.awaiting_trial.iter();
+        row.room(regions).usable > 0 || awaiting.any(|key| self.is_allowed(*key, regions))
+    }
+
+    /// Checks that a call with these regions has an endpoint that may get it, now, after a trial,
+    /// or once a cold one admits it.
     ///
     /// # Errors
     ///
@@ -291,11 +308,9 @@
         regions: RegionSet,
     ) -> Result<(), ErrorKind> {
         let row = &self.services[service];
-        let awaiting = &row.awaiting_trial;
-        let is_awaiting = |key: &EndpointKey| self.is_allowed(*key, regions);
-        if row.room(regions).usable > 0 || awaiting.iter().any(is_awaiting) {
+        if row.room(regions).held > 0 || self.has_open_endpoint(service, regions) {
             Ok(())
-        } else if row.usable == 0 && awaiting.is_empty() {
+        } else if row.usable == 0 && row.held == 0 && row.awaiting_trial.is_empty() {
             Err(ErrorKind::NoEndpoint)
         } else {
             Err(ErrorKind::NoEndpointInRegion)
@@ -316,7 +331,8 @@
         };
         let fits = |key: &EndpointKey| {
             let is_near = self.endpoints[*key].tier < FAR_TIER;
-            self.is_allowed(*key, regions) && (is_near || !has_near())
+            let row = &self.endpoints[*key];
+            !row.is_held() && self.is_allowed(*key, regions) && (is_near || !has_near())
         };
         let position = row.awaiting_trial.iter().rposition(fits)?;
         Some(self.services[service].awaiting_trial.remove(position))
--- a/src/route/spec.rs
+++ b/src/route/spec.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     class::{Class, Repeat},
+    cold_start::Admission,
     error::ErrorKind,
     id::RequestId,
     route::{EndpointKey, ServiceKey, fair::AccountKey, retry::DEFAULT_MAX_ATTEMPTS},
@@ -65,6 +66,8 @@
     pub cache_tokens: u64,
     /// Whether it accepts calls when it is added.
     pub accepting: bool,
+    /// What it admits at first, if it may be cold.
+    pub admission: Admission,
 }
 
 impl EndpointSpec {
@@ -77,9 +80,17 @@
             limit: 64,
             cache_tokens: 0,
             accepting: true,
+            admission: Admission::OPEN,
         }
     }
 
+    /// Sets what it admits at first.
+    #[must_use]
+    pub const fn admission(mut self, admission: Admission) -> Self {
+        self.admission = admission;
+        self
+    }
+
     /// Sets the capacity of its cache memory in tokens.
     #[must_use]
     pub const fn cache_tokens(mut self, cache_tokens: u64) -> Self {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     class::{Class, Repeat},
+    cold_start::Admission,
     error::ErrorKind,
     route::{
         EndpointKey, ServiceKey,
@@ -40,6 +41,10 @@
 pub(super) const REMOTE_TIER: usize = 2;
 /// The tier of endpoints in other regions.
 pub(super) const FAR_TIER: usize = 3;
+/// The tier of cold endpoints in the entry's region, which get what no other endpoint has room for.
+pub(super) const COLD_TIER: usize = 4;
+/// The tier of cold endpoints in other regions.
+pub(super) const FAR_COLD_TIER: usize = 5;
 /// Time constant of the peaks from which reserved slots are computed: a few service times of an
 /// interactive call, so that lent slots are reserved again soon after a burst.
 const PEAK_DECAY: Duration = Duration::from_secs(5);
@@ -67,7 +72,7 @@
     pub(super) spec: ServiceSpec,
     pub(super) endpoints: Vec<EndpointKey>,
     /// Endpoints with free slots: those of the first tiers, then those of other data centres by
-    /// region.
+    /// region, then the cold ones by region.
     pub(super) pools: Vec<Vec<EndpointKey>>,
     /// Sums by region, that of unknown regions last.
     pub(super) regions: Vec<RegionRow>,
@@ -86,6 +91,8 @@
     pub(super) free_slots: u32,
     /// Endpoints that accept calls and have a limit above 0.
     pub(super) usable: u32,
+    /// Endpoints that would be usable, but admit no call now because they are or were cold.
+    pub(super) held: u32,
     /// Number of ejected endpoints, including those on trial.
     pub(super) ejected: u32,
     /// Ejected endpoints that wait for a trial call.
@@ -119,7 +126,7 @@
         Self {
             spec,
             endpoints: Vec::new(),
-            pools: vec![Vec::new(); REMOTE_TIER + regions.len()],
+            pools: vec![Vec::new(); REMOTE_TIER + 2 * regions.len()],
             regions,
             restricted: Default::default(),
             ring: Ring::default(),
@@ -130,6 +137,7 @@
             capacity: 0,
             free_slots: 0,
             usable: 0,
+            held: 0,
             ejected: 0,
             awaiting_trial: Vec::new(),
             shares_hosts: false,
@@ -218,6 +226,7 @@
     pub(super) accepting: bool,
     /// Whether its data centre is evacuated.
     pub(super) evacuated: bool,
+    pub(super) admission: Admission,
     pub(super) running: u32,
     /// Tokens of the running attempts.
     pub(super) tokens: u64,
@@ -241,12 +250,16 @@
 pub(super) struct Counted {
     pub(super) capacity: u32,
     pub(super) free_slots: u32,
+    pub(super) is_held: bool,
 }
 
 impl EndpointRow {
-    /// Returns the index of the pool that holds it, with the position of its region.
-    pub(super) const fn pool(&self, position: usize) -> usize {
-        if self.tier < REMOTE_TIER {
+    /// Returns the index of the pool that holds it, with the position of its region and the
+    /// number of regions.
+    pub(super) const fn pool(&self, position: usize, regions: usize) -> usize {
+        if self.admission.is_cold {
+            REMOTE_TIER + regions + position
+        } else if self.tier < REMOTE_TIER {
             self.tier
         } else {
             REMOTE_TIER + position
@@ -257,6 +270,7 @@
         Self {
             limit: ConcurrencyLimit::new(spec.limit),
             accepting: spec.accepting,
+            admission: spec.admission,
             spec,
             service,
             evacuated: false,
@@ -275,7 +289,12 @@
     }
 
     pub(super) fn is_usable(&self) -> bool {
-        self.accepting && self.health.is_healthy()
+        self.accepting && self.health.is_healthy() && !self.is_held()
+    }
+
+    /// Returns whether it admits no call now because it is or was cold.
+    pub(super) fn is_held(&self) -> bool {
+        self.admission.calls == Some(0)
     }
 }
 
