Write usage counts in parts of the store of their own

Cause: a part of the store carries out its transactions one after another. The counts of all gateways, 9.5 writes a second in calm times, were in the part of the lease of the duties and of the heartbeats. In slow times that part takes four to six a second, so heartbeats and duties starved.

Change: counts are spread by process over eight parts that nothing else is written in, and a process writes them at most every two write latencies. The reporter reads these parts and the former one. A reporter of an earlier version reads only the former part, so a gateway writes apart only once the rows of all gateways say that they read this form (`row_form`). A row that is written again stays in its part, or it would count twice.

Tests: rows stay in their part when the form changes between two tries; the gateways write apart, and don't while a gateway of an earlier version runs.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -12,7 +12,7 @@
     clock::millis,
     rollout::{
         presence::HEARTBEAT_INTERVAL,
-        row::{self, OwnerRow, Presence},
+        row::{self, OwnerRow, Presence, ROW_FORM},
     },
     table::{Change, Commit},
 };
@@ -172,6 +172,7 @@
             renewed: millis(self.store.now().unwrap_or_default()),
             memory: self.memory_mb,
             offset: self.directory.times.offset(),
+            row_form: ROW_FORM,
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/peers/directory.rs
+++ b/hibiscusroad-daemon/src/gateway/peers/directory.rs
@@ -13,7 +13,7 @@
     clock::millis,
     rollout::{
         presence::Member,
-        row::{MEMBER_PARTS, MEMBERS, Presence},
+        row::{MEMBER_PARTS, MEMBERS, Presence, ROW_FORM},
     },
     table::{Change, Page, Range, Row},
 };
@@ -93,6 +93,10 @@
         store.set_peers(peers.collect());
         let offsets = others().filter_map(|presence| presence.offset);
         self.times.set_offsets(offsets.collect());
+        let is_complete = member_parts().all(|part| parts.contains_key(&part));
+        let oldest = others().map(|presence| presence.row_form).min();
+        let form = oldest.map_or(ROW_FORM, |oldest| oldest.min(ROW_FORM));
+        store.set_row_form(if is_complete { form } else { 0 });
     }
 }
 
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -15,6 +15,7 @@
 use hibiscusroad::{
     clock::millis,
     clock_estimate::ClockEstimate,
+    latency::Latency,
     store_path::{RelayOutcome, StorePath, StorePaths},
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
     timeout::{AdaptiveTimeout, CallEnd},
@@ -24,6 +25,7 @@
 use hyper::body::Bytes;
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -56,6 +58,8 @@
     paths: RefCell<StorePaths>,
     /// Number of known peers.
     peer_count: Cell<usize>,
+    /// The newest form of rows that all gateways read.
+    row_form: Cell<u32>,
     /// Notified when the direct path begins to fail.
     direct_failed: Notify,
     address: Cell<SocketAddr>,
@@ -65,6 +69,8 @@
     down_since: Cell<Option<Instant>>,
     reads: Cell<AdaptiveTimeout>,
     writes: Cell<AdaptiveTimeout>,
+    /// The latency of writes, by the part of the store.
+    write_latency: RefCell<HashMap<String, Latency>>,
     objects: Cell<AdaptiveTimeout>,
     meters: Rc<Meters>,
     recovery_hooks: RefCell<Vec<Box<dyn Fn()>>>,
@@ -77,6 +83,7 @@
             peers: Peers::new(),
             paths: RefCell::new(StorePaths::new()),
             peer_count: Cell::new(0),
+            row_form: Cell::new(0),
             direct_failed: Notify::new(),
             address: Cell::new(address),
             clock: Cell::new(ClockEstimate::new()),
@@ -84,6 +91,7 @@
             reads: Cell::new(AdaptiveTimeout::new(READ_TIMEOUTS.0, READ_TIMEOUTS.1)),
             writes: Cell::new(AdaptiveTimeout::new(WRITE_TIMEOUTS.0, WRITE_TIMEOUTS.1)),
             objects: Cell::new(AdaptiveTimeout::new(OBJECT_TIMEOUTS.0, OBJECT_TIMEOUTS.1)),
+            write_latency: RefCell::default(),
             meters,
             recovery_hooks: RefCell::default(),
         }
@@ -113,6 +121,19 @@
         self.peer_count.get()
     }
 
+    /// Sets the newest form of rows that all gateways read.
+    pub(super) fn set_row_form(&self, form: u32) {
+        if self.row_form.replace(form) != form {
+            log::info!(target: STORE, form = form;
+                "The form of rows that all gateways read has changed.");
+        }
+    }
+
+    /// Returns the newest form of rows that all gateways read; 0 until they are known.
+    pub(super) const fn row_form(&self) -> u32 {
+        self.row_form.get()
+    }
+
     /// Calls `hook` each time the store answers again after a failure.
     pub(super) fn on_recovery(&self, hook: impl Fn() + 'static) {
         self.recovery_hooks.borrow_mut().push(Box::new(hook));
@@ -202,15 +223,36 @@
         Ok(changes)
     }
 
+    /// Returns the present latency of writes in a part; zero before the first answer.
+    pub(super) fn write_latency(&self, part: &str) -> Duration {
+        let latencies = self.write_latency.borrow();
+        latencies.get(part).map_or(Duration::ZERO, Latency::current)
+    }
+
     /// Executes a transaction; its outcome may be [`Commit::Unknown`].
     pub(super) async fn transact(&self, change: &Change) -> Commit {
-        let answer = match self
-            .call_adaptive(wire::transaction_request(change), &self.writes)
-            .await
-        {
-            Ok((status, body)) => wire::decode_commit(status, &body).map_err(Failure::Unexpected),
-            Err(failure) => Err(failure),
-        };
+        let request = wire::transaction_request(change);
+        let start = Instant::now();
+        let answer = self.call_adaptive(request, &self.writes).await;
+        self.decode_commit(change, start, answer)
+    }
+
+    /// Decodes the answer of a transaction that was sent at `start`.
+    fn decode_commit(
+        &self,
+        change: &Change,
+        start: Instant,
+        answer: Result<(u16, Bytes), Failure>,
+    ) -> Commit {
+        let answer = answer.and_then(|(status, body)| Ok(wire::decode_commit(status, &body)?));
+        if let Ok(Commit::Done { .. } | Commit::Conflict(_)) = &answer {
+            let puts = change.puts.iter().map(|(id, _)| id);
+            if let Some(id) = puts.chain(&change.removes).next() {
+                let mut latencies = self.write_latency.borrow_mut();
+                let latency = latencies.entry(id.part.clone()).or_default();
+                latency.record(start.elapsed());
+            }
+        }
         match answer {
             Ok(commit) => {
                 if let Commit::Done { now, .. } = commit {
--- a/hibiscusroad-daemon/src/gateway/usage/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/mod.rs
@@ -15,7 +15,7 @@
 use hibiscusroad::{
     clock::millis,
     table::{Change, Commit},
-    usage::{Tally, Windows, write_interval},
+    usage::{Tally, Windows, usage_part, write_interval},
 };
 use std::{
     cell::RefCell,
@@ -31,6 +31,8 @@
 
 /// Initial and maximum delay after a failed write.
 const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
+/// The form of rows from which on the reporter reads the parts that only counts are written in.
+const APART_FORM: u32 = 1;
 /// Time limit for writing the remaining counts when the process stops.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -87,7 +89,9 @@
             if self.tally.borrow().is_empty() {
                 self.counted.notified().await;
             }
-            sleep(write_interval(self.store.peer_count() + 1)).await;
+            let part = usage_part(&self.incarnation, self.is_apart());
+            let latency = self.store.write_latency(&part);
+            sleep(write_interval(self.store.peer_count() + 1, latency)).await;
             if self.write().await {
                 backoff.reset();
             } else {
@@ -106,10 +110,16 @@
         }
     }
 
+    /// Returns whether the reporter reads the parts that only counts are written in, whichever
+    /// gateway it is.
+    fn is_apart(&self) -> bool {
+        self.store.row_form() >= APART_FORM
+    }
+
     /// Writes counts that are not in the store yet; `false` if the write may have failed.
     async fn write(&self) -> bool {
         let mut change = Change::new();
-        for share in self.tally.borrow_mut().next_write() {
+        for share in self.tally.borrow_mut().next_write(self.is_apart()) {
             change = change.put(share.row(&self.incarnation), share.encode());
         }
         if change.puts.is_empty() {
--- a/hibiscusroad-daemon/src/gateway/usage/report.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/report.rs
@@ -8,6 +8,7 @@
 use crate::{
     gateway::{
         duty::Duty,
+        failure::Failure,
         http::{ConnectionPool, encode},
         known_config::KnownConfig,
         meters::Meters,
@@ -17,11 +18,11 @@
     logs::USAGE,
     settings::Usage as Settings,
 };
-use futures_util::future::join;
+use futures_util::future::{join, try_join_all};
 use hibiscusroad::{
     clock::millis,
     rollout::order_records::ORDER_TTL,
-    table::{Change, Commit, Range},
+    table::{Change, Commit, Range, Row},
     usage::{self, ReportTiming, Reports, Step, StoredReport, Window, Windows},
 };
 use hibiscusroad_platform::{
@@ -152,11 +153,8 @@
     /// Reads the reports that earlier holders of the lease stored, and the oldest counts.
     async fn load(&self, fence: u64) -> bool {
         let reports = Range::part(usage::REPORTS_TABLE, "");
-        let oldest = Range {
-            limit: Some(1),
-            ..Range::part(usage::USAGE_TABLE, "")
-        };
-        let read = join(self.store.read_whole(&reports), self.store.read(&oldest)).await;
+        let oldest = self.read_counts(None, Some(1));
+        let read = join(self.store.read_whole(&reports), oldest).await;
         let (page, oldest) = match read {
             (Ok(page), Ok(oldest)) => (page, oldest),
             (Err(failure), _) | (_, Err(failure)) => {
@@ -166,7 +164,7 @@
             }
         };
         let mut reports = Reports::new(self.terms, self.times.now());
-        if let Some(row) = oldest.rows.first() {
+        for row in &oldest {
             reports.start_from(&row.id.key);
         }
         for row in &page.rows {
@@ -185,21 +183,16 @@
 
     /// Adds up the counts of a window and stores its report.
     async fn make_report(&self, window: Window) -> bool {
-        let keys = usage::key_range(window);
-        let range = Range {
-            start: Some(&keys.0),
-            end: Some(&keys.1),
-            ..Range::part(usage::USAGE_TABLE, "")
-        };
-        let page = match self.store.read_whole(&range).await {
-            Ok(page) => page,
+        let (start, end) = usage::key_range(window);
+        let rows = match self.read_counts(Some((&start, &end)), None).await {
+            Ok(rows) => rows,
             Err(failure) => {
                 log::info!(target: USAGE, window = window.0, error = failure.to_string().as_str();
                     "The counts of a window can't be read yet.");
                 return false;
             }
         };
-        let values = page.rows.iter().map(|row| row.value.as_slice());
+        let values = rows.iter().map(|row| row.value.as_slice());
         let (counts, broken) = usage::sum_counts(values);
         let requests: u64 = counts.values().sum();
         let Some(now) = self.store.now() else {
@@ -217,7 +210,7 @@
             .put(row, encode_report(&report));
         match self.duty.transact(change).await {
             Some(Commit::Done { .. }) => {
-                log::info!(target: USAGE, window = window.0, rows = page.rows.len(),
+                log::info!(target: USAGE, window = window.0, rows = rows.len(),
                     broken = broken, accounts = counts.len(), requests = requests;
                     "The report of a window is kept.");
                 self.with_reports(|reports| reports.record(window, report));
@@ -236,6 +229,29 @@
         }
     }
 
+    /// Reads counts in all parts: those with keys in a range, or the first `limit` of each part.
+    async fn read_counts(
+        &self,
+        keys: Option<(&str, &str)>,
+        limit: Option<usize>,
+    ) -> Result<Vec<Row>, Failure> {
+        let parts: Vec<String> = usage::usage_parts().collect();
+        let reads = parts.iter().map(async |part| {
+            let range = Range {
+                start: keys.map(|(start, _)| start),
+                end: keys.map(|(_, end)| end),
+                limit,
+                ..Range::part(usage::USAGE_TABLE, part)
+            };
+            match limit {
+                Some(_) => self.store.read(&range).await,
+                None => self.store.read_whole(&range).await,
+            }
+        });
+        let pages = try_join_all(reads).await?;
+        Ok(pages.into_iter().flat_map(|page| page.rows).collect())
+    }
+
     /// Sends a report, once no call of an earlier holder of the lease can still arrive.
     async fn send_report(&self, window: Window, fence: u64) -> bool {
         let report = self
@@ -334,11 +350,12 @@
             return;
         };
         let (end, _) = usage::key_range(oldest);
-        for table in [usage::USAGE_TABLE, usage::REPORTS_TABLE] {
+        let counts = usage::usage_parts().map(|part| (usage::USAGE_TABLE, part));
+        for (table, part) in counts.chain([(usage::REPORTS_TABLE, String::new())]) {
             let range = Range {
                 end: Some(&end),
                 limit: Some(MAX_ENTRIES - 1),
-                ..Range::part(table, "")
+                ..Range::part(table, &part)
             };
             let Ok(page) = self.store.read(&range).await else {
                 return;
--- a/hibiscusroad-daemon/tests/gateway_usage.rs
+++ b/hibiscusroad-daemon/tests/gateway_usage.rs
@@ -6,9 +6,9 @@
 use hibiscusroad_standins::direct::{Behaviour, Billing, Endpoint, Faults, ReplyMode};
 use serde_json::json;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// The lease of these gateways, and the minimum time between reports of two holders.
@@ -215,6 +215,65 @@
     deployment.check_totals();
 }
 
+/// Returns the parts of the store that have counts of a gateway.
+fn parts_of(world: &World, gateway: &Gateway) -> BTreeSet<String> {
+    let rows = world.store.rows("usage").into_iter();
+    let own = rows.filter(|(_, key, _)| key.contains(&format!("/{}/", gateway.name)));
+    own.map(|(part, ..)| part).collect()
+}
+
+// Guards against counts that delay heartbeats and leases in their part of the store, and against
+// losing counts while the gateways move to parts of their own.
+#[test]
+fn counts_are_written_apart_from_heartbeats() {
+    let deployment = start_deployment("apart", 2, true);
+    for n in 0..150 {
+        deployment.call(n % 2, "charity", &format!("u{n}"));
+        thread::sleep(Duration::from_millis(40));
+    }
+    let world = &deployment.world;
+    for gateway in &world.gateways {
+        let parts = parts_of(world, gateway);
+        assert!(
+            parts.iter().any(|part| part.starts_with("usage-")),
+            "{parts:?}"
+        );
+    }
+    deployment.check_totals();
+}
+
+// Guards against counts that a reporter of an earlier version doesn't read, and against losing
+// the counts that gateways of earlier versions write.
+#[test]
+fn counts_stay_in_the_former_part_while_a_gateway_of_an_earlier_version_runs() {
+    let mut deployment = start_deployment("former", 1, true);
+    let former = json!({ "life": "gateway-former/aa", "renewed": 1_000_000_000 });
+    let store = &deployment.world.store;
+    store.put_in_part("members", "0", "gateway-former", &former);
+    let settings = format!(
+        "\n[gateway.usage]\naddress = \"{}\"\nwindow_s = 1\nlate_s = 6\n",
+        deployment.billing.addr()
+    );
+    deployment.world.gateway_with(&settings);
+    deployment.world.wait_ready(1);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let key = format!("{:020}/gateway-former/aa/1", now.as_secs());
+    let counts = json!({ "counts": { "school": 5 } });
+    deployment
+        .world
+        .store
+        .put_in_part("usage", "", &key, &counts);
+    for n in 0..120 {
+        deployment.call(1, "charity", &format!("u{n}"));
+        thread::sleep(Duration::from_millis(40));
+    }
+    let parts = parts_of(&deployment.world, &deployment.world.gateways[1]);
+    assert_eq!(parts, BTreeSet::from([String::new()]));
+    until("the counts of the former gateway are reported", || {
+        (deployment.billing.totals().get("school") == Some(&5)).then_some(())
+    });
+}
+
 // Guards against losing open windows, and counts in the store, when the process that reports
 // is killed, and its successor, too.
 #[test]
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -139,6 +139,12 @@
         self.shared.write(key, value.to_vec());
     }
 
+    /// Writes a JSON value as a row of a part.
+    pub fn put_in_part(&self, table: &str, part: &str, key: &str, value: &Value) {
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        self.shared.write(key, value.to_string().into_bytes());
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let key = (table.to_owned(), String::new(), key.to_owned());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 //! * [`error`]: the closed list of error kinds and the answers for them.
 //! * [`gate`]: admission, sealing, buffering and replay at a sidecar.
 //! * [`id`]: identifiers of requests and processes.
+//! * [`latency`]: the present latency of a service.
 //! * [`lease`]: duties with one holder, and their fencing tokens.
 //! * [`quarantine`]: requests that crash the endpoints that run them.
 //! * [`rollout`]: batches of generations for trainers, and the weights they run on.
@@ -57,6 +58,7 @@
 pub mod error;
 pub mod gate;
 pub mod id;
+pub mod latency;
 pub mod lease;
 pub mod quarantine;
 pub mod rollout;
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -42,6 +42,10 @@
 /// The table of the paces of engines, by service.
 pub const PACES: &str = "paces";
 
+/// The newest form of rows that this version reads. From form 1 on, counts of usage are in parts
+/// of their own, and small submissions are rows.
+pub const ROW_FORM: u32 = 1;
+
 /// Number of buckets over which batches are spread. So many parts take more transactions
 /// than the whole store does.
 const BUCKET_COUNT: u64 = 16;
@@ -144,6 +148,10 @@
     /// The difference between its host's time of day and the store's clock.
     #[serde(default)]
     pub offset: Option<Offset>,
+    /// The newest form of rows that it reads, up to [`ROW_FORM`]. A newer form is written only
+    /// once all processes read it.
+    #[serde(default)]
+    pub row_form: u32,
 }
 
 /// The heartbeat row of a process that owns something.
--- a/src/usage/tally.rs
+++ b/src/usage/tally.rs
@@ -3,10 +3,17 @@
 use super::Window;
 use crate::table::RowId;
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, iter, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The table of counts.
 pub const USAGE_TABLE: &str = "usage";
+/// The part in which gateways of earlier versions write and read counts. Leases and heartbeats
+/// share it.
+const SHARED_PART: &str = "";
+/// Number of parts that only counts are written in. A part of a store that is 80 times slower
+/// carries out four transactions a second, and 33 processes write ten rows a second.
+const OWN_PARTS: u64 = 8;
 
 /// After a store outage a process has counts of many windows to write.
 const MAX_ROWS_PER_WRITE: usize = 50;
@@ -15,6 +22,9 @@
 /// Limits the writes of all processes together to a seventh of what the smallest store takes.
 const MAX_WRITES_PER_SECOND: u32 = 120;
 
+/// Least ratio of the time between two writes of a process to the latency of a write.
+const LATENCIES_PER_WRITE: u32 = 2;
+
 /// Number of requests by account.
 pub type Counts = BTreeMap<String, u64>;
 
@@ -25,6 +35,8 @@
     pub window: Window,
     /// The sequence number of the row within its process.
     pub seq: u64,
+    /// Whether the row is in a part that only counts are written in.
+    pub is_apart: bool,
     /// The counts.
     pub counts: Counts,
 }
@@ -39,7 +51,7 @@
     #[must_use]
     pub fn row(&self, incarnation: &str) -> RowId {
         let key = format!("{}{incarnation}/{}", key_prefix(self.window), self.seq);
-        RowId::new(USAGE_TABLE, "", &key)
+        RowId::new(USAGE_TABLE, &usage_part(incarnation, self.is_apart), &key)
     }
 
     /// Encodes the counts as JSON.
@@ -55,6 +67,25 @@
     }
 }
 
+/// Returns the part that an incarnation of a process writes its counts in.
+#[must_use]
+pub fn usage_part(incarnation: &str, is_apart: bool) -> String {
+    if is_apart {
+        own_part(xxh3_64(incarnation.as_bytes()) % OWN_PARTS)
+    } else {
+        SHARED_PART.to_owned()
+    }
+}
+
+/// Returns all parts that may have counts.
+pub fn usage_parts() -> impl Iterator<Item = String> {
+    iter::once(SHARED_PART.to_owned()).chain((0..OWN_PARTS).map(own_part))
+}
+
+fn own_part(part: u64) -> String {
+    format!("usage-{part}")
+}
+
 /// Returns the common key prefix of a window's rows. Prefixes sort in the order of windows.
 pub(super) fn key_prefix(window: Window) -> String {
     format!("{:020}/", window.0)
@@ -122,9 +153,13 @@
 
     /// Returns the rows to write next, in one transaction.
     ///
+    /// `is_apart` says whether new rows may be in the parts that only counts are written in,
+    /// which the reporter must be known to read.
+    ///
     /// Returns the same rows until [`Self::confirm_write`] is called, since a write without an
-    /// answer may have taken effect. Later counts go into later rows.
-    pub fn next_write(&mut self) -> &[PartialCounts] {
+    /// answer may have taken effect: in another part it would count twice. Later counts go into
+    /// later rows.
+    pub fn next_write(&mut self, is_apart: bool) -> &[PartialCounts] {
         if self.in_flight.is_empty() {
             while let Some((window, counts)) = self.unsent.pop_first() {
                 self.last_seq += 1;
@@ -132,6 +167,7 @@
                 self.in_flight.push(PartialCounts {
                     window,
                     seq,
+                    is_apart,
                     counts,
                 });
                 if self.in_flight.len() >= MAX_ROWS_PER_WRITE {
@@ -151,9 +187,11 @@
 /// Returns the interval between two writes of one of `processes` processes.
 ///
 /// A process that is killed loses the counts of this interval, so it is as short as the
-/// store can handle.
+/// store can handle: at least twice the time that writes take at present.
 #[must_use]
-pub fn write_interval(processes: usize) -> Duration {
+pub fn write_interval(processes: usize, latency: Duration) -> Duration {
     let processes = u32::try_from(processes).unwrap_or(u32::MAX);
-    MIN_WRITE_INTERVAL.max(Duration::from_secs(1) * processes / MAX_WRITES_PER_SECOND)
+    MIN_WRITE_INTERVAL
+        .max(Duration::from_secs(1) * processes / MAX_WRITES_PER_SECOND)
+        .max(latency * LATENCIES_PER_WRITE)
 }
--- a/tests/rollout_choice.rs
+++ b/tests/rollout_choice.rs
@@ -17,6 +17,7 @@
             peer: None,
             renewed: 10_000 - age_ms,
             memory,
+            row_form: 0,
         },
         open_items: 200,
         last_batch_at: Duration::from_secs(8),
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -1,18 +1,24 @@
 //! Counting and reporting of usage, without a store or a platform.
 
 use hibiscusroad::{
+    rollout::row::buckets,
     table::RowId,
     usage::{
         Offset, ReportTiming, Reports, Step, StoredReport, Tally, Window, Windows, agreed_time,
-        key_range, sum_counts, write_interval,
+        key_range, sum_counts, usage_parts, write_interval,
     },
 };
 use proptest::prelude::*;
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 const WINDOW_LENGTH: Duration = Duration::from_secs(5);
 const REPORT_DEADLINE: Duration = Duration::from_secs(10);
 const MIN_CALL_GAP: Duration = Duration::from_secs(3);
+/// The latency of writes to a store at its usual speed.
+const LATENCY: Duration = Duration::from_millis(4);
 
 fn timing() -> ReportTiming {
     ReportTiming {
@@ -28,7 +34,7 @@
 
 /// Writes the pending counts of a tally to a store.
 fn write_counts(tally: &mut Tally, incarnation: &str, store: &mut BTreeMap<RowId, Vec<u8>>) {
-    for counts in tally.next_write() {
+    for counts in tally.next_write(false) {
         store.insert(counts.row(incarnation), counts.encode());
     }
 }
@@ -65,7 +71,7 @@
         tally.record(Window(window), "a");
     }
     let rows: Vec<RowId> = tally
-        .next_write()
+        .next_write(false)
         .iter()
         .map(|counts| counts.row("g/1"))
         .collect();
@@ -80,7 +86,7 @@
     let mut store = BTreeMap::new();
     let mut tally = Tally::new();
     tally.record(Window(1), "a");
-    let delayed: Vec<_> = tally.next_write().to_vec();
+    let delayed: Vec<_> = tally.next_write(false).to_vec();
     write_counts(&mut tally, "g/1", &mut store);
     // Counted before the write is confirmed.
     tally.record(Window(1), "a");
@@ -95,6 +101,42 @@
     assert!(tally.is_empty());
 }
 
+// Guards against counts that a process writes in one part, without an answer, and again in
+// another one when it learns that all processes read the latter.
+#[test]
+fn repeated_write_stays_in_its_part() {
+    let mut store = BTreeMap::new();
+    let mut tally = Tally::new();
+    tally.record(Window(1), "a");
+    write_counts(&mut tally, "g/1", &mut store);
+    for counts in tally.next_write(true) {
+        store.insert(counts.row("g/1"), counts.encode());
+    }
+    tally.confirm_write();
+    assert_eq!(window_counts(&store, 1)["a"], 1);
+}
+
+// Guards against counts that delay leases and heartbeats, and against parts that the reporter
+// doesn't read.
+#[test]
+fn counts_are_spread_over_parts_of_their_own() {
+    let known: Vec<String> = usage_parts().collect();
+    let mut used = BTreeSet::new();
+    for n in 0..40 {
+        let incarnation = format!("g-{n}/1");
+        let mut tally = Tally::new();
+        tally.record(Window(1), "a");
+        let part = tally.next_write(true)[0].row(&incarnation).part;
+        assert!(known.contains(&part), "{part}");
+        assert!(!buckets().any(|bucket| bucket == part) && !part.is_empty());
+        used.insert(part);
+        tally.confirm_write();
+        tally.record(Window(1), "a");
+        assert_eq!(tally.next_write(false)[0].row(&incarnation).part, "");
+    }
+    assert_eq!(used.len(), 8);
+}
+
 #[test]
 fn processes_and_incarnations_do_not_overwrite_each_other() {
     let mut store = BTreeMap::new();
@@ -109,12 +151,12 @@
 // The total rate of usage writes must stay a small part of the store's capacity.
 #[test]
 fn more_processes_write_less_often() {
-    assert!(write_interval(8) <= Duration::from_millis(200));
+    assert!(write_interval(8, LATENCY) <= Duration::from_millis(200));
     for processes in [8_usize, 39, 88, 360] {
-        let writes = processes as f64 / write_interval(processes).as_secs_f64();
+        let writes = processes as f64 / write_interval(processes, LATENCY).as_secs_f64();
         assert!(writes <= 200.0, "{processes}: {writes} writes a second");
     }
-    assert!(write_interval(360) <= Duration::from_secs(3));
+    assert!(write_interval(360, LATENCY) <= Duration::from_secs(3));
 }
 
 #[test]
