Renew heartbeats and paces by the latency of the store's writes

Cause: while the store is slow, a part carries out four to six transactions a second. Owners renewed their rows every 250 ms whatever a write took, sent a heartbeat again after 500 ms while the first one only waited, and gave writes up after 300 ms. So heartbeats were refused, and living owners counted as lost.

Change: an owner pauses for the present latency of writes, at most a second, and its row tells the others this pause (`pause`), which their timeout adds twice. A heartbeat is sent again after four write latencies, at least 500 ms, and is not given up before 1.8 s. Paces are written every ten write latencies, and the lease is retried after at least one. Six latencies of a read are added to the timeout in place of four: a part with the transactions of a second in its queue delays a renewal by as much. A dead owner is noticed within 1.4 s at a store of usual speed, and within 6 s at one that is 80 times slower.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -11,8 +11,8 @@
 use hibiscusroad::{
     clock::millis,
     rollout::{
-        presence::HEARTBEAT_INTERVAL,
-        row::{self, OwnerRow, Presence, ROW_FORM},
+        presence::{HEARTBEAT_INTERVAL, renewal_pause, resend_delay},
+        row::{self, HEARTBEAT_PART, OwnerRow, Presence, ROW_FORM},
     },
     table::{Change, Commit},
 };
@@ -26,10 +26,6 @@
 /// How long a process sends heartbeats after its last batch: the next step of the trainer
 /// is given to the owner of the last one.
 const IDLE_HEARTBEAT_DURATION: Duration = Duration::from_secs(10);
-/// Time without an answer after which a heartbeat is written again: two renewals, so that one
-/// arrives before the others count the third as missed. A write times out within 1.8 s, so at
-/// most four are under way.
-const RESEND_INTERVAL: Duration = HEARTBEAT_INTERVAL.saturating_mul(2);
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
@@ -72,8 +68,10 @@
         // The others must take over batches that were accepted during the stop.
         while !self.is_stopping.get() {
             let is_needed = self.needs_heartbeat();
+            // A pause that is longer than the row tells would count as silence.
+            let pause = renewal_pause(self.heartbeat_latency());
             let change = match version {
-                _ if is_needed => Change::new().put(id.clone(), encode(&self.own_heartbeat())),
+                _ if is_needed => Change::new().put(id.clone(), encode(&self.own_heartbeat(pause))),
                 // A removal that is carried out late must not hit a newer heartbeat.
                 Some(written) => Change::new().expect(id.clone(), written).remove(id.clone()),
                 None => {
@@ -90,7 +88,7 @@
                     }
                     version = is_needed.then_some(written);
                     backoff.reset();
-                    sleep(HEARTBEAT_INTERVAL).await;
+                    sleep(pause).await;
                 }
                 // An unanswered heartbeat was written after the known one.
                 Commit::Conflict(rows) => {
@@ -103,22 +101,29 @@
         }
     }
 
+    /// Returns the present latency of writes in the part of the heartbeats.
+    fn heartbeat_latency(&self) -> Duration {
+        self.store.write_latency(HEARTBEAT_PART)
+    }
+
     /// Writes the heartbeat, and again while earlier writes are not answered.
     ///
     /// After an outage a write may wait for its timeout on a connection that stays silent, for
-    /// longer than [`HEARTBEAT_TIMEOUT`]. The others, whose reads are answered already, would
+    /// longer than the others wait. The others, whose reads are answered already, would
     /// take the batches over and make the texts of the outage again. The writes replace the
-    /// same row, so it doesn't matter how many of them are carried out.
+    /// same row, so it doesn't matter how many of them are carried out. A write times out within
+    /// 1.8 s, so at most four are under way; none is added to writes that are only slow.
     async fn write_heartbeat(&self, change: &Change) -> Commit {
         let mut writes = FuturesUnordered::new();
         loop {
-            writes.push(self.store.transact(change));
-            let resend = sleep(RESEND_INTERVAL);
+            writes.push(self.store.transact_patiently(change));
+            let resend = sleep(resend_delay(self.heartbeat_latency()));
             tokio::pin!(resend);
             loop {
                 tokio::select! {
                     Some(commit) = writes.next() => {
-                        if writes.is_empty() || !matches!(commit, Commit::Unknown) {
+                        let is_executed = matches!(commit, Commit::Done { .. } | Commit::Conflict(_));
+                        if writes.is_empty() || is_executed {
                             return commit;
                         }
                     }
@@ -155,9 +160,12 @@
         self.ownership_changed.notify_one();
     }
 
-    fn own_heartbeat(&self) -> OwnerRow {
+    fn own_heartbeat(&self, pause: Duration) -> OwnerRow {
         OwnerRow {
-            presence: self.own_presence(),
+            presence: Presence {
+                pause: millis(pause),
+                ..self.own_presence()
+            },
             load: self
                 .known_loads()
                 .remove(&self.incarnation)
@@ -173,6 +181,7 @@
             memory: self.memory_mb,
             offset: self.directory.times.offset(),
             row_form: ROW_FORM,
+            pause: 0,
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -381,6 +381,7 @@
     let Presence {
         incarnation,
         memory,
+        pause,
         ..
     } = decode_process(row)?;
     Some(Heartbeat {
@@ -388,6 +389,7 @@
         incarnation,
         version: row.version,
         memory,
+        pause: Duration::from_millis(pause),
     })
 }
 
--- a/hibiscusroad-daemon/src/gateway/batches/share.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/share.rs
@@ -1,6 +1,6 @@
 //! Shares the measured paces of engines between owners of batches.
 //!
-//! A failed write is not repeated, since the next one follows after a second. Writes are
+//! A failed write is not repeated, since the next one follows soon. Writes are
 //! conditional on the row's version: a conflict returns what other owners have written.
 
 use super::Batches;
@@ -8,18 +8,14 @@
 use hibiscusroad::{
     clock::millis,
     rollout::{
-        pace::Paces,
-        row::{self, PACES},
+        pace::{Paces, share_interval},
+        row::{self, HEARTBEAT_PART, PACES},
     },
     table::{Change, Commit, Range, Row},
 };
-use std::{collections::HashMap, rc::Rc, time::Duration, time::Instant};
+use std::{collections::HashMap, rc::Rc, time::Instant};
 use tokio::time::sleep;
 
-/// Time between two writes of an owner. Eight owners make eight of the store's 800 writes a
-/// second.
-const SHARE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The last known version and content of the pace rows, by service.
 type KnownRows = HashMap<String, (u64, Paces)>;
 
@@ -33,7 +29,7 @@
                 continue;
             }
             let since = Instant::now();
-            sleep(SHARE_INTERVAL).await;
+            sleep(share_interval(self.store.write_latency(HEARTBEAT_PART))).await;
             let services = self.engines.borrow().services_sampled_since(since);
             for service in services {
                 self.write_paces(&service, &mut known).await;
--- a/hibiscusroad-daemon/src/gateway/duty.rs
+++ b/hibiscusroad-daemon/src/gateway/duty.rs
@@ -30,7 +30,8 @@
 pub(super) const DUTIES_TABLE: &str = "duties";
 /// The key of the lease's row.
 pub(super) const LEASE_KEY: &str = "weights";
-/// Delay after a failed call to the store.
+/// Least delay after a failed call to the store; a write waits for at least the time that writes
+/// take at present.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Jitter of processes that start together, in milliseconds.
 const START_JITTER_MS: u64 = 300;
@@ -258,7 +259,8 @@
             Commit::Conflict(_) => self.lease.borrow_mut().record_conflict(),
             Commit::Refused | Commit::Unknown => {
                 self.lease.borrow_mut().record_failure(now);
-                sleep(RETRY_DELAY).await;
+                let latency = self.store.write_latency(&lease_row_id().part);
+                sleep(RETRY_DELAY.max(latency)).await;
             }
         }
     }
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -237,6 +237,17 @@
         self.decode_commit(change, start, answer)
     }
 
+    /// Executes a transaction without giving it up while it may only be slow.
+    ///
+    /// This is for a caller that sends another one beside it when the connection may have gone
+    /// silent.
+    pub(super) async fn transact_patiently(&self, change: &Change) -> Commit {
+        let request = wire::transaction_request(change);
+        let start = Instant::now();
+        let answer = self.call(request, WRITE_TIMEOUTS.1).await;
+        self.decode_commit(change, start, answer)
+    }
+
     /// Decodes the answer of a transaction that was sent at `start`.
     fn decode_commit(
         &self,
--- a/src/rollout/choice.rs
+++ b/src/rollout/choice.rs
@@ -10,15 +10,11 @@
 //! wrong: if the process is gone, its batches are taken over like any others.
 
 use crate::rollout::{
-    presence::{HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT},
+    presence::{HEARTBEAT_INTERVAL, silence_limit},
     row::Presence,
 };
 use std::time::Duration;
 
-/// Maximum age of the row of a process that counts as alive. Beyond it, another process
-/// is about to take its batches over; a shorter one would scatter the batches of
-/// trainers over processes again.
-const MAX_ROW_AGE: Duration = HEARTBEAT_TIMEOUT.saturating_add(HEARTBEAT_INTERVAL);
 /// A process whose memory is smaller than the accepting one's by more than this factor
 /// is not chosen: hosts with little memory also have slow links and slow processors.
 const MAX_MEMORY_RATIO: u32 = 2;
@@ -38,6 +34,15 @@
 }
 
 impl Candidate {
+    /// Returns whether it counts as alive at the store's time `now`.
+    ///
+    /// If its row is older than the limit, another process is about to take its batches over;
+    /// a lower limit would scatter the batches of trainers over processes again.
+    fn is_alive(&self, now: Duration) -> bool {
+        let pause = Duration::from_millis(self.presence.pause);
+        self.age(now) <= silence_limit(pause) + HEARTBEAT_INTERVAL
+    }
+
     /// Returns the time since its last heartbeat at the store's time `now`.
     #[must_use]
     pub const fn age(&self, now: Duration) -> Duration {
@@ -59,10 +64,9 @@
 ) -> Option<&Candidate> {
     let eligible = |candidate: &&Candidate| {
         let candidate_memory = candidate.presence.memory;
-        let alive = candidate.age(now) <= MAX_ROW_AGE;
         let large = candidate_memory.saturating_mul(MAX_MEMORY_RATIO) >= memory;
         let max_items = MAX_ITEMS_PER_MB * usize::try_from(candidate_memory).unwrap_or(usize::MAX);
-        alive && large && candidate.open_items + items <= max_items
+        candidate.is_alive(now) && large && candidate.open_items + items <= max_items
     };
     let eligible = candidates.iter().filter(eligible);
     eligible.max_by_key(|candidate| (candidate.presence.memory, candidate.last_batch_at))
--- a/src/rollout/pace.rs
+++ b/src/rollout/pace.rs
@@ -13,6 +13,19 @@
 /// one that nobody has used for so long may have changed.
 const SAMPLE_TTL: Duration = Duration::from_mins(1);
 
+/// Least time between two writes of an owner. Eight owners make eight of the store's 800 writes a
+/// second.
+const MIN_SHARE_INTERVAL: Duration = Duration::from_secs(1);
+/// Least ratio of the time between two writes of an owner to the latency of a write. Heartbeats
+/// share a part of the store with the paces and can't wait.
+const LATENCIES_PER_WRITE: u32 = 10;
+
+/// Returns the time between two writes of an owner's paces while writes take `latency`.
+#[must_use]
+pub fn share_interval(latency: Duration) -> Duration {
+    MIN_SHARE_INTERVAL.max(latency * LATENCIES_PER_WRITE)
+}
+
 /// One measurement of the pace of an engine.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Sample {
--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -9,6 +9,13 @@
 //! A wrong suspicion only duplicates work, because writes of the former owner fail from
 //! the takeover on, so the timeouts are short. They grow with the latency of the store,
 //! which delays renewals and polls.
+//!
+//! A part of a store that is 80 times slower carries out four transactions a second, too few
+//! for owners that each renew their row four times a second. So an owner pauses for at least
+//! the time that writes took when it wrote the row, and the row tells the others this pause. An owner that
+//! dies is then noticed within [`silence_limit`] of its pause, plus six latencies of a read, one
+//! poll, and the time that its last write may still wait in the part: within 1.4 s at a store of
+//! the usual speed, and 6 s at one that is 80 times slower.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -21,9 +28,21 @@
 /// An owner whose row is unchanged for this time is considered dead: it has missed
 /// three renewals. An owner that is paused for this long has lost its items anyway.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Number of store latencies added to each of the timeouts. A slow store delays the
-/// renewal by two (a write takes longer than a read) and the poll by one or two.
-const TIMEOUT_LATENCIES: u32 = 4;
+/// Number of store latencies added to the timeout of a row that doesn't change. A slow store delays the renewal by
+/// four (a part that carries out four transactions a second has about a second of them waiting)
+/// and the poll by one or two.
+const SILENCE_LATENCIES: u32 = 6;
+/// Longest pause between two renewals. It bounds the time until a dead owner is noticed.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// Number of times that the excess of a pause over [`HEARTBEAT_INTERVAL`] is added to the
+/// timeout: for the pause and for the write after it.
+const TIMEOUT_PAUSES: u32 = 2;
+/// Least time without an answer after which a heartbeat is written again: two renewals, so that
+/// one arrives before the others count the third as missed.
+const MIN_RESEND_DELAY: Duration = HEARTBEAT_INTERVAL.saturating_mul(2);
+/// Ratio of the time without an answer after which a heartbeat is written again to the latency
+/// of a write. Above it the connection has probably gone silent.
+const RESEND_LATENCIES: u32 = 4;
 /// Number of processes, drawn by hash, that poll for an owner at every
 /// [`HEARTBEAT_INTERVAL`]. The others poll less often and notice an owner whose watchers
 /// fail with it: one in 700 if a third of all hosts fail at once.
@@ -33,8 +52,31 @@
 const TAKEOVER_SPREAD_MS: u64 = 150;
 /// Additional takeover delay of processes with less than half the memory of the largest.
 const SMALL_HOST_DELAY: Duration = Duration::from_millis(TAKEOVER_SPREAD_MS);
-/// An owner without a row is given this time to write its first.
+/// An owner without a row is given this time to write its first, and
+/// [`FIRST_ROW_LATENCIES`] store latencies.
 const FIRST_ROW_TIMEOUT: Duration = Duration::from_millis(1_200);
+const FIRST_ROW_LATENCIES: u32 = 4;
+
+/// Returns the pause between two renewals of a row whose writes take `latency`.
+#[must_use]
+pub fn renewal_pause(latency: Duration) -> Duration {
+    latency.clamp(HEARTBEAT_INTERVAL, MAX_PAUSE)
+}
+
+/// Returns the time without an answer after which a renewal is sent again, while writes take
+/// `latency`.
+#[must_use]
+pub fn resend_delay(latency: Duration) -> Duration {
+    MIN_RESEND_DELAY.max(latency * RESEND_LATENCIES)
+}
+
+/// Returns how long the row of an owner that pauses for `pause` may be unchanged at a store
+/// without latency.
+#[must_use]
+pub fn silence_limit(pause: Duration) -> Duration {
+    let excess = pause.min(MAX_PAUSE).saturating_sub(HEARTBEAT_INTERVAL);
+    HEARTBEAT_TIMEOUT + excess * TIMEOUT_PAUSES
+}
 
 /// Why an owner is considered lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +100,8 @@
     pub version: u64,
     /// Megabytes that the process may use.
     pub memory: u32,
+    /// The pause until its next renewal; zero if the row doesn't tell.
+    pub pause: Duration,
 }
 
 /// A process, as read from the rows of all processes.
@@ -76,6 +120,7 @@
     incarnation: String,
     version: u64,
     memory: u32,
+    pause: Duration,
     /// When this version was first seen.
     since: Instant,
 }
@@ -128,6 +173,7 @@
                     incarnation: heartbeat.incarnation,
                     version: heartbeat.version,
                     memory: heartbeat.memory,
+                    pause: heartbeat.pause,
                     since: now,
                 };
                 self.owners.insert(heartbeat.name, process);
@@ -183,7 +229,7 @@
     pub fn successor(&self, name: &str) -> Option<&str> {
         let last_poll = self.last_poll?;
         let is_alive = |process: &Observation| {
-            last_poll.saturating_duration_since(process.since) < HEARTBEAT_TIMEOUT
+            last_poll.saturating_duration_since(process.since) < silence_limit(process.pause)
         };
         let seed = xxh3_64(name.as_bytes());
         let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
@@ -233,14 +279,15 @@
     pub fn loss(&self, owner: &str, since: Instant) -> Option<Loss> {
         let (name, _) = owner.rsplit_once('/')?;
         let last_poll = self.last_poll.filter(|last_poll| *last_poll >= since)?;
-        let delay = self.latency * TIMEOUT_LATENCIES;
         let Some(process) = self.owners.get(name) else {
+            let delay = self.latency * FIRST_ROW_LATENCIES;
             return (last_poll - since > FIRST_ROW_TIMEOUT + delay).then_some(Loss::NoRow);
         };
         if process.incarnation != owner {
             return Some(Loss::LivesAnew);
         }
+        let delay = self.latency * SILENCE_LATENCIES;
         let unchanged = last_poll.saturating_duration_since(process.since.max(since));
-        (unchanged > HEARTBEAT_TIMEOUT + delay).then_some(Loss::Silent)
+        (unchanged > silence_limit(process.pause) + delay).then_some(Loss::Silent)
     }
 }
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -37,6 +37,8 @@
 pub const PIECES: &str = "pieces";
 /// The table of the heartbeats of processes that own batches or a duty.
 pub const ENTRIES: &str = "entries";
+/// The part of heartbeats, which the duties and paces share.
+pub const HEARTBEAT_PART: &str = "";
 /// The table of all processes.
 pub const MEMBERS: &str = "members";
 /// The table of the paces of engines, by service.
@@ -152,6 +154,9 @@
     /// once all processes read it.
     #[serde(default)]
     pub row_form: u32,
+    /// The pause until its next heartbeat, in milliseconds.
+    #[serde(default)]
+    pub pause: u64,
 }
 
 /// The heartbeat row of a process that owns something.
@@ -245,7 +250,7 @@
 /// Returns the ID of the heartbeat row of a process.
 #[must_use]
 pub fn heartbeat(name: &str) -> RowId {
-    RowId::new(ENTRIES, "", name)
+    RowId::new(ENTRIES, HEARTBEAT_PART, name)
 }
 
 /// Returns the ID of the row of a process among all processes.
@@ -258,7 +263,7 @@
 /// Returns the ID of the row with the paces of a service's engines.
 #[must_use]
 pub fn paces(service: &str) -> RowId {
-    RowId::new(PACES, "", service)
+    RowId::new(PACES, HEARTBEAT_PART, service)
 }
 
 /// Returns the name of the object that holds a batch's submission.
--- a/tests/rollout_choice.rs
+++ b/tests/rollout_choice.rs
@@ -18,6 +18,7 @@
             renewed: 10_000 - age_ms,
             memory,
             row_form: 0,
+            pause: 0,
         },
         open_items: 200,
         last_batch_at: Duration::from_secs(8),
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -24,6 +24,7 @@
         incarnation: incarnation.to_owned(),
         version,
         memory: 512,
+        pause: HEARTBEAT_INTERVAL,
     }
 }
 
@@ -185,6 +186,7 @@
         incarnation: format!("gateway-{n}/aa"),
         version,
         memory: 512,
+        pause: HEARTBEAT_INTERVAL,
     };
     assert_eq!(detector.successor("gateway-1"), None);
     detector.record_poll(start, latency, (1..=4).map(|n| row(n, n)).collect());
