Send a slow call for an object a second time in place of giving it up

Cause: objects take 1.3 to 2 s in slow times, and calls for them were given up after 700 ms and sent again, so that the acceptance of a batch ran out of its 2.5 s and loads of batches were retried.

Change: after 700 ms to 2.2 s, by the latency of the last answers, the call is sent again on another connection beside the first, and the first answer counts; at most two are in flight, each for at most 4 s. Names of objects are unique to their content, so repeats are harmless. The acceptance of a batch gives up at its own deadline.

The store's stand-in gets a delay for written objects, and parts that carry out transactions one after another and refuse those that would wait for more than a second.

--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -38,7 +38,7 @@
 };
 use tokio::{
     task::spawn_local,
-    time::{sleep, timeout},
+    time::{sleep, timeout, timeout_at},
 };
 
 /// Limit for the acceptance of a batch; after it the trainer tries another process.
@@ -176,10 +176,11 @@
     ) -> Result<(), String> {
         let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
         loop {
-            let stored = self
-                .store
-                .put_object(&row::submission_object(id), body.to_vec())
-                .await;
+            let name = row::submission_object(id);
+            let put = self.store.put_object(&name, body.to_vec());
+            let Ok(stored) = timeout_at(deadline.into(), put).await else {
+                return Err("time is over".to_owned());
+            };
             let Err(failure) = stored else {
                 return Ok(());
             };
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -12,6 +12,7 @@
     peers::{Peers, RelayError},
 };
 use crate::logs::STORE;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use hibiscusroad::{
     clock::millis,
     clock_estimate::ClockEstimate,
@@ -42,8 +43,12 @@
 /// executed, so its outcome has to be read back.
 const WRITE_TIMEOUTS: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_millis(1_800));
-/// Smallest and largest timeout of a call for an object.
-const OBJECT_TIMEOUTS: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
+/// Smallest and largest delay after which a call for an object is sent a second time, on another
+/// connection. An answer takes 25 ms as a rule, and up to 2 s from a slow store.
+const OBJECT_RESEND_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(700), Duration::from_millis(2_200));
+/// Timeout of each of the two tries of a call for an object.
+const OBJECT_TIMEOUT: Duration = Duration::from_secs(4);
 /// The table that a probe reads a row of; it has few rows.
 const PROBE_TABLE: &str = "duties";
 /// Maximum number of peers that are asked to relay a call.
@@ -90,7 +95,10 @@
             down_since: Cell::new(None),
             reads: Cell::new(AdaptiveTimeout::new(READ_TIMEOUTS.0, READ_TIMEOUTS.1)),
             writes: Cell::new(AdaptiveTimeout::new(WRITE_TIMEOUTS.0, WRITE_TIMEOUTS.1)),
-            objects: Cell::new(AdaptiveTimeout::new(OBJECT_TIMEOUTS.0, OBJECT_TIMEOUTS.1)),
+            objects: Cell::new(AdaptiveTimeout::new(
+                OBJECT_RESEND_DELAYS.0,
+                OBJECT_RESEND_DELAYS.1,
+            )),
             write_latency: RefCell::default(),
             meters,
             recovery_hooks: RefCell::default(),
@@ -287,7 +295,7 @@
     /// unique to their content.
     pub(super) async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<(), Failure> {
         match self
-            .call_adaptive(wire::put_object_request(name, body), &self.objects)
+            .call_object(wire::put_object_request(name, body))
             .await?
         {
             (200..=299 | 412, _) => Ok(()),
@@ -297,10 +305,7 @@
 
     /// Reads an object; `None` if there is none.
     pub(super) async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Failure> {
-        match self
-            .call_adaptive(wire::get_object_request(name), &self.objects)
-            .await?
-        {
+        match self.call_object(wire::get_object_request(name)).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
             (status, _) => Err(Failure::Refused(format!("status {status}"))),
@@ -309,11 +314,53 @@
 
     /// Deletes an object.
     pub(super) async fn delete_object(&self, name: &str) -> Result<(), Failure> {
-        self.call_adaptive(wire::delete_object_request(name), &self.objects)
+        self.call_object(wire::delete_object_request(name))
             .await
             .map(|_| ())
     }
 
+    /// Sends a call for an object, and a second time while the first try may only be slow: it is
+    /// not given up for a connection that may have gone silent. Returns the first answer.
+    ///
+    /// Repeated calls are harmless, since names of objects are unique to their content.
+    async fn call_object(&self, request: Request) -> Result<(u16, Bytes), Failure> {
+        let send = async || {
+            let start = Instant::now();
+            let answer = self.call(request.clone(), OBJECT_TIMEOUT).await;
+            (answer, start.elapsed())
+        };
+        let mut tries = FuturesUnordered::new();
+        tries.push(send());
+        let resend = sleep(self.objects.get().current());
+        tokio::pin!(resend);
+        let mut is_resent = false;
+        loop {
+            tokio::select! {
+                Some((answer, latency)) = tries.next() => {
+                    let is_answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
+                    if is_answered {
+                        self.record_object(CallEnd::Answered(latency));
+                    }
+                    if is_answered || tries.is_empty() {
+                        return answer;
+                    }
+                }
+                () = &mut resend, if !is_resent => {
+                    is_resent = true;
+                    self.record_object(CallEnd::TimedOut);
+                    tries.push(send());
+                }
+            }
+        }
+    }
+
+    /// Updates the delay after which a call for an object is sent a second time.
+    fn record_object(&self, end: CallEnd) {
+        let mut delay = self.objects.get();
+        delay.record(end);
+        self.objects.set(delay);
+    }
+
     /// Sends a call with an adaptive timeout and updates the timeout.
     async fn call_adaptive(
         &self,
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -19,6 +19,9 @@
 /// The table, part and key of a row.
 type Key = (String, String, String);
 
+/// Transactions that would wait longer than this in their part are refused.
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(1);
+
 /// Faults of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Faults {
@@ -35,8 +38,11 @@
     pub late: Duration,
     /// The delay of every call.
     pub slow: Duration,
-    /// The additional delay of reading an object.
+    /// The additional delay of reading or writing an object.
     pub objects: Duration,
+    /// The time that a part takes for each transaction. It carries them out one after another,
+    /// and refuses those that would wait for more than a second.
+    pub part: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -49,6 +55,8 @@
     version: u64,
     objects: BTreeMap<String, Vec<u8>>,
     faults: Faults,
+    /// When each part has carried out the transactions that it accepted.
+    busy_until: BTreeMap<String, Instant>,
     /// Tables whose reads of rows get no answer.
     stalled: BTreeSet<String>,
     calls: Vec<String>,
@@ -253,6 +261,21 @@
             "value": STANDARD.encode(value), "ver": version }))
     }
 
+    /// Queues a transaction in its part. Returns when it is carried out, or `None` if the part
+    /// refuses it.
+    fn queue(&mut self, change: &WireChange) -> Option<Instant> {
+        let now = Instant::now();
+        let mut rows = change.puts.iter().chain(&change.remove);
+        let part = rows.next().map(|row| row.part.clone()).unwrap_or_default();
+        let busy_until = self.busy_until.entry(part).or_insert(now);
+        let start = now.max(*busy_until);
+        if start > now + MAX_QUEUE_TIME {
+            return None;
+        }
+        *busy_until = start + self.faults.part;
+        Some(*busy_until)
+    }
+
     /// Applies a transaction if the expected row versions match.
     ///
     /// Returns the new version, or else the current rows.
@@ -325,6 +348,10 @@
     let Ok(change) = exchange.json::<WireChange>() else {
         return exchange.refuse(400, "not a transaction");
     };
+    let Some(due) = shared.lock().queue(&change) else {
+        return exchange.refuse(429, "too many transactions");
+    };
+    thread::sleep(due.saturating_duration_since(Instant::now()));
     let (lose_answer, delay) = {
         let mut inner = shared.lock();
         let lose_answer = inner.faults.lose > 0;
@@ -440,6 +467,8 @@
             let Ok(body) = exchange.body() else {
                 return exchange.cut();
             };
+            let delay = shared.lock().faults.objects;
+            thread::sleep(delay);
             let exists = shared.lock().objects.contains_key(name);
             if exists && exchange.header("If-None-Match").is_some() {
                 return exchange.refuse(412, "exists");
