Store a small submission as rows with the head of its batch

Cause: accepting a batch takes an object (25 ms) and then its head (3 ms); at a slow store 2 s and 0.25 s, of an acceptance that may take 2.5 s.

Change: a submission of up to 600 KB and 98 rows of `row_bytes` is written in the transaction of the head (table `submissions`, the part of the batch). A transaction takes 1 MB and 100 entries; base64 makes 800 KB of 600 KB. Longer ones stay objects. Readers look for rows, then for the object. Rows and head come together, so a refusal stays true, and an accepted batch has its submission. Gateways of an earlier version read only objects, so rows are written once all gateways read them (`row_form`).

Weighed: rows written before the head (two writes, and rows to remove after a refusal), and compressing the body (CPU at the gateway, and still base64).

--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -210,16 +210,13 @@
 
     /// Reads the state of a batch from the store.
     async fn load(&self, id: &str) -> Result<BatchState, String> {
-        let name = row::submission_object(id);
-        let (object, results, pieces) = join3(
-            self.store.get_object(&name),
+        let (submission, results, pieces) = join3(
+            self.read_submission(id),
             self.read_results(id, 0),
             self.read_pieces(id),
         )
         .await;
-        let object = object.map_err(|failure| failure.to_string())?;
-        let object = object.ok_or("the submission object is missing")?;
-        let submission = batch::decode_submission(&object).map_err(|error| error.to_string())?;
+        let submission = submission.map_err(|failure| failure.to_string())?;
         Ok(BatchState {
             results: results.map_err(|failure| failure.to_string())?,
             pieces: pieces.map_err(|failure| failure.to_string())?,
--- a/hibiscusroad-daemon/src/gateway/batches/read.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/read.rs
@@ -192,10 +192,7 @@
         if let Some((_, submission)) = known {
             return Ok(submission);
         }
-        let object = self.store.get_object(&row::submission_object(id)).await?;
-        let object =
-            object.ok_or_else(|| Failure::Refused("the submission object is missing".into()))?;
-        let submission = Rc::new(batch::decode_submission(&object)?);
+        let submission = Rc::new(self.read_submission(id).await?);
         let mut cache = self.submissions.borrow_mut();
         if cache.len() >= MAX_CACHED_SUBMISSIONS {
             cache.remove(0);
@@ -204,6 +201,27 @@
         Ok(submission)
     }
 
+    /// Reads a batch's submission: its rows, or else its object.
+    pub(super) async fn read_submission(&self, id: &str) -> Result<Submission, Failure> {
+        let start = row::submission(id, 0);
+        // '0' is the byte after '/'.
+        let end = format!("{id}0");
+        let range = Range {
+            start: Some(&start.key),
+            end: Some(&end),
+            ..Range::part(&start.table, &start.part)
+        };
+        let rows = self.store.read_whole(&range).await?.rows;
+        if !rows.is_empty() {
+            let body: Vec<u8> = rows.into_iter().flat_map(|row| row.value).collect();
+            return Ok(batch::decode_submission(&body)?);
+        }
+        let object = self.store.get_object(&row::submission_object(id)).await?;
+        let object =
+            object.ok_or_else(|| Failure::Refused("the submission object is missing".into()))?;
+        Ok(batch::decode_submission(&object)?)
+    }
+
     /// Ends a batch; a repeated call succeeds too.
     async fn end_batch(self: &Rc<Self>, id: &str) -> Result<Response<ResponseBody>, Failure> {
         for _ in 0..MAX_END_ATTEMPTS {
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -1,7 +1,7 @@
 //! Accepts batches.
 //!
-//! The submission is stored as an object first. The batch exists once its head is written,
-//! on the condition that there is no head yet. So a refusal is certain only if no head was
+//! A small submission is stored as rows in the transaction of its head, a long one as an object
+//! before. The batch exists once its head is written, on the condition that there is no head yet. So a refusal is certain only if no head was
 //! sent, or the store has refused the write. If the store doesn't answer, the write may
 //! still be carried out seconds later; the caller is told that the outcome is unknown and
 //! submits again, which finds the head or writes it.
@@ -28,7 +28,7 @@
     },
     table::{Change, Commit, Range, Row},
 };
-use hibiscusroad_platform::batch;
+use hibiscusroad_platform::{batch, table::MAX_ENTRIES};
 use hyper::{Response, StatusCode, body::Bytes};
 use std::{
     collections::{HashMap, HashSet},
@@ -51,6 +51,12 @@
 /// Limit for each of the optional reads before a batch starts. A batch that waits for a slow
 /// store loses more than it gains.
 const PREPARE_TIMEOUT: Duration = Duration::from_millis(400);
+/// The form of rows from which on gateways read submissions from rows.
+const SUBMISSION_FORM: u32 = 1;
+/// Limit of the submissions that are stored as rows; the store accepts 1 MB with names and base64.
+const MAX_SUBMISSION_BYTES: usize = 600 << 10;
+/// Limit of the rows of a submission. The head is one more row, and a condition.
+const MAX_SUBMISSION_ROWS: usize = MAX_ENTRIES - 2;
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
 
@@ -62,6 +68,8 @@
     submission: Submission,
     /// The submission as received.
     body: Bytes,
+    /// Whether it is stored as rows.
+    in_rows: bool,
 }
 
 impl Batches {
@@ -87,11 +95,14 @@
             }
         };
         let deadline = Instant::now() + ACCEPT_TIMEOUT;
-        let (stored, owner) = join(
-            self.store_submission(id, &body, deadline),
-            self.choose_owner(submission.items.len()),
-        )
-        .await;
+        let in_rows = self.fits_rows(&body);
+        let store = async {
+            if in_rows {
+                return Ok(());
+            }
+            self.store_submission(id, &body, deadline).await
+        };
+        let (stored, owner) = join(store, self.choose_owner(submission.items.len())).await;
         if let Err(failure) = stored {
             log::warn!(target: BATCHES, batch = id, error = failure.as_str();
                 "A submission could not be stored; it is refused.");
@@ -103,6 +114,7 @@
             address: owner.address,
             submission,
             body,
+            in_rows,
         };
         self.write_head(id, new, deadline).await
     }
@@ -167,6 +179,30 @@
         loads
     }
 
+    /// Returns whether a submission is stored as rows: it is small enough for one transaction, and
+    /// whichever gateway gets the batch reads them.
+    fn fits_rows(&self, body: &[u8]) -> bool {
+        self.store.row_form() >= SUBMISSION_FORM
+            && !body.is_empty()
+            && body.len() <= MAX_SUBMISSION_BYTES
+            && body.len().div_ceil(self.max_row_bytes) <= MAX_SUBMISSION_ROWS
+    }
+
+    /// Builds the transaction that accepts a batch.
+    fn acceptance(&self, id: &str, new: &NewBatch) -> Change {
+        let head = row::head(id);
+        let change = Change::new()
+            .expect(head.clone(), 0)
+            .put(head, new.head.encode());
+        if !new.in_rows {
+            return change;
+        }
+        let rows = new.body.chunks(self.max_row_bytes).enumerate();
+        rows.fold(change, |change, (number, part)| {
+            change.put(row::submission(id, number), part.to_vec())
+        })
+    }
+
     /// Writes the submission's object.
     async fn store_submission(
         &self,
@@ -201,10 +237,8 @@
         let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
         // Whether an unanswered write may have been carried out.
         let mut is_unknown = false;
+        let change = self.acceptance(id, &new);
         loop {
-            let change = Change::new()
-                .expect(row::head(id), 0)
-                .put(row::head(id), new.head.encode());
             match self.store.transact(&change).await {
                 Commit::Done { version, .. } => {
                     self.start_accepted(id, version, new);
@@ -240,6 +274,7 @@
             address,
             submission,
             body,
+            ..
         } = new;
         log::info!(target: BATCHES, batch = id, items = submission.items.len(),
             model = submission.model.as_deref(), step = submission.step,
--- a/hibiscusroad-daemon/src/gateway/batches/sweep.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/sweep.rs
@@ -8,7 +8,7 @@
 use super::{Batches, HeadRow};
 use crate::{gateway::failure::Failure, logs::BATCHES};
 use hibiscusroad::{
-    rollout::row::{self, PIECES, RESULTS},
+    rollout::row::{self, PIECES, RESULTS, SUBMISSIONS},
     table::{Change, Commit, Range, RowId},
 };
 use hibiscusroad_platform::table::MAX_ENTRIES;
@@ -60,7 +60,7 @@
 
     /// Removes a batch; returns `false` if its head was changed meanwhile.
     async fn remove_batch(&self, id: &str, row: &HeadRow) -> Result<bool, Failure> {
-        for table in [RESULTS, PIECES] {
+        for table in [RESULTS, PIECES, SUBMISSIONS] {
             loop {
                 let (rows, has_more) = self.read_row_ids(table, id).await?;
                 if rows.is_empty() {
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -3,6 +3,7 @@
 //! | table | part | key | value | condition of a write |
 //! |---|---|---|---|---|
 //! | `batches` | bucket | batch | [`Head`] | absent at acceptance, later its version |
+//! | `submissions` | bucket | batch/number | a part of the submission | with the head |
 //! | `results` | bucket | batch/position | one result | absent, and the head's version |
 //! | `pieces` | bucket | batch/item/round/event | [`Piece`] of a text | the head's version |
 //! | `pieces` | bucket | batch/item/draft-tenure/round/event | [`Piece`] of a draft | the head's version |
@@ -13,7 +14,8 @@
 //! [`Paces`]: crate::rollout::pace::Paces
 //! [`Piece`]: crate::rollout::text::Piece
 //!
-//! The submission itself is an object named after the batch. The bucket is a hash of the
+//! A submission that is too long for the transaction of its head is an object named after the
+//! batch. The bucket is a hash of the
 //! batch ID: all rows of a batch must share a part of the store, and a part takes only a
 //! few hundred transactions per second. For the same reason the rows of all processes are
 //! kept apart from the heartbeats of the few that own something: after a common start, the
@@ -31,6 +33,8 @@
 
 /// The table of the heads of batches.
 pub const BATCHES: &str = "batches";
+/// The table of submissions that are small enough for rows, by batch.
+pub const SUBMISSIONS: &str = "submissions";
 /// The table of results, by batch and position.
 pub const RESULTS: &str = "results";
 /// The table of pieces of unfinished texts, by batch and item.
@@ -205,6 +209,12 @@
     RowId::new(BATCHES, &bucket(batch), batch)
 }
 
+/// Returns the ID of a row of a batch's submission; the rows sort by number.
+#[must_use]
+pub fn submission(batch: &str, number: usize) -> RowId {
+    RowId::new(SUBMISSIONS, &bucket(batch), &format!("{batch}/{number:04}"))
+}
+
 /// Returns the ID of the result row at a position of a batch.
 #[must_use]
 pub fn result(batch: &str, position: usize) -> RowId {
