--- a/hibiscusroad-daemon/tests/gateway_slow_store.rs
+++ b/hibiscusroad-daemon/tests/gateway_slow_store.rs
@@ -41,7 +41,7 @@
     let world = start_with_former("objects", 1);
     assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 1)).status, 202);
     world.store.set_faults(Faults {
-        objects: Duration::from_millis(1_500),
+        objects: Duration::from_millis(1_900),
         ..Faults::default()
     });
     let before = count_calls(&world, "/blob-put/");
@@ -89,7 +89,7 @@
     let start = Instant::now();
     assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
     let took = start.elapsed();
-    assert!(took < Duration::from_millis(1_000), "{took:?}");
+    assert!(took < Duration::from_secs(1), "{took:?}");
     assert_eq!(count_calls(&world, "/blob-put/"), 0);
     assert_eq!(world.store.rows("submissions").len(), 1);
     let body = world.gateways[1].call("GET", "/items/b1?id=item-1-0-1", "reader", b"");
