Save texts after results, and less often while writes are slow

Cause: pieces of texts are written every 400 ms in the part of the results, for which trainers wait.

Change: a save waits while results are being written, for at most 2 s, and pauses for three write latencies, at least 400 ms.

--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -3,6 +3,9 @@
 //! After a takeover an item continues behind its last saved event instead of starting
 //! again, since a long item takes about as long as a step.
 //!
+//! Pieces share a part of the store with results, for which trainers wait. So a save waits while
+//! results are being written, and saves are rarer while writes are slow.
+//!
 //! Only new pieces are written. Like a result, a piece is written on the condition that
 //! the head row is as this owner left it.
 
@@ -17,10 +20,14 @@
 };
 use hibiscusroad_platform::table::MAX_ENTRIES;
 use std::{rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-/// Time between two writes, and so the text that a takeover may lose.
+/// Least time between two writes, and so the text that a takeover may lose.
 const SAVE_INTERVAL: Duration = Duration::from_millis(400);
+/// Least ratio of the time between two writes to the latency of a write.
+const SAVE_LATENCIES: u32 = 3;
+/// Longest wait for writes of results; a batch whose results follow each other saves its texts, too.
+const MAX_YIELD: Duration = Duration::from_secs(2);
 /// Limit of the texts in one write.
 const MAX_WRITE_BYTES: usize = 600 << 10;
 
@@ -28,7 +35,9 @@
     /// Saves texts until the batch is complete.
     pub(super) async fn save_pieces(self: Rc<Self>, owned: Rc<OwnedBatch>) {
         while !owned.batch.borrow().is_complete() {
-            sleep(SAVE_INTERVAL).await;
+            let latency = self.store.write_latency(&row::bucket(&owned.id));
+            sleep(SAVE_INTERVAL.max(latency * SAVE_LATENCIES)).await;
+            let _is_elapsed = timeout(MAX_YIELD, owned.results_written()).await.is_err();
             self.save_new_pieces(&owned).await;
             self.save_drafts(&owned).await;
         }
@@ -102,3 +111,12 @@
         Ok(found)
     }
 }
+
+impl OwnedBatch {
+    /// Waits while results are being written.
+    async fn results_written(&self) {
+        while self.write_started.get().is_some() {
+            self.results_listed.notified().await;
+        }
+    }
+}
