--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -5,8 +5,8 @@
 
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
     core::{Atomic, GenericGaugeVec},
 };
 use std::time::Duration;
@@ -202,6 +202,12 @@
         "account",
         "work that waits, of the eight accounts with the most",
     ),
+    (
+        "gateway_store_seconds",
+        "histogram",
+        "call",
+        "seconds until the store answered a call: read, write, object",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -240,6 +246,7 @@
     pub(super) loads: IntCounterVec,
     pub(super) load_seconds: Histogram,
     pub(super) store_calls: IntCounterVec,
+    pub(super) store_seconds: HistogramVec,
     pub(super) detours: IntCounterVec,
     pub(super) broken_entries: IntCounter,
     pub(super) reports: IntCounterVec,
@@ -283,6 +290,13 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
         };
+        let store_seconds = {
+            let (name, _, label, help) = NAMES[position("gateway_store_seconds")];
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histograms = HistogramVec::new(opts, &[label])?;
+            registry.register(Box::new(histograms.clone()))?;
+            histograms
+        };
         let gauge = |n: usize| -> prometheus::Result<IntGauge> {
             let (name, _, _, help) = NAMES[n];
             let gauge = IntGauge::new(name, help)?;
@@ -307,6 +321,7 @@
             loads: counter_vec(8)?,
             load_seconds: histogram(9, LATENCY_BUCKETS)?,
             store_calls: counter_vec(10)?,
+            store_seconds,
             connections: gauge(11)?,
             config: gauge(12)?,
             dropped: gauge(13)?,
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -154,9 +154,7 @@
 
     /// Reads a range of rows.
     pub(super) async fn read(&self, range: &Range<'_>) -> Result<Page, Failure> {
-        let (status, body) = self
-            .call_adaptive(wire::read_request(range), &self.reads)
-            .await?;
+        let (status, body) = self.read_adaptive(wire::read_request(range)).await?;
         let page = wire::decode_page(status, &body, range)?;
         self.record_clock(page.now);
         Ok(page)
@@ -202,9 +200,7 @@
 
     /// Lists the parts of a table that have rows.
     pub(super) async fn parts(&self, table: &str) -> Result<Vec<String>, Failure> {
-        let (status, body) = self
-            .call_adaptive(wire::parts_request(table), &self.reads)
-            .await?;
+        let (status, body) = self.read_adaptive(wire::parts_request(table)).await?;
         Ok(wire::decode_parts(status, &body)?)
     }
 
@@ -265,6 +261,7 @@
     ) -> Commit {
         let answer = answer.and_then(|(status, body)| Ok(wire::decode_commit(status, &body)?));
         if let Ok(Commit::Done { .. } | Commit::Conflict(_)) = &answer {
+            self.observe("write", start.elapsed());
             let puts = change.puts.iter().map(|(id, _)| id);
             if let Some(id) = puts.chain(&change.removes).next() {
                 let mut latencies = self.write_latency.borrow_mut();
@@ -339,6 +336,7 @@
                 Some((answer, latency)) = tries.next() => {
                     let is_answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
                     if is_answered {
+                        self.observe("object", latency);
                         self.record_object(CallEnd::Answered(latency));
                     }
                     if is_answered || tries.is_empty() {
@@ -361,6 +359,22 @@
         self.objects.set(delay);
     }
 
+    /// Sends a read with an adaptive timeout.
+    async fn read_adaptive(&self, request: Request) -> Result<(u16, Bytes), Failure> {
+        let start = Instant::now();
+        let answer = self.call_adaptive(request, &self.reads).await;
+        if answer.as_ref().is_ok_and(|answer| !is_refusal(answer)) {
+            self.observe("read", start.elapsed());
+        }
+        answer
+    }
+
+    /// Records how long the store took to answer a kind of call.
+    fn observe(&self, kind: &str, latency: Duration) {
+        let histogram = self.meters.store_seconds.with_label_values(&[kind]);
+        histogram.observe(latency.as_secs_f64());
+    }
+
     /// Sends a call with an adaptive timeout and updates the timeout.
     async fn call_adaptive(
         &self,
