--- a/hibiscusroad-daemon/src/gateway/batches/cold.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/cold.rs
@@ -1,6 +1,6 @@
 //! Cold engines: which of them items may go to.
 
-use super::{Batches, OwnedBatch, dispatch::requirements};
+use super::{Batches, OwnedBatch};
 use hibiscusroad::{catalog::Route, cold_start::Admission};
 use std::{collections::BTreeSet, rc::Rc, time::Instant};
 
@@ -55,7 +55,9 @@
         index: usize,
     ) {
         let cold = &self.context.cold;
-        let Some(requirements) = requirements(owned, route, index).filter(|_| cold.is_needed())
+        let Some(requirements) = self
+            .requirements(owned, route, index)
+            .filter(|_| cold.is_needed())
         else {
             return;
         };
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     gateway::{
-        attempt::{self, set},
+        attempt::{self, AttemptContext, set},
         calls::Target,
         crashes::InFlight,
         http::{Fault, full_body},
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -215,16 +215,13 @@
 
     /// Reads the state of a batch from the store.
     async fn load(&self, id: &str) -> Result<BatchState, String> {
-        let name = row::submission_object(id);
-        let (object, results, pieces) = join3(
-            self.store.get_object(&name),
+        let (submission, results, pieces) = join3(
+            self.read_submission(id),
             self.read_results(id, 0),
             self.read_pieces(id),
         )
         .await;
-        let object = object.map_err(|failure| failure.to_string())?;
-        let object = object.ok_or("the submission object is missing")?;
-        let submission = batch::decode_submission(&object).map_err(|error| error.to_string())?;
+        let submission = submission.map_err(|failure| failure.to_string())?;
         Ok(BatchState {
             results: results.map_err(|failure| failure.to_string())?,
             pieces: pieces.map_err(|failure| failure.to_string())?,
@@ -400,6 +397,7 @@
         incarnation,
         memory,
         region,
+        pause,
         ..
     } = decode_process(row)?;
     Some(Heartbeat {
@@ -408,6 +406,7 @@
         version: row.version,
         memory,
         region,
+        pause: Duration::from_millis(pause),
     })
 }
 
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -6,8 +6,8 @@
 use hibiscusroad::topology::Distance;
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
     core::{Atomic, GenericGaugeVec},
 };
 use std::time::Duration;
@@ -251,6 +251,12 @@
         "service",
         "items that waited because only engines had room that are, were or may be cold",
     ),
+    (
+        "gateway_store_seconds",
+        "histogram",
+        "call",
+        "seconds until the store answered a call: read, write, object",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -289,6 +295,7 @@
     pub(super) loads: IntCounterVec,
     pub(super) load_seconds: Histogram,
     pub(super) store_calls: IntCounterVec,
+    pub(super) store_seconds: HistogramVec,
     pub(super) detours: IntCounterVec,
     pub(super) broken_entries: IntCounter,
     pub(super) reports: IntCounterVec,
@@ -340,6 +347,13 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
         };
+        let store_seconds = {
+            let (name, _, label, help) = NAMES[position("gateway_store_seconds")];
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histograms = HistogramVec::new(opts, &[label])?;
+            registry.register(Box::new(histograms.clone()))?;
+            histograms
+        };
         let gauge = |n: usize| -> prometheus::Result<IntGauge> {
             let (name, _, _, help) = NAMES[n];
             let gauge = IntGauge::new(name, help)?;
@@ -364,6 +378,7 @@
             loads: counter_vec(8)?,
             load_seconds: histogram(9, LATENCY_BUCKETS)?,
             store_calls: counter_vec(10)?,
+            store_seconds,
             connections: gauge(11)?,
             config: gauge(12)?,
             dropped: gauge(13)?,
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -247,12 +247,7 @@
         Rc::clone(&store),
         times.clone(),
     ));
-    let crashes = Rc::new(Crashes::new(
-        own.crash_limit,
-        Duration::from_secs(own.quarantine_s),
-        Rc::clone(&store),
-        Rc::clone(&meters),
-    ));
+    let crashes = new_crashes(own, Rc::clone(&store), Rc::clone(&meters));
     let data_centres = Rc::new(DataCentres::new());
     let context = AttemptContext {
         crashes,
@@ -327,6 +322,11 @@
     })
 }
 
+fn new_crashes(own: &GatewaySettings, store: Rc<Store>, meters: Rc<Meters>) -> Rc<Crashes> {
+    let quarantine = Duration::from_secs(own.quarantine_s);
+    Rc::new(Crashes::new(own.crash_limit, quarantine, store, meters))
+}
+
 /// Creates the roster, whose changes reach all senders of requests to endpoints.
 fn new_roster(
     gateway: &Weak<Gateway>,
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -12,9 +12,11 @@
     peers::{Peers, RelayError},
 };
 use crate::logs::STORE;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use hibiscusroad::{
     clock::millis,
     clock_estimate::ClockEstimate,
+    latency::Latency,
     store_path::{RelayOutcome, StorePath, StorePaths},
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
     timeout::{AdaptiveTimeout, CallEnd},
@@ -24,6 +26,7 @@
 use hyper::body::Bytes;
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -40,8 +43,12 @@
 /// executed, so its outcome has to be read back.
 const WRITE_TIMEOUTS: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_millis(1_800));
-/// Smallest and largest timeout of a call for an object.
-const OBJECT_TIMEOUTS: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
+/// Smallest and largest delay after which a call for an object is sent a second time, on another
+/// connection. An answer takes 25 ms as a rule, and up to 2 s from a slow store.
+const OBJECT_RESEND_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(700), Duration::from_millis(2_200));
+/// Timeout of each of the two tries of a call for an object.
+const OBJECT_TIMEOUT: Duration = Duration::from_secs(4);
 /// The table that a probe reads a row of; it has few rows.
 const PROBE_TABLE: &str = "duties";
 /// Maximum number of peers that are asked to relay a call.
@@ -56,6 +63,8 @@
     paths: RefCell<StorePaths>,
     /// Number of known peers.
     peer_count: Cell<usize>,
+    /// The newest form of rows that all gateways read.
+    row_form: Cell<u32>,
     /// Notified when the direct path begins to fail.
     direct_failed: Notify,
     address: Cell<SocketAddr>,
@@ -65,6 +74,8 @@
     down_since: Cell<Option<Instant>>,
     reads: Cell<AdaptiveTimeout>,
     writes: Cell<AdaptiveTimeout>,
+    /// The latency of writes, by the part of the store.
+    write_latency: RefCell<HashMap<String, Latency>>,
     objects: Cell<AdaptiveTimeout>,
     meters: Rc<Meters>,
     recovery_hooks: RefCell<Vec<Box<dyn Fn()>>>,
@@ -77,13 +88,18 @@
             peers: Peers::new(),
             paths: RefCell::new(StorePaths::new()),
             peer_count: Cell::new(0),
+            row_form: Cell::new(0),
             direct_failed: Notify::new(),
             address: Cell::new(address),
             clock: Cell::new(ClockEstimate::new()),
             down_since: Cell::new(None),
             reads: Cell::new(AdaptiveTimeout::new(READ_TIMEOUTS.0, READ_TIMEOUTS.1)),
             writes: Cell::new(AdaptiveTimeout::new(WRITE_TIMEOUTS.0, WRITE_TIMEOUTS.1)),
-            objects: Cell::new(AdaptiveTimeout::new(OBJECT_TIMEOUTS.0, OBJECT_TIMEOUTS.1)),
+            objects: Cell::new(AdaptiveTimeout::new(
+                OBJECT_RESEND_DELAYS.0,
+                OBJECT_RESEND_DELAYS.1,
+            )),
+            write_latency: RefCell::default(),
             meters,
             recovery_hooks: RefCell::default(),
         }
@@ -113,6 +129,19 @@
         self.peer_count.get()
     }
 
+    /// Sets the newest form of rows that all gateways read.
+    pub(super) fn set_row_form(&self, form: u32) {
+        if self.row_form.replace(form) != form {
+            log::info!(target: STORE, form = form;
+                "The form of rows that all gateways read has changed.");
+        }
+    }
+
+    /// Returns the newest form of rows that all gateways read; 0 until they are known.
+    pub(super) const fn row_form(&self) -> u32 {
+        self.row_form.get()
+    }
+
     /// Calls `hook` each time the store answers again after a failure.
     pub(super) fn on_recovery(&self, hook: impl Fn() + 'static) {
         self.recovery_hooks.borrow_mut().push(Box::new(hook));
@@ -125,9 +154,7 @@
 
     /// Reads a range of rows.
     pub(super) async fn read(&self, range: &Range<'_>) -> Result<Page, Failure> {
-        let (status, body) = self
-            .call_adaptive(wire::read_request(range), &self.reads)
-            .await?;
+        let (status, body) = self.read_adaptive(wire::read_request(range)).await?;
         let page = wire::decode_page(status, &body, range)?;
         self.record_clock(page.now);
         Ok(page)
@@ -173,9 +200,7 @@
 
     /// Lists the parts of a table that have rows.
     pub(super) async fn parts(&self, table: &str) -> Result<Vec<String>, Failure> {
-        let (status, body) = self
-            .call_adaptive(wire::parts_request(table), &self.reads)
-            .await?;
+        let (status, body) = self.read_adaptive(wire::parts_request(table)).await?;
         Ok(wire::decode_parts(status, &body)?)
     }
 
@@ -202,15 +227,48 @@
         Ok(changes)
     }
 
+    /// Returns the present latency of writes in a part; zero before the first answer.
+    pub(super) fn write_latency(&self, part: &str) -> Duration {
+        let latencies = self.write_latency.borrow();
+        latencies.get(part).map_or(Duration::ZERO, Latency::current)
+    }
+
     /// Executes a transaction; its outcome may be [`Commit::Unknown`].
     pub(super) async fn transact(&self, change: &Change) -> Commit {
-        let answer = match self
-            .call_adaptive(wire::transaction_request(change), &self.writes)
-            .await
-        {
-            Ok((status, body)) => wire::decode_commit(status, &body).map_err(Failure::Unexpected),
-            Err(failure) => Err(failure),
-        };
+        let request = wire::transaction_request(change);
+        let start = Instant::now();
+        let answer = self.call_adaptive(request, &self.writes).await;
+        self.decode_commit(change, start, answer)
+    }
+
+    /// Executes a transaction without giving it up while it may only be slow.
+    ///
+    /// This is for a caller that sends another one beside it when the connection may have gone
+    /// silent.
+    pub(super) async fn transact_patiently(&self, change: &Change) -> Commit {
+        let request = wire::transaction_request(change);
+        let start = Instant::now();
+        let answer = self.call(request, WRITE_TIMEOUTS.1).await;
+        self.decode_commit(change, start, answer)
+    }
+
+    /// Decodes the answer of a transaction that was sent at `start`.
+    fn decode_commit(
+        &self,
+        change: &Change,
+        start: Instant,
+        answer: Result<(u16, Bytes), Failure>,
+    ) -> Commit {
+        let answer = answer.and_then(|(status, body)| Ok(wire::decode_commit(status, &body)?));
+        if let Ok(Commit::Done { .. } | Commit::Conflict(_)) = &answer {
+            self.observe("write", start.elapsed());
+            let puts = change.puts.iter().map(|(id, _)| id);
+            if let Some(id) = puts.chain(&change.removes).next() {
+                let mut latencies = self.write_latency.borrow_mut();
+                let latency = latencies.entry(id.part.clone()).or_default();
+                latency.record(start.elapsed());
+            }
+        }
         match answer {
             Ok(commit) => {
                 if let Commit::Done { now, .. } = commit {
@@ -234,7 +292,7 @@
     /// unique to their content.
     pub(super) async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<(), Failure> {
         match self
-            .call_adaptive(wire::put_object_request(name, body), &self.objects)
+            .call_object(wire::put_object_request(name, body))
             .await?
         {
             (200..=299 | 412, _) => Ok(()),
@@ -244,10 +302,7 @@
 
     /// Reads an object; `None` if there is none.
     pub(super) async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Failure> {
-        match self
-            .call_adaptive(wire::get_object_request(name), &self.objects)
-            .await?
-        {
+        match self.call_object(wire::get_object_request(name)).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
             (status, _) => Err(Failure::Refused(format!("status {status}"))),
@@ -256,11 +311,70 @@
 
     /// Deletes an object.
     pub(super) async fn delete_object(&self, name: &str) -> Result<(), Failure> {
-        self.call_adaptive(wire::delete_object_request(name), &self.objects)
+        self.call_object(wire::delete_object_request(name))
             .await
             .map(|_| ())
     }
 
+    /// Sends a call for an object, and a second time while the first try may only be slow: it is
+    /// not given up for a connection that may have gone silent. Returns the first answer.
+    ///
+    /// Repeated calls are harmless, since names of objects are unique to their content.
+    async fn call_object(&self, request: Request) -> Result<(u16, Bytes), Failure> {
+        let send = async || {
+            let start = Instant::now();
+            let answer = self.call(request.clone(), OBJECT_TIMEOUT).await;
+            (answer, start.elapsed())
+        };
+        let mut tries = FuturesUnordered::new();
+        tries.push(send());
+        let resend = sleep(self.objects.get().current());
+        tokio::pin!(resend);
+        let mut is_resent = false;
+        loop {
+            tokio::select! {
+                Some((answer, latency)) = tries.next() => {
+                    let is_answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
+                    if is_answered {
+                        self.observe("object", latency);
+                        self.record_object(CallEnd::Answered(latency));
+                    }
+                    if is_answered || tries.is_empty() {
+                        return answer;
+                    }
+                }
+                () = &mut resend, if !is_resent => {
+                    is_resent = true;
+                    self.record_object(CallEnd::TimedOut);
+                    tries.push(send());
+                }
+            }
+        }
+    }
+
+    /// Updates the delay after which a call for an object is sent a second time.
+    fn record_object(&self, end: CallEnd) {
+        let mut delay = self.objects.get();
+        delay.record(end);
+        self.objects.set(delay);
+    }
+
+    /// Sends a read with an adaptive timeout.
+    async fn read_adaptive(&self, request: Request) -> Result<(u16, Bytes), Failure> {
+        let start = Instant::now();
+        let answer = self.call_adaptive(request, &self.reads).await;
+        if answer.as_ref().is_ok_and(|answer| !is_refusal(answer)) {
+            self.observe("read", start.elapsed());
+        }
+        answer
+    }
+
+    /// Records how long the store took to answer a kind of call.
+    fn observe(&self, kind: &str, latency: Duration) {
+        let histogram = self.meters.store_seconds.with_label_values(&[kind]);
+        histogram.observe(latency.as_secs_f64());
+    }
+
     /// Sends a call with an adaptive timeout and updates the timeout.
     async fn call_adaptive(
         &self,
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -251,7 +251,7 @@
         let sent = self.pool.send_to_endpoint(endpoint.address, request, start);
         let (response, connection) = sent.await.map_err(|fault| match fault {
             Fault::Evacuated => CallError::Evacuated,
-            Fault::Connect(_) | Fault::Broken(_) => lost(&fault),
+            Fault::Connect(_) | Fault::Broken(_) | Fault::Withheld => lost(&fault),
         })?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 //! * [`evacuation`]: the data centres that operators have evacuated.
 //! * [`gate`]: admission, sealing, buffering and replay at a sidecar.
 //! * [`id`]: identifiers of requests and processes.
+//! * [`latency`]: the present latency of a service.
 //! * [`lease`]: duties with one holder, and their fencing tokens.
 //! * [`quarantine`]: requests that crash the endpoints that run them.
 //! * [`rollout`]: batches of generations for trainers, and the weights they run on.
@@ -62,6 +63,7 @@
 pub mod evacuation;
 pub mod gate;
 pub mod id;
+pub mod latency;
 pub mod lease;
 pub mod quarantine;
 pub mod rollout;
--- a/src/rollout/choice.rs
+++ b/src/rollout/choice.rs
@@ -13,15 +13,11 @@
 //! wrong: if the process is gone, its batches are taken over like any others.
 
 use crate::rollout::{
-    presence::{HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT},
+    presence::{HEARTBEAT_INTERVAL, silence_limit},
     row::{Presence, may_hold},
 };
 use std::time::Duration;
 
-/// Maximum age of the row of a process that counts as alive. Beyond it, another process
-/// is about to take its batches over; a shorter one would scatter the batches of
-/// trainers over processes again.
-const MAX_ROW_AGE: Duration = HEARTBEAT_TIMEOUT.saturating_add(HEARTBEAT_INTERVAL);
 /// A process whose memory is smaller than the accepting one's by more than this factor
 /// is not chosen: hosts with little memory also have slow links and slow processors.
 const MAX_MEMORY_RATIO: u32 = 2;
@@ -58,6 +54,15 @@
         self.presence.region.as_deref()
     }
 
+    /// Returns whether it counts as alive at the store's time `now`.
+    ///
+    /// If its row is older than the limit, another process is about to take its batches over;
+    /// a lower limit would scatter the batches of trainers over processes again.
+    fn is_alive(&self, now: Duration) -> bool {
+        let pause = Duration::from_millis(self.presence.pause);
+        self.age(now) <= silence_limit(pause) + HEARTBEAT_INTERVAL
+    }
+
     /// Returns the time since its last heartbeat at the store's time `now`.
     #[must_use]
     pub const fn age(&self, now: Duration) -> Duration {
@@ -122,10 +127,9 @@
 ) -> Option<&'a Candidate> {
     let eligible = |candidate: &&Candidate| {
         let candidate_memory = candidate.presence.memory;
-        let alive = candidate.age(now) <= MAX_ROW_AGE;
         let large = candidate_memory.saturating_mul(MAX_MEMORY_RATIO) >= memory;
         let max_items = MAX_ITEMS_PER_MB * usize::try_from(candidate_memory).unwrap_or(usize::MAX);
-        alive && large && candidate.open_items + items <= max_items
+        candidate.is_alive(now) && large && candidate.open_items + items <= max_items
     };
     let eligible = candidates.filter(eligible);
     eligible.max_by_key(|candidate| (candidate.presence.memory, candidate.last_batch_at))
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -3,6 +3,7 @@
 //! | table | part | key | value | condition of a write |
 //! |---|---|---|---|---|
 //! | `batches` | bucket | batch | [`Head`] | absent at acceptance, later its version |
+//! | `submissions` | bucket | batch/number | a part of the submission | with the head |
 //! | `results` | bucket | batch/position | one result | absent, and the head's version |
 //! | `pieces` | bucket | batch/item/round/event | [`Piece`] of a text | the head's version |
 //! | `pieces` | bucket | batch/item/draft-tenure/round/event | [`Piece`] of a draft | the head's version |
@@ -13,7 +14,8 @@
 //! [`Paces`]: crate::rollout::pace::Paces
 //! [`Piece`]: crate::rollout::text::Piece
 //!
-//! The submission itself is an object named after the batch. The bucket is a hash of the
+//! A submission that is too long for the transaction of its head is an object named after the
+//! batch. The bucket is a hash of the
 //! batch ID: all rows of a batch must share a part of the store, and a part takes only a
 //! few hundred transactions per second. For the same reason the rows of all processes are
 //! kept apart from the heartbeats of the few that own something: after a common start, the
@@ -31,17 +33,25 @@
 
 /// The table of the heads of batches.
 pub const BATCHES: &str = "batches";
+/// The table of submissions that are small enough for rows, by batch.
+pub const SUBMISSIONS: &str = "submissions";
 /// The table of results, by batch and position.
 pub const RESULTS: &str = "results";
 /// The table of pieces of unfinished texts, by batch and item.
 pub const PIECES: &str = "pieces";
 /// The table of the heartbeats of processes that own batches or a duty.
 pub const ENTRIES: &str = "entries";
+/// The part of heartbeats, which the duties and paces share.
+pub const HEARTBEAT_PART: &str = "";
 /// The table of all processes.
 pub const MEMBERS: &str = "members";
 /// The table of the paces of engines, by service.
 pub const PACES: &str = "paces";
 
+/// The newest form of rows that this version reads. From form 1 on, counts of usage are in parts
+/// of their own, and small submissions are rows.
+pub const ROW_FORM: u32 = 1;
+
 /// Number of buckets over which batches are spread. So many parts take more transactions
 /// than the whole store does.
 const BUCKET_COUNT: u64 = 16;
@@ -174,6 +184,13 @@
     /// The region of the process; absent in rows of earlier versions.
     #[serde(default)]
     pub region: Option<String>,
+    /// The newest form of rows that it reads, up to [`ROW_FORM`]. A newer form is written only
+    /// once all processes read it.
+    #[serde(default)]
+    pub row_form: u32,
+    /// The pause until its next heartbeat, in milliseconds.
+    #[serde(default)]
+    pub pause: u64,
 }
 
 /// The heartbeat row of a process that owns something.
@@ -222,6 +239,12 @@
     RowId::new(BATCHES, &bucket(batch), batch)
 }
 
+/// Returns the ID of a row of a batch's submission; the rows sort by number.
+#[must_use]
+pub fn submission(batch: &str, number: usize) -> RowId {
+    RowId::new(SUBMISSIONS, &bucket(batch), &format!("{batch}/{number:04}"))
+}
+
 /// Returns the ID of the result row at a position of a batch.
 #[must_use]
 pub fn result(batch: &str, position: usize) -> RowId {
@@ -267,7 +290,7 @@
 /// Returns the ID of the heartbeat row of a process.
 #[must_use]
 pub fn heartbeat(name: &str) -> RowId {
-    RowId::new(ENTRIES, "", name)
+    RowId::new(ENTRIES, HEARTBEAT_PART, name)
 }
 
 /// Returns the ID of the row of a process among all processes.
@@ -280,7 +303,7 @@
 /// Returns the ID of the row with the paces of a service's engines.
 #[must_use]
 pub fn paces(service: &str) -> RowId {
-    RowId::new(PACES, "", service)
+    RowId::new(PACES, HEARTBEAT_PART, service)
 }
 
 /// Returns the name of the object that holds a batch's submission.
--- a/tests/rollout_presence.rs
+++ b/tests/rollout_presence.rs
@@ -26,6 +26,7 @@
         version,
         memory: 512,
         region: None,
+        pause: HEARTBEAT_INTERVAL,
     }
 }
 
@@ -188,6 +189,7 @@
         version,
         memory: 512,
         region: None,
+        pause: HEARTBEAT_INTERVAL,
     };
     assert_eq!(detector.successor("gateway-1", |_| true), None);
     detector.record_poll(start, latency, (1..=4).map(|n| row(n, n)).collect());
