Allow hedges in the other region in the test of calls bound to regions

Under load a call that may go anywhere is hedged at the endpoint of the other region, since the only near one is excluded: one run of the whole suite failed so, and one of 48 beside 14 busy processes showed 9 sends there where 8 ran and 24 of 24 calls were answered. The test now takes a far run of such a call only beside its near one, and counts at most one hedge for each; calls bound to a region stay bound without exception.

--- a/hibiscusroad-daemon/tests/gateway_regions.rs
+++ b/hibiscusroad-daemon/tests/gateway_regions.rs
@@ -170,7 +170,14 @@
         }
     }
     let [west, east] = &fleet.desks;
-    assert_eq!(ran(east, "route").len() + ran(east, "any").len(), 0);
+    assert_eq!(ran(east, "route"), Vec::<String>::new());
+    // A call whose near endpoint does not answer in time is hedged in the other region.
+    let near = ran(west, "any");
+    let unhedged: Vec<String> = ran(east, "any")
+        .into_iter()
+        .filter(|id| !near.contains(id))
+        .collect();
+    assert_eq!(unhedged, Vec::<String>::new());
     assert_eq!(ran(west, "account").len(), 0);
     assert_eq!(ran(east, "account").len(), 8);
     let left = gateway.line("A request leaves its region.");
@@ -195,11 +202,16 @@
     let metrics = metrics.text();
     for metric in [
         "gateway_sent_total{distance=\"own-data-centre\"} 16",
-        "gateway_sent_total{distance=\"other-region\"} 8",
         "gateway_region_refusals_total 2",
     ] {
         assert!(metrics.contains(metric), "{metric} is not in {metrics}");
     }
+    // Hedges count, also those that were cancelled before the endpoint began.
+    let far = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("gateway_sent_total{distance=\"other-region\"} "));
+    let far: usize = far.unwrap().parse().unwrap();
+    assert!((8..=16).contains(&far), "{far}");
 }
 
 // Guards against calls that wait for near endpoints that are gone.
