Give the first batches of several regions to the holder of the duties

Where the settings have several regions, the process that only holds the duties is a candidate, and is chosen where no owner of batches is eligible. It has connections to all engines already.

--- a/src/rollout/choice.rs
+++ b/src/rollout/choice.rs
@@ -45,7 +45,8 @@
     pub presence: Presence,
     /// Number of items in its open batches.
     pub open_items: usize,
-    /// When it was given its last batch, by the store's clock.
+    /// When it was given its last batch, by the store's clock; zero if it only holds a duty. Such a
+    /// process is chosen where no other is eligible.
     pub last_batch_at: Duration,
 }
 
@@ -132,5 +133,8 @@
         candidate.is_alive(now) && large && candidate.open_items + items <= max_items
     };
     let eligible = candidates.filter(eligible);
-    eligible.max_by_key(|candidate| (candidate.presence.memory, candidate.last_batch_at))
+    eligible.max_by_key(|candidate| {
+        let last_batch = candidate.last_batch_at;
+        (!last_batch.is_zero(), candidate.presence.memory, last_batch)
+    })
 }
--- a/tests/rollout_choice.rs
+++ b/tests/rollout_choice.rs
@@ -39,6 +39,18 @@
     assert_eq!(chosen(&[]), None);
 }
 
+// Guards against several owners where trainers start at the same time, and against a batch that
+// leaves the owner of others for a process that only holds a duty.
+#[test]
+fn process_without_batches_is_chosen_only_if_there_is_no_owner() {
+    let mut idle = candidate("idle", 100, 512);
+    idle.last_batch_at = Duration::ZERO;
+    idle.open_items = 0;
+    assert_eq!(chosen(std::slice::from_ref(&idle)), Some("idle/aa"));
+    let owner = candidate("owner", 100, 256);
+    assert_eq!(chosen(&[idle, owner]), Some("owner/aa"));
+}
+
 // The accepting process's estimate of the store's clock may be behind the owner's.
 #[test]
 fn owner_with_a_renewal_in_the_future_counts_as_live() {
