Split modules that imported each other: data centres, lease rows, sums by region

The evacuation of data centres, cold endpoints and regions had made circles of 13 and 3 files. What senders ask before they send (data_centres), the rows of leases (lease_row) and the sums of a service by region (route/regions) stand below the code that uses them; cold endpoints pass what they admit to a closure. No behaviour changes.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
     calls::{Calls, Target, Ticket},
     cold::Cold,
     crashes::{Crashes, InFlight},
-    evacuation::DataCentres,
+    data_centres::DataCentres,
     http::{Connection, ConnectionPool, Fault, RequestBody},
     message::{Head, text},
     meters::Meters,
--- a/hibiscusroad-daemon/src/gateway/batches/loads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/loads.rs
@@ -8,7 +8,7 @@
 use super::{Batches, OwnedBatch};
 use crate::{
     gateway::{
-        duty::DUTIES_TABLE,
+        lease_row::DUTIES_TABLE,
         sync::{Position, Sink, follow},
         weights::orders_row,
     },
--- a/hibiscusroad-daemon/src/gateway/cold/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/cold/mod.rs
@@ -9,7 +9,7 @@
 mod permit;
 
 use self::permit::PermitLease;
-use super::{batches::Batches, boot::BootClock, calls::Calls, meters::Meters, store::Store};
+use super::{boot::BootClock, meters::Meters, store::Store};
 use crate::{
     logs::{CALLS, HOSTS},
     settings::Gateway as GatewaySettings,
@@ -199,9 +199,8 @@
         to_steady(now, admission)
     }
 
-    /// Passes what has changed to the router and to the engines of batches; returns the time to
-    /// the next change.
-    pub(super) fn publish(&self, calls: &Calls, batches: &Batches) -> Option<Duration> {
+    /// Passes new admissions of endpoints to `apply`; returns the time to the next change.
+    pub(super) fn publish(&self, apply: impl Fn(&[(String, Admission)])) -> Option<Duration> {
         let now = self.clock.now();
         let refreshed = self.state.borrow_mut().refresh(now);
         for transition in &refreshed.transitions {
@@ -213,20 +212,19 @@
             .map(|(id, admission)| (id, to_steady(now, admission)))
             .collect();
         if !admissions.is_empty() {
-            batches.set_admissions(&admissions);
-            calls.set_admissions(&admissions);
+            apply(&admissions);
         }
         let next = refreshed.next?;
         Some(next.saturating_duration_since(now))
     }
 
     /// Publishes changes until the process ends.
-    pub(super) async fn run(self: Rc<Self>, calls: Rc<Calls>, batches: Rc<Batches>) {
+    pub(super) async fn run(self: Rc<Self>, apply: impl Fn(&[(String, Admission)])) {
         loop {
             if !self.is_needed() {
                 self.changed.notified().await;
             }
-            let wait = self.publish(&calls, &batches).unwrap_or(REFRESH_INTERVAL);
+            let wait = self.publish(&apply).unwrap_or(REFRESH_INTERVAL);
             // A timeout is a refresh that is due.
             let _is_changed = timeout(wait.min(REFRESH_INTERVAL), self.changed.notified())
                 .await
--- a/hibiscusroad-daemon/src/gateway/cold/permit.rs
+++ b/hibiscusroad-daemon/src/gateway/cold/permit.rs
@@ -7,7 +7,7 @@
 
 use super::Cold;
 use crate::{
-    gateway::duty::{DUTIES_TABLE, decode_lease},
+    gateway::lease_row::{DUTIES_TABLE, decode_lease},
     logs::DUTY as TARGET,
 };
 use hibiscusroad::{
--- a/hibiscusroad-daemon/src/gateway/duty.rs
+++ b/hibiscusroad-daemon/src/gateway/duty.rs
@@ -9,11 +9,16 @@
 //! rules for owners of batches. [`hibiscusroad::rollout::order_records`] defines which calls a
 //! new holder must leave alone, and for how long.
 
-use super::{batches::Batches, boot::BootClock, store::Store};
+use super::{
+    batches::Batches,
+    boot::BootClock,
+    lease_row::{DUTIES_TABLE, decode_lease},
+    store::Store,
+};
 use crate::logs::DUTY as TARGET;
 use hibiscusroad::{
     lease::{Holding, Lease, LeaseRow, LeaseTimes, NextAction},
-    table::{Change, Commit, Row, RowId},
+    table::{Change, Commit, RowId},
 };
 use std::{
     cell::RefCell,
@@ -26,8 +31,6 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The table that holds the lease.
-pub(super) const DUTIES_TABLE: &str = "duties";
 /// The key of the lease's row.
 pub(super) const LEASE_KEY: &str = "weights";
 /// Least delay after a failed call to the store; a write waits for at least the time that writes
@@ -270,20 +273,3 @@
 fn lease_row_id() -> RowId {
     RowId::new(DUTIES_TABLE, "", LEASE_KEY)
 }
-
-/// Decodes the lease's row.
-///
-/// A broken row counts as another holder's lease and expires like one. The row's
-/// version serves as its fencing token: it is above all earlier tokens, since each
-/// of them took a write.
-pub(super) fn decode_lease(row: &Row) -> LeaseRow {
-    serde_json::from_slice(&row.value).unwrap_or_else(|error| {
-        log::error!(target: TARGET, row = row.version, error = error.to_string().as_str();
-            "The lease's row is broken; it counts as another holder's.");
-        LeaseRow {
-            holder: "unknown".to_owned(),
-            fencing_token: row.version,
-            renewals: 0,
-        }
-    })
-}
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -6,7 +6,7 @@
 //! the request at its endpoint. hyper closes an idle connection on which
 //! unrequested data arrives.
 
-use super::evacuation::RunningRequest;
+use super::data_centres::RunningRequest;
 use hibiscusroad_platform::request::Request as PlatformRequest;
 use http_body_util::{Either, Full};
 use hyper::{
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -26,8 +26,8 @@
 //!   [`line_limit`]: limits of log lines.
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
-//! * [`evacuation`]: requests in evacuated data centres.
-//! * [`duty`]: the lease of the gateway that acts for all.
+//! * [`evacuation`]: evacuations of data centres. [`data_centres`]: the requests that run in them.
+//! * [`duty`]: the lease of the gateway that acts for all. [`lease_row`]: the rows of leases.
 //! * [`store`], [`failure`], [`sync`], [`known_config`], [`refresh`]: the store's client and the
 //!   state that follows its tables.
 //! * [`peers`]: calls to the store that gateways relay for each other.
@@ -44,6 +44,7 @@
 mod calls;
 mod cold;
 mod crashes;
+mod data_centres;
 mod duty;
 mod evacuation;
 mod exposition;
@@ -52,6 +53,7 @@
 mod front;
 mod http;
 mod known_config;
+mod lease_row;
 mod line_limit;
 mod message;
 pub mod meters;
@@ -76,8 +78,8 @@
     calls::Calls,
     cold::Cold,
     crashes::Crashes,
+    data_centres::DataCentres,
     duty::Duty,
-    evacuation::DataCentres,
     http::ConnectionPool,
     known_config::KnownConfig,
     meters::Meters,
@@ -144,7 +146,10 @@
         calls.apply_roster(changes);
         crashes.apply_roster(changes);
         self.batches.roster(changes);
-        cold.publish(calls, &self.batches);
+        cold.publish(|admissions| {
+            self.batches.set_admissions(admissions);
+            calls.set_admissions(admissions);
+        });
         self.weights.apply_roster(changes);
     }
 }
@@ -401,7 +406,11 @@
     let prober = Rc::clone(store);
     spawn_local(async move { prober.run_probes().await });
     let cold = Rc::clone(&context.cold);
-    spawn_local(cold.run(Rc::clone(&context.calls), Rc::clone(batches)));
+    let (router, engines) = (Rc::clone(&context.calls), Rc::clone(batches));
+    spawn_local(cold.run(move |admissions| {
+        engines.set_admissions(admissions);
+        router.set_admissions(admissions);
+    }));
     spawn_local(async move { calls.run().await });
     spawn_local(async move { expiring.run_expiry().await });
     spawn_local(Rc::clone(batches).announce());
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -7,7 +7,7 @@
 //! whole table is read again.
 
 use super::{
-    calls::Calls, evacuation::DataCentres, failure::Failure, known_config::KnownConfig,
+    calls::Calls, data_centres::DataCentres, failure::Failure, known_config::KnownConfig,
     meters::Meters, store::Store,
 };
 use crate::{
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -14,13 +14,8 @@
 mod order;
 
 use super::{
-    batches::Batches,
-    duty::{DUTIES_TABLE, Duty},
-    evacuation::DataCentres,
-    http::ConnectionPool,
-    known_config::KnownConfig,
-    meters::Meters,
-    store::Store,
+    batches::Batches, data_centres::DataCentres, duty::Duty, http::ConnectionPool,
+    known_config::KnownConfig, lease_row::DUTIES_TABLE, meters::Meters, store::Store,
     sync::EndpointRoster,
 };
 use hibiscusroad::{
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -62,6 +62,7 @@
 
 mod accounts;
 mod admit;
+mod allowed;
 mod attempt;
 mod cold;
 mod decay;
@@ -88,9 +89,9 @@
 
 pub use self::{
     accounts::AccountView,
+    allowed::NearState,
     fair::AccountKey,
     rank::SlownessCounts,
-    regions::NearState,
     router::Router,
     spec::{Call, EndpointSpec, LoadReport, Outcome, ServiceSpec, Step},
     view::{EndpointView, HealthState},
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -50,7 +50,7 @@
 const PEAK_DECAY: Duration = Duration::from_secs(5);
 /// Time constant of the recent work by which prefixes are balanced. At 24 calls a second to an
 /// engine the sum varies by 5 %, half of the margin of the ring's bound.
-pub(super) const WORK_DECAY: Duration = Duration::from_secs(20);
+const WORK_DECAY: Duration = Duration::from_secs(20);
 
 /// Time constant of the work of each priority: long enough to average over arrivals, short enough
 /// that a lower priority gets back what is left soon after a higher one pauses.
@@ -122,7 +122,7 @@
 
 impl ServiceRow {
     pub(super) fn new(spec: ServiceSpec, topology: &Topology) -> Self {
-        let regions = RegionRow::all(topology);
+        let regions = RegionRow::all(topology, WORK_DECAY);
         Self {
             spec,
             endpoints: Vec::new(),
