--- a/hibiscusroad-daemon/tests/deploy.rs
+++ b/hibiscusroad-daemon/tests/deploy.rs
@@ -178,6 +178,23 @@
     assert_eq!(gateway.usage, None);
 }
 
+// Guards against cold endpoints that get the declared rate only, or more than the platform allows,
+// because the figures are lost between the platform and the settings.
+#[test]
+fn template_renders_the_bound_of_cold_endpoints() {
+    let rendered = |values: &[(&str, &str)]| {
+        let gateway = Settings::parse(&render_template(values)).unwrap().gateway;
+        let gateway = gateway.unwrap();
+        (gateway.cold_overrun, gateway.cold_slack)
+    };
+    assert_eq!(rendered(VALUES), (1.0, 0));
+    let values = [
+        VALUES,
+        &[("bounds.coldOverrun", "1.5"), ("bounds.coldSlack", "5")],
+    ];
+    assert_eq!(rendered(&values.concat()), (1.5, 5));
+}
+
 // Guards against gateways that treat all data centres alike because the table of regions is lost
 // on the way.
 #[test]
