Share what owners send to engines by their open items

The half of the bound is shared by open items instead of equally, and where there are limits for cold endpoints the first batches go to the holder of the duties, as with several regions.

--- a/hibiscusroad-daemon/src/gateway/batches/cold.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/cold.rs
@@ -2,7 +2,7 @@
 
 use super::{Batches, OwnedBatch};
 use hibiscusroad::{catalog::Route, cold_start::Admission};
-use std::{collections::BTreeSet, rc::Rc, time::Instant};
+use std::{rc::Rc, time::Instant};
 
 impl Batches {
     /// Sets what engines admit, and starts the items that waited for that.
@@ -18,16 +18,16 @@
         }
     }
 
-    /// Passes on the number of processes that own open batches, this one included.
+    /// Passes on how many of the open items are those of this process.
     pub(super) fn update_owners(&self) {
         if !self.context.cold.is_needed() {
             return;
         }
-        let heads = self.heads.borrow();
-        let open = heads.values().filter(|row| !row.head.ended);
-        let mut owners: BTreeSet<&str> = open.map(|row| row.head.owner.as_str()).collect();
-        owners.insert(&self.incarnation);
-        self.context.cold.set_owners(owners.len());
+        let loads = self.known_loads();
+        let own = loads.get(&self.incarnation);
+        let all = loads.values().map(|load| load.open_items).sum();
+        let own = own.map_or(0, |load| load.open_items);
+        self.context.cold.set_open_items(own, all);
     }
 
     /// Requests the permits of services for which items wait.
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -174,15 +174,16 @@
 
     /// Returns the processes that were given batches, by their heartbeat rows.
     ///
-    /// Where there are several regions, also the one that only holds the duties: if trainers in
-    /// several regions start at the same time, each accepting process would become an owner with
-    /// connections of its own to all engines. The holder has them already, for orders of weights.
+    /// Where there are several regions, or limits for cold endpoints, also the one that only holds
+    /// the duties: if several trainers start at the same time, each accepting process would become
+    /// an owner, with connections of its own to all engines and a part of those limits. The holder
+    /// has connections already, for orders of weights.
     ///
     /// An owner's row tells of its batches, too: after its start, and while its feed hangs, this
     /// process doesn't know all of them.
     fn candidates(&self, rows: &[Row]) -> Vec<Candidate> {
         let loads = self.known_loads();
-        let takes_idle = self.topology().is_divided();
+        let takes_idle = self.topology().is_divided() || self.context.cold.is_needed();
         let candidates = rows.iter().filter_map(|row| {
             let OwnerRow { presence, load } = decode_process(row)?;
             let load = loads.get(&presence.incarnation).copied().unwrap_or(load);
--- a/hibiscusroad-daemon/src/gateway/cold/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/cold/mod.rs
@@ -143,10 +143,11 @@
         self.state.borrow().is_needed()
     }
 
-    /// Sets the number of owners of batches.
-    pub(super) fn set_owners(&self, owners: usize) {
-        let owners = u32::try_from(owners).unwrap_or(u32::MAX);
-        self.state.borrow_mut().set_owners(owners);
+    /// Sets the numbers of open items of this process and of all owners of batches.
+    pub(super) fn set_open_items(&self, own: usize, all: usize) {
+        let count = |items| u32::try_from(items).unwrap_or(u32::MAX);
+        let (own, all) = (count(own), count(all));
+        self.state.borrow_mut().set_open_items(own, all);
     }
 
     /// Records that work waits which cold endpoints of a service could take.
--- a/src/cold_start/mod.rs
+++ b/src/cold_start/mod.rs
@@ -8,7 +8,8 @@
 //!   endpoints that they know to be cold. A permit is used only [`SEND_WINDOW`] after it was
 //!   acquired, so that sends of two holders are never in one window.
 //! * The other half is for owners of batches that don't know yet that an endpoint is cold. Each
-//!   sends an engine at most its share of that half.
+//!   sends an engine at most its share of that half, which is that of its open items: equal shares
+//!   would keep the owner of most items from filling engines that are warm.
 //!
 //! A process that was frozen knows only what was true before. It is unsure of all endpoints of
 //! such a service until it has read their entries again, or until those that became cold
@@ -148,8 +149,8 @@
     endpoints: SlotMap<Key, EndpointRow>,
     index: HashMap<String, Key>,
     active: Vec<Key>,
-    /// Number of owners of batches.
-    owners: u32,
+    /// Open items of this process, and those of all owners of batches.
+    open_items: (u32, u32),
     /// Whether all entries were read once.
     is_live: bool,
     /// The last event.
@@ -168,7 +169,7 @@
             endpoints: SlotMap::with_key(),
             index: HashMap::new(),
             active: Vec::new(),
-            owners: 1,
+            open_items: (1, 1),
             is_live: false,
             last_seen: None,
             unsure: None,
@@ -211,10 +212,11 @@
         Some(self.half(&row.rule))
     }
 
-    /// Sets the number of owners of batches, this process included.
-    pub fn set_owners(&mut self, owners: u32) {
-        if self.owners != owners.max(1) {
-            self.owners = owners.max(1);
+    /// Sets the numbers of open items of this process and of all owners of batches, by which the
+    /// owners share what is sent to engines that are not known to be cold.
+    pub fn set_open_items(&mut self, own: u32, all: u32) {
+        if self.open_items != (own, all) {
+            self.open_items = (own, all);
             self.activate_where(|_| true);
         }
     }
@@ -472,7 +474,10 @@
             admission.calls = Some(0);
             return admission;
         }
-        let limit = (half / self.owners).max(1);
+        let (own, all) = self.open_items;
+        let share = (u64::from(half) * u64::from(own)).checked_div(u64::from(all));
+        let share = share.map_or(half, |share| u32::try_from(share).unwrap_or(half));
+        let limit = share.clamp(1, half.max(1));
         admission.items = Some(limit.saturating_sub(sent));
         if let Some((opens_at, room)) = ramp(now, row, duration) {
             admission.items = admission.items.map(|items| items.min(room));
