Confirm the entries to cold starts only once the roster reports endpoints

A gateway that read the entries of endpoints before the operator's table confirmed them while the roster still held them back; reported afterwards, all engines counted as just started and got nothing but the permit's requests for a cold start's time after each start of a gateway. cold_engine_gets_what_waits_up_to_its_limit failed so in a run of the whole suite: the warm engine was cold with the source start.

--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -385,10 +385,13 @@
             Rc::clone(members),
             {
                 let crashes = Rc::clone(&context.crashes);
-                let cold = Rc::clone(&context.cold);
+                let (cold, members) = (Rc::clone(&context.cold), Rc::clone(members));
                 move || {
                     crashes.confirm_roster();
-                    cold.confirm_roster();
+                    // Endpoints that are reported later would count as just started.
+                    if members.is_reporting() {
+                        cold.confirm_roster();
+                    }
                 }
             },
             {
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -263,6 +263,11 @@
         roster.iter().filter(|endpoint| condition(endpoint)).count()
     }
 
+    /// Returns whether endpoints are reported, since the evacuations are known.
+    pub(super) fn is_reporting(&self) -> bool {
+        self.roster.borrow().is_reporting()
+    }
+
     pub(super) fn roster_mut(&self) -> RefMut<'_, Roster> {
         self.roster.borrow_mut()
     }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -204,6 +204,12 @@
             .collect()
     }
 
+    /// Returns whether it reports endpoints, since the evacuations are known.
+    #[must_use]
+    pub fn is_reporting(&self) -> bool {
+        self.evacuations.is_known()
+    }
+
     /// Replaces the evacuations by a read of all their rows as of a version of the store.
     pub fn replace_evacuations(
         &mut self,
