Wrap two module docs and describe FIRST_ROW_LATENCIES

Edits after the limits for slow stores left lines longer than the others, and a constant without a description of its own. Comments only; formatter and linter pass.

--- a/src/rollout/presence.rs
+++ b/src/rollout/presence.rs
@@ -12,10 +12,10 @@
 //!
 //! A part of a store that is 80 times slower carries out four transactions a second, too few
 //! for owners that each renew their row four times a second. So an owner pauses for at least
-//! the time that writes took when it wrote the row, and the row tells the others this pause. An owner that
-//! dies is then noticed within [`silence_limit`] of its pause, plus six latencies of a read, one
-//! poll, and the time that its last write may still wait in the part: within 1.4 s at a store of
-//! the usual speed, and 6 s at one that is 80 times slower.
+//! the time that writes took when it wrote the row, and the row tells the others this pause. An
+//! owner that dies is then noticed within [`silence_limit`] of its pause, plus six latencies of a
+//! read, one poll, and the time that its last write may still wait in the part: within 1.4 s at a
+//! store of the usual speed, and 6 s at one that is 80 times slower.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -28,9 +28,9 @@
 /// An owner whose row is unchanged for this time is considered dead: it has missed
 /// three renewals. An owner that is paused for this long has lost its items anyway.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Number of store latencies added to the timeout of a row that doesn't change. A slow store delays the renewal by
-/// four (a part that carries out four transactions a second has about a second of them waiting)
-/// and the poll by one or two.
+/// Number of store latencies added to the timeout of a row that doesn't change. A slow store
+/// delays the renewal by four (a part that carries out four transactions a second has about a
+/// second of them waiting) and the poll by one or two.
 const SILENCE_LATENCIES: u32 = 6;
 /// Longest pause between two renewals. It bounds the time until a dead owner is noticed.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
@@ -55,6 +55,7 @@
 /// An owner without a row is given this time to write its first, and
 /// [`FIRST_ROW_LATENCIES`] store latencies.
 const FIRST_ROW_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Number of store latencies added to [`FIRST_ROW_TIMEOUT`].
 const FIRST_ROW_LATENCIES: u32 = 4;
 
 /// Returns the pause between two renewals of a row whose writes take `latency`.
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -15,11 +15,10 @@
 //! [`Piece`]: crate::rollout::text::Piece
 //!
 //! A submission that is too long for the transaction of its head is an object named after the
-//! batch. The bucket is a hash of the
-//! batch ID: all rows of a batch must share a part of the store, and a part takes only a
-//! few hundred transactions per second. For the same reason the rows of all processes are
-//! kept apart from the heartbeats of the few that own something: after a common start, the
-//! former take seconds to write, and every poll reads all of the latter.
+//! batch. The bucket is a hash of the batch ID: all rows of a batch must share a part of the
+//! store, and a part takes only a few hundred transactions per second. For the same reason the
+//! rows of all processes are kept apart from the heartbeats of the few that own something: after
+//! a common start, the former take seconds to write, and every poll reads all of the latter.
 //!
 //! A result is written only if its position has no row, so of two writes to one position
 //! only the first succeeds. The head's version fences off a former owner, and its `ended`
