Report items that wait although engines have room, batches that nobody runs, and panics

An item that its owner doesn't send wrote no line at all, and neither did a batch whose owner doesn't run it or a task that panicked, so the hypotheses of the incident could not be told apart. One line a second and batch tells now what keeps an item from each engine; nothing is decided by it. gateway_explain: the line and its counter for an item without fresh weights.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -10,6 +10,7 @@
 mod generate;
 mod heads;
 mod heartbeat;
+mod idle;
 mod interleave;
 mod list;
 mod loads;
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -124,14 +124,22 @@
     /// Returns the open batches that other processes own and this one may take over.
     fn foreign_batches(&self) -> Vec<(String, HeadRow)> {
         let heads = self.heads.borrow();
-        let now = millis(self.store.now().unwrap_or_default());
-        let is_open = |row: &HeadRow| !row.head.ended && now < row.head.runs_until;
-        let open = heads.iter().filter(|(_, row)| is_open(row));
+        let open = heads.iter().filter(|(_, row)| self.is_open(&row.head));
         let foreign = open.filter(|(_, row)| row.head.owner != self.incarnation);
         let foreign = foreign.filter(|(_, row)| self.may_hold(&row.head));
         foreign.map(|(id, row)| (id.clone(), row.clone())).collect()
     }
 
+    /// Returns whether a batch is to be run.
+    fn is_open(&self, head: &Head) -> bool {
+        !head.ended && millis(self.store.now().unwrap_or_default()) < head.runs_until
+    }
+
+    /// Returns whether this process is to run a batch.
+    pub(super) fn is_own(&self, head: &Head) -> bool {
+        head.owner == self.incarnation && self.is_open(head)
+    }
+
     /// Reads the heartbeats of all owners.
     async fn poll_heartbeats(&self) -> Result<(), String> {
         let start = Instant::now();
--- a/hibiscusroad-daemon/src/gateway/meters.rs
+++ b/hibiscusroad-daemon/src/gateway/meters.rs
@@ -257,6 +257,12 @@
         "call",
         "seconds until the store answered a call: read, write, object",
     ),
+    (
+        "gateway_idle_waits_total",
+        "counter",
+        "obstacle",
+        "looks at batches whose items wait although engines have room, by what keeps an item from most engines",
+    ),
 ];
 
 /// Returns the position of a metric in [`NAMES`].
@@ -305,6 +311,7 @@
     pub(super) withheld: IntCounter,
     pub(super) refusals: IntCounterVec,
     pub(super) moves: IntCounterVec,
+    pub(super) idle_waits: IntCounterVec,
     pub(super) engine_slowness: Histogram,
     pub(super) endpoints: IntGaugeVec,
     pub(super) steps: IntGaugeVec,
@@ -407,6 +414,7 @@
             cold_requests: counter_vec(position("gateway_cold_requests_total"))?,
             cold_permits: labelled(position("gateway_cold_permits"), &registry)?,
             items_held_back: counter_vec(position("gateway_items_held_back_total"))?,
+            idle_waits: counter_vec(position("gateway_idle_waits_total"))?,
             registry,
         })
     }
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -160,6 +160,7 @@
 ///
 /// Returns the system's error if it can't listen or catch signals.
 pub fn run(settings: &Settings, gateway: &GatewaySettings, file: &Path) -> io::Result<()> {
+    logs::log_panics();
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -420,6 +421,7 @@
     spawn_local(Rc::clone(batches).renew_heartbeat());
     spawn_local(Rc::clone(batches).watch_owners());
     spawn_local(Rc::clone(batches).dispatch());
+    spawn_local(Rc::clone(batches).report_idle());
     spawn_local(Rc::clone(batches).sweep());
     spawn_local(Rc::clone(batches).share_paces());
     spawn_local(Rc::clone(batches).follow_orders());
--- a/hibiscusroad-daemon/src/logs/mod.rs
+++ b/hibiscusroad-daemon/src/logs/mod.rs
@@ -23,7 +23,7 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 use std::{
-    fmt, io,
+    fmt, io, panic,
     sync::{Mutex, OnceLock, PoisonError},
     time::{Instant, SystemTime},
 };
@@ -170,6 +170,17 @@
     }
 }
 
+/// Logs panics, and then handles them as before.
+///
+/// A panic ends only its task, and the process goes on without it.
+pub fn log_panics() {
+    let handle = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log::error!(target: PROCESS, error = info.to_string().as_str(); "A task panicked.");
+        handle(info);
+    }));
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     time: String,
--- a/hibiscusroad-daemon/tests/gateway_explain.rs
+++ b/hibiscusroad-daemon/tests/gateway_explain.rs
@@ -89,6 +89,26 @@
     assert!(lines[completed].contains("endpoint=i-lm"), "{trace}");
 }
 
+// Guards against items that wait without a line although engines have room.
+#[test]
+fn idle_wait_of_an_item_names_what_keeps_it_from_engines() {
+    let (world, _desk, _engine) = World::ready("explain-idle", 1);
+    let gateway = &world.gateways[0];
+    // No engine loads version 3, since it is not named.
+    let body = submission(1, 3, 1, 1).to_string();
+    let answer = gateway.call("POST", "/lm/step", "b1", body.as_bytes());
+    assert_eq!(answer.status, 202);
+    let line = gateway.line("An item waits although engines have room.");
+    assert_eq!(line["item"], "item-1-0-0");
+    assert_eq!(line["obstacle"], "weights");
+    assert_eq!(line["engines"], "eligible=0 weights=1");
+    assert!(line["waited_ms"].as_u64().unwrap() >= 2_000, "{line}");
+    let answer = ask("GET", gateway.metrics, "/metrics", &[], b"", WAIT_TIMEOUT).unwrap();
+    let text = answer.text();
+    let counted = "gateway_idle_waits_total{obstacle=\"weights\"}";
+    assert!(text.contains(counted), "{text}");
+}
+
 // Guards against a slowness that is lost between the header and the choice, and against logs and
 // metrics that don't tell why an engine was chosen.
 #[test]
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -79,6 +79,17 @@
     wait_start: (Instant, WaitTimes),
 }
 
+/// The item of a batch that has waited longest.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LongestWait {
+    /// The index of the item.
+    pub item: usize,
+    /// Since when it has waited.
+    pub since: Instant,
+    /// Whether it is held, and not only without an engine.
+    pub is_held: bool,
+}
+
 /// The state of one batch at its owner.
 #[derive(Debug)]
 pub struct Batch {
@@ -237,6 +248,25 @@
         self.items.iter().filter(is_waiting).count()
     }
 
+    /// Returns the item that has waited longest for an engine, if one waits.
+    #[must_use]
+    pub fn longest_wait(&self) -> Option<LongestWait> {
+        let waits = self.items.iter().enumerate().filter_map(|(item, state)| {
+            let is_held = match state.phase {
+                Phase::Waiting { .. } => false,
+                Phase::Held { .. } => true,
+                _ => return None,
+            };
+            let (since, _) = state.wait_start;
+            Some(LongestWait {
+                item,
+                since,
+                is_held,
+            })
+        });
+        waits.min_by_key(|wait| wait.since)
+    }
+
     /// Returns the number of complete groups, and what the others still need.
     ///
     /// `remaining` returns the expected remaining time of an item whose text has the given
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -9,10 +9,15 @@
 //! A group waits for its slowest item, so an engine that is much slower than its peers
 //! gets only one item at a time, which shows when it recovers.
 
+mod census;
 mod loads;
 mod speed;
 
-pub use self::{loads::RefusalReason, speed::TextSpeed};
+pub use self::{
+    census::{Census, Obstacle},
+    loads::RefusalReason,
+    speed::TextSpeed,
+};
 
 use slotmap::SlotMap;
 use std::{
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -4,7 +4,7 @@
     cold_start::Admission,
     contention::{Contention, Mode},
     rollout::{
-        engines::{Engines, Requirements},
+        engines::{Engines, Obstacle, Requirements},
         load_plan::{EngineStatus, LoadConcurrency, ModelGoal, plan},
         pace::{Paces, Sample},
     },
@@ -60,6 +60,39 @@
     assert_eq!(engines.choose(now, &exact), engines.key("e2"));
 }
 
+// Guards against a census that differs from the choice.
+#[test]
+fn census_tells_what_keeps_an_item_from_each_engine() {
+    let now = Instant::now();
+    let mut engines = engines(&[2, 3, 3, 3, 3]);
+    let key = |engines: &Engines, id: &str| engines.key(id).unwrap();
+    let (e1, e2, e3) = (
+        key(&engines, "e1"),
+        key(&engines, "e2"),
+        key(&engines, "e3"),
+    );
+    engines.add_item(e1);
+    engines.add_item(e1);
+    engines.record_failure(now, e2);
+    let requirements = Requirements {
+        excluded: Some(e3),
+        ..REQUIREMENTS
+    };
+    let census = engines.census(now, &requirements);
+    assert_eq!((census.slots, census.used, census.eligible), (10, 2, 1));
+    assert_eq!(
+        census.to_string(),
+        "eligible=1 weights=1 excluded=1 paused=1 full=1"
+    );
+    assert_eq!(census.main_obstacle(), None);
+    assert_eq!(engines.choose(now, &requirements), engines.key("e4"));
+    engines.remove("e4");
+    let census = engines.census(now, &requirements);
+    assert!(census.has_room());
+    assert!(census.main_obstacle() > Some(Obstacle::Region));
+    assert_eq!(engines.choose(now, &requirements), None);
+}
+
 // Guards against owners that all choose the same one of several equal engines.
 #[test]
 fn ties_are_broken_by_group() {
