Show that engines that don't answer keep all others from new weights

Three of four engines are registered and silent; the fourth never gets the named version, and an item that needs it waited 20 s (the test's limit) with all of the engine's slots free. The holder of the duty orders the engines with the oldest weights first, two at a time, and an engine whose order failed keeps its turn until it is ordered again.

--- a/hibiscusroad-daemon/tests/gateway_loading.rs
+++ b/hibiscusroad-daemon/tests/gateway_loading.rs
@@ -9,7 +9,7 @@
 };
 use hibiscusroad_standins::direct::Endpoint;
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long the stand-in loads: less than an owner holds an engine before it has seen a load.
 /// An owner that doesn't know of the load sends items at once, and again each 300 ms.
@@ -18,6 +18,9 @@
 /// to the stand-in may wait until another ends, and the host may be busy.
 const DELIVERY_TIME: Duration = Duration::from_millis(600);
 
+/// Longest time for which an item of a step may be at no engine while engines have room.
+const MAX_IDLE_WAIT: Duration = Duration::from_secs(5);
+
 fn name_version(world: &World, version: u64) {
     let named = json!({ "model": "guide", "version": version });
     world.store.put_json("op", "version/guide", &named);
@@ -130,3 +133,19 @@
         (world.store.feed_count("duties") == count).then_some(())
     });
 }
+
+// Guards against engines that don't answer and take the turns of all others to load weights.
+#[test]
+fn silent_engines_do_not_keep_others_from_new_weights() {
+    let (world, _desk, engine) = World::ready("silent-engines", 1);
+    let silent = ["a1", "a2", "a3"].map(|id| world.endpoint("guide-lm", id, &["guide"]));
+    for engine in &silent {
+        engine.relay().drop_traffic();
+    }
+    name_version(&world, 2);
+    let start = Instant::now();
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 2, 1, 2)).status, 202);
+    until("the items run", || (engine.runs().len() >= 2).then_some(()));
+    let waited = start.elapsed();
+    assert!(waited < MAX_IDLE_WAIT, "{waited:?}");
+}
