Order engines that don't answer last, and give their turns to others

Callers saw: items of a step at no engine for 20 s and more (the test's limit), with every slot of a sound engine free. Cause: the holder of the duty orders two engines at a time, those with the oldest weights first. An engine that didn't answer kept its turn for the pause after the failure, was the first choice again after it, and fell further behind with each version, so as many silent engines as there are turns stopped all loads, for as long as their entries stood. Class of fault: a limited number of turns that failures hold, in an order that prefers what fails.

An engine that did not answer is now ordered after all others, isn't counted as usable, and waits without holding a turn: 0.4 s, doubled up to 1.6 s. One that accepted an order and then doesn't answer a question gives its turn up after 2.9 s; before, after 8 s or when its entry lapsed.

--- a/benches/shares.rs
+++ b/benches/shares.rs
@@ -109,6 +109,7 @@
         loading: false,
         blocked: false,
         slow: false,
+        unanswered: 0,
         running_requests: 3,
         pace: Some(Duration::from_millis(if n.is_multiple_of(4) {
             26
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -1,8 +1,8 @@
 //! One load of weights, from the order until the engine confirms that it runs the version.
 
 use super::{
-    REPORT_INTERVAL, Weights,
-    order::{LOAD_TIMEOUT, RETRY_DELAY},
+    FailedLoad, REPORT_INTERVAL, Weights,
+    order::{LOAD_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY},
 };
 use crate::{
     gateway::http::{Fault, encode},
@@ -33,6 +33,20 @@
 /// new weights.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Limit of the doublings of a retry delay, above that of the longest one.
+const MAX_DOUBLINGS: u32 = 8;
+
+/// How a load ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LoadOutcome {
+    /// The engine runs the version.
+    Done,
+    /// The engine did not load it, or was not ordered to.
+    Failed,
+    /// The engine did not answer.
+    Unanswered,
+}
+
 /// Why an engine did not answer a call.
 #[derive(Debug, thiserror::Error)]
 enum CallError {
@@ -54,37 +68,59 @@
         valid_until: Instant,
     ) {
         let start = Instant::now();
-        let done = self.try_load(&load, valid_until).await;
+        let outcome = self.try_load(&load, valid_until).await;
+        let done = outcome == LoadOutcome::Done;
         let duration = start.elapsed();
         log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(), model = load.model.as_str(),
-            version = load.version, at_once = concurrency, took_ms = millis(duration), done = done;
-            "A load of weights ended.");
-        let outcome = if done { "done" } else { "failed" };
-        self.meters.loads.with_label_values(&[outcome]).inc();
+            version = load.version, at_once = concurrency, took_ms = millis(duration), done = done,
+            outcome:? = outcome; "A load of weights ended.");
+        let label = if done { "done" } else { "failed" };
+        self.meters.loads.with_label_values(&[label]).inc();
+        self.reserved.borrow_mut().remove(&load.endpoint);
         if done {
             self.meters.load_seconds.observe(duration.as_secs_f64());
             self.pace.borrow_mut().record_load(concurrency, duration);
+            self.failed.borrow_mut().remove(&load.endpoint);
             self.write_pace().await;
-            self.reserved.borrow_mut().remove(&load.endpoint);
         } else {
-            let until = self.duty.now() + RETRY_DELAY;
-            self.reserved.borrow_mut().insert(load.endpoint, until);
-            sleep(RETRY_DELAY).await;
+            // Others may take its turn meanwhile.
+            self.plan_needed.notify_one();
+            let delay = self.record_failed(&load.endpoint, outcome);
+            sleep(delay).await;
         }
         self.plan_needed.notify_one();
     }
 
-    async fn try_load(&self, load: &WeightLoad, valid_until: Instant) -> bool {
+    /// Records that a load failed, and returns the time until its engine may be ordered again.
+    fn record_failed(&self, endpoint: &str, outcome: LoadOutcome) -> Duration {
+        let mut failed = self.failed.borrow_mut();
+        let unanswered = match outcome {
+            LoadOutcome::Unanswered => 1 + failed.get(endpoint).map_or(0, |it| it.unanswered),
+            LoadOutcome::Done | LoadOutcome::Failed => 0,
+        };
+        let factor = 1 << unanswered.saturating_sub(1).min(MAX_DOUBLINGS);
+        let delay = (RETRY_DELAY * factor).min(MAX_RETRY_DELAY);
+        let retry_at = self.duty.now() + delay;
+        let load = FailedLoad {
+            retry_at,
+            unanswered,
+        };
+        failed.insert(endpoint.to_owned(), load);
+        delay
+    }
+
+    async fn try_load(&self, load: &WeightLoad, valid_until: Instant) -> LoadOutcome {
         let Some(endpoint) = self.members.get(&load.endpoint) else {
-            return false;
+            return LoadOutcome::Failed;
         };
         let known_count = self.order_counts.borrow_mut().remove(&load.endpoint);
         let order_count = match known_count {
             Some(order_count) => order_count,
             None => match self.fetch_report(&endpoint).await {
-                Some(report) if self.record_report(load, &report) => return true,
+                Some(report) if self.record_report(load, &report) => return LoadOutcome::Done,
                 Some(report) if !report.busy => report.orders,
-                _ => return false,
+                Some(_) => return LoadOutcome::Failed,
+                None => return LoadOutcome::Unanswered,
             },
         };
         // Checked last: there is no await between this and the order.
@@ -93,7 +129,7 @@
             self.order_counts
                 .borrow_mut()
                 .insert(load.endpoint.clone(), order_count);
-            return false;
+            return LoadOutcome::Failed;
         };
         let order = LoadOrder {
             endpoint: load.endpoint.clone(),
@@ -115,7 +151,7 @@
             self.order_counts
                 .borrow_mut()
                 .insert(load.endpoint.clone(), order_count);
-            return false;
+            return LoadOutcome::Failed;
         }
         let answer = answer.map_or(OrderAnswer::Unknown, |(status, _)| {
             engine::order_outcome(status)
@@ -125,48 +161,48 @@
             orders = order_count, answer:? = answer; "An order was given.");
         match answer {
             OrderAnswer::Accepted => {
-                let done = self.wait_until_loaded(&endpoint, load).await;
-                if done {
+                let outcome = self.wait_until_loaded(&endpoint, load).await;
+                if outcome == LoadOutcome::Done {
                     let id = load.endpoint.clone();
                     self.order_counts.borrow_mut().insert(id, order_count + 1);
                 }
-                done
+                outcome
             }
             OrderAnswer::Holds => {
                 self.record_version(&load.endpoint, &load.model, load.version);
-                true
+                LoadOutcome::Done
             }
             OrderAnswer::Fenced => {
                 self.duty.record_conflict();
-                false
-            }
-            OrderAnswer::Busy | OrderAnswer::Gone | OrderAnswer::Refused | OrderAnswer::Unknown => {
-                false
+                LoadOutcome::Failed
             }
+            OrderAnswer::Busy | OrderAnswer::Gone | OrderAnswer::Refused => LoadOutcome::Failed,
+            OrderAnswer::Unknown => LoadOutcome::Unanswered,
         }
     }
 
-    /// Waits until an engine runs the version; `false` if it ended or took too long.
+    /// Waits until an engine runs the version, ends, or takes too long.
     ///
     /// An engine registers new weights at once. Its report lags behind, and is fetched only if
-    /// the engine doesn't register them for a while.
-    async fn wait_until_loaded(&self, endpoint: &Endpoint, load: &WeightLoad) -> bool {
+    /// the engine doesn't register them for a while. Without an answer it has probably ended,
+    /// and others get its turn.
+    async fn wait_until_loaded(&self, endpoint: &Endpoint, load: &WeightLoad) -> LoadOutcome {
         let deadline = Instant::now() + LOAD_TIMEOUT;
         let mut next_report = Instant::now() + REGISTRATION_TIMEOUT;
         while Instant::now() < deadline {
             let roster_changed = self.roster_changed.notified();
             let Some(current) = self.members.get(&load.endpoint) else {
-                return false;
+                return LoadOutcome::Failed;
             };
             if current.started_ms != endpoint.started_ms {
-                return false;
+                return LoadOutcome::Failed;
             }
             let runs_version = current
                 .weights
                 .iter()
                 .any(|weights| weights.model == load.model && weights.version >= load.version);
             if runs_version {
-                return true;
+                return LoadOutcome::Done;
             }
             if timeout_at(next_report.into(), roster_changed).await.is_ok() {
                 continue;
@@ -176,12 +212,14 @@
             if current.evacuated {
                 continue;
             }
-            let report = self.fetch_report(endpoint).await;
-            if report.is_some_and(|report| self.record_report(load, &report)) {
-                return true;
+            let Some(report) = self.fetch_report(endpoint).await else {
+                return LoadOutcome::Unanswered;
+            };
+            if self.record_report(load, &report) {
+                return LoadOutcome::Done;
             }
         }
-        false
+        LoadOutcome::Failed
     }
 
     /// Records the versions that an engine reports.
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -42,6 +42,15 @@
 /// The key of the row of recorded orders.
 const ORDERS_KEY: &str = "orders";
 
+/// An engine whose last load failed.
+#[derive(Clone, Copy, Debug)]
+struct FailedLoad {
+    /// When it may be ordered again.
+    retry_at: Instant,
+    /// Number of calls in a row that it did not answer.
+    unanswered: u32,
+}
+
 /// The state of loads of weights in this process.
 pub(super) struct Weights {
     duty: Rc<Duty>,
@@ -54,8 +63,10 @@
     pool: Rc<ConnectionPool>,
     data_centres: Rc<DataCentres>,
     meters: Rc<Meters>,
-    /// Engines that get no other order until this time, since they load or a load failed.
+    /// Engines that get no other order until this time, since they load.
     reserved: RefCell<HashMap<String, Instant>>,
+    /// Engines whose last load failed.
+    failed: RefCell<HashMap<String, FailedLoad>>,
     /// The newest versions in reports of engines, by engine and model. Entries of the roster
     /// may be older.
     reported: RefCell<HashMap<(String, String), u64>>,
@@ -106,6 +117,7 @@
             data_centres: dependencies.data_centres,
             meters: dependencies.meters,
             reserved: RefCell::default(),
+            failed: RefCell::default(),
             reported: RefCell::default(),
             order_counts: RefCell::default(),
             pace: RefCell::new(LoadConcurrency::new()),
@@ -130,14 +142,18 @@
     /// Applies changes of the roster.
     ///
     /// An engine that was removed, or restarted under the same ID, has accepted no order, and
-    /// its earlier reports no longer hold.
+    /// its earlier reports no longer hold. One whose entry changes may answer again.
     pub(super) fn apply_roster(&self, changes: &[EndpointChange]) {
+        for endpoint in changes.iter().filter_map(EndpointChange::updated) {
+            self.failed.borrow_mut().remove(&endpoint.id);
+        }
         for id in changes.iter().filter_map(EndpointChange::removed) {
             self.reported
                 .borrow_mut()
                 .retain(|(engine, _), _| engine != id);
             self.order_counts.borrow_mut().remove(id);
             self.reserved.borrow_mut().remove(id);
+            self.failed.borrow_mut().remove(id);
         }
         self.wake();
     }
@@ -168,6 +184,7 @@
     async fn prepare(&self, fence: u64) {
         self.reported.borrow_mut().clear();
         self.reserved.borrow_mut().clear();
+        self.failed.borrow_mut().clear();
         self.order_counts.borrow_mut().clear();
         let orders_known = self.read_orders().await;
         let quiet_until = self.duty.now() + self.duty.call_gap() + ORDER_TTL;
--- a/hibiscusroad-daemon/src/gateway/weights/order.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/order.rs
@@ -19,8 +19,11 @@
 
 /// Time limit of a load, after which it is planned again.
 pub(super) const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
-/// Delay before an engine whose load failed is ordered again.
+/// Delay before an engine whose load failed is ordered again. It doubles with each call in a row
+/// that the engine does not answer.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Longest delay before an engine that does not answer is ordered again.
+pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 /// Minimum interval between two reads of the paces of engines.
 const PACES_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -148,13 +151,16 @@
         });
         let weights = weights.collect();
         let reserved_until = self.reserved.borrow().get(&endpoint.id).copied();
+        let failed = self.failed.borrow().get(&endpoint.id).copied();
+        let must_wait = failed.is_some_and(|failed| now < failed.retry_at);
         let records = self.order_records.borrow();
         let blocked_until =
             records.blocked_until(&endpoint.id, self.duty.holder(), self.duty.call_gap());
         let store_now = self.store.now().unwrap_or_default();
         EngineStatus {
             weights,
-            blocked: blocked_until.is_some_and(|until| store_now < until),
+            blocked: must_wait || blocked_until.is_some_and(|until| store_now < until),
+            unanswered: failed.map_or(0, |failed| failed.unanswered),
             slow: self.batches.is_slow(&endpoint.id),
             loading: reserved_until.is_some_and(|until| now < until),
             running_requests: self.batches.running_at(&endpoint.id),
--- a/hibiscusroad-daemon/tests/gateway_loading.rs
+++ b/hibiscusroad-daemon/tests/gateway_loading.rs
@@ -149,3 +149,27 @@
     let waited = start.elapsed();
     assert!(waited < MAX_IDLE_WAIT, "{waited:?}");
 }
+
+// Guards against engines that end during a load and keep their turns.
+#[test]
+fn engines_that_end_during_a_load_do_not_keep_others_from_new_weights() {
+    let (world, _desk, engine) = World::ready("ended-loads", 1);
+    let ending = ["a1", "a2", "a3"].map(|id| world.endpoint("guide-lm", id, &["guide"]));
+    for engine in &ending {
+        engine.set_load_duration(Duration::from_mins(1));
+    }
+    name_version(&world, 2);
+    until("two engines load", || {
+        let ordered = ending.iter().filter(|it| !it.order_holders().is_empty());
+        (ordered.count() >= 2).then_some(())
+    });
+    for engine in &ending {
+        engine.relay().drop_traffic();
+    }
+    let start = Instant::now();
+    until("another engine has loaded", || {
+        (engine.version("guide") == 2).then_some(())
+    });
+    let waited = start.elapsed();
+    assert!(waited < MAX_IDLE_WAIT, "{waited:?}");
+}
--- a/src/rollout/load_goal.rs
+++ b/src/rollout/load_goal.rs
@@ -19,6 +19,8 @@
     pub blocked: bool,
     /// Whether it is much slower than its peers.
     pub slow: bool,
+    /// Number of calls in a row that it did not answer.
+    pub unanswered: u32,
     /// Number of requests known to run there.
     pub running_requests: u32,
     /// Its time per event, if engines are to be divided by speed and the time is known.
--- a/src/rollout/load_plan.rs
+++ b/src/rollout/load_plan.rs
@@ -7,6 +7,10 @@
 //! them, in proportion to the work of their steps; slow engines are left out. Where trainers
 //! compete for engines, the speed of the engines counts in place of their number.
 //!
+//! An engine that doesn't answer is not counted as usable, and is ordered again only while no
+//! other one waits for its turn: the number of concurrent loads is limited, and such engines
+//! would take all turns.
+//!
 //! Stale engines are loaded in turn, so that after an outage each model gets the same
 //! share of its engines back. Among equal shares, the most urgent model goes first.
 
@@ -55,21 +59,27 @@
     for (goal, mut assigned) in goals.iter().zip(assign(engines, goals)) {
         let version = |idx: &usize| engines[*idx].weights.get(&goal.model).copied().unwrap_or(0);
         let oldest = goal.newest.saturating_sub(goal.lag);
+        let is_unresponsive = |idx: &usize| engines[*idx].unanswered > 0;
         // They are assigned with the newest weights first, so the same ones are kept.
+        assigned.sort_by_key(is_unresponsive);
         assigned.truncate(goal.items.unwrap_or(usize::MAX).max(MIN_ENGINES));
         // The least loaded engines go first, because the fewest runs are held up there.
         assigned.sort_by_key(|idx| {
             (
+                is_unresponsive(idx),
                 version(idx),
                 engines[*idx].running_requests,
                 engines[*idx].id.clone(),
             )
         });
-        let newer = assigned.iter().filter(|idx| version(idx) > oldest).count();
+        let responsive = assigned.iter().copied().filter(|idx| !is_unresponsive(idx));
+        let responsive: Vec<usize> = responsive.collect();
+        let newer = responsive.iter().filter(|idx| version(idx) > oldest);
         // Half of the engines should stay usable after the next version.
-        let mut missing = assigned.len().div_ceil(2).saturating_sub(newer);
-        let quota = assigned.len().max(1) as f64;
-        let mut usable = assigned.iter().filter(|idx| version(idx) >= oldest).count();
+        let mut missing = responsive.len().div_ceil(2).saturating_sub(newer.count());
+        let quota = responsive.len().max(1) as f64;
+        let usable = responsive.iter().filter(|idx| version(idx) >= oldest);
+        let mut usable = usable.count();
         for idx in assigned {
             let stale = version(&idx) < oldest;
             if version(&idx) >= goal.newest || !(stale || missing > 0) {
@@ -77,6 +87,7 @@
             }
             missing = missing.saturating_sub(1);
             candidates.push(Candidate {
+                unresponsive: is_unresponsive(&idx),
                 stale,
                 usable_share: if stale { usable as f64 / quota } else { 0.0 },
                 versions_behind: goal.newest - version(&idx),
@@ -104,6 +115,8 @@
 
 /// A load that would be useful.
 struct Candidate<'a> {
+    /// Whether the engine did not answer.
+    unresponsive: bool,
     /// Whether the engine's version is too old for any step of the model.
     stale: bool,
     /// The share of the model's engines that steps can use after the preceding loads.
@@ -116,11 +129,13 @@
 impl Candidate<'_> {
     /// Orders the most urgent load first.
     fn cmp_urgency(&self, other: &Self) -> Ordering {
+        let responsive = self.unresponsive.cmp(&other.unresponsive);
         let stale = other.stale.cmp(&self.stale);
         let share = self.usable_share.total_cmp(&other.usable_share);
         let rank = self.goal.priority.cmp(&other.goal.priority);
         let behind = other.versions_behind.cmp(&self.versions_behind);
-        stale.then(share).then(rank).then(behind)
+        let urgency = stale.then(share).then(rank).then(behind);
+        responsive.then(urgency)
     }
 }
 
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -232,6 +232,7 @@
         loading: false,
         blocked: false,
         slow: false,
+        unanswered: 0,
         running_requests: 0,
         pace: None,
     });
@@ -544,6 +545,30 @@
     assert_eq!(engines.own_items("e0"), 0);
 }
 
+// Guards against engines that don't answer and take the turns or the places of others.
+#[test]
+fn engines_that_do_not_answer_are_ordered_last_and_not_counted() {
+    let mut engines = engine_statuses(6, &[("a", 3)]);
+    for engine in &mut engines[..3] {
+        engine.unanswered = 1;
+        engine.weights.insert("a".to_owned(), 1);
+    }
+    let ordered = |items: Option<usize>, max: usize| -> Vec<String> {
+        let goal = ModelGoal {
+            items,
+            ..goal("a", 4, 1)
+        };
+        let loads = plan(&engines, &[goal], max);
+        loads.into_iter().map(|load| load.endpoint).collect()
+    };
+    assert_eq!(ordered(None, 2), ["e3", "e4"]);
+    assert_eq!(ordered(None, 9), ["e3", "e4", "e0", "e1", "e2"]);
+    let for_two_items = ordered(Some(2), 9);
+    let is_responsive = |id: &String| ["e3", "e4", "e5"].contains(&id.as_str());
+    assert_eq!(for_two_items.len(), 1);
+    assert!(for_two_items.iter().all(is_responsive), "{for_two_items:?}");
+}
+
 // Guards against a model whose engines are mostly slow: they load nothing, and the model
 // gets others.
 #[test]
--- a/tests/rollout_load_plan.rs
+++ b/tests/rollout_load_plan.rs
@@ -24,6 +24,7 @@
         loading: false,
         blocked: false,
         slow: false,
+        unanswered: 0,
         running_requests: 0,
         pace: Some(if n < fast { FAST } else { USUAL }),
     });
