--- /dev/null
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -0,0 +1,38 @@
+//! Items of open batches that wait at no engine although engines have room.
+
+mod gateway_world;
+
+use gateway_world::{
+    Gateway, World,
+    batches::{check_whole, results, submit},
+    submission, until,
+};
+use hibiscusroad_standins::{http::ANY_LOOPBACK_PORT, relay::Relay};
+use rustix::process::Signal;
+use std::time::Duration;
+
+// Guards against an owner that keeps the version of its head from before another process had it.
+#[test]
+fn owner_that_gets_its_batch_back_lists_its_results() {
+    let mut world = World::start("returned");
+    let relay = Relay::start(ANY_LOOPBACK_PORT, world.store.addr()).unwrap();
+    let first = Gateway::start(&world.dir, "gateway-cut", relay.addr(), "");
+    world.gateways.push(first);
+    let [_desk, engine] = world.start_gateways(1);
+    world.wait_ready(1);
+    world.gateways[1].line("Peers are known");
+    engine.set_work_duration(Duration::from_millis(100));
+    engine.set_event_count(40);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    until("items run", || (engine.runs().len() == 2).then_some(()));
+    relay.drop_traffic();
+    world.gateways[0].signal(Signal::STOP);
+    world.gateways[1].line("A batch is run here.");
+    world.gateways[1].signal(Signal::TERM);
+    let handover = world.gateways[1].line("A batch is handed on.");
+    assert!(handover["to"].as_str().unwrap().starts_with("gateway-cut/"));
+    world.gateways[1].wait();
+    relay.restore_traffic();
+    world.gateways[0].signal(Signal::CONT);
+    check_whole(&results(&world, 0, "b1", 2), 40);
+}
