--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -36,3 +36,33 @@
     world.gateways[0].signal(Signal::CONT);
     check_whole(&results(&world, 0, "b1", 2), 40);
 }
+
+// Guards against a dispatcher that panics, after which its owner starts no item but stays alive.
+#[test]
+fn items_start_after_many_texts_whose_hints_are_zero() {
+    let (world, _desk, engine) = World::ready("zero-hints", 2);
+    engine.set_work_duration(Duration::from_millis(2));
+    let with_hints = |step: u64, items: usize, hint: &dyn Fn(usize) -> u32| {
+        let mut body = submission(step, 1, items, 1);
+        for (n, item) in body["requests"]
+            .as_array_mut()
+            .unwrap()
+            .iter_mut()
+            .enumerate()
+        {
+            item["headers"]["X-Length-Hint"] = hint(n).to_string().into();
+            item["tokens"] = u32::MAX.into();
+        }
+        body
+    };
+    let first = with_hints(1, 8, &|_| 1);
+    assert_eq!(submit(&world, 0, "b1", &first).status, 202);
+    results(&world, 0, "b1", 8);
+    // The mean tokens of an event approach zero.
+    let zeros = with_hints(2, 600, &|_| 0);
+    assert_eq!(submit(&world, 0, "b2", &zeros).status, 202);
+    results(&world, 0, "b2", 600);
+    let long = with_hints(3, 2, &|_| u32::MAX);
+    assert_eq!(submit(&world, 0, "b3", &long).status, 202);
+    check_whole(&results(&world, 1, "b3", 2), 8);
+}
