--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -7,9 +7,58 @@
     batches::{check_whole, results, submit},
     submission, until,
 };
-use hibiscusroad_standins::{http::ANY_LOOPBACK_PORT, relay::Relay};
+use hibiscusroad_standins::{
+    direct::{Behaviour, Endpoint},
+    http::ANY_LOOPBACK_PORT,
+    relay::Relay,
+};
 use rustix::process::Signal;
-use std::time::Duration;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Longest time for which an item may be at no engine.
+const MAX_STANDING: Duration = Duration::from_secs(5);
+/// Broken connections after which a request is quarantined.
+const CRASH_LIMIT: usize = 3;
+/// Time in which a run makes its first events.
+const FIRST_EVENTS: Duration = Duration::from_millis(250);
+
+// Guards against an innocent item that is held because living engines broke off its streams.
+#[test]
+fn item_whose_streams_living_engines_broke_off_runs_again_within_its_step() {
+    let (world, _desk, first) = World::ready("broken-off", 1);
+    let mut engines = vec![first];
+    for n in 1..=CRASH_LIMIT {
+        engines.push(world.endpoint("guide-lm", &format!("i-lm-{n}"), &["guide"]));
+    }
+    for engine in &engines {
+        engine.set_work_duration(Duration::from_millis(40));
+        engine.set_event_count(60);
+    }
+    thread::sleep(FIRST_EVENTS);
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 1)).status, 202);
+    let mut broken = Vec::new();
+    for _ in 0..CRASH_LIMIT {
+        let running = until("the item runs", || {
+            let is_running = |engine: &&Endpoint| engine.runs().iter().any(|run| !run.is_complete);
+            engines.iter().position(|engine| is_running(&engine))
+        });
+        thread::sleep(FIRST_EVENTS);
+        let engine = engines.remove(running);
+        engine.set_behaviour(Behaviour::Refusing);
+        engine.relay().cut_all();
+        broken.push(engine);
+    }
+    let start = Instant::now();
+    let standing = until("the item runs again", || {
+        let is_running = engines.iter().any(|engine| !engine.runs().is_empty());
+        is_running.then(|| start.elapsed())
+    });
+    assert!(standing < MAX_STANDING, "the item stood for {standing:?}");
+    check_whole(&results(&world, 0, "b1", 1), 60);
+}
 
 // Guards against an owner that keeps the version of its head from before another process had it.
 #[test]
