--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 mod crashes;
 mod data_centres;
 mod duty;
+mod engine_calls;
 mod evacuation;
 mod exposition;
 mod failure;
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -4,31 +4,19 @@
     FailedLoad, REPORT_INTERVAL, Weights,
     order::{LOAD_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY},
 };
-use crate::{
-    gateway::http::{Fault, encode},
-    logs::WEIGHTS,
-};
+use crate::{gateway::engine_calls::CallError, logs::WEIGHTS};
 use hibiscusroad::{
     clock::millis,
     rollout::{LoadOrder, OrderAnswer, load_plan::WeightLoad},
     roster::Endpoint,
 };
-use hibiscusroad_platform::{
-    engine::{self, Report},
-    request::Request as Wire,
-};
-use http_body_util::BodyExt;
-use hyper::body::Bytes;
+use hibiscusroad_platform::engine::{self, Report};
 use std::{
-    error::Error,
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout_at};
 
-/// Time limit of a call to an engine, which answers in milliseconds, a slow one in some hundred.
-/// The lease outlasts several such calls.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for a load after which the engine is asked for a report, if it has not registered the
 /// new weights.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_200);
@@ -47,17 +35,6 @@
     Unanswered,
 }
 
-/// Why an engine did not answer a call.
-#[derive(Debug, thiserror::Error)]
-enum CallError {
-    /// The call was not sent, since the data centre of the engine is evacuated.
-    #[error("the data centre is evacuated")]
-    Evacuated,
-    /// The call may have been executed.
-    #[error("{0}")]
-    Lost(String),
-}
-
 impl Weights {
     /// Orders an engine to load a version, and waits until the engine runs it. The order is
     /// sent before `valid_until`, or not at all.
@@ -116,7 +93,7 @@
         let known_count = self.order_counts.borrow_mut().remove(&load.endpoint);
         let order_count = match known_count {
             Some(order_count) => order_count,
-            None => match self.fetch_report(&endpoint).await {
+            None => match self.calls.fetch_report(&endpoint).await {
                 Some(report) if self.record_report(load, &report) => return LoadOutcome::Done,
                 Some(report) if !report.busy => report.orders,
                 Some(_) => return LoadOutcome::Failed,
@@ -142,7 +119,10 @@
         let mut weights = endpoint.weights.iter();
         let previous = weights.find(|weights| weights.model == load.model);
         let previous = previous.map_or(0, |weights| weights.version);
-        let answer = self.call(&endpoint, engine::order_request(&order)).await;
+        let answer = self
+            .calls
+            .call(&endpoint, engine::order_request(&order))
+            .await;
         if matches!(answer, Err(CallError::Evacuated)) {
             log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(),
                 model = load.model.as_str(), version = load.version,
@@ -212,7 +192,7 @@
             if current.evacuated {
                 continue;
             }
-            let Some(report) = self.fetch_report(endpoint).await else {
+            let Some(report) = self.calls.fetch_report(endpoint).await else {
                 return LoadOutcome::Unanswered;
             };
             if self.record_report(load, &report) {
@@ -244,57 +224,4 @@
         drop(reported);
         self.batches.record_version(endpoint, model, version);
     }
-
-    async fn fetch_report(&self, endpoint: &Endpoint) -> Option<Report> {
-        let (status, body) = self
-            .call(endpoint, engine::report_request(&endpoint.id))
-            .await
-            .ok()?;
-        match engine::decode_report(status, &body) {
-            Ok(report)
-                if report.started_ms.is_some() && report.started_ms != endpoint.started_ms =>
-            {
-                log::info!(target: WEIGHTS, endpoint = endpoint.id.as_str(),
-                    born:? = report.started_ms, known:? = endpoint.started_ms;
-                    "A report is of another incarnation of the engine.");
-                None
-            }
-            Ok(report) => Some(report),
-            Err(error) => {
-                log::warn!(target: WEIGHTS, endpoint = endpoint.id.as_str(),
-                    error = error.to_string().as_str(); "A report can't be decoded.");
-                None
-            }
-        }
-    }
-
-    async fn call(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), CallError> {
-        let answer = timeout(CALL_TIMEOUT, self.exchange(endpoint, wire)).await;
-        let answer = answer.unwrap_or_else(|_elapsed| Err(CallError::Lost("timed out".to_owned())));
-        if let Err(error) = &answer {
-            log::info!(target: WEIGHTS, endpoint = endpoint.id.as_str(),
-                error = error.to_string().as_str(); "An engine did not answer.");
-        }
-        answer
-    }
-
-    async fn exchange(&self, endpoint: &Endpoint, wire: Wire) -> Result<(u16, Bytes), CallError> {
-        let lost = |error: &dyn Error| CallError::Lost(error.to_string());
-        let request = encode(&wire, endpoint.address).map_err(|error| lost(&error))?;
-        let data_centre = endpoint.data_centre.as_str().into();
-        let start = || {
-            let running = self.data_centres.enter(&data_centre);
-            running.ok_or(Fault::Evacuated)
-        };
-        let sent = self.pool.send_to_endpoint(endpoint.address, request, start);
-        let (response, connection) = sent.await.map_err(|fault| match fault {
-            Fault::Evacuated => CallError::Evacuated,
-            Fault::Connect(_) | Fault::Broken(_) | Fault::Withheld => lost(&fault),
-        })?;
-        let status = response.status().as_u16();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| lost(&error))?;
-        self.pool.return_to_pool(connection, None);
-        Ok((status, body.to_bytes()))
-    }
 }
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -14,9 +14,9 @@
 mod order;
 
 use super::{
-    batches::Batches, data_centres::DataCentres, duty::Duty, http::ConnectionPool,
-    known_config::KnownConfig, lease_row::DUTIES_TABLE, meters::Meters, store::Store,
-    sync::EndpointRoster,
+    batches::Batches, data_centres::DataCentres, duty::Duty, engine_calls::EngineCalls,
+    http::ConnectionPool, known_config::KnownConfig, lease_row::DUTIES_TABLE, meters::Meters,
+    store::Store, sync::EndpointRoster,
 };
 use hibiscusroad::{
     rollout::{
@@ -60,8 +60,7 @@
     known: Rc<KnownConfig>,
     members: Rc<EndpointRoster>,
     batches: Rc<Batches>,
-    pool: Rc<ConnectionPool>,
-    data_centres: Rc<DataCentres>,
+    calls: EngineCalls,
     meters: Rc<Meters>,
     /// Engines that get no other order until this time, since they load.
     reserved: RefCell<HashMap<String, Instant>>,
@@ -113,8 +112,7 @@
             known: dependencies.known,
             members: dependencies.members,
             batches: dependencies.batches,
-            pool: dependencies.pool,
-            data_centres: dependencies.data_centres,
+            calls: EngineCalls::new(dependencies.pool, dependencies.data_centres),
             meters: dependencies.meters,
             reserved: RefCell::default(),
             failed: RefCell::default(),
