Void the crash of an endpoint that answers a later request

Callers saw LOST: an item of a step was at no engine for 12 s, over two steps, while engines had room. Cause: a connection that an endpoint breaks off counts as its crash at once, and was refuted only 20 s later, longer than a step of 12 s. After three of them the item is in quarantine, and nothing is written while it is held. Texts that take long are in flight at most breaks; their neighbours are answered and cleared meanwhile, which makes them the cause beyond doubt. Class of fault: a guess that is right about dead endpoints is kept although a living one has refuted it.

The answer of an endpoint to a request that was sent later shows that it lives, and voids the crashes before at all gateways; should it end within 10 s, they count again. For a held item, whose engines nobody else may use, the engines are asked for their report.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -333,6 +333,10 @@
         return Done::Failed(ErrorKind::EndpointBroken, None);
     }
     let status = parts.status;
+    // Another endpoint at the same address answers that the request is misdirected.
+    if echo.is_some() && status != StatusCode::MISDIRECTED_REQUEST {
+        in_flight.mark_alive();
+    }
     if parts.headers.contains_key(header::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
         in_flight.mark_survived();
         // The body is read only to reuse the connection.
--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -6,13 +6,13 @@
 
 use super::{
     Batches, OwnedBatch, placement,
+    quarantine::CHECK_INTERVAL,
     slot::{ItemStart, Slot},
 };
 use crate::{gateway::calls::pick_service, logs::BATCHES};
 use hibiscusroad::{
     catalog::{Kind, Route},
     clock::millis,
-    quarantine::Verdict,
     rollout::{
         batch::Interruption,
         engines::{EngineKey, Requirements},
@@ -34,8 +34,6 @@
 /// Time between two tries to start drafts that wait. An engine that has loaded weights is
 /// blocked for a time, and the end of that causes no event.
 const DRAFT_RETRY_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two checks whether the quarantine of an item has ended.
-const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Batches {
     /// Starts items for as long as the process runs.
@@ -108,7 +106,7 @@
     /// Returns the item of a batch that starts next among the allowed ones, and holds those
     /// that are in quarantine.
     pub(super) fn next_item(
-        &self,
+        self: &Rc<Self>,
         now: Instant,
         owned: &OwnedBatch,
         is_allowed: impl Fn(usize) -> bool,
@@ -118,10 +116,11 @@
             if !self.is_quarantined(owned, index) {
                 return Some(index);
             }
+            self.check_crashes(owned, index);
             owned
                 .batch
                 .borrow_mut()
-                .hold_until(index, now + QUARANTINE_CHECK_INTERVAL);
+                .hold_until(index, now + CHECK_INTERVAL);
         }
     }
 
@@ -141,18 +140,6 @@
         true
     }
 
-    /// Returns whether an item is in quarantine because engines crash while they run it.
-    ///
-    /// The item is held and not errored: it may run again when its quarantine ends.
-    pub(super) fn is_quarantined(&self, owned: &OwnedBatch, index: usize) -> bool {
-        let crashes = &self.context.crashes;
-        if !crashes.has_evidence() {
-            return false;
-        }
-        let subject = owned.subject(&owned.submission.items[index]);
-        matches!(crashes.verdict(&subject), Verdict::Quarantined(_))
-    }
-
     /// Discards the text of a waiting item if no engine has the weight version that it
     /// must be continued with.
     ///
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -37,7 +37,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::{
-    Response,
+    Response, StatusCode,
     body::{Bytes, Frame, Incoming},
     header::HeaderName,
 };
@@ -358,6 +358,11 @@
                 Fault::Connect(_) | Fault::Broken(_) => Interruption::Lost,
             }
         })?;
+        let echo = text(response.headers(), header::REQUEST);
+        let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if echo.is_some_and(|echo| echo == head.id) && !is_other {
+            flight.mark_alive();
+        }
         if let Err(cause) = self.check_response(head, &endpoint.id, &response) {
             flight.mark_survived();
             return Err(cause);
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -17,6 +17,7 @@
 mod owner;
 mod pieces;
 mod placement;
+mod quarantine;
 mod read;
 mod regions;
 mod score;
@@ -27,11 +28,12 @@
 mod transfer;
 
 use super::{
-    attempt::AttemptContext, known_config::KnownConfig, peers::Directory, store::Store,
-    sync::EndpointRoster,
+    attempt::AttemptContext, engine_calls::EngineCalls, known_config::KnownConfig,
+    peers::Directory, store::Store, sync::EndpointRoster,
 };
 use crate::settings::Gateway as GatewaySettings;
 use hibiscusroad::{
+    quarantine::EndpointIncarnation,
     rollout::{
         Submission,
         batch::Batch,
@@ -46,7 +48,7 @@
 };
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -83,6 +85,9 @@
     members: Rc<EndpointRoster>,
     known: Rc<KnownConfig>,
     engines: RefCell<Engines>,
+    engine_calls: EngineCalls,
+    /// Engines that are being asked whether they live.
+    checked_engines: RefCell<HashSet<EndpointIncarnation>>,
     heads: RefCell<HashMap<String, HeadRow>>,
     /// The batches that this process runs.
     owned: RefCell<HashMap<String, Rc<OwnedBatch>>>,
@@ -180,6 +185,8 @@
         let engines = Engines::new()
             .contention(settings.contention())
             .topology(context.calls.topology().clone());
+        let engine_calls =
+            EngineCalls::new(Rc::clone(&context.pool), Rc::clone(&context.data_centres));
         Self {
             incarnation: holder.to_owned(),
             directory,
@@ -192,6 +199,8 @@
             members,
             known,
             engines: RefCell::new(engines),
+            engine_calls,
+            checked_engines: RefCell::default(),
             heads: RefCell::default(),
             owned: RefCell::default(),
             submissions: RefCell::default(),
--- a/hibiscusroad-daemon/src/gateway/crashes/flight.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/flight.rs
@@ -3,7 +3,12 @@
 use super::{Crashes, Subject};
 use crate::gateway::http::Fault;
 use hibiscusroad::quarantine::EndpointIncarnation;
-use std::{error::Error, io, rc::Rc, time::Instant};
+use std::{
+    error::Error,
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// A request in flight at an endpoint.
 ///
@@ -15,6 +20,8 @@
     incarnation: EndpointIncarnation,
     /// It was sent, and its outcome is not known.
     unresolved: bool,
+    /// When it was last sent, by the store's clock.
+    sent_at: Duration,
 }
 
 impl Crashes {
@@ -29,6 +36,7 @@
             subject: Rc::clone(subject),
             incarnation,
             unresolved: false,
+            sent_at: Duration::ZERO,
         }
     }
 
@@ -53,6 +61,12 @@
     /// Records that the request is being written to an open connection.
     pub(in crate::gateway) fn mark_sent(&mut self) {
         self.unresolved = true;
+        self.sent_at = self.crashes.now();
+    }
+
+    /// Records that the endpoint began to answer the request, so it lives.
+    pub(in crate::gateway) fn mark_alive(&self) {
+        self.crashes.record_life(&self.incarnation, self.sent_at);
     }
 
     /// Records that the request was answered, and removes the evidence against it.
--- a/hibiscusroad-daemon/src/gateway/crashes/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/mod.rs
@@ -176,6 +176,49 @@
         self.update_quarantines();
     }
 
+    /// Records that an endpoint has answered a request that was sent at a time of the store's clock.
+    ///
+    /// The crashes before are void. They count again if it ends soon: an endpoint may answer
+    /// others for a moment while it ends.
+    pub(super) fn record_life(&self, incarnation: &EndpointIncarnation, sent_at: Duration) {
+        if !self.has_evidence() || self.unresolved.borrow().has_ended(incarnation) {
+            return;
+        }
+        let crashes = self.ledger.borrow_mut().refute(incarnation, sent_at);
+        if crashes.is_empty() {
+            return;
+        }
+        log::info!(target: CALLS, endpoint = incarnation.endpoint.as_str(), crashes = crashes.len();
+            "Crashes are void: the endpoint answers requests that were sent later.");
+        let void = self.meters.crashes.with_label_values(&["void"]);
+        void.inc_by(crashes.len() as u64);
+        for crash in crashes {
+            self.queue_write(crash.row(), None);
+            let Crash {
+                request,
+                incarnation,
+                path,
+                ..
+            } = crash;
+            let mut unresolved = self.unresolved.borrow_mut();
+            unresolved.add(Instant::now(), request, incarnation, path);
+        }
+        self.update_quarantines();
+    }
+
+    /// Returns the endpoints that are registered and count as ended under a request.
+    pub(super) fn doubtful_endpoints(&self, subject: &Subject) -> Vec<EndpointIncarnation> {
+        let ledger = self.ledger.borrow();
+        let crashes = ledger.crashes_of(subject.fingerprint());
+        let endpoints = self.endpoints.borrow();
+        let is_registered = |incarnation: &&EndpointIncarnation| {
+            let state = endpoints.get(&incarnation.endpoint);
+            state.is_some_and(|state| state.started_ms == incarnation.started_ms)
+        };
+        let doubtful = crashes.map(|crash| &crash.incarnation);
+        doubtful.filter(is_registered).cloned().collect()
+    }
+
     /// Removes the evidence against a request that was answered.
     fn remove_evidence(&self, subject: &Subject) {
         if self.ledger.borrow().is_empty() && self.unresolved.borrow().is_empty() {
@@ -221,7 +264,7 @@
     }
 
     /// Returns the store's steady clock, which is known before any request is served.
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.store.now().unwrap_or_default()
     }
 }
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -1,6 +1,8 @@
 //! Recorded crashes, and the verdicts on requests that follow from them.
 
-use super::{AMBIGUITY_MARGIN, Crash, EndpointIncarnation, Fingerprint, REFUTATION_DELAY};
+use super::{
+    AMBIGUITY_MARGIN, Crash, EndpointIncarnation, Fingerprint, ORDER_MARGIN, REFUTATION_DELAY,
+};
 use crate::table::RowId;
 use slotmap::{SlotMap, new_key_type};
 use std::{
@@ -117,6 +119,24 @@
             .collect()
     }
 
+    /// Removes the crashes of an incarnation that has answered a request sent at `sent_at`, as
+    /// far as they are from before, and returns them.
+    pub fn refute(&mut self, incarnation: &EndpointIncarnation, sent_at: Duration) -> Vec<Crash> {
+        let keys = self.by_incarnation.get(incarnation);
+        let is_earlier = |key: &CrashKey| self.crashes[*key].at + ORDER_MARGIN <= sent_at;
+        let keys: Vec<CrashKey> = keys
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(is_earlier)
+            .collect();
+        let crashes = keys.iter().map(|key| self.crashes[*key].clone()).collect();
+        for key in keys {
+            self.remove_key(key);
+        }
+        crashes
+    }
+
     /// Returns whether a crash is too old to count.
     #[must_use]
     pub fn is_expired(&self, now: Duration, crash: &Crash) -> bool {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -18,8 +18,9 @@
 //!   disconnect first.
 //!
 //! Connections also break for other reasons. So an answer clears the request, and a crash is
-//! void if its endpoint stays registered while updates about endpoints arrive without a gap
-//! ([`UpdateContinuity`]).
+//! void if its endpoint lives: if it answers any request that was sent later, or stays registered
+//! while updates about endpoints arrive without a gap ([`UpdateContinuity`]). Should an endpoint
+//! that answers end soon after, the crash counts again.
 //!
 //! The trade-off: until the evidence separates the cause from its neighbours, all of them
 //! are run again. A quarantine after the first crash would save endpoints and refuse every
@@ -53,6 +54,9 @@
 /// Age from which a crash is void if its endpoint is still registered. The entry of an
 /// endpoint that ended expires well before, also after an outage of the store.
 pub const REFUTATION_DELAY: Duration = Duration::from_secs(20);
+/// Difference between the time of a crash and that of a later request, above which the request is
+/// known to be later: clocks of processes differ by less.
+pub const ORDER_MARGIN: Duration = Duration::from_millis(250);
 /// How long an unresolved attempt is kept: the entry of an ended endpoint expires within
 /// this time.
 pub const UNRESOLVED_TTL: Duration = Duration::from_secs(10);
--- a/src/quarantine/unresolved.rs
+++ b/src/quarantine/unresolved.rs
@@ -67,6 +67,12 @@
         false
     }
 
+    /// Returns whether an incarnation is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, incarnation: &EndpointIncarnation) -> bool {
+        self.ended.contains_key(incarnation)
+    }
+
     /// Records that an incarnation has ended; removes its attempts and returns their requests
     /// and paths.
     pub fn record_end(
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -67,6 +67,39 @@
     }
 }
 
+// Guards against innocent requests that are held because connections to living endpoints broke.
+#[test]
+fn later_answer_of_an_endpoint_voids_its_earlier_crashes() {
+    let mut ledger = Ledger::new(CRASH_LIMIT, CRASH_TTL);
+    let request = Fingerprint::of(&REQUEST);
+    let second = Duration::from_secs(1);
+    let incarnation = |n: usize| EndpointIncarnation {
+        endpoint: format!("e{n}"),
+        started_ms: None,
+    };
+    for n in 0..CRASH_LIMIT {
+        ledger.add(Crash {
+            request,
+            incarnation: incarnation(n),
+            at: second,
+            path: String::new(),
+        });
+    }
+    let verdict = |ledger: &Ledger| ledger.verdict(second, request);
+    assert!(matches!(verdict(&ledger), Verdict::Quarantined(_)));
+    assert!(ledger.refute(&incarnation(0), second).is_empty());
+    assert!(
+        ledger
+            .refute(&incarnation(CRASH_LIMIT), second * 2)
+            .is_empty()
+    );
+    assert!(matches!(verdict(&ledger), Verdict::Quarantined(_)));
+    let void = ledger.refute(&incarnation(0), second * 2);
+    assert_eq!(void.len(), 1);
+    assert_eq!(verdict(&ledger), Verdict::Suspect);
+    assert_eq!(ledger.crashes_of(request).count(), CRASH_LIMIT - 1);
+}
+
 #[test]
 fn fingerprint_round_trips_through_text() {
     let fingerprint = Fingerprint::of(&REQUEST);
