--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -3,16 +3,17 @@
 mod gateway_world;
 
 use gateway_world::{
-    Gateway, World,
-    batches::{check_whole, results, submit},
+    Gateway, HOST, World,
+    batches::{batches_run_by, check_whole, results, submit},
     submission, until,
 };
 use hibiscusroad_standins::{
     direct::{Behaviour, Endpoint},
     http::ANY_LOOPBACK_PORT,
-    relay::Relay,
+    relay::{Direction, Relay},
 };
 use rustix::process::Signal;
+use serde_json::json;
 use std::{
     thread,
     time::{Duration, Instant},
@@ -86,6 +87,33 @@
     check_whole(&results(&world, 0, "b1", 2), 40);
 }
 
+// Guards against a batch that is given up because its owner learns late of its route.
+#[test]
+fn batch_whose_route_its_owner_learns_late_is_not_given_up() {
+    let mut world = World::start("late-route");
+    let relay = Relay::start(ANY_LOOPBACK_PORT, world.store.addr()).unwrap();
+    let first = Gateway::start(&world.dir, "gateway-cut", relay.addr(), "");
+    world.gateways.push(first);
+    let [_desk, engine] = world.start_gateways(1);
+    world.wait_ready(1);
+    engine.set_work_duration(Duration::from_millis(10));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    results(&world, 0, "b1", 2);
+    // Calls reach the store, but the answers to those under way don't arrive.
+    relay.silence(Direction::Back);
+    let route = json!({ "name": "new", "hostname": HOST, "prefix": "/new/", "type": "rollout",
+        "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 0, "service": "guide-lm",
+        "maxAttempts": 3, "dueMs": 7500, "itemTtlS": 30 });
+    world.configure(2, &[route]);
+    let body = submission(2, 1, 1, 2).to_string();
+    until("the route is known at the other gateway", || {
+        let answer = world.gateways[1].call("POST", "/new/step", "b2", body.as_bytes());
+        (answer.status == 202).then_some(())
+    });
+    check_whole(&results(&world, 1, "b2", 2), 8);
+    assert_eq!(batches_run_by(&world, 0), ["b1", "b2"]);
+}
+
 // Guards against a dispatcher that panics, after which its owner starts no item but stays alive.
 #[test]
 fn items_start_after_many_texts_whose_hints_are_zero() {
