--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -15,6 +15,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 use std::{
+    collections::BTreeSet,
     thread,
     time::{Duration, Instant},
 };
@@ -87,6 +88,26 @@
     check_whole(&results(&world, 0, "b1", 2), 40);
 }
 
+// Guards against an item that is given up while it runs and is listed again when its run ends.
+#[test]
+fn item_that_is_given_up_while_it_runs_is_listed_once() {
+    let (world, _desk, engine) = World::ready("given-up", 1);
+    let route = json!({ "name": "brief", "hostname": HOST, "prefix": "/brief/", "type": "rollout",
+        "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 0, "service": "guide-lm",
+        "maxAttempts": 3, "dueMs": 1000, "itemTtlS": 1 });
+    world.configure(2, &[route]);
+    engine.set_work_duration(Duration::from_millis(20));
+    let (groups, group_size) = (30, 4);
+    let body = submission(1, 1, groups, group_size).to_string();
+    until("the route is known", || {
+        let answer = world.gateways[0].call("POST", "/brief/step", "b1", body.as_bytes());
+        (answer.status == 202).then_some(())
+    });
+    let found = results(&world, 0, "b1", groups * group_size);
+    let ids: BTreeSet<&str> = found.iter().map(|it| it["id"].as_str().unwrap()).collect();
+    assert_eq!(ids.len(), found.len(), "an item is listed twice");
+}
+
 // Guards against a batch that is given up because its owner learns late of its route.
 #[test]
 fn batch_whose_route_its_owner_learns_late_is_not_given_up() {
