--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -164,3 +164,29 @@
     assert_eq!(submit(&world, 0, "b3", &long).status, 202);
     check_whole(&results(&world, 1, "b3", 2), 8);
 }
+
+// Guards against a batch that is handed to a process without a configuration, which is alive.
+#[test]
+fn batch_handed_to_a_process_without_a_configuration_runs_elsewhere() {
+    let (mut world, _desk, engine) = World::ready("unready", 2);
+    engine.set_work_duration(Duration::from_millis(100));
+    engine.set_event_count(40);
+    world.store.stall_reads("op");
+    // Successors are the largest processes.
+    world.gateway_with("memory_mb = 4096\n");
+    until("the third process is known", || {
+        let rows = world.store.rows("members");
+        let is_third = |row: &(String, String, Vec<u8>)| row.1 == "gateway-3";
+        rows.iter().any(is_third).then_some(())
+    });
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    until("items run", || (engine.runs().len() == 2).then_some(()));
+    world.gateways[0].signal(Signal::TERM);
+    world.gateways[0].line("All batches are handed over");
+    let start = Instant::now();
+    let standing = until("the items run again", || {
+        (engine.runs().len() > 2).then(|| start.elapsed())
+    });
+    assert!(standing < MAX_STANDING, "the items stood for {standing:?}");
+    check_whole(&results(&world, 1, "b1", 2), 40);
+}
