Load a batch again that came back to its owner

Callers saw no result of a step any more. Cause: a batch went from its owner to another process and back, and the owner heard of the last change only, so it went on with the version that the head had before: each write of results conflicted, and was repeated for ever; where the other process had listed results, the lister ended. Class of fault: a tenure that is told by the owner's name alone.

A newer version of the head under the same owner, or stored results that the owner doesn't know, stop the run here and load the batch from the store.

--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -1,6 +1,6 @@
 //! The head rows of all batches, followed from the store's feed.
 
-use super::{Batches, HeadRow};
+use super::{Batches, HeadRow, OwnedBatch};
 use crate::{
     gateway::sync::{Position, Sink},
     logs::BATCHES,
@@ -73,11 +73,18 @@
                     owner = head.owner.as_str(), row = row.version;
                     "A batch is no longer run here.");
             }
-        } else if running.is_none() && !self.is_stopping.get() {
+        } else if let Some(owned) = running {
+            if owned.version.get() < row.version && !self.is_stopping.get() {
+                // Another process had the batch meanwhile, and may have listed results.
+                log::info!(target: BATCHES, batch = id, version = owned.version.get(),
+                    row = row.version; "A batch came back to its owner, which loads it again.");
+                self.reload(&owned);
+            }
+        } else if !self.is_stopping.get() {
             // Another process handed the batch over, or a write of this process was
             // carried out late.
             spawn_local(Rc::clone(self).adopt(id.to_owned(), head, row.version));
-        } else if running.is_none() {
+        } else {
             // The batch was handed over to this process, which is stopping too.
             let (batches, id) = (Rc::clone(self), id.to_owned());
             spawn_local(async move { batches.hand_over(&id).await });
@@ -85,6 +92,17 @@
         self.owners_changed.notify_one();
     }
 
+    /// Loads a batch again whose stored results differ from those that are known here.
+    pub(super) fn reload(self: &Rc<Self>, owned: &OwnedBatch) {
+        let Some(row) = self.head(&owned.id).filter(|row| self.is_own(&row.head)) else {
+            return;
+        };
+        self.owned.borrow_mut().remove(&owned.id);
+        owned.stop();
+        owned.drop_drafts();
+        spawn_local(Rc::clone(self).adopt(owned.id.clone(), row.head, row.version));
+    }
+
     /// Stores a head; returns `false` if this version or a newer one is known.
     pub(super) fn update_head(&self, id: &str, head: Head, version: u64) -> bool {
         let mut heads = self.heads.borrow_mut();
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -146,14 +146,19 @@
         if written == rows.len() {
             return ConflictOutcome::Written;
         }
-        let is_stopped = owned.is_stopped.get() || found.iter().any(|row| row.id != head);
-        if is_stopped {
+        if owned.is_stopped.get() {
             log::info!(target: BATCHES, batch = owned.id.as_str(), version = owned.version.get();
                 "Results could not be listed: the batch is no longer run here.");
-            ConflictOutcome::Stopped
-        } else {
-            ConflictOutcome::Retry
+            return ConflictOutcome::Stopped;
         }
+        if found.iter().all(|row| row.id == head) {
+            return ConflictOutcome::Retry;
+        }
+        // The read on which this process began was older than a write of the owner before.
+        log::info!(target: BATCHES, batch = owned.id.as_str(), version = owned.version.get();
+            "Results could not be listed: others are stored; the batch is loaded again.");
+        self.reload(owned);
+        ConflictOutcome::Stopped
     }
 
     /// Returns the row value of a result: the result itself, or the name of an object that
