Bound the expected duration of a text whose hints are zero

Callers saw all batches of a process stand still. Cause: hints of zero bring the mean tokens of an event towards zero; some 500 such texts later a duration was out of range, and the dispatcher panicked. One trainer can stop the batches of all. The sum was bounded at its other place (TextSpeed::remaining), which both use now.

--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -443,12 +443,9 @@
     /// `last` at one of the fastest engines; zero before any text was completed.
     #[must_use]
     pub fn expected_duration(&self, service: &str, hint: u32, last: u64) -> Duration {
-        let known = self.service_speed(service).zip(self.tokens_per_event);
-        let Some((speed, ratio)) = known.filter(|(_, ratio)| *ratio > 0.0) else {
-            return Duration::ZERO;
-        };
-        let events = (f64::from(hint) / ratio - last as f64).max(0.0);
-        Duration::from_secs_f64(events * speed.best)
+        let speed = self.service_speed(service);
+        let speed = speed.and_then(|speed| self.speed_of_texts(speed.best));
+        speed.map_or(Duration::ZERO, |speed| speed.remaining(hint, last))
     }
 
     /// Records that an item was sent to an engine.
--- a/src/rollout/engines/speed.rs
+++ b/src/rollout/engines/speed.rs
@@ -102,10 +102,15 @@
         }
         let (_, best, _) = paces.select_nth_unstable_by(position, f64::total_cmp);
         let best = *best;
-        let ratio = self.tokens_per_event.filter(|ratio| *ratio > 0.0)?;
+        self.speed_of_texts(best)
+    }
+
+    /// Returns how long texts take at engines of this pace in seconds per event.
+    pub(super) fn speed_of_texts(&self, event_seconds: f64) -> Option<TextSpeed> {
+        let tokens_per_event = self.tokens_per_event.filter(|ratio| *ratio > 0.0)?;
         Some(TextSpeed {
-            event_seconds: best,
-            tokens_per_event: ratio,
+            event_seconds,
+            tokens_per_event,
         })
     }
 
