Start background tasks again that panic

Class of fault: a sign of life of the process that doesn't vouch for its work. The tasks that run batches, follow tables, hold the duty and load weights start again 0.2 s later. Ending the process in place of that was weighed: a batch that causes the panic would then end one process after the other.

--- a/hibiscusroad-daemon/src/gateway/batches/loads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/loads.rs
@@ -50,7 +50,7 @@
             } else {
                 log::debug!(target: BATCHES, "The orders of weights are followed.");
                 tokio::select! {
-                    () = follow(Rc::clone(&self.store), orders_sink(&self)) => {}
+                    () = follow(Rc::clone(&self.store), Rc::new(orders_sink(&self))) => {}
                     () = self.orders_unneeded() => {}
                 }
                 log::debug!(target: BATCHES, "The orders of weights are no longer followed.");
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -109,7 +109,7 @@
     runtime,
     signal::unix::{SignalKind, signal},
     task::{LocalSet, spawn_local},
-    time::{interval, timeout},
+    time::{interval, sleep, timeout},
 };
 
 /// Interval at which the settings file is checked for changes.
@@ -117,6 +117,9 @@
 /// Timeout of handing over batches and releasing the lease in a planned stop.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Delay before a task that has panicked is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(200);
+
 /// The parts of a gateway.
 struct Gateway {
     known: Rc<KnownConfig>,
@@ -405,7 +408,10 @@
         crashes::sink(Rc::clone(&context.crashes)),
     ];
     for sink in sinks {
-        spawn_local(sync::follow(Rc::clone(store), sink));
+        let (store, sink) = (Rc::clone(store), Rc::new(sink));
+        spawn_supervised(sink.table, move || {
+            sync::follow(Rc::clone(&store), Rc::clone(&sink))
+        });
     }
     let (calls, expiring) = (Rc::clone(&context.calls), Rc::clone(members));
     let prober = Rc::clone(store);
@@ -418,15 +424,9 @@
     }));
     spawn_local(async move { calls.run().await });
     spawn_local(async move { expiring.run_expiry().await });
-    spawn_local(Rc::clone(batches).announce());
-    spawn_local(Rc::clone(batches).renew_heartbeat());
-    spawn_local(Rc::clone(batches).watch_owners());
-    spawn_local(Rc::clone(batches).dispatch());
-    spawn_local(Rc::clone(batches).report_idle());
-    spawn_local(Rc::clone(batches).sweep());
-    spawn_local(Rc::clone(batches).share_paces());
-    spawn_local(Rc::clone(batches).follow_orders());
-    spawn_local(Rc::clone(weights).run());
+    spawn_batch_tasks(batches);
+    let loading = Rc::clone(weights);
+    spawn_supervised("weights", move || Rc::clone(&loading).run());
     spawn_local(Rc::clone(usage).run_writer());
     spawn_local(Rc::clone(&context.crashes).run_writer());
     spawn_local(Rc::clone(&context.crashes).run_expiry());
@@ -435,14 +435,54 @@
         store.on_recovery(move || recovered.record_store_return());
         spawn_local(Rc::clone(reporter).run());
     }
-    let (weights, reporter) = (Rc::clone(weights), reporter.clone());
-    let needed = move || {
-        weights.is_needed()
-            || reporter
-                .as_ref()
-                .is_some_and(|reporter| reporter.is_needed())
-    };
-    spawn_local(Rc::clone(duty).run(needed));
+    let (duty, weights, reporter) = (Rc::clone(duty), Rc::clone(weights), reporter.clone());
+    spawn_supervised("duty", move || {
+        let (weights, reporter) = (Rc::clone(&weights), reporter.clone());
+        let needed = move || {
+            let is_reporting = reporter.as_ref().is_some_and(|it| it.is_needed());
+            weights.is_needed() || is_reporting
+        };
+        Rc::clone(&duty).run(needed)
+    });
+}
+
+/// Starts the tasks without which batches stand still while their owner seems to be alive.
+fn spawn_batch_tasks(batches: &Rc<Batches>) {
+    let all = Rc::clone(batches);
+    spawn_supervised("announce", move || Rc::clone(&all).announce());
+    let all = Rc::clone(batches);
+    spawn_supervised("heartbeat", move || Rc::clone(&all).renew_heartbeat());
+    let all = Rc::clone(batches);
+    spawn_supervised("owners", move || Rc::clone(&all).watch_owners());
+    let all = Rc::clone(batches);
+    spawn_supervised("dispatch", move || Rc::clone(&all).dispatch());
+    let all = Rc::clone(batches);
+    spawn_supervised("idle", move || Rc::clone(&all).report_idle());
+    let all = Rc::clone(batches);
+    spawn_supervised("sweep", move || Rc::clone(&all).sweep());
+    let all = Rc::clone(batches);
+    spawn_supervised("paces", move || Rc::clone(&all).share_paces());
+    let all = Rc::clone(batches);
+    spawn_supervised("orders", move || Rc::clone(&all).follow_orders());
+}
+
+/// Runs a task, and starts it again if it panics.
+///
+/// The process could also end, and others would take its batches over, but a batch that causes
+/// the panic would then end one process after the other.
+fn spawn_supervised<F>(name: &'static str, start: impl Fn() -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    spawn_local(async move {
+        while let Err(error) = spawn_local(start()).await {
+            if !error.is_panic() {
+                return;
+            }
+            log::error!(target: PROCESS, task = name; "A task is started again after a panic.");
+            sleep(RESTART_DELAY).await;
+        }
+    });
 }
 
 /// Reloads the settings on `SIGHUP` and when the file has changed.
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -60,7 +60,7 @@
 pub(super) type Position = Rc<Cell<Option<u64>>>;
 
 /// Follows a table until the process ends.
-pub(super) async fn follow(store: Rc<Store>, sink: Sink) {
+pub(super) async fn follow(store: Rc<Store>, sink: Rc<Sink>) {
     let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
     loop {
         let step = match sink.position.get() {
