List an item once that is given up while it runs

The end of a run overwrote the state of its item, also if that was given up or listed meanwhile: 123 results for 120 items.

--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -447,7 +447,8 @@
         last.filter(|_| self.single_version)
     }
 
-    /// Records that a run was interrupted; `before` is the last event before the run.
+    /// Records that a run was interrupted, unless its item was given up; `before` is the last
+    /// event before the run.
     pub fn record_interruption(
         &mut self,
         now: Instant,
@@ -455,6 +456,9 @@
         before: Option<u64>,
         cause: Interruption,
     ) {
+        if !self.is_running(idx) {
+            return;
+        }
         if !self.has_usable_text(idx) {
             self.discard_text(idx);
         }
@@ -485,8 +489,11 @@
     }
 
     /// Records that an item's text is complete; returns `false` if the item has to run
-    /// again because the weight versions of its text are not allowed.
+    /// again because the weight versions of its text are not allowed, or was given up.
     pub fn complete_text(&mut self, now: Instant, idx: usize) -> bool {
+        if !self.is_running(idx) {
+            return false;
+        }
         if !self.has_usable_text(idx) {
             self.record_interruption(now, idx, None, Interruption::Lost);
             return false;
@@ -495,9 +502,12 @@
         true
     }
 
-    /// Records the scorer's signature, or that the item needs none.
+    /// Records the scorer's signature, or that the item needs none, unless it was given up.
     pub fn complete_scoring(&mut self, idx: usize, score: Option<String>) {
         let item = &mut self.items[idx];
+        if !matches!(item.phase, Phase::Scoring) {
+            return;
+        }
         let (text, versions) = std::mem::take(&mut item.text).into_parts();
         item.phase = Phase::Ready(Outcome::Completed {
             text,
@@ -511,7 +521,7 @@
         let item = &mut self.items[idx];
         item.scorer_failures += 1;
         let is_final = item.scorer_failures >= max_attempts.max(self.max_attempts);
-        if is_final {
+        if is_final && matches!(item.phase, Phase::Scoring) {
             item.phase = Phase::Ready(Outcome::Errored);
         }
         is_final
@@ -548,6 +558,11 @@
         }
     }
 
+    /// Returns whether an item was sent to an engine and has not been given up since.
+    fn is_running(&self, idx: usize) -> bool {
+        matches!(self.items[idx].phase, Phase::Running)
+    }
+
     fn has_usable_text(&self, idx: usize) -> bool {
         self.items[idx]
             .text
