--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -83,7 +83,8 @@
         }
         let Some(route) = self.route(owned) else {
             // The configuration that added the route may not have arrived here yet.
-            if !self.known.is_current(now) {
+            let is_known = self.known.is_confirmed_since(owned.accepted_at);
+            if !is_known || !self.known.is_current(now) {
                 return;
             }
             log::warn!(target: BATCHES, batch = owned.id.as_str();
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -127,6 +127,7 @@
     account_regions: Cell<Option<(u64, RegionSet)>>,
     /// The current version of its head row.
     version: Cell<u64>,
+    accepted_at: Instant,
     due_at: Instant,
     /// Its priority; 0 is the highest.
     priority: u8,
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -38,6 +38,10 @@
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
+/// Time after which a process that knows no configuration hands its batches on: its heartbeat
+/// keeps others from taking them over.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The state from which a batch is run.
 pub(super) struct BatchState {
     pub(super) submission: Submission,
@@ -194,6 +198,7 @@
         let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
         // Loading may take longer than the heartbeat timeout, so heartbeats start now.
         self.mark_owning();
+        let start = Instant::now();
         loop {
             if self.owned.borrow().contains_key(&id) || self.is_stopping.get() {
                 return;
@@ -204,6 +209,12 @@
             // Without a configuration the route seems to be removed, and the batch would
             // be given up.
             if self.known.catalog().is_none() {
+                if start.elapsed() > CONFIG_TIMEOUT {
+                    log::warn!(target: BATCHES, batch = id.as_str();
+                        "A batch is not run here: this process knows no configuration.");
+                    let _polled = join(self.ensure_members(), self.poll_heartbeats()).await;
+                    self.hand_over(&id).await;
+                }
                 sleep(backoff.next_wait(&mut rand::rng())).await;
                 continue;
             }
@@ -296,6 +307,7 @@
             submission,
             priority: head.priority,
             share_state: Cell::new(None),
+            accepted_at,
             due_at: accepted_at + route.as_ref().and_then(|r| r.due).unwrap_or_default(),
             expires_at: route.and_then(|r| r.item_ttl).map(|ttl| accepted_at + ttl),
             version: Cell::new(version),
--- a/hibiscusroad-daemon/src/gateway/known_config.rs
+++ b/hibiscusroad-daemon/src/gateway/known_config.rs
@@ -56,6 +56,12 @@
         self.confirmed_at.set(Some(now));
     }
 
+    /// Returns whether the store has confirmed the configuration since an instant.
+    pub(super) fn is_confirmed_since(&self, at: Instant) -> bool {
+        let confirmed = self.confirmed_at.get();
+        confirmed.is_some_and(|confirmed| confirmed > at)
+    }
+
     /// Returns whether the store confirmed the configuration recently.
     pub(super) fn is_current(&self, now: Instant) -> bool {
         let confirmed = self.confirmed_at.get();
