Record when requests reach and leave the stand-in endpoints

A soak can't tell whether an item stands at an engine: stand-ins record only that a run began and whether it was whole.

Each run now has its start, its end and how the endpoint handled it, and each load of weights its start and end. Engines can have slots and a queue, lengths of texts that follow from ids, texts that are garbled midway, and crashes without a request as the cause. All of it is off by default.

--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -19,6 +19,9 @@
 /// Lets the first part of an answer reach the caller before the connection closes.
 const PARTIAL_ANSWER_DELAY: Duration = Duration::from_millis(20);
 
+/// Time between two looks whether a slot is free.
+const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -83,6 +86,31 @@
     pub has_authorization: bool,
     /// Whether it ran to completion.
     pub is_complete: bool,
+    /// How the endpoint handled it.
+    pub behaviour: Behaviour,
+    /// When it reached the endpoint.
+    pub started_at: Instant,
+    /// When it left the endpoint: it ran to completion, its caller disconnected or the endpoint
+    /// crashed.
+    pub ended_at: Option<Instant>,
+}
+
+/// A load of weights. Meanwhile the engine refuses items.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WeightLoad {
+    /// When the order was accepted.
+    pub started_at: Instant,
+    /// When the engine had the weights.
+    pub ended_at: Option<Instant>,
+}
+
+/// How many items an engine takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Capacity {
+    /// Items that run at the same time.
+    pub slots: usize,
+    /// Items that may wait for a slot; further ones are refused.
+    pub queue: usize,
 }
 
 #[derive(Debug)]
@@ -94,6 +122,16 @@
     event_count: u64,
     /// Overrides of `event_count` by request id.
     item_events: BTreeMap<String, u64>,
+    /// Returns the number of events of a text by request id, in place of `event_count`.
+    text_length: Option<fn(&str) -> u64>,
+    /// How many items it takes; any number by default.
+    capacity: Option<Capacity>,
+    /// Items that run.
+    running: usize,
+    /// Items that wait for a slot.
+    waiting: usize,
+    /// Counts the faults that garble the texts in progress.
+    garbled: u64,
     /// The slowness of its host in percent, if it reports that.
     slowness: Option<u32>,
     /// How much longer it is cold, as its entry tells.
@@ -108,6 +146,7 @@
     load_duration: Duration,
     /// When it accepted the order that it carries out.
     ordered_at: Option<Instant>,
+    loads: Vec<WeightLoad>,
     /// Items that it refused during a load, by the time since the order.
     load_refusals: Vec<Duration>,
     fence: u64,
@@ -173,6 +212,11 @@
                 work_duration: Duration::from_millis(5),
                 event_count: 8,
                 item_events: BTreeMap::new(),
+                text_length: None,
+                capacity: None,
+                running: 0,
+                waiting: 0,
+                garbled: 0,
                 slowness: None,
                 cold_remaining: Duration::ZERO,
                 arrivals: Vec::new(),
@@ -181,6 +225,7 @@
                 orders: 0,
                 load_duration: Duration::ZERO,
                 ordered_at: None,
+                loads: Vec::new(),
                 load_refusals: Vec::new(),
                 fence: 0,
                 runs: Vec::new(),
@@ -265,6 +310,35 @@
             .insert(item.to_owned(), events);
     }
 
+    /// Sets a function that returns how many events the text for a request id has.
+    pub fn set_text_length(&self, length: fn(&str) -> u64) {
+        self.shared.lock().text_length = Some(length);
+    }
+
+    /// Limits how many items it takes, and makes its answers report its load.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        self.shared.lock().capacity = Some(capacity);
+    }
+
+    /// Ends each text in progress with bytes that are no event.
+    pub fn garble_texts(&self) {
+        self.shared.lock().garbled += 1;
+    }
+
+    /// Crashes it at once, without a request as the cause.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `mode` is [`CrashMode::Truncated`], which needs a request.
+    pub fn crash(&self, mode: CrashMode) {
+        self.shared.lock().record_crash();
+        match mode {
+            CrashMode::ProcessExit => self.relay().stop(),
+            CrashMode::PowerLoss => self.relay().drop_traffic(),
+            CrashMode::Truncated => panic!("no answer to truncate"),
+        }
+    }
+
     /// Sets the slowness of its host in percent, which it reports from now on.
     pub fn set_slowness(&self, percent: u32) {
         self.shared.lock().slowness = Some(percent);
@@ -299,6 +373,12 @@
         self.shared.lock().load_refusals.clone()
     }
 
+    /// Returns the loads of weights that took a time.
+    #[must_use]
+    pub fn weight_loads(&self) -> Vec<WeightLoad> {
+        self.shared.lock().loads.clone()
+    }
+
     /// Returns the lease holder and fencing token of each accepted order.
     #[must_use]
     pub fn order_holders(&self) -> Vec<(String, u64)> {
@@ -320,7 +400,81 @@
     }
 }
 
+impl Inner {
+    /// Ends all runs, since the endpoint crashes.
+    fn record_crash(&mut self) {
+        self.crashed = true;
+        let now = Instant::now();
+        for run in &mut self.runs {
+            run.ended_at.get_or_insert(now);
+        }
+    }
+
+    /// Returns the load header of an item's answer, if it reports its load.
+    fn load_report(&self) -> Option<String> {
+        if let Some(capacity) = self.capacity {
+            let (running, waiting) = (self.running, self.waiting);
+            return Some(format!("{running},{waiting},{}", capacity.slots));
+        }
+        self.slowness.map(|percent| format!("1,0,8,{percent}"))
+    }
+}
+
+/// A run in progress. Its end is recorded when it is dropped.
+struct ActiveRun<'a> {
+    shared: &'a Shared,
+    index: usize,
+}
+
+impl Drop for ActiveRun<'_> {
+    fn drop(&mut self) {
+        let run = &mut self.shared.lock().runs[self.index];
+        run.ended_at.get_or_insert_with(Instant::now);
+    }
+}
+
+/// A slot that an item occupies until it is dropped.
+struct OccupiedSlot<'a> {
+    shared: &'a Shared,
+}
+
+impl Drop for OccupiedSlot<'_> {
+    fn drop(&mut self) {
+        self.shared.lock().running -= 1;
+    }
+}
+
 impl Shared {
+    /// Returns the load report if no further item is taken.
+    fn full_load(&self) -> Option<String> {
+        let inner = self.lock();
+        let is_full = |it: Capacity| inner.running + inner.waiting >= it.slots + it.queue;
+        inner.capacity.filter(|it| is_full(*it))?;
+        inner.load_report()
+    }
+
+    /// Waits for a slot; returns `None` if the caller disconnects first.
+    fn occupy_slot(&self, is_open: &impl Fn() -> bool) -> Option<OccupiedSlot<'_>> {
+        self.lock().waiting += 1;
+        loop {
+            let mut inner = self.lock();
+            let is_free = inner.capacity.is_none_or(|it| inner.running < it.slots);
+            let still_open = is_open();
+            if is_free || !still_open {
+                inner.waiting -= 1;
+            }
+            if !still_open {
+                return None;
+            }
+            if is_free {
+                inner.running += 1;
+                return Some(OccupiedSlot { shared: self });
+            }
+            drop(inner);
+            thread::sleep(SLOT_POLL_INTERVAL);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -402,7 +556,12 @@
         shared.publish_models();
         return exchange.answer(202, &json!({}));
     }
-    inner.ordered_at = Some(Instant::now());
+    let now = Instant::now();
+    inner.ordered_at = Some(now);
+    inner.loads.push(WeightLoad {
+        started_at: now,
+        ended_at: None,
+    });
     let duration = inner.load_duration;
     drop(inner);
     exchange.answer(202, &json!({}));
@@ -411,6 +570,9 @@
         thread::sleep(duration);
         let mut inner = shared.lock();
         inner.ordered_at = None;
+        if let Some(load) = inner.loads.last_mut() {
+            load.ended_at = Some(Instant::now());
+        }
         inner.weights.insert(order.model, order.version);
         drop(inner);
         shared.publish_models();
@@ -418,8 +580,13 @@
 }
 
 /// Refuses an item during a load, with a report of free slots.
-fn refuse_item(shared: &Shared, mut exchange: Exchange, since_order: Duration) {
+fn refuse_item(shared: &Shared, exchange: Exchange, since_order: Duration) {
     shared.lock().load_refusals.push(since_order);
+    refuse_full(exchange, "0,0,8");
+}
+
+/// Refuses an item that was not run, with a report of the load.
+fn refuse_full(mut exchange: Exchange, load: &str) {
     let id = exchange.header("X-Request-Id").unwrap_or_default();
     let id = id.to_owned();
     if exchange.body().is_err() {
@@ -428,7 +595,7 @@
     let headers = [
         ("X-Not-Executed", "1"),
         ("X-Request-Id", id.as_str()),
-        ("X-Server-Load", "0,0,8"),
+        ("X-Server-Load", load),
     ];
     exchange.answer_bytes(503, &headers, Vec::new());
 }
@@ -456,6 +623,10 @@
         let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
         return exchange.answer_bytes(503, &headers, Vec::new());
     }
+    let model = exchange.header("X-Model").map(str::to_owned);
+    if let Some(load) = shared.full_load().filter(|_| model.is_some()) {
+        return refuse_full(exchange, &load);
+    }
     let last_event_id = exchange
         .header("Last-Event-Id")
         .and_then(|n| n.parse().ok());
@@ -466,13 +637,16 @@
         account: exchange.header("X-Tenant").map(str::to_owned),
         has_authorization: exchange.header("Authorization").is_some(),
         is_complete: false,
+        behaviour,
+        started_at: Instant::now(),
+        ended_at: None,
     };
     let index = {
         let mut inner = shared.lock();
         inner.runs.push(run);
         inner.runs.len() - 1
     };
-    let model = exchange.header("X-Model").map(str::to_owned);
+    let _active_run = ActiveRun { shared, index };
     let is_open = exchange.watch();
     let crash = shared.lock().crash.clone();
     if let Some(crash) = crash.filter(|crash| crash.matches(&body)) {
@@ -490,20 +664,26 @@
         return;
     }
     shared.lock().runs[index].is_complete = true;
+    answer(shared, exchange, behaviour, &id, body);
+}
+
+/// Answers a request that has run.
+fn answer(shared: &Shared, exchange: Exchange, behaviour: Behaviour, id: &str, body: Vec<u8>) {
     let stamp = format!("stamp-{id}");
     match behaviour {
         Behaviour::Silent => {
+            let is_open = exchange.watch();
             while is_open() {
                 thread::sleep(Duration::from_millis(20));
             }
             exchange.cut();
         }
         Behaviour::Failing => {
-            let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", &stamp)];
+            let headers = [("X-Request-Id", id), ("X-Server-Stamp", &stamp)];
             exchange.answer_bytes(500, &headers, b"failed".to_vec());
         }
         Behaviour::Status(status) => {
-            let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", &stamp)];
+            let headers = [("X-Request-Id", id), ("X-Server-Stamp", &stamp)];
             exchange.answer_bytes(status, &headers, b"ran".to_vec());
         }
         Behaviour::Foreign => {
@@ -514,10 +694,10 @@
             exchange.answer_bytes(200, &headers, b"another's".to_vec());
         }
         Behaviour::Unsigned => {
-            exchange.answer_bytes(200, &[("X-Request-Id", &id)], body);
+            exchange.answer_bytes(200, &[("X-Request-Id", id)], body);
         }
         Behaviour::Torn => {
-            let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", &stamp)];
+            let headers = [("X-Request-Id", id), ("X-Server-Stamp", &stamp)];
             if let Ok(mut events) = exchange.stream_with(&headers) {
                 let _disconnected = events.send("a part").is_err();
                 events.abandon();
@@ -527,7 +707,7 @@
             let mut answer = format!("{} answers ", shared.id).into_bytes();
             answer.extend(body);
             let headers = [
-                ("X-Request-Id", id.as_str()),
+                ("X-Request-Id", id),
                 ("X-Server-Stamp", &stamp),
                 ("X-Server-Load", "1,0,8"),
             ];
@@ -538,7 +718,7 @@
 
 /// Crashes the endpoint while it runs the request `id`.
 fn crash_during(shared: &Arc<Shared>, exchange: Exchange, id: &str, mode: CrashMode) {
-    shared.lock().crashed = true;
+    shared.lock().record_crash();
     let relay = exchange.relay().clone();
     match mode {
         CrashMode::ProcessExit => {
@@ -574,16 +754,23 @@
     last_event_id: Option<u64>,
     index: usize,
 ) {
-    let (work, events) = {
+    let Some(_slot) = shared.occupy_slot(&exchange.watch()) else {
+        return;
+    };
+    let (work, events, garbled, load) = {
         let inner = shared.lock();
         let events = inner.item_events.get(id).copied();
-        (inner.work_duration, events.unwrap_or(inner.event_count))
+        let events = events.or_else(|| inner.text_length.map(|length| length(id)));
+        (
+            inner.work_duration,
+            events.unwrap_or(inner.event_count),
+            inner.garbled,
+            inner.load_report(),
+        )
     };
     let mut version = shared.lock().weights.get(model).copied().unwrap_or(0);
     let initial_version = version.to_string();
     let stamp = format!("stamp-{id}");
-    let slowness = shared.lock().slowness;
-    let load = slowness.map(|percent| format!("1,0,8,{percent}"));
     let mut headers = vec![
         ("X-Request-Id", id),
         ("X-Server-Stamp", stamp.as_str()),
@@ -599,6 +786,11 @@
     };
     for number in last_event_id.map_or(1, |id| id + 1)..=events {
         thread::sleep(work);
+        if shared.lock().garbled != garbled {
+            // Fails if the caller has disconnected, which needs no handling.
+            let _ = stream.send_lines("id: x\n\u{1}not an event");
+            return stream.abandon();
+        }
         let current = shared.lock().weights.get(model).copied().unwrap_or(0);
         let version_line = if current == version {
             String::new()
--- a/hibiscusroad-standins/src/direct/mod.rs
+++ b/hibiscusroad-standins/src/direct/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     billing::{Billing, ReplyMode, Report},
-    endpoint::{Behaviour, Crash, CrashMode, Endpoint, ExecutedRequest},
+    endpoint::{Behaviour, Capacity, Crash, CrashMode, Endpoint, ExecutedRequest, WeightLoad},
     replicas::{Replicas, Restart},
     store::{Faults, Store},
 };
