Check in the soak that no unfinished item stands at no engine

An item of a step stood at no engine for 5 s while engines had room; the soak has no check that sees this, and its engines hardly give it a chance.

The soak now tells from the engines' records how long each item of a step stood at none while they were under half full. 5 s of that in a steady state, with no version named in the 6 s before and other items begun, is a violation; the longest times in any state are counters. With --no-quarantine, gateways hold practically no item as one that crashes engines. Plans and engines of other soaks are unchanged; the check of a result's item compares with the submission in place of the id's prefix.

--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -20,6 +20,7 @@
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
                       [--trace] [--json]
        measure soak [--seconds N] [--seed N] [--processes N] [--contention]
+                    [--engines] [--no-quarantine]
        measure policy [--seed N] [--scenario NAME]
        measure train [--deployment pobrezie|lakeshore] [--seed N]
                      [--outage SECONDS]
@@ -31,7 +32,9 @@
 faults  puts mixed load and random faults on a deployment and checks the
         promises; --trace tells what happened; KINDS is all, none, kill, freeze, store, link, stop or operate
 soak    puts callers and trainers on gateways, injects faults from outside and
-        checks the promises while they run
+        checks the promises while they run; --engines makes engines like real
+        ones, which load weights, fill up and fail in series; --no-quarantine
+        has gateways hold practically no item as one that crashes engines
 policy  runs the decisions under load in virtual time
 train   runs the training decisions in virtual time
 
@@ -212,6 +215,8 @@
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             Arg::Long("processes") => options.processes = parser.value()?.parse()?,
             Arg::Long("contention") => options.contention = true,
+            Arg::Long("engines") => options.engines = true,
+            Arg::Long("no-quarantine") => options.quarantine = false,
             arg => return Err(arg.unexpected()),
         }
     }
--- a/hibiscusroad-measure/src/soak/check.rs
+++ b/hibiscusroad-measure/src/soak/check.rs
@@ -2,7 +2,7 @@
 
 use super::{
     keys::CALLER_ACCOUNT,
-    world::{ENDPOINT_COUNT, LEASE_MS, PLAIN_ENDPOINTS, World},
+    world::{LEASE_MS, PLAIN_ENDPOINTS, World},
 };
 use hibiscusroad_standins::direct::ExecutedRequest;
 use serde_json::Value;
@@ -16,8 +16,6 @@
 
 /// Limit on recorded violations; one cause leads to many.
 const MAX_VIOLATIONS: usize = 20;
-/// Number of events in a result's text.
-const EVENT_COUNT: usize = 20;
 
 #[derive(Debug, Default)]
 struct Observations {
@@ -26,12 +24,16 @@
     /// Non-idempotent requests that were answered as not run.
     not_run: HashSet<String>,
     faults: Vec<(Duration, String)>,
+    /// Times in which an item stood at no engine.
+    absences: Vec<String>,
 }
 
 /// Records and checks what clients observe. Clones share the record.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Check {
     observed: Arc<Mutex<Observations>>,
+    /// Returns the number of events in the text of an item.
+    text_length: fn(&str) -> u64,
 }
 
 /// Result of a soak.
@@ -40,7 +42,8 @@
     violations: Vec<String>,
     counts: BTreeMap<&'static str, usize>,
     faults: Vec<(Duration, String)>,
-    /// Directory of the logs, if there are violations.
+    absences: Vec<String>,
+    /// Directory of the logs, if there are violations or reported absences.
     logs: Option<PathBuf>,
 }
 
@@ -65,7 +68,10 @@
         for violation in &self.violations {
             let _ = writeln!(out, "BROKEN: {violation}");
         }
-        for (at, fault) in self.faults.iter().filter(|_| !self.is_clean()) {
+        for absence in &self.absences {
+            let _ = writeln!(out, "# {absence}");
+        }
+        for (at, fault) in self.faults.iter().filter(|_| self.logs.is_some()) {
             let _ = writeln!(out, "# {:.2} s {fault}", at.as_secs_f64());
         }
         if let Some(logs) = &self.logs {
@@ -79,8 +85,13 @@
 }
 
 impl Check {
-    pub(super) fn new() -> Self {
-        Self::default()
+    /// Creates an empty record. `text_length` returns the number of events in the text of an
+    /// item.
+    pub(super) fn new(text_length: fn(&str) -> u64) -> Self {
+        Self {
+            observed: Arc::default(),
+            text_length,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Observations> {
@@ -98,6 +109,15 @@
         *self.lock().counts.entry(counter).or_default() += 1;
     }
 
+    /// Sets the value of a counter.
+    pub(super) fn set(&self, counter: &'static str, value: usize) {
+        self.lock().counts.insert(counter, value);
+    }
+
+    pub(super) fn record_absence(&self, absence: String) {
+        self.lock().absences.push(absence);
+    }
+
     pub(super) fn record_not_run(&self, id: &str) {
         if id.starts_with("once-") {
             self.lock().not_run.insert(id.to_owned());
@@ -108,16 +128,25 @@
         self.lock().faults.push((at, fault));
     }
 
-    /// Checks one result of a batch whose lowest allowed model version is `min_version`.
-    pub(super) fn check_result(&self, batch: &str, result: &Value, min_version: u64) {
+    /// Checks one result of a batch that holds `items` and whose lowest allowed model version is
+    /// `min_version`.
+    pub(super) fn check_result(
+        &self,
+        batch: &str,
+        items: &[String],
+        result: &Value,
+        min_version: u64,
+    ) {
         let id = result["id"].as_str().unwrap_or_default();
-        if !id.starts_with(&format!("{batch}-")) {
+        if !items.iter().any(|item| item == id) {
             return self.record_violation(&format!("{batch} has a result of {id}"));
         }
         if result["state"] != "completed" {
             return self.record_violation(&format!("{id} is errored without a cause"));
         }
-        let lines: Vec<String> = (1..=EVENT_COUNT).map(|n| format!("{id}-{n}")).collect();
+        let lines: Vec<String> = (1..=(self.text_length)(id))
+            .map(|n| format!("{id}-{n}"))
+            .collect();
         if result["text"] != lines.join("\n") {
             self.record_violation(&format!("the text of {id} isn't whole"));
         }
@@ -141,7 +170,8 @@
             ));
         }
         let observed = std::mem::take(&mut *self.lock());
-        let logs = (!observed.violations.is_empty()).then(|| world.directory().to_owned());
+        let has_findings = !observed.violations.is_empty() || !observed.absences.is_empty();
+        let logs = has_findings.then(|| world.directory().to_owned());
         if logs.is_none()
             && let Err(error) = std::fs::remove_dir_all(world.directory())
         {
@@ -151,6 +181,7 @@
             violations: observed.violations,
             counts: observed.counts,
             faults: observed.faults,
+            absences: observed.absences,
             logs,
         }
     }
@@ -205,7 +236,7 @@
         }
     }
     let mut holders: BTreeMap<u64, String> = BTreeMap::new();
-    for endpoint in &world.endpoints[PLAIN_ENDPOINTS..ENDPOINT_COUNT] {
+    for endpoint in &world.endpoints[PLAIN_ENDPOINTS..] {
         let mut last = 0;
         for (holder, token) in endpoint.order_holders() {
             let first_holder = holders.entry(token).or_insert_with(|| holder.clone());
--- a/hibiscusroad-measure/src/soak/clients.rs
+++ b/hibiscusroad-measure/src/soak/clients.rs
@@ -3,6 +3,7 @@
 use super::{
     check::Check,
     keys::{self, Keys},
+    stranded::Steps,
     world::{CRASH_MARKER, HOSTNAME, MODELS, World},
 };
 use hibiscusroad_standins::direct::Store;
@@ -10,7 +11,7 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc,
@@ -27,8 +28,22 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Limit on the time for each phase of a step: submission, reading and deletion.
 const STEP_TIMEOUT: Duration = Duration::from_mins(1);
-const GROUP_COUNT: usize = 3;
-const GROUP_SIZE: usize = 3;
+
+/// How the steps of a trainer look.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StepShape {
+    pub(super) groups: usize,
+    pub(super) group_size: usize,
+    /// Complete groups with which the trainer goes on. The others are carried over.
+    pub(super) target_groups: usize,
+}
+
+/// A group of items, which keeps its ids when it is carried over.
+#[derive(Clone, Debug)]
+struct Group {
+    name: String,
+    items: Vec<String>,
+}
 
 struct Answer {
     status: u16,
@@ -239,6 +254,12 @@
     store: Arc<Store>,
     model: &'static str,
     step: u64,
+    shape: StepShape,
+    /// Groups of the present step, those first that were carried over.
+    groups: Vec<Group>,
+    /// How many groups were carried over.
+    carried: usize,
+    steps: Steps,
 }
 
 impl Trainer {
@@ -248,6 +269,8 @@
         seed: u64,
         check: &Check,
         stopped: &Arc<AtomicBool>,
+        shape: StepShape,
+        steps: &Steps,
     ) -> Self {
         let client = Client::new(world, seed ^ (n as u64 + 99) << 32, check, stopped);
         Self {
@@ -255,40 +278,87 @@
             store: Arc::clone(&world.store),
             model: MODELS[n % MODELS.len()],
             step: 1,
+            shape,
+            groups: Vec::new(),
+            carried: 0,
+            steps: steps.clone(),
         }
     }
 
     pub(super) fn run(mut self) {
         while !self.client.is_stopped() {
             let id = format!("{}-{}", self.model, self.step);
+            self.add_groups();
             if !self.submit(&id) {
                 return;
             }
-            let is_complete = self.read_results(&id);
-            self.client
-                .check
-                .count(if is_complete { "steps" } else { "steps lost" });
+            let items = self.item_ids().map(str::to_owned).collect();
+            self.steps.record_accepted(&id, self.model, items);
+            let complete = self.read_results(&id);
+            self.steps.record_ended(&id);
+            self.client.check.count(match complete {
+                Some(_) => "steps",
+                None => "steps lost",
+            });
             self.delete(&id);
+            self.carry_over(&complete.unwrap_or_default());
             self.step += 1;
             let announcement = json!({ "model": self.model, "version": self.step });
+            self.steps.record_naming();
             self.store
                 .put_json("op", &format!("version/{}", self.model), &announcement);
         }
     }
 
+    fn item_ids(&self) -> impl Iterator<Item = &str> {
+        let items = self.groups.iter().flat_map(|group| &group.items);
+        items.map(String::as_str)
+    }
+
+    /// Adds new groups to those that were carried over.
+    fn add_groups(&mut self) {
+        self.carried = self.groups.len();
+        let prefix = format!("{}-{}", self.model, self.step);
+        for group in 0..self.shape.groups - self.carried {
+            let items = 0..self.shape.group_size;
+            self.groups.push(Group {
+                name: format!("{}-{group}", self.step),
+                items: items.map(|n| format!("{prefix}-{group}-{n}")).collect(),
+            });
+        }
+    }
+
+    /// Keeps the groups that are not complete, up to half of those that a step waits for.
+    fn carry_over(&mut self, listed: &BTreeSet<String>) {
+        let is_open = |group: &Group| !group.items.iter().all(|item| listed.contains(item));
+        self.groups.retain(is_open);
+        self.groups.truncate(self.shape.target_groups / 2);
+        for _ in &self.groups {
+            self.client.check.count("groups carried over");
+        }
+    }
+
+    /// Returns whether the trainer can go on: enough groups are complete, and all that were
+    /// carried over.
+    fn is_satisfied(&self, listed: &BTreeSet<String>) -> bool {
+        let is_complete = |group: &&Group| group.items.iter().all(|item| listed.contains(item));
+        let complete = self.groups.iter().filter(is_complete).count();
+        let carried = &self.groups[..self.carried];
+        complete >= self.shape.target_groups && carried.iter().all(|group| is_complete(&group))
+    }
+
     fn submission(&self) -> Value {
         let mut items = Vec::new();
-        for group in 0..GROUP_COUNT {
-            for n in 0..GROUP_SIZE {
-                let id = format!("{}-{}-{group}-{n}", self.model, self.step);
+        for group in &self.groups {
+            for id in &group.items {
                 items.push(json!({ "id": id, "path": format!("/lm/{id}"),
                     "headers": { "X-Model": self.model, "X-Token-Counts": "20,400" },
-                    "body": "q83v", "tokens": 420, "group": format!("{group}"),
+                    "body": "q83v", "tokens": 420, "group": group.name,
                     "scorer": { "id": format!("score-{id}"), "hostname": HOSTNAME,
                         "path": "/desk/score", "body": "3q2+" } }));
             }
         }
-        json!({ "step": self.step, "model": self.model, "targetGroups": GROUP_COUNT,
+        json!({ "step": self.step, "model": self.model, "targetGroups": self.shape.target_groups,
             "minVersion": self.step.saturating_sub(1).max(1), "requests": items })
     }
 
@@ -315,16 +385,23 @@
         false
     }
 
-    /// Reads until every item is listed, and checks that positions never change.
-    fn read_results(&mut self, id: &str) -> bool {
+    /// Reads until the trainer can go on, and checks that positions never change. Returns the
+    /// listed items, or `None` if that takes too long.
+    fn read_results(&mut self, id: &str) -> Option<BTreeSet<String>> {
+        let items: Vec<String> = self.item_ids().map(str::to_owned).collect();
         let mut listed: BTreeMap<usize, Value> = BTreeMap::new();
         let deadline = Instant::now() + STEP_TIMEOUT;
-        while listed.len() < GROUP_COUNT * GROUP_SIZE {
+        loop {
+            let ids = listed.values().filter_map(|result| result["id"].as_str());
+            let ids: BTreeSet<String> = ids.map(str::to_owned).collect();
+            if self.is_satisfied(&ids) {
+                return Some(ids);
+            }
             if Instant::now() > deadline {
                 self.client
                     .check
                     .record_violation(&format!("{id} has {} results at its end", listed.len()));
-                return false;
+                return None;
             }
             // Sometimes reads again from an earlier position.
             let next = listed.len();
@@ -334,15 +411,15 @@
             };
             let path = format!("/lots/{id}?after={after}");
             let answer = self.client.send("GET", &path, "reader", self.model, b"");
-            self.check_page(id, after, answer, &mut listed);
+            self.check_page(id, &items, after, answer, &mut listed);
             thread::sleep(Duration::from_millis(100));
         }
-        true
     }
 
     fn check_page(
         &self,
         id: &str,
+        items: &[String],
         after: usize,
         answer: Option<Answer>,
         listed: &mut BTreeMap<usize, Value>,
@@ -358,7 +435,9 @@
         };
         let results = body["results"].as_array().cloned().unwrap_or_default();
         for (n, result) in results.into_iter().enumerate() {
-            check.check_result(id, &result, self.step.saturating_sub(1).max(1));
+            check.check_result(id, items, &result, self.step.saturating_sub(1).max(1));
+            self.steps
+                .record_listed(id, result["id"].as_str().unwrap_or_default());
             match listed.insert(after + n, result.clone()) {
                 Some(previous) if previous != result => {
                     check.record_violation(&format!("{id} has another result at {}", after + n));
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -11,11 +11,13 @@
 mod clients;
 mod keys;
 mod plan;
+mod stranded;
+mod texts;
 mod world;
 
 pub use self::check::Found;
 
-use self::world::World;
+use self::{clients::StepShape, stranded::Steps, world::World};
 
 use crate::{deployment::Error, interrupt::Interrupt};
 use std::{
@@ -49,6 +51,12 @@
     pub processes: usize,
     /// Whether gateways expect contention, and hosts turn slow by turns.
     pub contention: bool,
+    /// Whether engines take time to load weights, have few slots and texts of differing lengths,
+    /// and fail in series, with calm times in between.
+    pub engines: bool,
+    /// Whether a request that crashes endpoints is sent. Without it, gateways hold practically
+    /// no request as one that crashes endpoints, so that other causes of waits can be seen.
+    pub quarantine: bool,
 }
 
 impl Default for Options {
@@ -58,6 +66,45 @@
             seed: 1,
             processes: 5,
             contention: false,
+            engines: false,
+            quarantine: true,
+        }
+    }
+}
+
+impl Options {
+    /// Returns the number of trainers: one or two, by the seed, where engines are like real
+    /// ones, since an item that waits may be excused by the steps of another model.
+    const fn trainer_count(&self) -> usize {
+        if self.engines && self.seed.is_multiple_of(2) {
+            1
+        } else {
+            TRAINER_COUNT
+        }
+    }
+
+    const fn step_shape(&self) -> StepShape {
+        if self.engines {
+            StepShape {
+                groups: 12,
+                group_size: 4,
+                target_groups: 11,
+            }
+        } else {
+            StepShape {
+                groups: 3,
+                group_size: 3,
+                target_groups: 3,
+            }
+        }
+    }
+
+    /// Returns the function that tells the number of events of a text.
+    fn text_length(&self) -> fn(&str) -> u64 {
+        if self.engines {
+            texts::drawn_length
+        } else {
+            texts::equal_length
         }
     }
 }
@@ -69,7 +116,8 @@
 /// Returns an error if a component can't be started or controlled, or if the run is
 /// interrupted.
 pub fn run(options: &Options, interrupt: &Interrupt) -> Result<Found, Error> {
-    let check = check::Check::new();
+    let check = check::Check::new(options.text_length());
+    let steps = Steps::default();
     let mut world = World::start(options)?;
     world.wait_ready()?;
     let stopped = Arc::new(AtomicBool::new(false));
@@ -78,12 +126,22 @@
         let caller = clients::Caller::new(&world, n, options.seed, &check, &stopped);
         clients.push(thread::spawn(move || caller.run()));
     }
-    for n in 0..TRAINER_COUNT {
-        let trainer = clients::Trainer::new(&world, n, options.seed, &check, &stopped);
+    for n in 0..options.trainer_count() {
+        let trainer = clients::Trainer::new(
+            &world,
+            n,
+            options.seed,
+            &check,
+            &stopped,
+            options.step_shape(),
+            &steps,
+        );
         clients.push(thread::spawn(move || trainer.run()));
     }
-    let crasher = clients::Crasher::new(&world, options.seed, &check, &stopped);
-    clients.push(thread::spawn(move || crasher.run()));
+    if options.quarantine {
+        let crasher = clients::Crasher::new(&world, options.seed, &check, &stopped);
+        clients.push(thread::spawn(move || crasher.run()));
+    }
     let start = Instant::now();
     for planned in plan::draw(options) {
         let at = start + planned.at;
@@ -112,6 +170,7 @@
     }
     check::check_endpoints(&check, &world);
     check::check_reports(&check, &world);
+    stranded::check_items(&check, &world, &steps);
     Ok(check.finish(&mut world))
 }
 
--- a/hibiscusroad-measure/src/soak/plan.rs
+++ b/hibiscusroad-measure/src/soak/plan.rs
@@ -1,8 +1,11 @@
 //! Generation of the fault plan from a seed.
 
-use super::Options;
+use super::{
+    Options,
+    world::{ENGINE_COUNT, PLAIN_ENDPOINTS},
+};
 use hibiscusroad_standins::{
-    direct::{Behaviour, Faults},
+    direct::{Behaviour, CrashMode, Faults},
     relay::Direction,
 };
 use rand::{Rng, SeedableRng};
@@ -31,6 +34,19 @@
     SilenceEndpoint(usize, Direction),
     Leave(usize),
     Config,
+    /// The engine breaks off all connections.
+    CutEndpoint(usize),
+    /// The engine garbles the texts in progress.
+    Garble(usize),
+    Crash(usize, CrashMode),
+    /// The engine drains for this time and is replaced by another one.
+    Replace(usize, Duration),
+    /// The engine's entry is removed, and it is replaced by another one after this time.
+    Withdraw(usize, Duration),
+    /// The engine carries out orders after this time.
+    SlowLoads(usize, Duration, Duration),
+    /// Bytes to and from the endpoint take this time longer.
+    DelayEndpoint(usize, Duration, Duration),
 }
 
 /// A fault and the time from the start of the run to its injection.
@@ -40,8 +56,29 @@
     pub(super) fault: Fault,
 }
 
+/// Range of the duration of a burst of faults, in milliseconds.
+const BURST_MS: std::ops::Range<u64> = 1_000..6_000;
+/// Duration of the calm after a burst, long enough for steps to go on for a while in a steady
+/// state.
+const CALM: Duration = Duration::from_secs(11);
+/// Exclusive limit on the time between two faults of a burst, in milliseconds.
+const MAX_BURST_GAP_MS: u64 = 700;
+/// Exclusive limit on the time between two faults of a series, in milliseconds.
+const MAX_SERIES_GAP_MS: u64 = 900;
+/// Probability that a burst goes on with a series of faults of engines.
+const SERIES_SHARE: f64 = 0.5;
+/// Time after which weights are loaded that take long.
+const SLOW_LOAD_MS: std::ops::Range<u64> = 1_000..4_000;
+/// How much longer bytes take to an endpoint that is delayed.
+const ENDPOINT_DELAY_MS: std::ops::Range<u64> = 50..600;
+/// How long an engine drains before it is replaced.
+const DRAIN_MS: std::ops::Range<u64> = 500..3_000;
+
 /// Returns all faults of a soak, in order of time.
 pub(super) fn draw(options: &Options) -> Vec<PlannedFault> {
+    if options.engines {
+        return draw_bursts(options);
+    }
     let mut rng = Pcg64::seed_from_u64(options.seed);
     let mut at = Duration::ZERO;
     let mut plan = Vec::new();
@@ -57,6 +94,61 @@
     }
 }
 
+/// Returns bursts of faults that overlap, with calm times in between.
+fn draw_bursts(options: &Options) -> Vec<PlannedFault> {
+    let mut rng = Pcg64::seed_from_u64(options.seed);
+    let draw_ms = |rng: &mut Pcg64, range| Duration::from_millis(rng.random_range(range));
+    let mut plan: Vec<PlannedFault> = Vec::new();
+    // Steps begin before the first burst.
+    let mut at = draw_ms(&mut rng, BURST_MS);
+    while at + CALM < options.time {
+        let end = at + draw_ms(&mut rng, BURST_MS);
+        while at < end {
+            if rng.random_bool(SERIES_SHARE) {
+                let kind = rng.random_range(0..SERIES_KINDS);
+                let first = rng.random_range(0..ENGINE_COUNT);
+                let mut fault_at = at;
+                for n in 0..rng.random_range(1..=ENGINE_COUNT) {
+                    let engine = PLAIN_ENDPOINTS + (first + n) % ENGINE_COUNT;
+                    let fault = draw_engine_fault(&mut rng, kind, engine);
+                    plan.push(PlannedFault {
+                        at: fault_at,
+                        fault,
+                    });
+                    fault_at += draw_ms(&mut rng, 0..MAX_SERIES_GAP_MS);
+                }
+            } else {
+                let fault = draw_fault(&mut rng, options.processes);
+                plan.push(PlannedFault { at, fault });
+            }
+            at += draw_ms(&mut rng, 0..MAX_BURST_GAP_MS);
+        }
+        let last = plan.iter().map(|planned| planned.at).max();
+        at = at.max(last.unwrap_or_default()) + CALM;
+    }
+    plan.sort_by_key(|planned| planned.at);
+    plan
+}
+
+/// Number of kinds of faults that strike engines in series.
+const SERIES_KINDS: u32 = 9;
+
+fn draw_engine_fault(rng: &mut Pcg64, kind: u32, engine: usize) -> Fault {
+    let mut draw_ms = |range| Duration::from_millis(rng.random_range(range));
+    let duration = draw_ms(100..MAX_FAULT_MS);
+    match kind {
+        0 => Fault::CutEndpoint(engine),
+        1 => Fault::Garble(engine),
+        2 => Fault::SilenceEndpoint(engine, Direction::Back),
+        3 => Fault::Crash(engine, CrashMode::ProcessExit),
+        4 => Fault::Crash(engine, CrashMode::PowerLoss),
+        5 => Fault::Replace(engine, draw_ms(DRAIN_MS)),
+        6 => Fault::Withdraw(engine, draw_ms(DRAIN_MS)),
+        7 => Fault::SlowLoads(engine, draw_ms(SLOW_LOAD_MS), duration),
+        _ => Fault::DelayEndpoint(engine, draw_ms(ENDPOINT_DELAY_MS), duration),
+    }
+}
+
 fn draw_fault(rng: &mut Pcg64, processes: usize) -> Fault {
     let duration = Duration::from_millis(rng.random_range(100..MAX_FAULT_MS));
     let n = rng.random_range(0..processes);
--- /dev/null
+++ b/hibiscusroad-measure/src/soak/texts.rs
@@ -0,0 +1,34 @@
+//! Lengths of the texts that engines generate.
+
+/// Number of events of a text where all texts are alike.
+pub(super) const EVENT_COUNT: u64 = 20;
+/// Range of the number of events of most texts, where lengths differ.
+const USUAL_EVENTS: std::ops::Range<u64> = 5..35;
+/// Range of the number of events of long texts, ten times as many as usual.
+const LONG_EVENTS: std::ops::Range<u64> = 150..210;
+/// One in this many texts is long.
+const LONG_INTERVAL: u64 = 25;
+
+/// Returns the number of events of any text.
+pub(super) const fn equal_length(_id: &str) -> u64 {
+    EVENT_COUNT
+}
+
+/// Returns the number of events of the text of an item, which follows from its id.
+pub(super) fn drawn_length(id: &str) -> u64 {
+    let hash = hash(id);
+    let range = if hash.is_multiple_of(LONG_INTERVAL) {
+        LONG_EVENTS
+    } else {
+        USUAL_EVENTS
+    };
+    range.start + hash / LONG_INTERVAL % (range.end - range.start)
+}
+
+/// Returns the FNV-1a hash of a text, mixed so that similar ids differ in all bits.
+fn hash(id: &str) -> u64 {
+    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash ^ hash >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 17
+}
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -4,10 +4,14 @@
     Options,
     keys::{CALLER_ACCOUNT, Keys},
     plan::Fault,
+    stranded::Disturbance,
+    texts,
 };
 use crate::deployment::{Bins, Error, process::Process};
 use hibiscusroad_standins::{
-    direct::{Behaviour, Billing, Crash, CrashMode, Endpoint, ExecutedRequest, Faults, Store},
+    direct::{
+        Behaviour, Billing, Capacity, Crash, CrashMode, Endpoint, ExecutedRequest, Faults, Store,
+    },
     http::ANY_LOOPBACK_PORT,
     ports,
     relay::{Direction, Relay},
@@ -32,6 +36,14 @@
 /// Number of plain endpoints; engines follow them in `World::endpoints`.
 pub(super) const PLAIN_ENDPOINTS: usize = 3;
 pub(super) const ENDPOINT_COUNT: usize = 6;
+/// Number of engines where they are like real ones.
+pub(super) const ENGINE_COUNT: usize = 5;
+/// Slots of an engine.
+pub(super) const ENGINE_SLOTS: usize = 8;
+/// Items that an engine queues, where it is like a real one.
+const ENGINE_QUEUE: usize = 4;
+/// How long engines load weights, where they are like real ones.
+const LOAD_DURATION: Duration = Duration::from_millis(900);
 /// Models, one per trainer.
 pub(super) const MODELS: [&str; 2] = ["alpha", "beta"];
 /// Duration of the leases on duties; reports of two holders must be at least this far apart.
@@ -51,9 +63,16 @@
 pub(super) const CRASH_MARKER: &[u8] = b"crashes its endpoint";
 /// Time from the detection of a crashed endpoint to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(1_200);
+/// The highest limit of crashes that gateways accept.
+const MAX_CRASH_LIMIT: usize = 100;
+/// Limit on the wait for the address of a stopped endpoint.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which a process that was asked to stop is killed.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Settings of a log that tells where each item is sent.
+const DEBUG_LOG: &str = "\n[log]\nlevel = \"debug\"\nlines_s = 5000\n";
+
 /// Number of worlds that this process has started; makes directory names unique.
 static WORLD_COUNT: AtomicUsize = AtomicUsize::new(0);
 
@@ -63,6 +82,8 @@
     relay: Relay,
     /// When the process is killed if it has not stopped by itself.
     stop_deadline: Option<Instant>,
+    /// Index of the disturbance while it stops.
+    stopping: Option<usize>,
 }
 
 /// An action that ends a fault.
@@ -73,6 +94,17 @@
     Behaviour(usize),
     Reregister(usize),
     Restart(usize),
+    Replace(usize),
+    Loads(usize),
+    EndpointDelay(usize),
+}
+
+/// An action that ends a fault, and when it is due.
+struct PendingUndo {
+    at: Instant,
+    undo: Undo,
+    /// Index of the fault's disturbance.
+    disturbance: usize,
 }
 
 /// All components of a soak.
@@ -81,7 +113,9 @@
     pub(super) endpoints: Vec<Endpoint>,
     /// Requests that were run by endpoints that have crashed.
     crashed_runs: Vec<ExecutedRequest>,
+    /// Crashes of plain endpoints.
     pub(super) crash_count: usize,
+    restart_count: usize,
     /// Receiver of usage reports.
     pub(super) billing: Billing,
     pub(super) keys: Keys,
@@ -90,7 +124,11 @@
     gateways: Vec<Gateway>,
     directory: PathBuf,
     version: u64,
-    undo: Vec<(Instant, Undo)>,
+    undo: Vec<PendingUndo>,
+    disturbances: Vec<Disturbance>,
+    /// Whether engines are like real ones.
+    has_real_engines: bool,
+    has_quarantine: bool,
     /// Number of processes that exited without a request to stop.
     pub(super) unexpected_exits: usize,
     /// How slow hosts are, where contention is expected.
@@ -136,14 +174,27 @@
         let keys = Keys::new();
         store.put_json("op", "config", &config(1, &keys));
         let mut endpoints = Vec::new();
-        for n in 0..ENDPOINT_COUNT {
-            endpoints.push(endpoint(ANY_LOOPBACK_PORT, &store, n, &format!("e{n}"))?);
+        let endpoint_count = if options.engines {
+            PLAIN_ENDPOINTS + ENGINE_COUNT
+        } else {
+            ENDPOINT_COUNT
+        };
+        for n in 0..endpoint_count {
+            let id = format!("e{n}");
+            endpoints.push(endpoint(
+                ANY_LOOPBACK_PORT,
+                &store,
+                n,
+                &id,
+                options.engines,
+            )?);
         }
         let mut world = Self {
             store,
             endpoints,
             crashed_runs: Vec::new(),
             crash_count: 0,
+            restart_count: 0,
             billing: Billing::start(true)?,
             keys,
             caller_addrs: Vec::new(),
@@ -151,6 +202,9 @@
             directory,
             version: 1,
             undo: Vec::new(),
+            disturbances: Vec::new(),
+            has_real_engines: options.engines,
+            has_quarantine: options.quarantine,
             unexpected_exits: 0,
             slowness: options.contention.then(|| Slowness::new(options.seed)),
         };
@@ -174,14 +228,20 @@
             Some(_) => "contention = \"on\"\naccount_share = 50\n",
             None => "",
         };
+        let quarantine = if self.has_quarantine {
+            String::new()
+        } else {
+            format!("crash_limit = {MAX_CRASH_LIMIT}\n")
+        };
         let text = format!(
             "name = \"{name}\"\nhost = \"{name}\"\nplace = \"senec\"\nregion = \"zapad\"\n\n\
              [gateway]\ncallers = \"{callers}\"\nready = \"{ready}\"\nstore = \"{}\"\n\
-             peers = \"{peers}\"\nlease_ms = {LEASE_MS}\nfences = true\n{contention}\n\
+             peers = \"{peers}\"\nlease_ms = {LEASE_MS}\nfences = true\n{contention}{quarantine}\n\
              [gateway.usage]\naddress = \"{}\"\nwindow_s = 1\nlate_s = 6\n\n\
-             [stop]\ndeadline_s = 4\n",
+             [stop]\ndeadline_s = 4\n{}",
             relay.addr(),
-            self.billing.addr()
+            self.billing.addr(),
+            if self.has_real_engines { DEBUG_LOG } else { "" }
         );
         fs::write(&file, text)?;
         let args = [file.to_string_lossy().into_owned()];
@@ -191,6 +251,7 @@
             process,
             relay,
             stop_deadline: None,
+            stopping: None,
         });
         Ok(())
     }
@@ -204,6 +265,50 @@
         Ok(())
     }
 
+    /// Records that something is disturbed from now on, until it is settled.
+    fn disturb(&mut self, endpoint: Option<usize>) -> usize {
+        let engine = endpoint.filter(|n| *n >= PLAIN_ENDPOINTS);
+        self.disturbances.push(Disturbance {
+            engine,
+            is_fault: endpoint == engine,
+            from: Instant::now(),
+            until: None,
+        });
+        self.disturbances.len() - 1
+    }
+
+    fn settle(&mut self, disturbance: usize) {
+        let until = &mut self.disturbances[disturbance].until;
+        until.get_or_insert_with(Instant::now);
+    }
+
+    /// Records a disturbance that ends after `duration` with `undo`.
+    fn disturb_for(&mut self, endpoint: Option<usize>, duration: Duration, undo: Undo) {
+        let disturbance = self.disturb(endpoint);
+        self.undo.push(PendingUndo {
+            at: Instant::now() + duration,
+            undo,
+            disturbance,
+        });
+    }
+
+    /// Records a disturbance that has no end of its own.
+    fn disturb_once(&mut self, endpoint: Option<usize>) {
+        let disturbance = self.disturb(endpoint);
+        self.settle(disturbance);
+    }
+
+    /// Returns all disturbances and loads of weights.
+    pub(super) fn disturbances(&self) -> Vec<Disturbance> {
+        let engines = self.endpoints.iter().enumerate().skip(PLAIN_ENDPOINTS);
+        let loads = engines.flat_map(|(n, engine)| loads(n, engine, None));
+        self.disturbances.iter().copied().chain(loads).collect()
+    }
+
+    pub(super) const fn engine_count(&self) -> usize {
+        self.endpoints.len() - PLAIN_ENDPOINTS
+    }
+
     pub(super) fn inject(&mut self, fault: Fault) -> Result<(), Error> {
         let now = Instant::now();
         match fault {
@@ -215,56 +320,105 @@
             }
             Fault::Freeze(n, duration) => {
                 self.gateways[n].process.freeze()?;
-                self.undo.push((now + duration, Undo::Thaw(n)));
+                self.disturb_for(None, duration, Undo::Thaw(n));
             }
             Fault::Stop(n) => {
+                let stopping = self.disturb(None);
                 let gateway = &mut self.gateways[n];
                 gateway.process.terminate()?;
                 gateway.stop_deadline.get_or_insert(now + STOP_TIMEOUT);
+                if let Some(previous) = gateway.stopping.replace(stopping) {
+                    self.settle(previous);
+                }
             }
             Fault::Store(faults, duration) => {
                 self.store.set_faults(faults);
-                self.undo.push((now + duration, Undo::Store));
+                self.disturb_for(None, duration, Undo::Store);
+            }
+            Fault::Forget => {
+                self.store.compact_log();
+                self.disturb_once(None);
+            }
+            Fault::SilenceStore(n, direction) => {
+                self.gateways[n].relay.silence(direction);
+                self.disturb_once(None);
             }
-            Fault::Forget => self.store.compact_log(),
-            Fault::SilenceStore(n, direction) => self.gateways[n].relay.silence(direction),
             Fault::CutStore(n, duration) => {
                 self.gateways[n].relay.cut_all();
                 // Longer than any timeout, so new connections are unusable too.
                 self.gateways[n].relay.set_delay(Duration::from_secs(9));
-                self.undo.push((now + duration, Undo::Delay(n)));
+                self.disturb_for(None, duration, Undo::Delay(n));
             }
             Fault::DelayStore(n, delay) => {
                 self.gateways[n].relay.set_delay(delay);
-                self.undo
-                    .push((now + Duration::from_secs(2), Undo::Delay(n)));
+                self.disturb_for(None, Duration::from_secs(2), Undo::Delay(n));
+            }
+            Fault::ResetStore => {
+                self.store.relay().cut_all();
+                self.disturb_once(None);
             }
-            Fault::ResetStore => self.store.relay().cut_all(),
             Fault::Endpoint(n, behaviour, duration) => {
                 self.endpoints[n].set_behaviour(behaviour);
-                self.undo.push((now + duration, Undo::Behaviour(n)));
+                self.disturb_for(Some(n), duration, Undo::Behaviour(n));
+            }
+            Fault::SilenceEndpoint(n, direction) => {
+                self.endpoints[n].relay().silence(direction);
+                self.disturb_once(Some(n));
             }
-            Fault::SilenceEndpoint(n, direction) => self.endpoints[n].relay().silence(direction),
             Fault::Leave(n) => {
                 self.endpoints[n].register("draining");
-                self.undo
-                    .push((now + Duration::from_secs(2), Undo::Reregister(n)));
+                self.disturb_for(Some(n), Duration::from_secs(2), Undo::Reregister(n));
             }
             Fault::Config => {
                 self.version += 3;
                 self.keys.rotate();
                 let config = config(self.version, &self.keys);
                 self.store.put_json("op", "config", &config);
+                self.disturb_once(None);
+            }
+            Fault::CutEndpoint(n) => {
+                self.endpoints[n].relay().cut_all();
+                self.disturb_once(Some(n));
+            }
+            Fault::Garble(n) => {
+                self.endpoints[n].garble_texts();
+                self.disturb_once(Some(n));
+            }
+            // An engine that is down already is restarted as planned.
+            Fault::Crash(n, mode) => {
+                if !self.endpoints[n].is_down() {
+                    self.endpoints[n].crash(mode);
+                }
+            }
+            Fault::Replace(n, drain) => {
+                self.endpoints[n].register("draining");
+                self.disturb_for(Some(n), drain, Undo::Replace(n));
+            }
+            Fault::Withdraw(n, served) => {
+                self.store.remove("servers", self.endpoints[n].id());
+                self.disturb_for(Some(n), served, Undo::Replace(n));
+            }
+            Fault::SlowLoads(n, load, duration) => {
+                self.endpoints[n].set_load_duration(load);
+                self.disturb_for(Some(n), duration, Undo::Loads(n));
+            }
+            Fault::DelayEndpoint(n, delay, duration) => {
+                self.endpoints[n].relay().set_delay(delay);
+                self.disturb_for(Some(n), duration, Undo::EndpointDelay(n));
             }
         }
         Ok(())
     }
 
     fn kill(&mut self, n: usize) -> Result<(), Error> {
+        self.disturb_once(None);
         let gateway = &mut self.gateways[n];
         gateway.process.kill()?;
         gateway.stop_deadline = None;
-        gateway.process.restart()
+        if let Some(stopping) = gateway.stopping.take() {
+            self.settle(stopping);
+        }
+        self.gateways[n].process.restart()
     }
 
     /// Ends the faults that are due, and restarts stopped processes and crashed endpoints.
@@ -273,19 +427,20 @@
         if let Some(slowness) = &mut self.slowness {
             slowness.change(now, &self.endpoints);
         }
-        let (due, later): (Vec<_>, Vec<_>) = self.undo.drain(..).partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = self.undo.drain(..).partition(|it| it.at <= now);
         self.undo = later;
-        for (_, undo) in due {
-            self.undo(&undo)?;
+        for pending in due {
+            self.undo(&pending.undo)?;
+            self.settle(pending.disturbance);
         }
-        for n in 0..PLAIN_ENDPOINTS {
-            let is_scheduled =
-                |(_, undo): &(Instant, Undo)| matches!(undo, Undo::Restart(m) if *m == n);
+        for n in 0..self.endpoints.len() {
+            let is_scheduled = |it: &PendingUndo| matches!(it.undo, Undo::Restart(m) if m == n);
             if self.endpoints[n].is_down() && !self.undo.iter().any(is_scheduled) {
-                self.crash_count += 1;
-                self.undo.push((now + RESTART_DELAY, Undo::Restart(n)));
+                self.crash_count += usize::from(n < PLAIN_ENDPOINTS);
+                self.disturb_for(Some(n), RESTART_DELAY, Undo::Restart(n));
             }
         }
+        let mut settled = Vec::new();
         for gateway in &mut self.gateways {
             let is_overdue = gateway.stop_deadline.is_some_and(|end| end <= now);
             let has_exited = gateway.process.wait(now).is_ok();
@@ -297,8 +452,12 @@
             if has_exited || is_overdue {
                 gateway.stop_deadline = None;
                 gateway.process.restart()?;
+                settled.extend(gateway.stopping.take());
             }
         }
+        for disturbance in settled {
+            self.settle(disturbance);
+        }
         Ok(())
     }
 
@@ -314,6 +473,13 @@
             Undo::Reregister(n) if self.endpoints[*n].is_down() => {}
             Undo::Reregister(n) => self.endpoints[*n].register("ready"),
             Undo::Restart(n) => self.restart(*n)?,
+            Undo::Replace(n) if self.endpoints[*n].is_down() => {}
+            Undo::Replace(n) => {
+                self.endpoints[*n].crash(CrashMode::ProcessExit);
+                self.restart(*n)?;
+            }
+            Undo::Loads(n) => self.endpoints[*n].set_load_duration(LOAD_DURATION),
+            Undo::EndpointDelay(n) => self.endpoints[*n].relay().set_delay(Duration::ZERO),
         }
         Ok(())
     }
@@ -322,11 +488,27 @@
     fn restart(&mut self, n: usize) -> Result<(), Error> {
         let crashed = &self.endpoints[n];
         crashed.stop();
-        let id = format!("e{n}-{}", self.crash_count);
-        let replacement = endpoint(crashed.addr(), &self.store, n, &id)?;
+        self.restart_count += 1;
+        let id = format!("e{n}-{}", self.restart_count);
+        let deadline = Instant::now() + RELEASE_TIMEOUT;
+        let replacement = loop {
+            let started = endpoint(crashed.addr(), &self.store, n, &id, self.has_real_engines);
+            match started {
+                // The old listener may still hold the address.
+                Err(error)
+                    if error.kind() == std::io::ErrorKind::AddrInUse
+                        && Instant::now() < deadline =>
+                {
+                    thread::sleep(Duration::from_millis(10));
+                }
+                other => break other?,
+            }
+        };
         let crashed = std::mem::replace(&mut self.endpoints[n], replacement);
         self.store.remove("servers", crashed.id());
         self.crashed_runs.extend(crashed.runs());
+        let loads = loads(n, &crashed, Some(Instant::now()));
+        self.disturbances.extend(loads);
         Ok(())
     }
 
@@ -338,10 +520,13 @@
 
     /// Ends all faults and waits up to `READY_TIMEOUT` for the gateways to accept connections.
     pub(super) fn end_faults(&mut self) -> Result<(), Error> {
-        for (_, undo) in std::mem::take(&mut self.undo) {
-            self.undo(&undo)?;
+        for pending in std::mem::take(&mut self.undo) {
+            self.undo(&pending.undo)?;
+            self.settle(pending.disturbance);
         }
+        let mut settled = Vec::new();
         for gateway in &mut self.gateways {
+            settled.extend(gateway.stopping.take());
             if let Some(end) = gateway.stop_deadline.take() {
                 if gateway.process.wait(end).is_err() {
                     gateway.process.kill()?;
@@ -349,6 +534,9 @@
                 gateway.process.restart()?;
             }
         }
+        for disturbance in settled {
+            self.settle(disturbance);
+        }
         let deadline = Instant::now() + READY_TIMEOUT;
         while Instant::now() < deadline {
             let accepts = |at: &SocketAddr| std::net::TcpStream::connect(at).is_ok();
@@ -378,11 +566,27 @@
     }
 }
 
+/// Returns the loads of weights of an engine, the last of which ends at `crashed_at`.
+fn loads(
+    n: usize,
+    engine: &Endpoint,
+    crashed_at: Option<Instant>,
+) -> impl Iterator<Item = Disturbance> + use<> {
+    let loads = engine.weight_loads().into_iter();
+    loads.map(move |load| Disturbance {
+        engine: Some(n),
+        is_fault: false,
+        from: load.started_at,
+        until: load.ended_at.or(crashed_at),
+    })
+}
+
 fn endpoint(
     listen: SocketAddr,
     store: &Arc<Store>,
     n: usize,
     id: &str,
+    is_real_engine: bool,
 ) -> std::io::Result<Endpoint> {
     let (service, models) = if n < PLAIN_ENDPOINTS {
         ("desk", &[][..])
@@ -391,7 +595,15 @@
     };
     let endpoint = Endpoint::start_at(listen, store, service, id, models)?;
     endpoint.set_work_duration(WORK_DURATION);
-    endpoint.set_event_count(20);
+    endpoint.set_event_count(texts::EVENT_COUNT);
+    if is_real_engine && n >= PLAIN_ENDPOINTS {
+        endpoint.set_load_duration(LOAD_DURATION);
+        endpoint.set_text_length(texts::drawn_length);
+        endpoint.set_capacity(Capacity {
+            slots: ENGINE_SLOTS,
+            queue: ENGINE_QUEUE,
+        });
+    }
     endpoint.crash_on(Crash {
         marker: CRASH_MARKER.to_vec(),
         mode: CrashMode::ProcessExit,
--- a/hibiscusroad-measure/tests/soak.rs
+++ b/hibiscusroad-measure/tests/soak.rs
@@ -35,6 +35,8 @@
         seed,
         processes,
         contention: false,
+        engines: false,
+        quarantine: true,
     };
     soak::run(&options, &Interrupt::default()).unwrap()
 }
@@ -59,6 +61,8 @@
         seed: 2,
         processes: 4,
         contention: true,
+        engines: false,
+        quarantine: true,
     };
     let found = soak::run(&options, &Interrupt::default()).unwrap();
     assert!(found.is_clean(), "{}", found.text());
