Let stand-in engines read prompts and refuse other weight versions

Stand-in engines make their first event as fast as any other, and run an item that expects another weight version. So no test has an item whose first event takes longer than a gateway waits for, and single versions are untested against engines that refuse.

An engine can read a prompt before the first event, for a time by request id; none by default. It answers 421 to an item that expects a version that it doesn't have, as the protocol says.

--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -130,6 +130,8 @@
     running: usize,
     /// Items that wait for a slot.
     waiting: usize,
+    /// Returns how long a run reads its prompt before the first event, by request id.
+    prompt_duration: fn(&str) -> Duration,
     /// Counts the faults that garble the texts in progress.
     garbled: u64,
     /// The slowness of its host in percent, if it reports that.
@@ -216,6 +218,7 @@
                 capacity: None,
                 running: 0,
                 waiting: 0,
+                prompt_duration: |_| Duration::ZERO,
                 garbled: 0,
                 slowness: None,
                 cold_remaining: Duration::ZERO,
@@ -315,6 +318,12 @@
         self.shared.lock().text_length = Some(length);
     }
 
+    /// Sets a function that returns how long a run reads its prompt before the first event, by
+    /// request id.
+    pub fn set_prompt_duration(&self, duration: fn(&str) -> Duration) {
+        self.shared.lock().prompt_duration = duration;
+    }
+
     /// Limits how many items it takes, and makes its answers report its load.
     pub fn set_capacity(&self, capacity: Capacity) {
         self.shared.lock().capacity = Some(capacity);
@@ -624,6 +633,17 @@
         return exchange.answer_bytes(503, &headers, Vec::new());
     }
     let model = exchange.header("X-Model").map(str::to_owned);
+    let expected_version = exchange
+        .header("X-Expect-Version")
+        .and_then(|version| version.parse::<u64>().ok());
+    let has_version = |expected: u64| {
+        let weights = &shared.lock().weights;
+        model.as_ref().and_then(|model| weights.get(model)) == Some(&expected)
+    };
+    if expected_version.is_some_and(|expected| !has_version(expected)) {
+        let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+        return exchange.answer_bytes(421, &headers, Vec::new());
+    }
     if let Some(load) = shared.full_load().filter(|_| model.is_some()) {
         return refuse_full(exchange, &load);
     }
@@ -757,12 +777,13 @@
     let Some(_slot) = shared.occupy_slot(&exchange.watch()) else {
         return;
     };
-    let (work, events, garbled, load) = {
+    let (work, prompt_duration, events, garbled, load) = {
         let inner = shared.lock();
         let events = inner.item_events.get(id).copied();
         let events = events.or_else(|| inner.text_length.map(|length| length(id)));
         (
             inner.work_duration,
+            inner.prompt_duration,
             events.unwrap_or(inner.event_count),
             inner.garbled,
             inner.load_report(),
@@ -784,6 +805,11 @@
     let Ok(mut stream) = exchange.stream_with(&headers) else {
         return;
     };
+    let is_open = stream.watch();
+    work_while_open(prompt_duration(id), &is_open);
+    if !is_open() {
+        return;
+    }
     for number in last_event_id.map_or(1, |id| id + 1)..=events {
         thread::sleep(work);
         if shared.lock().garbled != garbled {
--- a/hibiscusroad-standins/src/http.rs
+++ b/hibiscusroad-standins/src/http.rs
@@ -337,6 +337,12 @@
         self.encoder.get_mut().flush()
     }
 
+    /// Returns a function that checks whether the caller's connection is open.
+    pub fn watch(&self) -> impl Fn() -> bool + Send + use<> {
+        let (relay, peer) = (self.relay.clone(), self.peer);
+        move || relay.is_open(peer)
+    }
+
     /// Closes the connection without completing the answer.
     pub fn abandon(self) {
         self.relay.cut(self.peer);
