--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -20,7 +20,7 @@
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
                       [--trace] [--json]
        measure soak [--seconds N] [--seed N] [--processes N] [--contention]
-                    [--engines] [--no-quarantine]
+                    [--engines] [--no-quarantine] [--long-prompts]
        measure policy [--seed N] [--scenario NAME]
        measure train [--deployment pobrezie|lakeshore] [--seed N]
                      [--outage SECONDS]
@@ -33,8 +33,9 @@
         promises; --trace tells what happened; KINDS is all, none, kill, freeze, store, link, stop or operate
 soak    puts callers and trainers on gateways, injects faults from outside and
         checks the promises while they run; --engines makes engines like real
-        ones, which load weights, fill up and fail in series; --no-quarantine
-        has gateways hold practically no item as one that crashes engines
+        ones, which load weights, fill up and fail in series; with
+        --no-quarantine, gateways hold practically no item as one that crashes
+        engines, and with --long-prompts, engines read one in 25 for 0.8 s
 policy  runs the decisions under load in virtual time
 train   runs the training decisions in virtual time
 
@@ -215,8 +216,15 @@
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             Arg::Long("processes") => options.processes = parser.value()?.parse()?,
             Arg::Long("contention") => options.contention = true,
-            Arg::Long("engines") => options.engines = true,
-            Arg::Long("no-quarantine") => options.quarantine = false,
+            Arg::Long("engines") => {
+                options.engines.get_or_insert_default();
+            }
+            Arg::Long("long-prompts") => {
+                options.engines.get_or_insert_default().long_prompts = true;
+            }
+            Arg::Long("no-quarantine") => {
+                options.engines.get_or_insert_default().quarantine = false;
+            }
             arg => return Err(arg.unexpected()),
         }
     }
--- a/hibiscusroad-measure/src/soak/check.rs
+++ b/hibiscusroad-measure/src/soak/check.rs
@@ -34,6 +34,8 @@
     observed: Arc<Mutex<Observations>>,
     /// Returns the number of events in the text of an item.
     text_length: fn(&str) -> u64,
+    /// Whether one weight version must generate all of a text.
+    single_version: bool,
 }
 
 /// Result of a soak.
@@ -87,10 +89,11 @@
 impl Check {
     /// Creates an empty record. `text_length` returns the number of events in the text of an
     /// item.
-    pub(super) fn new(text_length: fn(&str) -> u64) -> Self {
+    pub(super) fn new(text_length: fn(&str) -> u64, single_version: bool) -> Self {
         Self {
             observed: Arc::default(),
             text_length,
+            single_version,
         }
     }
 
@@ -155,6 +158,9 @@
         }
         let versions = result["versions"].as_array().cloned().unwrap_or_default();
         let is_allowed = |version: &Value| version.as_u64().is_some_and(|v| v >= min_version);
+        if self.single_version && versions.len() != 1 {
+            self.record_violation(&format!("{id} is of versions {versions:?}, not of one"));
+        }
         if versions.is_empty() || !versions.iter().all(is_allowed) {
             self.record_violation(&format!(
                 "{id} is of versions {versions:?}, the floor is {min_version}"
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -31,6 +31,8 @@
 
 /// Limit on the time that clients take to finish after the faults.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(25);
+/// Time between two looks whether faults are due to end.
+const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 const CALLER_COUNT: usize = 6;
 const TRAINER_COUNT: usize = 2;
 /// Number of crashes from which on a request must be in quarantine.
@@ -51,12 +53,28 @@
     pub processes: usize,
     /// Whether gateways expect contention, and hosts turn slow by turns.
     pub contention: bool,
-    /// Whether engines take time to load weights, have few slots and texts of differing lengths,
-    /// and fail in series, with calm times in between.
-    pub engines: bool,
+    /// How engines behave where they are like real ones: they take time to load weights, have few
+    /// slots and texts of differing lengths, and fail in series, with calm times in between.
+    pub engines: Option<EngineOptions>,
+}
+
+/// Options of engines that are like real ones.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOptions {
     /// Whether a request that crashes endpoints is sent. Without it, gateways hold practically
     /// no request as one that crashes endpoints, so that other causes of waits can be seen.
     pub quarantine: bool,
+    /// Whether engines take long to read some prompts.
+    pub long_prompts: bool,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            quarantine: true,
+            long_prompts: false,
+        }
+    }
 }
 
 impl Default for Options {
@@ -66,8 +84,7 @@
             seed: 1,
             processes: 5,
             contention: false,
-            engines: false,
-            quarantine: true,
+            engines: None,
         }
     }
 }
@@ -76,15 +93,26 @@
     /// Returns the number of trainers: one or two, by the seed, where engines are like real
     /// ones, since an item that waits may be excused by the steps of another model.
     const fn trainer_count(&self) -> usize {
-        if self.engines && self.seed.is_multiple_of(2) {
+        if self.engines.is_some() && self.seed.is_multiple_of(2) {
             1
         } else {
             TRAINER_COUNT
         }
     }
 
+    /// Returns whether one weight version must generate all of a text, which depends on the seed
+    /// where engines are like real ones.
+    const fn single_version(&self) -> bool {
+        self.engines.is_some() && self.seed % 4 >= 2
+    }
+
+    /// Returns whether gateways hold requests that crash endpoints.
+    fn has_quarantine(&self) -> bool {
+        self.engines.is_none_or(|engines| engines.quarantine)
+    }
+
     const fn step_shape(&self) -> StepShape {
-        if self.engines {
+        if self.engines.is_some() {
             StepShape {
                 groups: 12,
                 group_size: 4,
@@ -101,7 +129,7 @@
 
     /// Returns the function that tells the number of events of a text.
     fn text_length(&self) -> fn(&str) -> u64 {
-        if self.engines {
+        if self.engines.is_some() {
             texts::drawn_length
         } else {
             texts::equal_length
@@ -116,7 +144,7 @@
 /// Returns an error if a component can't be started or controlled, or if the run is
 /// interrupted.
 pub fn run(options: &Options, interrupt: &Interrupt) -> Result<Found, Error> {
-    let check = check::Check::new(options.text_length());
+    let check = check::Check::new(options.text_length(), options.single_version());
     let steps = Steps::default();
     let mut world = World::start(options)?;
     world.wait_ready()?;
@@ -138,21 +166,19 @@
         );
         clients.push(thread::spawn(move || trainer.run()));
     }
-    if options.quarantine {
+    if options.has_quarantine() {
         let crasher = clients::Crasher::new(&world, options.seed, &check, &stopped);
         clients.push(thread::spawn(move || crasher.run()));
     }
     let start = Instant::now();
     for planned in plan::draw(options) {
-        let at = start + planned.at;
-        while Instant::now() < at {
-            check_interrupt(interrupt)?;
-            world.recover_due()?;
-            thread::sleep(Duration::from_millis(20));
-        }
+        run_until(start + planned.at, &mut world, interrupt)?;
         check.record_fault(planned.at, format!("{:?}", planned.fault));
         world.inject(planned.fault)?;
     }
+    if options.engines.is_some() {
+        run_until(start + options.time, &mut world, interrupt)?;
+    }
     world.end_faults()?;
     check_quarantine(&mut world, &check, interrupt)?;
     stopped.store(true, Ordering::Release);
@@ -174,6 +200,16 @@
     Ok(check.finish(&mut world))
 }
 
+/// Ends faults as they are due, until the given time.
+fn run_until(at: Instant, world: &mut World, interrupt: &Interrupt) -> Result<(), Error> {
+    while Instant::now() < at {
+        check_interrupt(interrupt)?;
+        world.recover_due()?;
+        thread::sleep(RECOVERY_POLL_INTERVAL);
+    }
+    Ok(())
+}
+
 /// Checks that a quarantined request rarely reaches an endpoint once all gateways have had
 /// time to learn of the quarantine.
 fn check_quarantine(
@@ -182,12 +218,7 @@
     interrupt: &Interrupt,
 ) -> Result<(), Error> {
     let mut count_sends = || -> Result<usize, Error> {
-        let deadline = Instant::now() + QUARANTINE_DELAY;
-        while Instant::now() < deadline {
-            check_interrupt(interrupt)?;
-            world.recover_due()?;
-            thread::sleep(Duration::from_millis(20));
-        }
+        run_until(Instant::now() + QUARANTINE_DELAY, world, interrupt)?;
         let executed = world.executed();
         let sends = executed
             .iter()
--- a/hibiscusroad-measure/src/soak/plan.rs
+++ b/hibiscusroad-measure/src/soak/plan.rs
@@ -76,7 +76,7 @@
 
 /// Returns all faults of a soak, in order of time.
 pub(super) fn draw(options: &Options) -> Vec<PlannedFault> {
-    if options.engines {
+    if options.engines.is_some() {
         return draw_bursts(options);
     }
     let mut rng = Pcg64::seed_from_u64(options.seed);
--- a/hibiscusroad-measure/src/soak/stranded.rs
+++ b/hibiscusroad-measure/src/soak/stranded.rs
@@ -337,6 +337,9 @@
             check.record_violation(&absence.to_string());
         }
     }
+    if world.options.engines.is_none() {
+        return;
+    }
     let reported = found.iter().filter(|it| it.duration() >= REPORTED_ABSENCE);
     for absence in reported.take(MAX_REPORTS) {
         check.record_absence(absence.to_string());
--- a/hibiscusroad-measure/src/soak/texts.rs
+++ b/hibiscusroad-measure/src/soak/texts.rs
@@ -1,12 +1,17 @@
 //! Lengths of the texts that engines generate.
 
+use std::time::Duration;
+
 /// Number of events of a text where all texts are alike.
 pub(super) const EVENT_COUNT: u64 = 20;
 /// Range of the number of events of most texts, where lengths differ.
 const USUAL_EVENTS: std::ops::Range<u64> = 5..35;
 /// Range of the number of events of long texts, ten times as many as usual.
 const LONG_EVENTS: std::ops::Range<u64> = 150..210;
-/// One in this many texts is long.
+/// How long engines read most prompts, and long ones.
+const USUAL_PROMPT: Duration = Duration::from_millis(60);
+const LONG_PROMPT: Duration = Duration::from_millis(800);
+/// One in this many texts is long, and so is one in this many prompts.
 const LONG_INTERVAL: u64 = 25;
 
 /// Returns the number of events of any text.
@@ -25,6 +30,15 @@
     range.start + hash / LONG_INTERVAL % (range.end - range.start)
 }
 
+/// Returns how long an engine reads the prompt of an item, which follows from its id.
+pub(super) fn prompt_duration(id: &str) -> Duration {
+    if (hash(id) / LONG_INTERVAL).is_multiple_of(LONG_INTERVAL) {
+        LONG_PROMPT
+    } else {
+        USUAL_PROMPT
+    }
+}
+
 /// Returns the FNV-1a hash of a text, mixed so that similar ids differ in all bits.
 fn hash(id: &str) -> u64 {
     let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -126,9 +126,7 @@
     version: u64,
     undo: Vec<PendingUndo>,
     disturbances: Vec<Disturbance>,
-    /// Whether engines are like real ones.
-    has_real_engines: bool,
-    has_quarantine: bool,
+    pub(super) options: Options,
     /// Number of processes that exited without a request to stop.
     pub(super) unexpected_exits: usize,
     /// How slow hosts are, where contention is expected.
@@ -172,22 +170,16 @@
         fs::create_dir_all(&directory)?;
         let store = Arc::new(Store::start()?);
         let keys = Keys::new();
-        store.put_json("op", "config", &config(1, &keys));
+        store.put_json("op", "config", &config(1, &keys, options.single_version()));
         let mut endpoints = Vec::new();
-        let endpoint_count = if options.engines {
+        let endpoint_count = if options.engines.is_some() {
             PLAIN_ENDPOINTS + ENGINE_COUNT
         } else {
             ENDPOINT_COUNT
         };
         for n in 0..endpoint_count {
             let id = format!("e{n}");
-            endpoints.push(endpoint(
-                ANY_LOOPBACK_PORT,
-                &store,
-                n,
-                &id,
-                options.engines,
-            )?);
+            endpoints.push(endpoint(ANY_LOOPBACK_PORT, &store, n, &id, options)?);
         }
         let mut world = Self {
             store,
@@ -203,8 +195,7 @@
             version: 1,
             undo: Vec::new(),
             disturbances: Vec::new(),
-            has_real_engines: options.engines,
-            has_quarantine: options.quarantine,
+            options: *options,
             unexpected_exits: 0,
             slowness: options.contention.then(|| Slowness::new(options.seed)),
         };
@@ -228,7 +219,7 @@
             Some(_) => "contention = \"on\"\naccount_share = 50\n",
             None => "",
         };
-        let quarantine = if self.has_quarantine {
+        let quarantine = if self.options.has_quarantine() {
             String::new()
         } else {
             format!("crash_limit = {MAX_CRASH_LIMIT}\n")
@@ -241,7 +232,11 @@
              [stop]\ndeadline_s = 4\n{}",
             relay.addr(),
             self.billing.addr(),
-            if self.has_real_engines { DEBUG_LOG } else { "" }
+            if self.options.engines.is_some() {
+                DEBUG_LOG
+            } else {
+                ""
+            }
         );
         fs::write(&file, text)?;
         let args = [file.to_string_lossy().into_owned()];
@@ -372,7 +367,7 @@
             Fault::Config => {
                 self.version += 3;
                 self.keys.rotate();
-                let config = config(self.version, &self.keys);
+                let config = config(self.version, &self.keys, self.options.single_version());
                 self.store.put_json("op", "config", &config);
                 self.disturb_once(None);
             }
@@ -492,7 +487,7 @@
         let id = format!("e{n}-{}", self.restart_count);
         let deadline = Instant::now() + RELEASE_TIMEOUT;
         let replacement = loop {
-            let started = endpoint(crashed.addr(), &self.store, n, &id, self.has_real_engines);
+            let started = endpoint(crashed.addr(), &self.store, n, &id, &self.options);
             match started {
                 // The old listener may still hold the address.
                 Err(error)
@@ -586,7 +581,7 @@
     store: &Arc<Store>,
     n: usize,
     id: &str,
-    is_real_engine: bool,
+    options: &Options,
 ) -> std::io::Result<Endpoint> {
     let (service, models) = if n < PLAIN_ENDPOINTS {
         ("desk", &[][..])
@@ -596,9 +591,12 @@
     let endpoint = Endpoint::start_at(listen, store, service, id, models)?;
     endpoint.set_work_duration(WORK_DURATION);
     endpoint.set_event_count(texts::EVENT_COUNT);
-    if is_real_engine && n >= PLAIN_ENDPOINTS {
+    if let Some(engines) = options.engines.filter(|_| n >= PLAIN_ENDPOINTS) {
         endpoint.set_load_duration(LOAD_DURATION);
         endpoint.set_text_length(texts::drawn_length);
+        if engines.long_prompts {
+            endpoint.set_prompt_duration(texts::prompt_duration);
+        }
         endpoint.set_capacity(Capacity {
             slots: ENGINE_SLOTS,
             queue: ENGINE_QUEUE,
@@ -611,7 +609,7 @@
     Ok(endpoint)
 }
 
-fn config(version: u64, keys: &Keys) -> Value {
+fn config(version: u64, keys: &Keys, single_version: bool) -> Value {
     let mut routes = vec![
         json!({ "name": "desk", "hostname": HOSTNAME, "prefix": "/desk/", "type": "idempotent",
             "timeoutMs": 3000, "targetLatencyMs": 150, "priority": 2, "service": "desk",
@@ -621,7 +619,8 @@
             "maxAttempts": 3 }),
         json!({ "name": "lm", "hostname": HOSTNAME, "prefix": "/lm/", "type": "rollout",
             "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 0, "service": "lm",
-            "maxAttempts": 9, "dueMs": 7500, "itemTtlS": 120 }),
+            "maxAttempts": 9, "dueMs": 7500, "itemTtlS": 120,
+            "singleVersion": single_version }),
     ];
     for n in 0..version % 5 {
         routes.push(
