Show two ways for an item to stay at no engine while engines have room

An item that was in flight at three connections that engines broke off is in quarantine, although the engines live on; the evidence is refuted after 20 s only. And an item whose first event takes longer than six median paces (160 ms at least) is moved on while any other engine has room, for ever: each run ends within 200 ms, which counts as no stay at an engine.

--- a/hibiscusroad-daemon/tests/gateway_batches.rs
+++ b/hibiscusroad-daemon/tests/gateway_batches.rs
@@ -13,6 +13,11 @@
     time::{Duration, Instant},
 };
 
+/// How long engines read a long prompt.
+const LONG_PROMPT_DURATION: Duration = Duration::from_millis(800);
+/// Limit on the time until an item with a long prompt is listed.
+const MAX_PROMPT_TIME: Duration = Duration::from_secs(5);
+
 #[test]
 fn batch_is_run_scored_and_read_at_every_gateway() {
     let (world, desk, engine) = World::ready("batch", 2);
@@ -538,3 +543,35 @@
         assert_eq!(changes.count(), 0, "{test}");
     }
 }
+
+// Guards against an item that is moved from engine to engine and generates nothing, since each
+// engine reads its prompt for longer than engines usually take for a few events.
+#[test]
+fn item_with_a_long_prompt_stays_at_an_engine() {
+    let mut world = World::start("prompt");
+    world.configure(1, &[]);
+    let _desk = world.endpoint("hut-desk", "i-desk", &[]);
+    let engines = ["i-1", "i-2", "i-3", "i-4"].map(|id| world.endpoint("guide-lm", id, &["guide"]));
+    world.gateway();
+    world.wait_ready(0);
+    // Makes the pace of engines known.
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 4, 4)).status, 202);
+    check_whole(&results(&world, 0, "b1", 16), 8);
+    for engine in &engines {
+        engine.set_prompt_duration(|_| LONG_PROMPT_DURATION);
+    }
+    assert_eq!(submit(&world, 0, "b2", &submission(2, 1, 1, 1)).status, 202);
+    let start = Instant::now();
+    while read(&world, 0, "b2", 0).json()["results"]
+        .as_array()
+        .is_none_or(Vec::is_empty)
+    {
+        let runs = engines.iter().flat_map(Endpoint::runs);
+        let runs = runs.filter(|run| run.id == "item-2-0-0").count();
+        assert!(
+            start.elapsed() < MAX_PROMPT_TIME,
+            "nothing after {runs} runs"
+        );
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/hibiscusroad-daemon/tests/gateway_crashes.rs
+++ b/hibiscusroad-daemon/tests/gateway_crashes.rs
@@ -14,6 +14,7 @@
 };
 use serde_json::json;
 use std::{
+    collections::BTreeSet,
     sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
@@ -29,6 +30,8 @@
 const MAX_LATE_SENDS: usize = 3;
 /// Maximum endpoints that a request may crash in all.
 const MAX_ENDS: usize = CRASH_LIMIT + MAX_LATE_SENDS;
+/// Longest time that an item may stand at no engine while engines have room.
+const MAX_ABSENCE: Duration = Duration::from_secs(5);
 const REPLICA_NAMES: [&str; 6] = ["r0", "r1", "r2", "r3", "r4", "r5"];
 
 /// Starts gateways and crashing replicas of a request-response service.
@@ -412,6 +415,54 @@
     assert_eq!(results(&world, 1 - owner, "b1", 5).len(), 5);
 }
 
+/// Returns the engine that runs an item now.
+fn engine_of<'a>(engines: &'a [Endpoint], item: &str) -> Option<&'a Endpoint> {
+    let runs_item = |engine: &&Endpoint| {
+        let runs = engine.runs();
+        runs.iter()
+            .any(|run| run.id == item && run.ended_at.is_none())
+    };
+    engines.iter().find(runs_item)
+}
+
+// Guards against an item that stands at no engine since engines that live on broke off its
+// connections, as when they are reset.
+#[test]
+fn item_whose_connections_break_off_is_run_again() {
+    let mut world = World::start("breaks");
+    world.configure(1, &[]);
+    let _scorer = world.endpoint("hut-desk", "i-desk", &[]);
+    let engines = ["i-1", "i-2", "i-3", "i-4"].map(|id| world.endpoint("guide-lm", id, &["guide"]));
+    for engine in &engines {
+        engine.set_work_duration(Duration::from_millis(25));
+        engine.set_event_count(200);
+    }
+    world.gateway();
+    world.wait_ready(0);
+    wait_for_endpoints(&world.gateways[0]);
+    let step = submission(1, 1, 1, 1);
+    let item = step["requests"][0]["id"].as_str().unwrap();
+    assert_eq!(submit(&world, 0, "b1", &step).status, 202);
+    let mut broken = BTreeSet::new();
+    while broken.len() < CRASH_LIMIT {
+        let engine = until("the item runs", || engine_of(&engines, item));
+        thread::sleep(Duration::from_millis(100));
+        engine.relay().cut_all();
+        broken.insert(engine.id());
+        until("the run ends", || {
+            engine_of(std::slice::from_ref(engine), item)
+                .is_none()
+                .then_some(())
+        });
+    }
+    let broken_at = Instant::now();
+    while engine_of(&engines, item).is_none() {
+        let waited = broken_at.elapsed();
+        assert!(waited < MAX_ABSENCE, "at no engine for {waited:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 // Guards against a reward call that is retried without limit.
 #[test]
 fn reward_call_that_crashes_endpoints_is_quarantined() {
