Give a run more time for its first event after each move without one

Callers saw LOST in the soak and in a test: an item made no event for 5 s and more although every engine was idle. Cause: a run leaves its engine when the first event takes longer than six median paces, or the head of the response longer than three (100 to 160 ms at least), if any other engine has room. There the same happens: an item whose prompt takes 0.2 s to read goes from engine to engine every 110 to 160 ms, without a limit, and has no run that counts. Class of fault: a retry elsewhere on a limit that the request can't meet anywhere.

The limit doubles with each move in a row without an event, up to the time after which a run is lost.

--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -75,6 +75,9 @@
 const PACE_CHECK_EVENTS: u32 = 6;
 /// Weight of the last gap in the moving average of a run's pace.
 const PACE_WEIGHT: f64 = 0.2;
+/// Limit of the doublings of the time that a run has for its first event. The last one exceeds
+/// [`EVENT_TIMEOUT`].
+const MAX_PATIENCE_DOUBLINGS: u32 = 4;
 /// Seconds per event of engines whose pace is not known.
 const DEFAULT_PACE: f64 = 0.05;
 
@@ -96,6 +99,8 @@
     /// When the first event of this run came.
     first_event: Instant,
     last_event_at: Instant,
+    /// Factor of the time that it has for its first event.
+    patience: u32,
 }
 
 impl Batches {
@@ -268,6 +273,9 @@
         key: EngineKey,
     ) -> Self {
         let now = Instant::now();
+        // An item that no engine gives its first event in the usual time, as with a long prompt,
+        // would be moved for ever.
+        let moves = owned.batch.borrow().fruitless_moves(index);
         Self {
             batches,
             owned,
@@ -281,6 +289,7 @@
             last_progress_at: now,
             first_event: now,
             last_event_at: now,
+            patience: 1 << moves.min(MAX_PATIENCE_DOUBLINGS),
         }
     }
 
@@ -388,7 +397,8 @@
         let start = Instant::now();
         let median_pace = self.batches.engines.borrow().median_pace(self.service);
         let mut wait = Duration::from_secs_f64(median_pace.unwrap_or(DEFAULT_PACE) * QUEUE_FACTOR)
-            .max(MIN_QUEUE_WAIT);
+            .max(MIN_QUEUE_WAIT)
+            * self.patience;
         loop {
             if let Ok(answer) = timeout(wait, &mut sent).await {
                 return Ok(answer);
@@ -505,7 +515,12 @@
         let median_pace = self.batches.engines.borrow().median_pace(self.service);
         let stall = Duration::from_secs_f64(median_pace.unwrap_or(DEFAULT_PACE) * STALL_FACTOR)
             .max(MIN_STALL);
-        let mut wait = stall;
+        let patience = if self.event_count == 0 {
+            self.patience
+        } else {
+            1
+        };
+        let mut wait = stall * patience;
         loop {
             // Bytes that make no event are no progress.
             if self.last_progress_at.elapsed() > EVENT_TIMEOUT {
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -73,6 +73,8 @@
     scorer_failures: u32,
     /// Number of interruptions in a row, for the retry delay.
     interruptions: u32,
+    /// Number of moves in a row without a new event.
+    moves: u32,
     /// Whether the trainer may go on without its group and ask for it again.
     is_optional: bool,
     /// When the present wait began, and the wait times of the batch at that instant.
@@ -134,6 +136,7 @@
             failures: 0,
             scorer_failures: 0,
             interruptions: 0,
+            moves: 0,
             wait_start: (now, WaitTimes::default()),
             is_optional: target < groups.len()
                 && groups[item.group.as_str()].position >= carried_groups,
@@ -439,6 +442,12 @@
         item.round += 1;
     }
 
+    /// Returns how often an item was moved in a row without a new event.
+    #[must_use]
+    pub fn fruitless_moves(&self, idx: usize) -> u32 {
+        self.items[idx].moves
+    }
+
     /// Returns the only weight version that may continue an item's text, if one
     /// version must generate all of it.
     #[must_use]
@@ -467,6 +476,11 @@
         item.wait_start = wait_start;
         let has_grown = item.text.last_event() > before;
         item.interruptions = if has_grown { 1 } else { item.interruptions + 1 };
+        if has_grown {
+            item.moves = 0;
+        } else if cause == Interruption::Moved {
+            item.moves += 1;
+        }
         match cause {
             Interruption::Never => {
                 item.phase = Phase::Ready(Outcome::Errored);
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -661,3 +661,38 @@
     let speed = engines.text_speed("lm").unwrap();
     assert_eq!(speed.remaining(200, 0), Duration::from_hours(1));
 }
+
+// Guards against an item that goes to and fro between engines that don't answer, while a slightly
+// slower one is empty.
+#[test]
+fn item_leaves_queues_for_an_engine_with_room() {
+    const QUEUE_WAIT: Duration = Duration::from_millis(112);
+    let mut now = Instant::now();
+    let mut engines = engines(&[3; 6]);
+    for (n, pace) in [0.037, 0.037, 0.048, 0.048, 0.048, 0.048]
+        .iter()
+        .enumerate()
+    {
+        let key = engines.key(&format!("e{n}")).unwrap();
+        engines.record_pace(now, key, *pace);
+    }
+    let mut visited = Vec::new();
+    let mut excluded = None;
+    // No run in the queue of the first two lasts.
+    for _ in 0..20 {
+        let requirements = Requirements {
+            excluded,
+            ..REQUIREMENTS
+        };
+        let key = engines.choose(now, &requirements).unwrap();
+        visited.push(engines.id(key).unwrap().to_owned());
+        engines.add_item(key);
+        now += QUEUE_WAIT;
+        engines.record_queueing(now, key);
+        engines.remove_item(key);
+        excluded = Some(key);
+    }
+    let is_sound = |id: &String| id != "e0" && id != "e1";
+    let first = visited.iter().position(is_sound);
+    assert!(first.is_some_and(|first| first <= 2), "{visited:?}");
+}
