--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -510,10 +510,12 @@
         }
     }
 
-    /// Records that an engine is full: an item of this owner waits in its queue.
+    /// Records that an engine is full: an item of this owner waits in its queue. It stays full
+    /// when the item leaves, which had no slot.
     pub fn record_queueing(&mut self, now: Instant, key: EngineKey) {
         if let Some(engine) = self.states.get_mut(key) {
-            engine.others_report = Some((now, engine.slots.saturating_sub(engine.own_items)));
+            let others = (engine.slots + 1).saturating_sub(engine.own_items);
+            engine.others_report = Some((now, others));
         }
     }
 
