Count runs that break together as one failure of their engine

All engines counted as failing for 4 s after connections were reset: each run that broke doubled the pause of its engine, so eight runs of one instant meant the longest one. Class of fault: one event that is counted once for each witness.

What fails during a pause was sent before it and doesn't count.

--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -582,6 +582,7 @@
             .as_secs_f64();
         self.last_event_at = now;
         self.event_count += 1;
+        self.batches.engines.borrow_mut().record_event(self.key);
         if self.event_count == 1 {
             // The time to the first event measures the queue and the prompt.
             self.first_event = now;
--- a/src/rollout/engines.rs
+++ b/src/rollout/engines.rs
@@ -90,6 +90,8 @@
     paused_until: Option<Instant>,
     /// Number of failures in a row.
     failures: u32,
+    /// The end of the pause after the last failure.
+    failure_until: Option<Instant>,
     /// Seconds per event.
     pace: Option<f64>,
     /// Average of the pace over many runs, in seconds per event.
@@ -254,6 +256,7 @@
                 others_report: None,
                 paused_until: None,
                 failures: 0,
+                failure_until: None,
                 pace: None,
                 natural: None,
                 natural_samples: 0,
@@ -520,11 +523,26 @@
     }
 
     /// Records that an engine couldn't be reached or lost the connection.
+    ///
+    /// What fails during the pause was sent before it: runs that break together are one failure.
     pub fn record_failure(&mut self, now: Instant, key: EngineKey) {
+        let Some(engine) = self.states.get_mut(key) else {
+            return;
+        };
+        if engine.failure_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let pause = MIN_FAILURE_PAUSE * (1 << engine.failures.min(5));
+        let until = now + pause.min(MAX_FAILURE_PAUSE);
+        engine.failures += 1;
+        engine.failure_until = Some(until);
+        engine.paused_until = Some(until);
+    }
+
+    /// Records that an engine makes events.
+    pub fn record_event(&mut self, key: EngineKey) {
         if let Some(engine) = self.states.get_mut(key) {
-            let pause = MIN_FAILURE_PAUSE * (1 << engine.failures.min(5));
-            engine.failures += 1;
-            engine.paused_until = Some(now + pause.min(MAX_FAILURE_PAUSE));
+            engine.failures = 0;
         }
     }
 
@@ -538,7 +556,6 @@
     /// Records a measurement of an engine's pace, in seconds per event.
     pub fn record_pace(&mut self, now: Instant, key: EngineKey, pace: f64) {
         if let Some(engine) = self.states.get_mut(key) {
-            engine.failures = 0;
             engine.pace_as_of = Some(now);
             engine.own_measurement = Some(now);
             engine.record_natural_pace(pace);
@@ -655,6 +672,8 @@
         && engine.service == requirements.service
         && requirements.regions.contains(engine.region)
         && engine.paused_until.is_none_or(|until| until <= now)
+        // After a failure, one item shows whether the engine works again.
+        && (engine.failures == 0 || engine.own_items == 0)
         && engine.free_slots(now) > 0
         && has_weights(engine, requirements)
 }
--- a/src/rollout/engines/census.rs
+++ b/src/rollout/engines/census.rs
@@ -130,7 +130,9 @@
             Some(Obstacle::Weights)
         } else if Some(key) == requirements.excluded {
             Some(Obstacle::Excluded)
-        } else if engine.paused_until.is_some_and(|until| until > now) {
+        } else if engine.paused_until.is_some_and(|until| until > now)
+            || (engine.failures > 0 && engine.own_items > 0)
+        {
             Some(Obstacle::Paused)
         } else if engine.free_slots(now) == 0 {
             Some(Obstacle::Full)
--- a/tests/rollout_engines.rs
+++ b/tests/rollout_engines.rs
@@ -183,6 +183,27 @@
     );
 }
 
+// Guards against pauses of living engines that grow with the number of runs which break at once.
+#[test]
+fn runs_that_break_together_are_one_failure() {
+    let now = Instant::now();
+    let mut engines = engines(&[3]);
+    let key = engines.key("e0").unwrap();
+    for _ in 0..8 {
+        engines.record_failure(now, key);
+    }
+    let later = now + Duration::from_millis(300);
+    assert_eq!(engines.choose(later, &REQUIREMENTS), Some(key));
+    engines.add_item(key);
+    assert_eq!(
+        engines.choose(later, &REQUIREMENTS),
+        None,
+        "one item shows whether the engine works"
+    );
+    engines.record_event(key);
+    assert_eq!(engines.choose(later, &REQUIREMENTS), Some(key));
+}
+
 // A cold engine gets only what no warm one has a slot for, and no more than it admits.
 #[test]
 fn warm_engines_come_first() {
