Let an item return to the engine it left if no other has room, and let others pass it

Items waited while the only engine with room was the one that they had left: all runs of an engine that stalls see the same free slot elsewhere, all of them leave, one gets it, and the others avoided their old engine for as long as no other had room. The first of them held up all items behind it, which could have gone there. items_return_to_the_engine_...: without the change to the choice it failed (1 of 1 run, more than 20 s), with it the items run again at once (1.2 s with the start).

An engine that was left is now the last choice in place of none; it is paused or counts as full for a moment anyway. Items behind one that finds no engine are tried as they are where trainers compete, by the same function.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -93,15 +93,7 @@
             owned.result_ready.notify_one();
             return;
         };
-        while let Some(index) = self.next_item(now, owned, |_| true) {
-            if !self.try_start(now, owned, &route, index) {
-                self.record_held_back(now, owned, &route, index);
-                let reason = self.wait_reason(owned, &route, index);
-                owned.batch.borrow_mut().record_wait(now, reason);
-                return;
-            }
-            owned.batch.borrow_mut().record_wait(now, None);
-        }
+        self.start_allowed(now, owned, route);
     }
 
     /// Returns the item of a batch that starts next among the allowed ones, and holds those
@@ -158,7 +150,8 @@
         }
     }
 
-    /// Chooses an engine for an item, other than the excluded one.
+    /// Chooses an engine for an item, other than the excluded one, and if possible other than
+    /// that which the item has just left.
     pub(super) fn choose_engine(
         &self,
         now: Instant,
@@ -168,13 +161,22 @@
         excluded: Option<EngineKey>,
     ) -> Option<EngineKey> {
         let engines = self.engines.borrow();
+        let avoided = owned.avoided_engines.borrow().get(&index).copied();
         let requirements = Requirements {
-            excluded: excluded.or_else(|| owned.avoided_engines.borrow().get(&index).copied()),
+            excluded: excluded.or(avoided),
             rest: placement::rest(&engines, owned, index),
             due: Some(owned.due_at),
             ..self.requirements(owned, route, index)?
         };
-        engines.choose(now, &requirements)
+        let chosen = engines.choose(now, &requirements);
+        if chosen.is_some() || excluded.is_some() || avoided.is_none() {
+            return chosen;
+        }
+        let any = Requirements {
+            excluded: None,
+            ..requirements
+        };
+        engines.choose(now, &any)
     }
 
     /// Returns what an item requires of an engine.
--- a/hibiscusroad-daemon/src/gateway/batches/interleave.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/interleave.rs
@@ -4,7 +4,7 @@
 //! the next item of a step finds no engine, items that need less of one are tried while
 //! slots are free, and then the step is skipped for the rest of the pass. So no slot stays
 //! free behind an item that needs another engine. Batches of services without contention are
-//! served one after the other.
+//! served one after the other, each in the same way.
 
 use super::{Batches, OwnedBatch};
 use crate::{gateway::calls::pick_service, logs::BATCHES};
@@ -87,6 +87,21 @@
         }
     }
 
+    /// Starts the items of a batch that find an engine, in their order.
+    pub(super) fn start_allowed(
+        self: &Rc<Self>,
+        now: Instant,
+        owned: &Rc<OwnedBatch>,
+        route: Route,
+    ) {
+        let Some(service) = pick_service(&route).map(str::to_owned) else {
+            return;
+        };
+        let step = OpenStep { owned, route };
+        let mut skipped = SkippedKinds::default();
+        while self.start_one(now, &service, &step, &mut skipped) {}
+    }
+
     /// Starts the next item of a step that finds an engine; returns `false` if none does.
     fn start_one(
         self: &Rc<Self>,
--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -247,3 +247,38 @@
     assert!(standing < MAX_STANDING, "the item stayed for {standing:?}");
     check_whole(&results(&world, 0, "b1", 1), 8);
 }
+
+// Guards against items that wait although the engine which they have just left has room.
+#[test]
+fn items_return_to_the_engine_that_they_left_if_no_other_has_room() {
+    const SLOTS: usize = 8;
+    let (world, _desk, first) = World::ready("returning", 1);
+    let second = world.endpoint("guide-lm", "i-lm-2", &["guide"]);
+    for engine in [&first, &second] {
+        engine.set_work_duration(Duration::from_millis(100));
+        engine.set_event_count(100);
+    }
+    thread::sleep(FIRST_EVENTS);
+    let items = 2 * SLOTS - 1;
+    let body = submission(1, 1, 1, items);
+    assert_eq!(submit(&world, 0, "b1", &body).status, 202);
+    until("all items run", || {
+        (first.runs().len() + second.runs().len() == items).then_some(())
+    });
+    thread::sleep(FIRST_EVENTS);
+    let (full, other) = if first.runs().len() == SLOTS {
+        (&first, &second)
+    } else {
+        (&second, &first)
+    };
+    full.relay().drop_traffic();
+    until("an item goes to the other engine", || {
+        (other.runs().len() == SLOTS).then_some(())
+    });
+    full.relay().restore_traffic();
+    let start = Instant::now();
+    let standing = until("the others run again", || {
+        (full.runs().len() >= 2 * SLOTS - 1).then(|| start.elapsed())
+    });
+    assert!(standing < MAX_STANDING, "the items stood for {standing:?}");
+}
