--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -135,7 +135,7 @@
     }
 
     /// Returns whether a batch is to be run.
-    fn is_open(&self, head: &Head) -> bool {
+    pub(super) fn is_open(&self, head: &Head) -> bool {
         !head.ended && millis(self.store.now().unwrap_or_default()) < head.runs_until
     }
 
--- a/hibiscusroad-daemon/tests/gateway_standing.rs
+++ b/hibiscusroad-daemon/tests/gateway_standing.rs
@@ -248,6 +248,38 @@
     check_whole(&results(&world, 0, "b1", 1), 8);
 }
 
+// Guards against an owner that keeps the limits of a route that it did not know yet.
+#[test]
+fn items_of_a_route_that_its_owner_learns_late_have_its_limits() {
+    let mut world = World::start("late-limits");
+    let relay = Relay::start(ANY_LOOPBACK_PORT, world.store.addr()).unwrap();
+    let first = Gateway::start(&world.dir, "gateway-cut", relay.addr(), "");
+    world.gateways.push(first);
+    let [_desk, engine] = world.start_gateways(1);
+    world.wait_ready(1);
+    engine.set_work_duration(Duration::from_millis(10));
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    results(&world, 0, "b1", 2);
+    // Calls reach the store, but the answers to those under way don't arrive.
+    relay.silence(Direction::Back);
+    let route = json!({ "name": "new", "hostname": HOST, "prefix": "/new/", "type": "rollout",
+        "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 0, "service": "guide-lm",
+        "maxAttempts": 10, "dueMs": 7500, "itemTtlS": 30 });
+    world.configure(2, &[route]);
+    let before = engine.runs().len();
+    engine.set_behaviour(Behaviour::Failing);
+    let body = submission(2, 1, 1, 2).to_string();
+    until("the route is known at the other gateway", || {
+        let answer = world.gateways[1].call("POST", "/new/step", "b2", body.as_bytes());
+        (answer.status == 202).then_some(())
+    });
+    until("the items have failed once", || {
+        (engine.runs().len() >= before + 2).then_some(())
+    });
+    engine.set_behaviour(Behaviour::Sound);
+    check_whole(&results(&world, 1, "b2", 2), 8);
+}
+
 // Guards against items that wait although the engine which they have just left has room.
 #[test]
 fn items_return_to_the_engine_that_they_left_if_no_other_has_room() {
