Record a run whose task panics as lost, and bound its waits

A panic in the task of a run left its item running for ever, also after the tasks of start again; a guard records the run as lost. An item counts as started only once nothing can fail before its task. The time for a first event, which doubles with moves, exceeded the limits after which a run is lost (4.8 s at 50 ms an event); it ends with them. An item that is not sent to a cold engine ends its trial there.

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -260,8 +260,8 @@
         owned.avoided_engines.borrow_mut().remove(&index);
         let exact_version = owned.batch.borrow().required_version(index);
         let wait_times = owned.batch.borrow().wait_times(now, index);
-        let last_event = owned.batch.borrow_mut().start(index);
         let priority = self.item_priority(now, owned, route, &endpoint.service, index);
+        let last_event = owned.batch.borrow_mut().start(index);
         log::debug!(target: BATCHES, batch = owned.id.as_str(),
             item = owned.submission.items[index].id.as_str(), endpoint = endpoint.id.as_str(),
             before:? = last_event, waited_ms = millis(wait_times.0);
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -75,7 +75,7 @@
 const PACE_CHECK_EVENTS: u32 = 6;
 /// Weight of the last gap in the moving average of a run's pace.
 const PACE_WEIGHT: f64 = 0.2;
-/// Limit of the doublings of the time that a run has for its first event. The last one exceeds
+/// Limit of the doublings of the time that a run has for its first event. The last one reaches
 /// [`EVENT_TIMEOUT`].
 const MAX_PATIENCE_DOUBLINGS: u32 = 4;
 /// Seconds per event of engines whose pace is not known.
@@ -103,6 +103,30 @@
     patience: u32,
 }
 
+/// Records that a run was lost if it ends without an outcome, as when its task panics.
+struct RunGuard<'a> {
+    batches: &'a Batches,
+    owned: &'a OwnedBatch,
+    index: usize,
+    key: EngineKey,
+    last_event: Option<u64>,
+    is_recorded: bool,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_recorded && !self.owned.is_stopped.get() {
+            self.batches.record_interruption(
+                self.owned,
+                self.index,
+                self.key,
+                self.last_event,
+                Interruption::Lost,
+            );
+        }
+    }
+}
+
 impl Batches {
     /// Runs an item at an engine, and its scorer if the text is complete.
     pub(super) async fn run_item(self: &Rc<Self>, owned: &Rc<OwnedBatch>, start: ItemStart) {
@@ -115,6 +139,14 @@
             exact_version,
             wait_times: (waited, waits),
         } = start;
+        let mut guard = RunGuard {
+            batches: self,
+            owned,
+            index,
+            key: slot.key,
+            last_event,
+            is_recorded: false,
+        };
         let item = &owned.submission.items[index];
         let start = Instant::now();
         let mut run = Run::new(self, owned, &endpoint.service, index, slot.key);
@@ -157,6 +189,7 @@
                 events = run.event_count, pace_us = micros(run.pace),
                 took_ms = millis(start.elapsed()), waited_ms = millis(waited), fit = fit.as_str(),
                 weights_ms = millis(waits.weights), room_ms = millis(waits.capacity); "A run of an item broke off.");
+            guard.is_recorded = true;
             self.record_interruption(owned, index, slot.key, last_event, cause);
             return;
         }
@@ -176,6 +209,7 @@
             .batch
             .borrow_mut()
             .complete_text(Instant::now(), index);
+        guard.is_recorded = true;
         if needs_score {
             self.score_item(owned, index).await;
         } else {
@@ -363,7 +397,12 @@
                     engines.record_unanswered_item(self.key, model);
                     Interruption::NotRun
                 }
-                Fault::Withheld => Interruption::NotRun,
+                Fault::Withheld => {
+                    let model = self.owned.submission.model.as_deref();
+                    let mut engines = self.batches.engines.borrow_mut();
+                    engines.record_unanswered_item(self.key, model);
+                    Interruption::NotRun
+                }
                 Fault::Connect(_) | Fault::Broken(_) => Interruption::Lost,
             }
         })?;
@@ -398,7 +437,8 @@
         let median_pace = self.batches.engines.borrow().median_pace(self.service);
         let mut wait = Duration::from_secs_f64(median_pace.unwrap_or(DEFAULT_PACE) * QUEUE_FACTOR)
             .max(MIN_QUEUE_WAIT)
-            * self.patience;
+            .saturating_mul(self.patience)
+            .min(RESPONSE_TIMEOUT);
         loop {
             if let Ok(answer) = timeout(wait, &mut sent).await {
                 return Ok(answer);
@@ -523,10 +563,12 @@
         let mut wait = stall * patience;
         loop {
             // Bytes that make no event are no progress.
-            if self.last_progress_at.elapsed() > EVENT_TIMEOUT {
+            let idle = self.last_progress_at.elapsed();
+            if idle > EVENT_TIMEOUT {
                 return Err(Interruption::Lost);
             }
-            match timeout(wait, body.frame()).await {
+            let limit = EVENT_TIMEOUT.saturating_sub(idle).max(MIN_STALL);
+            match timeout(wait.min(limit), body.frame()).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => return Ok(Some(frame)),
                 Ok(Some(Err(error))) => {
