Count a load that an engine does not carry out like one without an answer

A report of an idle engine without the version ends the wait, and the engine comes after the others. The state of the former holder is marked as read only after it was read, so that a task that starts again reads it.

--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -31,8 +31,8 @@
     Done,
     /// The engine did not load it, or was not ordered to.
     Failed,
-    /// The engine did not answer.
-    Unanswered,
+    /// The engine did not answer, or does not carry out an order that it accepted.
+    Unresponsive,
 }
 
 impl Weights {
@@ -72,7 +72,7 @@
     fn record_failed(&self, endpoint: &str, outcome: LoadOutcome) -> Duration {
         let mut failed = self.failed.borrow_mut();
         let unanswered = match outcome {
-            LoadOutcome::Unanswered => 1 + failed.get(endpoint).map_or(0, |it| it.unanswered),
+            LoadOutcome::Unresponsive => 1 + failed.get(endpoint).map_or(0, |it| it.unanswered),
             LoadOutcome::Done | LoadOutcome::Failed => 0,
         };
         let factor = 1 << unanswered.saturating_sub(1).min(MAX_DOUBLINGS);
@@ -97,7 +97,7 @@
                 Some(report) if self.record_report(load, &report) => return LoadOutcome::Done,
                 Some(report) if !report.busy => report.orders,
                 Some(_) => return LoadOutcome::Failed,
-                None => return LoadOutcome::Unanswered,
+                None => return LoadOutcome::Unresponsive,
             },
         };
         // Checked last: there is no await between this and the order.
@@ -157,7 +157,7 @@
                 LoadOutcome::Failed
             }
             OrderAnswer::Busy | OrderAnswer::Gone | OrderAnswer::Refused => LoadOutcome::Failed,
-            OrderAnswer::Unknown => LoadOutcome::Unanswered,
+            OrderAnswer::Unknown => LoadOutcome::Unresponsive,
         }
     }
 
@@ -165,7 +165,7 @@
     ///
     /// An engine registers new weights at once. Its report lags behind, and is fetched only if
     /// the engine doesn't register them for a while. Without an answer it has probably ended,
-    /// and others get its turn.
+    /// and without a load it has dropped the order; others get its turn.
     async fn wait_until_loaded(&self, endpoint: &Endpoint, load: &WeightLoad) -> LoadOutcome {
         let deadline = Instant::now() + LOAD_TIMEOUT;
         let mut next_report = Instant::now() + REGISTRATION_TIMEOUT;
@@ -193,13 +193,16 @@
                 continue;
             }
             let Some(report) = self.calls.fetch_report(endpoint).await else {
-                return LoadOutcome::Unanswered;
+                return LoadOutcome::Unresponsive;
             };
             if self.record_report(load, &report) {
                 return LoadOutcome::Done;
             }
+            if !report.busy {
+                return LoadOutcome::Unresponsive;
+            }
         }
-        LoadOutcome::Failed
+        LoadOutcome::Unresponsive
     }
 
     /// Records the versions that an engine reports.
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -165,8 +165,9 @@
     pub(super) async fn run(self: Rc<Self>) {
         loop {
             if let Some(fence) = self.duty.fencing_token() {
-                if self.prepared_token.replace(Some(fence)) != Some(fence) {
+                if self.prepared_token.get() != Some(fence) {
                     self.prepare(fence).await;
+                    self.prepared_token.set(Some(fence));
                 }
                 self.start_loads().await;
             }
