Load a batch again also after its time is over

Found by reading: a batch whose items are given up still lists them. If its results conflicted then, or it came back to its owner, the reload returned early and the lister had ended, so nothing listed them.

--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -94,7 +94,8 @@
 
     /// Loads a batch again whose stored results differ from those that are known here.
     pub(super) fn reload(self: &Rc<Self>, owned: &OwnedBatch) {
-        let Some(row) = self.head(&owned.id).filter(|row| self.is_own(&row.head)) else {
+        let is_own = |row: &HeadRow| row.head.owner == self.incarnation && !row.head.ended;
+        let Some(row) = self.head(&owned.id).filter(is_own) else {
             return;
         };
         self.owned.borrow_mut().remove(&owned.id);
