Ask a held item's engines again by time, not by what is under way

Found by reading: an engine stayed in the set of those being asked if the task of its question ended early, and was never asked again. The times of the questions take the place of the set. An answer counts only while the engine is still registered: another one may have its address.

--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -48,7 +48,7 @@
 };
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -86,8 +86,8 @@
     known: Rc<KnownConfig>,
     engines: RefCell<Engines>,
     engine_calls: EngineCalls,
-    /// Engines that are being asked whether they live.
-    checked_engines: RefCell<HashSet<EndpointIncarnation>>,
+    /// When engines were last asked whether they live.
+    life_checks: RefCell<HashMap<EndpointIncarnation, Instant>>,
     heads: RefCell<HashMap<String, HeadRow>>,
     /// The batches that this process runs.
     owned: RefCell<HashMap<String, Rc<OwnedBatch>>>,
@@ -201,7 +201,7 @@
             known,
             engines: RefCell::new(engines),
             engine_calls,
-            checked_engines: RefCell::default(),
+            life_checks: RefCell::default(),
             heads: RefCell::default(),
             owned: RefCell::default(),
             submissions: RefCell::default(),
--- a/hibiscusroad-daemon/src/gateway/batches/quarantine.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/quarantine.rs
@@ -8,11 +8,16 @@
     quarantine::{EndpointIncarnation, ORDER_MARGIN, Verdict},
     roster::Endpoint,
 };
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::{task::spawn_local, time::sleep};
 
 /// Time between two checks whether the quarantine of an item has ended.
 pub(super) const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Least time between two questions to an engine, longer than one takes.
+const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Batches {
     /// Returns whether an item is in quarantine because engines crash while they run it.
@@ -29,16 +34,16 @@
 
     /// Asks the engines that seem to have ended under an item whether they live.
     pub(super) fn check_crashes(self: &Rc<Self>, owned: &OwnedBatch, index: usize) {
+        let now = Instant::now();
+        let mut checks = self.life_checks.borrow_mut();
+        checks.retain(|_, asked_at| now < *asked_at + QUESTION_INTERVAL);
         let subject = owned.subject(&owned.submission.items[index]);
         for incarnation in self.context.crashes.doubtful_endpoints(&subject) {
             let Some(endpoint) = self.members.get(&incarnation.endpoint) else {
                 continue;
             };
-            let is_new = self
-                .checked_engines
-                .borrow_mut()
-                .insert(incarnation.clone());
-            if is_new {
+            if !checks.contains_key(&incarnation) {
+                checks.insert(incarnation.clone(), now);
                 spawn_local(Rc::clone(self).check_engine(endpoint, incarnation));
             }
         }
@@ -49,10 +54,13 @@
         sleep(ORDER_MARGIN).await;
         let crashes = &self.context.crashes;
         let sent_at = crashes.now();
-        if self.engine_calls.fetch_report(&endpoint).await.is_some() {
+        let answers = self.engine_calls.fetch_report(&endpoint).await.is_some();
+        // Another engine may have its address by now.
+        let current = self.members.get(&incarnation.endpoint);
+        let is_same = current.is_some_and(|it| it.started_ms == incarnation.started_ms);
+        if answers && is_same {
             crashes.record_life(&incarnation, sent_at);
             self.wake_dispatcher();
         }
-        self.checked_engines.borrow_mut().remove(&incarnation);
     }
 }
