Wait for the route of a batch in one place, with an exit

Found by reading: a batch whose route is not known here waited without a limit if it came from a peer or its configuration was old, with the heartbeat of this process before it; only the wait without any configuration ended. A route of another kind at the path counted as its route. Both waits are one module now, which hands the batch on after 0.5 s without a configuration and 3 s without a newer one. A configuration that the store confirms not to exist settles nothing (batch_waits_for_a_configuration failed on the way, passes).

--- a/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/dispatch.rs
@@ -71,8 +71,13 @@
 
     /// Returns the route of a batch in the present configuration.
     pub(super) fn route(&self, owned: &OwnedBatch) -> Option<Route> {
+        self.rollout_route(&owned.host, &owned.path)
+    }
+
+    /// Returns the route of batches at a path in the present configuration.
+    pub(super) fn rollout_route(&self, host: &str, path: &str) -> Option<Route> {
         let catalog = self.known.catalog()?;
-        let route = catalog.find(&owned.host, &owned.path)?;
+        let route = catalog.find(host, path)?;
         (route.kind == Kind::Rollout).then(|| route.clone())
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod read;
 mod regions;
+mod route_wait;
 mod score;
 mod share;
 mod slot;
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -38,10 +38,6 @@
 /// Shortest and longest wait between retries.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
-/// Time after which a process that knows no configuration hands its batches on: its heartbeat
-/// keeps others from taking them over.
-const CONFIG_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// The state from which a batch is run.
 pub(super) struct BatchState {
     pub(super) submission: Submission,
@@ -135,7 +131,7 @@
     }
 
     /// Returns whether a batch is to be run.
-    pub(super) fn is_open(&self, head: &Head) -> bool {
+    fn is_open(&self, head: &Head) -> bool {
         !head.ended && millis(self.store.now().unwrap_or_default()) < head.runs_until
     }
 
@@ -145,7 +141,7 @@
     }
 
     /// Reads the heartbeats of all owners.
-    async fn poll_heartbeats(&self) -> Result<(), String> {
+    pub(super) async fn poll_heartbeats(&self) -> Result<(), String> {
         let start = Instant::now();
         let page = self.store.read_whole(&Range::part(row::ENTRIES, "")).await;
         let page = page.map_err(|failure| failure.to_string())?;
@@ -198,7 +194,6 @@
         let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
         // Loading may take longer than the heartbeat timeout, so heartbeats start now.
         self.mark_owning();
-        let start = Instant::now();
         loop {
             if self.owned.borrow().contains_key(&id) || self.is_stopping.get() {
                 return;
@@ -206,18 +201,6 @@
             if self.head(&id).is_none_or(|row| row.version != version) {
                 return;
             }
-            // Without a configuration the route seems to be removed, and the batch would
-            // be given up.
-            if self.known.catalog().is_none() {
-                if start.elapsed() > CONFIG_TIMEOUT {
-                    log::warn!(target: BATCHES, batch = id.as_str();
-                        "A batch is not run here: this process knows no configuration.");
-                    let _polled = join(self.ensure_members(), self.poll_heartbeats()).await;
-                    self.hand_over(&id).await;
-                }
-                sleep(backoff.next_wait(&mut rand::rng())).await;
-                continue;
-            }
             match self.load(&id).await {
                 Ok(state) => {
                     self.begin(id, head, version, state).await;
@@ -262,8 +245,7 @@
             return;
         }
         let now = Instant::now();
-        let catalog = self.known.catalog();
-        let route = catalog.and_then(|c| c.find(&head.host, &head.path).cloned());
+        let route = self.rollout_route(&head.host, &head.path);
         let max_attempts = route.as_ref().map_or(1, |route| route.max_attempts);
         let is_single_version = route.as_ref().is_some_and(|route| route.single_version);
         let mut batch = Batch::new(
--- a/hibiscusroad-daemon/src/gateway/batches/submit.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/submit.rs
@@ -333,10 +333,7 @@
         if state.is_new() {
             self.prepare(&id, &head, &mut state).await;
         }
-        // Its route sets the limits of its items, and may be newer than what is known here.
-        while self.is_route_missing(&head) && !self.is_stopping.get() {
-            sleep(RETRY_BACKOFF.0).await;
-        }
+        self.wait_for_route(&id, &head, version).await;
         // The feed may have started or ended it meanwhile.
         let is_current = self.head(&id).is_some_and(|row| row.version == version);
         if is_current && !self.owned.borrow().contains_key(&id) {
@@ -344,17 +341,6 @@
         }
     }
 
-    /// Returns whether a batch has no route here, by a configuration from before its acceptance.
-    fn is_route_missing(&self, head: &Head) -> bool {
-        let now = Instant::now();
-        let age = head.age(self.store.now().unwrap_or_default());
-        let accepted_at = now.checked_sub(age).unwrap_or(now);
-        let catalog = self.known.catalog();
-        let route = catalog.and_then(|it| it.find(&head.host, &head.path).cloned());
-        let is_open = self.is_open(head);
-        is_open && route.is_none() && !self.known.is_confirmed_since(accepted_at)
-    }
-
     /// Reads the paces of engines and the texts that a new batch starts with.
     async fn prepare(&self, id: &str, head: &Head, state: &mut BatchState) {
         let (paces, carried) = join(
