Let nothing of a batch end with the panic of its task

Found by reading: a panic while an item was scored left it scored for ever, one of the task that lists results or saves texts ended that for its batch, and the tasks that expire crashes and entries, route calls and report usage were not started again. A guard lets the item run again, or the batch be loaded again, when a task unwinds; the other tasks of a gateway start again like those of batches. They moved to a module of their own. Two branches of a run that stood twice are one.

--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -15,6 +15,7 @@
         crashes::InFlight,
         http::{Fault, full_body},
         message::{Head, text},
+        on_panic::OnPanic,
         request::{internal_head, set_account},
         subject::Subject,
     },
@@ -103,30 +104,6 @@
     patience: u32,
 }
 
-/// Records that a run was lost if it ends without an outcome, as when its task panics.
-struct RunGuard<'a> {
-    batches: &'a Batches,
-    owned: &'a OwnedBatch,
-    index: usize,
-    key: EngineKey,
-    last_event: Option<u64>,
-    is_recorded: bool,
-}
-
-impl Drop for RunGuard<'_> {
-    fn drop(&mut self) {
-        if !self.is_recorded && !self.owned.is_stopped.get() {
-            self.batches.record_interruption(
-                self.owned,
-                self.index,
-                self.key,
-                self.last_event,
-                Interruption::Lost,
-            );
-        }
-    }
-}
-
 impl Batches {
     /// Runs an item at an engine, and its scorer if the text is complete.
     pub(super) async fn run_item(self: &Rc<Self>, owned: &Rc<OwnedBatch>, start: ItemStart) {
@@ -139,14 +116,7 @@
             exact_version,
             wait_times: (waited, waits),
         } = start;
-        let mut guard = RunGuard {
-            batches: self,
-            owned,
-            index,
-            key: slot.key,
-            last_event,
-            is_recorded: false,
-        };
+        let _guard = OnPanic(|| self.restart_item(owned, index));
         let item = &owned.submission.items[index];
         let start = Instant::now();
         let mut run = Run::new(self, owned, &endpoint.service, index, slot.key);
@@ -189,7 +159,6 @@
                 events = run.event_count, pace_us = micros(run.pace),
                 took_ms = millis(start.elapsed()), waited_ms = millis(waited), fit = fit.as_str(),
                 weights_ms = millis(waits.weights), room_ms = millis(waits.capacity); "A run of an item broke off.");
-            guard.is_recorded = true;
             self.record_interruption(owned, index, slot.key, last_event, cause);
             return;
         }
@@ -209,7 +178,6 @@
             .batch
             .borrow_mut()
             .complete_text(Instant::now(), index);
-        guard.is_recorded = true;
         if needs_score {
             self.score_item(owned, index).await;
         } else {
@@ -219,6 +187,14 @@
 }
 
 impl Batches {
+    /// Lets an item run again whose task has panicked.
+    fn restart_item(&self, owned: &OwnedBatch, index: usize) {
+        if !owned.is_stopped.get() {
+            owned.batch.borrow_mut().restart(Instant::now(), index);
+            self.wake_dispatcher();
+        }
+    }
+
     /// Runs the draft of an item.
     pub(super) async fn run_draft(
         &self,
@@ -387,17 +363,13 @@
                 endpoint = endpoint.id.as_str(),
                 fingerprint:% = request.subject.fingerprint(), error = fault.to_string().as_str();
                 "An engine did not answer.");
+            if matches!(fault, Fault::Evacuated) {
+                log::info!(target: BATCHES, item = head.id.as_str(),
+                    endpoint = endpoint.id.as_str(), place = &*target.data_centre;
+                    "An item is not sent to an evacuated data centre.");
+            }
             match fault {
-                Fault::Evacuated => {
-                    log::info!(target: BATCHES, item = head.id.as_str(),
-                        endpoint = endpoint.id.as_str(), place = &*target.data_centre;
-                        "An item is not sent to an evacuated data centre.");
-                    let model = self.owned.submission.model.as_deref();
-                    let mut engines = self.batches.engines.borrow_mut();
-                    engines.record_unanswered_item(self.key, model);
-                    Interruption::NotRun
-                }
-                Fault::Withheld => {
+                Fault::Evacuated | Fault::Withheld => {
                     let model = self.owned.submission.model.as_deref();
                     let mut engines = self.batches.engines.borrow_mut();
                     engines.record_unanswered_item(self.key, model);
--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -14,7 +14,10 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::task::spawn_local;
+use tokio::{task::spawn_local, time::sleep};
+
+/// Delay before a batch is loaded again, which may fail in the same way each time.
+const RELOAD_DELAY: Duration = Duration::from_millis(100);
 
 /// Builds the sink of the batches' heads.
 pub(in crate::gateway) fn sink(batches: Rc<Batches>) -> Sink {
@@ -101,7 +104,11 @@
         self.owned.borrow_mut().remove(&owned.id);
         owned.stop();
         owned.drop_drafts();
-        spawn_local(Rc::clone(self).adopt(owned.id.clone(), row.head, row.version));
+        let (batches, id) = (Rc::clone(self), owned.id.clone());
+        spawn_local(async move {
+            sleep(RELOAD_DELAY).await;
+            batches.adopt(id, row.head, row.version).await;
+        });
     }
 
     /// Stores a head; returns `false` if this version or a newer one is known.
--- a/hibiscusroad-daemon/src/gateway/batches/list.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/list.rs
@@ -4,7 +4,7 @@
 //! write is known. Results that become ready meanwhile share the next write.
 
 use super::{Batches, OwnedBatch};
-use crate::{logs::BATCHES, platform::Backoff};
+use crate::{gateway::on_panic::OnPanic, logs::BATCHES, platform::Backoff};
 use hibiscusroad::{
     clock::millis,
     rollout::row,
@@ -32,6 +32,7 @@
 impl Batches {
     /// Writes a batch's results as they become ready.
     pub(super) async fn list_results(self: Rc<Self>, owned: Rc<OwnedBatch>) {
+        let _guard = OnPanic(|| self.reload(&owned));
         loop {
             let ready = Self::next_results(&owned);
             if ready.is_empty() {
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -10,7 +10,10 @@
 //! the head row is as this owner left it.
 
 use super::{Batches, OwnedBatch};
-use crate::{gateway::failure::Failure, logs::BATCHES};
+use crate::{
+    gateway::{failure::Failure, on_panic::OnPanic},
+    logs::BATCHES,
+};
 use hibiscusroad::{
     rollout::{
         row::{self, PIECES},
@@ -34,6 +37,7 @@
 impl Batches {
     /// Saves texts until the batch is complete.
     pub(super) async fn save_pieces(self: Rc<Self>, owned: Rc<OwnedBatch>) {
+        let _guard = OnPanic(|| self.reload(&owned));
         while !owned.batch.borrow().is_complete() {
             let latency = self.store.write_latency(&row::bucket(&owned.id));
             sleep(SAVE_INTERVAL.max(latency * SAVE_LATENCIES)).await;
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod line_limit;
 mod message;
 pub mod meters;
+mod on_panic;
 mod peers;
 mod ready;
 mod refresh;
@@ -69,6 +70,7 @@
 mod store;
 mod subject;
 mod sync;
+mod tasks;
 mod times;
 mod usage;
 mod weights;
@@ -109,7 +111,7 @@
     runtime,
     signal::unix::{SignalKind, signal},
     task::{LocalSet, spawn_local},
-    time::{interval, sleep, timeout},
+    time::{interval, timeout},
 };
 
 /// Interval at which the settings file is checked for changes.
@@ -117,9 +119,6 @@
 /// Timeout of handing over batches and releasing the lease in a planned stop.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Delay before a task that has panicked is started again.
-const RESTART_DELAY: Duration = Duration::from_millis(200);
-
 /// The parts of a gateway.
 struct Gateway {
     known: Rc<KnownConfig>,
@@ -192,7 +191,7 @@
         settings.clone(),
         Rc::clone(&gateway),
     ));
-    spawn_tasks(&gateway);
+    tasks::spawn(&gateway);
     let accepting = spawn_local(front::accept(Rc::clone(&gateway), callers));
     spawn_local(ready::serve(ready, {
         let gateway = Rc::clone(&gateway);
@@ -352,139 +351,6 @@
     Rc::new(EndpointRoster::new(meters, data_centres, on_change))
 }
 
-/// Starts the gateway's background tasks.
-fn spawn_tasks(gateway: &Rc<Gateway>) {
-    let Gateway {
-        known,
-        refresher,
-        context,
-        store,
-        batches,
-        weights,
-        duty,
-        usage,
-        reporter,
-        members,
-        ..
-    } = &**gateway;
-    store.on_recovery({
-        let members = Rc::clone(members);
-        move || members.record_recovery()
-    });
-    let wake = {
-        let (weights, batches) = (Rc::clone(weights), Rc::clone(batches));
-        move || {
-            weights.wake();
-            batches.wake_dispatcher();
-        }
-    };
-    let sinks = [
-        sync::operator_sink(
-            Rc::clone(known),
-            Rc::clone(&context.calls),
-            Rc::clone(members),
-            refresher.position(),
-            wake,
-        ),
-        sync::endpoints_sink(
-            Rc::clone(members),
-            {
-                let crashes = Rc::clone(&context.crashes);
-                let (cold, members) = (Rc::clone(&context.cold), Rc::clone(members));
-                move || {
-                    crashes.confirm_roster();
-                    // Endpoints that are reported later would count as just started.
-                    if members.is_reporting() {
-                        cold.confirm_roster();
-                    }
-                }
-            },
-            {
-                let batches = Rc::clone(batches);
-                move || batches.needs_heartbeat()
-            },
-        ),
-        batches::sink(Rc::clone(batches)),
-        crashes::sink(Rc::clone(&context.crashes)),
-    ];
-    for sink in sinks {
-        let (store, sink) = (Rc::clone(store), Rc::new(sink));
-        spawn_supervised(sink.table, move || {
-            sync::follow(Rc::clone(&store), Rc::clone(&sink))
-        });
-    }
-    let (calls, expiring) = (Rc::clone(&context.calls), Rc::clone(members));
-    let prober = Rc::clone(store);
-    spawn_local(async move { prober.run_probes().await });
-    let cold = Rc::clone(&context.cold);
-    let (router, engines) = (Rc::clone(&context.calls), Rc::clone(batches));
-    spawn_local(cold.run(move |admissions| {
-        engines.set_admissions(admissions);
-        router.set_admissions(admissions);
-    }));
-    spawn_local(async move { calls.run().await });
-    spawn_local(async move { expiring.run_expiry().await });
-    spawn_batch_tasks(batches);
-    let loading = Rc::clone(weights);
-    spawn_supervised("weights", move || Rc::clone(&loading).run());
-    spawn_local(Rc::clone(usage).run_writer());
-    spawn_local(Rc::clone(&context.crashes).run_writer());
-    spawn_local(Rc::clone(&context.crashes).run_expiry());
-    if let Some(reporter) = reporter {
-        let recovered = Rc::clone(reporter);
-        store.on_recovery(move || recovered.record_store_return());
-        spawn_local(Rc::clone(reporter).run());
-    }
-    let (duty, weights, reporter) = (Rc::clone(duty), Rc::clone(weights), reporter.clone());
-    spawn_supervised("duty", move || {
-        let (weights, reporter) = (Rc::clone(&weights), reporter.clone());
-        let needed = move || {
-            let is_reporting = reporter.as_ref().is_some_and(|it| it.is_needed());
-            weights.is_needed() || is_reporting
-        };
-        Rc::clone(&duty).run(needed)
-    });
-}
-
-/// Starts the tasks without which batches stand still while their owner seems to be alive.
-fn spawn_batch_tasks(batches: &Rc<Batches>) {
-    let all = Rc::clone(batches);
-    spawn_supervised("announce", move || Rc::clone(&all).announce());
-    let all = Rc::clone(batches);
-    spawn_supervised("heartbeat", move || Rc::clone(&all).renew_heartbeat());
-    let all = Rc::clone(batches);
-    spawn_supervised("owners", move || Rc::clone(&all).watch_owners());
-    let all = Rc::clone(batches);
-    spawn_supervised("dispatch", move || Rc::clone(&all).dispatch());
-    let all = Rc::clone(batches);
-    spawn_supervised("idle", move || Rc::clone(&all).report_idle());
-    let all = Rc::clone(batches);
-    spawn_supervised("sweep", move || Rc::clone(&all).sweep());
-    let all = Rc::clone(batches);
-    spawn_supervised("paces", move || Rc::clone(&all).share_paces());
-    let all = Rc::clone(batches);
-    spawn_supervised("orders", move || Rc::clone(&all).follow_orders());
-}
-
-/// Runs a task, and starts it again if it panics.
-///
-/// The process could also end, and others would take its batches over, but a batch that causes
-/// the panic would then end one process after the other.
-fn spawn_supervised<F>(name: &'static str, start: impl Fn() -> F + 'static)
-where
-    F: Future<Output = ()> + 'static,
-{
-    spawn_local(async move {
-        while let Err(error) = spawn_local(start()).await {
-            if !error.is_panic() {
-                return;
-            }
-            log::error!(target: PROCESS, task = name; "A task is started again after a panic.");
-            sleep(RESTART_DELAY).await;
-        }
-    });
-}
-
 /// Reloads the settings on `SIGHUP` and when the file has changed.
 async fn reload(file: std::path::PathBuf, mut settings: Settings, gateway: Rc<Gateway>) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -502,6 +502,16 @@
         item.phase = Phase::Waiting { after: now + delay };
     }
 
+    /// Lets an item run again whose run or scoring ended without an outcome.
+    pub fn restart(&mut self, now: Instant, idx: usize) {
+        let item = &mut self.items[idx];
+        if matches!(item.phase, Phase::Running | Phase::Scoring) {
+            item.phase = Phase::Waiting {
+                after: now + MAX_RETRY_DELAY,
+            };
+        }
+    }
+
     /// Records that an item's text is complete; returns `false` if the item has to run
     /// again because the weight versions of its text are not allowed, or was given up.
     pub fn complete_text(&mut self, now: Instant, idx: usize) -> bool {
--- a/tests/rollout_batch.rs
+++ b/tests/rollout_batch.rs
@@ -48,6 +48,25 @@
     started
 }
 
+// Guards against an item that runs or is scored for ever because the task of that is gone.
+#[test]
+fn restarted_item_runs_again_unless_it_has_ended() {
+    let now = Instant::now();
+    let mut batch = Batch::new(now, &submission(&[1]), 3, false, 0);
+    start_all(&mut batch, now);
+    assert!(batch.append_event(0, 1, "a", Some(3)));
+    assert!(batch.complete_text(now, 0));
+    batch.restart(now, 0);
+    batch.restart(now, 1);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(batch.next_start(now), None);
+    assert_eq!(start_all(&mut batch, later), [0, 1]);
+    assert_eq!(batch.last_event(0), Some(1));
+    batch.give_up();
+    batch.restart(later, 0);
+    assert_eq!(batch.waiting_count(), 0);
+}
+
 // A carried-over group or a long item that starts late ends the step late.
 #[test]
 fn carried_over_groups_start_first_and_long_ones_next() {
