--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -310,7 +310,9 @@
     async def configure(self, routes, services):
         await self.store.put("op", "config", {
             "version": 3, "routes": routes,
-            "services": [{"name": s, "healthPath": "/healthz", "maxConns": 110} for s in services],
+            "services": [s if isinstance(s, dict) else
+                         {"name": s, "healthPath": "/healthz", "maxConns": 110}
+                         for s in services],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 33554432,
                        "headerTimeoutMs": 5000, "idleTimeoutMs": 10000}})
 
