--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -403,6 +403,8 @@
     import sys
     import traceback
 
+    # Gateways are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     world = World(folder)
     code = 2
     try:
