Log what tells apart why a request reaches a leaving endpoint

Nothing told which answer of the store a change of an endpoint came from, that an endpoint was kept whose entry is missing, how long the store had told nothing, that the process was paused, or that an endpoint had left between its choice and the send. All senders ask one place right before a request is written, which so far only logs. No decision changes.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
     calls::{Calls, Target, Ticket},
     cold::Cold,
     crashes::{Crashes, InFlight},
-    data_centres::DataCentres,
+    destinations::Destinations,
     http::{Connection, ConnectionPool, Fault, RequestBody},
     message::{Head, text},
     meters::Meters,
@@ -89,7 +89,7 @@
     pub(super) meters: Rc<Meters>,
     pub(super) usage: Rc<Usage>,
     pub(super) crashes: Rc<Crashes>,
-    pub(super) data_centres: Rc<DataCentres>,
+    pub(super) destinations: Rc<Destinations>,
     pub(super) cold: Rc<Cold>,
 }
 
@@ -252,8 +252,9 @@
         .track(subject.as_ref(), target.incarnation());
     let request = build_request(&head, &target, body);
     let start = || {
-        let running = context.data_centres.enter(&target.data_centre);
-        let running = running.ok_or(Fault::Evacuated)?;
+        let running = context
+            .destinations
+            .enter(&target.id, &target.data_centre)?;
         if !context.cold.confirm_send(&target.id, Sender::Call) {
             return Err(Fault::Withheld);
         }
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -329,11 +329,10 @@
         let sent = attempt::build_request(head, &target, full_body(request.body.clone()));
         let pool = &self.batches.context.pool;
         let AttemptContext {
-            cold, data_centres, ..
+            cold, destinations, ..
         } = &self.batches.context;
         let start = || {
-            let running = data_centres.enter(&target.data_centre);
-            let running = running.ok_or(Fault::Evacuated)?;
+            let running = destinations.enter(&target.id, &target.data_centre)?;
             if !cold.confirm_send(&endpoint.id, Sender::Item) {
                 return Err(Fault::Withheld);
             }
--- a/hibiscusroad-daemon/src/gateway/data_centres.rs
+++ b/hibiscusroad-daemon/src/gateway/data_centres.rs
@@ -1,9 +1,5 @@
 //! The data centres that requests are sent to: none is sent to an evacuated one, and those that run
 //! there are counted.
-//!
-//! A request may wait between the choice of its endpoint and its sending, for example for a
-//! connection. So each sender of requests to endpoints asks [`DataCentres::enter`] right before a
-//! request is written.
 
 use crate::logs::HOSTS;
 use hibiscusroad::evacuation::{EvacuationChange, EvacuationPhase};
--- a/hibiscusroad-daemon/src/gateway/engine_calls.rs
+++ b/hibiscusroad-daemon/src/gateway/engine_calls.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::set,
-    data_centres::DataCentres,
+    destinations::Destinations,
     http::{ConnectionPool, Fault, encode},
 };
 use crate::logs::WEIGHTS;
@@ -39,12 +39,12 @@
 /// Calls engines over the connections of this process.
 pub(super) struct EngineCalls {
     pool: Rc<ConnectionPool>,
-    data_centres: Rc<DataCentres>,
+    destinations: Rc<Destinations>,
 }
 
 impl EngineCalls {
-    pub(super) const fn new(pool: Rc<ConnectionPool>, data_centres: Rc<DataCentres>) -> Self {
-        Self { pool, data_centres }
+    pub(super) const fn new(pool: Rc<ConnectionPool>, destinations: Rc<Destinations>) -> Self {
+        Self { pool, destinations }
     }
 
     /// Returns the report of an engine, if it answers and has not been started anew.
@@ -92,10 +92,7 @@
         let id = format!("{:016x}", rand::random::<u64>());
         set(request.headers_mut(), header::REQUEST, &id);
         let data_centre = endpoint.data_centre.as_str().into();
-        let start = || {
-            let running = self.data_centres.enter(&data_centre);
-            running.ok_or(Fault::Evacuated)
-        };
+        let start = || self.destinations.enter(&endpoint.id, &data_centre);
         let sent = self.pool.send_to_endpoint(endpoint.address, request, start);
         let (response, connection) = sent.await.map_err(|fault| match fault {
             Fault::Evacuated => CallError::Evacuated,
--- a/hibiscusroad-daemon/src/gateway/evacuation.rs
+++ b/hibiscusroad-daemon/src/gateway/evacuation.rs
@@ -56,7 +56,7 @@
             self.log_evacuation(change, running);
         }
         if is_first {
-            self.publish(&update.endpoints);
+            self.publish(&update.endpoints, None);
         } else {
             self.publish_marked(&update.endpoints);
         }
--- a/hibiscusroad-daemon/src/gateway/exposition.rs
+++ b/hibiscusroad-daemon/src/gateway/exposition.rs
@@ -37,7 +37,7 @@
             let gauge = meters.endpoints.with_label_values(&[slowness]);
             gauge.set(count.into());
         }
-        let evacuated = self.context.data_centres.evacuated();
+        let evacuated = self.context.destinations.data_centres().evacuated();
         meters.evacuated.set(gauge_value(evacuated.len() as u64));
         meters.evacuated_requests.reset();
         for (data_centre, running) in evacuated.iter().take(MAX_DATA_CENTRES) {
--- a/hibiscusroad-daemon/src/gateway/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 //! * [`batches`]: batches of trainers. [`weights`]: the weights that engines load.
 //! * [`usage`]: the usage of client accounts and its reports.
 //! * [`evacuation`]: evacuations of data centres. [`data_centres`]: the requests that run in them.
+//! * [`destinations`]: the endpoints that requests may be sent to.
 //! * [`duty`]: the lease of the gateway that acts for all. [`lease_row`]: the rows of leases.
 //! * [`store`], [`failure`], [`sync`], [`known_config`], [`refresh`]: the store's client and the
 //!   state that follows its tables.
@@ -46,6 +47,7 @@
 mod cold;
 mod crashes;
 mod data_centres;
+mod destinations;
 mod duty;
 mod engine_calls;
 mod evacuation;
@@ -60,6 +62,7 @@
 mod message;
 pub mod meters;
 mod on_panic;
+mod pauses;
 mod peers;
 mod ready;
 mod refresh;
@@ -83,6 +86,7 @@
     cold::Cold,
     crashes::Crashes,
     data_centres::DataCentres,
+    destinations::Destinations,
     duty::Duty,
     http::ConnectionPool,
     known_config::KnownConfig,
@@ -143,8 +147,10 @@
             calls,
             crashes,
             cold,
+            destinations,
             ..
         } = &self.context;
+        destinations.apply_roster(changes);
         // Before calls and items are sent to endpoints that are new.
         cold.apply_roster(changes);
         calls.apply_roster(changes);
@@ -261,7 +267,7 @@
     let data_centres = Rc::new(DataCentres::new());
     let context = AttemptContext {
         crashes,
-        data_centres: Rc::clone(&data_centres),
+        destinations: Rc::new(Destinations::new(Rc::clone(&data_centres))),
         calls: Rc::clone(&calls),
         pool: Rc::clone(&pool),
         meters: Rc::clone(&meters),
@@ -305,7 +311,7 @@
             members: Rc::clone(&members),
             batches: Rc::clone(&batches),
             pool,
-            data_centres: Rc::clone(&context.data_centres),
+            destinations: Rc::clone(&context.destinations),
             meters: Rc::clone(&meters),
         };
         let weights = Rc::new(Weights::new(own.fences, dependencies));
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -16,6 +16,7 @@
 };
 use hibiscusroad::{
     change_pacing::ChangePacing,
+    clock::millis,
     roster::{Endpoint, EndpointChange, Roster},
     table::{Changes, Range, Row},
 };
@@ -34,6 +35,8 @@
 /// How long the store may hold a wait open without changes; bounds how long a
 /// silent connection delays a change.
 const FEED_WAIT: Duration = Duration::from_secs(2);
+/// Time between two answers after which changes are logged as late.
+const LATE_ANSWER: Duration = Duration::from_millis(2_300);
 /// First and longest delay of the backoff after a failed call. A store that is back is noticed
 /// within a second, and 360 processes make at most 900 calls a second meanwhile.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
@@ -62,6 +65,7 @@
 /// Follows a table until the process ends.
 pub(super) async fn follow(store: Rc<Store>, sink: Rc<Sink>) {
     let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
+    let mut answered_at: Option<Instant> = None;
     loop {
         let step = match sink.position.get() {
             None => read_table(&store, &sink).await.map(Some),
@@ -71,6 +75,14 @@
             Ok(next) => {
                 backoff.reset();
                 sink.position.set(next);
+                let now = Instant::now();
+                let gap =
+                    answered_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+                if gap > LATE_ANSWER {
+                    log::info!(target: STORE, table = sink.table, gap_ms = millis(gap);
+                        "Changes of a table may be late: the store gave no answer for a while.");
+                }
+                answered_at = Some(now);
             }
             Err(failure) => {
                 log::debug!(target: STORE, table = sink.table, error = failure.to_string().as_str();
@@ -285,24 +297,36 @@
                 None => self.expiry_changed.notified().await,
             }
             let changes = self.roster.borrow_mut().expire(Instant::now());
-            self.publish(&changes);
+            self.publish(&changes, None);
         }
     }
 
-    /// Logs changes and passes them to the listener.
-    pub(super) fn publish(&self, changes: &[EndpointChange]) {
+    /// Logs changes and passes them to the listener. `answer` is the version of the store's answer
+    /// that has them.
+    pub(super) fn publish(&self, changes: &[EndpointChange], answer: Option<u64>) {
         for change in changes {
             match change {
                 EndpointChange::Updated(e) => log::info!(target: HOSTS, endpoint = e.id.as_str(),
-                    service = e.service.as_str(), leaving = e.leaving, evacuated = e.evacuated;
-                    "An endpoint is known."),
-                EndpointChange::Removed(id) => log::info!(target: HOSTS, endpoint = id.as_str();
-                    "An endpoint is gone."),
+                    service = e.service.as_str(), leaving = e.leaving, evacuated = e.evacuated,
+                    answer = answer; "An endpoint is known."),
+                EndpointChange::Removed(id) => log::info!(target: HOSTS, endpoint = id.as_str(),
+                    answer = answer; "An endpoint is gone."),
             }
         }
         self.publish_marked(changes);
     }
 
+    /// Removes an entry, and logs if its endpoint is kept for a while.
+    fn remove(&self, now: Instant, id: &str, answer: u64) -> Option<EndpointChange> {
+        let change = self.roster.borrow_mut().remove(now, id);
+        if let Some(until) = self.roster.borrow().kept_until(id) {
+            log::info!(target: HOSTS, endpoint = id, answer = answer,
+                left_ms = millis(until.saturating_duration_since(now));
+                "The entry of an endpoint is missing; the endpoint is kept after an outage of the store.");
+        }
+        change
+    }
+
     /// Passes changes to the listener that were logged as a whole.
     pub(super) fn publish_marked(&self, changes: &[EndpointChange]) {
         if !changes.is_empty() {
@@ -324,27 +348,33 @@
     Sink {
         table: table::ENDPOINTS_TABLE,
         parts: vec![String::new()],
-        replace: Box::new(move |rows, _version| {
+        replace: Box::new(move |rows, version| {
             let endpoints = rows.iter().filter_map(|row| all.decode(row)).collect();
             let changes = all.roster.borrow_mut().replace(Instant::now(), endpoints);
-            all.publish(&changes);
+            let kept = all.roster.borrow().kept_count();
+            if kept > 0 {
+                log::info!(target: HOSTS, endpoints = kept, answer = version;
+                    "Endpoints whose entries are missing are kept after an outage of the store.");
+            }
+            all.publish(&changes, Some(version));
             all.expiry_changed.notify_one();
         }),
         change: Box::new(move |changes| {
             let now = Instant::now();
             let mut published = Vec::new();
             for id in &changes.removed {
-                published.extend(members.roster.borrow_mut().remove(now, &id.key));
+                published.extend(members.remove(now, &id.key, changes.version));
             }
             for row in &changes.rows {
-                let mut roster = members.roster.borrow_mut();
                 match members.decode(row) {
-                    Some(endpoint) => published.extend(roster.update(endpoint)),
+                    Some(endpoint) => {
+                        published.extend(members.roster.borrow_mut().update(endpoint));
+                    }
                     // A broken entry counts as removed.
-                    None => published.extend(roster.remove(now, &row.id.key)),
+                    None => published.extend(members.remove(now, &row.id.key, changes.version)),
                 }
             }
-            members.publish(&published);
+            members.publish(&published, Some(changes.version));
             members.expiry_changed.notify_one();
         }),
         confirm: Box::new(confirm),
--- a/hibiscusroad-daemon/src/gateway/tasks.rs
+++ b/hibiscusroad-daemon/src/gateway/tasks.rs
@@ -3,7 +3,7 @@
 use super::{
     Gateway, batches,
     batches::Batches,
-    crashes,
+    crashes, pauses,
     sync::{self, Sink},
 };
 use crate::logs::PROCESS;
@@ -57,6 +57,7 @@
         let expiring = Rc::clone(&expiring);
         async move { expiring.run_expiry().await }
     });
+    spawn_supervised("pauses", pauses::watch);
     spawn_batch_tasks(batches);
     let loading = Rc::clone(weights);
     spawn_supervised("weights", move || Rc::clone(&loading).run());
--- a/hibiscusroad-daemon/src/gateway/weights/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/mod.rs
@@ -14,7 +14,7 @@
 mod order;
 
 use super::{
-    batches::Batches, data_centres::DataCentres, duty::Duty, engine_calls::EngineCalls,
+    batches::Batches, destinations::Destinations, duty::Duty, engine_calls::EngineCalls,
     http::ConnectionPool, known_config::KnownConfig, lease_row::DUTIES_TABLE, meters::Meters,
     store::Store, sync::EndpointRoster,
 };
@@ -99,7 +99,7 @@
     pub(super) members: Rc<EndpointRoster>,
     pub(super) batches: Rc<Batches>,
     pub(super) pool: Rc<ConnectionPool>,
-    pub(super) data_centres: Rc<DataCentres>,
+    pub(super) destinations: Rc<Destinations>,
     pub(super) meters: Rc<Meters>,
 }
 
@@ -112,7 +112,7 @@
             known: dependencies.known,
             members: dependencies.members,
             batches: dependencies.batches,
-            calls: EngineCalls::new(dependencies.pool, dependencies.data_centres),
+            calls: EngineCalls::new(dependencies.pool, dependencies.destinations),
             meters: dependencies.meters,
             reserved: RefCell::default(),
             failed: RefCell::default(),
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -268,6 +268,19 @@
         self.evacuations.iter()
     }
 
+    /// Returns until when an endpoint is kept whose entry is missing.
+    #[must_use]
+    pub fn kept_until(&self, id: &str) -> Option<Instant> {
+        self.rows.get(id).and_then(|row| row.drop_at)
+    }
+
+    /// Returns the number of endpoints that are kept although their entries are missing.
+    #[must_use]
+    pub fn kept_count(&self) -> usize {
+        let kept = self.rows.values().filter(|row| row.drop_at.is_some());
+        kept.count()
+    }
+
     /// Returns when [`Roster::expire`] next drops an endpoint.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
