Deliver each change in the feed of the stand-in, and show changes out of order

The feed of the stand-in store gave the last state of each row, sorted by key, where the protocol gives each change in order; so no test could have a change and a removal of one row in one answer. It gives each change now, and a test can make several that arrive together.

--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -48,8 +48,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     rows: BTreeMap<Key, (Vec<u8>, u64)>,
-    /// Changes by version; the bool says that the row was removed.
-    log: Vec<(u64, Key, bool)>,
+    /// All changes in order, as feeds deliver them.
+    log: Vec<LoggedChange>,
     /// Changes up to this version are no longer in the log.
     compacted: u64,
     version: u64,
@@ -64,6 +64,15 @@
     reads: BTreeMap<(String, String), usize>,
 }
 
+/// A change of a row.
+#[derive(Debug)]
+struct LoggedChange {
+    version: u64,
+    key: Key,
+    /// The new value; `None` if the row was removed.
+    value: Option<Vec<u8>>,
+}
+
 #[derive(Debug)]
 struct Shared {
     inner: Mutex<Inner>,
@@ -161,6 +170,23 @@
         self.shared.changed.notify_all();
     }
 
+    /// Changes rows of a table one after the other, and delivers the changes together: a row is
+    /// removed if it gets no value.
+    pub fn change_together(&self, table: &str, changes: &[(&str, Option<Value>)]) {
+        let mut inner = self.shared.lock();
+        for (key, value) in changes {
+            let key = (table.to_owned(), String::new(), (*key).to_owned());
+            match value {
+                Some(value) => {
+                    inner.version += 1;
+                    inner.insert(key, value.to_string().into_bytes());
+                }
+                None => inner.remove(&key),
+            }
+        }
+        self.shared.changed.notify_all();
+    }
+
     /// Returns the part, key and value of each row of a table.
     #[must_use]
     pub fn rows(&self, table: &str) -> Vec<(String, String, Vec<u8>)> {
@@ -244,21 +270,28 @@
 impl Inner {
     fn insert(&mut self, key: Key, value: Vec<u8>) {
         let version = self.version;
-        self.rows.insert(key.clone(), (value, version));
-        self.log.push((version, key, false));
+        self.rows.insert(key.clone(), (value.clone(), version));
+        self.log.push(LoggedChange {
+            version,
+            key,
+            value: Some(value),
+        });
     }
 
     fn remove(&mut self, key: &Key) {
         self.version += 1;
         if self.rows.remove(key).is_some() {
-            self.log.push((self.version, key.clone(), true));
+            self.log.push(LoggedChange {
+                version: self.version,
+                key: key.clone(),
+                value: None,
+            });
         }
     }
 
     fn row(&self, key: &Key) -> Option<Value> {
         let (value, version) = self.rows.get(key)?;
-        Some(json!({ "table": key.0, "part": key.1, "key": key.2,
-            "value": STANDARD.encode(value), "ver": version }))
+        Some(wire_row(key, value, *version))
     }
 
     /// Queues a transaction in its part. Returns when it is carried out, or `None` if the part
@@ -301,6 +334,26 @@
     }
 }
 
+impl LoggedChange {
+    fn wire_row(&self) -> Value {
+        let Self {
+            version,
+            key,
+            value,
+        } = self;
+        match value {
+            Some(value) => wire_row(key, value, *version),
+            None => json!({ "table": key.0, "part": key.1, "key": key.2, "ver": version,
+                "removed": true }),
+        }
+    }
+}
+
+fn wire_row(key: &Key, value: &[u8], version: u64) -> Value {
+    json!({ "table": key.0, "part": key.1, "key": key.2, "value": STANDARD.encode(value),
+        "ver": version })
+}
+
 fn serve(shared: &Arc<Shared>, exchange: Exchange) {
     let faults = {
         let mut inner = shared.lock();
@@ -430,21 +483,10 @@
             drop(inner);
             return exchange.refuse(410, "forgotten");
         }
-        let changes = inner
-            .log
-            .iter()
-            .filter(|(version, key, _)| *version > after && key.0 == table);
-        let mut latest: BTreeMap<&Key, bool> = BTreeMap::new();
-        changes.for_each(|(_, key, removed)| {
-            latest.insert(key, *removed);
-        });
-        let rows: Vec<Value> = latest
-            .iter()
-            .filter_map(|(key, removed)| match removed {
-                true => Some(json!({ "table": key.0, "part": key.1, "key": key.2,
-                    "removed": true })),
-                false => inner.row(key),
-            })
+        let changes = inner.log.iter();
+        let rows: Vec<Value> = changes
+            .filter(|change| change.version > after && change.key.0 == table)
+            .map(LoggedChange::wire_row)
             .collect();
         let remaining = deadline.saturating_duration_since(Instant::now());
         if !rows.is_empty() || remaining.is_zero() || inner.faults.busy || inner.faults.silent {
