Keep the order of changes that come in one answer of the store

What callers saw: items and calls reached an endpoint for seconds after it had left (DRAIN), and a data centre whose evacuation had begun and ended stayed empty.

Cause: the store returns the changes of a table in order, removals among them. Decoding them put rows and removals in two lists, and each follower applied all removals before all rows, or the other way round for none. An endpoint whose entry changed and was removed within the half second for which a follower gathers changes was removed and added again, and nothing corrected that before the next read of the whole table. The reader of orders of weights took the first of several states of its row, the oldest.

The decoder now hands the whole history to hibiscusroad::table::Changes, which keeps the last change of each row: a row is either written or removed. The fields are private, so no reader of the endpoints, evacuations, crashes, heads of batches, orders and configuration can see a state that has passed.

--- a/hibiscusroad-daemon/src/gateway/batches/heads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heads.rs
@@ -33,10 +33,10 @@
             }
         }),
         change: Box::new(move |changes| {
-            for id in &changes.removed {
+            for id in changes.removed() {
                 batches.remove_heads(|known| known == id.key);
             }
-            for row in &changes.rows {
+            for row in changes.written() {
                 batches.record_head(row);
             }
         }),
--- a/hibiscusroad-daemon/src/gateway/batches/loads.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/loads.rs
@@ -163,7 +163,7 @@
     let received = Rc::new(Cell::new(0));
     let apply = {
         let (batches, received) = (Rc::clone(batches), Rc::clone(&received));
-        Rc::new(move |rows: Vec<Row>| {
+        Rc::new(move |rows: &[Row]| {
             received.set(rows.iter().map(|row| row.value.len()).sum());
             if let Some(row) = rows.iter().find(|row| row.id == orders_row()) {
                 batches.apply_orders_row(row);
@@ -174,8 +174,8 @@
     Sink {
         table: DUTIES_TABLE,
         parts: vec![String::new()],
-        replace: Box::new(move |rows, _version| replace(rows)),
-        change: Box::new(move |changes| apply(changes.rows)),
+        replace: Box::new(move |rows, _version| replace(&rows)),
+        change: Box::new(move |changes| apply(changes.written())),
         confirm: Box::new(|| {}),
         pause: Box::new(move || {
             let mut next = pacing.get();
--- a/hibiscusroad-daemon/src/gateway/crashes/sink.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/sink.rs
@@ -18,7 +18,9 @@
         table: CRASHES,
         parts: vec![String::new()],
         replace: Box::new(move |rows, _version| replacing.replace_rows(&rows)),
-        change: Box::new(move |changes| crashes.apply_changes(&changes.rows, &changes.removed)),
+        change: Box::new(move |changes| {
+            crashes.apply_changes(changes.written(), changes.removed());
+        }),
         confirm: Box::new(|| {}),
         pause: Box::new(|| Duration::ZERO),
         position: Position::default(),
--- a/hibiscusroad-daemon/src/gateway/evacuation.rs
+++ b/hibiscusroad-daemon/src/gateway/evacuation.rs
@@ -21,11 +21,11 @@
 
     /// Applies changes of the operator's table.
     pub(super) fn update_evacuations(&self, changes: &Changes) {
-        let rows = self.decode_evacuations(&changes.rows);
-        let removed = changes.removed.iter().filter_map(evacuated_by);
+        let rows = self.decode_evacuations(changes.written());
+        let removed = changes.removed().iter().filter_map(evacuated_by);
         let update = self
             .roster_mut()
-            .update_evacuations(changes.version, rows, removed);
+            .update_evacuations(changes.version(), rows, removed);
         self.apply_evacuations(&update, false);
     }
 
--- a/hibiscusroad-daemon/src/gateway/refresh.rs
+++ b/hibiscusroad-daemon/src/gateway/refresh.rs
@@ -117,7 +117,7 @@
             return self.read_whole().await;
         };
         self.members.update_evacuations(&changes);
-        for row in &changes.rows {
+        for row in changes.written() {
             sync::apply_operator_row(&self.known, &self.calls, row);
         }
         Ok(())
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -220,11 +220,11 @@
                 return Err(Failure::Lost("the straight way fails".to_owned()));
             }
         };
-        let changes = wire::decode_changes(status, &body, table)?;
-        if let Some(changes) = &changes {
-            self.record_clock(changes.now);
-        }
-        Ok(changes)
+        let Some(feed) = wire::decode_changes(status, &body, table)? else {
+            return Ok(None);
+        };
+        self.record_clock(feed.now);
+        Ok(Some(feed.changes))
     }
 
     /// Returns the present latency of writes in a part; zero before the first answer.
--- a/hibiscusroad-daemon/src/gateway/sync.rs
+++ b/hibiscusroad-daemon/src/gateway/sync.rs
@@ -137,8 +137,8 @@
             "The history of a table was discarded; the whole table is read again.");
         return Ok(None);
     };
-    let version = changes.version.max(after);
-    let has_changes = !changes.rows.is_empty() || !changes.removed.is_empty();
+    let version = changes.version().max(after);
+    let has_changes = !changes.is_empty();
     if has_changes {
         (sink.change)(changes);
     }
@@ -177,7 +177,7 @@
         }),
         change: Box::new(move |changes| {
             members.update_evacuations(&changes);
-            apply(&changes.rows);
+            apply(changes.written());
         }),
         confirm: Box::new(move || known.confirm(Instant::now())),
         pause: Box::new(|| Duration::ZERO),
@@ -362,19 +362,20 @@
         change: Box::new(move |changes| {
             let now = Instant::now();
             let mut published = Vec::new();
-            for id in &changes.removed {
-                published.extend(members.remove(now, &id.key, changes.version));
+            let answer = changes.version();
+            for id in changes.removed() {
+                published.extend(members.remove(now, &id.key, answer));
             }
-            for row in &changes.rows {
+            for row in changes.written() {
                 match members.decode(row) {
                     Some(endpoint) => {
                         published.extend(members.roster.borrow_mut().update(endpoint));
                     }
                     // A broken entry counts as removed.
-                    None => published.extend(members.remove(now, &row.id.key, changes.version)),
+                    None => published.extend(members.remove(now, &row.id.key, answer)),
                 }
             }
-            members.publish(&published, Some(changes.version));
+            members.publish(&published, Some(answer));
             members.expiry_changed.notify_one();
         }),
         confirm: Box::new(confirm),
--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -89,8 +89,7 @@
 
     /// Applies the changes up to a version, and returns what has changed.
     ///
-    /// A list has the latest state of each row; a data centre that is listed as removed and with
-    /// a row is evacuated by that row.
+    /// The lists have the last change of each row, so that a data centre is in one of them at most.
     pub fn update<'a>(
         &mut self,
         version: u64,
--- a/src/table.rs
+++ b/src/table.rs
@@ -8,7 +8,7 @@
 //! its answer is lost, it may have been executed, or may still be, seconds later. This is a
 //! value rather than an error so that no caller can report it as a failure.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 /// Identifies a row.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -86,17 +86,84 @@
     pub now: Duration,
 }
 
+/// A change of a row.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RowChange {
+    /// The row was added or changed.
+    Written(Row),
+    /// The row was removed.
+    Removed(RowId),
+}
+
+impl RowChange {
+    /// Returns the id of the row.
+    #[must_use]
+    pub const fn id(&self) -> &RowId {
+        match self {
+            Self::Written(row) => &row.id,
+            Self::Removed(id) => id,
+        }
+    }
+}
+
 /// Changes of a table since a version.
+///
+/// Of each row it holds the last change alone, so that a row is either written or removed, and no
+/// reader acts on a state that has passed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Changes {
-    /// Rows that were added or changed.
-    pub rows: Vec<Row>,
-    /// Rows that were removed.
-    pub removed: Vec<RowId>,
-    /// The version from which to continue.
-    pub version: u64,
-    /// The store's steady clock.
-    pub now: Duration,
+    written: Vec<Row>,
+    removed: Vec<RowId>,
+    version: u64,
+}
+
+impl Changes {
+    /// Creates the changes up to `version` from all changes, in the order in which they were made.
+    #[must_use]
+    pub fn new(history: Vec<RowChange>, version: u64) -> Self {
+        let mut changes = Self {
+            written: Vec::new(),
+            removed: Vec::new(),
+            version,
+        };
+        let mut ids = HashSet::new();
+        for change in history.into_iter().rev() {
+            if !ids.insert(change.id().clone()) {
+                continue;
+            }
+            match change {
+                RowChange::Written(row) => changes.written.push(row),
+                RowChange::Removed(id) => changes.removed.push(id),
+            }
+        }
+        changes.written.reverse();
+        changes.removed.reverse();
+        changes
+    }
+
+    /// Returns whether nothing has changed.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.written.is_empty() && self.removed.is_empty()
+    }
+
+    /// Returns the rows that were added or changed, by the time of their last change.
+    #[must_use]
+    pub fn written(&self) -> &[Row] {
+        &self.written
+    }
+
+    /// Returns the rows that were removed, by the time of their removal.
+    #[must_use]
+    pub fn removed(&self) -> &[RowId] {
+        &self.removed
+    }
+
+    /// Returns the version from which to continue.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
 }
 
 /// A transaction.
