Send nothing to an endpoint that has left since it was chosen

What an engine saw: an order of weights after it had said that it leaves, since the order follows a report that takes up to 0.7 s. Calls and items wait up to 0.6 s for a connection after their endpoint is chosen, which adds to the time in which a change becomes known (DRAIN).

Cause: an endpoint chosen from a view that is older than the send. Evacuations were checked right before a request is written; departures were not. Both are now one check, Destinations::enter, which all senders ask: calls, repeats, hedges, streams, items, scorer calls, reports and orders. The address of an endpoint that is gone is dropped too; it was kept for ever.

--- a/hibiscusroad-daemon/src/gateway/attempt.rs
+++ b/hibiscusroad-daemon/src/gateway/attempt.rs
@@ -312,6 +312,11 @@
             place = &*target.data_centre; "A request is not sent to an evacuated data centre.");
         return Done::NotRun(ErrorKind::NoEndpoint);
     }
+    if matches!(fault, Fault::Left) {
+        log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id;
+            "A request is not sent to an endpoint that has left since it was chosen.");
+        return Done::NotRun(ErrorKind::NoEndpoint);
+    }
     log::info!(target: CALLS, id = head.id.as_str(), endpoint = &*target.id,
         path = head.target.path(), fingerprint = fingerprint_text(subject),
         error = fault.to_string().as_str(); "An endpoint did not answer.");
--- a/hibiscusroad-daemon/src/gateway/batches/generate.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/generate.rs
@@ -351,8 +351,13 @@
                     endpoint = endpoint.id.as_str(), place = &*target.data_centre;
                     "An item is not sent to an evacuated data centre.");
             }
+            if matches!(fault, Fault::Left) {
+                log::info!(target: BATCHES, item = head.id.as_str(),
+                    endpoint = endpoint.id.as_str();
+                    "An item is not sent to an engine that has left since it was chosen.");
+            }
             match fault {
-                Fault::Evacuated | Fault::Withheld => {
+                Fault::Evacuated | Fault::Left | Fault::Withheld => {
                     let model = self.owned.submission.model.as_deref();
                     let mut engines = self.batches.engines.borrow_mut();
                     engines.record_unanswered_item(self.key, model);
--- a/hibiscusroad-daemon/src/gateway/calls.rs
+++ b/hibiscusroad-daemon/src/gateway/calls.rs
@@ -154,6 +154,7 @@
             let count = rest.iter().map_while(EndpointChange::updated).count();
             if let EndpointChange::Removed(id) = first {
                 if let Some(key) = self.keys.borrow_mut().remove(id) {
+                    self.targets.borrow_mut().remove(&key);
                     self.router.borrow_mut().remove_endpoint(now, key);
                 }
                 rest = &rest[1..];
--- a/hibiscusroad-daemon/src/gateway/crashes/flight.rs
+++ b/hibiscusroad-daemon/src/gateway/crashes/flight.rs
@@ -101,7 +101,9 @@
     pub(in crate::gateway) fn record_fault(&mut self, fault: &Fault) {
         match fault {
             Fault::Broken(error) => self.record_break(error),
-            Fault::Evacuated | Fault::Withheld | Fault::Foreign => self.unresolved = false,
+            Fault::Evacuated | Fault::Left | Fault::Withheld | Fault::Foreign => {
+                self.unresolved = false;
+            }
             Fault::Connect(cause) => {
                 self.unresolved = false;
                 if cause.is_refusal() {
--- a/hibiscusroad-daemon/src/gateway/destinations.rs
+++ b/hibiscusroad-daemon/src/gateway/destinations.rs
@@ -8,7 +8,6 @@
     data_centres::{DataCentres, RunningRequest},
     http::Fault,
 };
-use crate::logs::HOSTS;
 use hibiscusroad::roster::EndpointChange;
 use std::{cell::RefCell, collections::HashSet, rc::Rc};
 
@@ -51,11 +50,21 @@
         }
     }
 
+    /// Returns whether a request may be sent to an endpoint.
+    pub(super) fn is_open(&self, endpoint: &str, data_centre: &str) -> bool {
+        self.is_staying(endpoint) && !self.data_centres.is_evacuated(data_centre)
+    }
+
+    fn is_staying(&self, endpoint: &str) -> bool {
+        self.staying.borrow().contains(endpoint)
+    }
+
     /// Starts a request at an endpoint.
     ///
     /// # Errors
     ///
-    /// Returns an error if the request must not be sent, since the data centre is evacuated.
+    /// Returns an error if the request must not be sent, since the data centre is evacuated
+    /// or the endpoint is leaving or gone.
     pub(super) fn enter(
         &self,
         endpoint: &str,
@@ -63,10 +72,8 @@
     ) -> Result<RunningRequest, Fault> {
         let running = self.data_centres.enter(data_centre);
         let running = running.ok_or(Fault::Evacuated)?;
-        if !self.staying.borrow().contains(endpoint) {
-            log::warn!(target: HOSTS, endpoint = endpoint;
-                "A request is sent to an endpoint that has left since it was chosen.");
-        }
-        Ok(running)
+        self.is_staying(endpoint)
+            .then_some(running)
+            .ok_or(Fault::Left)
     }
 }
--- a/hibiscusroad-daemon/src/gateway/engine_calls.rs
+++ b/hibiscusroad-daemon/src/gateway/engine_calls.rs
@@ -31,6 +31,9 @@
     /// The call was not sent, since the data centre of the engine is evacuated.
     #[error("the data centre is evacuated")]
     Evacuated,
+    /// The call was not sent, since the engine is leaving or gone.
+    #[error("the engine has left")]
+    Left,
     /// The call may have been executed.
     #[error("{0}")]
     Lost(String),
@@ -96,6 +99,7 @@
         let sent = self.pool.send_to_endpoint(endpoint.address, request, start);
         let (response, connection) = sent.await.map_err(|fault| match fault {
             Fault::Evacuated => CallError::Evacuated,
+            Fault::Left => CallError::Left,
             Fault::Connect(_) | Fault::Broken(_) | Fault::Foreign | Fault::Withheld => lost(&fault),
         })?;
         let status = response.status().as_u16();
--- a/hibiscusroad-daemon/src/gateway/forward.rs
+++ b/hibiscusroad-daemon/src/gateway/forward.rs
@@ -9,7 +9,7 @@
     account_meters::{Refusal, record_refusal},
     accounts::QueueAccount,
     attempt::{Answer, AnswerBody, AttemptContext, AttemptRequest, Done, run},
-    calls::{Target, Ticket},
+    calls::Ticket,
     message::{Content, Head},
     regions::{record_refusal as record_refusal_by_regions, record_sent},
     subject::{Subject, fingerprint_text},
@@ -95,8 +95,9 @@
                     }
                     // The body of a large request can be taken once, so this is checked first.
                     let target = context.calls.target(endpoint);
-                    let target = target
-                        .filter(|target| !is_evacuated(context, target));
+                    let target = target.filter(|target| {
+                        context.destinations.is_open(&target.id, &target.data_centre)
+                    });
                     let body = target.as_ref().and_then(|_| request.content.take_body());
                     let (Some(target), Some(body)) = (target, body) else {
                         ticket.finish(endpoint, Outcome::NotRun(ErrorKind::NoEndpoint));
@@ -165,12 +166,6 @@
     }
 }
 
-/// Returns whether an endpoint's data centre is evacuated.
-fn is_evacuated(context: &AttemptContext, target: &Target) -> bool {
-    let data_centres = context.destinations.data_centres();
-    data_centres.is_evacuated(&target.data_centre)
-}
-
 /// Waits for the first attempt to end; never returns if there is none.
 async fn next_done(running: &mut Vec<Running>) -> (EndpointKey, Done) {
     poll_fn(|cx| {
--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -147,6 +147,9 @@
     /// The request must not be sent, since the data centre is evacuated.
     #[error("the data centre is evacuated")]
     Evacuated,
+    /// The request must not be sent, since the endpoint is leaving or gone.
+    #[error("the endpoint has left")]
+    Left,
     /// The connection broke after at least part of the request was sent.
     #[error("connection broke: {0}")]
     Broken(#[from] hyper::Error),
@@ -161,7 +164,10 @@
 impl Fault {
     /// Returns whether no part of the request was sent.
     pub(super) const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Evacuated | Self::Withheld)
+        matches!(
+            self,
+            Self::Connect(_) | Self::Evacuated | Self::Left | Self::Withheld
+        )
     }
 }
 
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -545,9 +545,10 @@
                 .await
                 .map_err(|fault| match fault {
                     Fault::Connect(why) => Failure::Refused(why.to_string()),
-                    Fault::Evacuated => Failure::Refused(Fault::Evacuated.to_string()),
+                    Fault::Evacuated | Fault::Left | Fault::Withheld => {
+                        Failure::Refused(fault.to_string())
+                    }
                     Fault::Broken(_) | Fault::Foreign => Failure::Lost(fault.to_string()),
-                    Fault::Withheld => Failure::Refused(Fault::Withheld.to_string()),
                 })?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await;
--- a/hibiscusroad-daemon/src/gateway/weights/load.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/load.rs
@@ -133,6 +133,12 @@
                 .insert(load.endpoint.clone(), order_count);
             return LoadOutcome::Failed;
         }
+        if matches!(answer, Err(CallError::Left)) {
+            log::info!(target: WEIGHTS, endpoint = load.endpoint.as_str(),
+                model = load.model.as_str(), version = load.version;
+                "No order is given to an engine that has left since it was chosen.");
+            return LoadOutcome::Failed;
+        }
         let answer = answer.map_or(OrderAnswer::Unknown, |(status, _)| {
             engine::order_outcome(status)
         });
--- a/hibiscusroad-daemon/tests/gateway_changes.rs
+++ b/hibiscusroad-daemon/tests/gateway_changes.rs
@@ -4,8 +4,11 @@
 
 use gateway_world::{World, config, until};
 use serde_json::{Value, json};
+use std::{thread, time::Duration};
 
 const CALL_COUNT: usize = 20;
+/// How long the report of an engine takes that is fetched before the order.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// Returns the entry of an endpoint with another number of slots.
 fn changed_entry(world: &World, id: &str) -> Value {
@@ -69,3 +72,17 @@
     });
     check_calls(&world, 200);
 }
+
+// Guards against an order to an engine that has left since it was chosen for a load.
+#[test]
+fn engine_that_leaves_before_its_order_gets_none() {
+    let (world, _desk, engine) = World::ready("leaves-before-order", 1);
+    engine.relay().set_delay(REPORT_DELAY / 2);
+    let version = json!({ "model": "guide", "version": 2 });
+    world.store.put_json("op", "version/guide", &version);
+    world.gateways[0].line("The lease of the duties is held.");
+    thread::sleep(REPORT_DELAY / 5);
+    engine.register("draining");
+    thread::sleep(3 * REPORT_DELAY);
+    assert_eq!(engine.order_holders(), []);
+}
