Tell outages of the store from single calls without an answer

What callers saw: for up to 2.3 s their requests reached an endpoint whose entry had been removed (DRAIN, which allows 2 s).

Cause: an entry that goes missing within 2.3 s after an outage is kept, since entries expire in an outage. Any failed call counted as one: a connection that broke or went silent, a refusal for the rate of calls, a timeout after the process itself was paused. So each of these made all departures of the next 2.3 s late at that gateway, while the store was well.

StoreOutage decides it now: a lost call is refuted by an answer to a later one, a failure that is over within half a second is none, 429 says that the store serves, and 503 is an outage as before.

--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -17,6 +17,7 @@
     clock::millis,
     clock_estimate::ClockEstimate,
     latency::Latency,
+    store_outage::StoreOutage,
     store_path::{RelayOutcome, StorePath, StorePaths},
     table::{Change, Changes, Commit, Page, Range, Row, RowId},
     timeout::{AdaptiveTimeout, CallEnd},
@@ -70,8 +71,7 @@
     address: Cell<SocketAddr>,
     /// An estimate of the store's clock.
     clock: Cell<ClockEstimate>,
-    /// Time of the first failed call since the last answer.
-    down_since: Cell<Option<Instant>>,
+    outage: Cell<StoreOutage>,
     reads: Cell<AdaptiveTimeout>,
     writes: Cell<AdaptiveTimeout>,
     /// The latency of writes, by the part of the store.
@@ -92,7 +92,7 @@
             direct_failed: Notify::new(),
             address: Cell::new(address),
             clock: Cell::new(ClockEstimate::new()),
-            down_since: Cell::new(None),
+            outage: Cell::new(StoreOutage::new()),
             reads: Cell::new(AdaptiveTimeout::new(READ_TIMEOUTS.0, READ_TIMEOUTS.1)),
             writes: Cell::new(AdaptiveTimeout::new(WRITE_TIMEOUTS.0, WRITE_TIMEOUTS.1)),
             objects: Cell::new(AdaptiveTimeout::new(
@@ -142,7 +142,7 @@
         self.row_form.get()
     }
 
-    /// Calls `hook` each time the store answers again after a failure.
+    /// Calls `hook` each time the store answers again after an outage.
     pub(super) fn on_recovery(&self, hook: impl Fn() + 'static) {
         self.recovery_hooks.borrow_mut().push(Box::new(hook));
     }
@@ -215,7 +215,7 @@
         // Ends the wait when the direct path fails: it would last for seconds, while
         // a peer could deliver the changes.
         let (status, body) = tokio::select! {
-            answer = self.call(request, wait + FEED_TIMEOUT_MARGIN) => answer?,
+            answer = self.call_held(request, wait, wait + FEED_TIMEOUT_MARGIN) => answer?,
             () = self.direct_failed.notified() => {
                 return Err(Failure::Lost("the straight way fails".to_owned()));
             }
@@ -397,6 +397,18 @@
 
     /// Sends a call, counts its outcome and records whether the store answers.
     async fn call(&self, request: Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
+        self.call_held(request, Duration::ZERO, limit).await
+    }
+
+    /// Sends a call that the store may hold open for `wait`, counts its outcome and records
+    /// whether the store answers.
+    async fn call_held(
+        &self,
+        request: Request,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), Failure> {
+        let sent_at = Instant::now();
         let answer = self.send(&request, limit).await;
         let outcome = match &answer {
             Ok(answer) if is_refusal(answer) => "refused",
@@ -406,11 +418,16 @@
         };
         self.meters.store_calls.with_label_values(&[outcome]).inc();
         match &answer {
+            // It answers other calls, and refuses this one for its rate.
+            Ok((429, _)) => {}
             Ok(answer) if is_refusal(answer) => {
-                self.record_failure(&format!("status {}", answer.0));
+                let why = format!("status {}", answer.0);
+                self.record_failure(&why, |outage| outage.record_refusal(Instant::now()));
             }
             Ok(_) => self.record_answer(),
-            Err(failure) => self.record_failure(&failure.to_string()),
+            Err(failure) => self.record_failure(&failure.to_string(), |outage| {
+                outage.record_loss(Instant::now(), sent_at, sent_at + wait)
+            }),
         }
         answer
     }
@@ -565,17 +582,27 @@
     }
 
     fn record_answer(&self) {
-        if let Some(since) = self.down_since.take() {
-            log::info!(target: STORE, away_ms = millis(since.elapsed()); "The store answers again.");
+        let mut outage = self.outage.get();
+        let recovery = outage.record_answer(Instant::now());
+        self.outage.set(outage);
+        let Some(recovery) = recovery else {
+            return;
+        };
+        log::info!(target: STORE, away_ms = millis(recovery.duration),
+            outage = recovery.is_outage; "The store answers again.");
+        if recovery.is_outage {
             for hook in self.recovery_hooks.borrow().iter() {
                 hook();
             }
         }
     }
 
-    fn record_failure(&self, why: &str) {
-        if self.down_since.get().is_none() {
-            self.down_since.set(Some(Instant::now()));
+    /// Records a failure, and logs it if it is the first one since the last answer.
+    fn record_failure(&self, why: &str, record: impl FnOnce(&mut StoreOutage) -> bool) {
+        let mut outage = self.outage.get();
+        let is_news = record(&mut outage);
+        self.outage.set(outage);
+        if is_news {
             log::warn!(target: STORE, error = why; "The store does not answer.");
         }
     }
--- a/hibiscusroad-daemon/tests/gateway_changes.rs
+++ b/hibiscusroad-daemon/tests/gateway_changes.rs
@@ -7,6 +7,8 @@
 use std::{thread, time::Duration};
 
 const CALL_COUNT: usize = 20;
+/// Time within which a gateway learns of a change.
+const DELIVERY_TIME: Duration = Duration::from_secs(1);
 /// How long the report of an engine takes that is fetched before the order.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
 
@@ -86,3 +88,19 @@
     thread::sleep(3 * REPORT_DELAY);
     assert_eq!(engine.order_holders(), []);
 }
+
+// Guards against an endpoint that is kept after its removal because a connection to the store broke.
+#[test]
+fn endpoint_that_is_removed_after_a_broken_connection_gets_no_request() {
+    let (world, desk, _engine) = World::ready("broken-connection", 1);
+    let feeds = world.store.feed_count("servers");
+    world.store.relay().cut_all();
+    until("the table is followed again", || {
+        (world.store.feed_count("servers") > feeds).then_some(())
+    });
+    world.store.remove("servers", "i-desk");
+    thread::sleep(DELIVERY_TIME);
+    let before = desk.runs().len();
+    check_calls(&world, 503);
+    assert_eq!(desk.runs().len(), before);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 //! * [`rollout`]: batches of generations for trainers, and the weights they run on.
 //! * [`roster`]: the registered endpoints.
 //! * [`route`]: admission, queues, placement, limits, retries.
+//! * [`store_outage`]: outages of the store, told from single calls without an answer.
 //! * [`store_path`]: the path of calls to the store, direct or relayed by a peer.
 //! * [`subset`]: the choice of sidecars to which an entry keeps streams.
 //! * [`table`]: the interface to the table service that stores persistent data.
@@ -69,6 +70,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod route;
+pub mod store_outage;
 pub mod store_path;
 pub mod subset;
 pub mod table;
