Check in each soak that leaving endpoints get no late requests

It leaves for 6 s now, each request that reaches it later than 2 s after the announcement is reported, and one whose sender was in touch with a calm store is a violation. The sender comes from the gateways' logs; every other late request is printed with the fault that allows it. Planned replacements and withdrawn entries of engines count as departures too.

--- a/hibiscusroad-measure/src/soak/check.rs
+++ b/hibiscusroad-measure/src/soak/check.rs
@@ -24,8 +24,9 @@
     /// Non-idempotent requests that were answered as not run.
     not_run: HashSet<String>,
     faults: Vec<(Duration, String)>,
-    /// Times in which an item stood at no engine.
-    absences: Vec<String>,
+    /// Findings that are no violation: times in which an item stood at no engine, and requests that
+    /// were late for an allowed reason.
+    notes: Vec<String>,
 }
 
 /// Records and checks what clients observe. Clones share the record.
@@ -44,8 +45,8 @@
     violations: Vec<String>,
     counts: BTreeMap<&'static str, usize>,
     faults: Vec<(Duration, String)>,
-    absences: Vec<String>,
-    /// Directory of the logs, if there are violations or reported absences.
+    notes: Vec<String>,
+    /// Directory of the logs, if there are violations or notes.
     logs: Option<PathBuf>,
 }
 
@@ -70,8 +71,8 @@
         for violation in &self.violations {
             let _ = writeln!(out, "BROKEN: {violation}");
         }
-        for absence in &self.absences {
-            let _ = writeln!(out, "# {absence}");
+        for note in &self.notes {
+            let _ = writeln!(out, "# {note}");
         }
         for (at, fault) in self.faults.iter().filter(|_| self.logs.is_some()) {
             let _ = writeln!(out, "# {:.2} s {fault}", at.as_secs_f64());
@@ -117,8 +118,9 @@
         self.lock().counts.insert(counter, value);
     }
 
-    pub(super) fn record_absence(&self, absence: String) {
-        self.lock().absences.push(absence);
+    /// Records a finding that is no violation.
+    pub(super) fn record_note(&self, note: String) {
+        self.lock().notes.push(note);
     }
 
     pub(super) fn record_not_run(&self, id: &str) {
@@ -176,7 +178,7 @@
             ));
         }
         let observed = std::mem::take(&mut *self.lock());
-        let has_findings = !observed.violations.is_empty() || !observed.absences.is_empty();
+        let has_findings = !observed.violations.is_empty() || !observed.notes.is_empty();
         let logs = has_findings.then(|| world.directory().to_owned());
         if logs.is_none()
             && let Err(error) = std::fs::remove_dir_all(world.directory())
@@ -187,7 +189,7 @@
             violations: observed.violations,
             counts: observed.counts,
             faults: observed.faults,
-            absences: observed.absences,
+            notes: observed.notes,
             logs,
         }
     }
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -9,6 +9,7 @@
 
 mod check;
 mod clients;
+mod departures;
 mod keys;
 mod plan;
 mod stranded;
@@ -178,6 +179,7 @@
     check::check_endpoints(&check, &world);
     check::check_reports(&check, &world);
     stranded::check_items(&check, &world, &steps);
+    departures::check(&check, &world);
     Ok(check.finish(&mut world))
 }
 
--- a/hibiscusroad-measure/src/soak/stranded.rs
+++ b/hibiscusroad-measure/src/soak/stranded.rs
@@ -19,7 +19,7 @@
 /// Limit on reported absences.
 const MAX_REPORTS: usize = 20;
 /// Time after a disturbance until the state is steady.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+pub(super) const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Time after a version is named in which engines may load weights.
 const NAMING_TIME: Duration = Duration::from_secs(6);
 /// Where several models are trained, an absence counts while no item has begun for this time.
@@ -89,9 +89,23 @@
     }
 }
 
+/// What is disturbed; gateways and endpoints are given by index.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Subject {
+    Gateway(usize),
+    Store,
+    Endpoint(usize),
+    /// The connections to an endpoint.
+    Link(usize),
+    /// An endpoint that leaves as planned.
+    Departure(usize),
+    Config,
+}
+
 /// A time in which something was disturbed on purpose, or an engine loaded weights.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Disturbance {
+    pub(super) subject: Subject,
     /// The engine that could not take items, by its index among the endpoints.
     pub(super) engine: Option<usize>,
     /// Whether the state is not steady meanwhile, nor for a time afterwards.
@@ -101,7 +115,7 @@
 }
 
 impl Disturbance {
-    fn contains(&self, at: Instant, margin: Duration) -> bool {
+    pub(super) fn contains(&self, at: Instant, margin: Duration) -> bool {
         self.from <= at && self.until.is_none_or(|until| at < until + margin)
     }
 }
@@ -161,7 +175,7 @@
 }
 
 /// Returns the time of day in UTC, as in the logs.
-fn time_of_day(at: Instant) -> String {
+pub(super) fn time_of_day(at: Instant) -> String {
     let wall = SystemTime::now().checked_sub(at.elapsed());
     let since_epoch = wall.and_then(|wall| wall.duration_since(UNIX_EPOCH).ok());
     let ms = since_epoch.unwrap_or_default().as_millis() % DAY_MS;
@@ -342,6 +356,6 @@
     }
     let reported = found.iter().filter(|it| it.duration() >= REPORTED_ABSENCE);
     for absence in reported.take(MAX_REPORTS) {
-        check.record_absence(absence.to_string());
+        check.record_note(absence.to_string());
     }
 }
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -2,9 +2,10 @@
 
 use super::{
     Options,
+    departures::Departures,
     keys::{CALLER_ACCOUNT, Keys},
     plan::Fault,
-    stranded::Disturbance,
+    stranded::{Disturbance, Subject},
     texts,
 };
 use crate::deployment::{Bins, Error, process::Process};
@@ -65,6 +66,9 @@
 const RESTART_DELAY: Duration = Duration::from_millis(1_200);
 /// Limit on the wait for the address of a stopped endpoint.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which an endpoint is leaving before it stays after all: longer than gateways may send
+/// requests to it, so that late ones show.
+const LEAVE_DURATION: Duration = Duration::from_secs(6);
 /// Time after which a process that was asked to stop is killed.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -105,12 +109,31 @@
     disturbance: usize,
 }
 
+/// A request that an endpoint ran.
+#[derive(Clone, Debug)]
+pub(super) struct Execution {
+    /// The index of the endpoint.
+    pub(super) endpoint: usize,
+    /// The id of the endpoint.
+    pub(super) endpoint_id: String,
+    pub(super) request: ExecutedRequest,
+}
+
+fn executions(n: usize, endpoint: &Endpoint) -> impl Iterator<Item = Execution> + use<'_> {
+    let runs = endpoint.runs().into_iter();
+    runs.map(move |request| Execution {
+        endpoint: n,
+        endpoint_id: endpoint.id().to_owned(),
+        request,
+    })
+}
+
 /// All components of a soak.
 pub(super) struct World {
     pub(super) store: Arc<Store>,
     pub(super) endpoints: Vec<Endpoint>,
     /// Requests that were run by endpoints that have crashed.
-    crashed_runs: Vec<ExecutedRequest>,
+    crashed_runs: Vec<Execution>,
     /// Crashes of plain endpoints.
     pub(super) crash_count: usize,
     restart_count: usize,
@@ -124,6 +147,7 @@
     version: u64,
     undo: Vec<PendingUndo>,
     disturbances: Vec<Disturbance>,
+    pub(super) departures: Departures,
     pub(super) options: Options,
     /// Number of processes that exited without a request to stop.
     pub(super) unexpected_exits: usize,
@@ -193,6 +217,7 @@
             version: 1,
             undo: Vec::new(),
             disturbances: Vec::new(),
+            departures: Departures::default(),
             options: *options,
             unexpected_exits: 0,
             slowness: options.contention.then(|| Slowness::new(options.seed)),
@@ -254,9 +279,14 @@
     }
 
     /// Records that something is disturbed from now on, until it is settled.
-    fn disturb(&mut self, endpoint: Option<usize>) -> usize {
+    fn disturb(&mut self, subject: Subject) -> usize {
+        let endpoint = match subject {
+            Subject::Endpoint(n) | Subject::Link(n) | Subject::Departure(n) => Some(n),
+            Subject::Gateway(_) | Subject::Store | Subject::Config => None,
+        };
         let engine = endpoint.filter(|n| *n >= PLAIN_ENDPOINTS);
         self.disturbances.push(Disturbance {
+            subject,
             engine,
             is_fault: endpoint == engine,
             from: Instant::now(),
@@ -271,8 +301,8 @@
     }
 
     /// Records a disturbance that ends after `duration` with `undo`.
-    fn disturb_for(&mut self, endpoint: Option<usize>, duration: Duration, undo: Undo) {
-        let disturbance = self.disturb(endpoint);
+    fn disturb_for(&mut self, subject: Subject, duration: Duration, undo: Undo) {
+        let disturbance = self.disturb(subject);
         self.undo.push(PendingUndo {
             at: Instant::now() + duration,
             undo,
@@ -281,8 +311,8 @@
     }
 
     /// Records a disturbance that has no end of its own.
-    fn disturb_once(&mut self, endpoint: Option<usize>) {
-        let disturbance = self.disturb(endpoint);
+    fn disturb_once(&mut self, subject: Subject) {
+        let disturbance = self.disturb(subject);
         self.settle(disturbance);
     }
 
@@ -308,10 +338,10 @@
             }
             Fault::Freeze(n, duration) => {
                 self.gateways[n].process.freeze()?;
-                self.disturb_for(None, duration, Undo::Thaw(n));
+                self.disturb_for(Subject::Gateway(n), duration, Undo::Thaw(n));
             }
             Fault::Stop(n) => {
-                let stopping = self.disturb(None);
+                let stopping = self.disturb(Subject::Gateway(n));
                 let gateway = &mut self.gateways[n];
                 gateway.process.terminate()?;
                 gateway.stop_deadline.get_or_insert(now + STOP_TIMEOUT);
@@ -321,56 +351,57 @@
             }
             Fault::Store(faults, duration) => {
                 self.store.set_faults(faults);
-                self.disturb_for(None, duration, Undo::Store);
+                self.disturb_for(Subject::Store, duration, Undo::Store);
             }
             Fault::Forget => {
                 self.store.compact_log();
-                self.disturb_once(None);
+                self.disturb_once(Subject::Store);
             }
             Fault::SilenceStore(n, direction) => {
                 self.gateways[n].relay.silence(direction);
-                self.disturb_once(None);
+                self.disturb_once(Subject::Gateway(n));
             }
             Fault::CutStore(n, duration) => {
                 self.gateways[n].relay.cut_all();
                 // Longer than any timeout, so new connections are unusable too.
                 self.gateways[n].relay.set_delay(Duration::from_secs(9));
-                self.disturb_for(None, duration, Undo::Delay(n));
+                self.disturb_for(Subject::Gateway(n), duration, Undo::Delay(n));
             }
             Fault::DelayStore(n, delay) => {
                 self.gateways[n].relay.set_delay(delay);
-                self.disturb_for(None, Duration::from_secs(2), Undo::Delay(n));
+                self.disturb_for(Subject::Gateway(n), Duration::from_secs(2), Undo::Delay(n));
             }
             Fault::ResetStore => {
                 self.store.relay().cut_all();
-                self.disturb_once(None);
+                self.disturb_once(Subject::Store);
             }
             Fault::Endpoint(n, behaviour, duration) => {
                 self.endpoints[n].set_behaviour(behaviour);
-                self.disturb_for(Some(n), duration, Undo::Behaviour(n));
+                self.disturb_for(Subject::Endpoint(n), duration, Undo::Behaviour(n));
             }
             Fault::SilenceEndpoint(n, direction) => {
                 self.endpoints[n].relay().silence(direction);
-                self.disturb_once(Some(n));
+                self.disturb_once(Subject::Link(n));
             }
             Fault::Leave(n) => {
                 self.endpoints[n].register("draining");
-                self.disturb_for(Some(n), Duration::from_secs(2), Undo::Reregister(n));
+                self.departures.record(self.endpoints[n].id());
+                self.disturb_for(Subject::Departure(n), LEAVE_DURATION, Undo::Reregister(n));
             }
             Fault::Config => {
                 self.version += 3;
                 self.keys.rotate();
                 let config = config(self.version, &self.keys, self.options.single_version());
                 self.store.put_json("op", "config", &config);
-                self.disturb_once(None);
+                self.disturb_once(Subject::Config);
             }
             Fault::CutEndpoint(n) => {
                 self.endpoints[n].relay().cut_all();
-                self.disturb_once(Some(n));
+                self.disturb_once(Subject::Link(n));
             }
             Fault::Garble(n) => {
                 self.endpoints[n].garble_texts();
-                self.disturb_once(Some(n));
+                self.disturb_once(Subject::Endpoint(n));
             }
             // An engine that is down already is restarted as planned.
             Fault::Crash(n, mode) => {
@@ -380,26 +411,28 @@
             }
             Fault::Replace(n, drain) => {
                 self.endpoints[n].register("draining");
-                self.disturb_for(Some(n), drain, Undo::Replace(n));
+                self.departures.record(self.endpoints[n].id());
+                self.disturb_for(Subject::Departure(n), drain, Undo::Replace(n));
             }
             Fault::Withdraw(n, served) => {
                 self.store.remove("servers", self.endpoints[n].id());
-                self.disturb_for(Some(n), served, Undo::Replace(n));
+                self.departures.record(self.endpoints[n].id());
+                self.disturb_for(Subject::Departure(n), served, Undo::Replace(n));
             }
             Fault::SlowLoads(n, load, duration) => {
                 self.endpoints[n].set_load_duration(load);
-                self.disturb_for(Some(n), duration, Undo::Loads(n));
+                self.disturb_for(Subject::Endpoint(n), duration, Undo::Loads(n));
             }
             Fault::DelayEndpoint(n, delay, duration) => {
                 self.endpoints[n].relay().set_delay(delay);
-                self.disturb_for(Some(n), duration, Undo::EndpointDelay(n));
+                self.disturb_for(Subject::Link(n), duration, Undo::EndpointDelay(n));
             }
         }
         Ok(())
     }
 
     fn kill(&mut self, n: usize) -> Result<(), Error> {
-        self.disturb_once(None);
+        self.disturb_once(Subject::Gateway(n));
         let gateway = &mut self.gateways[n];
         gateway.process.kill()?;
         gateway.stop_deadline = None;
@@ -425,7 +458,7 @@
             let is_scheduled = |it: &PendingUndo| matches!(it.undo, Undo::Restart(m) if m == n);
             if self.endpoints[n].is_down() && !self.undo.iter().any(is_scheduled) {
                 self.crash_count += usize::from(n < PLAIN_ENDPOINTS);
-                self.disturb_for(Some(n), RESTART_DELAY, Undo::Restart(n));
+                self.disturb_for(Subject::Endpoint(n), RESTART_DELAY, Undo::Restart(n));
             }
         }
         let mut settled = Vec::new();
@@ -459,7 +492,10 @@
             }
             Undo::Behaviour(n) => self.endpoints[*n].set_behaviour(Behaviour::Sound),
             Undo::Reregister(n) if self.endpoints[*n].is_down() => {}
-            Undo::Reregister(n) => self.endpoints[*n].register("ready"),
+            Undo::Reregister(n) => {
+                self.departures.end(self.endpoints[*n].id());
+                self.endpoints[*n].register("ready");
+            }
             Undo::Restart(n) => self.restart(*n)?,
             Undo::Replace(n) if self.endpoints[*n].is_down() => {}
             Undo::Replace(n) => {
@@ -494,7 +530,7 @@
         };
         let crashed = std::mem::replace(&mut self.endpoints[n], replacement);
         self.store.remove("servers", crashed.id());
-        self.crashed_runs.extend(crashed.runs());
+        self.crashed_runs.extend(executions(n, &crashed));
         let loads = loads(n, &crashed, Some(Instant::now()));
         self.disturbances.extend(loads);
         Ok(())
@@ -502,7 +538,14 @@
 
     /// Returns the requests that all endpoints ran, including those that have crashed.
     pub(super) fn executed(&self) -> Vec<ExecutedRequest> {
-        let current = self.endpoints.iter().flat_map(Endpoint::runs);
+        let executions = self.executions().into_iter();
+        executions.map(|execution| execution.request).collect()
+    }
+
+    /// Returns the requests that all endpoints ran, with their endpoints.
+    pub(super) fn executions(&self) -> Vec<Execution> {
+        let endpoints = self.endpoints.iter().enumerate();
+        let current = endpoints.flat_map(|(n, endpoint)| executions(n, endpoint));
         self.crashed_runs.iter().cloned().chain(current).collect()
     }
 
@@ -536,6 +579,24 @@
         Ok(())
     }
 
+    /// Returns the log of each gateway so far. One that can't be read is left out of the checks that
+    /// need it.
+    pub(super) fn logs(&self) -> Vec<String> {
+        let logs = (0..self.gateways.len()).map(|n| {
+            let file = self.directory.join(format!("gateway-{n}.log"));
+            fs::read_to_string(&file).unwrap_or_else(|error| {
+                eprintln!("measure: {}: {error}", file.display());
+                String::new()
+            })
+        });
+        logs.collect()
+    }
+
+    /// Returns the faults that were injected, as far as they disturbed something.
+    pub(super) fn faults(&self) -> &[Disturbance] {
+        &self.disturbances
+    }
+
     /// Returns the directory of logs and settings.
     pub(super) fn directory(&self) -> &std::path::Path {
         &self.directory
@@ -562,6 +623,7 @@
 ) -> impl Iterator<Item = Disturbance> + use<> {
     let loads = engine.weight_loads().into_iter();
     loads.map(move |load| Disturbance {
+        subject: Subject::Endpoint(n),
         engine: Some(n),
         is_fault: false,
         from: load.started_at,
