--- a/src/store_outage.rs
+++ b/src/store_outage.rs
@@ -1,9 +1,9 @@
 //! Outages of the store, as far as the calls of one process show them.
 //!
 //! Entries of endpoints expire in an outage, so that what is missing afterwards may serve all the
-//! same. Nothing expires while a single call gets no answer: its connection broke or went silent,
-//! or the process was paused. So a lost call shows an outage only if no call that was sent later
-//! is answered, and if that lasts.
+//! same. A single call may get no answer while the store serves, since its connection broke or went
+//! silent. So a lost call shows an outage only if no call that was sent later is answered, and if
+//! that lasts.
 
 use std::time::{Duration, Instant};
 
