Withdraw engines in soaks as the platform does

An engine whose entry is removed served on for less than the bound, and its last change came in an answer of its own. It changes its entry and removes it in one step now, which gateways get in one answer, and serves on for twice the drawn time.

--- a/hibiscusroad-measure/src/soak/plan.rs
+++ b/hibiscusroad-measure/src/soak/plan.rs
@@ -41,7 +41,8 @@
     Crash(usize, CrashMode),
     /// The engine drains for this time and is replaced by another one.
     Replace(usize, Duration),
-    /// The engine's entry is removed, and it is replaced by another one after this time.
+    /// The engine's entry is changed and removed, and it is replaced by another one after twice
+    /// this time.
     Withdraw(usize, Duration),
     /// The engine carries out orders after this time.
     SlowLoads(usize, Duration, Duration),
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -415,9 +415,10 @@
                 self.disturb_for(Subject::Departure(n), drain, Undo::Replace(n));
             }
             Fault::Withdraw(n, served) => {
-                self.store.remove("servers", self.endpoints[n].id());
+                self.endpoints[n].withdraw();
                 self.departures.record(self.endpoints[n].id());
-                self.disturb_for(Subject::Departure(n), served, Undo::Replace(n));
+                // Twice as long, so that requests show that come later than they may.
+                self.disturb_for(Subject::Departure(n), 2 * served, Undo::Replace(n));
             }
             Fault::SlowLoads(n, load, duration) => {
                 self.endpoints[n].set_load_duration(load);
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -250,6 +250,13 @@
         self.shared.register(self.addr(), state);
     }
 
+    /// Writes its entry once more and removes it; the store delivers both changes together.
+    pub fn withdraw(&self) {
+        let entry = self.shared.entry(self.addr(), "ready");
+        let changes = [(self.id(), Some(entry)), (self.id(), None)];
+        self.shared.store.change_together("servers", &changes);
+    }
+
     /// Registers the endpoint in another data centre.
     pub fn set_data_centre(&self, name: &str) {
         name.clone_into(&mut self.shared.lock().data_centre);
@@ -494,12 +501,16 @@
     }
 
     fn register(&self, addr: SocketAddr, state: &str) {
+        let entry = self.entry(addr, state);
+        self.store.put_json("servers", &self.id, &entry);
+    }
+
+    fn entry(&self, addr: SocketAddr, state: &str) -> serde_json::Value {
         let models = self.models();
         let cold_ms = u64::try_from(self.lock().cold_remaining.as_millis()).unwrap_or(u64::MAX);
-        let row = json!({ "service": self.service, "address": addr.to_string(),
+        json!({ "service": self.service, "address": addr.to_string(),
             "zone": self.lock().data_centre, "version": "v1", "slots": 8, "state": state,
-            "coldRemainingMs": cold_ms, "models": models, "seq": 1 });
-        self.store.put_json("servers", &self.id, &row);
+            "coldRemainingMs": cold_ms, "models": models, "seq": 1 })
     }
 
     /// Updates the models in its entry, if it is registered.
