--- a/hibiscusroad-daemon/tests/gateway_changes.rs
+++ b/hibiscusroad-daemon/tests/gateway_changes.rs
@@ -75,7 +75,7 @@
     check_calls(&world, 200);
 }
 
-// Guards against an order to an engine that has left since it was chosen for a load.
+// Guards against an order to an engine that left while its report was fetched.
 #[test]
 fn engine_that_leaves_before_its_order_gets_none() {
     let (world, _desk, engine) = World::ready("leaves-before-order", 1);
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod clients;
 mod departures;
 mod keys;
+mod late;
 mod plan;
 mod stranded;
 mod texts;
@@ -179,7 +180,7 @@
     check::check_endpoints(&check, &world);
     check::check_reports(&check, &world);
     stranded::check_items(&check, &world, &steps);
-    departures::check(&check, &world);
+    late::check(&check, &world);
     Ok(check.finish(&mut world))
 }
 
