--- a/src/store_outage.rs
+++ b/src/store_outage.rs
@@ -2,8 +2,8 @@
 //!
 //! Entries of endpoints expire in an outage, so that what is missing afterwards may serve all the
 //! same. A single call may get no answer while the store serves, since its connection broke or went
-//! silent. So a lost call shows an outage only if no call that was sent later is answered, and if
-//! that lasts.
+//! silent. So a lost call shows an outage only if no answer has come since it was sent, and if that
+//! lasts.
 
 use std::time::{Duration, Instant};
 
