End the gateways of a case that is ended itself

Six gateways of trials that a time limit ended had gone on. A script that gets SIGTERM ends its gateways now and exits with 2.

--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -623,6 +623,8 @@
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     async def guarded():
         world = World(case)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 faults = await main(world)
@@ -632,7 +634,7 @@
             if not faults:
                 print("the rule held")
             return 1 if faults else 0
-        except (CannotRun, TimeoutError) as error:
+        except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
             world.record.add("could not run", why=str(error))
             print("could not run:", error)
             return 2
