--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -515,7 +515,8 @@
 
     def __init__(self, case):
         self.folder = tempfile.mkdtemp(prefix="hibiscusroad-review-")
-        self.record = Record(os.path.join(os.path.dirname(os.path.abspath(case)), "record.txt"))
+        folder = os.path.dirname(os.path.abspath(case))
+        self.record = Record(sys.argv[1] if len(sys.argv) > 1 else os.path.join(folder, "record.txt"))
         self.store = Store(self.record)
         self.gateways = []
         self.servers = []
