--- a/hibiscusroad-daemon/src/gateway/batches/draft.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/draft.rs
@@ -16,10 +16,10 @@
     clock::millis,
     rollout::{
         Submission,
-        row::{self, Head, PIECES},
-        text::{self, Piece, Text},
+        row::{self, Head},
+        text::{Piece, SavedPieces, Text},
     },
-    table::{Change, Commit, Range},
+    table::{Change, Commit},
 };
 use std::{
     collections::HashSet,
@@ -258,27 +258,16 @@
 
     /// Reads the texts that a batch has of an item: its own one and its drafts.
     async fn read_texts(&self, batch: String, item: &str) -> Result<Vec<(String, Text)>, Failure> {
-        let part = row::bucket(&batch);
         let start = format!("{batch}/{item}/");
         // '0' is the byte after '/'.
         let end = format!("{batch}/{item}0");
-        let range = Range {
-            start: Some(&start),
-            end: Some(&end),
-            ..Range::part(PIECES, &part)
-        };
-        let rows = self.store.read_whole(&range).await?.rows;
-        let pieces = rows.iter().filter_map(|row| {
-            let name = row::parse_piece_key(&batch, &row.id.key);
-            let piece = serde_json::from_slice::<Piece>(&row.value).ok();
-            let tenure_piece = name.zip(piece).map(|((_, tenure), piece)| (tenure, piece));
-            if tenure_piece.is_none() {
-                log::error!(target: BATCHES, row = row.id.key.as_str();
-                    "A stored piece of a text could not be decoded; it is ignored.");
-            }
-            tenure_piece
-        });
-        let texts = text::assemble(pieces).into_iter();
-        Ok(texts.map(|text| (item.to_owned(), text)).collect())
+        let (mut own, mut drafts) = (SavedPieces::new(), SavedPieces::new());
+        self.read_pieces(&batch, (&start, &end), |key, piece| {
+            let pieces = if key.is_draft { &mut drafts } else { &mut own };
+            pieces.add(key.tenure, piece);
+        })
+        .await?;
+        let texts = own.texts().into_iter().chain(drafts.texts());
+        Ok(texts.map(|saved| (item.to_owned(), saved.text)).collect())
     }
 }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -40,9 +40,9 @@
         presence::{FailureDetector, Loss},
         row::Head,
         shares::StepState,
+        text::Tenure,
     },
     roster::{Endpoint, EndpointChange},
-    table::RowId,
     topology::{RegionSet, Topology},
 };
 use std::{
@@ -107,6 +107,8 @@
     polled: Notify,
     /// Whether the process is stopping: it runs and takes over no more batches.
     is_stopping: Cell<bool>,
+    /// Number of times that this process has loaded a batch.
+    load_count: Cell<u64>,
 }
 
 /// A batch that this process runs.
@@ -142,14 +144,12 @@
     withheld: Cell<Option<usize>>,
     /// The item that was last counted as not sent because engines are cold.
     held_back: Cell<Option<usize>>,
-    /// The version of the head row with which this process became the owner.
-    tenure: u64,
+    /// The period in which this process runs it, which names the rows of its texts.
+    tenure: Tenure,
     /// Drafts by item.
     drafts: RefCell<HashMap<usize, Draft>>,
     /// How far its minimum weight version was behind the newest when it was accepted.
     version_lag: u64,
-    /// Rows of the store that hold pieces of its texts.
-    piece_rows: RefCell<Vec<RowId>>,
     /// Notified when a result is ready to be listed.
     result_ready: Notify,
     /// Notified when results were listed.
@@ -206,6 +206,7 @@
             failure_detector: RefCell::new(FailureDetector::new()),
             polled: Notify::new(),
             is_stopping: Cell::new(false),
+            load_count: Cell::new(0),
         }
     }
 
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -14,14 +14,15 @@
         batch::Batch,
         presence::{Heartbeat, Loss},
         row::{self, Head, Presence},
-        text::{Piece, Text},
+        text::{SavedText, Tenure, Text},
     },
-    table::{Change, Commit, Range, Row, RowId},
+    table::{Change, Commit, Range, Row},
     topology::RegionSet,
 };
 use hibiscusroad_platform::batch;
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -43,8 +44,8 @@
     pub(super) submission: Submission,
     /// Encoded results that are listed.
     pub(super) results: Vec<Vec<u8>>,
-    /// Pieces of its texts, with their rows and item ids.
-    pub(super) pieces: Vec<(RowId, String, Piece)>,
+    /// Its saved texts, by item.
+    pub(super) texts: HashMap<String, Vec<SavedText>>,
     /// Texts of earlier batches, with their item ids.
     pub(super) carried: Vec<(String, Text)>,
 }
@@ -52,15 +53,15 @@
 impl BatchState {
     /// Returns whether nothing of it has run, as far as the store tells.
     pub(super) fn is_new(&self) -> bool {
-        self.results.is_empty() && self.pieces.is_empty()
+        self.results.is_empty() && self.texts.is_empty()
     }
 
     /// Creates the state of a batch of which nothing has run.
-    pub(super) const fn new(submission: Submission) -> Self {
+    pub(super) fn new(submission: Submission) -> Self {
         Self {
             submission,
             results: Vec::new(),
-            pieces: Vec::new(),
+            texts: HashMap::new(),
             carried: Vec::new(),
         }
     }
@@ -217,26 +218,33 @@
 
     /// Reads the state of a batch from the store.
     async fn load(&self, id: &str) -> Result<BatchState, String> {
-        let (submission, results, pieces) = join3(
+        let (submission, results, texts) = join3(
             self.read_submission(id),
             self.read_results(id, 0),
-            self.read_pieces(id),
+            self.read_saved_texts(id),
         )
         .await;
         let submission = submission.map_err(|failure| failure.to_string())?;
         Ok(BatchState {
             results: results.map_err(|failure| failure.to_string())?,
-            pieces: pieces.map_err(|failure| failure.to_string())?,
+            texts: texts.map_err(|failure| failure.to_string())?,
             ..BatchState::new(submission)
         })
     }
 
+    /// Returns the tenure of a batch that is loaded with this version of its head row.
+    fn next_tenure(&self, version: u64) -> Tenure {
+        let load = self.load_count.get() + 1;
+        self.load_count.set(load);
+        Tenure::new(version, load)
+    }
+
     /// Starts the tasks of a batch.
     pub(super) fn run(self: &Rc<Self>, id: &str, head: Head, version: u64, state: BatchState) {
         let BatchState {
             submission,
             results,
-            pieces,
+            texts,
             carried,
         } = state;
         if self.is_stopping.get() {
@@ -263,10 +271,8 @@
                     "A stored result could not be decoded; it is ignored."),
             }
         }
-        let mut piece_rows = Vec::new();
-        for (row, item, piece) in pieces {
-            batch.restore_piece(&item, piece);
-            piece_rows.push(row);
+        for (item, texts) in texts {
+            batch.restore_text(&item, texts);
         }
         for (item, text) in carried {
             let (last, versions) = (text.last_event(), text.versions().to_vec());
@@ -295,14 +301,13 @@
             version: Cell::new(version),
             batch: RefCell::new(batch),
             listed: RefCell::new(results),
-            tenure: version,
+            tenure: self.next_tenure(version),
             drafts: RefCell::default(),
             version_lag: head.lag,
             write_started: Cell::new(None),
             avoided_engines: RefCell::default(),
             withheld: Cell::new(None),
             held_back: Cell::new(None),
-            piece_rows: RefCell::new(piece_rows),
             result_ready: Notify::new(),
             results_listed: Notify::new(),
             tasks: RefCell::default(),
--- a/hibiscusroad-daemon/src/gateway/batches/pieces.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/pieces.rs
@@ -6,8 +6,9 @@
 //! Pieces share a part of the store with results, for which trainers wait. So a save waits while
 //! results are being written, and saves are rarer while writes are slow.
 //!
-//! Only new pieces are written. Like a result, a piece is written on the condition that
-//! the head row is as this owner left it.
+//! Only new pieces are written, on the condition that the head row is as this owner left it. That
+//! row doesn't change while the batch stays here, so a write that got no answer may be executed
+//! after newer ones; [`hibiscusroad::rollout::text`] says why that does no harm.
 
 use super::{Batches, OwnedBatch};
 use crate::{
@@ -16,13 +17,13 @@
 };
 use hibiscusroad::{
     rollout::{
-        row::{self, PIECES},
-        text::Piece,
+        row::{self, PIECES, PieceKey},
+        text::{Piece, SavedPieces, SavedText},
     },
-    table::{Change, Commit, Range, RowId},
+    table::{Change, Commit, Range},
 };
 use hibiscusroad_platform::table::MAX_ENTRIES;
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 use tokio::time::{sleep, timeout};
 
 /// Least time between two writes, and so the text that a takeover may lose.
@@ -59,12 +60,11 @@
             return;
         }
         let mut change = Change::new().expect(row::head(&owned.id), owned.version.get());
-        let mut rows = Vec::new();
         for (index, piece) in &pieces {
-            let id = row::piece(&owned.id, &owned.submission.items[*index].id, piece);
+            let item = &owned.submission.items[*index].id;
+            let id = row::piece(&owned.id, item, owned.tenure, piece);
             let value = serde_json::to_vec(piece).unwrap_or_default();
-            change = change.put(id.clone(), value);
-            rows.push(id);
+            change = change.put(id, value);
         }
         match self.store.transact(&change).await {
             Commit::Done { .. } => {
@@ -72,47 +72,59 @@
                 for (index, piece) in &pieces {
                     batch.mark_saved(*index, piece);
                 }
-                owned.piece_rows.borrow_mut().extend(rows);
             }
             Commit::Conflict(_) => {
                 log::info!(target: BATCHES, batch = owned.id.as_str();
                     "Texts could not be saved: the batch is no longer run here.");
             }
-            // The next save writes the same rows again, with the text that came meanwhile.
+            // The next save writes the same text again, with that which came meanwhile.
             Commit::Refused | Commit::Unknown => {}
         }
     }
 
-    /// Reads the saved pieces of a batch's texts in their order, without drafts.
-    pub(super) async fn read_pieces(
+    /// Reads the saved texts of a batch's items, without drafts, by item.
+    pub(super) async fn read_saved_texts(
         &self,
         id: &str,
-    ) -> Result<Vec<(RowId, String, Piece)>, Failure> {
-        let part = row::bucket(id);
+    ) -> Result<HashMap<String, Vec<SavedText>>, Failure> {
         let start = format!("{id}/");
         // '0' is the byte after '/'.
         let end = format!("{id}0");
+        let mut items: HashMap<String, SavedPieces> = HashMap::new();
+        self.read_pieces(id, (&start, &end), |key, piece| {
+            if !key.is_draft {
+                let pieces = items.entry(key.item.to_owned()).or_default();
+                pieces.add(key.tenure, piece);
+            }
+        })
+        .await?;
+        let texts = items.into_iter().map(|(item, it)| (item, it.texts()));
+        Ok(texts.collect())
+    }
+
+    /// Reads the pieces of a batch in a range of keys, from the first to before the second.
+    pub(super) async fn read_pieces(
+        &self,
+        id: &str,
+        (start, end): (&str, &str),
+        mut record: impl FnMut(PieceKey<'_>, Piece),
+    ) -> Result<(), Failure> {
+        let part = row::bucket(id);
         let range = Range {
-            start: Some(&start),
-            end: Some(&end),
+            start: Some(start),
+            end: Some(end),
             ..Range::part(PIECES, &part)
         };
-        let mut found = Vec::new();
         for row in self.store.read_whole(&range).await?.rows {
-            let name = row::parse_piece_key(id, &row.id.key);
+            let key = PieceKey::parse(id, &row.id.key);
             let piece = serde_json::from_slice(&row.value).ok();
-            match name.zip(piece) {
-                // A piece with a tenure belongs to a draft.
-                Some(((_, tenure), _)) if !tenure.is_empty() => {}
-                Some(((item, _), piece)) => {
-                    let item = item.to_owned();
-                    found.push((row.id, item, piece));
-                }
+            match key.zip(piece) {
+                Some((key, piece)) => record(key, piece),
                 None => log::error!(target: BATCHES, row = row.id.key.as_str();
                     "A stored piece of a text could not be decoded; it is ignored."),
             }
         }
-        Ok(found)
+        Ok(())
     }
 }
 
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -4,13 +4,13 @@
 
 use gateway_world::{
     Gateway, World,
-    batches::{batches_run_by, check_whole, read, results, submit},
+    batches::{self, batches_run_by, check_whole, read, results, submit},
     submission, until,
 };
-use hibiscusroad_standins::direct::Faults;
+use hibiscusroad_standins::direct::{Faults, TextRuns};
 use rustix::process::Signal;
 use serde_json::Value;
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 // Another process takes the batch over and resumes its texts behind the saved events.
 #[test]
@@ -58,6 +58,70 @@
     assert_eq!(takeovers.count(), 1);
 }
 
+// Guards against texts joined from two runs, after a write of pieces whose answer was lost is
+// carried out later than a newer one of the same owner.
+#[test]
+fn late_write_of_pieces_does_not_join_texts_of_two_runs() {
+    const EVENTS: u64 = 140;
+    let (mut world, _desk, engine) = World::ready("joined", 3);
+    engine.set_work_duration(Duration::from_millis(50));
+    engine.set_event_count(EVENTS);
+    // Pieces of different runs end at the same events.
+    engine.set_burst(10);
+    engine.name_runs();
+    let late = Duration::from_millis(1_500);
+    world.store.delay_writes(late, |table, _key, value| {
+        table == "pieces" && piece_end(value) <= 10
+    });
+    let store = Arc::clone(&world.store);
+    let saved_end = move || {
+        let ends = store
+            .rows("pieces")
+            .into_iter()
+            .map(|row| piece_end(&row.2));
+        ends.max().unwrap_or(0)
+    };
+    assert_eq!(submit(&world, 0, "b1", &submission(1, 1, 1, 2)).status, 202);
+    until("texts are saved after the late write", || {
+        (saved_end() >= 60).then_some(())
+    });
+    stop_owner(&mut world, "b1");
+    let saved = world.store.rows("pieces");
+    until("the next owner saves texts", || {
+        (world.store.rows("pieces") != saved).then_some(())
+    });
+    stop_owner(&mut world, "b1");
+    let mut gateways = world.gateways.iter_mut();
+    let reader = gateways.position(gateway_world::Gateway::is_running).unwrap();
+    let found = results(&world, reader, "b1", 2);
+    let runs = TextRuns::new(engine.runs());
+    for result in &found {
+        let (id, text) = (result["id"].as_str().unwrap(), result["text"].as_str());
+        let text = text.unwrap();
+        assert_eq!(TextRuns::strip(text), batches::text(id, EVENTS));
+        let count = runs.check(id, text).unwrap();
+        assert!(count > 1, "the text of {id} was not resumed");
+    }
+}
+
+/// Returns the last event of a stored piece.
+fn piece_end(value: &[u8]) -> u64 {
+    let piece: Value = serde_json::from_slice(value).unwrap();
+    piece["last"].as_u64().unwrap()
+}
+
+/// Stops the gateway that owns a batch, as planned, and waits until it ends.
+fn stop_owner(world: &mut World, batch: &str) {
+    let rows = world.store.rows("batches");
+    let (_, _, head) = rows.into_iter().find(|(_, id, _)| id == batch).unwrap();
+    let head: Value = serde_json::from_slice(&head).unwrap();
+    let owner = head["owner"].as_str().unwrap().split('/').next().unwrap();
+    let mut gateways = world.gateways.iter_mut();
+    let owner = gateways.find(|it| it.name == owner).unwrap();
+    owner.signal(Signal::TERM);
+    assert_eq!(owner.wait().code(), Some(0));
+}
+
 // A planned stop saves all texts and hands the batches over, so that nothing is lost.
 #[test]
 fn batch_of_a_stopped_owner_is_resumed_elsewhere() {
--- a/hibiscusroad-measure/src/main.rs
+++ b/hibiscusroad-measure/src/main.rs
@@ -20,7 +20,7 @@
        measure faults [--seconds N] [--seed N] [--rate N] [--kinds KINDS]
                       [--trace] [--json]
        measure soak [--seconds N] [--seed N] [--processes N] [--contention]
-                    [--engines] [--long-prompts]
+                    [--engines] [--long-prompts] [--late-writes]
        measure policy [--seed N] [--scenario NAME]
        measure train [--deployment pobrezie|lakeshore] [--seed N]
                      [--outage SECONDS]
@@ -34,7 +34,8 @@
 soak    puts callers and trainers on gateways, injects faults from outside and
         checks the promises while they run; --engines makes engines like real
         ones, which load weights, fill up and fail in series; with
-        --long-prompts, engines read one in 25 for 0.8 s
+        --long-prompts, engines read one in 25 for 0.8 s; --late-writes makes
+        the store carry out writes of texts late, while gateways stop
 policy  runs the decisions under load in virtual time
 train   runs the training decisions in virtual time
 
@@ -215,6 +216,7 @@
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             Arg::Long("processes") => options.processes = parser.value()?.parse()?,
             Arg::Long("contention") => options.contention = true,
+            Arg::Long("late-writes") => options.late_writes = true,
             Arg::Long("engines") => {
                 options.engines.get_or_insert_default();
             }
--- a/hibiscusroad-measure/src/soak/check.rs
+++ b/hibiscusroad-measure/src/soak/check.rs
@@ -4,10 +4,10 @@
     keys::CALLER_ACCOUNT,
     world::{LEASE_MS, PLAIN_ENDPOINTS, World},
 };
-use hibiscusroad_standins::direct::ExecutedRequest;
+use hibiscusroad_standins::direct::{ExecutedRequest, TextRuns};
 use serde_json::Value;
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     fmt::Write,
     path::PathBuf,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -21,6 +21,8 @@
 struct Observations {
     violations: Vec<String>,
     counts: BTreeMap<&'static str, usize>,
+    /// The texts of items that were read, with their items.
+    texts: BTreeSet<(String, String)>,
     /// Non-idempotent requests that were answered as not run.
     not_run: HashSet<String>,
     faults: Vec<(Duration, String)>,
@@ -152,9 +154,11 @@
         let lines: Vec<String> = (1..=(self.text_length)(id))
             .map(|n| format!("{id}-{n}"))
             .collect();
-        if result["text"] != lines.join("\n") {
+        let text = result["text"].as_str().unwrap_or_default();
+        if TextRuns::strip(text) != lines.join("\n") {
             self.record_violation(&format!("the text of {id} isn't whole"));
         }
+        self.lock().texts.insert((id.to_owned(), text.to_owned()));
         if result["score"] != format!("stamp-score-{id}") {
             self.record_violation(&format!("{id} has another's score"));
         }
@@ -205,6 +209,20 @@
     }
 }
 
+/// Checks that each text that was read was made by runs of its item that continue each other.
+pub(super) fn check_joins(check: &Check, world: &World) {
+    let runs = TextRuns::new(world.executed());
+    let texts = check.lock().texts.clone();
+    let mut resumed = 0;
+    for (item, text) in &texts {
+        match runs.check(item, text) {
+            Ok(count) => resumed += count.saturating_sub(1),
+            Err(violation) => check.record_violation(&violation),
+        }
+    }
+    check.set("resumed runs", resumed);
+}
+
 /// Checks that an endpoint received the right client account and no key with a request.
 fn check_account(check: &Check, request: &ExecutedRequest) {
     let expected = match request.id.split_once('-') {
--- a/hibiscusroad-measure/src/soak/mod.rs
+++ b/hibiscusroad-measure/src/soak/mod.rs
@@ -55,6 +55,9 @@
     pub processes: usize,
     /// Whether gateways expect contention, and hosts turn slow by turns.
     pub contention: bool,
+    /// Whether writes of texts are carried out late, beside gateways that are stopped and killed,
+    /// while engines send events in bursts.
+    pub late_writes: bool,
     /// How engines behave where they are like real ones: they take time to load weights, have few
     /// slots and texts of differing lengths, and fail in series, with calm times in between.
     pub engines: Option<EngineOptions>,
@@ -74,6 +77,7 @@
             seed: 1,
             processes: 5,
             contention: false,
+            late_writes: false,
             engines: None,
         }
     }
@@ -116,6 +120,8 @@
     fn text_length(&self) -> fn(&str) -> u64 {
         if self.engines.is_some() {
             texts::drawn_length
+        } else if self.late_writes {
+            texts::long_length
         } else {
             texts::equal_length
         }
@@ -179,6 +185,7 @@
     }
     check::check_endpoints(&check, &world);
     check::check_reports(&check, &world);
+    check::check_joins(&check, &world);
     stranded::check_items(&check, &world, &steps);
     late::check(&check, &world);
     Ok(check.finish(&mut world))
--- a/hibiscusroad-measure/src/soak/plan.rs
+++ b/hibiscusroad-measure/src/soak/plan.rs
@@ -25,6 +25,8 @@
     Freeze(usize, Duration),
     Stop(usize),
     Store(Faults, Duration),
+    /// For the second duration, writes of texts get no answer and are carried out after the first.
+    LateTexts(Duration, Duration),
     Forget,
     SilenceStore(usize, Direction),
     CutStore(usize, Duration),
@@ -80,6 +82,9 @@
     if options.engines.is_some() {
         return draw_bursts(options);
     }
+    if options.late_writes {
+        return draw_late_writes(options);
+    }
     let mut rng = Pcg64::seed_from_u64(options.seed);
     let mut at = Duration::ZERO;
     let mut plan = Vec::new();
@@ -131,6 +136,51 @@
     plan
 }
 
+/// Delay of writes of texts, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 800..2_500;
+/// How long writes of texts get no answer, in milliseconds: one or two saves.
+const LOST_MS: std::ops::Range<u64> = 300..900;
+/// Time between two gateways that end, in milliseconds: a few saves.
+const END_GAP_MS: std::ops::Range<u64> = 300..1_800;
+/// Maximum number of gateways that end after a series of late writes.
+const MAX_ENDS: u32 = 4;
+
+/// Returns series of late writes of texts, each followed by gateways that are stopped or killed.
+fn draw_late_writes(options: &Options) -> Vec<PlannedFault> {
+    let mut rng = Pcg64::seed_from_u64(options.seed);
+    let draw_ms = |rng: &mut Pcg64, range| Duration::from_millis(rng.random_range(range));
+    let mut plan = Vec::new();
+    let mut at = draw_ms(&mut rng, LATE_MS);
+    while at < options.time {
+        let late = draw_ms(&mut rng, LATE_MS);
+        let duration = draw_ms(&mut rng, LOST_MS);
+        let fault = if rng.random_bool(0.7) {
+            Fault::LateTexts(late, duration)
+        } else {
+            let faults = Faults {
+                lose: 8,
+                late,
+                ..Faults::default()
+            };
+            Fault::Store(faults, duration)
+        };
+        plan.push(PlannedFault { at, fault });
+        at += late;
+        for _ in 0..rng.random_range(1..=MAX_ENDS) {
+            at += draw_ms(&mut rng, END_GAP_MS);
+            let n = rng.random_range(0..options.processes);
+            let fault = if rng.random_bool(0.7) {
+                Fault::Stop(n)
+            } else {
+                Fault::Kill(n)
+            };
+            plan.push(PlannedFault { at, fault });
+        }
+        at += draw_ms(&mut rng, END_GAP_MS);
+    }
+    plan
+}
+
 /// Number of kinds of faults that strike engines in series.
 const SERIES_KINDS: u32 = 9;
 
--- a/hibiscusroad-measure/src/soak/texts.rs
+++ b/hibiscusroad-measure/src/soak/texts.rs
@@ -4,6 +4,11 @@
 
 /// Number of events of a text where all texts are alike.
 pub(super) const EVENT_COUNT: u64 = 20;
+/// Number of events of a text where writes of texts are late; it takes longer than a delay.
+pub(super) const LONG_EVENT_COUNT: u64 = 240;
+/// How many events engines send together where writes of texts are late, so that pieces of
+/// different runs end at the same events. They take longer than the time between two saves.
+pub(super) const BURST: u64 = 20;
 /// Range of the number of events of most texts, where lengths differ.
 const USUAL_EVENTS: std::ops::Range<u64> = 5..35;
 /// Range of the number of events of long texts, ten times as many as usual.
@@ -19,6 +24,11 @@
     EVENT_COUNT
 }
 
+/// Returns the number of events of any text where writes of texts are late.
+pub(super) const fn long_length(_id: &str) -> u64 {
+    LONG_EVENT_COUNT
+}
+
 /// Returns the number of events of the text of an item, which follows from its id.
 pub(super) fn drawn_length(id: &str) -> u64 {
     let hash = hash(id);
--- a/hibiscusroad-measure/src/soak/world.rs
+++ b/hibiscusroad-measure/src/soak/world.rs
@@ -9,6 +9,7 @@
     texts,
 };
 use crate::deployment::{Bins, Error, process::Process};
+use hibiscusroad::rollout::row::PIECES;
 use hibiscusroad_standins::{
     direct::{
         Behaviour, Billing, Capacity, Crash, CrashMode, Endpoint, ExecutedRequest, Faults, Store,
@@ -97,6 +98,7 @@
     Reregister(usize),
     Restart(usize),
     Replace(usize),
+    LateTexts,
     Loads(usize),
     EndpointDelay(usize),
 }
@@ -328,7 +330,6 @@
     }
 
     pub(super) fn inject(&mut self, fault: Fault) -> Result<(), Error> {
-        let now = Instant::now();
         match fault {
             Fault::Kill(n) => self.kill(n)?,
             Fault::KillAll => {
@@ -340,19 +341,16 @@
                 self.gateways[n].process.freeze()?;
                 self.disturb_for(Subject::Gateway(n), duration, Undo::Thaw(n));
             }
-            Fault::Stop(n) => {
-                let stopping = self.disturb(Subject::Gateway(n));
-                let gateway = &mut self.gateways[n];
-                gateway.process.terminate()?;
-                gateway.stop_deadline.get_or_insert(now + STOP_TIMEOUT);
-                if let Some(previous) = gateway.stopping.replace(stopping) {
-                    self.settle(previous);
-                }
-            }
+            Fault::Stop(n) => self.stop(n)?,
             Fault::Store(faults, duration) => {
                 self.store.set_faults(faults);
                 self.disturb_for(Subject::Store, duration, Undo::Store);
             }
+            Fault::LateTexts(late, duration) => {
+                let is_text = |table: &str, _key: &str, _value: &[u8]| table == PIECES;
+                self.store.delay_writes(late, is_text);
+                self.disturb_for(Subject::Store, duration, Undo::LateTexts);
+            }
             Fault::Forget => {
                 self.store.compact_log();
                 self.disturb_once(Subject::Store);
@@ -432,6 +430,19 @@
         Ok(())
     }
 
+    /// Asks a gateway to stop.
+    fn stop(&mut self, n: usize) -> Result<(), Error> {
+        let stopping = self.disturb(Subject::Gateway(n));
+        let gateway = &mut self.gateways[n];
+        gateway.process.terminate()?;
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        gateway.stop_deadline.get_or_insert(deadline);
+        if let Some(previous) = gateway.stopping.replace(stopping) {
+            self.settle(previous);
+        }
+        Ok(())
+    }
+
     fn kill(&mut self, n: usize) -> Result<(), Error> {
         self.disturb_once(Subject::Gateway(n));
         let gateway = &mut self.gateways[n];
@@ -503,6 +514,7 @@
                 self.endpoints[*n].crash(CrashMode::ProcessExit);
                 self.restart(*n)?;
             }
+            Undo::LateTexts => self.store.resume_writes(),
             Undo::Loads(n) => self.endpoints[*n].set_load_duration(LOAD_DURATION),
             Undo::EndpointDelay(n) => self.endpoints[*n].relay().set_delay(Duration::ZERO),
         }
@@ -647,6 +659,11 @@
     let endpoint = Endpoint::start_at(listen, store, service, id, models)?;
     endpoint.set_work_duration(WORK_DURATION);
     endpoint.set_event_count(texts::EVENT_COUNT);
+    if options.late_writes {
+        endpoint.set_text_length(texts::long_length);
+        endpoint.set_burst(texts::BURST);
+    }
+    endpoint.name_runs();
     if let Some(engines) = options.engines.filter(|_| n >= PLAIN_ENDPOINTS) {
         endpoint.set_load_duration(LOAD_DURATION);
         endpoint.set_text_length(texts::drawn_length);
--- a/hibiscusroad-measure/tests/soak.rs
+++ b/hibiscusroad-measure/tests/soak.rs
@@ -35,6 +35,7 @@
         seed,
         processes,
         contention: false,
+        late_writes: false,
         engines: None,
     };
     soak::run(&options, &Interrupt::default()).unwrap()
@@ -60,6 +61,7 @@
         seed: 2,
         processes: 4,
         contention: true,
+        late_writes: false,
         engines: None,
     };
     let found = soak::run(&options, &Interrupt::default()).unwrap();
--- a/hibiscusroad-measure/tests/soak_departures.rs
+++ b/hibiscusroad-measure/tests/soak_departures.rs
@@ -16,6 +16,7 @@
         seed: 7105,
         processes: 5,
         contention: false,
+        late_writes: false,
         engines: Some(EngineOptions::default()),
     };
     let found = soak::run(&options, &Interrupt::default()).unwrap();
--- a/hibiscusroad-measure/tests/soak_engines.rs
+++ b/hibiscusroad-measure/tests/soak_engines.rs
@@ -18,6 +18,7 @@
         seed: 103,
         processes: 5,
         contention: false,
+        late_writes: false,
         engines: Some(EngineOptions::default()),
     };
     let found = soak::run(&options, &Interrupt::default()).unwrap();
--- a/hibiscusroad-standins/src/direct/endpoint.rs
+++ b/hibiscusroad-standins/src/direct/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints that are called without a sidecar: plain services and model engines.
 
-use super::Store;
+use super::{Store, joins::RUN_SEPARATOR};
 use crate::{
     http::{ANY_LOOPBACK_PORT, Exchange, Server},
     relay::Relay,
@@ -9,9 +9,13 @@
 use serde_json::json;
 use std::{
     collections::BTreeMap,
+    fmt::Write,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -22,6 +26,9 @@
 /// Time between two looks whether a slot is free.
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Number of runs of all endpoints, which names the next one.
+static RUN_COUNT: AtomicUsize = AtomicUsize::new(0);
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -75,6 +82,8 @@
 pub struct ExecutedRequest {
     /// The request's id.
     pub id: String,
+    /// The name of this run among those of all endpoints.
+    pub run: String,
     /// Its path.
     pub path: String,
     /// The last event that the caller has received (`Last-Event-Id`).
@@ -120,6 +129,10 @@
     work_duration: Duration,
     /// The number of events of a generated text.
     event_count: u64,
+    /// How many events are sent together.
+    burst: u64,
+    /// Whether each event names the run that made it.
+    names_runs: bool,
     /// Overrides of `event_count` by request id.
     item_events: BTreeMap<String, u64>,
     /// Returns the number of events of a text by request id, in place of `event_count`.
@@ -213,6 +226,8 @@
                 behaviour: Behaviour::Sound,
                 work_duration: Duration::from_millis(5),
                 event_count: 8,
+                burst: 1,
+                names_runs: false,
                 item_events: BTreeMap::new(),
                 text_length: None,
                 capacity: None,
@@ -317,6 +332,16 @@
         self.shared.lock().event_count = events;
     }
 
+    /// Sets how many events of a text are sent together, after the time that they take.
+    pub fn set_burst(&self, events: u64) {
+        self.shared.lock().burst = events;
+    }
+
+    /// Makes each event name the run that made it, for [`TextRuns`](super::TextRuns).
+    pub fn name_runs(&self) {
+        self.shared.lock().names_runs = true;
+    }
+
     /// Sets how many events the text for the request with id `item` has.
     pub fn set_item_event_count(&self, item: &str, events: u64) {
         self.shared
@@ -666,8 +691,9 @@
     let last_event_id = exchange
         .header("Last-Event-Id")
         .and_then(|n| n.parse().ok());
-    let run = ExecutedRequest {
+    let mut run = ExecutedRequest {
         id: id.clone(),
+        run: String::new(),
         path: exchange.path().to_owned(),
         last_event_id,
         account: exchange.header("X-Tenant").map(str::to_owned),
@@ -679,8 +705,10 @@
     };
     let index = {
         let mut inner = shared.lock();
+        let index = inner.runs.len();
+        run.run = format!("run-{}", RUN_COUNT.fetch_add(1, Ordering::Relaxed));
         inner.runs.push(run);
-        inner.runs.len() - 1
+        index
     };
     let _active_run = ActiveRun { shared, index };
     let is_open = exchange.watch();
@@ -793,7 +821,7 @@
     let Some(_slot) = shared.occupy_slot(&exchange.watch()) else {
         return;
     };
-    let (work, prompt_duration, events, garbled, load) = {
+    let (work, prompt_duration, events, garbled, load, burst, run) = {
         let inner = shared.lock();
         let events = inner.item_events.get(id).copied();
         let events = events.or_else(|| inner.text_length.map(|length| length(id)));
@@ -803,6 +831,8 @@
             events.unwrap_or(inner.event_count),
             inner.garbled,
             inner.load_report(),
+            inner.burst,
+            inner.names_runs.then(|| inner.runs[index].run.clone()),
         )
     };
     let mut version = shared.lock().weights.get(model).copied().unwrap_or(0);
@@ -826,6 +856,9 @@
     if !is_open() {
         return;
     }
+    let run = run.map(|run| format!("{RUN_SEPARATOR}{run}"));
+    let run = run.unwrap_or_default();
+    let mut lines = String::new();
     for number in last_event_id.map_or(1, |id| id + 1)..=events {
         thread::sleep(work);
         if shared.lock().garbled != garbled {
@@ -840,10 +873,21 @@
             format!("x-weight-versions: {current}\n")
         };
         version = current;
-        let lines = format!("{version_line}id: {number}\ndata: {id}-{number}");
+        if !lines.is_empty() {
+            lines.push_str("\n\n");
+        }
+        // Writing to a string never fails.
+        let _ = write!(
+            lines,
+            "{version_line}id: {number}\ndata: {id}-{number}{run}"
+        );
+        if number % burst != 0 && number != events {
+            continue;
+        }
         if stream.send_lines(&lines).is_err() {
             return;
         }
+        lines.clear();
     }
     shared.lock().runs[index].is_complete = true;
 }
--- a/hibiscusroad-standins/src/direct/mod.rs
+++ b/hibiscusroad-standins/src/direct/mod.rs
@@ -7,12 +7,14 @@
 
 mod billing;
 mod endpoint;
+mod joins;
 mod replicas;
 mod store;
 
 pub use self::{
     billing::{Billing, ReplyMode, Report},
     endpoint::{Behaviour, Capacity, Crash, CrashMode, Endpoint, ExecutedRequest, WeightLoad},
+    joins::TextRuns,
     replicas::{Replicas, Restart},
     store::{Faults, Store},
 };
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    io,
+    fmt, io,
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
@@ -59,11 +59,39 @@
     busy_until: BTreeMap<String, Instant>,
     /// Tables whose reads of rows get no answer.
     stalled: BTreeSet<String>,
+    /// Which transactions get no answer, beside those that [`Faults`] tell.
+    unanswered: Option<Unanswered>,
     calls: Vec<String>,
     /// How many reads and feeds were requested, by path and table.
     reads: BTreeMap<(String, String), usize>,
 }
 
+/// Returns whether a write of a row, given by table, key and value, is to be delayed.
+type IsDelayed = dyn FnMut(&str, &str, &[u8]) -> bool + Send;
+
+/// Transactions that get no answer and are carried out late.
+struct Unanswered {
+    is_delayed: Box<IsDelayed>,
+    delay: Duration,
+}
+
+impl fmt::Debug for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Unanswered")
+            .field("delay", &self.delay)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Unanswered {
+    fn matches(&mut self, change: &WireChange) -> bool {
+        change.puts.iter().any(|row| {
+            let value = STANDARD.decode(&row.value).unwrap_or_default();
+            (self.is_delayed)(&row.table, &row.key, &value)
+        })
+    }
+}
+
 /// A change of a row.
 #[derive(Debug)]
 struct LoggedChange {
@@ -202,6 +230,24 @@
         self.shared.changed.notify_all();
     }
 
+    /// Leaves transactions without an answer, and carries them out after `delay`, if `is_delayed`
+    /// returns `true` for the table, the key and the value of a row that they write.
+    pub fn delay_writes(
+        &self,
+        delay: Duration,
+        is_delayed: impl FnMut(&str, &str, &[u8]) -> bool + Send + 'static,
+    ) {
+        self.shared.lock().unanswered = Some(Unanswered {
+            is_delayed: Box::new(is_delayed),
+            delay,
+        });
+    }
+
+    /// Answers new transactions again that [`Store::delay_writes`] left without an answer.
+    pub fn resume_writes(&self) {
+        self.shared.lock().unanswered = None;
+    }
+
     /// Leaves reads of rows of a table without an answer, until [`Store::resume_reads`].
     pub fn stall_reads(&self, table: &str) {
         self.shared.lock().stalled.insert(table.to_owned());
@@ -289,6 +335,19 @@
         }
     }
 
+    /// Returns whether a transaction gets no answer, and the delay after which it is carried out
+    /// then.
+    fn lose_answer(&mut self, change: &WireChange) -> (bool, Duration) {
+        if let Some(unanswered) = &mut self.unanswered
+            && unanswered.matches(change)
+        {
+            return (true, unanswered.delay);
+        }
+        let is_lost = self.faults.lose > 0;
+        self.faults.lose = self.faults.lose.saturating_sub(1);
+        (is_lost, self.faults.late)
+    }
+
     fn row(&self, key: &Key) -> Option<Value> {
         let (value, version) = self.rows.get(key)?;
         Some(wire_row(key, value, *version))
@@ -405,12 +464,7 @@
         return exchange.refuse(429, "too many transactions");
     };
     thread::sleep(due.saturating_duration_since(Instant::now()));
-    let (lose_answer, delay) = {
-        let mut inner = shared.lock();
-        let lose_answer = inner.faults.lose > 0;
-        inner.faults.lose = inner.faults.lose.saturating_sub(1);
-        (lose_answer, inner.faults.late)
-    };
+    let (lose_answer, delay) = shared.lock().lose_answer(&change);
     if lose_answer && !delay.is_zero() {
         let shared = Arc::clone(shared);
         thread::spawn(move || {
--- a/src/rollout/batch.rs
+++ b/src/rollout/batch.rs
@@ -12,7 +12,7 @@
     Item, ItemResult, Outcome, Submission,
     shares::GroupDemand,
     start_order::{groups, start_order},
-    text::{Piece, Text},
+    text::{Piece, SavedText, Text},
     waits::{WaitReason, WaitTimes, WaitTracker},
 };
 use std::{
@@ -274,22 +274,24 @@
         (self.group_count - open.len(), open)
     }
 
-    /// Appends a piece of a text that an earlier owner saved; pieces come in the order in
-    /// which they were saved.
-    pub fn restore_piece(&mut self, id: &str, piece: Piece) {
+    /// Restores the longest usable text of an item that earlier owners saved. `texts` are those
+    /// of the last round, the longest first.
+    pub fn restore_text(&mut self, id: &str, texts: Vec<SavedText>) {
         let Some(idx) = self.index.get(id).copied() else {
             return;
         };
-        let item = &mut self.items[idx];
-        if piece.round > item.round {
-            item.round = piece.round;
-            item.text = Text::default();
-        }
-        if piece.round < item.round || !item.text.append(piece) {
+        let Some(round) = texts.first().map(|saved| saved.round) else {
             return;
-        }
-        if !self.has_usable_text(idx) {
-            self.discard_text(idx);
+        };
+        let is_usable = |text: &Text| text.is_usable(self.min_version, self.single_version);
+        let usable = texts.into_iter().find(|saved| is_usable(&saved.text));
+        let item = &mut self.items[idx];
+        match usable {
+            Some(saved) => {
+                item.round = round;
+                item.text = saved.text;
+            }
+            None => item.round = round + 1,
         }
     }
 
--- a/src/rollout/row.rs
+++ b/src/rollout/row.rs
@@ -5,8 +5,8 @@
 //! | `batches` | bucket | batch | [`Head`] | absent at acceptance, later its version |
 //! | `submissions` | bucket | batch/number | a part of the submission | with the head |
 //! | `results` | bucket | batch/position | one result | absent, and the head's version |
-//! | `pieces` | bucket | batch/item/round/event | [`Piece`] of a text | the head's version |
-//! | `pieces` | bucket | batch/item/draft-tenure/round/event | [`Piece`] of a draft | the head's version |
+//! | `pieces` | bucket | batch/item/text-tenure/round/events | [`Piece`] of a text | the head's version |
+//! | `pieces` | bucket | batch/item/draft-tenure/round/events | [`Piece`] of a draft | the head's version |
 //! | `paces` | | service | [`Paces`] of its engines | its version |
 //! | `entries` | | process | [`OwnerRow`], the heartbeat of a process that owns something | none: only the process writes it |
 //! | `members` | member part | process | [`Presence`] of every process | none: only the process writes it |
@@ -28,7 +28,11 @@
 use std::{net::SocketAddr, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{rollout::text::Piece, table::RowId, usage::Offset};
+use crate::{
+    rollout::text::{Piece, Tenure},
+    table::RowId,
+    usage::Offset,
+};
 
 /// The table of the heads of batches.
 pub const BATCHES: &str = "batches";
@@ -58,6 +62,8 @@
 /// Number of parts over which the rows of all processes are spread.
 pub const MEMBER_PARTS: u64 = 4;
 
+/// Separates the item from the tenure in the keys of texts.
+const TEXT_SEPARATOR: &str = "/text-";
 /// Separates the item from the tenure in the keys of drafts.
 const DRAFT_SEPARATOR: &str = "/draft-";
 
@@ -256,34 +262,68 @@
     format!("{batch}/{position:06}")
 }
 
-/// Returns the ID of the row of a piece of an item's text.
+/// Returns the ID of the row of a piece of an item's text that was saved in `tenure`.
 ///
-/// Keys sort by item, and within an item by round and first event.
+/// The key determines the content, so a write that is executed late changes no newer row. Keys
+/// sort by item, and those of a tenure by round and first event.
 #[must_use]
-pub fn piece(batch: &str, item: &str, piece: &Piece) -> RowId {
-    let first = piece.after.map_or(0, |after| after + 1);
-    let key = format!("{batch}/{item}/{:04}/{first:08}", piece.round);
-    RowId::new(PIECES, &bucket(batch), &key)
+pub fn piece(batch: &str, item: &str, tenure: Tenure, piece: &Piece) -> RowId {
+    piece_of(batch, item, TEXT_SEPARATOR, tenure, piece)
 }
 
 /// Returns the ID of the row of a piece of a draft, a second text of an item.
-///
-/// `tenure` is the version of the head at which the owner got the batch. A new owner
-/// starts its drafts from the beginning, so the tenure keeps their pieces from being
-/// joined with those of the former owner's runs.
 #[must_use]
-pub fn draft_piece(batch: &str, item: &str, tenure: u64, draft_piece: &Piece) -> RowId {
-    let item = format!("{item}{DRAFT_SEPARATOR}{tenure:016x}");
-    piece(batch, &item, draft_piece)
+pub fn draft_piece(batch: &str, item: &str, tenure: Tenure, draft_piece: &Piece) -> RowId {
+    piece_of(batch, item, DRAFT_SEPARATOR, tenure, draft_piece)
 }
 
-/// Parses the key of a piece into the item and the tenure of its draft. The tenure is
-/// empty for the item's own text.
-#[must_use]
-pub fn parse_piece_key<'a>(batch: &str, key: &'a str) -> Option<(&'a str, &'a str)> {
-    let rest = key.strip_prefix(batch)?.strip_prefix('/')?;
-    let item = rest.rsplitn(3, '/').nth(2)?;
-    Some(item.split_once(DRAFT_SEPARATOR).unwrap_or((item, "")))
+fn piece_of(batch: &str, item: &str, separator: &str, tenure: Tenure, piece: &Piece) -> RowId {
+    let Piece { round, last, .. } = piece;
+    let first = piece.after.map_or(0, |after| after + 1);
+    let tenure = tenure.to_bits();
+    let key = format!("{batch}/{item}{separator}{tenure:x}/{round:04}/{first:08}-{last:08}");
+    RowId::new(PIECES, &bucket(batch), &key)
+}
+
+/// The parts of the key of a piece.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PieceKey<'a> {
+    /// The item.
+    pub item: &'a str,
+    /// The tenure in which the piece was saved; [`Tenure::UNKNOWN`] in rows of earlier versions.
+    pub tenure: Tenure,
+    /// Whether the piece belongs to a draft.
+    pub is_draft: bool,
+}
+
+impl<'a> PieceKey<'a> {
+    /// Parses the key of a piece; returns `None` if it is not one of `batch`.
+    ///
+    /// In rows of earlier versions the last part has no end, and only drafts have a tenure.
+    #[must_use]
+    pub fn parse(batch: &str, key: &'a str) -> Option<Self> {
+        let rest = key.strip_prefix(batch)?.strip_prefix('/')?;
+        let mut parts = rest.rsplitn(3, '/');
+        let has_end = parts.next()?.contains('-');
+        let text = parts.nth(1)?;
+        let (item, tenure, is_draft) = match text.rsplit_once(DRAFT_SEPARATOR) {
+            Some((item, tenure)) => (item, tenure, true),
+            None if has_end => {
+                let (item, tenure) = text.rsplit_once(TEXT_SEPARATOR)?;
+                (item, tenure, false)
+            }
+            None => (text, "", false),
+        };
+        let tenure = match tenure {
+            "" => Tenure::UNKNOWN,
+            digits => Tenure::from_bits(u64::from_str_radix(digits, 16).ok()?),
+        };
+        Some(Self {
+            item,
+            tenure,
+            is_draft,
+        })
+    }
 }
 
 /// Returns the ID of the heartbeat row of a process.
--- a/tests/rollout_batch.rs
+++ b/tests/rollout_batch.rs
@@ -3,8 +3,9 @@
 use hibiscusroad::rollout::{
     Item, Outcome, Submission,
     batch::{Batch, Interruption},
+    row::{self, PieceKey},
     shares::GroupDemand,
-    text::{Piece, Text, assemble},
+    text::{Piece, SavedPieces, Tenure, Text},
 };
 use proptest::prelude::*;
 use std::{
@@ -184,58 +185,140 @@
     );
 }
 
-// Guards against a new owner that restores another text than the former one saved,
-// whenever runs are interrupted and saves are lost.
-proptest! {
-    #[test]
-    fn saved_pieces_restore_the_text(
-        steps in prop::collection::vec((0usize..3, 1usize..5), 1..30),
-        lost_saves in prop::collection::vec(any::<bool>(), 30),
-    ) {
+/// The owners of one item, one after the other, and the rows that they saved.
+struct Owners {
+    now: Instant,
+    step: Submission,
+    batch: Batch,
+    tenure: Tenure,
+    round: u32,
+    rows: BTreeMap<String, (Tenure, Piece)>,
+    /// Writes without an answer, which may still be executed.
+    late: Vec<Vec<(Tenure, Piece)>>,
+    /// All texts that owners had in memory, the present one last.
+    texts: Vec<Vec<String>>,
+    /// Number of events so far, which makes each event differ from all others.
+    events: usize,
+}
+
+impl Owners {
+    fn new() -> Self {
         let now = Instant::now();
         let step = submission(&[1]);
         let mut batch = Batch::new(now, &step, 3, false, 0);
-        let mut store = Vec::new();
-        let mut next = 0;
         batch.start(0);
-        for (step_idx, (action, events)) in steps.into_iter().enumerate() {
+        Self {
+            now,
+            step,
+            batch,
+            tenure: Tenure::new(7, 1),
+            round: 0,
+            rows: BTreeMap::new(),
+            late: Vec::new(),
+            texts: vec![Vec::new()],
+            events: 0,
+        }
+    }
+
+    fn append_events(&mut self, count: usize) {
+        for _ in 0..count {
+            let data = format!("e{}", self.events);
+            self.events += 1;
+            let text = self.texts.last_mut().unwrap();
+            text.push(data.clone());
+            let number = text.len() as u64;
+            assert!(self.batch.append_event(0, number, &data, Some(3)));
+        }
+    }
+
+    /// Saves the text; the write may get no answer.
+    fn save(&mut self, is_answered: bool) {
+        let pieces = self.batch.unsaved_pieces(9);
+        let change = pieces.iter().map(|(_, piece)| (self.tenure, piece.clone()));
+        let change = change.collect();
+        if !is_answered {
+            return self.late.push(change);
+        }
+        for (idx, piece) in &pieces {
+            self.batch.mark_saved(*idx, piece);
+        }
+        self.write(change);
+    }
+
+    fn write(&mut self, pieces: Vec<(Tenure, Piece)>) {
+        for (tenure, piece) in pieces {
+            let key = row::piece("b", "0-0", tenure, &piece).key;
+            let previous = self.rows.insert(key, (tenure, piece.clone()));
+            assert!(previous.is_none_or(|(_, it)| it == piece), "a row changes");
+        }
+    }
+
+    /// Starts the text from the beginning.
+    fn discard(&mut self) {
+        self.batch.discard_text(0);
+        self.round += 1;
+        self.texts.push(Vec::new());
+    }
+
+    /// Lets another owner restore the text, and checks it.
+    fn take_over(&mut self, load: u64) {
+        let mut saved = SavedPieces::new();
+        for (key, (_, piece)) in &self.rows {
+            let key = PieceKey::parse("b", key).unwrap();
+            saved.add(key.tenure, piece.clone());
+        }
+        self.batch = Batch::new(self.now, &self.step, 3, false, 0);
+        self.batch.restore_text("0-0", saved.texts());
+        self.tenure = Tenure::new(7, load);
+        let last = self.batch.start(0).unwrap_or(0);
+        let events = usize::try_from(last).unwrap();
+        let restored = saved.texts().into_iter().next();
+        self.round = restored.as_ref().map_or(0, |saved| saved.round);
+        let restored = restored.map_or(String::new(), |it| it.text.into_parts().0);
+        let origin = self.texts.iter().find(|text| {
+            text.get(..events)
+                .is_some_and(|text| text.join("\n") == restored)
+        });
+        let origin = origin.expect("the text is the beginning of one that an owner had");
+        self.texts.push(origin[..events].to_vec());
+    }
+}
+
+// Guards against texts joined from those of several owners, and against lost ones, whenever
+// writes get no answer and are executed late, beside interruptions and takeovers.
+proptest! {
+    #[test]
+    fn restored_texts_are_beginnings_of_former_ones(
+        steps in prop::collection::vec((0usize..9, 1usize..5), 1..60),
+    ) {
+        let mut owners = Owners::new();
+        for (load, (action, amount)) in (2..).zip(steps) {
             match action {
-                0 | 1 => for _ in 0..events {
-                    let data = format!("e{next}");
-                    prop_assert!(batch.append_event(0, next, &data, Some(3)));
-                    next += 1;
-                },
-                _ => {
-                    batch.record_interruption(now, 0, None, Interruption::Moved);
-                    batch.start(0);
+                0..=2 => owners.append_events(amount),
+                3 => owners.save(true),
+                4 => owners.save(false),
+                5 if !owners.late.is_empty() => {
+                    let write = owners.late.remove(amount % owners.late.len());
+                    owners.write(write);
                 }
-            }
-            for (idx, piece) in batch.unsaved_pieces(9) {
-                // The next save repeats a lost one, with more events.
-                if !lost_saves[step_idx] {
-                    batch.mark_saved(idx, &piece);
-                    store.push(piece);
+                6 => {
+                    owners.batch.record_interruption(owners.now, 0, None, Interruption::Moved);
+                    owners.batch.start(0);
+                }
+                7 if amount == 1 => owners.discard(),
+                8 => {
+                    owners.save(true);
+                    let saved = owners.texts.last().unwrap().len();
+                    let rounds = owners.rows.values().map(|(_, piece)| piece.round);
+                    // A late write of a former owner may have begun a later round.
+                    let is_last_round = rounds.max() <= Some(owners.round);
+                    owners.take_over(load);
+                    let restored = owners.texts.last().unwrap().len();
+                    prop_assert!(!is_last_round || restored >= saved);
                 }
+                _ => owners.take_over(load),
             }
         }
-        let mut successor = Batch::new(now, &step, 3, false, 0);
-        let saved = store.last().map(|piece| piece.last);
-        for piece in store {
-            successor.restore_piece("0-0", piece);
-        }
-        prop_assert_eq!(successor.last_event(0), saved);
-        successor.start(0);
-        for number in saved.map_or(0, |last| last + 1)..next.max(1) {
-            let data = format!("e{number}");
-            prop_assert!(successor.append_event(0, number, &data, Some(3)));
-        }
-        prop_assert!(successor.complete_text(now, 0));
-        successor.complete_scoring(0, None);
-        let expected: Vec<String> = (0..next.max(1)).map(|n| format!("e{n}")).collect();
-        match &successor.ready_results(&step, 9)[0].1.outcome {
-            Outcome::Completed { text, .. } => prop_assert_eq!(text, &expected.join("\n")),
-            Outcome::Errored => prop_assert!(false),
-        }
     }
 }
 
@@ -355,6 +438,7 @@
     let events: Vec<String> = (first..=last).map(|n| format!("{data}{n}")).collect();
     Piece {
         round: 0,
+        base: None,
         after,
         last,
         versions: vec![3],
@@ -362,6 +446,15 @@
     }
 }
 
+fn texts(pieces: impl IntoIterator<Item = (Tenure, Piece)>) -> Vec<String> {
+    let mut saved = SavedPieces::new();
+    for (tenure, piece) in pieces {
+        saved.add(tenure, piece);
+    }
+    let texts = saved.texts().into_iter();
+    texts.map(|saved| saved.text.into_parts().0).collect()
+}
+
 // Guards against a text joined from the drafts of two owners, when a piece of one happens
 // to end where a piece of the other begins.
 #[test]
@@ -372,13 +465,47 @@
         piece(Some(4), 6, "a"),
     ];
     let second = [piece(None, 3, "b"), piece(Some(3), 4, "b")];
-    let rows = first.into_iter().map(|piece| ("1", piece));
-    let rows = rows.chain(second.into_iter().map(|piece| ("2", piece)));
-    let texts: Vec<String> = assemble(rows)
-        .into_iter()
-        .map(|t| t.into_parts().0)
-        .collect();
-    assert_eq!(texts, ["a1\na2\na3\na4\na5\na6", "b1\nb2\nb3\nb4"]);
+    let rows = first.map(|piece| (Tenure::new(1, 1), piece)).into_iter();
+    let rows = rows.chain(second.map(|piece| (Tenure::new(2, 1), piece)));
+    assert_eq!(texts(rows), ["a1\na2\na3\na4\na5\na6", "b1\nb2\nb3\nb4"]);
+}
+
+// Guards against texts joined from rows of a version that did not name the tenure, beside those
+// of this one.
+#[test]
+fn pieces_without_a_tenure_continue_no_text() {
+    let continued = Piece {
+        base: Some(Tenure::UNKNOWN),
+        ..piece(Some(2), 4, "b")
+    };
+    let rows = [
+        (Tenure::UNKNOWN, piece(None, 2, "a")),
+        (Tenure::UNKNOWN, piece(Some(2), 6, "a")),
+        (Tenure::new(1, 1), continued),
+        (Tenure::new(2, 1), piece(Some(2), 8, "c")),
+    ];
+    assert_eq!(texts(rows), ["a1\na2\nb3\nb4", "a1\na2"]);
+}
+
+// Guards against reading the keys of rows of the version before differently than it did.
+#[test]
+fn keys_of_pieces_are_parsed_in_all_forms() {
+    let parse = |key| PieceKey::parse("b", key).map(|it| (it.item, it.tenure, it.is_draft));
+    let draft = Tenure::from_bits(0x1f);
+    assert_eq!(
+        parse("b/item/1/0000/00000005"),
+        Some(("item/1", Tenure::UNKNOWN, false))
+    );
+    assert_eq!(
+        parse("b/item/1/draft-000000000000001f/0000/00000005"),
+        Some(("item/1", draft, true))
+    );
+    let new = row::draft_piece("b", "item/1", draft, &piece(Some(4), 9, "a")).key;
+    assert_eq!(parse(&new), Some(("item/1", draft, true)));
+    let new = row::piece("b", "item/1", draft, &piece(Some(4), 9, "a")).key;
+    assert_eq!(parse(&new), Some(("item/1", draft, false)));
+    assert_eq!(parse("b/item"), None);
+    assert_eq!(parse("c/item/1/0000/00000005"), None);
 }
 
 // Guards against an interrupted item that waits behind items that have not begun, which
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -2,7 +2,10 @@
 
 use hibiscusroad::{
     catalog::{Catalog, Kind, Limits, Route, Share},
-    rollout::{row, text::Piece},
+    rollout::{
+        row::{self, PieceKey},
+        text::{Piece, Tenure},
+    },
     roster::{Endpoint, EndpointChange, REREGISTRATION_GRACE, Roster},
 };
 use std::time::{Duration, Instant};
@@ -142,12 +145,13 @@
     assert!(row::result_key("b", 99_999).as_str() < "b0");
     let piece = |round, after| Piece {
         round,
+        base: None,
         after,
         last: 9,
         versions: Vec::new(),
         text: String::new(),
     };
-    let key = |piece: Piece| row::piece("b", "item/1", &piece).key;
+    let key = |piece: Piece| row::piece("b", "item/1", Tenure::new(1, 1), &piece).key;
     let keys = [
         key(piece(0, None)),
         key(piece(0, Some(4))),
@@ -155,10 +159,11 @@
         key(piece(1, None)),
     ];
     assert!(keys.is_sorted(), "{keys:?}");
-    assert!(
-        keys.iter()
-            .all(|key| row::parse_piece_key("b", key) == Some(("item/1", "")))
-    );
+    let is_piece = |key: &str| {
+        let key = PieceKey::parse("b", key).unwrap();
+        (key.item, key.is_draft) == ("item/1", false)
+    };
+    assert!(keys.iter().all(|key| is_piece(key)));
     assert!(row::buckets().any(|bucket| bucket == row::bucket("b")));
 }
 
