Follow no redirects

A redirect whose connection closed within its head was followed by the blocking HTTP clients: the host list was read from the address in the Location of an answer that was not whole.

Cause: the client library follows redirects by default, and takes one once its Location is there. None of the servers that entries, sides and the command line call redirects; and a failed connect to the target would be classified as "nothing was sent". All clients of the daemon start from one configuration now.

--- a/hibiscusroad-cli/src/client.rs
+++ b/hibiscusroad-cli/src/client.rs
@@ -109,6 +109,8 @@
             // A request on a stale pooled connection could be lost, while a
             // failed connect proves that nothing was sent.
             .max_idle_connections(0)
+            // Nor does a failed connect to the target of a redirect prove it.
+            .max_redirects(0)
             .proxy(None)
             .build();
         Self {
--- a/hibiscusroad-daemon/src/entry/peers.rs
+++ b/hibiscusroad-daemon/src/entry/peers.rs
@@ -8,7 +8,10 @@
 //! A few entries are queried at a time, and all of it ends after [`TOTAL_TIMEOUT`]: an operator is
 //! better served by an answer that names whom it lacks than by a wait.
 
-use crate::entry::operators::{Peer, QueryResponse, Row};
+use crate::{
+    entry::operators::{Peer, QueryResponse, Row},
+    http_client,
+};
 use serde::Deserialize;
 use std::{
     thread,
@@ -59,7 +62,7 @@
     /// Creates a client of the other entries.
     #[must_use]
     pub fn new() -> Self {
-        let agent = Agent::config_builder()
+        let agent = http_client::config()
             .timeout_global(Some(PEER_TIMEOUT))
             .max_idle_connections(0)
             .proxy(None)
--- a/hibiscusroad-daemon/src/lib.rs
+++ b/hibiscusroad-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event_loop;
 pub mod gateway;
 mod headers;
+mod http_client;
 pub mod logs;
 pub mod metrics;
 pub mod platform;
--- a/hibiscusroad-daemon/src/platform/mod.rs
+++ b/hibiscusroad-daemon/src/platform/mod.rs
@@ -22,6 +22,7 @@
     table::{Condition, Op, Outcome, PlatformError, Row, Table, Transaction},
 };
 
+use crate::http_client;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
 use ureq::{Body, http::Response};
@@ -35,7 +36,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
+    http_client::config()
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_global(Some(CALL_TIMEOUT))
         .http_status_as_error(false)
--- a/hibiscusroad-daemon/src/side/call.rs
+++ b/hibiscusroad-daemon/src/side/call.rs
@@ -1,7 +1,7 @@
 //! HTTP calls to the endpoint, made on worker threads.
 
 use crate::{
-    headers,
+    headers, http_client,
     side::{
         event::Event,
         request::Http,
@@ -46,9 +46,8 @@
 
 /// Creates an HTTP client for one worker.
 pub fn new_agent() -> Agent {
-    Agent::config_builder()
+    http_client::config()
         .http_status_as_error(false)
-        .max_redirects(0)
         .max_redirects_will_error(false)
         .allow_non_standard_methods(true)
         .proxy(None)
--- a/hibiscusroad-daemon/src/side/polls.rs
+++ b/hibiscusroad-daemon/src/side/polls.rs
@@ -1,6 +1,7 @@
 //! Threads that poll the endpoint's load and the host list.
 
 use crate::{
+    http_client,
     platform::{HostList, HostState},
     settings::{Settings, Side},
     side::{event::Event, request::EndpointLoad},
@@ -115,7 +116,7 @@
 }
 
 fn load_agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
+    http_client::config()
         .timeout_global(Some(LOAD_TIMEOUT))
         .proxy(None)
         .build()
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -92,7 +92,9 @@
     });
     stop_owner(&mut world, "b1");
     let mut gateways = world.gateways.iter_mut();
-    let reader = gateways.position(gateway_world::Gateway::is_running).unwrap();
+    let reader = gateways
+        .position(gateway_world::Gateway::is_running)
+        .unwrap();
     let found = results(&world, reader, "b1", 2);
     let runs = TextRuns::new(engine.runs());
     for result in &found {
--- a/hibiscusroad-daemon/tests/side_calls.rs
+++ b/hibiscusroad-daemon/tests/side_calls.rs
@@ -120,7 +120,7 @@
 #[test]
 fn cut_answers_are_not_passed_on_as_whole() {
     let endpoint = Endpoint::start(|path, stream| {
-        let mut parts = path.split('/').skip(1).map(|part| part.parse::<usize>());
+        let mut parts = path.split('/').skip(1).map(str::parse::<usize>);
         let (Some(Ok(form)), Some(Ok(length))) = (parts.next(), parts.next()) else {
             return answer(stream, "{}");
         };
