Replace rows under the lease by their version

Cause: Duty::transact wrote rows on condition of the lease's row alone. It stays between two renewals, so a record of orders whose answer was lost was executed after a newer one and replaced it. The next holder didn't know the newer orders, and spared none of their engines.

Now each row that is written under the lease also has its own version as a condition, as last read or written here. A conflict by an own unanswered write tells the version, and the transaction is executed again. Orders and reports of usage use it.

--- a/hibiscusroad-daemon/src/gateway/duty.rs
+++ b/hibiscusroad-daemon/src/gateway/duty.rs
@@ -8,20 +8,26 @@
 //! is only suspected to have failed, before the lease expires. Suspicion follows the
 //! rules for owners of batches. [`hibiscusroad::rollout::order_records`] defines which calls a
 //! new holder must leave alone, and for how long.
+//!
+//! The version of the lease's row keeps out former holders, but it stays between two renewals. So
+//! a write also names the version of each row that it replaces: one that got no answer must not
+//! replace a newer one of the same holder.
 
 use super::{
     batches::Batches,
     boot::BootClock,
+    failure::Failure,
     lease_row::{DUTIES_TABLE, decode_lease},
     store::Store,
 };
 use crate::logs::DUTY as TARGET;
 use hibiscusroad::{
     lease::{Holding, Lease, LeaseRow, LeaseTimes, NextAction},
-    table::{Change, Commit, RowId},
+    table::{Change, Commit, Row, RowId},
 };
 use std::{
     cell::RefCell,
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -41,6 +47,9 @@
 /// Jitter before a takeover, in milliseconds, so that the first process writes and the
 /// others read the result. It grows with each [`CANDIDATES_PER_JITTER`] processes.
 const TAKEOVER_JITTER_MS: u64 = 120;
+/// How often a transaction is executed again because an unanswered one has changed its rows: once
+/// for that write, and once more for a repeat of it.
+const MAX_REPEATS: u32 = 2;
 /// Number of processes that [`TAKEOVER_JITTER_MS`] is enough for.
 const CANDIDATES_PER_JITTER: usize = 32;
 
@@ -57,6 +66,9 @@
     other: RefCell<Option<(Holding, Instant)>>,
     /// The holder in the lease's row when it was last read.
     last_holder: RefCell<String>,
+    /// The versions of rows that are written under the lease, as last read or written here; 0 of
+    /// rows that don't exist.
+    versions: RefCell<HashMap<RowId, u64>>,
     /// Serialises writes under the lease: each changes the version that the next one
     /// expects.
     write_lock: Mutex<()>,
@@ -78,6 +90,7 @@
             lease: RefCell::new(Lease::new(holder, times)),
             other: RefCell::default(),
             last_holder: RefCell::default(),
+            versions: RefCell::default(),
             write_lock: Mutex::default(),
             changed: Notify::new(),
             renewed: Notify::new(),
@@ -120,25 +133,109 @@
         self.wake();
     }
 
-    /// Executes a transaction on condition that this process holds the lease; `None` if
-    /// it doesn't.
+    /// Reads a row that is written under the lease, for a later [`Duty::transact`].
+    pub(super) async fn read_row(&self, id: &RowId) -> Result<Option<Row>, Failure> {
+        let row = self.store.read_row(id).await?;
+        let version = row.as_ref().map_or(0, |row| row.version);
+        self.versions.borrow_mut().insert(id.clone(), version);
+        Ok(row)
+    }
+
+    /// Records the versions of rows that are written under the lease, for a later
+    /// [`Duty::transact`].
+    pub(super) fn record_rows(&self, rows: &[Row]) {
+        let versions = rows.iter().map(|row| (row.id.clone(), row.version));
+        self.versions.borrow_mut().extend(versions);
+    }
+
+    /// Forgets the versions of rows that are written no more.
+    pub(super) fn forget_rows<'a>(&self, ids: impl IntoIterator<Item = &'a RowId>) {
+        let mut versions = self.versions.borrow_mut();
+        for id in ids {
+            versions.remove(id);
+        }
+    }
+
+    /// Executes a transaction on condition that this process holds the lease, and that the rows
+    /// that it writes are as this process knows them; `None` if it doesn't hold the lease.
+    ///
+    /// A row may have been written by an earlier transaction of this process whose answer was
+    /// lost. The transaction is then executed again on condition of that version. A conflict is
+    /// returned for a row with a condition of `change`.
     pub(super) async fn transact(&self, change: Change) -> Option<Commit> {
         let _guard = self.write_lock.lock().await;
-        let version = self.lease.borrow().held_version(self.clock.now())?;
-        let done = self
-            .store
-            .transact(&change.expect(lease_row_id(), version))
-            .await;
-        if let Commit::Conflict(rows) = &done {
-            let mut lease_rows = rows.iter().filter(|row| row.id == lease_row_id());
-            if !lease_rows.any(|row| row.version == version) {
-                log::info!(target: TARGET, row = version;
-                    "The lease was lost; nothing is sent.");
-                self.lease.borrow_mut().record_conflict();
-                return None;
+        let mut repeats = 0..MAX_REPEATS;
+        loop {
+            let lease_version = self.lease.borrow().held_version(self.clock.now())?;
+            let conditional = match self.with_conditions(&change).await {
+                Ok(conditional) => conditional.expect(lease_row_id(), lease_version),
+                Err(failure) => {
+                    log::info!(target: TARGET, error = failure.to_string().as_str();
+                        "A row that is to be written could not be read.");
+                    return Some(Commit::Refused);
+                }
+            };
+            let commit = self.store.transact(&conditional).await;
+            match &commit {
+                Commit::Done { version, .. } => {
+                    let written = change.puts.iter().map(|(id, _)| (id.clone(), *version));
+                    self.versions.borrow_mut().extend(written);
+                }
+                Commit::Conflict(rows) => {
+                    let is_lease = |row: &&Row| row.id == lease_row_id();
+                    if !rows
+                        .iter()
+                        .filter(is_lease)
+                        .any(|row| row.version == lease_version)
+                    {
+                        log::info!(target: TARGET, row = lease_version;
+                            "The lease was lost; nothing is sent.");
+                        self.lease.borrow_mut().record_conflict();
+                        return None;
+                    }
+                    let is_known = self.record_conflict_rows(&change, rows);
+                    if is_known && repeats.next().is_some() {
+                        continue;
+                    }
+                }
+                Commit::Refused | Commit::Unknown => {}
+            }
+            return Some(commit);
+        }
+    }
+
+    /// Adds the versions of the rows that a change writes to its conditions. Reads those that are
+    /// not known.
+    async fn with_conditions(&self, change: &Change) -> Result<Change, Failure> {
+        let mut conditional = change.clone();
+        for (id, _) in &change.puts {
+            if has_condition(change, id) {
+                continue;
             }
+            let known = self.versions.borrow().get(id).copied();
+            let version = match known {
+                Some(version) => version,
+                None => self.read_row(id).await?.map_or(0, |row| row.version),
+            };
+            conditional = conditional.expect(id.clone(), version);
         }
-        Some(done)
+        Ok(conditional)
+    }
+
+    /// Records the versions of the rows that a change writes, after a conflict; returns whether
+    /// the conditions that `change` has of its own are met.
+    fn record_conflict_rows(&self, change: &Change, rows: &[Row]) -> bool {
+        let version = |id: &RowId| {
+            rows.iter()
+                .find(|row| row.id == *id)
+                .map_or(0, |row| row.version)
+        };
+        let written = change.puts.iter().map(|(id, _)| (id.clone(), version(id)));
+        self.versions.borrow_mut().extend(written);
+        change
+            .expect
+            .iter()
+            .all(|(id, expected)| version(id) == *expected)
     }
 
     /// Releases the lease, so that another process can acquire it at once.
@@ -269,6 +366,11 @@
     }
 }
 
+/// Returns whether a change has a condition on a row.
+fn has_condition(change: &Change, id: &RowId) -> bool {
+    change.expect.iter().any(|(expected, _)| expected == id)
+}
+
 /// Returns the id of the lease's row.
 fn lease_row_id() -> RowId {
     RowId::new(DUTIES_TABLE, "", LEASE_KEY)
--- a/hibiscusroad-daemon/src/gateway/usage/report.rs
+++ b/hibiscusroad-daemon/src/gateway/usage/report.rs
@@ -163,6 +163,7 @@
                 return false;
             }
         };
+        self.duty.record_rows(&page.rows);
         let mut reports = Reports::new(self.terms, self.times.now());
         for row in &oldest {
             reports.start_from(&row.id.key);
@@ -363,6 +364,7 @@
             if page.rows.is_empty() {
                 continue;
             }
+            self.duty.forget_rows(page.rows.iter().map(|row| &row.id));
             let removed = page.rows.into_iter().map(|row| row.id);
             let change = removed.fold(Change::new(), Change::remove);
             let commit = self.store.transact(&change).await;
--- a/hibiscusroad-daemon/src/gateway/weights/handover.rs
+++ b/hibiscusroad-daemon/src/gateway/weights/handover.rs
@@ -52,7 +52,7 @@
 
     /// Reads which engines previous holders have ordered; `false` if that can't be known.
     pub(super) async fn read_orders(&self) -> bool {
-        let row = match self.store.read_row(&orders_row()).await {
+        let row = match self.duty.read_row(&orders_row()).await {
             Ok(Some(row)) => row,
             Ok(None) => return true,
             Err(failure) => {
--- a/hibiscusroad-daemon/tests/gateway_loading.rs
+++ b/hibiscusroad-daemon/tests/gateway_loading.rs
@@ -8,8 +8,14 @@
     submission, until,
 };
 use hibiscusroad_standins::direct::Endpoint;
-use serde_json::json;
-use std::time::{Duration, Instant};
+use serde_json::{Value, json};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 /// How long the stand-in loads: less than an owner holds an engine before it has seen a load.
 /// An owner that doesn't know of the load sends items at once, and again each 300 ms.
@@ -173,3 +179,37 @@
     let waited = start.elapsed();
     assert!(waited < MAX_IDLE_WAIT, "{waited:?}");
 }
+
+// Guards against a record of orders that replaces a newer one of the same holder, because its write
+// got no answer and is carried out late. The next holder would not know of the newer orders.
+#[test]
+fn late_record_of_orders_replaces_no_newer_one() {
+    let (world, [_desk, engine]) = with_settings("late-orders", 1, "lease_ms = 12000\n");
+    name_version(&world, 2);
+    until("the engine has loaded", || {
+        (engine.version("guide") == 2).then_some(())
+    });
+    let late = Duration::from_millis(800);
+    let lost = Arc::new(AtomicBool::new(false));
+    let was_lost = Arc::clone(&lost);
+    world.store.delay_writes(late, move |_table, key, _value| {
+        key == "orders" && !was_lost.swap(true, Ordering::Relaxed)
+    });
+    name_version(&world, 3);
+    until("a record is lost", || {
+        lost.load(Ordering::Relaxed).then_some(())
+    });
+    name_version(&world, 4);
+    until("the engine has loaded", || {
+        (engine.version("guide") == 4).then_some(())
+    });
+    // The late write has been carried out then.
+    std::thread::sleep(2 * late);
+    let rows = world.store.rows("duties");
+    let (_, _, orders) = rows
+        .into_iter()
+        .find(|(_, key, _)| key == "orders")
+        .unwrap();
+    let orders: Value = serde_json::from_slice(&orders).unwrap();
+    assert_eq!(orders["engines"]["i-lm"]["version"], 4, "{orders}");
+}
