Remove own rows at a stop by their version

A gateway that is restarted may be known to nobody for a minute: it is given no next step, relays no calls, and its clock is not known.

Cause: at a planned stop a gateway removed its rows without a condition. A removal without an answer that is executed up to seconds later removes the rows that the next incarnation has written under the same name; the row among all processes is renewed after a minute.

The removal now names the version that this incarnation last wrote, and learns a later one from a conflict if its incarnation is its own.

--- a/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/heartbeat.rs
@@ -41,7 +41,8 @@
                 continue;
             }
             let change = Change::new().put(row::member(&self.directory.name), encode(&presence));
-            if matches!(self.store.transact(&change).await, Commit::Done { .. }) {
+            if let Commit::Done { version, .. } = self.store.transact(&change).await {
+                self.member_row.set(version);
                 backoff.reset();
                 sleep(RENEWAL_INTERVAL).await;
             } else {
@@ -87,6 +88,7 @@
                         log::info!(target: BATCHES, row = written; "The heartbeats begin.");
                     }
                     version = is_needed.then_some(written);
+                    self.heartbeat_row.set(version.unwrap_or(0));
                     backoff.reset();
                     sleep(pause).await;
                 }
--- a/hibiscusroad-daemon/src/gateway/batches/mod.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/mod.rs
@@ -107,6 +107,9 @@
     polled: Notify,
     /// Whether the process is stopping: it runs and takes over no more batches.
     is_stopping: Cell<bool>,
+    /// The versions of the heartbeat and of the row among all processes, as last written here.
+    heartbeat_row: Cell<u64>,
+    member_row: Cell<u64>,
     /// Number of times that this process has loaded a batch.
     load_count: Cell<u64>,
 }
@@ -206,6 +209,8 @@
             failure_detector: RefCell::new(FailureDetector::new()),
             polled: Notify::new(),
             is_stopping: Cell::new(false),
+            heartbeat_row: Cell::new(0),
+            member_row: Cell::new(0),
             load_count: Cell::new(0),
         }
     }
--- a/hibiscusroad-daemon/src/gateway/batches/owner.rs
+++ b/hibiscusroad-daemon/src/gateway/batches/owner.rs
@@ -16,7 +16,7 @@
         row::{self, Head, Presence},
         text::{SavedText, Tenure, Text},
     },
-    table::{Change, Commit, Range, Row},
+    table::{Change, Commit, Range, Row, RowId},
     topology::RegionSet,
 };
 use hibiscusroad_platform::batch;
@@ -34,6 +34,8 @@
 
 /// Limit for the poll of a stopping process, which has about a second in all.
 const STOP_POLL_TIMEOUT: Duration = Duration::from_millis(200);
+/// How often the removal of a row is tried: once more if an unanswered write has changed it.
+const MAX_REMOVALS: usize = 2;
 /// The name under which the holder of the weights' duty is watched.
 const WEIGHTS_DUTY: &str = "weights";
 /// Shortest and longest wait between retries.
@@ -347,15 +349,43 @@
             self.save_new_pieces(&owned).await;
             self.hand_over(&owned.id).await;
         }
-        let remove = async |id| self.store.transact(&Change::new().remove(id)).await;
-        let (done, _is_unlisted) = join(
-            remove(row::heartbeat(&self.directory.name)),
-            remove(row::member(&self.directory.name)),
+        let (done, is_unlisted) = join(
+            self.remove_own_row(
+                row::heartbeat(&self.directory.name),
+                self.heartbeat_row.get(),
+            ),
+            self.remove_own_row(row::member(&self.directory.name), self.member_row.get()),
         )
         .await;
-        log::info!(target: BATCHES, done = matches!(done, Commit::Done { .. });
+        log::info!(target: BATCHES, done = done, unlisted = is_unlisted;
             "All batches are handed over; the heartbeats end.");
     }
+
+    /// Removes a row of this process that was last written with `version`, 0 if it was not; returns
+    /// whether it is known to be removed.
+    ///
+    /// The next incarnation may start before an unanswered removal is executed, and its row must
+    /// stay.
+    async fn remove_own_row(&self, id: RowId, mut version: u64) -> bool {
+        for _ in 0..MAX_REMOVALS {
+            let change = Change::new().expect(id.clone(), version).remove(id.clone());
+            match self.store.transact(&change).await {
+                Commit::Done { .. } => return true,
+                Commit::Refused | Commit::Unknown => return false,
+                Commit::Conflict(rows) => {
+                    let own = rows.iter().find(|row| {
+                        decode_process::<Presence>(row)
+                            .is_some_and(|it| it.incarnation == self.incarnation)
+                    });
+                    match own {
+                        Some(row) => version = row.version,
+                        None => return true,
+                    }
+                }
+            }
+        }
+        false
+    }
 }
 
 impl Batches {
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -124,6 +124,29 @@
     assert_eq!(owner.wait().code(), Some(0));
 }
 
+// Guards against a gateway that nobody knows for a minute after its restart, because the removal
+// of the rows of its former incarnation got no answer and is carried out late.
+#[test]
+fn late_removal_at_a_stop_spares_the_rows_of_the_next_incarnation() {
+    let (mut world, _desk, _engine) = World::ready("removal", 1);
+    let is_announced = |world: &World| !world.store.rows("members").is_empty();
+    until("the gateway is announced", || {
+        is_announced(&world).then_some(())
+    });
+    let late = Duration::from_millis(4_000);
+    world.store.delay_writes(late, |table, _key, value| {
+        table == "members" && value.is_empty()
+    });
+    world.gateways[0].signal(Signal::TERM);
+    assert_eq!(world.gateways[0].wait().code(), Some(0));
+    world.store.resume_writes();
+    let store = world.store.addr();
+    world.gateways[0] = Gateway::start(&world.dir, "gateway-1", store, "");
+    world.wait_ready(0);
+    std::thread::sleep(late);
+    assert!(is_announced(&world));
+}
+
 // A planned stop saves all texts and hands the batches over, so that nothing is lost.
 #[test]
 fn batch_of_a_stopped_owner_is_resumed_elsewhere() {
--- a/hibiscusroad-standins/src/direct/store.rs
+++ b/hibiscusroad-standins/src/direct/store.rs
@@ -66,7 +66,8 @@
     reads: BTreeMap<(String, String), usize>,
 }
 
-/// Returns whether a write of a row, given by table, key and value, is to be delayed.
+/// Returns whether a write of a row, given by table, key and value, is to be delayed. The value is
+/// empty if the row is removed.
 type IsDelayed = dyn FnMut(&str, &str, &[u8]) -> bool + Send;
 
 /// Transactions that get no answer and are carried out late.
@@ -85,7 +86,7 @@
 
 impl Unanswered {
     fn matches(&mut self, change: &WireChange) -> bool {
-        change.puts.iter().any(|row| {
+        change.puts.iter().chain(&change.remove).any(|row| {
             let value = STANDARD.decode(&row.value).unwrap_or_default();
             (self.is_delayed)(&row.table, &row.key, &value)
         })
@@ -231,7 +232,8 @@
     }
 
     /// Leaves transactions without an answer, and carries them out after `delay`, if `is_delayed`
-    /// returns `true` for the table, the key and the value of a row that they write.
+    /// returns `true` for the table, the key and the value of a row that they write; the value is
+    /// empty if the row is removed.
     pub fn delay_writes(
         &self,
         delay: Duration,
