Close idle connections that went silent with an unanswered one

Items wait longer after each fruitless move, and a feed waits for 2.7 s.

Now the pool closes the idle connections that the unanswered request puts in doubt: those to its address that were not heard from since it was sent, and all such ones if two addresses are silent and no older connection has answered. A call that the store holds open goes on a connection that was just used or on a new one, since its silence would show late. The decision is a module of its own without input or output.

--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -9,8 +9,14 @@
 //! An endpoint may answer a request twice, the second time late, when the next answer is due.
 //! Only the request id in the answer tells. So a connection carries each id once, also if the
 //! request is sent again, and an answer with another id than the last request's is a fault.
+//!
+//! Idle connections that may have gone silent are closed ([`hibiscusroad::silence`]).
 
 use super::data_centres::RunningRequest;
+use hibiscusroad::{
+    clock::millis,
+    silence::{Doubt, Silences},
+};
 use hibiscusroad_platform::{header, request::Request as PlatformRequest};
 use http_body_util::{Either, Full};
 use hyper::{
@@ -48,6 +54,9 @@
 /// How long an idle connection is kept if the server sends no keep-alive timeout;
 /// longer than the seconds between a trainer's steps.
 const DEFAULT_IDLE_TTL: Duration = Duration::from_secs(9);
+/// How long a connection may have been idle on which a held request is sent. The feeds of the store
+/// reuse theirs at once.
+const MAX_HELD_IDLE: Duration = Duration::from_millis(200);
 /// Maximum size of an answer's head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Number of requests after which a connection is closed. It bounds the ids that are kept.
@@ -187,6 +196,8 @@
     sender: SendRequest<RequestBody>,
     _driver: Driver,
     address: SocketAddr,
+    /// When the last answer was read to its end; `None` on a new connection.
+    idle_since: Option<Instant>,
     /// Digests of the ids of the requests that it has carried.
     carried_ids: Vec<u64>,
     /// The request that it carries, if it was sent to an endpoint.
@@ -217,13 +228,42 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    since: Instant,
     expires_at: Instant,
 }
 
+/// A request on a reused connection that has got no answer yet.
+struct Unanswered<'a> {
+    pool: &'a ConnectionPool,
+    address: SocketAddr,
+    idle_since: Option<Instant>,
+    sent_at: Instant,
+    is_over: bool,
+}
+
+impl Unanswered<'_> {
+    /// Records that the head of the answer has arrived.
+    fn record_answer(&mut self) {
+        self.is_over = true;
+        if let Some(idle_since) = self.idle_since {
+            self.pool.silences.borrow_mut().record_answer(idle_since);
+        }
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_over && self.idle_since.is_some() {
+            self.pool.record_silence(self.address, self.sent_at);
+        }
+    }
+}
+
 /// A pool of connections to many addresses.
 #[derive(Debug, Default)]
 pub(super) struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    silences: RefCell<Silences<SocketAddr>>,
     opened: Cell<u64>,
 }
 
@@ -243,7 +283,19 @@
         address: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
-        self.send_with_hook(address, request, || Ok(None)).await
+        self.send_with_hook(address, request, None, || Ok(None))
+            .await
+    }
+
+    /// Sends a request for which a silent connection would show late. It is sent on a new
+    /// connection unless one has been used within [`MAX_HELD_IDLE`].
+    pub(super) async fn send_held(
+        &self,
+        address: SocketAddr,
+        request: Request<RequestBody>,
+    ) -> Result<(Response<Incoming>, Connection), Fault> {
+        self.send_with_hook(address, request, Some(MAX_HELD_IDLE), || Ok(None))
+            .await
     }
 
     /// Sends a request to an endpoint and waits for the head of its answer.
@@ -257,18 +309,20 @@
         mut start: impl FnMut() -> Result<RunningRequest, Fault>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let on_send = || start().map(Some);
-        self.send_with_hook(address, request, on_send).await
+        self.send_with_hook(address, request, None, on_send).await
     }
 
     async fn send_with_hook(
         &self,
         address: SocketAddr,
         mut request: Request<RequestBody>,
+        max_idle: Option<Duration>,
         mut on_send: impl FnMut() -> Result<Option<RunningRequest>, Fault>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let id = request.headers().get(header::REQUEST).cloned();
         loop {
-            let (mut connection, pooled) = match self.take_idle(address, id.as_ref()) {
+            let idle = self.take_idle(address, id.as_ref(), max_idle);
+            let (mut connection, pooled) = match idle {
                 Some(connection) => (connection, true),
                 None => (self.open(address).await?, false),
             };
@@ -281,7 +335,20 @@
                 }
             }
             connection.carried_ids.extend(id.as_ref().map(digest));
-            match connection.sender.try_send_request(request).await {
+            let mut unanswered = Unanswered {
+                pool: self,
+                address,
+                idle_since: connection.idle_since,
+                sent_at: Instant::now(),
+                is_over: false,
+            };
+            let answer = connection.sender.try_send_request(request).await;
+            match &answer {
+                Ok(_) => unanswered.record_answer(),
+                // The connection is closed, not silent.
+                Err(_) => unanswered.is_over = true,
+            }
+            match answer {
                 Ok(response) if is_foreign(id.as_ref(), response.headers()) => {
                     return Err(Fault::Foreign);
                 }
@@ -306,18 +373,49 @@
             return;
         }
         let idle_ttl = keep_alive.map_or(DEFAULT_IDLE_TTL, |timeout| timeout.mul_f64(0.8));
-        let expires_at = Instant::now() + idle_ttl;
+        let since = Instant::now();
+        let expires_at = since + idle_ttl;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
         connections.retain(|idle| !idle.connection.sender.is_closed());
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(IdleConnection {
                 connection,
+                since,
                 expires_at,
             });
         }
     }
 
+    /// Closes the idle connections that an unanswered request puts in doubt.
+    fn record_silence(&self, address: SocketAddr, sent_at: Instant) {
+        let mut silences = self.silences.borrow_mut();
+        let doubt = silences.record_silence(Instant::now(), address, sent_at);
+        drop(silences);
+        let mut idle = self.idle.borrow_mut();
+        let mut closed = 0;
+        let mut close = |connections: &mut Vec<IdleConnection>, since: Instant| {
+            let count = connections.len();
+            connections.retain(|idle| idle.since > since);
+            closed += count - connections.len();
+        };
+        match doubt {
+            Doubt::None => {}
+            Doubt::Address(since) => {
+                if let Some(connections) = idle.get_mut(&address) {
+                    close(connections, since);
+                }
+            }
+            Doubt::All(since) => idle.values_mut().for_each(|it| close(it, since)),
+        }
+        if closed > 0 {
+            log::info!(target: crate::logs::CALLS, address = address.to_string().as_str(),
+                waited_ms = millis(sent_at.elapsed()), closed = closed,
+                all = matches!(doubt, Doubt::All(_));
+                "A request on a reused connection got no answer; idle connections are closed.");
+        }
+    }
+
     /// Returns until when an idle connection to an address is kept, if there is one.
     pub(super) fn idle_until(&self, address: SocketAddr) -> Option<Instant> {
         let idle = self.idle.borrow();
@@ -325,17 +423,29 @@
         connections.map(|connection| connection.expires_at).max()
     }
 
-    /// Takes an idle connection that has not carried a request with this id.
-    fn take_idle(&self, address: SocketAddr, id: Option<&HeaderValue>) -> Option<Connection> {
+    /// Takes an idle connection that has not carried a request with this id, and has been idle for
+    /// `max_idle` at most.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        id: Option<&HeaderValue>,
+        max_idle: Option<Duration>,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         connections.retain(|idle| now < idle.expires_at && idle.connection.sender.is_ready());
+        let is_fresh =
+            |idle: &IdleConnection| max_idle.is_none_or(|limit| now - idle.since <= limit);
         // The most recently used one is the least likely to have been closed.
         let position = connections
             .iter()
-            .rposition(|idle| !idle.connection.has_carried(id))?;
-        Some(connections.remove(position).connection)
+            .rposition(|idle| is_fresh(idle) && !idle.connection.has_carried(id))?;
+        let idle = connections.remove(position);
+        Some(Connection {
+            idle_since: Some(idle.since),
+            ..idle.connection
+        })
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, Fault> {
@@ -362,6 +472,7 @@
             sender,
             _driver: driver,
             address,
+            idle_since: None,
             carried_ids: Vec::new(),
             running: None,
         })
--- a/hibiscusroad-daemon/src/gateway/store.rs
+++ b/hibiscusroad-daemon/src/gateway/store.rs
@@ -464,7 +464,7 @@
         request: &Request,
         limit: Duration,
     ) -> Result<(u16, Bytes), Failure> {
-        let answer = timeout(limit, self.exchange(request)).await;
+        let answer = timeout(limit, self.exchange(request, limit)).await;
         let answer = answer.unwrap_or_else(|_elapsed| Err(Failure::Lost("time is over".into())));
         let answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
         let now = Instant::now();
@@ -553,20 +553,19 @@
     }
 
     /// Sends a request on a connection to the store and reads the answer.
-    async fn exchange(&self, request: &Request) -> Result<(u16, Bytes), Failure> {
+    async fn exchange(&self, request: &Request, limit: Duration) -> Result<(u16, Bytes), Failure> {
         let address = self.address.get();
         let http = encode(request, address).map_err(|error| Failure::Refused(error.to_string()))?;
-        let (response, connection) =
-            self.pool
-                .send(address, http)
-                .await
-                .map_err(|fault| match fault {
-                    Fault::Connect(why) => Failure::Refused(why.to_string()),
-                    Fault::Evacuated | Fault::Left | Fault::Withheld => {
-                        Failure::Refused(fault.to_string())
-                    }
-                    Fault::Broken(_) | Fault::Foreign => Failure::Lost(fault.to_string()),
-                })?;
+        let sent = if limit > WRITE_TIMEOUTS.1 {
+            self.pool.send_held(address, http).await
+        } else {
+            self.pool.send(address, http).await
+        };
+        let (response, connection) = sent.map_err(|fault| match fault {
+            Fault::Connect(why) => Failure::Refused(why.to_string()),
+            Fault::Evacuated | Fault::Left | Fault::Withheld => Failure::Refused(fault.to_string()),
+            Fault::Broken(_) | Fault::Foreign => Failure::Lost(fault.to_string()),
+        })?;
         let status = response.status().as_u16();
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| Failure::Lost(error.to_string()))?;
--- a/hibiscusroad-daemon/tests/gateway_owners.rs
+++ b/hibiscusroad-daemon/tests/gateway_owners.rs
@@ -133,7 +133,7 @@
     until("the gateway is announced", || {
         is_announced(&world).then_some(())
     });
-    let late = Duration::from_millis(4_000);
+    let late = Duration::from_secs(4);
     world.store.delay_writes(late, |table, _key, value| {
         table == "members" && value.is_empty()
     });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod route;
+pub mod silence;
 pub mod store_outage;
 pub mod store_path;
 pub mod subset;
