Keep the age of a connection that was taken and not used

A connection that was taken from the pool and returned, because its endpoint had left or its data centre was evacuated meanwhile, counted as one that had just been heard, so that it could outlast a doubt about older ones. Found by reading; its age is kept now.

--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -330,7 +330,8 @@
                 Ok(running) => connection.running = running,
                 Err(fault) => {
                     // The connection is unused and serves a later request.
-                    self.return_to_pool(connection, None);
+                    let since = connection.idle_since.unwrap_or_else(Instant::now);
+                    self.keep(connection, since, None);
                     return Err(fault);
                 }
             }
@@ -367,14 +368,18 @@
     }
 
     /// Returns a connection to the pool after its answer was read to the end.
-    pub(super) fn return_to_pool(&self, mut connection: Connection, keep_alive: Option<Duration>) {
+    pub(super) fn return_to_pool(&self, connection: Connection, keep_alive: Option<Duration>) {
+        self.keep(connection, Instant::now(), keep_alive);
+    }
+
+    /// Keeps a connection on which nothing has been received since `since`.
+    fn keep(&self, mut connection: Connection, since: Instant, keep_alive: Option<Duration>) {
         connection.running = None;
         if connection.sender.is_closed() || connection.carried_ids.len() >= MAX_REQUESTS {
             return;
         }
         let idle_ttl = keep_alive.map_or(DEFAULT_IDLE_TTL, |timeout| timeout.mul_f64(0.8));
-        let since = Instant::now();
-        let expires_at = since + idle_ttl;
+        let expires_at = Instant::now() + idle_ttl;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
         connections.retain(|idle| !idle.connection.sender.is_closed());
