--- a/hibiscusroad-daemon/src/gateway/http.rs
+++ b/hibiscusroad-daemon/src/gateway/http.rs
@@ -232,10 +232,11 @@
     expires_at: Instant,
 }
 
-/// A request on a reused connection that has got no answer yet.
+/// A request that has got no answer yet. If it is dropped then, its connection may be silent.
 struct Unanswered<'a> {
     pool: &'a ConnectionPool,
     address: SocketAddr,
+    /// Since when the connection had been idle; `None` if it is new, which tells nothing.
     idle_since: Option<Instant>,
     sent_at: Instant,
     is_over: bool,
